Callers' HTTP server and connections between processes

Cause: callers need the chat and service API on nbhttp, which does not notice a caller who leaves while a handler runs. Ruled out: handlers that wait (their context never ends), one goroutine's order left to chance (a test with five requests sent ahead got answer 4 as answer 1). Change: each request takes its connection over and keeps nbhttp's parser, with answers in order, a window of 64 KB a caller, and errors that end a half answer's connection. Conclusion: streams pass piece by piece and a caller who leaves ends the request's context.

--- /dev/null
+++ b/internal/caller/conn.go
@@ -0,0 +1,147 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rotisserie/eris"
+)
+
+// windowBytes is how much of an answer may wait in the entry for one caller.
+// nbio takes any number of bytes into its own buffer; without this bound a
+// caller who reads slowly, or not at all, would hold a whole answer in memory.
+const windowBytes = 64 << 10
+
+// errCallerGone reports a write to a caller who has left.
+var errCallerGone = eris.New("caller has left")
+
+// conn is what the server knows of one caller's connection.
+//
+// Lock order: nbio's lock of the connection is taken before mu, because nbio
+// reports written bytes while it holds its own; nothing here calls nbio with
+// mu held.
+type conn struct {
+	mu      sync.Mutex
+	pending int
+	gone    bool
+	cancel  context.CancelFunc
+	// room holds a signal when pending fell.
+	room chan struct{}
+	// last closes when the newest request of the connection is answered.
+	last chan struct{}
+}
+
+func newConn() *conn {
+	c := &conn{room: make(chan struct{}, 1), last: make(chan struct{})}
+	close(c.last)
+	return c
+}
+
+// enqueue gives a request its place in the order of the connection's answers:
+// it may be answered when before has closed and closes mine at its end.
+func (c *conn) enqueue() (before, mine chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before = c.last
+	mine = make(chan struct{})
+	c.last = mine
+	return before, mine
+}
+
+// begin ties cancel to the connection's close.
+func (c *conn) begin(cancel context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+	if c.gone {
+		cancel()
+	}
+}
+
+// end forgets the request that begin tied to the connection.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = nil
+}
+
+func (c *conn) closed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = true
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.signal()
+}
+
+// written notes that n bytes have left for the caller. With TLS these are more
+// than were put in, so pending stops at zero.
+func (c *conn) written(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = max(0, c.pending-n)
+	c.signal()
+}
+
+func (c *conn) signal() {
+	select {
+	case c.room <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns when less than limit bytes are pending, or the caller has left,
+// or ctx ends.
+func (c *conn) wait(ctx context.Context, limit int) error {
+	for {
+		c.mu.Lock()
+		gone, full := c.gone, c.pending >= limit
+		c.mu.Unlock()
+		if gone {
+			return errCallerGone
+		}
+		if !full {
+			return nil
+		}
+		select {
+		case <-c.room:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// write puts b on its way to the caller, waiting first for room.
+func (c *conn) write(ctx context.Context, w net.Conn, b []byte) error {
+	if err := c.wait(ctx, windowBytes); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.pending += len(b)
+	c.mu.Unlock()
+	if _, err := w.Write(b); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// underlying returns the event loop's connection below an HTTP connection,
+// with TLS or without.
+func underlying(w net.Conn) *nbio.Conn {
+	for {
+		switch v := w.(type) {
+		case *nbio.Conn:
+			return v
+		case *nbhttp.Conn:
+			w = v.Conn
+		case interface{ Conn() net.Conn }:
+			w = v.Conn()
+		default:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,262 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const (
+	// oversize is how many times the body limit is still read, so that the
+	// sender gets a numbered answer; a larger body only loses its connection.
+	oversize = 4
+	// defaultReadTimeout bounds the time in which a request must arrive, so
+	// that senders of one byte a second don't hold connections for ever.
+	defaultReadTimeout = 30 * time.Second
+	// endBacklog lets a finished request go on without waiting for Run.
+	endBacklog = 64
+)
+
+// Handler runs the requests that a Server has read. Serve must finish the
+// reply before it returns; ctx ends when the caller leaves.
+type Handler interface {
+	Serve(ctx context.Context, r *Request, w *Reply)
+	// Ready returns nil when the entry may be given requests.
+	Ready() error
+}
+
+// Server meets callers at one address. Set the exported fields before Run.
+type Server struct {
+	// Addr is where to listen, as IP:port.
+	Addr string
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
+	// BodyLimit is the largest body in bytes.
+	BodyLimit int
+	// MaxConns is the largest number of callers' connections.
+	MaxConns int
+	// ReadTimeout bounds the time between requests and within one.
+	ReadTimeout time.Duration
+	// Handler runs the requests.
+	Handler Handler
+
+	engine   *nbhttp.Engine
+	conns    sync.Map // *nbio.Conn to *conn
+	running  atomic.Int64
+	ended    chan struct{}
+	refusing atomic.Bool
+	closing  atomic.Bool
+}
+
+// Listen opens the server's address and begins to serve.
+func (s *Server) Listen() error {
+	if s.BodyLimit <= 0 || s.MaxConns <= 0 {
+		return result.New(result.BadSetting, "body limit and connections must be above zero")
+	}
+	if s.ReadTimeout <= 0 {
+		s.ReadTimeout = defaultReadTimeout
+	}
+	s.ended = make(chan struct{}, endBacklog)
+	ln, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return result.Newf(result.AddressInUse, "%s: %v", s.Addr, err)
+	}
+	s.Addr = ln.Addr().String()
+	s.engine = nbhttp.NewEngine(s.config(ln))
+	s.engine.OnOpen(s.opened)
+	s.engine.OnClose(s.closedConn)
+	s.engine.OnWrittenSize(s.written)
+	s.engine.OnData(s.arrived)
+	return eris.Wrap(s.engine.Start(), "caller server")
+}
+
+func (s *Server) config(ln net.Listener) nbhttp.Config {
+	cfg := nbhttp.Config{
+		Network:         "tcp",
+		MaxLoad:         s.MaxConns,
+		MaxHTTPBodySize: s.BodyLimit * oversize,
+		ReadLimit:       s.BodyLimit * oversize,
+		KeepaliveTime:   s.ReadTimeout,
+		RetainHTTPBody:  false,
+		Handler:         http.HandlerFunc(s.take),
+		Listen:          func(string, string) (net.Listener, error) { return ln, nil },
+	}
+	if s.TLS == nil {
+		cfg.Addrs = []string{s.Addr}
+		return cfg
+	}
+	cfg.AddrConfigsTLS = []nbhttp.ConfAddr{{Addr: s.Addr, Network: "tcp", TLSConfig: nbioTLS(s.TLS)}}
+	return cfg
+}
+
+// Address returns the address listened on, as IP:port.
+func (s *Server) Address() string { return s.Addr }
+
+// Running returns how many requests have not been answered to their end.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+// Online returns how many callers are connected.
+func (s *Server) Online() int { return s.engine.Online() }
+
+// Announce asks callers to connect elsewhere: each answer from now on closes
+// its connection. Requests are still taken.
+func (s *Server) Announce() { s.closing.Store(true) }
+
+// Refuse answers each further request with shuttingDown.
+func (s *Server) Refuse() {
+	s.closing.Store(true)
+	s.refusing.Store(true)
+}
+
+// Run serves until ctx ends and then waits until no request runs, or until
+// drain has passed. It must follow Listen.
+func (s *Server) Run(ctx context.Context, drain time.Duration) error {
+	for ctx.Err() == nil {
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+		}
+	}
+	s.Refuse()
+	s.awaitIdle(drain)
+	s.engine.Stop()
+	return nil
+}
+
+func (s *Server) awaitIdle(drain time.Duration) {
+	t := time.NewTimer(drain)
+	defer t.Stop()
+	for s.running.Load() > 0 {
+		select {
+		case <-s.ended:
+		case <-t.C:
+			return
+		}
+	}
+}
+
+func (s *Server) opened(w net.Conn) {
+	if c := underlying(w); c != nil {
+		s.conns.Store(c, newConn())
+	}
+}
+
+func (s *Server) closedConn(w net.Conn, _ error) {
+	v, ok := s.conns.LoadAndDelete(underlying(w))
+	if ok {
+		v.(*conn).closed()
+	}
+}
+
+// arrived hands data on to the connection's parser. The look-up orders it
+// after opened for the race detector, which can't see that the event loop
+// learns of a connection from the goroutine that accepted it.
+func (s *Server) arrived(w *nbio.Conn, data []byte) {
+	if _, ok := s.conns.Load(w); !ok {
+		return
+	}
+	w.DataHandler()(w, data)
+}
+
+func (s *Server) written(w *nbio.Conn, _ []byte, n int) {
+	v, ok := s.conns.Load(w)
+	if ok {
+		v.(*conn).written(n)
+	}
+}
+
+// take copies the request out of nbhttp's buffers, takes its connection over
+// and lets a goroutine of its own answer it.
+func (s *Server) take(w http.ResponseWriter, hr *http.Request) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	nc, _, err := h.Hijack()
+	if err != nil {
+		return
+	}
+	v, ok := s.conns.Load(underlying(nc))
+	if !ok {
+		return
+	}
+	_ = nc.SetReadDeadline(time.Time{})
+	r, rerr := s.read(hr)
+	c := v.(*conn)
+	reply := &Reply{w: nc, conn: c, close: hr.Close, minor: hr.ProtoMinor}
+	reply.before, reply.mine = c.enqueue()
+	s.running.Add(1)
+	go s.answer(r, rerr, reply)
+}
+
+// answer runs one request. Requests that a caller sends ahead on the same
+// connection wait for their turn, as HTTP/1.1 wants answers in order.
+func (s *Server) answer(r *Request, rerr error, w *Reply) {
+	defer s.finish()
+	defer close(w.mine)
+	<-w.before
+	defer w.conn.end()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.conn.begin(cancel)
+	w.ctx = ctx
+	w.close = w.close || s.closing.Load()
+	if r != nil {
+		w.requestID = r.ID()
+	}
+	s.dispatch(ctx, r, rerr, w)
+	if w.close || w.broken {
+		w.hangUp()
+		return
+	}
+	_ = w.w.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+}
+
+func (s *Server) dispatch(ctx context.Context, r *Request, rerr error, w *Reply) {
+	if rerr != nil {
+		w.Fail(result.Of(rerr))
+		return
+	}
+	switch r.Kind().(type) {
+	case Health:
+		w.Whole(http.StatusOK, "text/plain", "", []byte("ok\n"))
+	case Readiness:
+		s.readiness(w)
+	default:
+		if s.refusing.Load() {
+			w.Fail(result.New(result.ShuttingDown, "").WithRetryAfter(time.Second))
+			return
+		}
+		s.Handler.Serve(ctx, r, w)
+	}
+}
+
+func (s *Server) readiness(w *Reply) {
+	if s.closing.Load() {
+		w.Fail(result.New(result.ShuttingDown, ""))
+		return
+	}
+	if err := s.Handler.Ready(); err != nil {
+		w.Fail(result.Of(err))
+		return
+	}
+	w.Whole(http.StatusOK, "text/plain", "", []byte("ready\n"))
+}
+
+func (s *Server) finish() {
+	s.running.Add(-1)
+	select {
+	case s.ended <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/caller/server_test.go
@@ -0,0 +1,263 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const testBodyLimit = 4096
+
+type handlerFunc func(ctx context.Context, r *Request, w *Reply)
+
+func (f handlerFunc) Serve(ctx context.Context, r *Request, w *Reply) { f(ctx, r, w) }
+func (f handlerFunc) Ready() error                                    { return nil }
+
+func start(t *testing.T, h handlerFunc) *Server {
+	t.Helper()
+	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, Handler: h}
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, time.Second) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return s
+}
+
+func post(t *testing.T, s *Server, path, body string, header ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header) && header[i] != ""; i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close() //nolint:errcheck // read to its end
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return res, "broken: " + err.Error()
+	}
+	return res, string(b)
+}
+
+func assertCode(t *testing.T, body string, want result.Code) {
+	t.Helper()
+	var e errorJSON
+	if err := json.Unmarshal([]byte(body), &e); err != nil {
+		t.Fatalf("%q: %v", body, err)
+	}
+	if got := result.Code(e.Error.Code); got != want {
+		t.Errorf("code is %d %s, want %d %s", got, got, want, want)
+	}
+	if e.Error.Effect != want.Effect().String() {
+		t.Errorf("effect is %s", e.Error.Effect)
+	}
+}
+
+const chatBodyText = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+func TestRequestIsRead(t *testing.T) {
+	var got *Request
+	s := start(t, func(_ context.Context, r *Request, w *Reply) {
+		got = r
+		w.Whole(http.StatusOK, "text/plain", "f", r.Body())
+	})
+	t.Run("chat", func(t *testing.T) {
+		_, body := post(t, s, PathChat, chatBodyText, headerRequestID, "r1", headerDeadline, "1500", headerAuthorization, "Bearer k")
+		c, ok := got.Kind().(Chat)
+		if !ok || !c.Stream() || got.Route() != "m" || got.AccountKey() != "k" || got.Budget() != 1500*time.Millisecond {
+			t.Errorf("read as %+v", got)
+		}
+		if body != chatBodyText {
+			t.Errorf("answer is %q", body)
+		}
+	})
+	t.Run("service", func(t *testing.T) {
+		post(t, s, PathServices+"orders/confirm?x=1", "{}", headerKey, "k1")
+		if got.Route() != "orders" || got.Path() != "/confirm?x=1" || got.IdempotencyKey() != "k1" {
+			t.Errorf("read as %+v", got)
+		}
+	})
+	faults := []struct {
+		name, path, body, header, value string
+		want                            result.Code
+	}{
+		{"no path", "/x", "", "", "", result.UnknownRoute},
+		{"no JSON", PathChat, "{", "", "", result.MalformedRequest},
+		{"no model", PathChat, "{}", "", "", result.MalformedRequest},
+		{"bad id", PathChat, chatBodyText, headerRequestID, "a b", result.BadHeader},
+		{"bad deadline", PathChat, chatBodyText, headerDeadline, "-1", result.BadHeader},
+		{"long key", PathServices + "o/", "", headerKey, strings.Repeat("k", 999), result.BadHeader},
+		{"large", PathServices + "o/", strings.Repeat("b", testBodyLimit+1), "", "", result.BodyTooLarge},
+	}
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			_, body := post(t, s, f.path, f.body, f.header, f.value)
+			assertCode(t, body, f.want)
+		})
+	}
+}
+
+// A caller asks for a stream and the endpoint dies in the middle. Without the
+// missing end of the body the caller's library would hand over half an answer
+// as a whole one.
+func TestHalfAnswerIsNotWhole(t *testing.T) {
+	s := start(t, func(_ context.Context, _ *Request, w *Reply) {
+		_ = w.Stream(http.StatusOK, "text/event-stream", "f")
+		_ = w.Piece([]byte("data: half\n\n"))
+		w.Fail(result.New(result.AnswerIncomplete, ""))
+	})
+	_, body := post(t, s, PathChat, chatBodyText)
+	if !strings.HasPrefix(body, "broken: ") {
+		t.Errorf("half an answer passed for whole: %q", body)
+	}
+}
+
+func TestStreamArrivesPieceByPiece(t *testing.T) {
+	next := make(chan struct{})
+	s := start(t, func(_ context.Context, _ *Request, w *Reply) {
+		_ = w.Stream(http.StatusOK, "text/event-stream", "f")
+		for i := range 3 {
+			_ = w.Piece([]byte(fmt.Sprintf("data: %d\n", i)))
+			<-next
+		}
+		_ = w.End()
+	})
+	res, err := http.Post("http://"+s.Address()+PathChat, "application/json", strings.NewReader(chatBodyText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close() //nolint:errcheck // read to its end
+	br := bufio.NewReader(res.Body)
+	for i := range 3 {
+		line, err := br.ReadString('\n')
+		if want := fmt.Sprintf("data: %d\n", i); err != nil || line != want {
+			t.Fatalf("got %q, %v", line, err)
+		}
+		next <- struct{}{}
+	}
+	if rest, err := io.ReadAll(br); err != nil || len(rest) > 0 {
+		t.Errorf("after the end: %q, %v", rest, err)
+	}
+}
+
+// A caller hangs up while its request waits for the endpoint. If the entry
+// didn't notice, the engine would go on computing tokens for nobody.
+func TestCallerWhoLeavesEndsTheContext(t *testing.T) {
+	ended := make(chan struct{})
+	begun := make(chan struct{})
+	s := start(t, func(ctx context.Context, _ *Request, _ *Reply) {
+		close(begun)
+		<-ctx.Done()
+		close(ended)
+	})
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", PathChat, len(chatBodyText), chatBodyText)
+	<-begun
+	_ = c.Close()
+	<-ended
+}
+
+// A caller asks for a long stream and reads none of it. Without the window the
+// whole answer would pile up in the entry's memory.
+func TestSlowCallerIsHeldBack(t *testing.T) {
+	const total = 256 << 20
+	sent := make(chan int, 1)
+	full := make(chan struct{})
+	s := start(t, func(ctx context.Context, _ *Request, w *Reply) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			<-full
+			cancel()
+		}()
+		w.Within(ctx)
+		_ = w.Stream(http.StatusOK, "text/plain", "f")
+		n := 0
+		b := bytes.Repeat([]byte("x"), 32<<10)
+		for n < total && w.Piece(b) == nil {
+			n += len(b)
+		}
+		sent <- n
+	})
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close() //nolint:errcheck // nothing is read
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", PathChat, len(chatBodyText), chatBodyText)
+	waitStalled(t, s)
+	close(full)
+	if n := <-sent; n >= total {
+		t.Errorf("all %d bytes were taken for a caller who reads nothing", n)
+	}
+}
+
+// waitStalled returns when some connection has a full window.
+func waitStalled(t *testing.T, s *Server) {
+	t.Helper()
+	for {
+		stalled := false
+		s.conns.Range(func(_, v any) bool {
+			c := v.(*conn)
+			c.mu.Lock()
+			stalled = stalled || c.pending >= windowBytes
+			c.mu.Unlock()
+			return true
+		})
+		if stalled {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestRequestsSentAheadAreAnsweredInOrder(t *testing.T) {
+	s := start(t, func(_ context.Context, r *Request, w *Reply) {
+		w.Whole(http.StatusOK, "text/plain", "", r.Body())
+	})
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close() //nolint:errcheck // read to its end
+	var all bytes.Buffer
+	for i := range 5 {
+		fmt.Fprintf(&all, "POST %so/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%d", PathServices, i)
+	}
+	_, _ = c.Write(all.Bytes())
+	br := bufio.NewReader(c)
+	for i := range 5 {
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := io.ReadAll(res.Body)
+		if string(b) != fmt.Sprint(i) {
+			t.Fatalf("answer %d is %q", i, b)
+		}
+	}
+}
