--- /dev/null
+++ b/internal/endpoint/placement/attempt.go
@@ -0,0 +1,114 @@
+package placement
+
+import "time"
+
+// Attempt is one attempt of this entry that has been placed and not ended.
+type Attempt struct {
+	endpoint    *endpoint
+	incarnation uint64
+	tokens      int
+	started     time.Time
+	// heard is the start, or when the last piece came.
+	heard    time.Time
+	answered bool
+	ended    bool
+	set      *routeSet
+	// prev and next link the endpoint's attempts by heard.
+	prev, next *Attempt
+}
+
+// Endpoint returns the name of the attempt's endpoint.
+func (a *Attempt) Endpoint() string { return a.endpoint.name }
+
+// attempts lists the open attempts of an endpoint, longest silent first.
+type attempts struct{ first, last *Attempt }
+
+func (l *attempts) add(a *Attempt) {
+	a.prev, a.next = l.last, nil
+	if l.last != nil {
+		l.last.next = a
+	} else {
+		l.first = a
+	}
+	l.last = a
+}
+
+func (l *attempts) remove(a *Attempt) {
+	if a.prev != nil {
+		a.prev.next = a.next
+	} else {
+		l.first = a.next
+	}
+	if a.next != nil {
+		a.next.prev = a.prev
+	} else {
+		l.last = a.prev
+	}
+	a.prev, a.next = nil, nil
+}
+
+// Started commits an attempt to the chosen endpoint. Its work counts from now
+// until Ended, whatever the reports say. It returns nil when the endpoint has
+// been removed since the choice.
+func (p *Picture) Started(c Choice, q Query, now time.Time) *Attempt {
+	e := p.endpoints[c.Endpoint]
+	if e == nil {
+		return nil
+	}
+	a := &Attempt{
+		endpoint: e, incarnation: e.incarnation, tokens: max(0, q.Tokens),
+		started: now, heard: now, set: p.routes[q.Route],
+	}
+	p.noteTokens(a.tokens)
+	e.attempts.add(a)
+	e.commit(1, a.tokens, now)
+	return a
+}
+
+func (e *endpoint) commit(streams, tokens int, now time.Time) {
+	e.own += streams
+	e.ownTokens += tokens
+	e.history.add(now, e.own, e.ownTokens)
+}
+
+// Piece records that a piece of the answer has come.
+func (p *Picture) Piece(a *Attempt, now time.Time) {
+	if a == nil || a.ended {
+		return
+	}
+	e := a.endpoint
+	if !a.answered {
+		a.answered = true
+		e.observe(now.Sub(a.started).Seconds(), a)
+	}
+	a.heard = now
+	e.attempts.remove(a)
+	e.attempts.add(a)
+}
+
+// Ended takes the attempt's work off its endpoint. Ending twice does no harm.
+func (p *Picture) Ended(a *Attempt, now time.Time) {
+	if a == nil || a.ended {
+		return
+	}
+	a.ended = true
+	a.endpoint.attempts.remove(a)
+	a.endpoint.commit(-1, -a.tokens, now)
+}
+
+// Refused records that the agent has refused the attempt as not run, and ends
+// it. The endpoint is not asked again before retryAfter has passed, at least
+// leastBackOff: asking at once would meet the same refusal.
+func (p *Picture) Refused(a *Attempt, retryAfter time.Duration, now time.Time) {
+	if a == nil || a.ended {
+		return
+	}
+	p.Ended(a, now)
+	until := now.Add(max(retryAfter, leastBackOff))
+	if until.After(a.endpoint.backOff) {
+		a.endpoint.backOff = until
+	}
+}
+
+// leastBackOff is some round trips between the data centres of a region.
+const leastBackOff = 10 * time.Millisecond
--- /dev/null
+++ b/internal/endpoint/placement/slow.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slowMost bounds how little a slow endpoint is given: a tenth, not
+	// nothing, so that its recovery is seen.
+	slowMost = 10
+	// slowFrom is the slowness from which an endpoint gets no affine requests
+	// and is probed when it has no work.
+	slowFrom = 2
+	// patience is how many typical times to the first piece an attempt may be
+	// silent before the endpoint counts as slower.
+	patience = 3
+	// firstPieceStep smooths the time to the first piece.
+	firstPieceStep = 0.2
+	// typicalStep moves the route's typical time by this part for each sample.
+	typicalStep = 0.02
+)
+
+// observe takes in a time to the first piece.
+func (e *endpoint) observe(s float64, a *Attempt) {
+	if a.set != nil {
+		a.set.observe(s)
+	}
+	if a.incarnation != e.incarnation {
+		return
+	}
+	if e.firstPiece == 0 {
+		e.firstPiece = s
+		return
+	}
+	e.firstPiece += firstPieceStep * (s - e.firstPiece)
+}
+
+// observe moves the route's median time to the first piece. A median is not
+// moved by the slow endpoint that it has to show.
+func (s *routeSet) observe(seconds float64) {
+	switch {
+	case s.typical == 0:
+		s.typical = seconds
+	case seconds > s.typical:
+		s.typical *= 1 + typicalStep
+	default:
+		s.typical /= 1 + typicalStep
+	}
+}
+
+// slowness returns by what factor the endpoint is slower than is typical for
+// the route, between 1 and slowMost. The load is one endpoint that stalls or
+// slows down while it still accepts work: it has few completions and so looks
+// free. The age of the longest silent attempt shows a stall before any late
+// answer does.
+func (e *endpoint) slowness(s *routeSet, now time.Time) float64 {
+	if s.typical <= 0 {
+		return 1
+	}
+	f := e.firstPiece / s.typical
+	if a := e.attempts.first; a != nil {
+		silent := now.Sub(a.heard).Seconds()
+		f = math.Max(f, silent/(patience*s.typical))
+	}
+	return math.Min(math.Max(f, 1), slowMost)
+}
