--- /dev/null
+++ b/internal/agent/work.go
@@ -0,0 +1,176 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// maxResumes is how often a broken stream is resumed at its engine before the
+// answer counts as incomplete: once for a lost connection and once more for
+// bad luck; an engine that breaks each time is failing.
+const maxResumes = 2
+
+// admit checks what only the agent knows and takes a place at the endpoint.
+// Its refusals are true: nothing has left for the endpoint.
+func (a *Agent) admit(req *peerpb.RunRequest, now time.Time) (allowance.Ticket, *result.Error) {
+	var none allowance.Ticket
+	if a.leaving.Load() {
+		return none, result.New(result.EndpointLeaving, "").WithRetryAfter(leaveRetry)
+	}
+	if err := a.view.Load().check(req.GetRoute()); err != nil {
+		return none, err
+	}
+	if req.GetBudgetMicros() <= 0 {
+		return none, result.New(result.DeadlinePassed, "")
+	}
+	return a.allowance.Admit(now)
+}
+
+// work runs one attempt to its end. It goes on when the call that began it
+// breaks, so that the answer can be fetched through another entry.
+func (a *Agent) work(ctx context.Context, at *attempt, t allowance.Ticket) {
+	a.tokens.Add(tokensOf(at.req))
+	defer a.tokens.Add(-tokensOf(at.req))
+	err := a.runOnceOrRepeatable(ctx, at, t)
+	now := a.now()
+	if err == nil {
+		a.allowance.Completed(t, now)
+		a.event(timeline.Answered, at.req, "", at.count(), now)
+	} else {
+		a.failed(at, t, err, now)
+	}
+	at.finish(endOf(err), now)
+	a.changed()
+}
+
+// failed gives the place back and notes signs that the endpoint turned cold.
+func (a *Agent) failed(at *attempt, t allowance.Ticket, err *result.Error, now time.Time) {
+	a.allowance.Failed(t, now)
+	a.event(timeline.Failed, at.req, err.Detail(), uint64(err.Code()), now)
+	switch err.Code() {
+	case result.EndpointDown, result.AnswerIncomplete:
+		a.restarted(allowance.ConnectionLost, now)
+	}
+}
+
+func tokensOf(req *peerpb.RunRequest) int64 {
+	return int64(req.GetPromptTokens()) + int64(req.GetOutputTokens())
+}
+
+func (a *Agent) runOnceOrRepeatable(ctx context.Context, at *attempt, t allowance.Ticket) *result.Error {
+	if at.req.GetRunOnce() {
+		return a.runOnce(ctx, at, t)
+	}
+	return a.dispatch(ctx, at, t)
+}
+
+// dispatch sends the request to the endpoint and takes its answer in.
+func (a *Agent) dispatch(ctx context.Context, at *attempt, t allowance.Ticket) *result.Error {
+	now := a.now()
+	a.event(timeline.Dispatched, at.req, "", uint64(at.req.GetAttempt()), now)
+	at.setAccepted(&peerpb.Accepted{Endpoint: a.Settings.EndpointName, Incarnation: a.incarnation})
+	call := a.callOf(at.req)
+	s := &sink{agent: a, at: at, ticket: t, ctx: ctx, sent: now}
+	err := a.client.Do(ctx, call, s.take)
+	for range maxResumes {
+		if !resumable(at, err) {
+			break
+		}
+		a.event(timeline.PieceLost, at.req, "resumed", at.count(), a.now())
+		call.ResumeFrom = at.count()
+		err = a.client.Do(ctx, call, s.take)
+	}
+	return ranError(ctx, err)
+}
+
+// resumable reports whether a stream broke off whose rest the engine may have.
+func resumable(at *attempt, err error) bool {
+	if err == nil || !at.req.GetStream() || at.count() == 0 {
+		return false
+	}
+	return result.CodeOf(err) == result.AnswerIncomplete
+}
+
+// ranError turns the client's error into the attempt's.
+func ranError(ctx context.Context, err error) *result.Error {
+	if err == nil {
+		return nil
+	}
+	if e := result.Of(err); e != nil {
+		return e
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.New(result.DeadlineExceeded, "")
+	}
+	if ctx.Err() != nil {
+		return result.New(result.Cancelled, "")
+	}
+	return result.New(result.OutcomeUnknown, err.Error())
+}
+
+// callOf returns the call to the endpoint. The account is part of the id,
+// because request ids are chosen by callers and two may choose the same.
+func (a *Agent) callOf(req *peerpb.RunRequest) endpoint.Call {
+	return endpoint.Call{
+		RequestID:      wireID(req),
+		Attempt:        req.GetAttempt(),
+		Method:         req.GetMethod(),
+		Path:           req.GetPath(),
+		ContentType:    req.GetContentType(),
+		Body:           req.GetBody(),
+		Stream:         req.GetStream(),
+		Priority:       int(req.GetPriority()),
+		IdempotencyKey: req.GetIdempotencyKey(),
+	}
+}
+
+func wireID(req *peerpb.RunRequest) string {
+	return req.GetRequestId() + "." + strconv.FormatUint(xxhash.Sum64String(req.GetAccount()), 36)
+}
+
+// sink takes an answer's parts into an attempt.
+type sink struct {
+	agent  *Agent
+	at     *attempt
+	ticket allowance.Ticket
+	ctx    context.Context
+	sent   time.Time
+	begun  bool
+}
+
+func (s *sink) take(e endpoint.Event) error {
+	switch e := e.(type) {
+	case endpoint.Head:
+		s.head(e)
+		return nil
+	case endpoint.Piece:
+		s.firstPiece()
+		return s.at.add(s.ctx, append([]byte(nil), e.Data...))
+	}
+	return nil
+}
+
+func (s *sink) head(h endpoint.Head) {
+	s.agent.allowance.Incarnation(h.Incarnation)
+	s.at.setHead(&peerpb.Head{Status: int32(h.Status), ContentType: h.ContentType})
+}
+
+func (s *sink) firstPiece() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	now := s.agent.now()
+	s.agent.allowance.FirstToken(s.ticket, now.Sub(s.sent))
+	s.agent.event(timeline.FirstPiece, s.at.req, "", 0, now)
+}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -48,6 +48,7 @@
 	KeyMissing         Code = 1008
 	AnswerNotFound     Code = 1009
 	TooManyConnections Code = 1010
+	RequestIDReused    Code = 1011
 
 	AccountRate        Code = 2001
 	AccountConcurrency Code = 2002
@@ -140,6 +141,7 @@
 	KeyMissing:         {"keyMissing", NotRun, http.StatusBadRequest, "this service needs an idempotency key"},
 	AnswerNotFound:     {"answerNotFound", NotApplicable, http.StatusNotFound, "no answer is kept under this id"},
 	TooManyConnections: {"tooManyConnections", NotRun, http.StatusServiceUnavailable, "the entry has as many connections as its settings allow"},
+	RequestIDReused:    {"requestIdReused", NotRun, http.StatusConflict, "the request id was used with another body"},
 
 	AccountRate:        {"accountRate", NotRun, http.StatusTooManyRequests, "the account's rate is used up"},
 	AccountConcurrency: {"accountConcurrency", NotRun, http.StatusTooManyRequests, "the account has as many requests open as it may"},
