Endpoint client, allowance and endpoint stand-ins, first cut

Cause: the agent needs its way to its endpoint, and the bound it keeps there. Ruled out: nbhttp's Client (hands over whole responses only); the library's own reading (can't be paused, and drops what the socket still holds when the endpoint closes); the connection's session field (handed to the loop without a lock: the race detector reports it). Change: internal/endpoint (Client.Do, orders, cancels), allowance, stand-ins for an engine and a plain service, cmd/standin. Conclusion: whole answers as JSON and as a stream pass under -race; failures are not proved yet.

--- /dev/null
+++ b/internal/endpoint/loop.go
@@ -0,0 +1,79 @@
+package endpoint
+
+import (
+	"sync"
+
+	"github.com/lesismal/nbio"
+)
+
+// loop is the event loop of a client and the connections that it serves.
+//
+// Guard: the library hands a connection to its loop without a lock, so what is
+// reached through the connection itself could be seen half made on another
+// core. The table's lock orders the making of a conn before its first event.
+//
+// Lock order: mu only; nothing is called with it held.
+type loop struct {
+	engine *nbio.Engine
+
+	mu    sync.Mutex
+	conns map[*nbio.Conn]*conn
+}
+
+// startLoop starts an event loop that reports a readable connection once and
+// then waits to be told to go on, which is how reading is paused.
+func startLoop() (*loop, error) {
+	l := &loop{conns: map[*nbio.Conn]*conn{}}
+	l.engine = nbio.NewEngine(nbio.Config{
+		Name:         "endpoint",
+		NPoller:      1,
+		EpollMod:     nbio.EPOLLET,
+		EPOLLONESHOT: nbio.EPOLLONESHOT,
+	})
+	l.engine.OnRead(func(nb *nbio.Conn) {
+		if c := l.find(nb); c != nil {
+			c.onReadable()
+		}
+	})
+	l.engine.OnClose(func(nb *nbio.Conn, err error) {
+		if c := l.remove(nb); c != nil {
+			c.onClosed(err)
+		}
+	})
+	// Guard: after a write of which the socket took only a part, the loop
+	// forgets to listen for room again; a large request would stop half-way
+	// and time out. Each part that was written asks anew.
+	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, _ int) {
+		nb.ResetPollerEvent()
+	})
+	return l, l.engine.Start()
+}
+
+// add gives c to the event loop.
+func (l *loop) add(c *conn) error {
+	l.mu.Lock()
+	l.conns[c.nb] = c
+	l.mu.Unlock()
+	_, err := l.engine.AddConn(c.nb)
+	if err != nil {
+		l.remove(c.nb)
+	}
+	return err
+}
+
+func (l *loop) find(nb *nbio.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[nb]
+}
+
+func (l *loop) remove(nb *nbio.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.conns[nb]
+	delete(l.conns, nb)
+	return c
+}
+
+// stop closes all connections and ends the loop.
+func (l *loop) stop() { l.engine.Stop() }
--- /dev/null
+++ b/internal/endpoint/metrics.go
@@ -0,0 +1,44 @@
+package endpoint
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// counters are the client's counters.
+type counters struct {
+	calls          metrics.Counter
+	whole          metrics.Counter
+	byCode         map[result.Code]metrics.Counter
+	cancelsDropped metrics.Counter
+	cancelsFailed  metrics.Counter
+}
+
+func newCounters(r metrics.Registry) counters {
+	c := counters{
+		calls:          metrics.GetOrRegisterCounter("endpoint.calls", r),
+		whole:          metrics.GetOrRegisterCounter("endpoint.whole", r),
+		byCode:         map[result.Code]metrics.Counter{},
+		cancelsDropped: metrics.GetOrRegisterCounter("endpoint.cancelsDropped", r),
+		cancelsFailed:  metrics.GetOrRegisterCounter("endpoint.cancelsFailed", r),
+	}
+	for _, code := range result.Codes() {
+		if info, _ := result.Lookup(code); info.Effect() != result.NotApplicable && code != result.OK {
+			c.byCode[code] = metrics.GetOrRegisterCounter("endpoint.failed."+code.String(), r)
+		}
+	}
+	return c
+}
+
+// count counts the end of one call.
+func (c counters) count(err error) {
+	c.calls.Inc(1)
+	if err == nil {
+		c.whole.Inc(1)
+		return
+	}
+	if n, ok := c.byCode[result.CodeOf(err)]; ok {
+		n.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,73 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rotisserie/eris"
+)
+
+// handlers bounds how many requests one stand-in answers at once.
+const handlers = 4096
+
+// Server serves a handler over nbhttp. Set the fields, then start Run.
+type Server struct {
+	// Listen is the address to listen on; port 0 takes a free one.
+	Listen  string
+	Handler http.Handler
+
+	once  sync.Once
+	ready chan struct{}
+	addr  string
+}
+
+func (s *Server) prepare() {
+	s.once.Do(func() { s.ready = make(chan struct{}) })
+}
+
+// Addr waits until the server listens and returns its address, or an empty
+// one when ctx ends before.
+func (s *Server) Addr(ctx context.Context) string {
+	s.prepare()
+	select {
+	case <-s.ready:
+		return s.addr
+	case <-ctx.Done():
+		return ""
+	}
+}
+
+// Run serves until ctx ends; then open connections are cut.
+func (s *Server) Run(ctx context.Context) error {
+	s.prepare()
+	logging.SetLevel(logging.LevelNone)
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Name:                   "standin",
+		Network:                "tcp",
+		Addrs:                  []string{s.Listen},
+		NPoller:                1,
+		Handler:                s.Handler,
+		SupportServerOnly:      true,
+		MessageHandlerPoolSize: handlers,
+		Listen:                 s.listen,
+	})
+	if err := engine.Start(); err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Listen)
+	}
+	close(s.ready)
+	<-ctx.Done()
+	engine.Stop()
+	return nil
+}
+
+func (s *Server) listen(network, addr string) (net.Listener, error) {
+	ln, err := net.Listen(network, addr)
+	if err == nil {
+		s.addr = ln.Addr().String()
+	}
+	return ln, err
+}
