Entry: scheduler, relay, members and calls to agents

Cause: requests need a way from caller to agent. Change: admission and placing joined behind one lock, answers checked piece by piece, attempts that follow a broken stream or another attempt's claim. Conclusion: not wired yet.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -97,6 +97,7 @@
 		Pieces:           e.GetPieces(),
 		Bytes:            e.GetBytes(),
 		Holder:           e.GetHolder(),
+		HolderRequestId:  e.GetHolderRequestId(),
 		Load:             a.report(),
 	}
 }
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,282 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
+)
+
+const (
+	// reportEvery is the least time between two reports of an agent. At the
+	// target's 128 agents a subset and some 120 bytes a report it bounds the
+	// reports that an entry takes in.
+	reportEvery = 50 * time.Millisecond
+	// silentAfter is how long an agent may send nothing before it counts as
+	// frozen or cut off: four of its heartbeats.
+	silentAfter = 2 * time.Second
+	// watchRetry is the pause before an agent is watched again.
+	watchRetry = 100 * time.Millisecond
+	// pushTimeout bounds the exchange of configuration with one peer.
+	pushTimeout = 2 * time.Second
+)
+
+// member is an agent that the entry listens to.
+type member struct {
+	addr   string
+	cancel context.CancelFunc
+	done   chan error
+
+	// members.mu guards the rest.
+	endpoint   string
+	dataCentre string
+	heard      time.Time
+	last       *peerpb.LoadReport
+	// attempts holds how to end each attempt that waits for this agent.
+	attempts map[*job]context.CancelCauseFunc
+}
+
+// members are the agents of the entry's subset. Set the exported fields before
+// Run.
+type members struct {
+	conns *peer.Conns
+	store *config.Store
+	clock *timeline.Clock
+	ring  *timeline.Ring
+	log   logrus.FieldLogger
+	name  string
+	now   func() time.Time
+	// report takes in what an agent said, and lost that it can't be reached.
+	report func(placement.Report, time.Time)
+	lost   func(endpoint string)
+
+	mu     sync.Mutex
+	byAddr map[string]*member
+}
+
+// set makes addrs the agents that are listened to.
+func (m *members) set(ctx context.Context, addrs []string) {
+	want := map[string]bool{}
+	for _, a := range addrs {
+		want[a] = true
+	}
+	m.mu.Lock()
+	if m.byAddr == nil {
+		m.byAddr = map[string]*member{}
+	}
+	var gone []*member
+	for a, one := range m.byAddr {
+		if !want[a] {
+			gone = append(gone, one)
+			delete(m.byAddr, a)
+		}
+	}
+	for a := range want {
+		if m.byAddr[a] == nil {
+			m.byAddr[a] = m.watchMember(ctx, a)
+		}
+	}
+	m.mu.Unlock()
+	for _, one := range gone {
+		one.cancel()
+		<-one.done
+		m.conns.Drop(one.addr)
+		m.drop(one)
+	}
+}
+
+func (m *members) watchMember(ctx context.Context, addr string) *member {
+	ctx, cancel := context.WithCancel(ctx)
+	one := &member{
+		addr:     addr,
+		cancel:   cancel,
+		done:     make(chan error, 1),
+		attempts: map[*job]context.CancelCauseFunc{},
+	}
+	go func() { one.done <- m.watch(ctx, one) }()
+	return one
+}
+
+// watch follows one agent's reports until ctx ends.
+func (m *members) watch(ctx context.Context, one *member) error {
+	for ctx.Err() == nil {
+		m.follow(ctx, one)
+		m.drop(one)
+		select {
+		case <-time.After(watchRetry):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// follow reads reports until the stream breaks or the agent falls silent.
+func (m *members) follow(ctx context.Context, one *member) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(silentAfter, cancel)
+	defer quiet.Stop()
+	cc, err := m.conns.Get(one.addr)
+	if err != nil {
+		return
+	}
+	req := &peerpb.WatchRequest{
+		Hlc:            uint64(m.clock.Next(m.now())),
+		Entry:          m.name,
+		IntervalMicros: reportEvery.Microseconds(),
+	}
+	stream, err := peerpb.NewAgentClient(cc).Watch(ctx, req)
+	if err != nil {
+		return
+	}
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		quiet.Reset(silentAfter)
+		m.heard(ctx, one, r)
+	}
+}
+
+func (m *members) heard(ctx context.Context, one *member, r *peerpb.LoadReport) {
+	now := m.now()
+	m.clock.Observe(timeline.Stamp(r.GetHlc()), now)
+	m.mu.Lock()
+	joined := one.endpoint == ""
+	one.endpoint = r.GetEndpoint()
+	one.dataCentre = r.GetDataCentre()
+	one.heard = now
+	one.last = r
+	m.mu.Unlock()
+	if joined {
+		m.ring.Add(timeline.PeerJoined, "", r.GetEndpoint(), one.addr, r.GetIncarnation(), now)
+	}
+	m.report(reportOf(r, now), now)
+	if r.GetConfigDigest() != peer.ConfigDigest(m.store) {
+		m.push(ctx, one.addr)
+	}
+}
+
+// push brings a peer to the newest configuration, and this entry too.
+func (m *members) push(ctx context.Context, addr string) {
+	cc, err := m.conns.Get(addr)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	// A peer that can't be reached is tried again at its next report.
+	_ = peer.Exchange(ctx, peerpb.NewPeerClient(cc), m.store, m.clock, m.now)
+}
+
+// pushAll hands a change to all agents at once.
+func (m *members) pushAll(ctx context.Context) {
+	done := make(chan struct{}, 1)
+	addrs := m.addrs()
+	for _, a := range addrs {
+		go func() {
+			m.push(ctx, a)
+			done <- struct{}{}
+		}()
+	}
+	for range addrs {
+		<-done
+	}
+}
+
+func (m *members) addrs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]string, 0, len(m.byAddr))
+	for a := range m.byAddr {
+		all = append(all, a)
+	}
+	return all
+}
+
+// drop forgets what an agent said that can't be heard any more, and ends the
+// attempts that wait for it.
+func (m *members) drop(one *member) {
+	m.mu.Lock()
+	name := one.endpoint
+	one.endpoint = ""
+	one.last = nil
+	waiting := one.attempts
+	one.attempts = map[*job]context.CancelCauseFunc{}
+	m.mu.Unlock()
+	if name == "" {
+		return
+	}
+	m.ring.Add(timeline.PeerLost, "", name, one.addr, 0, m.now())
+	m.lost(name)
+	for _, cancel := range waiting {
+		cancel(errAgentSilent)
+	}
+}
+
+// byEndpoint returns the address of the agent beside the endpoint.
+func (m *members) byEndpoint(name string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a, one := range m.byAddr {
+		if one.endpoint == name {
+			return a, true
+		}
+	}
+	return "", false
+}
+
+// wait registers how to end an attempt when its agent falls silent, and
+// returns how to take that back.
+func (m *members) wait(addr string, j *job, cancel context.CancelCauseFunc) func() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	one := m.byAddr[addr]
+	if one == nil {
+		return func() {}
+	}
+	one.attempts[j] = cancel
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(one.attempts, j)
+	}
+}
+
+// reports returns the newest report of each agent that can be heard.
+func (m *members) reports() []*peerpb.LoadReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var rs []*peerpb.LoadReport
+	for _, one := range m.byAddr {
+		if one.last != nil {
+			rs = append(rs, one.last)
+		}
+	}
+	return rs
+}
+
+func reportOf(r *peerpb.LoadReport, now time.Time) placement.Report {
+	return placement.Report{
+		Endpoint:        r.GetEndpoint(),
+		Incarnation:     r.GetIncarnation(),
+		DataCentre:      r.GetDataCentre(),
+		Routes:          r.GetRoutes(),
+		Allowance:       int(r.GetAllowance()),
+		Capacity:        int(r.GetCapacity()),
+		Running:         int(r.GetRunning()),
+		CommittedTokens: r.GetCommittedTokens(),
+		Cold:            r.GetCold(),
+		Leaving:         r.GetLeaving(),
+		Out:             r.GetOutOfService(),
+		At:              now,
+	}
+}
--- /dev/null
+++ b/internal/entry/scheduler.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const (
+	// absentRetry is when a caller should come back whose route has no
+	// endpoint in service: about the time in which a VM starts to be seen.
+	absentRetry = time.Second
+	// idleWake bounds how long the scheduler sleeps when nothing waits.
+	idleWake = time.Second
+	// leastWake keeps a deadline that is due from spinning the scheduler.
+	leastWake = time.Millisecond
+)
+
+// job is one request on its way through the scheduler.
+type job struct {
+	id      string
+	request admission.Request
+	query   placement.Query
+	// verdict gets one value for each time that the job is handed in: nil when
+	// it has a place, else why it never will.
+	verdict chan *result.Error
+
+	// The scheduler's lock guards the rest.
+	why     result.Code
+	choice  placement.Choice
+	attempt *placement.Attempt
+}
+
+// scheduler joins the deciding packages: admission says which request goes
+// next, placement where to. The tables are shared by all requests.
+type scheduler struct {
+	mu        sync.Mutex
+	admission admission.Controller
+	picture   placement.Picture
+	budget    admission.RetryBudget
+	jobs      map[string]*job
+	wake      chan struct{}
+}
+
+func (s *scheduler) init() {
+	s.jobs = map[string]*job{}
+	s.wake = make(chan struct{}, 1)
+}
+
+// submit hands a new job in. Its verdict comes at once or later.
+func (s *scheduler) submit(j *job, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs[j.id] = j
+	s.budget.First(now)
+	d := s.admission.Arrive(j.request, now, s.placer(now))
+	s.decided(j, d, now)
+}
+
+// again hands a job in whose attempt an agent has refused as not run, or which
+// may be repeated. Without the retry budget, the retries of an overload would
+// multiply it.
+func (s *scheduler) again(j *job, refused bool, retryAfter time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release(j, refused, retryAfter, now)
+	if !s.budget.Take(now) {
+		s.drop(j, result.New(result.RetryBudget, "").WithRetryAfter(max(retryAfter, absentRetry)), now)
+		return
+	}
+	s.decided(j, s.admission.Requeue(j.id, now), now)
+	s.pump(now)
+}
+
+func (s *scheduler) release(j *job, refused bool, retryAfter time.Duration, now time.Time) {
+	if j.attempt == nil {
+		return
+	}
+	j.query.Tried = append(j.query.Tried, j.choice.Endpoint)
+	if refused {
+		s.picture.Refused(j.attempt, retryAfter, now)
+	} else {
+		s.picture.Ended(j.attempt, now)
+	}
+	j.attempt = nil
+}
+
+// decided passes a decision on to the job and to those it displaced.
+func (s *scheduler) decided(j *job, d admission.Decision, now time.Time) {
+	switch d := d.(type) {
+	case admission.Start:
+		j.verdict <- nil
+	case admission.Wait:
+		for _, r := range d.Displaced {
+			s.refuse(r)
+		}
+		if absent(j.why) {
+			// Waiting can't help: an endpoint must come into service first. The
+			// caller learns it now, not at its deadline.
+			s.drop(j, result.New(j.why, "").WithRetryAfter(absentRetry), now)
+		}
+		s.nudge()
+	case admission.Refuse:
+		delete(s.jobs, j.id)
+		j.verdict <- result.New(d.Code, "").WithRetryAfter(d.RetryAfter)
+	}
+}
+
+// absent reports whether a route has no endpoint that could take work later.
+func absent(c result.Code) bool {
+	switch c {
+	case result.NoEndpoint, result.OutOfService, result.NotServedHere:
+		return true
+	}
+	return false
+}
+
+func (s *scheduler) drop(j *job, e *result.Error, now time.Time) {
+	s.admission.Cancel(j.id)
+	s.admission.Done(j.id, now)
+	delete(s.jobs, j.id)
+	j.verdict <- e
+}
+
+func (s *scheduler) refuse(r admission.Refusal) {
+	j, ok := s.jobs[r.ID]
+	if !ok {
+		return
+	}
+	delete(s.jobs, r.ID)
+	j.verdict <- result.New(r.Code, "").WithRetryAfter(r.RetryAfter)
+}
+
+// placer returns how admission asks for a place.
+func (s *scheduler) placer(now time.Time) admission.Placer {
+	return func(r *admission.Request) bool {
+		j, ok := s.jobs[r.ID]
+		if !ok {
+			return false
+		}
+		c, ok, why := s.picture.Choose(j.query, now)
+		j.why = why
+		if !ok {
+			return false
+		}
+		j.choice = c
+		j.attempt = s.picture.Started(c, j.query, now)
+		return j.attempt != nil
+	}
+}
+
+// piece notes that an attempt's answer goes on.
+func (s *scheduler) piece(j *job, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.attempt != nil {
+		s.picture.Piece(j.attempt, now)
+	}
+}
+
+// done ends a job, whatever its outcome, and starts what waits for its place.
+func (s *scheduler) done(j *job, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release(j, false, 0, now)
+	if _, ok := s.jobs[j.id]; ok {
+		delete(s.jobs, j.id)
+		s.admission.Cancel(j.id)
+		s.admission.Done(j.id, now)
+	}
+	s.pump(now)
+}
+
+// report takes an agent's report in and starts what it makes room for.
+func (s *scheduler) report(r placement.Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picture.Update(r, now)
+	s.pump(now)
+}
+
+// pump starts and refuses waiting jobs. The lock must be held.
+func (s *scheduler) pump(now time.Time) {
+	started, refused := s.admission.Next(now, s.placer(now))
+	for i := range started {
+		if j, ok := s.jobs[started[i].ID]; ok {
+			j.verdict <- nil
+		}
+	}
+	for _, r := range refused {
+		s.refuse(r)
+	}
+}
+
+func (s *scheduler) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run refuses waiting jobs at the moment in which they can't be on time.
+func (s *scheduler) run(ctx context.Context, now func() time.Time) error {
+	t := time.NewTimer(idleWake)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-t.C:
+		}
+		t.Reset(s.tick(now()))
+	}
+}
+
+// tick pumps and returns how long the scheduler may sleep.
+func (s *scheduler) tick(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pump(now)
+	at, ok := s.admission.NextRefusal()
+	if !ok {
+		return idleWake
+	}
+	return min(idleWake, max(leastWake, at.Sub(now)))
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// errAgentSilent ends attempts at an agent that has sent nothing for a while.
+var errAgentSilent = eris.New("agent is silent")
+
+// fetchSeparator stands between the parts of a fetch id: request, endpoint and
+// agent incarnation.
+const fetchSeparator = "@"
+
+// task is one request and what has become of it so far.
+type task struct {
+	*job
+	request  *caller.Request
+	account  string
+	route    preset.Route
+	priority int
+	runOnce  bool
+	deadline time.Time
+	attempts uint32
+	relay    *relay
+}
+
+// Ready implements caller.Handler.
+func (e *Entry) Ready() error {
+	if e.view.Load() == nil {
+		return result.New(result.NoPreset, "").WithRetryAfter(absentRetry)
+	}
+	return nil
+}
+
+// Serve implements caller.Handler.
+func (e *Entry) Serve(ctx context.Context, r *caller.Request, w *caller.Reply) {
+	now := e.now()
+	v := e.view.Load()
+	if v == nil {
+		w.Fail(result.New(result.NoPreset, "").WithRetryAfter(absentRetry))
+		return
+	}
+	account, ok := v.preset.AccountByKey(r.AccountKey())
+	if !ok {
+		e.refused(r, result.New(result.BadAccountKey, ""), w, now)
+		return
+	}
+	if f, ok := r.Kind().(caller.Fetch); ok {
+		e.fetch(ctx, r, f, account.Name(), w)
+		return
+	}
+	t, err := e.newTask(r, v, account, w, now)
+	if err != nil {
+		e.refused(r, err, w, now)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	defer cancel()
+	w.Within(ctx)
+	e.run(ctx, t)
+}
+
+func (e *Entry) refused(r *caller.Request, err *result.Error, w *caller.Reply, now time.Time) {
+	e.ring.Add(timeline.Refused, r.ID(), "", err.Detail(), uint64(err.Code()), now)
+	e.counters.result(err.Code())
+	w.Fail(err)
+}
+
+// newTask reads what the preset says about the request.
+func (e *Entry) newTask(r *caller.Request, v *view, a preset.Account, w *caller.Reply, now time.Time) (*task, *result.Error) {
+	route, ok := v.preset.Route(r.Route())
+	if !ok {
+		return nil, result.Newf(result.UnknownRoute, "%q", r.Route())
+	}
+	t := &task{request: r, account: a.Name(), route: route, runOnce: runsOnce(r, route)}
+	if t.runOnce && r.IdempotencyKey() == "" {
+		return nil, result.New(result.KeyMissing, "")
+	}
+	worth := a.Worth()
+	if r.Priority() != "" {
+		p, ok := v.preset.Priority(r.Priority())
+		if !ok {
+			return nil, result.Newf(result.BadHeader, "the preset has no priority %q", r.Priority())
+		}
+		t.priority = p.Value()
+		worth *= p.Worth()
+	}
+	budget := r.Budget()
+	if budget == 0 {
+		budget = route.DefaultDeadline()
+	}
+	t.deadline = now.Add(budget)
+	t.relay = &relay{w: w}
+	query := placement.Query{Route: route.Name(), Tokens: r.PromptTokens(), RunOnce: t.runOnce}
+	if c, ok := r.Kind().(caller.Chat); ok {
+		t.relay.stream = c.Stream()
+		query.Tokens += c.OutputTokens()
+		query.Prefix = c.PrefixHash()
+	}
+	id := r.ID() + "#" + strconv.FormatUint(e.sequence.Add(1), 36)
+	t.job = &job{
+		id:      id,
+		query:   query,
+		verdict: make(chan *result.Error, 1),
+		request: admission.Request{
+			ID:          id,
+			Account:     a.Name(),
+			Route:       route.Name(),
+			Worth:       worth,
+			Priority:    t.priority,
+			Deadline:    t.deadline,
+			ExpectedRun: e.pace.expected(route.Name(), query.Tokens),
+			RunOnce:     t.runOnce,
+			Tokens:      query.Tokens,
+		},
+	}
+	return t, nil
+}
+
+// runsOnce reports whether a request may not be repeated. Reading changes
+// nothing, whatever the service.
+func runsOnce(r *caller.Request, route preset.Route) bool {
+	if route.Repeatable() {
+		return false
+	}
+	return r.Method() != http.MethodGet && r.Method() != http.MethodHead
+}
+
+// run takes a request from its arrival to its final answer.
+func (e *Entry) run(ctx context.Context, t *task) {
+	now := e.now()
+	e.ring.Add(timeline.Admitted, t.request.ID(), "", t.route.Name(), 0, now)
+	e.scheduler.submit(t.job, now)
+	err := e.attemptAll(ctx, t)
+	now = e.now()
+	e.scheduler.done(t.job, now)
+	if err == nil {
+		e.pace.ended(t.route.Name(), t.query.Tokens, now.Sub(t.began))
+		e.counters.result(result.OK)
+		e.ring.Add(timeline.Answered, t.request.ID(), t.choice.Endpoint, "", uint64(t.attempts), now)
+		return
+	}
+	e.ring.Add(timeline.Failed, t.request.ID(), t.choice.Endpoint, err.Detail(), uint64(err.Code()), now)
+	e.counters.result(err.Code())
+	t.relay.w.Fail(err)
+}
+
+// attemptAll makes attempts until one gives the whole answer or none may
+// follow.
+func (e *Entry) attemptAll(ctx context.Context, t *task) *result.Error {
+	for {
+		if err := e.await(ctx, t); err != nil {
+			return err
+		}
+		t.attempts++
+		t.began = e.now()
+		e.ring.Add(timeline.Placed, t.request.ID(), t.choice.Endpoint, "", uint64(t.attempts), t.began)
+		err := e.attempt(ctx, t)
+		if err == nil || !e.mayRetry(ctx, t, err) {
+			return err
+		}
+		now := e.now()
+		e.ring.Add(timeline.Retried, t.request.ID(), t.choice.Endpoint, err.Detail(), uint64(err.Code()), now)
+		e.counters.retries.Inc(1)
+		t.relay.reset()
+		e.scheduler.again(t.job, err.Code().Effect() == result.NotRun, err.RetryAfter(), now)
+	}
+}
+
+// await returns when the request has a place, or with its final answer.
+func (e *Entry) await(ctx context.Context, t *task) *result.Error {
+	select {
+	case err := <-t.verdict:
+		return err
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.New(result.DeadlinePassed, "")
+	}
+	return result.New(result.Cancelled, "")
+}
+
+// mayRetry reports whether another attempt may follow one that ended with err.
+// What was not run may always be tried again. What may have been run may only
+// be tried again when it is repeatable and the caller has seen none of it. A
+// request that may run only once is asked for again under its claim: whoever
+// runs it next finds the claim of the earlier attempt, so that it joins that
+// one, or learns that its outcome is not known.
+func (e *Entry) mayRetry(ctx context.Context, t *task, err *result.Error) bool {
+	if ctx.Err() != nil || t.relay.begun() {
+		return false
+	}
+	switch err.Code() {
+	case result.MalformedRequest, result.KeyReused, result.RequestIDReused, result.PlatformDown,
+		result.DeadlinePassed, result.DeadlineExceeded, result.Cancelled:
+		return false
+	case result.EndpointFailed:
+		return !t.runOnce
+	}
+	if err.Code().Effect() == result.NotRun || !t.runOnce {
+		return true
+	}
+	return errors.Is(err, errLostAgent) && t.attempts <= maxClaimAsks
+}
+
+// attempt runs the request once at the chosen endpoint.
+func (e *Entry) attempt(ctx context.Context, t *task) *result.Error {
+	addr, ok := e.members.byEndpoint(t.choice.Endpoint)
+	if !ok {
+		return result.New(result.EndpointDown, "the agent has left")
+	}
+	t.relay.fetchID = strings.Join([]string{
+		t.request.ID(), t.choice.Endpoint, strconv.FormatUint(t.choice.Incarnation, 36),
+	}, fetchSeparator)
+	return e.call(ctx, t, addr)
+}
+
+// runRequest returns the message for the task's present attempt.
+func (e *Entry) runRequest(t *task, now time.Time) *peerpb.RunRequest {
+	r := t.request
+	m := &peerpb.RunRequest{
+		Hlc:            uint64(e.clock.Next(now)),
+		RequestId:      r.ID(),
+		Attempt:        t.attempts,
+		Account:        t.account,
+		Route:          t.route.Name(),
+		Method:         r.Method(),
+		Path:           r.Path(),
+		ContentType:    r.ContentType(),
+		Body:           r.Body(),
+		Priority:       int32(t.priority),
+		BudgetMicros:   t.deadline.Sub(now).Microseconds(),
+		RunOnce:        t.runOnce,
+		IdempotencyKey: r.IdempotencyKey(),
+		PromptTokens:   uint32(r.PromptTokens()),
+		Generation:     e.store.Current().Head().Generation(),
+	}
+	if c, ok := r.Kind().(caller.Chat); ok {
+		m.Stream = c.Stream()
+		m.OutputTokens = uint32(c.OutputTokens())
+		m.PrefixHash = c.PrefixHash()
+	}
+	return m
+}
