--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -28,6 +33,11 @@
 	Settings *settings.Agent
 	// Log receives changes of state.
 	Log logrus.FieldLogger
+	// Registry receives the metrics; nil means a new one.
+	Registry metrics.Registry
+	// PeerServerTLS and PeerClientTLS are nil for plain TCP.
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
 
 	clock       timeline.Clock
 	ring        *timeline.Ring
@@ -37,11 +47,18 @@
 	incarnation uint64
 	workCtx     context.Context
 	view        atomic.Pointer[view]
-	leaving     atomic.Bool
-	tokens      atomic.Int64
-	version     atomic.Uint64
-	running     atomic.Int64
-	ended       chan struct{}
+	store       config.Store
+	platform    *platform.Client
+	peers       *peer.Server
+	stopWork    context.CancelFunc
+	// announced says that the agent has told that it leaves, and leaving that
+	// it takes no more work.
+	announced atomic.Bool
+	leaving   atomic.Bool
+	tokens    atomic.Int64
+	version   atomic.Uint64
+	running   atomic.Int64
+	ended     chan struct{}
 }
 
 func (a *Agent) now() time.Time { return time.Now() }
@@ -58,8 +75,8 @@
 	a.running.Add(1)
 	a.changed()
 	go func() {
-		defer at.cancel()
 		a.work(ctx, at, t)
+		at.cancel()
 		a.running.Add(-1)
 		select {
 		case a.ended <- struct{}{}:
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,233 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
+	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
+)
+
+const (
+	// platformTimeout bounds each call to the platform's service, which
+	// answers in milliseconds when it is well.
+	platformTimeout = 500 * time.Millisecond
+	// agentWrites and agentReads bound one agent's calls a second: claims go
+	// in batches, so that three desks together stay under the service's few
+	// hundred writes.
+	agentWrites = 60
+	agentReads  = 60
+	// announceTime is how long a leaving agent waits before it refuses, so
+	// that entries hear of it first and send their requests elsewhere.
+	announceTime = 500 * time.Millisecond
+	// loadEvery is how often an engine's load report is read. The report lags,
+	// and is read only for the engine's incarnation.
+	loadEvery = time.Second
+	// loadTimeout bounds one load report.
+	loadTimeout = time.Second
+)
+
+func (a *Agent) init(workCtx context.Context) {
+	if a.Registry == nil {
+		a.Registry = metrics.NewRegistry()
+	}
+	a.workCtx = workCtx
+	a.ended = make(chan struct{}, endBacklog)
+	a.incarnation = uint64(a.now().UnixMicro())
+	a.ring = &timeline.Ring{Clock: &a.clock}
+	a.client = &endpoint.Client{
+		Addr:    a.Settings.EndpointAddress.String(),
+		Service: a.Settings.Kind == settings.Plain,
+		Metrics: a.Registry,
+		Log:     a.Log,
+	}
+	a.platform = &platform.Client{
+		Addrs:           addresses(a.Settings.PlatformAddresses),
+		Timeout:         platformTimeout,
+		WritesPerSecond: agentWrites,
+		ReadsPerSecond:  agentReads,
+		Metrics:         a.Registry,
+	}
+}
+
+// Listen opens the agent's address, so that it is known before Run.
+func (a *Agent) Listen() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stopWork = cancel
+	a.init(ctx)
+	a.peers = &peer.Server{
+		Addr:  a.Settings.PeerAddress.String(),
+		TLS:   a.PeerServerTLS,
+		Peer:  a.service(),
+		Agent: &server{Agent: a},
+	}
+	return a.peers.Listen()
+}
+
+// Address returns where other processes are met, as IP:port.
+func (a *Agent) Address() string { return a.peers.Address() }
+
+func (a *Agent) service() *peer.Service {
+	return &peer.Service{
+		Name: a.Settings.Name, DataCentre: a.Settings.DataCentre,
+		Clock: &a.clock, Ring: a.ring, Store: &a.store,
+		State: a.status, Now: a.now,
+	}
+}
+
+func (a *Agent) status() *peerpb.StatusReply {
+	r := &peerpb.StatusReply{
+		Process:           a.Settings.Name,
+		Role:              "agent",
+		DataCentre:        a.Settings.DataCentre,
+		Generation:        a.store.Current().Head().Generation(),
+		Leaving:           a.leaving.Load(),
+		PlatformReachable: a.platform.Reachable(),
+		Endpoints:         []*peerpb.LoadReport{a.report()},
+	}
+	if v := a.view.Load(); v != nil {
+		r.Preset = v.preset
+	}
+	return r
+}
+
+// Run serves until ctx ends, and then leaves gracefully: it says that it
+// leaves, refuses new work truly, and stops when what runs has ended or the
+// drain time is over. Listen must come first.
+func (a *Agent) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	parts := []func(context.Context) error{
+		a.platform.Run, a.client.Run, a.peers.Run, a.follow, a.keep,
+	}
+	if a.Settings.Kind == settings.Engine {
+		parts = append(parts, a.readLoad)
+	}
+	done := make(chan error, len(parts))
+	for _, p := range parts {
+		go func() { done <- p(inner) }()
+	}
+	var failed error
+	running := len(parts)
+	select {
+	case <-ctx.Done():
+	case failed = <-done:
+		running--
+	}
+	a.leave()
+	a.stopWork()
+	stop()
+	for range running {
+		failed = errors.Join(failed, <-done)
+	}
+	return failed
+}
+
+// leave ends the agent's work without cutting any of it off.
+func (a *Agent) leave() {
+	a.Log.Info("leaving")
+	a.ring.Add(timeline.Leaving, "", a.Settings.EndpointName, "", 0, a.now())
+	a.announced.Store(true)
+	a.changed()
+	time.Sleep(announceTime)
+	a.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.DrainTimeout)
+	defer cancel()
+	a.awaitIdle(ctx)
+	// The last answers still have to reach the entries.
+	time.Sleep(announceTime)
+}
+
+// follow applies each change of the configuration.
+func (a *Agent) follow(ctx context.Context) error {
+	c := a.store.Subscribe()
+	defer a.store.Unsubscribe(c)
+	for {
+		a.takeConfiguration()
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *Agent) takeConfiguration() {
+	s := a.store.Current()
+	_, body, ok := s.Preset()
+	if !ok {
+		return
+	}
+	p, faults := preset.Parse(body)
+	if len(faults) > 0 {
+		a.Log.WithField("faults", len(faults)).Error("the preset in force can't be read")
+		return
+	}
+	out := s.IsOut(config.Endpoint(a.Settings.EndpointName)) || s.IsOut(config.DataCentre(a.Settings.DataCentre))
+	v := newView(s.Head().Generation(), p, a.Settings.EndpointName, out)
+	a.apply(v)
+}
+
+// keep looks through kept answers.
+func (a *Agent) keep(ctx context.Context) error {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			a.attempts.expire(a.now())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// readLoad reads the engine's incarnation, so that a restart between two
+// answers is noticed.
+func (a *Agent) readLoad(ctx context.Context) error {
+	t := time.NewTicker(loadEvery)
+	defer t.Stop()
+	for {
+		a.readLoadOnce(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *Agent) readLoadOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	was := a.allowance.State().Cold()
+	l, err := a.client.Load(ctx)
+	if err != nil {
+		return
+	}
+	a.allowance.Incarnation(l.Incarnation)
+	if s := a.allowance.State(); s.Cold() && !was {
+		a.Log.WithFields(logrus.Fields{"cause": s.Cause().String()}).Warn("endpoint is cold")
+		a.ring.Add(timeline.EndpointCold, "", a.Settings.EndpointName, s.Cause().String(), 0, a.now())
+		a.changed()
+	}
+}
+
+func addresses(as []netip.AddrPort) []string {
+	out := make([]string, 0, len(as))
+	for _, x := range as {
+		out = append(out, x.String())
+	}
+	return out
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -22,8 +23,14 @@
 	heartbeat = 500 * time.Millisecond
 )
 
+// server answers what entries ask of an Agent.
+type server struct {
+	peerpb.UnimplementedAgentServer
+	*Agent
+}
+
 // Run implements peerpb.AgentServer.
-func (a *Agent) Run(req *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.RunReply]) error {
+func (a *server) Run(req *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.RunReply]) error {
 	now := a.now()
 	a.clock.Observe(timeline.Stamp(req.GetHlc()), now)
 	send := a.sender(req, stream)
@@ -59,7 +66,7 @@
 }
 
 // Fetch implements peerpb.AgentServer.
-func (a *Agent) Fetch(req *peerpb.FetchRequest, stream grpc.ServerStreamingServer[peerpb.RunReply]) error {
+func (a *server) Fetch(req *peerpb.FetchRequest, stream grpc.ServerStreamingServer[peerpb.RunReply]) error {
 	now := a.now()
 	a.clock.Observe(timeline.Stamp(req.GetHlc()), now)
 	k := requestKey{account: req.GetAccount(), id: req.GetRequestId()}
@@ -104,7 +111,7 @@
 
 // Cancel implements peerpb.AgentServer. A request that may run only once goes
 // on: cutting it off would leave its outcome unknown for nothing.
-func (a *Agent) Cancel(_ context.Context, req *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+func (a *server) Cancel(_ context.Context, req *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
 	now := a.now()
 	a.clock.Observe(timeline.Stamp(req.GetHlc()), now)
 	at := a.attempts.get(requestKey{account: req.GetAccount(), id: req.GetRequestId()})
@@ -116,7 +123,7 @@
 }
 
 // Watch implements peerpb.AgentServer.
-func (a *Agent) Watch(req *peerpb.WatchRequest, stream grpc.ServerStreamingServer[peerpb.LoadReport]) error {
+func (a *server) Watch(req *peerpb.WatchRequest, stream grpc.ServerStreamingServer[peerpb.LoadReport]) error {
 	a.clock.Observe(timeline.Stamp(req.GetHlc()), a.now())
 	interval := max(leastInterval, time.Duration(req.GetIntervalMicros())*time.Microsecond)
 	tick := time.NewTicker(interval)
@@ -153,7 +160,8 @@
 		Running:          uint32(s.Running()),
 		CommittedTokens:  uint64(max(0, a.tokens.Load())),
 		Cold:             s.Cold(),
-		Leaving:          a.leaving.Load(),
+		Leaving:          a.announced.Load(),
+		ConfigDigest:     peer.ConfigDigest(&a.store),
 		FirstTokenMicros: s.FirstToken().Microseconds(),
 	}
 	if v := a.view.Load(); v != nil {
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -64,7 +64,8 @@
 
 // Fetch asks for an answer again.
 type Fetch struct {
-	from uint64
+	from     uint64
+	endpoint string
 }
 
 // Health asks whether the process lives.
@@ -91,6 +92,10 @@
 // From returns the number of the first piece that the caller lacks.
 func (f Fetch) From() uint64 { return f.from }
 
+// Endpoint returns the endpoint that the fetch id names, or "" when the caller
+// knows only the request id.
+func (f Fetch) Endpoint() string { return f.endpoint }
+
 // Request is one request whose form has been checked.
 type Request struct {
 	id             string
@@ -109,6 +114,13 @@
 // ID returns the request id, which the entry made up if the caller sent none.
 func (r *Request) ID() string { return r.id }
 
+// WithID returns a copy of the request under another id.
+func (r *Request) WithID(id string) *Request {
+	c := *r
+	c.id = id
+	return &c
+}
+
 // AccountKey returns the secret that names the caller's account.
 func (r *Request) AccountKey() string { return r.key }
 
@@ -257,13 +269,26 @@
 	return nil
 }
 
+// fetchSeparator stands between the parts of a fetch id: request id, endpoint
+// and incarnation of its agent.
+const fetchSeparator = "@"
+
+// FetchID returns the id under which an answer can be fetched without asking
+// every agent.
+func FetchID(requestID, endpoint string, incarnation uint64) string {
+	return requestID + fetchSeparator + endpoint + fetchSeparator + strconv.FormatUint(incarnation, 36)
+}
+
 func (r *Request) readFetch(hr *http.Request) error {
-	id := strings.TrimPrefix(hr.URL.Path, PathAnswers)
-	if !validID(id) {
+	parts := strings.Split(strings.TrimPrefix(hr.URL.Path, PathAnswers), fetchSeparator)
+	r.id = parts[0]
+	if !validID(r.id) {
 		return result.New(result.MalformedRequest, "the path names no request id")
 	}
-	r.id = id
 	f := Fetch{}
+	if len(parts) > 1 {
+		f.endpoint = parts[1]
+	}
 	if v := hr.URL.Query().Get("from"); v != "" {
 		n, err := strconv.ParseUint(v, 10, 64)
 		if err != nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -73,10 +74,9 @@
 	}
 	s.Addr = ln.Addr().String()
 	s.engine = nbhttp.NewEngine(s.config(ln))
-	s.engine.OnOpen(s.opened)
+	eventloop.Order(s.engine, s.opened)
 	s.engine.OnClose(s.closedConn)
 	s.engine.OnWrittenSize(s.written)
-	s.engine.OnData(s.arrived)
 	return eris.Wrap(s.engine.Start(), "caller server")
 }
 
@@ -158,16 +158,6 @@
 	}
 }
 
-// arrived hands data on to the connection's parser. The look-up orders it
-// after opened for the race detector, which can't see that the event loop
-// learns of a connection from the goroutine that accepted it.
-func (s *Server) arrived(w *nbio.Conn, data []byte) {
-	if _, ok := s.conns.Load(w); !ok {
-		return
-	}
-	w.DataHandler()(w, data)
-}
-
 func (s *Server) written(w *nbio.Conn, _ []byte, n int) {
 	v, ok := s.conns.Load(w)
 	if ok {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -34,7 +34,7 @@
 	go func() { done <- s.Run(ctx, time.Second) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		_ = <-done
 	})
 	return s
 }
@@ -52,7 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer res.Body.Close() //nolint:errcheck // read to its end
+	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
 		return res, "broken: " + err.Error()
@@ -147,7 +147,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer res.Body.Close() //nolint:errcheck // read to its end
+	defer func() { _ = res.Body.Close() }()
 	br := bufio.NewReader(res.Body)
 	for i := range 3 {
 		line, err := br.ReadString('\n')
@@ -207,7 +207,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close() //nolint:errcheck // nothing is read
+	defer func() { _ = c.Close() }()
 	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", PathChat, len(chatBodyText), chatBodyText)
 	waitStalled(t, s)
 	close(full)
@@ -243,7 +243,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close() //nolint:errcheck // read to its end
+	defer func() { _ = c.Close() }()
 	var all bytes.Buffer
 	for i := range 5 {
 		fmt.Fprintf(&all, "POST %so/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%d", PathServices, i)
--- /dev/null
+++ b/internal/demo/system.go
@@ -0,0 +1,338 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio/logging"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/agent"
+	"github.com/hyssoprelay/hyssoprelay/internal/entry"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// System is a whole system. Set the exported fields before Start.
+type System struct {
+	// DataCentres are the names of the data centres.
+	DataCentres []string
+	// Entries, Engines and Services are how many there are in each.
+	Entries, Engines, Services int
+	// EngineSettings describe the engines.
+	EngineSettings engine.Settings
+	// Preset is put into force at the start.
+	Preset string
+	// Drain bounds graceful stops; zero means ten seconds.
+	Drain time.Duration
+	// Log receives the processes' lines; nil drops them.
+	Log logrus.FieldLogger
+
+	// KV is the stand-in of the platform's key-value service.
+	KV *kv.Server
+
+	client *platform.Client
+	ctx    context.Context
+	parts  []*Part
+
+	mu       sync.Mutex
+	entries  []*Entry
+	agents   []*Agent
+	engines  map[string]*engine.Engine
+	services map[string]*service.Service
+}
+
+// Part is something that runs until it is stopped.
+type Part struct {
+	cancel context.CancelFunc
+	done   chan error
+	once   sync.Once
+	err    error
+}
+
+// Stop ends the part and waits until it has.
+func (p *Part) Stop() error {
+	p.cancel()
+	p.once.Do(func() { p.err = <-p.done })
+	return p.err
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*Part
+	Name       string
+	DataCentre string
+	Process    *entry.Entry
+}
+
+// Agent is a running agent.
+type Agent struct {
+	*Part
+	Name       string
+	DataCentre string
+	Process    *agent.Agent
+	Endpoint   string
+}
+
+func (s *System) run(run func(context.Context) error) *Part {
+	ctx, cancel := context.WithCancel(s.ctx)
+	p := &Part{cancel: cancel, done: make(chan error, 1)}
+	go func() { p.done <- run(ctx) }()
+	return p
+}
+
+// Start starts all of the system and returns when each entry can serve.
+func (s *System) Start(ctx context.Context) error {
+	logging.SetLevel(logging.LevelNone)
+	if s.Log == nil {
+		l := logrus.New()
+		l.SetOutput(io.Discard)
+		s.Log = l
+	}
+	if s.Drain == 0 {
+		s.Drain = 10 * time.Second
+	}
+	s.ctx = ctx
+	s.engines = map[string]*engine.Engine{}
+	s.services = map[string]*service.Service{}
+	s.KV = &kv.Server{}
+	s.parts = append(s.parts, s.run(s.KV.Run))
+	s.client = &platform.Client{Addrs: []string{s.KV.Addr()}, Timeout: time.Second}
+	s.parts = append(s.parts, s.run(s.client.Run))
+	if err := s.putPreset(); err != nil {
+		return err
+	}
+	for _, dc := range s.DataCentres {
+		if err := s.startDataCentre(dc); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady()
+}
+
+func (s *System) putPreset() error {
+	ctx, cancel := context.WithTimeout(s.ctx, 5*time.Second)
+	defer cancel()
+	w := &config.Writer{KV: s.client, Store: &config.Store{}}
+	o := config.Order{ChangeID: "first", By: "demo", Change: config.PutPreset{Name: "ordinary", Body: []byte(s.Preset)}}
+	for {
+		_, err := w.Submit(ctx, o, time.Now())
+		if err == nil || ctx.Err() != nil {
+			return eris.Wrap(err, "first preset")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (s *System) startDataCentre(dc string) error {
+	for i := range s.Engines {
+		if err := s.StartEngine(dc, fmt.Sprintf("%s-engine-%d", dc, i)); err != nil {
+			return err
+		}
+	}
+	for i := range s.Services {
+		if err := s.StartService(dc, fmt.Sprintf("%s-desk-%d", dc, i)); err != nil {
+			return err
+		}
+	}
+	for i := range s.Entries {
+		if _, err := s.StartEntry(dc, fmt.Sprintf("%s-entry-%d", dc, i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEngine starts an engine and its agent.
+func (s *System) StartEngine(dc, name string) error {
+	e := engine.New(s.EngineSettings)
+	srv := &standin.Server{Listen: loopback.String(), Handler: e}
+	s.parts = append(s.parts, s.run(srv.Run))
+	s.mu.Lock()
+	s.engines[name] = e
+	s.mu.Unlock()
+	_, err := s.StartAgent(dc, name, srv.Addr(s.ctx), settings.Engine)
+	return err
+}
+
+// StartService starts a plain service and its agent.
+func (s *System) StartService(dc, name string) error {
+	v := &service.Service{}
+	srv := &standin.Server{Listen: loopback.String(), Handler: v}
+	s.parts = append(s.parts, s.run(srv.Run))
+	s.mu.Lock()
+	s.services[name] = v
+	s.mu.Unlock()
+	_, err := s.StartAgent(dc, name, srv.Addr(s.ctx), settings.Plain)
+	return err
+}
+
+func (s *System) process(dc, name string) settings.Process {
+	return settings.Process{
+		Name:              name,
+		DataCentre:        dc,
+		PeerAddress:       loopback,
+		PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort(s.KV.Addr())},
+		DrainTimeout:      s.Drain,
+		TLS:               settings.TLS{Insecure: true},
+	}
+}
+
+// StartAgent starts the agent beside an endpoint.
+func (s *System) StartAgent(dc, name, endpointAddr string, kind settings.EndpointKind) (*Agent, error) {
+	p := &agent.Agent{
+		Settings: &settings.Agent{
+			Process:         s.process(dc, name+"-agent"),
+			EndpointName:    name,
+			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
+			Kind:            kind,
+		},
+		Log: s.Log.WithField("process", name),
+	}
+	if err := p.Listen(); err != nil {
+		return nil, err
+	}
+	a := &Agent{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agents = append(s.agents, a)
+	return a, nil
+}
+
+// StartEntry starts an entry.
+func (s *System) StartEntry(dc, name string) (*Entry, error) {
+	p := &entry.Entry{
+		Settings: &settings.Entry{
+			Process:       s.process(dc, name),
+			CallerAddress: loopback,
+			AdminAddress:  loopback,
+			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
+		},
+		Log:      s.Log.WithField("process", name),
+		VMs:      s.vms,
+		Announce: 300 * time.Millisecond,
+	}
+	if err := p.Listen(); err != nil {
+		return nil, err
+	}
+	e := &Entry{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = append(s.entries, e)
+	return e, nil
+}
+
+// vms lists the system's VMs as the platform would.
+func (s *System) vms(context.Context) ([]entry.VM, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var vs []entry.VM
+	for _, e := range s.entries {
+		vs = append(vs, entry.VM{ID: e.Name, Role: "entry", DataCentre: e.DataCentre, Address: e.Process.PeerAddress()})
+	}
+	for _, a := range s.agents {
+		vs = append(vs, entry.VM{ID: a.Name, Role: "agent", DataCentre: a.DataCentre, Address: a.Process.Address()})
+	}
+	return vs, nil
+}
+
+func (s *System) awaitReady() error {
+	ctx, cancel := context.WithTimeout(s.ctx, 10*time.Second)
+	defer cancel()
+	for {
+		if s.ready() {
+			return nil
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return eris.New("the system did not get ready")
+		}
+	}
+}
+
+func (s *System) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want := len(s.agents)
+	for _, e := range s.entries {
+		if e.Process.Ready() != nil || e.Process.Endpoints() < want {
+			return false
+		}
+	}
+	return true
+}
+
+// EntriesOf returns the entries of the data centre, or all for "".
+func (s *System) EntriesOf(dc string) []*Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var es []*Entry
+	for _, e := range s.entries {
+		if dc == "" || e.DataCentre == dc {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
+// Agents returns all agents.
+func (s *System) Agents() []*Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Agent(nil), s.agents...)
+}
+
+// Engine returns the stand-in of the endpoint's engine, or nil.
+func (s *System) Engine(endpoint string) *engine.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[endpoint]
+}
+
+// Runs returns how often each idempotency key has been run at any service.
+func (s *System) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]int{}
+	for _, v := range s.services {
+		for k, n := range v.Counters().Runs {
+			all[k] += n
+		}
+	}
+	return all
+}
+
+// Stop stops entries and agents gracefully, then the stand-ins.
+func (s *System) Stop() {
+	s.mu.Lock()
+	entries, agents := s.entries, s.agents
+	s.mu.Unlock()
+	for _, e := range entries {
+		e.cancel()
+	}
+	for _, e := range entries {
+		_ = e.Stop()
+	}
+	for _, a := range agents {
+		a.cancel()
+	}
+	for _, a := range agents {
+		_ = a.Stop()
+	}
+	for _, p := range s.parts {
+		_ = p.Stop()
+	}
+}
--- /dev/null
+++ b/internal/demo/system_test.go
@@ -0,0 +1,113 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
+)
+
+const testKey = "test-key"
+
+func testPreset() string {
+	sum := sha256.Sum256([]byte(testKey))
+	return fmt.Sprintf(`[preset]
+name = ordinary
+queueLength = 200
+retryBudgetPercent = 20
+
+[dataCentre a]
+[dataCentre b]
+[dataCentre c]
+
+[account tester]
+keyHash = %s
+ratePerSecond = 1000
+burst = 1000
+concurrency = 200
+weight = 1
+worth = 1
+
+[model small]
+endpoints = *-engine-*
+coldStartConcurrency = 2
+concurrency = 8
+rampStep = 1
+rampCompletions = 4
+defaultDeadline = 10s
+maxOutputTokens = 1000
+
+[service desk]
+endpoints = *-desk-*
+repeatable = false
+path = /
+coldStartConcurrency = 2
+concurrency = 8
+rampStep = 1
+rampCompletions = 4
+defaultDeadline = 10s
+`, hex.EncodeToString(sum[:]))
+}
+
+func startSystem(t *testing.T) *System {
+	t.Helper()
+	s := &System{
+		DataCentres: []string{"a", "b", "c"}, Entries: 1, Engines: 1, Services: 1,
+		EngineSettings: engine.Settings{Capacity: 8, ColdBound: 2, WarmAfter: 4, TokenMicros: 200},
+		Preset:         testPreset(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	if err := s.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s
+}
+
+func ask(t *testing.T, e *Entry, path, body string, header ...string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.Process.CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatalf("half an answer: %v", err)
+	}
+	return res.StatusCode, string(b)
+}
+
+func TestWholePath(t *testing.T) {
+	s := startSystem(t)
+	for _, e := range s.EntriesOf("") {
+		t.Run(e.Name, func(t *testing.T) {
+			status, body := ask(t, e, caller.PathChat, `{"model":"small","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"hi"}]}`)
+			if status != http.StatusOK || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+				t.Errorf("stream: %d %q", status, body)
+			}
+			status, body = ask(t, e, caller.PathChat, `{"model":"small","max_tokens":20,"messages":[{"role":"user","content":"hi"}]}`)
+			if status != http.StatusOK || !strings.Contains(body, `"choices"`) {
+				t.Errorf("whole: %d %q", status, body)
+			}
+			status, body = ask(t, e, caller.PathServices+"desk/print", `{"catalogue":1}`, "Idempotency-Key", "k-"+e.Name)
+			t.Logf("service: %d %s", status, body)
+		})
+	}
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -8,8 +8,7 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/connectivity"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
@@ -25,6 +24,9 @@
 	maxRefetches = 3
 	// refetchPause lets a broken connection come back.
 	refetchPause = 100 * time.Millisecond
+	// connectWait bounds the wait for a connection before another endpoint is
+	// chosen.
+	connectWait = 300 * time.Millisecond
 	// cancelTimeout bounds the message that ends an attempt whose caller left.
 	cancelTimeout = 2 * time.Second
 )
@@ -48,11 +50,14 @@
 	if err != nil {
 		return result.New(result.EndpointDown, err.Error())
 	}
+	if !connected(ctx, cc) {
+		return result.New(result.EndpointDown, "no connection to the agent")
+	}
 	agent := peerpb.NewAgentClient(cc)
 	stream, err := agent.Run(ctx, e.runRequest(t, e.now()))
 	end, err := e.receive(t, stream, err)
 	for range maxRefetches {
-		if err == nil || ctx.Err() != nil || notSent(err) {
+		if err == nil || ctx.Err() != nil || result.Of(err) != nil {
 			break
 		}
 		e.ring.Add(timeline.PieceLost, t.request.ID(), t.choice.Endpoint, "", t.relay.next, e.now())
@@ -131,7 +136,7 @@
 	if code == result.OK {
 		return t.relay.finish(end)
 	}
-	if code == result.ClaimHeld && end.GetHolder() != "" {
+	if code == result.ClaimHeld {
 		return e.followHolder(ctx, t, end)
 	}
 	if code == result.AnswerNotFound {
@@ -146,8 +151,11 @@
 // on its idempotency key.
 func (e *Entry) followHolder(ctx context.Context, t *task, end *peerpb.End) *result.Error {
 	unknown := result.New(result.OutcomeUnknown, "an earlier attempt holds the claim and its agent does not answer")
+	if end.GetHolder() == "" {
+		return unknown
+	}
 	cc, err := e.conns.Get(end.GetHolder())
-	if err != nil {
+	if err != nil || !connected(ctx, cc) {
 		return unknown
 	}
 	id := end.GetHolderRequestId()
@@ -178,9 +186,6 @@
 		e.cancel(t, agent)
 		return r
 	}
-	if notSent(err) && t.relay.next == 0 {
-		return result.New(result.EndpointDown, "no connection to the agent")
-	}
 	if errors.Is(context.Cause(ctx), errAgentSilent) {
 		return lost(result.New(result.OutcomeUnknown, "the agent is silent"))
 	}
@@ -201,13 +206,22 @@
 // lost marks an outcome whose agent was lost.
 func lost(e *result.Error) *result.Error { return e.WithCause(errLostAgent) }
 
-// notSent reports whether a call ended before anything left for the peer. Only
-// a connection that was never there is that certain: grpc fails such a call
-// with Unavailable before it makes a stream, and names the cause as a failed
-// dial.
-func notSent(err error) bool {
-	s, ok := status.FromError(err)
-	return ok && s.Code() == codes.Unavailable && isDialError(s.Message())
+// connected waits a little for the connection to an agent. Nothing has been
+// sent when it fails, so that the request truly was not run; once it has
+// succeeded, a call that breaks may have been.
+func connected(ctx context.Context, cc *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	for {
+		s := cc.GetState()
+		if s == connectivity.Ready {
+			return true
+		}
+		cc.Connect()
+		if s == connectivity.TransientFailure || !cc.WaitForStateChange(ctx, s) {
+			return false
+		}
+	}
 }
 
 // cancel tells the agent that nobody waits for the attempt any more.
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
+)
+
+const (
+	// platformTimeout bounds each call to the platform's service, which
+	// answers in milliseconds when it is well.
+	platformTimeout = 500 * time.Millisecond
+	// watchPeriod bounds for how long a change can hide behind a watch that
+	// sends nothing.
+	watchPeriod = 2 * time.Second
+	// entryWrites and entryReads bound one entry's calls a second, so that
+	// today's nine entries together stay under a tenth of what the service
+	// handles.
+	entryWrites = 5
+	entryReads  = 20
+	// announceTime is how long a leaving entry still takes requests while
+	// /readyz says no: the platform's balancer has noticed by then.
+	announceTime = 2 * time.Second
+)
+
+// Entry is the process that meets callers. Set the exported fields before Run.
+type Entry struct {
+	// Settings are the process's settings.
+	Settings *settings.Entry
+	// Log receives changes of state.
+	Log logrus.FieldLogger
+	// Registry receives the metrics; nil means a new one.
+	Registry metrics.Registry
+	// VMs lists the system's VMs.
+	VMs func(ctx context.Context) ([]VM, error)
+	// CallerTLS, PeerServerTLS and PeerClientTLS are nil for plain TCP.
+	CallerTLS     *tls.Config
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
+	// Announce is how long requests are still taken after the entry began to
+	// leave; zero means two seconds.
+	Announce time.Duration
+
+	clock     timeline.Clock
+	ring      *timeline.Ring
+	store     config.Store
+	view      atomic.Pointer[view]
+	scheduler scheduler
+	members   members
+	conns     peer.Conns
+	pace      pace
+	counters  counters
+	sequence  atomic.Uint64
+	leaving   atomic.Bool
+	platform  *platform.Client
+	writer    *config.Writer
+	callers   *caller.Server
+	peers     *peer.Server
+	directory *directory
+}
+
+func (e *Entry) now() time.Time { return time.Now() }
+
+// init gives the parts what they need of each other.
+func (e *Entry) init() {
+	if e.Registry == nil {
+		e.Registry = metrics.NewRegistry()
+	}
+	if e.Announce == 0 {
+		e.Announce = announceTime
+	}
+	e.ring = &timeline.Ring{Clock: &e.clock}
+	e.counters = newCounters(e.Registry)
+	e.conns.TLS = e.PeerClientTLS
+	e.scheduler.init()
+	e.scheduler.picture.DataCentre = e.Settings.DataCentre
+	e.scheduler.picture.Seed = seedOf(e.Settings.Name)
+	e.scheduler.admission.MaxWaiting = e.Settings.Limits.QueueLength
+	e.members = members{
+		conns: &e.conns, store: &e.store, clock: &e.clock, ring: e.ring,
+		log: e.Log, name: e.Settings.Name, now: e.now,
+		report: e.scheduler.report, lost: e.lost,
+	}
+	e.platform = &platform.Client{
+		Addrs:           addresses(e.Settings.PlatformAddresses),
+		Timeout:         platformTimeout,
+		WritesPerSecond: entryWrites,
+		ReadsPerSecond:  entryReads,
+		Metrics:         e.Registry,
+	}
+	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.refresh}
+	e.directory = &directory{entry: e}
+}
+
+// Listen opens the entry's addresses, so that they are known before Run.
+func (e *Entry) Listen() error {
+	e.init()
+	e.peers = &peer.Server{
+		Addr: e.Settings.PeerAddress.String(),
+		TLS:  e.PeerServerTLS,
+		Peer: e.service(),
+	}
+	if err := e.peers.Listen(); err != nil {
+		return err
+	}
+	l := e.Settings.Limits
+	e.callers = &caller.Server{
+		Addr:        e.Settings.CallerAddress.String(),
+		TLS:         e.CallerTLS,
+		BodyLimit:   l.BodyBytes,
+		MaxConns:    l.MaxConnections,
+		ReadTimeout: l.IdleTimeout,
+		Handler:     e,
+	}
+	return e.callers.Listen()
+}
+
+// CallerAddress returns where callers are met, as IP:port.
+func (e *Entry) CallerAddress() string { return e.callers.Address() }
+
+// PeerAddress returns where other processes are met, as IP:port.
+func (e *Entry) PeerAddress() string { return e.peers.Address() }
+
+func (e *Entry) service() *peer.Service {
+	return &peer.Service{
+		Name: e.Settings.Name, DataCentre: e.Settings.DataCentre,
+		Clock: &e.clock, Ring: e.ring, Store: &e.store,
+		State: e.status, Now: e.now,
+	}
+}
+
+// status describes the entry.
+func (e *Entry) status() *peerpb.StatusReply {
+	r := &peerpb.StatusReply{
+		Process:           e.Settings.Name,
+		Role:              "entry",
+		DataCentre:        e.Settings.DataCentre,
+		Generation:        e.store.Current().Head().Generation(),
+		Leaving:           e.leaving.Load(),
+		PlatformReachable: e.platform.Reachable(),
+		Endpoints:         e.members.reports(),
+	}
+	v := e.view.Load()
+	if v == nil {
+		return r
+	}
+	r.Preset = v.preset.Name()
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	for _, a := range v.preset.Accounts() {
+		r.Accounts = append(r.Accounts, &peerpb.AccountStatus{
+			Name:  a.Name(),
+			Open:  uint32(e.scheduler.admission.Open(a.Name())),
+			Limit: uint32(a.Concurrency()),
+		})
+	}
+	return r
+}
+
+// lost takes an endpoint whose agent can't be heard out of the picture.
+func (e *Entry) lost(endpoint string) {
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	e.scheduler.picture.Remove(endpoint)
+}
+
+// apply puts the newest configuration into force in this entry.
+func (e *Entry) apply(now time.Time) {
+	s := e.store.Current()
+	v, faults := newView(s)
+	if len(faults) > 0 {
+		// The preset was checked when it was put. An entry of an older version
+		// may not know all of its keys; what was in force stays.
+		e.Log.WithField("faults", len(faults)).Error("the preset in force can't be read")
+		return
+	}
+	if v == nil {
+		return
+	}
+	e.scheduler.configure(v, e.Settings.Limits.QueueLength, now)
+	old := e.view.Swap(v)
+	if old == nil || old.generation != v.generation || old.preset.Name() != v.preset.Name() {
+		e.Log.WithFields(logrus.Fields{"generation": v.generation, "preset": v.preset.Name()}).Info("configuration in force")
+		e.ring.Add(timeline.GenerationApplied, "", "", v.preset.Name(), v.generation, now)
+	}
+}
+
+// configure puts a view into force for requests that come from now on.
+func (s *scheduler) configure(v *view, queueLength int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if queueLength == 0 {
+		queueLength = v.preset.QueueLength()
+	}
+	s.admission.MaxWaiting = queueLength
+	s.budget.Percent = v.preset.RetryBudget() * 100
+	// The preset's check has found these limits good.
+	_ = s.admission.Configure(v.limits(), now)
+	s.picture.SetOut(v.endpoints, v.dataCentres, now)
+	s.pump(now)
+}
+
+// Endpoints returns how many endpoints can serve a route of the preset in
+// force, as their agents last said.
+func (e *Entry) Endpoints() int {
+	n := 0
+	for _, r := range e.members.reports() {
+		if len(r.GetRoutes()) > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -86,12 +86,24 @@
 	m.mu.Unlock()
 	for _, one := range gone {
 		one.cancel()
-		<-one.done
+		_ = <-one.done // watch never fails
 		m.conns.Drop(one.addr)
 		m.drop(one)
 	}
 }
 
+// stop ends listening to all agents.
+func (m *members) stop() {
+	m.mu.Lock()
+	all := m.byAddr
+	m.byAddr = nil
+	m.mu.Unlock()
+	for _, one := range all {
+		one.cancel()
+		_ = <-one.done // watch never fails
+	}
+}
+
 func (m *members) watchMember(ctx context.Context, addr string) *member {
 	ctx, cancel := context.WithCancel(ctx)
 	one := &member{
@@ -211,17 +223,31 @@
 	one.last = nil
 	waiting := one.attempts
 	one.attempts = map[*job]context.CancelCauseFunc{}
+	moved := m.heardElsewhere(name)
 	m.mu.Unlock()
 	if name == "" {
 		return
 	}
 	m.ring.Add(timeline.PeerLost, "", name, one.addr, 0, m.now())
-	m.lost(name)
+	if !moved {
+		m.lost(name)
+	}
 	for _, cancel := range waiting {
 		cancel(errAgentSilent)
 	}
 }
 
+// heardElsewhere reports whether another agent speaks for the endpoint: its VM
+// was replaced, and the old one is gone.
+func (m *members) heardElsewhere(endpoint string) bool {
+	for _, one := range m.byAddr {
+		if one.endpoint == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
 // byEndpoint returns the address of the agent beside the endpoint.
 func (m *members) byEndpoint(name string) (string, bool) {
 	m.mu.Lock()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,6 +23,9 @@
 	next  uint64 // number of the piece that must come next
 	bytes uint64
 	body  []byte
+	// skipped says that the caller has the first pieces already, so that the
+	// count of bytes can't be checked.
+	skipped bool
 }
 
 // begun reports whether the caller has seen a part of the answer.
@@ -81,7 +84,8 @@
 // finish ends the answer if it is whole: the agent's count of pieces and bytes
 // must agree with what has arrived.
 func (r *relay) finish(e *peerpb.End) *result.Error {
-	if e.GetPieces() != r.next || e.GetBytes() != r.bytes || r.head == nil {
+	sized := r.skipped || e.GetBytes() == r.bytes
+	if e.GetPieces() != r.next || !sized || r.head == nil {
 		return result.Newf(result.AnswerIncomplete, "%d pieces of %d arrived", r.next, e.GetPieces())
 	}
 	if !r.w.Started() {
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -61,17 +61,32 @@
 	s.decided(j, d, now)
 }
 
-// again hands a job in whose attempt an agent has refused as not run, or which
-// may be repeated. Without the retry budget, the retries of an overload would
-// multiply it.
-func (s *scheduler) again(j *job, refused bool, retryAfter time.Duration, now time.Time) {
+// refused hands a job in again whose attempt an agent has refused as not run.
+// The endpoint did no work for it, so it costs no retry budget; it waits like
+// any other until an endpoint has room, and the refusing one is left alone for
+// the time that its agent asked for.
+func (s *scheduler) refused(j *job, retryAfter time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.release(j, refused, retryAfter, now)
+	s.release(j, true, retryAfter, now)
+	s.requeue(j, now)
+}
+
+// retry hands a job in again whose attempt may have cost an endpoint work.
+// Without the retry budget, the retries of an overload would multiply it.
+func (s *scheduler) retry(j *job, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release(j, false, 0, now)
 	if !s.budget.Take(now) {
-		s.drop(j, result.New(result.RetryBudget, "").WithRetryAfter(max(retryAfter, absentRetry)), now)
+		s.drop(j, result.New(result.RetryBudget, "").WithRetryAfter(absentRetry), now)
 		return
 	}
+	s.requeue(j, now)
+}
+
+func (s *scheduler) requeue(j *job, now time.Time) {
+	j.why = result.OK
 	s.decided(j, s.admission.Requeue(j.id, now), now)
 	s.pump(now)
 }
@@ -142,8 +157,7 @@
 		if !ok {
 			return false
 		}
-		c, ok, why := s.picture.Choose(j.query, now)
-		j.why = why
+		c, ok := s.choose(j, now)
 		if !ok {
 			return false
 		}
@@ -153,6 +167,19 @@
 	}
 }
 
+// choose prefers endpoints that the job has not tried. When there is none, one
+// that it has tried is better than no answer.
+func (s *scheduler) choose(j *job, now time.Time) (placement.Choice, bool) {
+	c, ok, why := s.picture.Choose(j.query, now)
+	if !ok && len(j.query.Tried) > 0 {
+		q := j.query
+		q.Tried = nil
+		c, ok, why = s.picture.Choose(q, now)
+	}
+	j.why = why
+	return c, ok
+}
+
 // piece notes that an attempt's answer goes on.
 func (s *scheduler) piece(j *job, now time.Time) {
 	s.mu.Lock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,10 +21,6 @@
 // errAgentSilent ends attempts at an agent that has sent nothing for a while.
 var errAgentSilent = eris.New("agent is silent")
 
-// fetchSeparator stands between the parts of a fetch id: request, endpoint and
-// agent incarnation.
-const fetchSeparator = "@"
-
 // task is one request and what has become of it so far.
 type task struct {
 	*job
@@ -35,6 +30,7 @@
 	priority int
 	runOnce  bool
 	deadline time.Time
+	began    time.Time
 	attempts uint32
 	relay    *relay
 }
@@ -178,7 +174,11 @@
 		e.ring.Add(timeline.Retried, t.request.ID(), t.choice.Endpoint, err.Detail(), uint64(err.Code()), now)
 		e.counters.retries.Inc(1)
 		t.relay.reset()
-		e.scheduler.again(t.job, err.Code().Effect() == result.NotRun, err.RetryAfter(), now)
+		if err.Code().Effect() == result.NotRun {
+			e.scheduler.refused(t.job, err.RetryAfter(), now)
+		} else {
+			e.scheduler.retry(t.job, now)
+		}
 	}
 }
 
@@ -224,9 +224,7 @@
 	if !ok {
 		return result.New(result.EndpointDown, "the agent has left")
 	}
-	t.relay.fetchID = strings.Join([]string{
-		t.request.ID(), t.choice.Endpoint, strconv.FormatUint(t.choice.Incarnation, 36),
-	}, fetchSeparator)
+	t.relay.fetchID = caller.FetchID(t.request.ID(), t.choice.Endpoint, t.choice.Incarnation)
 	return e.call(ctx, t, addr)
 }
 
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
+	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+)
+
+// view is the configuration that the entry acts by. It is never changed once
+// made.
+type view struct {
+	generation  uint64
+	preset      *preset.Preset
+	endpoints   []string
+	dataCentres []string
+}
+
+// newView reads a snapshot. It returns nil when no preset is known yet, or with
+// faults when the preset can't be read.
+func newView(s *config.Snapshot) (*view, []preset.Fault) {
+	_, body, ok := s.Preset()
+	if !ok {
+		return nil, nil
+	}
+	p, faults := preset.Parse(body)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	v := &view{generation: s.Head().Generation(), preset: p}
+	for _, o := range s.Head().Outs() {
+		v.out(o.Target())
+	}
+	for _, h := range s.Holds() {
+		if !h.Released() {
+			v.out(h.Target())
+		}
+	}
+	return v, nil
+}
+
+func (v *view) out(t config.Target) {
+	switch t.Kind() {
+	case config.EndpointKind:
+		v.endpoints = append(v.endpoints, t.Name())
+	case config.DataCentreKind:
+		v.dataCentres = append(v.dataCentres, t.Name())
+	}
+}
+
+// limits returns the accounts' limits for admission.
+func (v *view) limits() []admission.Limits {
+	var ls []admission.Limits
+	for _, a := range v.preset.Accounts() {
+		ls = append(ls, admission.Limits{
+			Account:     a.Name(),
+			Rate:        a.RatePerSecond(),
+			Burst:       float64(a.Burst()),
+			Concurrency: a.Concurrency(),
+			Weight:      a.Weight(),
+			Worth:       a.Worth(),
+		})
+	}
+	return ls
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -70,8 +70,7 @@
 	case <-ctx.Done():
 	}
 	g.Stop()
-	<-done
-	return nil
+	return <-done
 }
 
 func (s *Server) options() []grpc.ServerOption {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -25,6 +25,8 @@
 
 // Service answers what every process answers. Set the fields before use.
 type Service struct {
+	peerpb.UnimplementedPeerServer
+
 	Name       string
 	DataCentre string
 	Clock      *timeline.Clock
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -9,6 +9,8 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 )
 
 // handlers bounds how many requests one stand-in answers at once.
@@ -55,6 +57,7 @@
 		MessageHandlerPoolSize: handlers,
 		Listen:                 s.listen,
 	})
+	eventloop.Order(engine, nil)
 	if err := engine.Start(); err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Listen)
 	}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -158,7 +158,7 @@
 	ClaimHeld:          {"claimHeld", NotRun, http.StatusConflict, "another attempt holds the claim on this idempotency key"},
 	NoPreset:           {"noPreset", NotRun, http.StatusServiceUnavailable, "no preset is in force yet"},
 	NotServedHere:      {"notServedHere", NotRun, http.StatusServiceUnavailable, "the endpoint does not serve this model or service"},
-	RetryBudget:        {"retryBudget", NotRun, http.StatusServiceUnavailable, "the first endpoint refused and the retry budget is used up"},
+	RetryBudget:        {"retryBudget", Unknown, http.StatusServiceUnavailable, "an attempt failed and the retry budget is used up"},
 	EndpointDown:       {"endpointDown", NotRun, http.StatusServiceUnavailable, "the endpoint does not accept connections"},
 	Displaced:          {"displaced", NotRun, http.StatusServiceUnavailable, "work that is worth more took the place in the queue"},
 
--- a/pkg/result/error.go
+++ b/pkg/result/error.go
@@ -11,6 +11,7 @@
 	code       Code
 	detail     string
 	retryAfter time.Duration
+	cause      error
 }
 
 // New returns an error with the given code. The detail says what was found
@@ -32,6 +33,17 @@
 	return &c
 }
 
+// WithCause returns a copy of e that errors.Is also finds cause in. The cause is
+// for the process itself and not shown.
+func (e *Error) WithCause(cause error) *Error {
+	c := *e
+	c.cause = cause
+	return &c
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
 // Code returns the result code.
 func (e *Error) Code() Code { return e.code }
 
