Claims: records, batcher, dispatch window, releases

Cause: a request that may not be repeated must run at most once. Ruled out: a lease per claim, which costs a write each; one write per claim, which the service's few hundred writes a second don't allow. Change: open and closed records, claims and outcomes batched in nested transactions, lost answers settled by sending the claim again, abandoned claims fenced by closing their key, releases by window and revision.

--- /dev/null
+++ b/internal/platform/claim/record.go
@@ -0,0 +1,223 @@
+package claim
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+// MaxAnswer is the largest answer in bytes that is kept with a record. With the
+// batch limit it keeps a transaction below a megabyte.
+const MaxAnswer = 16 << 10
+
+// maxRecord bounds an encoded record: the answer in base64 and the rest.
+const maxRecord = 2*MaxAnswer + 16<<10
+
+// ErrRecord says that a stored record can't be read.
+var ErrRecord = errors.New("claim: the record can't be read")
+
+// State is what is known of a claimed request.
+type State int
+
+const (
+	// Claimed means that an agent may run the request or is running it.
+	Claimed State = iota + 1
+	// Unsettled means that the request was sent to the endpoint and that it is
+	// not known whether it was run.
+	Unsettled
+	// Completed means that the endpoint ran the request.
+	Completed
+	// Failed means that the endpoint ran the request and reported a failure.
+	Failed
+	// Ran means that an operator found that the request was run.
+	Ran
+	// NotRun means that the request was not run and that this claim never will.
+	NotRun
+)
+
+var stateNames = map[State]string{
+	Claimed:   "claimed",
+	Unsettled: "unsettled",
+	Completed: "completed",
+	Failed:    "failed",
+	Ran:       "ran",
+	NotRun:    "notRun",
+}
+
+// String returns the state's camel-case name.
+func (s State) String() string { return stateNames[s] }
+
+// open reports whether a record in this state is kept as open.
+func (s State) open() bool { return s == Claimed || s == Unsettled }
+
+// Answer is what an endpoint answered.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// ContentType describes Body.
+	ContentType string
+	// Body is the answer, not kept when larger than MaxAnswer.
+	Body []byte
+}
+
+// Record is a claim as it is stored.
+type Record struct {
+	key         Key
+	bodyDigest  string
+	requestID   string
+	attemptID   string
+	agent       string
+	endpoint    string
+	incarnation uint64
+	state       State
+	at          time.Time
+	releasedBy  string
+	answer      Answer
+	dropped     bool
+}
+
+// Key returns what is claimed.
+func (r Record) Key() Key { return r.key }
+
+// BodyDigest returns the digest of the request's body.
+func (r Record) BodyDigest() string { return r.bodyDigest }
+
+// RequestID returns the id of the request that made the claim.
+func (r Record) RequestID() string { return r.requestID }
+
+// AttemptID returns the id of the attempt that made the claim.
+func (r Record) AttemptID() string { return r.attemptID }
+
+// Agent returns the address of the agent that made the claim.
+func (r Record) Agent() string { return r.agent }
+
+// Endpoint returns the name of the endpoint that the agent stands for.
+func (r Record) Endpoint() string { return r.endpoint }
+
+// Incarnation returns the agent's incarnation.
+func (r Record) Incarnation() uint64 { return r.incarnation }
+
+// State returns what is known.
+func (r Record) State() State { return r.state }
+
+// At returns the agent's wall clock when the state was set, for information.
+func (r Record) At() time.Time { return r.at }
+
+// ReleasedBy returns the operator who released the claim, or "".
+func (r Record) ReleasedBy() string { return r.releasedBy }
+
+// Answer returns the stored answer and whether its body is whole: it is not
+// when the body was too large to keep or when nothing was answered.
+func (r Record) Answer() (Answer, bool) {
+	return r.answer, !r.dropped && r.answer.Status != 0
+}
+
+func (r Record) with(s State, a Answer, now time.Time) Record {
+	r.state = s
+	r.at = time.UnixMicro(now.UnixMicro()).UTC()
+	r.answer = a
+	if len(a.Body) > MaxAnswer {
+		r.answer.Body = nil
+		r.dropped = true
+	}
+	return r
+}
+
+type recordJSON struct {
+	Service        string `json:"service"`
+	Account        string `json:"account"`
+	IdempotencyKey string `json:"idempotencyKey"`
+	BodyDigest     string `json:"bodyDigest"`
+	RequestID      string `json:"requestId"`
+	AttemptID      string `json:"attemptId"`
+	Agent          string `json:"agent"`
+	Endpoint       string `json:"endpoint"`
+	Incarnation    uint64 `json:"incarnation"`
+	State          string `json:"state"`
+	AtMicros       int64  `json:"atMicros"`
+	ReleasedBy     string `json:"releasedBy,omitempty"`
+	Status         int    `json:"status,omitempty"`
+	ContentType    string `json:"contentType,omitempty"`
+	Answer         []byte `json:"answer,omitempty"`
+	AnswerDropped  bool   `json:"answerDropped,omitempty"`
+}
+
+// Encode returns the record as JSON with camelCase keys.
+func (r Record) Encode() []byte {
+	b, err := json.Marshal(recordJSON{
+		Service:        r.key.service,
+		Account:        r.key.account,
+		IdempotencyKey: r.key.idempotency,
+		BodyDigest:     r.bodyDigest,
+		RequestID:      r.requestID,
+		AttemptID:      r.attemptID,
+		Agent:          r.agent,
+		Endpoint:       r.endpoint,
+		Incarnation:    r.incarnation,
+		State:          r.state.String(),
+		AtMicros:       r.at.UnixMicro(),
+		ReleasedBy:     r.releasedBy,
+		Status:         r.answer.Status,
+		ContentType:    r.answer.ContentType,
+		Answer:         r.answer.Body,
+		AnswerDropped:  r.dropped,
+	})
+	if err != nil {
+		panic(err) // strings, integers and bytes can't fail
+	}
+	return b
+}
+
+// DecodeRecord reads an encoded record. The error wraps ErrRecord.
+func DecodeRecord(b []byte) (Record, error) {
+	if len(b) > maxRecord {
+		return Record{}, fmt.Errorf("%w: %d bytes", ErrRecord, len(b))
+	}
+	var j recordJSON
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&j); err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrRecord, err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Record{}, fmt.Errorf("%w: data after the record", ErrRecord)
+	}
+	return recordFromJSON(j)
+}
+
+func recordFromJSON(j recordJSON) (Record, error) {
+	k, err := NewKey(j.Service, j.Account, j.IdempotencyKey)
+	if err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrRecord, err)
+	}
+	s, ok := stateFrom(j.State)
+	if !ok || j.AttemptID == "" || len(j.Answer) > MaxAnswer {
+		return Record{}, fmt.Errorf("%w: state %q", ErrRecord, j.State)
+	}
+	return Record{
+		key:         k,
+		bodyDigest:  j.BodyDigest,
+		requestID:   j.RequestID,
+		attemptID:   j.AttemptID,
+		agent:       j.Agent,
+		endpoint:    j.Endpoint,
+		incarnation: j.Incarnation,
+		state:       s,
+		at:          time.UnixMicro(j.AtMicros).UTC(),
+		releasedBy:  j.ReleasedBy,
+		answer:      Answer{Status: j.Status, ContentType: j.ContentType, Body: j.Answer},
+		dropped:     j.AnswerDropped,
+	}, nil
+}
+
+func stateFrom(name string) (State, bool) {
+	for s, n := range stateNames {
+		if n == name {
+			return s, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/platform/claim/registry.go
@@ -0,0 +1,177 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// maxSeen bounds the open claims whose first sight is remembered.
+const maxSeen = 4096
+
+// retryPause is the wait between two tries to settle a release whose answer was
+// lost.
+const retryPause = 50 * time.Millisecond
+
+// Registry lists open claims and releases them for operators. Set the fields
+// before the first call. It may be used by several goroutines.
+type Registry struct {
+	// KV is the platform's service.
+	KV platform.KV
+	// Window is the agents' dispatch window and Margin what is added to it for
+	// the time that an agent needs between its check and the dispatch, and for
+	// clocks of unequal speed.
+	Window time.Duration
+	Margin time.Duration
+	// Retention is how long a released record is kept.
+	Retention time.Duration
+	// Alive, when set, reports whether an agent's incarnation still lives.
+	Alive func(agent string, incarnation uint64) bool
+	// Now is the clock.
+	Now func() time.Time
+
+	mu   sync.Mutex // guards seen
+	seen map[int64]time.Time
+}
+
+// List returns open claims in the order of their keys, from key after on, and
+// whether there are more. The first page has after "". Records that can't be
+// read are left out and counted in unreadable.
+func (g *Registry) List(ctx context.Context, after string, limit int) (rs []Record, more bool, unreadable int, err error) {
+	if after != "" {
+		after = OpenPrefix + after
+	}
+	r, err := g.KV.List(ctx, OpenPrefix, after, limit)
+	if err != nil {
+		return nil, false, 0, err
+	}
+	now := g.Now()
+	for _, kv := range r.KVs() {
+		rec, err := DecodeRecord(kv.Value())
+		if err != nil {
+			unreadable++
+			continue
+		}
+		g.sight(kv.Revision(), now)
+		rs = append(rs, rec)
+	}
+	return rs, r.More(), unreadable, nil
+}
+
+// sight returns when the revision was first seen here.
+func (g *Registry) sight(revision int64, now time.Time) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at, ok := g.seen[revision]; ok {
+		return at
+	}
+	if g.seen == nil || len(g.seen) >= maxSeen {
+		g.seen = make(map[int64]time.Time)
+	}
+	g.seen[revision] = now
+	return now
+}
+
+// Release closes an open claim as Ran or NotRun, on the word of the operator
+// by. It first waits until the dispatch window has passed since the claim was
+// first seen here. Errors are results: UnknownClaim; ClaimRunning, with the
+// time to come back, when the claim's agent lives, or when ctx ends before the
+// window has passed; Conflict when the claim changed meanwhile; WriteUnknown;
+// PlatformRefused.
+func (g *Registry) Release(ctx context.Context, k Key, s State, by string) error {
+	if s != Ran && s != NotRun || by == "" {
+		return result.New(result.MalformedOrder, "a release says ran or notRun and who says so")
+	}
+	rec, revision, err := g.read(ctx, k)
+	if err != nil {
+		return err
+	}
+	if rec.state == Claimed && g.Alive != nil && g.Alive(rec.agent, rec.incarnation) {
+		return result.New(result.ClaimRunning, "the agent at "+rec.agent+" lives").WithRetryAfter(g.Window)
+	}
+	if err := g.await(ctx, revision); err != nil {
+		return err
+	}
+	closed := rec.with(s, Answer{}, g.Now())
+	closed.releasedBy = by
+	return g.close(ctx, conclude{record: closed, revision: revision})
+}
+
+func (g *Registry) read(ctx context.Context, k Key) (Record, int64, error) {
+	r, err := g.KV.Get(ctx, k.open())
+	if err != nil {
+		return Record{}, 0, result.New(result.PlatformRefused, err.Error())
+	}
+	kv, ok := r.First()
+	if !ok {
+		return Record{}, 0, result.New(result.UnknownClaim, k.String())
+	}
+	rec, err := DecodeRecord(kv.Value())
+	if err != nil {
+		return Record{}, 0, result.New(result.DocumentUnreadable, err.Error())
+	}
+	return rec, kv.Revision(), nil
+}
+
+// await returns when the window of the claim's agent is surely closed. The
+// claim was sent before it was seen, so counting from the first sight can only
+// be too long; the clocks of agent and operator are not compared.
+func (g *Registry) await(ctx context.Context, revision int64) error {
+	now := g.Now()
+	rest := g.sight(revision, now).Add(g.Window + g.Margin).Sub(now)
+	if rest <= 0 {
+		return nil
+	}
+	t := time.NewTimer(rest)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return result.New(result.ClaimRunning, "the agent may still dispatch the request").WithRetryAfter(rest)
+	}
+}
+
+// close writes the release and settles a lost answer by writing again.
+func (g *Registry) close(ctx context.Context, c conclude) error {
+	unknown := false
+	for {
+		stored, err := g.try(ctx, c)
+		switch {
+		case err == nil && stored:
+			return nil
+		case err == nil:
+			return result.New(result.Conflict, "the claim was changed meanwhile")
+		case platform.IsUnknown(err):
+			unknown = true
+		case !unknown:
+			return result.New(result.PlatformRefused, err.Error())
+		}
+		pause(ctx, retryPause)
+		if ctx.Err() != nil {
+			return result.New(result.WriteUnknown, c.record.key.String())
+		}
+	}
+}
+
+// errGrant says that the lease of a released record could not be had.
+var errGrant = errors.New("no lease for the released record")
+
+// try reports whether the release is stored. Only the transaction's own error
+// leaves that open.
+func (g *Registry) try(ctx context.Context, c conclude) (bool, error) {
+	id, err := g.KV.Grant(ctx, g.Retention)
+	if err != nil {
+		return false, errGrant
+	}
+	r, err := g.KV.Txn(ctx, platform.Txn{Then: []platform.Op{txnOf(c, id)}})
+	if err != nil {
+		return false, err
+	}
+	stored, _ := c.judge(r.Ops()[0].Txn())
+	return stored, nil
+}
