--- a/internal/inifile/document.go
+++ b/internal/inifile/document.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
+	"sort"
 	"strings"
 	"unicode/utf8"
 
@@ -39,7 +41,8 @@
 	faults   []Fault
 }
 
-// Split reads r into sections. Faults returns what could not be read.
+// Split reads r into sections. What could not be read is among the faults that
+// Close returns.
 func Split(r []byte) *Document {
 	d := &Document{}
 	if len(r) > MaxBytes {
@@ -103,6 +106,7 @@
 			continue
 		}
 		s.known = true
+		s.skipped = first != nil || s.name != ""
 		if s.name != "" {
 			s.fault(Syntax, "", s.Header(), "["+kind+"]")
 			continue
@@ -122,7 +126,8 @@
 }
 
 // Sections returns the sections of a kind that need a name, in the document's
-// order. Bad and repeated names are faults, and their sections are left out.
+// order. Bad and repeated names are faults; their sections are in the list all
+// the same, so that the faults inside them are found too.
 func (d *Document) Sections(kind string) []*Section {
 	var list []*Section
 	seen := map[string]bool{}
@@ -136,10 +141,9 @@
 			s.fault(Syntax, "", shorten(s.Header()), "["+kind+" NAME], with a NAME of "+NameRule)
 		case seen[s.name]:
 			s.fault(Duplicate, "", "a second ["+s.Header()+"]", "one")
-		default:
-			seen[s.name] = true
-			list = append(list, s)
 		}
+		seen[s.name] = true
+		list = append(list, s)
 	}
 	return list
 }
@@ -165,13 +169,23 @@
 			s.fault(UnknownKey, "", "the section "+shorten(s.Header()), strings.Join(kinds, ", "))
 			continue
 		}
-		s.close()
+		if !s.skipped {
+			s.close()
+		}
 	}
-	return d.Faults()
+	return d.sorted()
 }
 
-// Faults returns the faults that were found so far.
-func (d *Document) Faults() []Fault { return append([]Fault(nil), d.faults...) }
+// sorted returns the faults in the order of lines; those that belong to no
+// line are last.
+func (d *Document) sorted() []Fault {
+	list := slices.Clone(d.faults)
+	sort.SliceStable(list, func(i, j int) bool {
+		a, b := list[i].line, list[j].line
+		return a != 0 && (b == 0 || a < b)
+	})
+	return list
+}
 
 // Report adds a fault of the document as a whole.
 func (d *Document) Report(f Fault) { d.add(f) }
--- a/internal/inifile/section.go
+++ b/internal/inifile/section.go
@@ -30,13 +30,16 @@
 // key, or the given default when the key is absent or its value is a fault,
 // which goes into the document's list.
 type Section struct {
-	doc    *Document
-	kind   string
-	name   string
-	line   int
-	known  bool
-	asked  []string
-	values map[string]value
+	doc  *Document
+	kind string
+	name string
+	line int
+	// known says that the kind was asked for, skipped that nothing reads the
+	// section because it is one too many.
+	known   bool
+	skipped bool
+	asked   []string
+	values  map[string]value
 }
 
 // Name returns the name in the section's header.
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Process: readProcess(doc)}
+	a := &Agent{Process: readProcess(doc.Section("process"), doc.Section("tls"))}
 	a.readEndpoint(doc.Section("endpoint"))
 	errs := fromFaults(doc.Close("[process]", "[endpoint]", "[tls]"))
 	errs = append(errs, a.TLS.check()...)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -61,8 +61,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{Process: readProcess(doc)}
 	s := doc.Section("process")
+	e := &Entry{Process: readProcess(s, doc.Section("tls"))}
 	s.Require("callerAddress", "adminAddress")
 	e.CallerAddress = s.Address("callerAddress", true)
 	e.AdminAddress = s.Address("adminAddress", true)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 
@@ -9,95 +10,122 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// option is one key of the settings that has a flag.
-type option struct {
-	section string
-	key     string
-	text    string
-	value   string
-}
-
-func (o option) flag() string {
-	if o.section == "process" {
-		return o.key
-	}
-	return o.section + "." + o.key
+// Flags are the flags of one role. The zero value is of no use; EntryFlags
+// and AgentFlags give one.
+type Flags struct {
+	data  any
+	group *flags.Group
 }
 
-// Flags are the flags of one role.
-type Flags struct {
-	file    string
-	options []option
+// Grouper is a command or a group that flags can be added to.
+type Grouper interface {
+	AddGroup(shortDescription, longDescription string, data any) (*flags.Group, error)
 }
 
 // EntryFlags returns the flags of an entry.
-func EntryFlags() *Flags { return &Flags{options: append([]option(nil), entryOptions...)} }
+func EntryFlags() *Flags { return &Flags{data: &entryFlags{}} }
 
 // AgentFlags returns the flags of an agent.
-func AgentFlags() *Flags { return &Flags{options: append([]option(nil), agentOptions...)} }
-
-// AddTo adds the flags to a command or group. Their values are there after the
-// command line has been parsed.
-func (f *Flags) AddTo(g *flags.Group) {
-	g.AddOption(&flags.Option{LongName: "settings", Description: "settings file (INI)", ValueName: "FILE"}, &f.file)
-	for i := range f.options {
-		o := &f.options[i]
-		g.AddOption(&flags.Option{LongName: o.flag(), Description: o.text, ValueName: "VALUE"}, &o.value)
-	}
+func AgentFlags() *Flags { return &Flags{data: &agentFlags{}} }
+
+// AddTo adds the flags to a command. Their values are there after the command
+// line has been parsed.
+func (f *Flags) AddTo(g Grouper) error {
+	var err error
+	f.group, err = g.AddGroup("Settings", "each wins over the same key of the settings file", f.data)
+	return err
 }
 
 // document reads the file, if one was named, and puts the flags over it.
 func (f *Flags) document() (*inifile.Document, error) {
+	given := map[string]string{}
+	if f.group != nil {
+		collect(f.group, given)
+	}
 	var text []byte
-	if f.file != "" {
+	if file := given[settingsFlag]; file != "" {
 		var err error
-		text, err = os.ReadFile(f.file)
+		text, err = os.ReadFile(file)
 		if err != nil {
 			return nil, Errors{result.New(result.SettingsFile, err.Error())}
 		}
 	}
+	delete(given, settingsFlag)
 	doc := inifile.Split(text)
-	for _, o := range f.options {
-		if o.value != "" {
-			doc.Set(o.section, o.key, o.value)
+	for name, value := range given {
+		section, key, ok := strings.Cut(name, ".")
+		if !ok {
+			section, key = "process", name
 		}
+		doc.Set(section, key, value)
 	}
 	return doc, nil
 }
 
-// commonOptions are the options of every role.
-var commonOptions = []option{
-	{section: "process", key: "name", text: "name of the process, unique in the system"},
-	{section: "process", key: "dataCentre", text: "data centre of the process"},
-	{section: "process", key: "peerAddress", text: "IP:port for other processes of the system"},
-	{section: "process", key: "metricsAddress", text: "IP:port for metrics without a token; none when absent"},
-	{section: "process", key: "platformAddresses", text: "IP:port list of the platform's key-value service"},
-	{section: "process", key: "vmListAddress", text: "IP:port of the platform's list of VMs"},
-	{section: "process", key: "drainTimeout", text: "how long a graceful stop waits for open requests"},
-	{section: "process", key: "logFormat", text: "text or json"},
-	{section: "tls", key: "cert", text: "file of the certificate (PEM)"},
-	{section: "tls", key: "key", text: "file of the certificate's key (PEM)"},
-	{section: "tls", key: "ca", text: "file of the certificates that peers are checked by (PEM)"},
-	{section: "tls", key: "insecure", text: "true to go without TLS"},
-	{section: "tls", key: "reloadInterval", text: "how often certificate files are looked at"},
+// collect puts the values of the flags that were given into given.
+func collect(g *flags.Group, given map[string]string) {
+	for _, o := range g.Options() {
+		if s, ok := o.Value().(string); ok && s != "" {
+			given[o.LongNameWithNamespace()] = s
+		}
+	}
+	for _, sub := range g.Groups() {
+		collect(sub, given)
+	}
 }
 
-var entryOptions = append([]option{
-	{section: "process", key: "callerAddress", text: "IP:port for callers"},
-	{section: "process", key: "adminAddress", text: "IP:port for operators"},
-	{section: "operator", key: "tokenFile", text: "file of the operator token"},
-	{section: "operator", key: "reloadInterval", text: "how often the token file is looked at"},
-	{section: "limits", key: "bodyBytes", text: "largest body of a request in bytes"},
-	{section: "limits", key: "headerTimeout", text: "time for a request's headers to arrive"},
-	{section: "limits", key: "requestTimeout", text: "time for a request to arrive whole"},
-	{section: "limits", key: "idleTimeout", text: "time for which an idle connection is kept"},
-	{section: "limits", key: "maxConnections", text: "most connections of callers"},
-	{section: "limits", key: "queueLength", text: "most waiting requests; 0 takes the preset's"},
-}, commonOptions...)
-
-var agentOptions = append([]option{
-	{section: "endpoint", key: "name", text: "name of the endpoint, which presets match"},
-	{section: "endpoint", key: "address", text: "IP:port of the endpoint"},
-	{section: "endpoint", key: "kind", text: "engine or plain"},
-	{section: "endpoint", key: "fencing", text: "checked when the endpoint refuses old fencing tokens, else ignored"},
-}, commonOptions...)
+// settingsFlag is the one flag that is no key.
+const settingsFlag = "settings"
+
+// commonFlags are the flags of every role. All are strings, because the same
+// code reads them as reads the file.
+type commonFlags struct {
+	File              string `long:"settings" description:"settings file (INI)" value-name:"FILE"`
+	Name              string `long:"name" description:"name of the process, unique in the system"`
+	DataCentre        string `long:"dataCentre" description:"data centre of the process"`
+	PeerAddress       string `long:"peerAddress" description:"IP:port for other processes of the system"`
+	MetricsAddress    string `long:"metricsAddress" description:"IP:port for metrics without a token; none when absent"`
+	PlatformAddresses string `long:"platformAddresses" description:"IP:port list of the platform's key-value service"`
+	VMListAddress     string `long:"vmListAddress" description:"IP:port of the platform's list of VMs"`
+	DrainTimeout      string `long:"drainTimeout" description:"how long a graceful stop waits for open requests"`
+	LogFormat         string `long:"logFormat" description:"text or json"`
+
+	TLS struct {
+		Cert           string `long:"cert" description:"file of the certificate (PEM)"`
+		Key            string `long:"key" description:"file of the certificate's key (PEM)"`
+		CA             string `long:"ca" description:"file of the certificates that peers are checked by (PEM)"`
+		Insecure       string `long:"insecure" description:"true to go without TLS"`
+		ReloadInterval string `long:"reloadInterval" description:"how often certificate files are looked at"`
+	} `group:"TLS" namespace:"tls"`
+}
+
+type entryFlags struct {
+	Common        commonFlags `group:"Process"`
+	CallerAddress string      `long:"callerAddress" description:"IP:port for callers"`
+	AdminAddress  string      `long:"adminAddress" description:"IP:port for operators"`
+
+	Operator struct {
+		TokenFile      string `long:"tokenFile" description:"file of the operator token"`
+		ReloadInterval string `long:"reloadInterval" description:"how often the token file is looked at"`
+	} `group:"Operator" namespace:"operator"`
+
+	Limits struct {
+		BodyBytes      string `long:"bodyBytes" description:"largest body of a request in bytes"`
+		HeaderTimeout  string `long:"headerTimeout" description:"time for a request's headers to arrive"`
+		RequestTimeout string `long:"requestTimeout" description:"time for a request to arrive whole"`
+		IdleTimeout    string `long:"idleTimeout" description:"time for which an idle connection is kept"`
+		MaxConnections string `long:"maxConnections" description:"most connections of callers"`
+		QueueLength    string `long:"queueLength" description:"most waiting requests; 0 takes the preset's"`
+	} `group:"Limits" namespace:"limits"`
+}
+
+type agentFlags struct {
+	Common commonFlags `group:"Process"`
+
+	Endpoint struct {
+		Name    string `long:"name" description:"name of the endpoint, which presets match"`
+		Address string `long:"address" description:"IP:port of the endpoint"`
+		Kind    string `long:"kind" description:"engine or plain"`
+		Fencing string `long:"fencing" description:"checked when the endpoint refuses old fencing tokens, else ignored"`
+	} `group:"Endpoint" namespace:"endpoint"`
+}
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -58,8 +58,7 @@
 	maxReload     = time.Hour
 )
 
-func readProcess(doc *inifile.Document) Process {
-	s := doc.Section("process")
+func readProcess(s, tls *inifile.Section) Process {
 	s.Require("name", "dataCentre", "peerAddress", "platformAddresses")
 	return Process{
 		Name:              readName(s, "name"),
@@ -70,7 +69,7 @@
 		VMListAddress:     s.Address("vmListAddress", false),
 		DrainTimeout:      s.Duration("drainTimeout", defaultDrain, 0, maxDrain),
 		LogFormat:         s.Choice("logFormat", LogText, LogText, LogJSON),
-		TLS:               readTLS(doc.Section("tls")),
+		TLS:               readTLS(tls),
 	}
 }
 
@@ -83,14 +82,13 @@
 }
 
 func readTLS(s *inifile.Section) TLS {
-	t := TLS{
+	return TLS{
 		Cert:           s.Text("cert", ""),
 		Key:            s.Text("key", ""),
 		CA:             s.Text("ca", ""),
 		Insecure:       s.Bool("insecure", false),
 		ReloadInterval: s.Duration("reloadInterval", defaultReload, minReload, maxReload),
 	}
-	return t
 }
 
 // check refuses settings that leave open whether connections are secured. A
