--- /dev/null
+++ b/cmd/hyssoprelay/main.go
@@ -0,0 +1,27 @@
+// Command hyssoprelay runs the processes of hyssoprelay and gives operators
+// their commands.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/operator/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := &command.Program{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Now:    time.Now,
+		Env:    os.Getenv,
+	}
+	code := p.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/operator/command/client.go
@@ -0,0 +1,255 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	httptls "github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/operator"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const (
+	// maxAnswer bounds an answer: a time line of all processes.
+	maxAnswer = 256 << 20
+	// connectTimeout bounds how long an address that does not answer keeps
+	// the next one waiting.
+	connectTimeout = 2 * time.Second
+)
+
+// refusal is an entry's refusal, or one of the client's own.
+type refusal struct {
+	reply operator.ErrorReply
+}
+
+// Error implements error.
+func (r *refusal) Error() string {
+	e := result.New(result.Code(r.reply.Code), r.reply.Detail)
+	return e.Error()
+}
+
+func refuse(c result.Code, detail string) *refusal {
+	info, _ := result.Lookup(c)
+	return &refusal{reply: operator.ErrorReply{
+		Code: int(c), Name: info.Name(), Effect: info.Effect().String(), Text: info.Text(), Detail: detail,
+	}}
+}
+
+// call is one request to the admin API.
+type call struct {
+	method string
+	path   string
+	body   any
+	// change says that the call changes something.
+	change bool
+}
+
+// client speaks with the admin API of entries.
+type client struct {
+	addrs   []string
+	token   string
+	tls     *httptls.Config
+	timeout time.Duration
+	engine  *nbhttp.Engine
+}
+
+// open reads what the options name and starts the client. Whoever opens a
+// client closes it.
+func (p *Program) open() (*client, error) {
+	c := &client{addrs: p.options.Admin, timeout: p.options.Timeout}
+	if len(c.addrs) == 0 && p.Env("HYSSOPRELAY_ADMIN") != "" {
+		c.addrs = strings.Split(p.Env("HYSSOPRELAY_ADMIN"), ",")
+	}
+	if len(c.addrs) == 0 {
+		return nil, usageError{"no entry is named: give --admin IP:port or set HYSSOPRELAY_ADMIN"}
+	}
+	if err := c.readToken(p.options.TokenFile, p.Env("HYSSOPRELAY_TOKEN")); err != nil {
+		return nil, err
+	}
+	if !p.options.Plain {
+		cfg, err := tlsConfig(p.options.CA)
+		if err != nil {
+			return nil, err
+		}
+		c.tls = cfg
+	}
+	// The library's own lines would stand between those of the command.
+	logging.SetLevel(logging.LevelNone)
+	c.engine = nbhttp.NewEngine(nbhttp.Config{NPoller: 1, MaxHTTPBodySize: maxAnswer, ReadLimit: maxAnswer})
+	return c, c.engine.Start()
+}
+
+func (c *client) close() { c.engine.Stop() }
+
+func (c *client) readToken(file, env string) error {
+	c.token = env
+	if file == "" {
+		if env == "" {
+			return usageError{"no operator token: give --tokenFile or set HYSSOPRELAY_TOKEN"}
+		}
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	c.token = strings.TrimSpace(string(text))
+	return nil
+}
+
+// do asks the addresses in turn until one gives an answer that holds for all,
+// and puts it into v.
+//
+// It guards against telling an operator that a change was not made while an
+// entry whose answer was lost has made it or still may: the operator would
+// give a second order that the first one then meets. Once a sent change has no
+// answer, only a confirmation under the same change id ends the doubt; any
+// refusal by another entry leaves the outcome unknown.
+func (c *client) do(ctx context.Context, r call, v any) error {
+	var last *refusal
+	unknown := false
+	for _, addr := range c.addrs {
+		reply := c.ask(ctx, addr, r)
+		switch a := reply.(type) {
+		case answered:
+			return json.Unmarshal(a.body, v)
+		case refused:
+			last = a.refusal
+			code := result.Code(last.reply.Code)
+			unknown = unknown || code == result.WriteUnknown
+			if !tryNext(code) {
+				return settle(r, last, unknown)
+			}
+		case unreached:
+			if last == nil {
+				last = refuse(result.EntryUnreachable, addr+": "+a.err.Error())
+			}
+		case lost:
+			unknown = true
+			last = refuse(result.EntryUnreachable, addr+": "+a.err.Error())
+		}
+	}
+	return settle(r, last, unknown)
+}
+
+// tryNext reports whether another entry may do better: one that is not cut
+// off from the platform's service.
+func tryNext(c result.Code) bool {
+	return c == result.WriteUnknown || c == result.PlatformRefused || c == result.ShuttingDown
+}
+
+func settle(r call, last *refusal, unknown bool) error {
+	if r.change && unknown {
+		return refuse(result.WriteUnknown, "the last answer was: "+last.Error())
+	}
+	return last
+}
+
+// reply is what became of one request: answered, refused, unreached or lost.
+type reply interface{ isReply() }
+
+// answered is a whole answer of success.
+type answered struct{ body []byte }
+
+// refused is a whole answer of refusal.
+type refused struct{ refusal *refusal }
+
+// unreached means that nothing was sent.
+type unreached struct{ err error }
+
+// lost means that the request may have arrived.
+type lost struct{ err error }
+
+func (answered) isReply()  {}
+func (refused) isReply()   {}
+func (unreached) isReply() {}
+func (lost) isReply()      {}
+
+// ask sends one request to one address.
+func (c *client) ask(ctx context.Context, addr string, r call) reply {
+	req, err := c.request(addr, r)
+	if err != nil {
+		return unreached{err}
+	}
+	var connected atomic.Bool
+	h := &nbhttp.Client{
+		Engine:          c.engine,
+		Timeout:         c.timeout,
+		TLSClientConfig: c.tls,
+		Dial: func(string, string) (net.Conn, error) {
+			conn, err := net.DialTimeout("tcp", addr, min(connectTimeout, c.timeout))
+			connected.Store(err == nil)
+			return conn, err
+		},
+	}
+	defer h.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+connectTimeout)
+	defer cancel()
+	got := make(chan reply, 1)
+	h.Do(req, func(res *http.Response, _ net.Conn, err error) {
+		select {
+		case got <- read(res, err, connected.Load()):
+		default:
+		}
+	})
+	select {
+	case a := <-got:
+		return a
+	case <-ctx.Done():
+		return lost{ctx.Err()}
+	}
+}
+
+func (c *client) request(addr string, r call) (*http.Request, error) {
+	scheme := "https"
+	if c.tls == nil {
+		scheme = "http"
+	}
+	var body io.Reader
+	if r.body != nil {
+		b, err := json.Marshal(r.body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(r.method, scheme+"://"+addr+r.path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	req.Header.Set("Connection", "close")
+	return req, nil
+}
+
+func read(res *http.Response, err error, connected bool) reply {
+	if err != nil && !connected {
+		return unreached{err}
+	}
+	if err != nil {
+		return lost{err}
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return lost{err}
+	}
+	if res.StatusCode < http.StatusMultipleChoices {
+		return answered{body}
+	}
+	var e operator.ErrorReply
+	if err := json.Unmarshal(body, &e); err != nil || e.Code == 0 {
+		return lost{result.Newf(result.EntryUnreachable, "HTTP status %d without a result code", res.StatusCode)}
+	}
+	return refused{&refusal{reply: e}}
+}
