--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -134,3 +134,11 @@
 	const bits = 53
 	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
 }
+
+// hashPair mixes two names for rendezvous hashing.
+func hashPair(a, b string) uint64 {
+	x := xxhash.Sum64String(a) ^ (xxhash.Sum64String(b) * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
