Measure admission and placement against the naive way

Ruled out: real sockets or endpoint processes; a few lines of endpoint behaviour show what the decisions do.

--- /dev/null
+++ b/internal/measure/naive.go
@@ -0,0 +1,84 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+)
+
+// naive is an entry without the deciding packages.
+type naive struct {
+	w       *world
+	reports []placement.Report
+	queue   []*job
+	turn    int
+}
+
+func newNaive(w *world, i int) entry {
+	return &naive{w: w, reports: make([]placement.Report, len(w.servers)), turn: i}
+}
+
+const (
+	naiveTries = 3
+	naivePause = 50 * time.Millisecond
+)
+
+func (n *naive) arrive(j *job, now time.Duration) {
+	j.tries++
+	n.queue = append(n.queue, j)
+	n.tick(now)
+}
+
+func (n *naive) heard(r placement.Report, _ time.Duration) {
+	n.reports[serverIndex(r.Endpoint)] = r
+}
+
+func (n *naive) first(*job, time.Duration) {}
+
+func (n *naive) ended(j *job, whole bool, now time.Duration) {
+	if !whole && j.outcome == pending {
+		n.again(j, now)
+	}
+	n.tick(now)
+}
+
+// again lets the caller return at once.
+func (n *naive) again(j *job, now time.Duration) {
+	if j.tries >= naiveTries {
+		n.w.giveUp(j)
+		return
+	}
+	n.w.at(now+naivePause, func() { n.arrive(j, n.w.now) })
+}
+
+func (n *naive) expired(*job, time.Duration) {}
+
+// tick starts waiting requests in order of arrival at the endpoint with the
+// least reported load, ties in turn.
+func (n *naive) tick(time.Duration) {
+	for len(n.queue) > 0 {
+		s := n.least()
+		if s == nil {
+			return
+		}
+		j := n.queue[0]
+		n.queue = n.queue[1:]
+		n.w.start(s, j)
+	}
+}
+
+func (n *naive) least() *server {
+	var best *server
+	n.turn++
+	for k := range n.w.servers {
+		i := (n.turn + k) % len(n.w.servers)
+		r := n.reports[i]
+		if r.Endpoint == "" || r.Out || r.Running >= endpointCapacity {
+			continue
+		}
+		if best == nil || r.Running < n.reports[best.index].Running {
+			best = n.w.servers[i]
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/measure/service.go
@@ -0,0 +1,105 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+)
+
+var shapes = []shape{
+	{name: "steady, 0.8 of capacity", load: 0.8},
+	{name: "steady, 1.0 of capacity", load: 1},
+	{name: "saturated, 1.5 times capacity", load: 1.5},
+	{name: "saturated, 3 times capacity", load: 3},
+	{name: "bursts of 3 times, mean 0.8", load: 0.8, burst: 3},
+	{name: "one account sends 80 in 100, 1.5", load: 1.5, skew: 0.8, sameWorth: true},
+	{name: "one slow endpoint, 0.8", load: 0.8, slowEndpoint: 10},
+	{name: "long and short mixed, 0.8", load: 0.8, long: 0.1},
+	{name: "long and short mixed, 1.5", load: 1.5, long: 0.1},
+	{name: "data centre leaves and returns, 0.8", load: 0.8, leave: true},
+	{name: "data centre leaves and returns, 1.2", load: 1.2, leave: true},
+}
+
+// Service compares admission and placement with the naive way.
+func Service() Section {
+	return Section{Name: "service", Tables: serviceTables}
+}
+
+func play(s shape, l lag, seed uint64, policy func(w *world, i int) entry) result {
+	w := newWorld(s, l, seed, policy)
+	w.run()
+	return w.result()
+}
+
+func serviceTables(seed uint64) []Table {
+	worth := Table{
+		Title: "Service by worth",
+		Notes: []string{
+			"Whole and on time, in 100 of the worth asked; the bound is what capacity allows.",
+			"12 endpoints in 3 data centres, 9 entries, 10 accounts, 60 s of arrivals, reports 0.1 to 0.3 s old.",
+			"",
+		},
+		Columns: []string{"load", "naive", "ours", "bound", "ours of bound", "naive of bound"},
+	}
+	care := Table{
+		Title: "Fairness and refusals",
+		Notes: []string{
+			"Least account: the least part of one account's requests served, in 100. Told after: until callers",
+			"who were not served knew it, 99th percentile. Cold overloads: requests given to a cold endpoint",
+			"beyond what it bears.",
+			"",
+		},
+		Columns: []string{
+			"load", "least account naive", "ours", "refused ours", "late naive", "late ours",
+			"told after naive", "ours", "cold overloads naive", "ours", "agent refusals ours",
+		},
+	}
+	for _, s := range shapes {
+		n := play(s, usualLag, seed, newNaive)
+		o := play(s, usualLag, seed, newOurs(bothLoads))
+		worth.Rows = append(worth.Rows, []string{
+			s.name, percent(n.service / n.asked), percent(o.service / o.asked),
+			percent(min(1, o.bound/o.asked)), percent(o.ofBound()), percent(n.ofBound()),
+		})
+		care.Rows = append(care.Rows, []string{
+			s.name, percent(n.leastAccount), percent(o.leastAccount), percent(o.refusedPart),
+			percent(n.latePart), percent(o.latePart), inSeconds(n.refusedAfter99), inSeconds(o.refusedAfter99),
+			fmt.Sprint(n.coldOverloads), fmt.Sprint(o.coldOverloads), percent(float64(o.agentRefusals) / float64(o.requests)),
+		})
+	}
+	return []Table{worth, care}
+}
+
+func inSeconds(d time.Duration) string { return fmt.Sprintf("%.2f s", d.Seconds()) }
+
+var lags = []time.Duration{
+	100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// Placing compares what load a placement goes by.
+func Placing() Section {
+	return Section{Name: "placing", Tables: placingTables}
+}
+
+func placingTables(seed uint64) []Table {
+	t := Table{
+		Title: "Placing under lagging reports",
+		Notes: []string{
+			"Service by worth in 100 of the bound, and in brackets agent refusals in 100 requests, by what a",
+			"choice goes by. The age of a report is at the most the lag.",
+			"",
+		},
+		Columns: []string{"load, lag", "reports only", "committed only", "both"},
+	}
+	for _, load := range []float64{0.8, 1.5} {
+		for _, d := range lags {
+			l := lag{every: d / 2, delay: d / 2}
+			row := []string{fmt.Sprintf("%.1f, %v", load, d)}
+			for _, p := range []placing{reportOnly, committedOnly, bothLoads} {
+				r := play(shape{load: load}, l, seed, newOurs(p))
+				row = append(row, fmt.Sprintf("%s (%s)", percent(r.ofBound()), percent(float64(r.agentRefusals)/float64(r.requests))))
+			}
+			t.Rows = append(t.Rows, row)
+		}
+	}
+	return []Table{t}
+}
