--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -17,8 +17,11 @@
 	drainPrior = 0.25
 	// spreadMemory is the time constant for counting recent refusals.
 	spreadMemory = 2 * time.Second
-	// MinComeBack and MaxComeBack bound each come-back time. Sooner would add
-	// load while the cause lasts; later would leave returned capacity idle.
+)
+
+// Bounds of each come-back time. A sooner one would add load while the cause
+// lasts; a later one would leave returned capacity idle.
+const (
 	MinComeBack = 100 * time.Millisecond
 	MaxComeBack = 30 * time.Second
 )
--- a/internal/measure/server.go
+++ b/internal/measure/server.go
@@ -62,7 +62,7 @@
 		return (1 + batchGain) / (1 + batchGain*float64(n)/endpointCapacity) / s.slow
 	}
 	over := endpointCapacity / float64(n)
-	return over * over * over / s.slow
+	return over * over / s.slow
 }
 
 // advance brings the progress of all running requests to now.
