--- /dev/null
+++ b/internal/rank/expertmap/popularity.go
@@ -0,0 +1,92 @@
+package expertmap
+
+import (
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrObservation is returned for counts that don't fit the estimator.
+var ErrObservation = eris.New("expertmap: the counts don't fit the layer")
+
+// Popularity estimates the load of each expert by an exponentially weighted
+// mean of the observed counts. It is not safe for concurrent use.
+type Popularity struct {
+	tau    time.Duration
+	layers []estimate
+}
+
+type estimate struct {
+	load []float64
+	last time.Time
+}
+
+// NewPopularity returns an estimator for the given numbers of layers and
+// experts. An observation's weight falls to 1/e after tau; a tau of zero keeps
+// the newest observation alone.
+func NewPopularity(layers, experts int, tau time.Duration) *Popularity {
+	p := &Popularity{tau: tau, layers: make([]estimate, layers)}
+	for i := range p.layers {
+		p.layers[i].load = make([]float64, experts)
+	}
+	return p
+}
+
+// Observe adds the mean counts a step that were seen in a layer up to now. The
+// first observation is taken as it is. It returns ErrObservation for a layer
+// that is not there, a wrong number of counts or a count that is negative or
+// not finite. An observation older than the newest one is taken as being of
+// the newest one's time.
+func (p *Popularity) Observe(layer int, counts []float64, now time.Time) error {
+	if layer < 0 || layer >= len(p.layers) || len(counts) != len(p.layers[layer].load) {
+		return eris.Wrapf(ErrObservation, "layer %d, %d counts", layer, len(counts))
+	}
+	if err := checkLoad(counts); err != nil {
+		return err
+	}
+	e := &p.layers[layer]
+	a := p.gain(e.last, now)
+	for i, c := range counts {
+		e.load[i] += a * (c - e.load[i])
+	}
+	if now.After(e.last) {
+		e.last = now
+	}
+	return nil
+}
+
+func (p *Popularity) gain(last, now time.Time) float64 {
+	if last.IsZero() || p.tau <= 0 {
+		return 1
+	}
+	dt := max(now.Sub(last), 0)
+	return 1 - math.Exp(-dt.Seconds()/p.tau.Seconds())
+}
+
+// Known reports whether every layer has been observed.
+func (p *Popularity) Known() bool {
+	for _, e := range p.layers {
+		if e.last.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// Layers returns the number of layers.
+func (p *Popularity) Layers() int { return len(p.layers) }
+
+// Load returns the estimated load of each expert of a layer.
+func (p *Popularity) Load(layer int) []float64 {
+	return append([]float64(nil), p.layers[layer].load...)
+}
+
+func checkLoad(load []float64) error {
+	for e, v := range load {
+		if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+			return eris.Wrapf(ErrObservation, "expert %d has load %v", e, v)
+		}
+	}
+	return nil
+}
