Run-once requests by claim, operators' API, processes

Cause: a run-once request needs its claim before the first byte, operators need their API, and both roles a command. Ruled out: cutting a run-once request off at its deadline, which leaves an order unsettled that completes a moment later. Change: agents claim, dispatch inside the window and store the outcome; entries serve operators and follow the list of VMs; cmd/hyssoprelay runs both roles. Conclusion: the thin path is there end to end.

--- a/cmd/hyssoprelay/main.go
+++ b/cmd/hyssoprelay/main.go
@@ -15,9 +15,16 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	go func() {
+		// After the first signal the process leaves gracefully; without the
+		// handler the second one ends it at once.
+		<-ctx.Done()
+		stop()
+	}()
 	p := &command.Program{
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
+		Roles:  roles{},
 		Now:    time.Now,
 		Env:    os.Getenv,
 	}
--- /dev/null
+++ b/cmd/hyssoprelay/roles.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/agent"
+	"github.com/hyssoprelay/hyssoprelay/internal/entry"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+)
+
+// roles implements command.Roles.
+type roles struct{}
+
+// Entry implements command.Roles.
+func (roles) Entry(ctx context.Context, s *settings.Entry) error {
+	secured, err := process.LoadTLS(&s.Process, time.Now)
+	if err != nil {
+		return err
+	}
+	e := &entry.Entry{Settings: s, Log: process.Log(&s.Process), TLS: secured}
+	if err := e.Listen(); err != nil {
+		return err
+	}
+	e.Log.WithField("callers", e.CallerAddress()).Info("entry serves")
+	return e.Run(ctx)
+}
+
+// Agent implements command.Roles.
+func (roles) Agent(ctx context.Context, s *settings.Agent) error {
+	secured, err := process.LoadTLS(&s.Process, time.Now)
+	if err != nil {
+		return err
+	}
+	a := &agent.Agent{Settings: s, Log: process.Log(&s.Process), TLS: secured}
+	if err := a.Listen(); err != nil {
+		return err
+	}
+	a.Log.WithField("endpoint", s.EndpointName).Info("agent serves")
+	return a.Run(ctx)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,10 +1,11 @@
 // Command standin serves one stand-in for an endpoint or a part of the
 // platform, for tests that run the product as processes. It prints its address
-// on one line and serves until it is told to stop.
+// (and, for kv, that of its control) on one line and serves until it is told to stop.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -16,7 +17,9 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/vmlist"
 )
 
 // Exit codes.
@@ -32,7 +35,7 @@
 	WarmAfter   int    `long:"warmAfter" default:"8" description:"engine: whole answers until warm"`
 	TokenMicros int64  `long:"tokenMicros" default:"200" description:"engine: time for a token"`
 	Args        struct {
-		Kind string `positional-arg-name:"kind" choice:"engine" choice:"service" required:"yes"`
+		Kind string `positional-arg-name:"kind" choice:"engine" choice:"service" choice:"kv" choice:"vmlist" required:"yes"`
 	} `positional-args:"yes"`
 }
 
@@ -50,20 +53,45 @@
 }
 
 func run(ctx context.Context, o options) error {
+	switch o.Args.Kind {
+	case "kv":
+		return runKV(ctx, o)
+	case "vmlist":
+		s := &vmlist.Server{Listen: o.Listen}
+		return serve(ctx, s.Run, func(context.Context) string { return s.Addr() })
+	}
 	h, err := handler(o)
 	if err != nil {
 		return err
 	}
 	s := &standin.Server{Listen: o.Listen, Handler: h}
+	return serve(ctx, s.Run, s.Addr)
+}
+
+// runKV serves the key-value service and, at a second address, its faults.
+func runKV(ctx context.Context, o options) error {
+	s := &kv.Server{Listen: o.Listen}
+	c := &standin.Server{Listen: "127.0.0.1:0", Handler: s.Control()}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	control := make(chan error, 1)
+	go func() { control <- c.Run(ctx) }()
+	err := serve(ctx, s.Run, func(ctx context.Context) string { return s.Addr() + " " + c.Addr(ctx) })
+	cancel()
+	return errors.Join(err, <-control)
+}
+
+// serve runs a stand-in and prints its address as soon as it has one.
+func serve(ctx context.Context, run func(context.Context) error, addr func(context.Context) string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 1)
 	go func() {
-		done <- s.Run(ctx)
+		done <- run(ctx)
 		cancel()
 	}()
-	if addr := s.Addr(ctx); addr != "" {
-		fmt.Println(addr)
+	if a := addr(ctx); a != "" {
+		fmt.Println(a)
 	}
 	return <-done
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync/atomic"
 	"time"
 
@@ -14,10 +13,11 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/claim"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
-	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 const (
@@ -32,25 +32,26 @@
 	// Settings are the process's settings.
 	Settings *settings.Agent
 	// Log receives changes of state.
-	Log logrus.FieldLogger
+	Log *logrus.Logger
 	// Registry receives the metrics; nil means a new one.
 	Registry metrics.Registry
-	// PeerServerTLS and PeerClientTLS are nil for plain TCP.
-	PeerServerTLS *tls.Config
-	PeerClientTLS *tls.Config
+	// TLS secures the agent's connections; its zero value means plain TCP.
+	TLS process.TLS
 
-	clock       timeline.Clock
-	ring        *timeline.Ring
-	client      *endpoint.Client
-	allowance   allowance.Allowance
-	attempts    table
-	incarnation uint64
-	workCtx     context.Context
-	view        atomic.Pointer[view]
-	store       config.Store
-	platform    *platform.Client
-	peers       *peer.Server
-	stopWork    context.CancelFunc
+	clock        timeline.Clock
+	ring         *timeline.Ring
+	client       *endpoint.Client
+	allowance    allowance.Allowance
+	attempts     table
+	incarnation  uint64
+	workCtx      context.Context
+	view         atomic.Pointer[view]
+	store        config.Store
+	platform     *platform.Client
+	claims       *claim.Batcher
+	attemptCount atomic.Uint64
+	peers        *peer.Server
+	stopWork     context.CancelFunc
 	// announced says that the agent has told that it leaves, and leaving that
 	// it takes no more work.
 	announced atomic.Bool
@@ -119,8 +120,3 @@
 		}
 	}
 }
-
-// runOnce claims the request before its first byte goes to the endpoint.
-func (a *Agent) runOnce(_ context.Context, _ *attempt, _ allowance.Ticket) *result.Error {
-	return result.New(result.PlatformDown, "").WithRetryAfter(time.Second)
-}
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -35,6 +35,8 @@
 	total    uint64 // bytes of all pieces, forgotten ones included
 	end      *peerpb.End
 	endedAt  time.Time
+	// holder and holderRequestID name the attempt that holds the claim.
+	holder, holderRequestID string
 	// changed closes at the next change.
 	changed   chan struct{}
 	followers map[*follower]struct{}
@@ -144,6 +146,8 @@
 	}
 	e.Pieces = a.first + uint64(len(a.pieces))
 	e.Bytes = a.total
+	e.Holder = a.holder
+	e.HolderRequestId = a.holderRequestID
 	a.end = e
 	a.endedAt = now
 	a.notify()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -13,21 +12,13 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
-	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
 const (
-	// platformTimeout bounds each call to the platform's service, which
-	// answers in milliseconds when it is well.
-	platformTimeout = 500 * time.Millisecond
-	// agentWrites and agentReads bound one agent's calls a second: claims go
-	// in batches, so that three desks together stay under the service's few
-	// hundred writes.
-	agentWrites = 60
-	agentReads  = 60
 	// announceTime is how long a leaving agent waits before it refuses, so
 	// that entries hear of it first and send their requests elsewhere.
 	announceTime = 500 * time.Millisecond
@@ -38,6 +29,11 @@
 	loadTimeout = time.Second
 )
 
+// platformBudget bounds one agent's calls a second. Claims go in batches, so
+// that today's three services together stay under the service's few hundred
+// writes.
+var platformBudget = process.Budget{Writes: 60, Reads: 60}
+
 func (a *Agent) init(workCtx context.Context) {
 	if a.Registry == nil {
 		a.Registry = metrics.NewRegistry()
@@ -52,13 +48,7 @@
 		Metrics: a.Registry,
 		Log:     a.Log,
 	}
-	a.platform = &platform.Client{
-		Addrs:           addresses(a.Settings.PlatformAddresses),
-		Timeout:         platformTimeout,
-		WritesPerSecond: agentWrites,
-		ReadsPerSecond:  agentReads,
-		Metrics:         a.Registry,
-	}
+	a.platform = process.Platform(&a.Settings.Process, platformBudget, a.TLS.Client, a.Registry)
 }
 
 // Listen opens the agent's address, so that it is known before Run.
@@ -68,11 +58,15 @@
 	a.init(ctx)
 	a.peers = &peer.Server{
 		Addr:  a.Settings.PeerAddress.String(),
-		TLS:   a.PeerServerTLS,
+		TLS:   a.TLS.Peers,
 		Peer:  a.service(),
 		Agent: &server{Agent: a},
 	}
-	return a.peers.Listen()
+	if err := a.peers.Listen(); err != nil {
+		return err
+	}
+	a.claims = a.newBatcher()
+	return nil
 }
 
 // Address returns where other processes are met, as IP:port.
@@ -109,11 +103,16 @@
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	parts := []func(context.Context) error{
-		a.platform.Run, a.client.Run, a.peers.Run, a.follow, a.keep,
+		a.platform.Run, a.client.Run, a.peers.Run, a.claims.Run, a.follow, a.keep,
 	}
 	if a.Settings.Kind == settings.Engine {
 		parts = append(parts, a.readLoad)
 	}
+	if m := a.Settings.MetricsAddress; m.IsValid() {
+		parts = append(parts, func(ctx context.Context) error {
+			return process.ServeMetrics(ctx, m.String(), a.Registry)
+		})
+	}
 	done := make(chan error, len(parts))
 	for _, p := range parts {
 		go func() { done <- p(inner) }()
@@ -145,10 +144,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.DrainTimeout)
 	defer cancel()
 	a.awaitIdle(ctx)
+	a.flush()
 	// The last answers still have to reach the entries.
 	time.Sleep(announceTime)
 }
 
+// flush stores the outcomes of claimed requests before the agent goes.
+func (a *Agent) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	if err := a.claims.Flush(ctx); err != nil {
+		a.Log.WithField("outcomes", a.claims.Pending()).Error("outcomes of claimed requests are not stored; operators see the claims as open")
+	}
+}
+
 // follow applies each change of the configuration.
 func (a *Agent) follow(ctx context.Context) error {
 	c := a.store.Subscribe()
@@ -181,31 +190,13 @@
 
 // keep looks through kept answers.
 func (a *Agent) keep(ctx context.Context) error {
-	t := time.NewTicker(expireEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			a.attempts.expire(a.now())
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	return process.Every(ctx, expireEvery, func(context.Context) { a.attempts.expire(a.now()) })
 }
 
 // readLoad reads the engine's incarnation, so that a restart between two
 // answers is noticed.
 func (a *Agent) readLoad(ctx context.Context) error {
-	t := time.NewTicker(loadEvery)
-	defer t.Stop()
-	for {
-		a.readLoadOnce(ctx)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	return process.Every(ctx, loadEvery, a.readLoadOnce)
 }
 
 func (a *Agent) readLoadOnce(ctx context.Context) {
@@ -223,11 +214,3 @@
 		a.changed()
 	}
 }
-
-func addresses(as []netip.AddrPort) []string {
-	out := make([]string, 0, len(as))
-	for _, x := range as {
-		out = append(out, x.String())
-	}
-	return out
-}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -45,7 +45,9 @@
 // begin joins the request's earlier attempt or starts one.
 func (a *Agent) begin(req *peerpb.RunRequest, now time.Time) (*attempt, bool, *result.Error) {
 	budget := time.Duration(req.GetBudgetMicros()) * time.Microsecond
-	var ctx context.Context
+	if req.GetRunOnce() {
+		budget += settleTime
+	}
 	var refused *result.Error
 	at, joined, err := a.attempts.join(req, func() *attempt {
 		t, rerr := a.admit(req, now)
@@ -53,8 +55,7 @@
 			refused = rerr
 			return nil
 		}
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(a.workCtx, budget)
+		ctx, cancel := context.WithTimeout(a.workCtx, budget)
 		at := newAttempt(req, cancel, now)
 		a.start(ctx, at, t)
 		return at
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -32,8 +33,12 @@
 	room chan struct{}
 	// last closes when the newest request of the connection is answered.
 	last chan struct{}
+	// input counts the bytes that have come since the last whole request.
+	input atomic.Int64
 }
 
+func (c *conn) arrived(n int) int { return int(c.input.Add(int64(n))) }
+
 func newConn() *conn {
 	c := &conn{room: make(chan struct{}, 1), last: make(chan struct{})}
 	close(c.last)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
@@ -21,6 +21,10 @@
 	// oversize is how many times the body limit is still read, so that the
 	// sender gets a numbered answer; a larger body only loses its connection.
 	oversize = 4
+	// headBytes is how much a request's headers may take. nbhttp bounds single
+	// headers and not their number: without a bound of our own, a sender of
+	// endless headers would fill the VM's memory.
+	headBytes = 64 << 10
 	// defaultReadTimeout bounds the time in which a request must arrive, so
 	// that senders of one byte a second don't hold connections for ever.
 	defaultReadTimeout = 30 * time.Second
@@ -40,7 +44,8 @@
 type Server struct {
 	// Addr is where to listen, as IP:port.
 	Addr string
-	// TLS is nil for plain TCP.
+	// TLS is nil for plain TCP. It is of nbio's copy of the standard library's
+	// package, which works without blocking.
 	TLS *tls.Config
 	// BodyLimit is the largest body in bytes.
 	BodyLimit int
@@ -74,7 +79,7 @@
 	}
 	s.Addr = ln.Addr().String()
 	s.engine = nbhttp.NewEngine(s.config(ln))
-	eventloop.Order(s.engine, s.opened)
+	eventloop.Order(s.engine, s.opened, s.arrived)
 	s.engine.OnClose(s.closedConn)
 	s.engine.OnWrittenSize(s.written)
 	return eris.Wrap(s.engine.Start(), "caller server")
@@ -95,7 +100,7 @@
 		cfg.Addrs = []string{s.Addr}
 		return cfg
 	}
-	cfg.AddrConfigsTLS = []nbhttp.ConfAddr{{Addr: s.Addr, Network: "tcp", TLSConfig: nbioTLS(s.TLS)}}
+	cfg.AddrConfigsTLS = []nbhttp.ConfAddr{{Addr: s.Addr, Network: "tcp", TLSConfig: s.TLS}}
 	return cfg
 }
 
@@ -158,6 +163,13 @@
 	}
 }
 
+// arrived closes a connection that sends more for one request than any may
+// take.
+func (s *Server) arrived(w *nbio.Conn, n int) bool {
+	v, ok := s.conns.Load(w)
+	return ok && v.(*conn).arrived(n) <= s.BodyLimit*oversize+headBytes
+}
+
 func (s *Server) written(w *nbio.Conn, _ []byte, n int) {
 	v, ok := s.conns.Load(w)
 	if ok {
@@ -185,6 +197,7 @@
 	c := v.(*conn)
 	reply := &Reply{w: nc, conn: c, close: hr.Close, minor: hr.ProtoMinor}
 	reply.before, reply.mine = c.enqueue()
+	c.input.Store(0)
 	s.running.Add(1)
 	go s.answer(r, rerr, reply)
 }
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -16,13 +16,18 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/entry"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	list "github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/vmlist"
 )
 
+// OperatorToken is the token of the system's operators.
+const OperatorToken = "demo-operator-token-of-32-letters"
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // System is a whole system. Set the exported fields before Start.
@@ -38,10 +43,12 @@
 	// Drain bounds graceful stops; zero means ten seconds.
 	Drain time.Duration
 	// Log receives the processes' lines; nil drops them.
-	Log logrus.FieldLogger
+	Log *logrus.Logger
 
 	// KV is the stand-in of the platform's key-value service.
 	KV *kv.Server
+	// List is the stand-in of the platform's list of VMs.
+	List *vmlist.Server
 
 	client *platform.Client
 	ctx    context.Context
@@ -109,6 +116,8 @@
 	s.services = map[string]*service.Service{}
 	s.KV = &kv.Server{}
 	s.parts = append(s.parts, s.run(s.KV.Run))
+	s.List = &vmlist.Server{}
+	s.parts = append(s.parts, s.run(s.List.Run))
 	s.client = &platform.Client{Addrs: []string{s.KV.Addr()}, Timeout: time.Second}
 	s.parts = append(s.parts, s.run(s.client.Run))
 	if err := s.putPreset(); err != nil {
@@ -184,6 +193,7 @@
 		Name:              name,
 		DataCentre:        dc,
 		PeerAddress:       loopback,
+		VMListAddress:     netip.MustParseAddrPort(s.List.Addr()),
 		PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort(s.KV.Addr())},
 		DrainTimeout:      s.Drain,
 		TLS:               settings.TLS{Insecure: true},
@@ -199,11 +209,12 @@
 			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
 			Kind:            kind,
 		},
-		Log: s.Log.WithField("process", name),
+		Log: s.Log,
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.List.Put(list.NewVM(name, list.Agent, dc, p.Address(), list.Live))
 	a := &Agent{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -218,15 +229,16 @@
 			Process:       s.process(dc, name),
 			CallerAddress: loopback,
 			AdminAddress:  loopback,
+			OperatorToken: OperatorToken,
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
-		Log:      s.Log.WithField("process", name),
-		VMs:      s.vms,
+		Log:      s.Log,
 		Announce: 300 * time.Millisecond,
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.List.Put(list.NewVM(name, list.Entry, dc, p.PeerAddress(), list.Live))
 	e := &Entry{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,20 +246,6 @@
 	return e, nil
 }
 
-// vms lists the system's VMs as the platform would.
-func (s *System) vms(context.Context) ([]entry.VM, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var vs []entry.VM
-	for _, e := range s.entries {
-		vs = append(vs, entry.VM{ID: e.Name, Role: "entry", DataCentre: e.DataCentre, Address: e.Process.PeerAddress()})
-	}
-	for _, a := range s.agents {
-		vs = append(vs, entry.VM{ID: a.Name, Role: "agent", DataCentre: a.DataCentre, Address: a.Process.Address()})
-	}
-	return vs, nil
-}
-
 func (s *System) awaitReady() error {
 	ctx, cancel := context.WithTimeout(s.ctx, 10*time.Second)
 	defer cancel()
--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -107,7 +107,24 @@
 				t.Errorf("whole: %d %q", status, body)
 			}
 			status, body = ask(t, e, caller.PathServices+"desk/print", `{"catalogue":1}`, "Idempotency-Key", "k-"+e.Name)
-			t.Logf("service: %d %s", status, body)
+			if status != http.StatusOK {
+				t.Errorf("run once: %d %s", status, body)
+			}
 		})
 	}
+	t.Run("a key runs once whatever the entry", func(t *testing.T) {
+		var first string
+		for i, e := range s.EntriesOf("") {
+			status, body := ask(t, e, caller.PathServices+"desk/print", `{"catalogue":2}`, "Idempotency-Key", "same")
+			if i == 0 {
+				first = body
+			}
+			if status != http.StatusOK || body != first {
+				t.Errorf("%s: %d %s, first %s", e.Name, status, body, first)
+			}
+		}
+		if n := s.Runs()["same"]; n != 1 {
+			t.Errorf("ran %d times", n)
+		}
+	})
 }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 )
 
 const (
-	// listEvery is how often the platform's list of VMs is read. The list lags
-	// by itself; what a process says of its own leaving comes sooner.
-	listEvery = time.Second
+	// joinEvery is how often the list of VMs is joined with what the entry sees
+	// itself.
+	joinEvery = 500 * time.Millisecond
 	// ownSubset and otherSubset bound how many agents an entry listens to in
 	// its own data centre and in each other one, so that no process hears from
 	// all others: at 630 endpoints a data centre each agent is heard by about
@@ -20,62 +23,67 @@
 	otherSubset = 16
 )
 
-// VM is a VM of the system as the platform lists it.
-type VM struct {
-	ID         string
-	Role       string
-	DataCentre string
-	Address    string
-	Leaving    bool
-}
-
-// directory knows the system's VMs.
+// directory knows the system's VMs: the platform's list, which lags, joined
+// with live streams and with what leaving processes say themselves.
 type directory struct {
-	entry *Entry
+	name       string
+	dataCentre string
+	list       *vmlist.Client
+	members    *members
 
 	mu      sync.Mutex
-	entryAt []string
+	entryAt []vmlist.VM
+	agentAt map[string]string
 }
 
-// entries returns the addresses of the other entries.
-func (d *directory) entries() []string {
+// entries returns the other entries.
+func (d *directory) entries() []vmlist.VM {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.entryAt
 }
 
-// run reads the list until ctx ends.
-func (d *directory) run(ctx context.Context) error {
-	t := time.NewTicker(listEvery)
-	defer t.Stop()
-	for {
-		vms, err := d.entry.VMs(ctx)
-		if err == nil {
-			d.take(ctx, vms)
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return nil
-		}
+// agent returns the address of the agent beside the endpoint. The platform
+// lists an agent's VM under the endpoint's name.
+func (d *directory) agent(endpoint string) (string, bool) {
+	if a, ok := d.members.byEndpoint(endpoint); ok {
+		return a, true
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a, ok := d.agentAt[endpoint]
+	return a, ok
+}
+
+// run follows the list until ctx ends.
+func (d *directory) run(ctx context.Context) error {
+	return process.Every(ctx, joinEvery, d.take)
 }
 
-func (d *directory) take(ctx context.Context, vms []VM) {
-	var entries []string
+func (d *directory) take(ctx context.Context) {
+	vms := vmlist.Join(d.list.VMs(), d.members.seen())
+	var entries []vmlist.VM
 	agents := map[string][]string{}
+	at := map[string]string{}
+	var leaving []string
 	for _, v := range vms {
 		switch {
-		case v.Role == "entry" && v.ID != d.entry.Settings.Name:
-			entries = append(entries, v.Address)
-		case v.Role == "agent":
-			agents[v.DataCentre] = append(agents[v.DataCentre], v.Address)
+		case v.Role() == vmlist.Entry && v.ID() != d.name:
+			entries = append(entries, v)
+		case v.Role() == vmlist.Agent:
+			agents[v.DataCentre()] = append(agents[v.DataCentre()], v.Address())
+			at[v.ID()] = v.Address()
+			if v.State() == vmlist.Leaving {
+				leaving = append(leaving, v.Address())
+			}
 		}
 	}
 	d.mu.Lock()
 	d.entryAt = entries
+	d.agentAt = at
 	d.mu.Unlock()
-	d.entry.members.set(ctx, d.subset(agents))
+	d.members.setLeaving(leaving)
+	d.members.set(ctx, d.subset(agents))
 }
 
 // subset returns the agents that the entry listens to.
@@ -83,10 +91,11 @@
 	var all []string
 	for dc, addrs := range agents {
 		size := otherSubset
-		if dc == d.entry.Settings.DataCentre {
+		if dc == d.dataCentre {
 			size = ownSubset
 		}
-		all = append(all, placement.Subset(d.entry.Settings.Name, addrs, size)...)
+		slices.Sort(addrs)
+		all = append(all, placement.Subset(d.name, addrs, size)...)
 	}
 	return all
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"context"
-	"crypto/tls"
 	"sync/atomic"
 	"time"
 
@@ -10,45 +8,43 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/claim"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
 const (
-	// platformTimeout bounds each call to the platform's service, which
-	// answers in milliseconds when it is well.
-	platformTimeout = 500 * time.Millisecond
 	// watchPeriod bounds for how long a change can hide behind a watch that
 	// sends nothing.
 	watchPeriod = 2 * time.Second
-	// entryWrites and entryReads bound one entry's calls a second, so that
-	// today's nine entries together stay under a tenth of what the service
-	// handles.
-	entryWrites = 5
-	entryReads  = 20
 	// announceTime is how long a leaving entry still takes requests while
 	// /readyz says no: the platform's balancer has noticed by then.
 	announceTime = 2 * time.Second
+	// claimRetention is how long a released claim's record is kept: as long as
+	// the agents keep theirs.
+	claimRetention = 24 * time.Hour
 )
 
+// platformBudget bounds one entry's calls a second, so that today's nine
+// entries together stay under a fifth of what the service handles.
+var platformBudget = process.Budget{Writes: 10, Reads: 40}
+
 // Entry is the process that meets callers. Set the exported fields before Run.
 type Entry struct {
 	// Settings are the process's settings.
 	Settings *settings.Entry
 	// Log receives changes of state.
-	Log logrus.FieldLogger
+	Log *logrus.Logger
 	// Registry receives the metrics; nil means a new one.
 	Registry metrics.Registry
-	// VMs lists the system's VMs.
-	VMs func(ctx context.Context) ([]VM, error)
-	// CallerTLS, PeerServerTLS and PeerClientTLS are nil for plain TCP.
-	CallerTLS     *tls.Config
-	PeerServerTLS *tls.Config
-	PeerClientTLS *tls.Config
+	// TLS secures the entry's connections; its zero value means plain TCP.
+	TLS process.TLS
 	// Announce is how long requests are still taken after the entry began to
 	// leave; zero means two seconds.
 	Announce time.Duration
@@ -68,7 +64,8 @@
 	writer    *config.Writer
 	callers   *caller.Server
 	peers     *peer.Server
-	directory *directory
+	admin     *operator.Server
+	directory directory
 }
 
 func (e *Entry) now() time.Time { return time.Now() }
@@ -83,7 +80,7 @@
 	}
 	e.ring = &timeline.Ring{Clock: &e.clock}
 	e.counters = newCounters(e.Registry)
-	e.conns.TLS = e.PeerClientTLS
+	e.conns.TLS = e.TLS.Client
 	e.scheduler.init()
 	e.scheduler.picture.DataCentre = e.Settings.DataCentre
 	e.scheduler.picture.Seed = seedOf(e.Settings.Name)
@@ -93,15 +90,12 @@
 		log: e.Log, name: e.Settings.Name, now: e.now,
 		report: e.scheduler.report, lost: e.lost,
 	}
-	e.platform = &platform.Client{
-		Addrs:           addresses(e.Settings.PlatformAddresses),
-		Timeout:         platformTimeout,
-		WritesPerSecond: entryWrites,
-		ReadsPerSecond:  entryReads,
-		Metrics:         e.Registry,
-	}
+	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Registry)
 	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.refresh}
-	e.directory = &directory{entry: e}
+	e.directory = directory{
+		name: e.Settings.Name, dataCentre: e.Settings.DataCentre,
+		list: process.VMList(&e.Settings.Process, e.Registry), members: &e.members,
+	}
 }
 
 // Listen opens the entry's addresses, so that they are known before Run.
@@ -109,7 +103,7 @@
 	e.init()
 	e.peers = &peer.Server{
 		Addr: e.Settings.PeerAddress.String(),
-		TLS:  e.PeerServerTLS,
+		TLS:  e.TLS.Peers,
 		Peer: e.service(),
 	}
 	if err := e.peers.Listen(); err != nil {
@@ -118,15 +112,42 @@
 	l := e.Settings.Limits
 	e.callers = &caller.Server{
 		Addr:        e.Settings.CallerAddress.String(),
-		TLS:         e.CallerTLS,
+		TLS:         e.TLS.Callers,
 		BodyLimit:   l.BodyBytes,
 		MaxConns:    l.MaxConnections,
 		ReadTimeout: l.IdleTimeout,
 		Handler:     e,
 	}
-	return e.callers.Listen()
+	if err := e.callers.Listen(); err != nil {
+		return err
+	}
+	return e.listenAdmin()
+}
+
+func (e *Entry) listenAdmin() error {
+	e.admin = &operator.Server{
+		Addr: e.Settings.AdminAddress.String(),
+		Keys: e.TLS.Keys,
+		Token: &settings.Token{
+			Fixed: e.Settings.OperatorToken, File: e.Settings.OperatorTokenFile, Interval: e.Settings.OperatorReload,
+		},
+		Configuration: operator.Document{Writer: e.writer},
+		Claims: claimsOf{registry: &claim.Registry{
+			KV: e.platform, Window: claim.DispatchWindow, Margin: claim.ReleaseMargin,
+			Retention: claimRetention, Now: e.now,
+		}},
+		Status:   statusOf{entry: e},
+		Timeline: timelineOf{entry: e},
+		Metrics:  e.Registry,
+		Now:      e.now,
+		Log:      e.Log,
+	}
+	return e.admin.Listen()
 }
 
+// AdminAddress returns where operators are met, as IP:port.
+func (e *Entry) AdminAddress() string { return e.admin.Address() }
+
 // CallerAddress returns where callers are met, as IP:port.
 func (e *Entry) CallerAddress() string { return e.callers.Address() }
 
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -24,7 +24,7 @@
 	e.ring.Add(timeline.Fetched, r.ID(), f.Endpoint(), "", f.From(), e.now())
 	addrs := e.members.addrs()
 	if f.Endpoint() != "" {
-		a, ok := e.members.byEndpoint(f.Endpoint())
+		a, ok := e.directory.agent(f.Endpoint())
 		if !ok {
 			w.Fail(result.New(result.AnswerNotFound, "the endpoint's agent can't be reached").WithRetryAfter(absentRetry))
 			return
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
@@ -50,15 +51,16 @@
 	store *config.Store
 	clock *timeline.Clock
 	ring  *timeline.Ring
-	log   logrus.FieldLogger
+	log   *logrus.Logger
 	name  string
 	now   func() time.Time
 	// report takes in what an agent said, and lost that it can't be reached.
 	report func(placement.Report, time.Time)
 	lost   func(endpoint string)
 
-	mu     sync.Mutex
-	byAddr map[string]*member
+	mu      sync.Mutex
+	byAddr  map[string]*member
+	leaving map[string]bool
 }
 
 // set makes addrs the agents that are listened to.
@@ -92,6 +94,42 @@
 	}
 }
 
+// seen returns the VMs whose streams are live.
+func (m *members) seen() []vmlist.Seen {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []vmlist.Seen
+	for addr, one := range m.byAddr {
+		if one.last == nil {
+			continue
+		}
+		vm := vmlist.NewVM(one.endpoint, vmlist.Agent, one.dataCentre, addr, vmlist.Live)
+		all = append(all, vmlist.Seen{VM: vm, Stream: true, Leaving: one.last.GetLeaving()})
+	}
+	return all
+}
+
+// setLeaving notes which agents' VMs are leaving by the platform's list, and
+// stops giving them work also where the agent has not been told yet.
+func (m *members) setLeaving(addrs []string) {
+	now := m.now()
+	m.mu.Lock()
+	m.leaving = map[string]bool{}
+	var told []*peerpb.LoadReport
+	for _, a := range addrs {
+		m.leaving[a] = true
+		if one := m.byAddr[a]; one != nil && one.last != nil {
+			told = append(told, one.last)
+		}
+	}
+	m.mu.Unlock()
+	for _, r := range told {
+		p := reportOf(r, now)
+		p.Leaving = true
+		m.report(p, now)
+	}
+}
+
 // stop ends listening to all agents.
 func (m *members) stop() {
 	m.mu.Lock()
@@ -167,11 +205,14 @@
 	one.dataCentre = r.GetDataCentre()
 	one.heard = now
 	one.last = r
+	leaving := m.leaving[one.addr]
 	m.mu.Unlock()
 	if joined {
 		m.ring.Add(timeline.PeerJoined, "", r.GetEndpoint(), one.addr, r.GetIncarnation(), now)
 	}
-	m.report(reportOf(r, now), now)
+	p := reportOf(r, now)
+	p.Leaving = p.Leaving || leaving
+	m.report(p, now)
 	if r.GetConfigDigest() != peer.ConfigDigest(m.store) {
 		m.push(ctx, one.addr)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +10,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
@@ -23,11 +23,8 @@
 	refreshPeers = 3
 )
 
-// part is a goroutine of the entry.
-type part struct {
-	name string
-	run  func(ctx context.Context) error
-}
+// part is what one goroutine of the entry does until ctx ends.
+type part func(ctx context.Context) error
 
 // Run serves until ctx ends, and then leaves gracefully: it announces that it
 // leaves, still takes requests for a moment, then refuses new ones truly, and
@@ -43,7 +40,7 @@
 	parts := e.parts()
 	done := make(chan error, len(parts))
 	for _, p := range parts {
-		go func() { done <- p.run(inner) }()
+		go func() { done <- p(inner) }()
 	}
 	var failed error
 	running := len(parts)
@@ -67,18 +64,26 @@
 func (e *Entry) parts() []part {
 	w := &config.Watcher{
 		Source: e.platform, Writer: e.writer,
-		Period: watchPeriod, Timeout: platformTimeout, Now: e.now,
-		Metrics: e.Registry,
+		Period: watchPeriod, Timeout: process.PlatformTimeout, Now: e.now,
+		Log: e.Log, Metrics: e.Registry,
+	}
+	parts := []part{
+		e.platform.Run,
+		w.Run,
+		e.peers.Run,
+		e.admin.Run,
+		func(ctx context.Context) error { return e.scheduler.run(ctx, e.now) },
+		e.follow,
+		e.directory.list.Run,
+		e.directory.run,
+		e.gossip,
 	}
-	return []part{
-		{"platform", e.platform.Run},
-		{"watcher", w.Run},
-		{"peers", e.peers.Run},
-		{"scheduler", func(ctx context.Context) error { return e.scheduler.run(ctx, e.now) }},
-		{"configuration", e.follow},
-		{"directory", e.directory.run},
-		{"gossip", e.gossip},
+	if a := e.Settings.MetricsAddress; a.IsValid() {
+		parts = append(parts, func(ctx context.Context) error {
+			return process.ServeMetrics(ctx, a.String(), e.Registry)
+		})
 	}
+	return parts
 }
 
 // leave announces that the entry goes, and gives the platform's balancer time
@@ -122,7 +127,7 @@
 			return nil
 		}
 		if peers := e.directory.entries(); len(peers) > 0 {
-			e.exchange(ctx, peers[i%len(peers)])
+			e.exchange(ctx, peers[i%len(peers)].Address())
 		}
 	}
 }
@@ -144,16 +149,8 @@
 		if i == refreshPeers || ctx.Err() != nil {
 			return
 		}
-		e.exchange(ctx, a)
-	}
-}
-
-func addresses(as []netip.AddrPort) []string {
-	out := make([]string, 0, len(as))
-	for _, a := range as {
-		out = append(out, a.String())
+		e.exchange(ctx, a.Address())
 	}
-	return out
 }
 
 func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -220,7 +220,7 @@
 
 // attempt runs the request once at the chosen endpoint.
 func (e *Entry) attempt(ctx context.Context, t *task) *result.Error {
-	addr, ok := e.members.byEndpoint(t.choice.Endpoint)
+	addr, ok := e.directory.agent(t.choice.Endpoint)
 	if !ok {
 		return result.New(result.EndpointDown, "the agent has left")
 	}
--- a/internal/settings/reload.go
+++ b/internal/settings/reload.go
@@ -169,3 +169,42 @@
 		},
 	}
 }
+
+// Client returns a configuration for connections to other processes of the
+// system. Processes are reached by IP numbers that change with each VM, so a
+// certificate proves membership by its issuer and not by a name.
+func (k *KeyPair) Client(clock func() time.Time) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			pair, _, err := k.Load(clock())
+			if pair == nil {
+				return nil, err
+			}
+			return pair, nil
+		},
+		// The standard check would compare names and can't follow a pool that is
+		// read anew; VerifyConnection checks the chain instead.
+		InsecureSkipVerify: true,
+		VerifyConnection:   func(s tls.ConnectionState) error { return k.verify(s, clock()) },
+	}
+}
+
+func (k *KeyPair) verify(s tls.ConnectionState, now time.Time) error {
+	_, pool, err := k.Load(now)
+	if pool == nil {
+		return err
+	}
+	if len(s.PeerCertificates) == 0 {
+		return result.New(result.PeerUnknown, "")
+	}
+	middle := x509.NewCertPool()
+	for _, c := range s.PeerCertificates[1:] {
+		middle.AddCert(c)
+	}
+	opts := x509.VerifyOptions{Roots: pool, Intermediates: middle, CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
+	if _, err := s.PeerCertificates[0].Verify(opts); err != nil {
+		return result.New(result.PeerUnknown, err.Error())
+	}
+	return nil
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -57,7 +57,7 @@
 		MessageHandlerPoolSize: handlers,
 		Listen:                 s.listen,
 	})
-	eventloop.Order(engine, nil)
+	eventloop.Order(engine, nil, nil)
 	if err := engine.Start(); err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Listen)
 	}
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -74,6 +74,7 @@
 	AnswerIncomplete Code = 3003
 	DeadlineExceeded Code = 3004
 	Cancelled        Code = 3005
+	AnswerLost       Code = 3006
 
 	BadToken           Code = 4001
 	Conflict           Code = 4002
@@ -167,6 +168,7 @@
 	AnswerIncomplete: {"answerIncomplete", Unknown, http.StatusBadGateway, "only a part of the answer arrived"},
 	DeadlineExceeded: {"deadlineExceeded", Unknown, http.StatusGatewayTimeout, "the deadline passed while the request ran"},
 	Cancelled:        {"cancelled", Unknown, statusClosedRequest, "the caller left"},
+	AnswerLost:       {"answerLost", Ran, http.StatusGone, "the request was run before and its answer is no longer kept"},
 
 	BadToken:           {"badToken", NotApplicable, http.StatusUnauthorized, "the operator token is missing or wrong"},
 	Conflict:           {"conflict", NotApplicable, http.StatusConflict, "another operator's change came first; read and decide again"},
