Processes over TCP: killed, frozen and restarted

Cause: an order sent to a frozen agent waited some 16 s, until the connection's keepalive gave up, because only repeatable attempts were ended when an agent fell silent. Change: attempts that may run only once are ended too and asked for again under their claim, which lets one of the two agents run them; the test of real processes (3 entries, 4 agents, stand-ins) kills, freezes and restarts some.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -43,9 +43,7 @@
 func (e *Entry) call(ctx context.Context, t *task, addr string) *result.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if !t.runOnce {
-		defer e.members.wait(addr, t.job, cancel)()
-	}
+	defer e.members.wait(addr, t.job, cancel)()
 	cc, err := e.conns.Get(addr)
 	if err != nil {
 		return result.New(result.EndpointDown, err.Error())
--- a/internal/platform/vmlist/codec.go
+++ b/internal/platform/vmlist/codec.go
@@ -84,3 +84,9 @@
 	}
 	return nil
 }
+
+// VMs returns the VMs that changed.
+func (d Delta) VMs() []VM { return d.vms }
+
+// Removed returns the ids of the VMs that are no longer listed.
+func (d Delta) Removed() []string { return d.removed }
--- a/internal/standin/vmlist/server.go
+++ b/internal/standin/vmlist/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +16,9 @@
 // readTimeout bounds how long a caller may take for its request.
 const readTimeout = 5 * time.Second
 
+// maxControl bounds one change over HTTP.
+const maxControl = 1 << 20
+
 // entry is one change of the list.
 type entry struct {
 	revision int64
@@ -76,6 +80,7 @@
 	close(s.ready)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", s.list)
+	mux.HandleFunc("POST /control/vms", s.control)
 	h := &http.Server{Handler: mux, ReadTimeout: readTimeout}
 	done := make(chan error, 1)
 	go func() { done <- h.Serve(l) }()
@@ -106,6 +111,26 @@
 	s.entries = append(s.entries, e)
 }
 
+// control takes changes over HTTP, as an answer of the list would hold them.
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxControl))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	d, err := vmlist.DecodeDelta(b)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, v := range d.VMs() {
+		s.Put(v)
+	}
+	for _, id := range d.Removed() {
+		s.Remove(id)
+	}
+}
+
 // SetLag sets how old a change must be to appear.
 func (s *Server) SetLag(d time.Duration) {
 	s.mu.Lock()
