Process test runs its own binary as the product

Cause: the frozen part still read 15.98 s after the change to silent agents: the result came from the test cache, because the product was built apart and the test's own binary had not changed. Ruled out: a change without effect. Change: the test's binary runs as product or stand-in.

--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/program"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
 )
 
@@ -31,32 +32,39 @@
 	patience = 30 * time.Second
 )
 
-var (
-	product string
-	standin string
+// roleVariable makes the test's own binary run as the product or as a
+// stand-in, so that both are what the test was built from.
+const (
+	roleVariable = "HYSSOPRELAY_TEST_ROLE"
+	roleProduct  = "product"
+	roleStandin  = "standin"
 )
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hyssoprelay")
-	if err != nil {
-		panic(err)
-	}
-	product = filepath.Join(dir, "hyssoprelay")
-	standin = filepath.Join(dir, "standin")
-	for _, b := range [][2]string{{product, "."}, {standin, "../standin"}} {
-		if out, err := exec.Command("go", "build", "-o", b[0], b[1]).CombinedOutput(); err != nil {
-			panic(fmt.Sprintf("%v: %s", err, out))
+	switch os.Getenv(roleVariable) {
+	case roleProduct:
+		main()
+	case roleStandin:
+		if err := program.Run(context.Background(), os.Args[1:], os.Stdout); err != nil {
+			os.Exit(1)
 		}
+	default:
+		os.Exit(m.Run())
 	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+}
+
+// roleCommand returns the command that runs the test's binary in a role.
+func roleCommand(ctx context.Context, role string, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(ctx, os.Args[0], args...)
+	cmd.Env = append(os.Environ(), roleVariable+"="+role)
+	return cmd
 }
 
 // proc is one process of a fleet.
 type proc struct {
 	t    *testing.T
 	name string
+	role string
 	args []string
 	cmd  *exec.Cmd
 	log  bytes.Buffer
@@ -64,7 +72,7 @@
 
 func (p *proc) start() *bufio.Reader {
 	p.t.Helper()
-	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd = roleCommand(context.Background(), p.role, p.args...)
 	p.cmd.Stderr = &p.log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -113,8 +121,8 @@
 	endpoint, peer string
 }
 
-func (f *fleet) proc(name string, args ...string) *proc {
-	p := &proc{t: f.t, name: name, args: args}
+func (f *fleet) proc(name, role string, args ...string) *proc {
+	p := &proc{t: f.t, name: name, role: role, args: args}
 	f.t.Cleanup(func() {
 		p.kill()
 		if f.t.Failed() {
@@ -126,7 +134,7 @@
 
 func (f *fleet) standin(args ...string) []string {
 	f.t.Helper()
-	p := f.proc(strings.Join(args, " "), append([]string{standin}, args...)...)
+	p := f.proc(strings.Join(args, " "), roleStandin, args...)
 	line, err := p.start().ReadString('\n')
 	if err != nil {
 		f.t.Fatal(err)
@@ -176,7 +184,7 @@
 [tls]
 insecure = true
 `, e.callers, e.admin, testToken))
-	e.proc = f.proc(name, product, "entry", "--settings", file)
+	e.proc = f.proc(name, roleProduct, "entry", "--settings", file)
 	e.start()
 	f.listed(name, "entry", dc, e.peer)
 	f.entries = append(f.entries, e)
@@ -194,7 +202,7 @@
 [tls]
 insecure = true
 `, endpoint, address, kind))
-	a.proc = f.proc(endpoint, product, "agent", "--settings", file)
+	a.proc = f.proc(endpoint, roleProduct, "agent", "--settings", file)
 	a.start()
 	f.listed(endpoint, "agent", dc, a.peer)
 	f.agents = append(f.agents, a)
@@ -225,8 +233,8 @@
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	cmd := exec.CommandContext(ctx, product, args...)
-	cmd.Env = append(os.Environ(), "HYSSOPRELAY_TOKEN="+testToken, "HYSSOPRELAY_ADMIN="+f.admins())
+	cmd := roleCommand(ctx, roleProduct, args...)
+	cmd.Env = append(cmd.Env, "HYSSOPRELAY_TOKEN="+testToken, "HYSSOPRELAY_ADMIN="+f.admins())
 	out, err := cmd.CombinedOutput()
 	if err != nil && cmd.ProcessState == nil {
 		f.t.Fatal(err)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,111 +1,23 @@
 // Command standin serves one stand-in for an endpoint or a part of the
 // platform, for tests that run the product as processes. It prints its address
-// (and, for kv, that of its control) on one line and serves until it is told to stop.
+// on one line and serves until it is told to stop.
 package main
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/standin"
-	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
-	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
-	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
-	"github.com/hyssoprelay/hyssoprelay/internal/standin/vmlist"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/program"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-type options struct {
-	Listen      string `long:"listen" default:"127.0.0.1:0" description:"IP:port to listen on"`
-	Capacity    int    `long:"capacity" default:"16" description:"engine: requests at once at full speed"`
-	ColdBound   int    `long:"coldBound" default:"2" description:"engine: requests at once while cold"`
-	WarmAfter   int    `long:"warmAfter" default:"8" description:"engine: whole answers until warm"`
-	TokenMicros int64  `long:"tokenMicros" default:"200" description:"engine: time for a token"`
-	Args        struct {
-		Kind string `positional-arg-name:"kind" choice:"engine" choice:"service" choice:"kv" choice:"vmlist" required:"yes"`
-	} `positional-args:"yes"`
-}
-
 func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, o); err != nil {
-		logrus.Error(err)
-		os.Exit(exitFailed)
-	}
-}
-
-func run(ctx context.Context, o options) error {
-	switch o.Args.Kind {
-	case "kv":
-		return runKV(ctx, o)
-	case "vmlist":
-		s := &vmlist.Server{Listen: o.Listen}
-		return serve(ctx, s.Run, func(context.Context) string { return s.Addr() })
-	}
-	h, err := handler(o)
-	if err != nil {
-		return err
-	}
-	s := &standin.Server{Listen: o.Listen, Handler: h}
-	return serve(ctx, s.Run, s.Addr)
-}
-
-// runKV serves the key-value service and, at a second address, its faults.
-func runKV(ctx context.Context, o options) error {
-	s := &kv.Server{Listen: o.Listen}
-	c := &standin.Server{Listen: "127.0.0.1:0", Handler: s.Control()}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	control := make(chan error, 1)
-	go func() { control <- c.Run(ctx) }()
-	err := serve(ctx, s.Run, func(ctx context.Context) string { return s.Addr() + " " + c.Addr(ctx) })
-	cancel()
-	return errors.Join(err, <-control)
-}
-
-// serve runs a stand-in and prints its address as soon as it has one.
-func serve(ctx context.Context, run func(context.Context) error, addr func(context.Context) string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	go func() {
-		done <- run(ctx)
-		cancel()
-	}()
-	if a := addr(ctx); a != "" {
-		fmt.Println(a)
-	}
-	return <-done
-}
-
-func handler(o options) (http.Handler, error) {
-	switch o.Args.Kind {
-	case "engine":
-		return engine.New(engine.Settings{
-			Capacity: o.Capacity, ColdBound: o.ColdBound,
-			WarmAfter: o.WarmAfter, TokenMicros: o.TokenMicros,
-		}), nil
-	case "service":
-		return &service.Service{}, nil
-	default:
-		return nil, fmt.Errorf("unknown kind %q", o.Args.Kind)
+	if err := program.Run(ctx, os.Args[1:], os.Stdout); err != nil {
+		logrus.Fatal(err)
 	}
 }
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -34,7 +34,9 @@
 	go func() { done <- s.Run(ctx, time.Second) }()
 	t.Cleanup(func() {
 		cancel()
-		_ = <-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	})
 	return s
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -33,7 +33,7 @@
 type member struct {
 	addr   string
 	cancel context.CancelFunc
-	done   chan error
+	done   chan struct{}
 
 	// members.mu guards the rest.
 	endpoint   string
@@ -44,6 +44,12 @@
 	attempts map[*job]context.CancelCauseFunc
 }
 
+// end stops listening to the agent.
+func (one *member) end() {
+	one.cancel()
+	<-one.done
+}
+
 // members are the agents of the entry's subset. Set the exported fields before
 // Run.
 type members struct {
@@ -87,8 +93,7 @@
 	}
 	m.mu.Unlock()
 	for _, one := range gone {
-		one.cancel()
-		_ = <-one.done // watch never fails
+		one.end()
 		m.conns.Drop(one.addr)
 		m.drop(one)
 	}
@@ -137,8 +142,7 @@
 	m.byAddr = nil
 	m.mu.Unlock()
 	for _, one := range all {
-		one.cancel()
-		_ = <-one.done // watch never fails
+		one.end()
 	}
 }
 
@@ -147,15 +151,18 @@
 	one := &member{
 		addr:     addr,
 		cancel:   cancel,
-		done:     make(chan error, 1),
+		done:     make(chan struct{}, 1),
 		attempts: map[*job]context.CancelCauseFunc{},
 	}
-	go func() { one.done <- m.watch(ctx, one) }()
+	go func() {
+		m.watch(ctx, one)
+		one.done <- struct{}{}
+	}()
 	return one
 }
 
 // watch follows one agent's reports until ctx ends.
-func (m *members) watch(ctx context.Context, one *member) error {
+func (m *members) watch(ctx context.Context, one *member) {
 	for ctx.Err() == nil {
 		m.follow(ctx, one)
 		m.drop(one)
@@ -164,7 +171,6 @@
 		case <-ctx.Done():
 		}
 	}
-	return nil
 }
 
 // follow reads reports until the stream breaks or the agent falls silent.
