--- a/internal/platform/acquire.go
+++ b/internal/platform/acquire.go
@@ -67,7 +67,7 @@
 	wait, ok := b.take(now, left)
 	if !ok {
 		c.counts.overRate.Inc(1)
-		return &NotSentError{reason: "this process's call budget is used up"}
+		return NotSent("this process's call budget is used up")
 	}
 	if wait == 0 {
 		return nil
@@ -78,7 +78,7 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return &NotSentError{reason: "the time limit passed in the wait for the call budget"}
+		return NotSent("the time limit passed in the wait for the call budget")
 	}
 }
 
@@ -96,14 +96,14 @@
 	select {
 	case <-c.start:
 	case <-ctx.Done():
-		return &NotSentError{reason: "the client has not been started"}
+		return NotSent("the client has not been started")
 	}
 	conns := c.current()
 	if len(conns) == 0 {
-		return &NotSentError{reason: "the client has been stopped"}
+		return NotSent("the client has been stopped")
 	}
 	if !changed(ctx, conns) {
-		return &NotSentError{reason: "no connection to the service"}
+		return NotSent("no connection to the service")
 	}
 	return nil
 }
--- a/internal/platform/claim/registry.go
+++ b/internal/platform/claim/registry.go
@@ -38,28 +38,55 @@
 	seen map[int64]time.Time
 }
 
-// List returns open claims in the order of their keys, from key after on, and
-// whether there are more. The first page has after "". Records that can't be
-// read are left out and counted in unreadable.
-func (g *Registry) List(ctx context.Context, after string, limit int) (rs []Record, more bool, unreadable int, err error) {
+// Open is an open claim as operators see it.
+type Open struct {
+	record Record
+	rest   time.Duration
+}
+
+// Record returns the claim.
+func (o Open) Record() Record { return o.record }
+
+// Rest returns after how long the claim can be released; zero is at once.
+func (o Open) Rest() time.Duration { return o.rest }
+
+// Page is a part of the list of open claims.
+type Page struct {
+	claims     []Open
+	more       bool
+	unreadable int
+}
+
+// Claims returns the claims in the order of their keys.
+func (p Page) Claims() []Open { return p.claims }
+
+// More reports whether there are more after this page.
+func (p Page) More() bool { return p.more }
+
+// Unreadable returns how many records were left out because they can't be read.
+func (p Page) Unreadable() int { return p.unreadable }
+
+// List returns open claims from the key after on, which is the String of a Key.
+// The first page has after "".
+func (g *Registry) List(ctx context.Context, after string, limit int) (Page, error) {
 	if after != "" {
 		after = OpenPrefix + after
 	}
 	r, err := g.KV.List(ctx, OpenPrefix, after, limit)
 	if err != nil {
-		return nil, false, 0, err
+		return Page{}, err
 	}
+	p := Page{more: r.More()}
 	now := g.Now()
 	for _, kv := range r.KVs() {
 		rec, err := DecodeRecord(kv.Value())
 		if err != nil {
-			unreadable++
+			p.unreadable++
 			continue
 		}
-		g.sight(kv.Revision(), now)
-		rs = append(rs, rec)
+		p.claims = append(p.claims, Open{record: rec, rest: max(0, g.rest(kv.Revision(), now))})
 	}
-	return rs, r.More(), unreadable, nil
+	return p, nil
 }
 
 // sight returns when the revision was first seen here.
@@ -77,11 +104,11 @@
 }
 
 // Release closes an open claim as Ran or NotRun, on the word of the operator
-// by. It first waits until the dispatch window has passed since the claim was
-// first seen here. Errors are results: UnknownClaim; ClaimRunning, with the
-// time to come back, when the claim's agent lives, or when ctx ends before the
-// window has passed; Conflict when the claim changed meanwhile; WriteUnknown;
-// PlatformRefused.
+// by. It refuses while the dispatch window may be open: the operator must look
+// at the endpoint after that, because what was seen there before can still
+// change. Errors are results: UnknownClaim; ClaimRunning, with the time to come
+// back, when the window may be open or the claim's agent lives; Conflict when
+// the claim changed meanwhile; WriteUnknown; PlatformRefused.
 func (g *Registry) Release(ctx context.Context, k Key, s State, by string) error {
 	if s != Ran && s != NotRun || by == "" {
 		return result.New(result.MalformedOrder, "a release says ran or notRun and who says so")
@@ -93,8 +120,8 @@
 	if rec.state == Claimed && g.Alive != nil && g.Alive(rec.agent, rec.incarnation) {
 		return result.New(result.ClaimRunning, "the agent at "+rec.agent+" lives").WithRetryAfter(g.Window)
 	}
-	if err := g.await(ctx, revision); err != nil {
-		return err
+	if rest := g.rest(revision, g.Now()); rest > 0 {
+		return result.New(result.ClaimRunning, "the agent may still dispatch the request; look at the endpoint after that").WithRetryAfter(rest)
 	}
 	closed := rec.with(s, Answer{}, g.Now())
 	closed.releasedBy = by
@@ -117,23 +144,15 @@
 	return rec, kv.Revision(), nil
 }
 
-// await returns when the window of the claim's agent is surely closed. The
-// claim was sent before it was seen, so counting from the first sight can only
-// be too long; the clocks of agent and operator are not compared.
-func (g *Registry) await(ctx context.Context, revision int64) error {
-	now := g.Now()
-	rest := g.sight(revision, now).Add(g.Window + g.Margin).Sub(now)
-	if rest <= 0 {
-		return nil
-	}
-	t := time.NewTimer(rest)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return result.New(result.ClaimRunning, "the agent may still dispatch the request").WithRetryAfter(rest)
-	}
+// rest returns for how long the window of the claim's agent may still be open.
+//
+// It guards against a release that overtakes the dispatch: the operator sees
+// that nothing was printed, releases the claim, the agent prints, and the order
+// that the caller sends again is printed too. The claim was sent before it was
+// seen, so counting from the first sight can only be too long; the clocks of
+// agent and operator are not compared.
+func (g *Registry) rest(revision int64, now time.Time) time.Duration {
+	return g.sight(revision, now).Add(g.Window + g.Margin).Sub(now)
 }
 
 // close writes the release and settles a lost answer by writing again.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -197,7 +197,7 @@
 	c.counts.reads.Inc(1)
 	p, err := etcdpb.NewKVClient(conn).Range(ctx, r)
 	if err != nil {
-		return RangeReply{}, readError(err)
+		return RangeReply{}, ReadFailed(err)
 	}
 	return RangeReplyFrom(p), nil
 }
@@ -225,7 +225,7 @@
 }
 
 func (c *Client) writeFailed(err error) error {
-	err = writeError(err)
+	err = WriteError(err)
 	if IsUnknown(err) {
 		c.counts.unknown.Inc(1)
 	}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -16,6 +16,9 @@
 	reason string
 }
 
+// NotSent returns a NotSentError. The reason says what was missing.
+func NotSent(reason string) *NotSentError { return &NotSentError{reason: reason} }
+
 // Error implements error.
 func (e *NotSentError) Error() string { return "call not sent to the platform: " + e.reason }
 
@@ -77,7 +80,7 @@
 // serverPrefix begins each message that the service itself writes.
 const serverPrefix = "etcdserver: "
 
-// writeError classifies the error of a write that was handed to the transport.
+// WriteError classifies the error of a write that was handed to the transport.
 //
 // It guards against taking a lost answer for a refusal: a caller who hears
 // "not run" sends its print order again and it is printed twice. Only answers
@@ -85,7 +88,7 @@
 // other status can also come from the transport after the write took effect
 // (ResourceExhausted from an answer that is too large, Unavailable from a
 // connection that broke, Cancelled and DeadlineExceeded from this side).
-func writeError(err error) error {
+func WriteError(err error) error {
 	s := status.Convert(err)
 	if refuses(s) {
 		return &RefusedError{code: s.Code(), text: s.Message()}
@@ -107,6 +110,7 @@
 	}
 }
 
-func readError(err error) error {
+// ReadFailed classifies the error of a read.
+func ReadFailed(err error) error {
 	return &ReadError{cause: status.Convert(err).Message()}
 }
--- a/internal/standin/kv/lease.go
+++ b/internal/standin/kv/lease.go
@@ -10,8 +10,8 @@
 )
 
 // LeaseGrant implements etcdpb.LeaseServer.
-func (s *Server) LeaseGrant(ctx context.Context, r *etcdpb.LeaseGrantRequest) (*etcdpb.LeaseGrantResponse, error) {
-	if err := s.enter(ctx, true); err != nil {
+func (s *Server) LeaseGrant(_ context.Context, r *etcdpb.LeaseGrantRequest) (*etcdpb.LeaseGrantResponse, error) {
+	if err := s.enter(true); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -30,8 +30,8 @@
 }
 
 // LeaseRevoke implements etcdpb.LeaseServer.
-func (s *Server) LeaseRevoke(ctx context.Context, r *etcdpb.LeaseRevokeRequest) (*etcdpb.LeaseRevokeResponse, error) {
-	if err := s.enter(ctx, true); err != nil {
+func (s *Server) LeaseRevoke(_ context.Context, r *etcdpb.LeaseRevokeRequest) (*etcdpb.LeaseRevokeResponse, error) {
+	if err := s.enter(true); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -51,7 +51,7 @@
 		if err != nil {
 			return nil
 		}
-		p, err := s.renew(stream.Context(), r.GetID())
+		p, err := s.renew(r.GetID())
 		if err != nil {
 			return err
 		}
@@ -62,8 +62,8 @@
 }
 
 // renew answers with a TTL of zero when the lease has ended.
-func (s *Server) renew(ctx context.Context, id int64) (*etcdpb.LeaseKeepAliveResponse, error) {
-	if err := s.enter(ctx, true); err != nil {
+func (s *Server) renew(id int64) (*etcdpb.LeaseKeepAliveResponse, error) {
+	if err := s.enter(true); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -40,6 +40,7 @@
 
 	once  sync.Once
 	ready chan struct{}
+	ended chan struct{} // closed when Run ends
 
 	mu      sync.Mutex // guards all below
 	gate    *gate
@@ -64,6 +65,7 @@
 		s.writes.limit = s.WritesPerSecond
 		s.reads.limit = s.ReadsPerSecond
 		s.ready = make(chan struct{})
+		s.ended = make(chan struct{})
 		s.changed = make(chan struct{})
 	})
 }
@@ -101,6 +103,7 @@
 	done := make(chan error, 1)
 	go func() { done <- g.Serve(gate) }()
 	s.tick(ctx, done)
+	close(s.ended)
 	g.Stop()
 	if err := <-done; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 		return err
@@ -145,7 +148,7 @@
 var errDown = status.Error(codes.Unavailable, "the stand-in is down")
 
 // enter applies the faults that come before the effect of a call.
-func (s *Server) enter(ctx context.Context, write bool) error {
+func (s *Server) enter(write bool) error {
 	s.init()
 	s.mu.Lock()
 	d := s.faults.slow
@@ -158,16 +161,23 @@
 	if !ok {
 		return errTooMany
 	}
-	return s.delay(ctx, d)
+	return s.delay(d)
 }
 
 // delay lets the call wait. A call whose caller has gone still takes effect
 // later, as a request that was on its way does.
-func (s *Server) delay(_ context.Context, d time.Duration) error {
-	if d > 0 {
-		time.Sleep(d)
+func (s *Server) delay(d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-s.ended:
+		return errDown
 	}
-	return nil
 }
 
 func (s *Server) count(write bool) bool {
@@ -191,8 +201,8 @@
 }
 
 // Range implements etcdpb.KVServer.
-func (s *Server) Range(ctx context.Context, r *etcdpb.RangeRequest) (*etcdpb.RangeResponse, error) {
-	if err := s.enter(ctx, false); err != nil {
+func (s *Server) Range(_ context.Context, r *etcdpb.RangeRequest) (*etcdpb.RangeResponse, error) {
+	if err := s.enter(false); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -202,8 +212,8 @@
 }
 
 // Txn implements etcdpb.KVServer.
-func (s *Server) Txn(ctx context.Context, t *etcdpb.TxnRequest) (*etcdpb.TxnResponse, error) {
-	if err := s.enter(ctx, true); err != nil {
+func (s *Server) Txn(_ context.Context, t *etcdpb.TxnRequest) (*etcdpb.TxnResponse, error) {
+	if err := s.enter(true); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
--- a/internal/standin/kv/watch.go
+++ b/internal/standin/kv/watch.go
@@ -27,7 +27,7 @@
 	if c == nil {
 		return status.Error(codes.InvalidArgument, "etcdserver: the first message must create a watch")
 	}
-	if err := s.enter(stream.Context(), false); err != nil {
+	if err := s.enter(false); err != nil {
 		return err
 	}
 	next, epoch, compacted := s.begin(c)
