--- a/internal/platform/claim/fleet_test.go
+++ b/internal/platform/claim/fleet_test.go
@@ -152,16 +152,13 @@
 	}
 }
 
-// operate releases what can be released, on what the printer shows.
+// operate tries to release each open claim, on what the printer shows then.
 func (f *fleet) operate(ctx context.Context) {
 	p, err := f.claims.List(ctx, "", 1000)
 	if err != nil {
 		return
 	}
 	for _, o := range p.Claims() {
-		if o.Rest() > 0 {
-			continue
-		}
 		s := NotRun
 		if f.printer.count(o.Record().Key()) > 0 {
 			s = Ran
--- a/internal/platform/claim/registry.go
+++ b/internal/platform/claim/registry.go
@@ -165,28 +165,37 @@
 			return nil
 		case err == nil:
 			return result.New(result.Conflict, "the claim was changed meanwhile")
+		case errors.Is(err, errGrant):
 		case platform.IsUnknown(err):
 			unknown = true
 		case !unknown:
 			return result.New(result.PlatformRefused, err.Error())
 		}
 		pause(ctx, retryPause)
-		if ctx.Err() != nil {
+		if ctx.Err() == nil {
+			continue
+		}
+		if unknown {
 			return result.New(result.WriteUnknown, c.record.key.String())
 		}
+		return result.New(result.PlatformRefused, "the time limit passed")
 	}
 }
 
-// errGrant says that the lease of a released record could not be had.
-var errGrant = errors.New("no lease for the released record")
+// errGrant says that the lease of a released record was not granted, or that
+// the answer was lost; either way the release itself was not written.
+var errGrant = errors.New("claim: no lease for the released record")
 
-// try reports whether the release is stored. Only the transaction's own error
-// leaves that open.
+// try reports whether the release is stored. Only an unknown outcome of the
+// transaction itself leaves that open.
 func (g *Registry) try(ctx context.Context, c conclude) (bool, error) {
 	id, err := g.KV.Grant(ctx, g.Retention)
-	if err != nil {
+	if platform.IsUnknown(err) {
 		return false, errGrant
 	}
+	if err != nil {
+		return false, err
+	}
 	r, err := g.KV.Txn(ctx, platform.Txn{Then: []platform.Op{txnOf(c, id)}})
 	if err != nil {
 		return false, err
