Pause after an agent's refusal; fair part of a quarter

Ruled out: waiting for the next report alone (reports may be 5 s old). Change: an endpoint that has refused counts as full until a newer report; one attempt may ask again after a pause that doubles to a second. Placement gains Accepted.

--- a/internal/caller/admission/controller.go
+++ b/internal/caller/admission/controller.go
@@ -9,7 +9,7 @@
 // Defaults of the Controller's fields.
 const (
 	DefaultMaxWaiting = 1024
-	DefaultFairPart   = 0.2
+	DefaultFairPart   = 0.25
 	DefaultRun        = time.Second
 	DefaultMaxWait    = 30 * time.Second
 )
--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -97,18 +97,37 @@
 }
 
 // Refused records that the agent has refused the attempt as not run, and ends
-// it. The endpoint is not asked again before retryAfter has passed, at least
-// leastBackOff: asking at once would meet the same refusal.
+// it. The endpoint counts as full until a report from after the refusal says
+// otherwise or an own attempt ends there. Reports may be seconds old, so that
+// one attempt may also ask again after a pause: retryAfter or leastBackOff,
+// whichever is longer, doubled with each refusal in a row.
+//
+// The load is saturation: each entry has waiting requests and asks for each
+// place that a lagging report shows. Without the pause most of what agents do
+// would be to refuse.
 func (p *Picture) Refused(a *Attempt, retryAfter time.Duration, now time.Time) {
 	if a == nil || a.ended {
 		return
 	}
 	p.Ended(a, now)
-	until := now.Add(max(retryAfter, leastBackOff))
-	if until.After(a.endpoint.backOff) {
-		a.endpoint.backOff = until
+	e := a.endpoint
+	pause := min(max(retryAfter, leastBackOff<<min(e.refusals, 10)), mostBackOff)
+	e.refusals++
+	e.backOff = now.Add(pause)
+	e.refused = now
+	e.others = max(e.others, float64(e.allowance-e.own))
+}
+
+// Accepted records that the agent has accepted the attempt.
+func (p *Picture) Accepted(a *Attempt) {
+	if a != nil && a.incarnation == a.endpoint.incarnation {
+		a.endpoint.refusals = 0
 	}
 }
 
-// leastBackOff is some round trips between the data centres of a region.
-const leastBackOff = 10 * time.Millisecond
+// Bounds of the pause after a refusal: from some round trips between the data
+// centres of a region to what a caller hardly notices.
+const (
+	leastBackOff = 20 * time.Millisecond
+	mostBackOff  = time.Second
+)
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -31,8 +31,11 @@
 
 	// returned is when the endpoint began to be available again.
 	returned time.Time
-	// backOff is when it may be asked again after a refusal.
-	backOff time.Time
+	// refused is the last refusal, backOff when it may be asked again, and
+	// refusals how many came in a row.
+	refused  time.Time
+	backOff  time.Time
+	refusals int
 	chosen  time.Time
 	// firstPiece is the smoothed time to the first piece in seconds.
 	firstPiece float64
@@ -42,7 +45,8 @@
 	e.incarnation = incarnation
 	e.returned = now
 	e.reported = time.Time{}
-	e.backOff = time.Time{}
+	e.refused, e.backOff = time.Time{}, time.Time{}
+	e.refusals = 0
 	e.firstPiece = 0
 }
 
@@ -59,7 +63,11 @@
 	e.cold, e.leaving = r.Cold, r.Leaving
 	e.reported = r.At
 	own, tokens := e.history.before(r.At, e.own, e.ownTokens)
-	e.others = math.Max(0, float64(r.Running-own))
+	others := math.Max(0, float64(r.Running-own))
+	if r.At.Before(e.refused) {
+		others = math.Max(others, e.others)
+	}
+	e.others = others
 	e.otherTokens = math.Max(0, float64(r.CommittedTokens)-float64(tokens))
 }
 
@@ -80,16 +88,20 @@
 		return leaving
 	case !e.fresh(now, p.StaleAfter):
 		return p.stateUnknown(e, now)
-	case now.Before(e.backOff):
-		return busy
 	case e.cold:
-		return p.stateCold(e)
-	case e.streams() >= float64(e.allowance):
+		return p.stateCold(e, now)
+	case e.streams() >= float64(e.allowance) && !e.mayAskAgain(now):
 		return busy
 	}
 	return eligible
 }
 
+// mayAskAgain reports whether an endpoint that is full by an own refusal, and
+// of which no newer report has come, may be asked again.
+func (e *endpoint) mayAskAgain(now time.Time) bool {
+	return e.refusals > 0 && e.reported.Before(e.refused) && !now.Before(e.backOff)
+}
+
 // stateUnknown lets one own attempt at a time through to an endpoint whose
 // load is unknown. The harm prevented is a crowd on an endpoint that looks
 // idle because its reports have stopped; one attempt finds out, because the
@@ -105,10 +117,10 @@
 // is the moment when an endpoint or data centre returns and all entries see
 // the same free allowance in the same lagging report. The agent would refuse
 // the excess, but each refusal costs the caller a round trip.
-func (p *Picture) stateCold(e *endpoint) int {
+func (p *Picture) stateCold(e *endpoint, now time.Time) int {
 	free := float64(e.allowance) - e.others
 	part := math.Ceil(free / float64(p.Entries))
-	if float64(e.own) >= part || free <= 0 {
+	if now.Before(e.backOff) || float64(e.own) >= part || free <= 0 {
 		return cold
 	}
 	return eligible
--- a/internal/measure/arrivals.go
+++ b/internal/measure/arrivals.go
@@ -19,7 +19,7 @@
 	endpointsPerDC   = 4
 	endpointCapacity = 8
 	meanRun          = 2.0 // seconds in a full batch
-	runLength        = 60 * time.Second
+	runLength        = 120 * time.Second
 )
 
 // capacityPerSecond is the requests a second that all endpoints can serve.
@@ -36,9 +36,9 @@
 	skew float64
 	// long is the part of requests that run ten times as long.
 	long float64
-	// slowEndpoint slows one endpoint down by this factor from 15 s to 45 s.
+	// slowEndpoint slows one endpoint down by this factor from 30 s to 90 s.
 	slowEndpoint float64
-	// leave takes a data centre out at 15 s and brings it back, cold, at 35 s.
+	// leave takes a data centre out at 30 s and brings it back, cold, at 70 s.
 	leave bool
 	// sameWorth makes all accounts worth the same.
 	sameWorth bool
@@ -81,8 +81,9 @@
 	tries    int
 
 	outcome  outcome
-	ended    time.Duration
-	refusals int
+	// told is when the caller first heard that the request is not served, by
+	// a refusal or by the passing of its deadline.
+	told time.Duration
 
 	// running state, owned by the server
 	server    *server
--- a/internal/measure/bound.go
+++ b/internal/measure/bound.go
@@ -40,14 +40,14 @@
 	for t := range caps {
 		caps[t] = endpointCapacity * float64(len(w.servers))
 		s := w.shape
-		if s.slowEndpoint > 0 && t >= 15 && t < 45 {
+		if s.slowEndpoint > 0 && t >= 30 && t < 90 {
 			caps[t] -= endpointCapacity * (1 - 1/s.slowEndpoint)
 		}
-		if s.leave && t >= 15 && t < 35 {
+		if s.leave && t >= 30 && t < 70 {
 			away := float64(endpointCapacity * endpointsPerDC)
-			caps[t] -= away - math.Min(away, w.finishing(15*time.Second, t))
+			caps[t] -= away - math.Min(away, w.finishing(30*time.Second, t))
 		}
-		if s.leave && t >= 35 && t < 35+int(coldTime/time.Second) {
+		if s.leave && t >= 70 && t < 70+int(coldTime/time.Second) {
 			caps[t] -= (endpointCapacity - 2*coldCapacity) * endpointsPerDC
 		}
 	}
--- a/internal/measure/ours.go
+++ b/internal/measure/ours.go
@@ -68,7 +68,7 @@
 // refuse tells the caller, who comes back when that can help.
 func (o *ours) refuse(j *job, r admission.Refuse, now time.Duration) {
 	delete(o.open, strconv.Itoa(j.id))
-	j.refusals++
+	o.w.tell(j)
 	back := now + r.RetryAfter
 	if r.RetryAfter == 0 || back+j.estimate > j.deadline {
 		o.w.giveUp(j)
@@ -95,6 +95,7 @@
 		}
 		a := o.pic.Started(c, q, now)
 		if o.w.offer(o.w.servers[serverIndex(c.Endpoint)], j) {
+			o.pic.Accepted(a)
 			o.attempt[j] = a
 			o.forget(a, now)
 			return true
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -24,18 +24,30 @@
 	return Section{Name: "service", Tables: serviceTables}
 }
 
+// runsPerRow is how many seeds each row is the mean of.
+const runsPerRow = 2
+
 func play(s shape, l lag, seed uint64, policy func(w *world, i int) entry) result {
 	w := newWorld(s, l, seed, policy)
 	w.run()
 	return w.result()
 }
 
+// playAll sums up the runs of several seeds.
+func playAll(s shape, l lag, seed uint64, policy func(w *world, i int) entry) result {
+	var sum result
+	for i := range uint64(runsPerRow) {
+		sum = sum.plus(play(s, l, seed+i, policy))
+	}
+	return sum
+}
+
 func serviceTables(seed uint64) []Table {
 	worth := Table{
 		Title: "Service by worth",
 		Notes: []string{
 			"Whole and on time, in 100 of the worth asked; the bound is what capacity allows.",
-			"12 endpoints in 3 data centres, 9 entries, 10 accounts, 60 s of arrivals, reports 0.1 to 0.3 s old.",
+			"12 endpoints in 3 data centres, 9 entries, 10 accounts, 120 s of arrivals, reports 0.1 to 0.3 s old.",
 			"",
 		},
 		Columns: []string{"load", "naive", "ours", "bound", "ours of bound", "naive of bound"},
@@ -43,27 +55,28 @@
 	care := Table{
 		Title: "Fairness and refusals",
 		Notes: []string{
-			"Least account: the least part of one account's requests served, in 100. Told after: until callers",
-			"who were not served knew it, 99th percentile. Cold overloads: requests given to a cold endpoint",
-			"beyond what it bears.",
+			"Least share: the least, over the accounts, of the work served in 100 of what the account asked for",
+			"or of an equal share of the capacity, whichever is less. Told after: until callers who were not",
+			"served at once first knew it, median and 99th percentile. Cold overloads: requests given to a cold",
+			"endpoint beyond what it bears.",
 			"",
 		},
 		Columns: []string{
-			"load", "least account naive", "ours", "refused ours", "late naive", "late ours",
-			"told after naive", "ours", "cold overloads naive", "ours", "agent refusals ours",
+			"load", "least share naive", "ours", "refused ours", "late naive", "late ours",
+			"told after naive", "ours", "ours 99", "cold overloads naive", "ours", "agent refusals ours",
 		},
 	}
 	for _, s := range shapes {
-		n := play(s, usualLag, seed, newNaive)
-		o := play(s, usualLag, seed, newOurs(bothLoads))
+		n := playAll(s, usualLag, seed, newNaive)
+		o := playAll(s, usualLag, seed, newOurs(bothLoads))
 		worth.Rows = append(worth.Rows, []string{
 			s.name, percent(n.service / n.asked), percent(o.service / o.asked),
-			percent(min(1, o.bound/o.asked)), percent(o.ofBound()), percent(n.ofBound()),
+			percent(o.bound / o.asked), percent(o.ofBound()), percent(n.ofBound()),
 		})
 		care.Rows = append(care.Rows, []string{
-			s.name, percent(n.leastAccount), percent(o.leastAccount), percent(o.refusedPart),
-			percent(n.latePart), percent(o.latePart), inSeconds(n.refusedAfter99), inSeconds(o.refusedAfter99),
-			fmt.Sprint(n.coldOverloads), fmt.Sprint(o.coldOverloads), percent(float64(o.agentRefusals) / float64(o.requests)),
+			s.name, percent(n.leastShare), percent(o.leastShare), percent(o.of(o.refused)),
+			percent(n.of(n.late)), percent(o.of(o.late)), inSeconds(n.told50), inSeconds(o.told50), inSeconds(o.told99),
+			fmt.Sprint(n.coldOverloads), fmt.Sprint(o.coldOverloads), percent(o.of(o.agentRefusals)),
 		})
 	}
 	return []Table{worth, care}
@@ -95,8 +108,8 @@
 			l := lag{every: d / 2, delay: d / 2}
 			row := []string{fmt.Sprintf("%.1f, %v", load, d)}
 			for _, p := range []placing{reportOnly, committedOnly, bothLoads} {
-				r := play(shape{load: load}, l, seed, newOurs(p))
-				row = append(row, fmt.Sprintf("%s (%s)", percent(r.ofBound()), percent(float64(r.agentRefusals)/float64(r.requests))))
+				r := playAll(shape{load: load}, l, seed, newOurs(p))
+				row = append(row, fmt.Sprintf("%s (%s)", percent(r.ofBound()), percent(r.of(r.agentRefusals))))
 			}
 			t.Rows = append(t.Rows, row)
 		}
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -134,12 +134,12 @@
 func (w *world) planFaults() {
 	if w.shape.slowEndpoint > 0 {
 		s := w.servers[5]
-		w.at(15*time.Second, func() { w.setSlow(s, w.shape.slowEndpoint) })
-		w.at(45*time.Second, func() { w.setSlow(s, 1) })
+		w.at(30*time.Second, func() { w.setSlow(s, w.shape.slowEndpoint) })
+		w.at(90*time.Second, func() { w.setSlow(s, 1) })
 	}
 	if w.shape.leave {
-		w.at(15*time.Second, func() { w.setOut(2, true) })
-		w.at(35*time.Second, func() { w.setOut(2, false) })
+		w.at(30*time.Second, func() { w.setOut(2, true) })
+		w.at(70*time.Second, func() { w.setOut(2, false) })
 	}
 }
 
@@ -260,21 +260,27 @@
 		return
 	}
 	j.outcome = served
-	j.ended = w.now
 }
 
 func (w *world) expire(j *job) {
 	if j.outcome == pending {
 		j.outcome = late
-		j.ended = w.now
+		w.tell(j)
 	}
 	w.entries[j.entry].expired(j, w.now)
 }
 
+// tell records that the caller has heard of a failure.
+func (w *world) tell(j *job) {
+	if j.told == 0 {
+		j.told = w.now
+	}
+}
+
 // giveUp records that the caller has been refused for good.
 func (w *world) giveUp(j *job) {
 	if j.outcome == pending {
 		j.outcome = refused
-		j.ended = w.now
+		w.tell(j)
 	}
 }
