Name expert maps in four phases: stage, hold, commit, release

Cause: no two ranks of a group may compute a step by different maps, through paused leaders, lapsed leases, restarts and platform outages. Ruled out: a bound that only the leader extends (a group without a leader, or with the platform down, would stop); so members extend bounds by themselves and a name first makes them hold.

--- /dev/null
+++ b/internal/rank/tick.go
@@ -0,0 +1,87 @@
+package rank
+
+// Tick takes what the engine says of itself and returns the orders that bring
+// it to what the member wants. It compares anew on each call, so orders whose
+// answer was lost are sent again.
+func (m *Member) Tick(e EngineState) []EngineOrder {
+	m.init()
+	m.observe(e)
+	m.join()
+	if orders := m.stageOrders(); len(orders) > 0 {
+		return orders
+	}
+	if !m.joined {
+		return nil
+	}
+	if orders := m.activateOrders(); len(orders) > 0 {
+		return orders
+	}
+	return m.allowOrders()
+}
+
+// observe notes the engine's state. The first one tells which bound an agent
+// before this one has handed out.
+func (m *Member) observe(e EngineState) {
+	if m.engine.Incarnation != 0 && m.engine.Incarnation != e.Incarnation {
+		m.reset(m.Incarnation + 1)
+	}
+	m.engine = e
+	m.granted = max(m.granted, e.Allowed)
+}
+
+func (m *Member) stageOrders() []EngineOrder {
+	var orders []EngineOrder
+	for _, e := range m.maps {
+		if !m.engineStaged(RefOf(e)) {
+			orders = append(orders, EngineStage{Map: e})
+		}
+	}
+	return orders
+}
+
+func (m *Member) engineStaged(r Ref) bool {
+	for _, o := range m.engine.Staged {
+		if o == r {
+			return true
+		}
+	}
+	return false
+}
+
+// activateOrders gives the engine the first entry of the schedule that it
+// lacks: one after the other, so that a lost order does not let a newer entry
+// overtake the one before it. The ranks restart at the first entry when it
+// leaves out their next step: that is so only after all members have lost their
+// maps together.
+func (m *Member) activateOrders() []EngineOrder {
+	for i, e := range m.schedule {
+		if !scheduled(m.engine.Schedule, e) {
+			restart := i == 0 && e.From > m.engine.Begun+1
+			return []EngineOrder{EngineActivate{Entry: e, Restart: restart}}
+		}
+	}
+	return nil
+}
+
+// allowOrders extends the engine's bound once the engine has all maps of the
+// schedule, up to Lookahead steps beyond the last begun and never to the step
+// of a pending name. See hold for the failure that this guards against.
+//
+// Load: ranks that begin a step each ten or twenty milliseconds. Harm
+// prevented: a bound too near stops the group between two ticks; one too far
+// delays a new map by as many steps. The bound is extended when half of it is
+// used, so that an order is sent every Lookahead/2 steps and not each tick.
+func (m *Member) allowOrders() []EngineOrder {
+	to := m.engine.Begun + m.Lookahead
+	if m.pending != (Name{}) {
+		to = min(to, m.pending.Step-1)
+	}
+	if to <= m.engine.Allowed {
+		return nil
+	}
+	if m.engine.Allowed > m.engine.Begun+m.Lookahead/2 {
+		return nil
+	}
+	m.granted = max(m.granted, to)
+	return []EngineOrder{EngineAllow{Step: to}}
+}
