--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -152,17 +152,18 @@
 	var all []operator.Claim
 	after := ""
 	for {
-		rs, more, _, err := c.registry.List(ctx, after, claimPage)
+		page, err := c.registry.List(ctx, after, claimPage)
 		if err != nil {
 			return nil, err
 		}
-		for _, r := range rs {
+		for _, o := range page.Claims() {
+			r := o.Record()
 			after = r.Key().String()
 			if matches(r, account, key) {
 				all = append(all, claimView(r))
 			}
 		}
-		if !more {
+		if !page.More() || len(page.Claims()) == 0 {
 			return all, nil
 		}
 	}
