--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -120,3 +120,11 @@
 		}
 	}
 }
+
+// Generation returns the generation of the configuration in force here.
+func (a *Agent) Generation() uint64 {
+	if v := a.view.Load(); v != nil {
+		return v.generation
+	}
+	return 0
+}
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -313,6 +314,45 @@
 	return all
 }
 
+// Ran returns how often each request id has been run at any endpoint.
+func (s *System) Ran() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]int{}
+	for _, v := range s.services {
+		addRuns(all, v.Counters().Ran)
+	}
+	for _, e := range s.engines {
+		addRuns(all, e.Counters().Ran)
+	}
+	return all
+}
+
+// addRuns counts runs under the callers' request ids, to which an agent adds
+// the account.
+func addRuns(all, ran map[string]int) {
+	for id, n := range ran {
+		if i := strings.LastIndexByte(id, '.'); i >= 0 {
+			id = id[:i]
+		}
+		all[id] += n
+	}
+}
+
+// Breaches returns the engines that were given more than they bear in cold
+// start, and how often.
+func (s *System) Breaches() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]int{}
+	for name, e := range s.engines {
+		if n := e.Counters().Breaches; n > 0 {
+			all[name] = n
+		}
+	}
+	return all
+}
+
 // Stop stops entries and agents gracefully, then the stand-ins.
 func (s *System) Stop() {
 	s.mu.Lock()
--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -14,54 +11,12 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 )
 
-const testKey = "test-key"
-
-func testPreset() string {
-	sum := sha256.Sum256([]byte(testKey))
-	return fmt.Sprintf(`[preset]
-name = ordinary
-queueLength = 200
-retryBudgetPercent = 20
-
-[dataCentre a]
-[dataCentre b]
-[dataCentre c]
-
-[account tester]
-keyHash = %s
-ratePerSecond = 1000
-burst = 1000
-concurrency = 200
-weight = 1
-worth = 1
-
-[model small]
-endpoints = *-engine-*
-coldStartConcurrency = 2
-concurrency = 8
-rampStep = 1
-rampCompletions = 4
-defaultDeadline = 10s
-maxOutputTokens = 1000
-
-[service desk]
-endpoints = *-desk-*
-repeatable = false
-path = /
-coldStartConcurrency = 2
-concurrency = 8
-rampStep = 1
-rampCompletions = 4
-defaultDeadline = 10s
-`, hex.EncodeToString(sum[:]))
-}
-
 func startSystem(t *testing.T) *System {
 	t.Helper()
 	s := &System{
 		DataCentres: []string{"a", "b", "c"}, Entries: 1, Engines: 1, Services: 1,
 		EngineSettings: engine.Settings{Capacity: 8, ColdBound: 2, WarmAfter: 4, TokenMicros: 200},
-		Preset:         testPreset(),
+		Preset:         Preset("ordinary", 1),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -78,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Authorization", "Bearer "+Key)
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -244,3 +244,11 @@
 	}
 	return n
 }
+
+// Generation returns the generation of the configuration in force here.
+func (e *Entry) Generation() uint64 {
+	if v := e.view.Load(); v != nil {
+		return v.generation
+	}
+	return 0
+}
