--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,14 +5,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/claim"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
-	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 const (
@@ -27,21 +32,34 @@
 	// Settings are the process's settings.
 	Settings *settings.Agent
 	// Log receives changes of state.
-	Log logrus.FieldLogger
+	Log *logrus.Logger
+	// Registry receives the metrics; nil means a new one.
+	Registry metrics.Registry
+	// TLS secures the agent's connections; its zero value means plain TCP.
+	TLS process.TLS
 
-	clock       timeline.Clock
-	ring        *timeline.Ring
-	client      *endpoint.Client
-	allowance   allowance.Allowance
-	attempts    table
-	incarnation uint64
-	workCtx     context.Context
-	view        atomic.Pointer[view]
-	leaving     atomic.Bool
-	tokens      atomic.Int64
-	version     atomic.Uint64
-	running     atomic.Int64
-	ended       chan struct{}
+	clock        timeline.Clock
+	ring         *timeline.Ring
+	client       *endpoint.Client
+	allowance    allowance.Allowance
+	attempts     table
+	incarnation  uint64
+	workCtx      context.Context
+	view         atomic.Pointer[view]
+	store        config.Store
+	platform     *platform.Client
+	claims       *claim.Batcher
+	attemptCount atomic.Uint64
+	peers        *peer.Server
+	stopWork     context.CancelFunc
+	// announced says that the agent has told that it leaves, and leaving that
+	// it takes no more work.
+	announced atomic.Bool
+	leaving   atomic.Bool
+	tokens    atomic.Int64
+	version   atomic.Uint64
+	running   atomic.Int64
+	ended     chan struct{}
 }
 
 func (a *Agent) now() time.Time { return time.Now() }
@@ -58,8 +76,8 @@
 	a.running.Add(1)
 	a.changed()
 	go func() {
-		defer at.cancel()
 		a.work(ctx, at, t)
+		at.cancel()
 		a.running.Add(-1)
 		select {
 		case a.ended <- struct{}{}:
@@ -102,8 +120,3 @@
 		}
 	}
 }
-
-// runOnce claims the request before its first byte goes to the endpoint.
-func (a *Agent) runOnce(_ context.Context, _ *attempt, _ allowance.Ticket) *result.Error {
-	return result.New(result.PlatformDown, "").WithRetryAfter(time.Second)
-}
--- a/internal/caller/admission/controller.go
+++ b/internal/caller/admission/controller.go
@@ -9,7 +9,7 @@
 // Defaults of the Controller's fields.
 const (
 	DefaultMaxWaiting = 1024
-	DefaultFairPart   = 0.2
+	DefaultFairPart   = 0.25
 	DefaultRun        = time.Second
 	DefaultMaxWait    = 30 * time.Second
 )
@@ -150,6 +150,7 @@
 	}
 	if r.waiting == 0 && place(&it.req) {
 		c.accept(it)
+		r.inflow.add(it.band, it.work, now)
 		c.start(it, r, false, false, now)
 		return Start{}
 	}
--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -17,8 +17,11 @@
 	drainPrior = 0.25
 	// spreadMemory is the time constant for counting recent refusals.
 	spreadMemory = 2 * time.Second
-	// MinComeBack and MaxComeBack bound each come-back time. Sooner would add
-	// load while the cause lasts; later would leave returned capacity idle.
+)
+
+// Bounds of each come-back time. A sooner one would add load while the cause
+// lasts; a later one would leave returned capacity idle.
+const (
 	MinComeBack = 100 * time.Millisecond
 	MaxComeBack = 30 * time.Second
 )
@@ -54,6 +57,40 @@
 	return (m.work + drainPrior*float64(running)) / (m.busy + drainPrior)
 }
 
+// inflow measures the accepted work a second by band.
+type inflow struct {
+	work [bandCount]float64
+	at   time.Time
+}
+
+func (m *inflow) add(b int, work float64, now time.Time) {
+	if m.at.IsZero() {
+		m.at = now
+	}
+	if dt := now.Sub(m.at).Seconds(); dt > 0 {
+		keep := math.Exp(-dt / drainMemory.Seconds())
+		for i := range m.work {
+			m.work[i] *= keep
+		}
+		m.at = now
+	}
+	m.work[b] += work / drainMemory.Seconds()
+}
+
+// above returns the accepted work a second in bands higher than b.
+func (m *inflow) above(b int) float64 {
+	var sum float64
+	for _, w := range m.work[b+1:] {
+		sum += w
+	}
+	return sum
+}
+
+// leastLeft is the least part of the drain rate that is taken to be left over
+// by work that is worth more. With less, one second's burst would turn away
+// work that can be served after it.
+const leastLeft = 0.3
+
 // runStats compares actual with expected running times.
 type runStats struct {
 	mean float64
@@ -134,3 +171,11 @@
 	const bits = 53
 	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
 }
+
+// hashPair mixes two names for rendezvous hashing.
+func hashPair(a, b string) uint64 {
+	x := xxhash.Sum64String(a) ^ (xxhash.Sum64String(b) * 0x9e3779b97f4a7c15)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
@@ -32,7 +33,7 @@
 type member struct {
 	addr   string
 	cancel context.CancelFunc
-	done   chan error
+	done   chan struct{}
 
 	// members.mu guards the rest.
 	endpoint   string
@@ -43,6 +44,12 @@
 	attempts map[*job]context.CancelCauseFunc
 }
 
+// end stops listening to the agent.
+func (one *member) end() {
+	one.cancel()
+	<-one.done
+}
+
 // members are the agents of the entry's subset. Set the exported fields before
 // Run.
 type members struct {
@@ -50,15 +57,16 @@
 	store *config.Store
 	clock *timeline.Clock
 	ring  *timeline.Ring
-	log   logrus.FieldLogger
+	log   *logrus.Logger
 	name  string
 	now   func() time.Time
 	// report takes in what an agent said, and lost that it can't be reached.
 	report func(placement.Report, time.Time)
 	lost   func(endpoint string)
 
-	mu     sync.Mutex
-	byAddr map[string]*member
+	mu      sync.Mutex
+	byAddr  map[string]*member
+	leaving map[string]bool
 }
 
 // set makes addrs the agents that are listened to.
@@ -85,27 +93,76 @@
 	}
 	m.mu.Unlock()
 	for _, one := range gone {
-		one.cancel()
-		<-one.done
+		one.end()
 		m.conns.Drop(one.addr)
 		m.drop(one)
 	}
 }
 
+// seen returns the VMs whose streams are live.
+func (m *members) seen() []vmlist.Seen {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []vmlist.Seen
+	for addr, one := range m.byAddr {
+		if one.last == nil {
+			continue
+		}
+		vm := vmlist.NewVM(one.endpoint, vmlist.Agent, one.dataCentre, addr, vmlist.Live)
+		all = append(all, vmlist.Seen{VM: vm, Stream: true, Leaving: one.last.GetLeaving()})
+	}
+	return all
+}
+
+// setLeaving notes which agents' VMs are leaving by the platform's list, and
+// stops giving them work also where the agent has not been told yet.
+func (m *members) setLeaving(addrs []string) {
+	now := m.now()
+	m.mu.Lock()
+	m.leaving = map[string]bool{}
+	var told []*peerpb.LoadReport
+	for _, a := range addrs {
+		m.leaving[a] = true
+		if one := m.byAddr[a]; one != nil && one.last != nil {
+			told = append(told, one.last)
+		}
+	}
+	m.mu.Unlock()
+	for _, r := range told {
+		p := reportOf(r, now)
+		p.Leaving = true
+		m.report(p, now)
+	}
+}
+
+// stop ends listening to all agents.
+func (m *members) stop() {
+	m.mu.Lock()
+	all := m.byAddr
+	m.byAddr = nil
+	m.mu.Unlock()
+	for _, one := range all {
+		one.end()
+	}
+}
+
 func (m *members) watchMember(ctx context.Context, addr string) *member {
 	ctx, cancel := context.WithCancel(ctx)
 	one := &member{
 		addr:     addr,
 		cancel:   cancel,
-		done:     make(chan error, 1),
+		done:     make(chan struct{}, 1),
 		attempts: map[*job]context.CancelCauseFunc{},
 	}
-	go func() { one.done <- m.watch(ctx, one) }()
+	go func() {
+		m.watch(ctx, one)
+		one.done <- struct{}{}
+	}()
 	return one
 }
 
 // watch follows one agent's reports until ctx ends.
-func (m *members) watch(ctx context.Context, one *member) error {
+func (m *members) watch(ctx context.Context, one *member) {
 	for ctx.Err() == nil {
 		m.follow(ctx, one)
 		m.drop(one)
@@ -114,7 +171,6 @@
 		case <-ctx.Done():
 		}
 	}
-	return nil
 }
 
 // follow reads reports until the stream breaks or the agent falls silent.
@@ -155,11 +211,14 @@
 	one.dataCentre = r.GetDataCentre()
 	one.heard = now
 	one.last = r
+	leaving := m.leaving[one.addr]
 	m.mu.Unlock()
 	if joined {
 		m.ring.Add(timeline.PeerJoined, "", r.GetEndpoint(), one.addr, r.GetIncarnation(), now)
 	}
-	m.report(reportOf(r, now), now)
+	p := reportOf(r, now)
+	p.Leaving = p.Leaving || leaving
+	m.report(p, now)
 	if r.GetConfigDigest() != peer.ConfigDigest(m.store) {
 		m.push(ctx, one.addr)
 	}
@@ -211,17 +270,31 @@
 	one.last = nil
 	waiting := one.attempts
 	one.attempts = map[*job]context.CancelCauseFunc{}
+	moved := m.heardElsewhere(name)
 	m.mu.Unlock()
 	if name == "" {
 		return
 	}
 	m.ring.Add(timeline.PeerLost, "", name, one.addr, 0, m.now())
-	m.lost(name)
+	if !moved {
+		m.lost(name)
+	}
 	for _, cancel := range waiting {
 		cancel(errAgentSilent)
 	}
 }
 
+// heardElsewhere reports whether another agent speaks for the endpoint: its VM
+// was replaced, and the old one is gone.
+func (m *members) heardElsewhere(endpoint string) bool {
+	for _, one := range m.byAddr {
+		if one.endpoint == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
 // byEndpoint returns the address of the agent beside the endpoint.
 func (m *members) byEndpoint(name string) (string, bool) {
 	m.mu.Lock()
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -74,6 +74,7 @@
 	AnswerIncomplete Code = 3003
 	DeadlineExceeded Code = 3004
 	Cancelled        Code = 3005
+	AnswerLost       Code = 3006
 
 	BadToken           Code = 4001
 	Conflict           Code = 4002
@@ -158,7 +159,7 @@
 	ClaimHeld:          {"claimHeld", NotRun, http.StatusConflict, "another attempt holds the claim on this idempotency key"},
 	NoPreset:           {"noPreset", NotRun, http.StatusServiceUnavailable, "no preset is in force yet"},
 	NotServedHere:      {"notServedHere", NotRun, http.StatusServiceUnavailable, "the endpoint does not serve this model or service"},
-	RetryBudget:        {"retryBudget", NotRun, http.StatusServiceUnavailable, "the first endpoint refused and the retry budget is used up"},
+	RetryBudget:        {"retryBudget", Unknown, http.StatusServiceUnavailable, "an attempt failed and the retry budget is used up"},
 	EndpointDown:       {"endpointDown", NotRun, http.StatusServiceUnavailable, "the endpoint does not accept connections"},
 	Displaced:          {"displaced", NotRun, http.StatusServiceUnavailable, "work that is worth more took the place in the queue"},
 
@@ -167,6 +168,7 @@
 	AnswerIncomplete: {"answerIncomplete", Unknown, http.StatusBadGateway, "only a part of the answer arrived"},
 	DeadlineExceeded: {"deadlineExceeded", Unknown, http.StatusGatewayTimeout, "the deadline passed while the request ran"},
 	Cancelled:        {"cancelled", Unknown, statusClosedRequest, "the caller left"},
+	AnswerLost:       {"answerLost", Ran, http.StatusGone, "the request was run before and its answer is no longer kept"},
 
 	BadToken:           {"badToken", NotApplicable, http.StatusUnauthorized, "the operator token is missing or wrong"},
 	Conflict:           {"conflict", NotApplicable, http.StatusConflict, "another operator's change came first; read and decide again"},
