Account limits are shared over a data centre's entries

Cause: each entry held the whole of each account's limits, so N entries let N times the limit through. Ruled out: a fixed part for each entry alone, which starves an account whose callers come to one entry. Change: entries report demand to the account's lender and take shares in (admission.ShareHolder and ShareLender over gRPC); data centres in service get equal parts, because they may be cut off from each other. Conclusion: wired; the sum under load is not yet proved end to end.

--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -36,7 +36,7 @@
 	refused  time.Time
 	backOff  time.Time
 	refusals int
-	chosen  time.Time
+	chosen   time.Time
 	// firstPiece is the smoothed time to the first piece in seconds.
 	firstPiece float64
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
@@ -66,6 +67,7 @@
 	peers     *peer.Server
 	admin     *operator.Server
 	directory directory
+	shares    shares
 }
 
 func (e *Entry) now() time.Time { return time.Now() }
@@ -96,6 +98,8 @@
 		name: e.Settings.Name, dataCentre: e.Settings.DataCentre,
 		list: process.VMList(&e.Settings.Process, e.Registry), members: &e.members,
 	}
+	e.shares.entry = e
+	e.shares.init()
 }
 
 // Listen opens the entry's addresses, so that they are known before Run.
@@ -105,6 +109,9 @@
 		Addr: e.Settings.PeerAddress.String(),
 		TLS:  e.TLS.Peers,
 		Peer: e.service(),
+		Register: func(r grpc.ServiceRegistrar) {
+			peerpb.RegisterEntryServer(r, &server{shares: &e.shares})
+		},
 	}
 	if err := e.peers.Listen(); err != nil {
 		return err
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -77,6 +77,7 @@
 		e.directory.list.Run,
 		e.directory.run,
 		e.gossip,
+		e.shares.run,
 	}
 	if a := e.Settings.MetricsAddress; a.IsValid() {
 		parts = append(parts, func(ctx context.Context) error {
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -43,11 +43,57 @@
 	picture   placement.Picture
 	budget    admission.RetryBudget
 	jobs      map[string]*job
+	arrivals  map[string]int
+	peaks     map[string]demand
 	wake      chan struct{}
 }
 
+// demand is what an account asks of this entry.
+type demand struct {
+	rate float64 // requests a second
+	open int
+}
+
+// peakDecay is the part of a peak that is left after each report, so that
+// demand is remembered for some seconds.
+const peakDecay = 0.8
+
+// demand returns what each account has asked for lately, given that it is
+// asked every period.
+func (s *scheduler) demand(period time.Duration) map[string]demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, d := range s.peaks {
+		d.rate = max(d.rate*peakDecay, float64(s.arrivals[name])/period.Seconds())
+		d.open = max(int(float64(d.open)*peakDecay), s.admission.Open(name)+s.arrivals[name])
+		s.peaks[name] = d
+	}
+	clear(s.arrivals)
+	out := make(map[string]demand, len(s.peaks))
+	for name, d := range s.peaks {
+		out[name] = d
+		if d.rate < leastRate && d.open == 0 {
+			delete(s.peaks, name)
+		}
+	}
+	return out
+}
+
+// leastRate is the demand below which an account counts as idle here.
+const leastRate = 0.01
+
+// arrived notes an arrival for the account's demand. The lock must be held.
+func (s *scheduler) arrived(account string) {
+	s.arrivals[account]++
+	if _, ok := s.peaks[account]; !ok {
+		s.peaks[account] = demand{}
+	}
+}
+
 func (s *scheduler) init() {
 	s.jobs = map[string]*job{}
+	s.arrivals = map[string]int{}
+	s.peaks = map[string]demand{}
 	s.wake = make(chan struct{}, 1)
 }
 
@@ -56,6 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.jobs[j.id] = j
+	s.arrived(j.request.Account)
 	s.budget.First(now)
 	d := s.admission.Arrive(j.request, now, s.placer(now))
 	s.decided(j, d, now)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -40,6 +40,9 @@
 	if e.view.Load() == nil {
 		return result.New(result.NoPreset, "").WithRetryAfter(absentRetry)
 	}
+	if e.Endpoints() == 0 {
+		return result.New(result.NoEndpoint, "").WithRetryAfter(absentRetry)
+	}
 	return nil
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
@@ -62,3 +64,14 @@
 	}
 	return ls
 }
+
+// dataCentresIn returns how many data centres of the preset are in service.
+func (v *view) dataCentresIn() int {
+	n := 0
+	for _, d := range v.preset.DataCentres() {
+		if !slices.Contains(v.dataCentres, d.Name()) {
+			n++
+		}
+	}
+	return n
+}
