Connections can be cut in tests

Cause: cuts between data centres can't be brought about without a hold on the connections. Change: a Dial hook in the clients of peers, platform and VM list, and demo.Network over it. Conclusion: no change without a cut.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,8 @@
 	Registry metrics.Registry
 	// TLS secures the agent's connections; its zero value means plain TCP.
 	TLS process.TLS
+	// Dial opens connections to other processes; nil means TCP.
+	Dial process.Dial
 
 	clock        timeline.Clock
 	ring         *timeline.Ring
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -48,7 +48,7 @@
 		Metrics: a.Registry,
 		Log:     a.Log,
 	}
-	a.platform = process.Platform(&a.Settings.Process, platformBudget, a.TLS.Client, a.Registry)
+	a.platform = process.Platform(&a.Settings.Process, platformBudget, a.TLS.Client, a.Dial, a.Registry)
 }
 
 // Listen opens the agent's address, so that it is known before Run.
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -50,6 +50,8 @@
 	KV *kv.Server
 	// List is the stand-in of the platform's list of VMs.
 	List *vmlist.Server
+	// Network carries the processes' connections.
+	Network Network
 
 	client *platform.Client
 	ctx    context.Context
@@ -119,6 +121,8 @@
 	s.parts = append(s.parts, s.run(s.KV.Run))
 	s.List = &vmlist.Server{}
 	s.parts = append(s.parts, s.run(s.List.Run))
+	s.Network.at(s.KV.Addr(), Platform)
+	s.Network.at(s.List.Addr(), Platform)
 	s.client = &platform.Client{Addrs: []string{s.KV.Addr()}, Timeout: time.Second}
 	s.parts = append(s.parts, s.run(s.client.Run))
 	if err := s.putPreset(); err != nil {
@@ -210,11 +214,13 @@
 			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
 			Kind:            kind,
 		},
-		Log: s.Log,
+		Log:  s.Log,
+		Dial: s.Network.From(dc),
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.Network.at(p.Address(), dc)
 	s.List.Put(list.NewVM(name, list.Agent, dc, p.Address(), list.Live))
 	a := &Agent{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
 	s.mu.Lock()
@@ -234,11 +240,13 @@
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
 		Log:      s.Log,
+		Dial:     s.Network.From(dc),
 		Announce: 300 * time.Millisecond,
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.Network.at(p.PeerAddress(), dc)
 	s.List.Put(list.NewVM(name, list.Entry, dc, p.PeerAddress(), list.Live))
 	e := &Entry{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p}
 	s.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,8 @@
 	Registry metrics.Registry
 	// TLS secures the entry's connections; its zero value means plain TCP.
 	TLS process.TLS
+	// Dial opens connections to other processes; nil means TCP.
+	Dial process.Dial
 	// Announce is how long requests are still taken after the entry began to
 	// leave; zero means two seconds.
 	Announce time.Duration
@@ -83,6 +85,7 @@
 	e.ring = &timeline.Ring{Clock: &e.clock}
 	e.counters = newCounters(e.Registry)
 	e.conns.TLS = e.TLS.Client
+	e.conns.Dial = e.Dial
 	e.scheduler.init()
 	e.scheduler.picture.DataCentre = e.Settings.DataCentre
 	e.scheduler.picture.Seed = seedOf(e.Settings.Name)
@@ -92,11 +95,11 @@
 		log: e.Log, name: e.Settings.Name, now: e.now,
 		report: e.scheduler.report, lost: e.lost,
 	}
-	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Registry)
+	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Dial, e.Registry)
 	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.refresh}
 	e.directory = directory{
 		name: e.Settings.Name, dataCentre: e.Settings.DataCentre,
-		list: process.VMList(&e.Settings.Process, e.Registry), members: &e.members,
+		list: process.VMList(&e.Settings.Process, e.Dial, e.Registry), members: &e.members,
 	}
 	e.shares.entry = e
 	e.shares.init()
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 	"time"
 
@@ -31,11 +33,13 @@
 	pingTimeout = 5 * time.Second
 )
 
-// Conns holds one connection to each peer. Set the exported field before the
+// Conns holds one connection to each peer. Set the exported fields before the
 // first use. It may be used by several goroutines.
 type Conns struct {
 	// TLS is the client's side of mutual TLS; nil means plain TCP.
 	TLS *tls.Config
+	// Dial opens connections; nil means TCP. Tests cut connections here.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
@@ -72,7 +76,7 @@
 	bc := backoff.DefaultConfig
 	bc.BaseDelay = 50 * time.Millisecond
 	bc.MaxDelay = reconnectMax
-	return []grpc.DialOption{
+	opts := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bc, MinConnectTimeout: reconnectMax}),
 		grpc.WithInitialWindowSize(windowBytes),
@@ -81,6 +85,10 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
 		grpc.WithDisableServiceConfig(),
 	}
+	if c.Dial != nil {
+		opts = append(opts, grpc.WithContextDialer(c.Dial))
+	}
+	return opts
 }
 
 // Drop closes the connection to a peer that has left.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -61,6 +62,8 @@
 	ReadsPerSecond  float64
 	// Credentials is the TLS set-up; nil means plain text.
 	Credentials credentials.TransportCredentials
+	// Dial opens connections; nil means TCP. Tests cut connections here.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Metrics receives the counters; nil means the default registry.
 	Metrics metrics.Registry
 
@@ -114,15 +117,19 @@
 		creds = insecure.NewCredentials()
 	}
 	bo := backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect}
+	opts := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: maxReconnect}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(0),
+	}
+	if c.Dial != nil {
+		opts = append(opts, grpc.WithContextDialer(c.Dial))
+	}
 	var conns []*grpc.ClientConn
 	for _, a := range c.Addrs {
-		conn, err := grpc.NewClient("passthrough:///"+a,
-			grpc.WithTransportCredentials(creds),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: maxReconnect}),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-			grpc.WithDisableRetry(),
-			grpc.WithIdleTimeout(0),
-		)
+		conn, err := grpc.NewClient("passthrough:///"+a, opts...)
 		if err != nil {
 			return nil, errors.Join(eris.Wrap(err, "platform address "+a), closeAll(conns))
 		}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -36,13 +38,17 @@
 	Writes, Reads float64
 }
 
+// Dial opens a connection to a process or to the platform; nil means TCP.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
 // Platform returns a client of the platform's key-value service.
-func Platform(p *settings.Process, b Budget, tlsConfig *tls.Config, r metrics.Registry) *platform.Client {
+func Platform(p *settings.Process, b Budget, tlsConfig *tls.Config, d Dial, r metrics.Registry) *platform.Client {
 	c := &platform.Client{
 		Addrs:           addresses(p.PlatformAddresses),
 		Timeout:         PlatformTimeout,
 		WritesPerSecond: b.Writes,
 		ReadsPerSecond:  b.Reads,
+		Dial:            d,
 		Metrics:         r,
 	}
 	if tlsConfig != nil {
@@ -53,16 +59,22 @@
 
 // VMList returns a client of the platform's list of VMs, or nil when the
 // settings name none.
-func VMList(p *settings.Process, r metrics.Registry) *vmlist.Client {
+func VMList(p *settings.Process, d Dial, r metrics.Registry) *vmlist.Client {
 	if !p.VMListAddress.IsValid() {
 		return nil
 	}
-	return &vmlist.Client{
+	c := &vmlist.Client{
 		Addr:    p.VMListAddress.String(),
 		Period:  listPeriod,
 		Timeout: listTimeout,
 		Metrics: r,
 	}
+	if d != nil {
+		c.HTTP = &http.Transport{
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return d(ctx, addr) },
+		}
+	}
+	return c
 }
 
 func addresses(as []netip.AddrPort) []string {
