A claim is released with its outcome

Cause: the operators' API released every claim as not run. An operator who finds the catalogue printed had no way to say so, and the caller's repeat would have printed it again. Ruled out: guessing the outcome from the claim's state; only the operator can look at the print desk or the order desk. Change: a release names route, account and key and says ran or notRun, which the command line demands; claims show the request and when they can be released. internal/entry/operators.go follows the interface. Conclusion: both outcomes can be told.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -19,8 +19,6 @@
 	askTimeout = 2 * time.Second
 	// claimPage is how many open claims are read at once.
 	claimPage = 500
-	// operatorName is noted with a claim that is released over the admin API.
-	operatorName = "operator"
 )
 
 // everyone returns this process and all that it knows of, by name.
@@ -160,7 +158,7 @@
 			r := o.Record()
 			after = r.Key().String()
 			if matches(r, account, key) {
-				all = append(all, claimView(r))
+				all = append(all, claimView(r, o.Rest()))
 			}
 		}
 		if !page.More() || len(page.Claims()) == 0 {
@@ -174,38 +172,28 @@
 	return (account == "" || k.Account() == account) && (key == "" || k.Idempotency() == key)
 }
 
-func claimView(r claim.Record) operator.Claim {
+func claimView(r claim.Record, rest time.Duration) operator.Claim {
 	return operator.Claim{
-		Account:  r.Key().Account(),
-		Key:      r.Key().Idempotency(),
-		Route:    r.Key().Service(),
-		Agent:    r.Endpoint(),
-		State:    r.State().String(),
-		AtMicros: r.At().UnixMicro(),
+		Route:      r.Key().Service(),
+		Account:    r.Key().Account(),
+		Key:        r.Key().Idempotency(),
+		RequestID:  r.RequestID(),
+		Agent:      r.Endpoint(),
+		State:      r.State().String(),
+		AtMicros:   r.At().UnixMicro(),
+		RestMillis: rest.Milliseconds(),
 	}
 }
 
-// Release implements operator.Claims. It says on the operator's word that the
-// request was not run, so that its key may be used again.
-func (c claimsOf) Release(ctx context.Context, account, key, _ string, _ time.Time) error {
-	k, err := c.find(ctx, account, key)
+// Release implements operator.Claims.
+func (c claimsOf) Release(ctx context.Context, r operator.Release) error {
+	k, err := claim.NewKey(r.Route, r.Account, r.Key)
 	if err != nil {
-		return err
-	}
-	return c.registry.Release(ctx, k, claim.NotRun, operatorName)
-}
-
-// find returns the one open claim of an account with an idempotency key.
-func (c claimsOf) find(ctx context.Context, account, key string) (claim.Key, error) {
-	views, err := c.List(ctx, account, key)
-	if err != nil {
-		return claim.Key{}, err
+		return result.New(result.MalformedOrder, err.Error())
 	}
-	switch len(views) {
-	case 0:
-		return claim.Key{}, result.New(result.UnknownClaim, "")
-	case 1:
-		return claim.NewKey(views[0].Route, account, key)
+	state := claim.NotRun
+	if r.Ran {
+		state = claim.Ran
 	}
-	return claim.Key{}, result.New(result.MalformedOrder, "the key has claims for several services")
+	return c.registry.Release(ctx, k, state, r.By)
 }
--- a/internal/operator/claims.go
+++ b/internal/operator/claims.go
@@ -29,9 +29,11 @@
 	return ClaimList{Claims: claims}, nil
 }
 
-// releaseClaim ends a claim whose outcome nobody can tell. It is the
-// operator's word that the request was not run, or may run again: only the
-// operator can look at the print desk or the order desk.
+// releaseClaim closes a claim whose outcome no process can tell. It is the
+// operator's word that the request was run or not: only the operator can look
+// at the print desk or the order desk. Nothing is taken for granted here, so
+// the outcome must be stated; a wrong "notRun" prints a catalogue twice, a
+// wrong "ran" loses it.
 func (s *Server) releaseClaim(r *http.Request) (any, error) {
 	if s.Claims == nil {
 		return nil, errNoClaims
@@ -44,17 +46,21 @@
 	if err != nil {
 		return nil, err
 	}
-	if req.Account == "" || req.Key == "" {
-		return nil, result.New(result.MalformedOrder, "account and key are needed")
+	if req.Route == "" || req.Account == "" || req.Key == "" {
+		return nil, result.New(result.MalformedOrder, "route, account and key are needed")
+	}
+	if req.Outcome != OutcomeRan && req.Outcome != OutcomeNotRun {
+		return nil, result.New(result.MalformedOrder, "outcome: ran or notRun is needed")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
-	if err := s.Claims.Release(ctx, req.Account, req.Key, o.ChangeID, s.Now()); err != nil {
+	c := Release{Route: req.Route, Account: req.Account, Key: req.Key, Ran: req.Outcome == OutcomeRan, By: o.By}
+	if err := s.Claims.Release(ctx, c); err != nil {
 		return nil, err
 	}
 	s.accepted.Inc(1)
 	s.Log.WithFields(logrus.Fields{
-		"changeId": o.ChangeID, "by": o.By, "account": req.Account, "key": req.Key,
+		"changeId": o.ChangeID, "by": o.By, "route": c.Route, "account": c.Account, "outcome": req.Outcome,
 	}).Info("operator released a claim")
 	return ChangeReply{ChangeID: o.ChangeID, Name: result.OK.String()}, nil
 }
--- a/internal/operator/command/claims.go
+++ b/internal/operator/command/claims.go
@@ -3,13 +3,14 @@
 import (
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 )
 
 type claimCommands struct {
 	List    claimListCommand    `command:"list" description:"list claims"`
-	Release claimReleaseCommand `command:"release" description:"end a claim whose agent is gone, so that its key may be used again"`
+	Release claimReleaseCommand `command:"release" description:"say what became of a request whose outcome no process knows"`
 }
 
 func newClaimCommands(p *Program) *claimCommands {
@@ -37,16 +38,27 @@
 }
 
 func claimsText(list operator.ClaimList) string {
-	rows := [][]string{{"ACCOUNT", "KEY", "ROUTE", "AGENT", "STATE", "SINCE"}}
+	rows := [][]string{{"ROUTE", "ACCOUNT", "KEY", "REQUEST", "AGENT", "STATE", "SINCE", "RELEASABLE"}}
 	for _, c := range list.Claims {
-		rows = append(rows, []string{c.Account, c.Key, c.Route, c.Agent, c.State, clock(c.AtMicros)})
+		rows = append(rows, []string{
+			c.Route, c.Account, c.Key, c.RequestID, c.Agent, c.State, clock(c.AtMicros), releasable(c.RestMillis),
+		})
 	}
 	return table(rows)
 }
 
+func releasable(restMillis int64) string {
+	if restMillis <= 0 {
+		return "now"
+	}
+	return "in " + (time.Duration(restMillis) * time.Millisecond).Round(time.Second).String()
+}
+
 type claimReleaseCommand struct {
 	changeOptions
-	Args struct {
+	Outcome string `long:"outcome" description:"what you found at the endpoint: ran, and it must not run again, or notRun, and its key may be used again" choice:"ran" choice:"notRun" required:"yes"`
+	Args    struct {
+		Route   string `positional-arg-name:"ROUTE"`
 		Account string `positional-arg-name:"ACCOUNT"`
 		Key     string `positional-arg-name:"KEY"`
 	} `positional-args:"yes" required:"yes"`
@@ -59,6 +71,12 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	body := operator.ReleaseRequest{ChangeRequest: c.request(c.program), Account: c.Args.Account, Key: c.Args.Key}
+	body := operator.ReleaseRequest{
+		ChangeRequest: c.request(c.program),
+		Route:         c.Args.Route,
+		Account:       c.Args.Account,
+		Key:           c.Args.Key,
+		Outcome:       c.Outcome,
+	}
 	return c.program.change(http.MethodPost, "/admin/claims/release", body, c.ChangeID)
 }
--- a/internal/operator/listener_test.go
+++ b/internal/operator/listener_test.go
@@ -244,4 +244,3 @@
 		t.Error(err)
 	}
 }
-
--- a/internal/operator/parts.go
+++ b/internal/operator/parts.go
@@ -23,22 +23,38 @@
 type Claims interface {
 	// List returns the claims of an account with a key; an empty text is any.
 	List(ctx context.Context, account, key string) ([]Claim, error)
-	// Release ends a claim whose agent is gone, so that the key may be used
-	// again. It returns a result.UnknownClaim when there is none, and a
-	// result.ClaimRunning when its agent may still run it.
-	Release(ctx context.Context, account, key, changeID string, now time.Time) error
+	// Release closes an open claim on an operator's word. It returns a
+	// result.UnknownClaim when there is none, a result.ClaimRunning when its
+	// agent may still run the request, and otherwise the errors of a change.
+	Release(ctx context.Context, r Release) error
 }
 
-// Claim is a claim as operators see it.
+// Release is an operator's word on what became of a claimed request.
+type Release struct {
+	// Route, Account and Key name the claim.
+	Route   string
+	Account string
+	Key     string
+	// Ran says that the request was run, so that it must not run again. Else
+	// it was not, and its key may be used again.
+	Ran bool
+	// By is the operator.
+	By string
+}
+
+// Claim is an open claim as operators see it.
 type Claim struct {
-	Account string `json:"account"`
-	Key     string `json:"key"`
-	Route   string `json:"route"`
+	Route     string `json:"route"`
+	Account   string `json:"account"`
+	Key       string `json:"key"`
+	RequestID string `json:"requestId"`
 	// Agent names the endpoint whose agent holds the claim.
 	Agent string `json:"agent"`
-	// State is running, unknown, answered or failed.
+	// State is claimed or unsettled.
 	State    string `json:"state"`
 	AtMicros int64  `json:"atMicros"`
+	// RestMillis is after how long the claim can be released; 0 is at once.
+	RestMillis int64 `json:"restMillis"`
 }
 
 // Status asks the processes for their state.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -88,7 +88,7 @@
 		{"bad time", get, "/admin/timeline?sinceMicros=yesterday", "", result.MalformedOrder},
 		{"no claims", get, "/admin/claims", "", result.PlatformRefused},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(c.name, func(*testing.T) {
 			a.refuse(c.method, c.path, c.body, c.want)
 		})
 	}
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -17,11 +17,20 @@
 	Text string `json:"text"`
 }
 
+// The outcomes of a claimed request that an operator can find.
+const (
+	OutcomeRan    = "ran"
+	OutcomeNotRun = "notRun"
+)
+
 // ReleaseRequest is the body that releases a claim.
 type ReleaseRequest struct {
 	ChangeRequest
+	Route   string `json:"route"`
 	Account string `json:"account"`
 	Key     string `json:"key"`
+	// Outcome is OutcomeRan or OutcomeNotRun.
+	Outcome string `json:"outcome"`
 }
 
 // ChangeReply answers a change that was accepted.
