Prove placement; own work before the oldest remembered change

Cause: the test against a naive log of own work found the load off by one when a report was older than the first change; a report from the moment of a refusal undid it. Ruled out: keeping all changes (memory grows with the rate). Change: history keeps the work before its oldest change; a report counts after a refusal only if it is newer.

--- a/internal/caller/admission/controller_test.go
+++ b/internal/caller/admission/controller_test.go
@@ -283,6 +283,41 @@
 	}
 }
 
+// An account would get a fresh burst, all accounts at once, each time that
+// operators switch presets.
+func TestPresetSwitchGivesNoFreshBurst(t *testing.T) {
+	limits := Limits{Account: "a", Rate: 1, Burst: 5}
+	b := newBench(t, 100, &Controller{}, limits)
+	for i := range 5 {
+		b.arrive(b.request(fmt.Sprint(i), "a", time.Second, time.Minute), time.Second)
+	}
+	if err := b.c.Configure([]Limits{limits}, b.now); err != nil {
+		t.Fatal(err)
+	}
+	b.arrive(b.request("after", "a", time.Second, time.Minute), time.Second)
+	b.assertEnded("after", result.AccountRate)
+}
+
+// An account that was idle for an hour would hold all places for as long as
+// it takes to catch up with the others.
+func TestIdleAccountEarnsNoClaim(t *testing.T) {
+	b := newBench(t, 4, &Controller{FairPart: 1}, Limits{Account: "busy"}, Limits{Account: "idle"})
+	ask := func(account string, i int) {
+		b.arrive(b.request(fmt.Sprint(account, ".", i), account, time.Second, 4*time.Second), time.Second)
+	}
+	for i := range 400 {
+		ask("busy", i)
+		b.advance(100 * time.Millisecond)
+	}
+	for i := range 100 {
+		ask("busy", 5000+i)
+		ask("idle", 5000+i)
+		b.advance(100 * time.Millisecond)
+	}
+	b.assertServedPart("busy.50", 0.15)
+	b.assertServedPart("idle.50", 0.15)
+}
+
 func TestDrainFinishesWhatWaits(t *testing.T) {
 	b := newBench(t, 1, &Controller{}, Limits{Account: "a"})
 	b.arrive(b.request("first", "a", time.Second, time.Minute), time.Second)
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -62,9 +62,9 @@
 	e.capacity = max(1, r.Capacity, r.Allowance)
 	e.cold, e.leaving = r.Cold, r.Leaving
 	e.reported = r.At
-	own, tokens := e.history.before(r.At, e.own, e.ownTokens)
+	own, tokens := e.history.before(r.At)
 	others := math.Max(0, float64(r.Running-own))
-	if r.At.Before(e.refused) {
+	if !r.At.After(e.refused) {
 		others = math.Max(others, e.others)
 	}
 	e.others = others
@@ -99,7 +99,7 @@
 // mayAskAgain reports whether an endpoint that is full by an own refusal, and
 // of which no newer report has come, may be asked again.
 func (e *endpoint) mayAskAgain(now time.Time) bool {
-	return e.refusals > 0 && e.reported.Before(e.refused) && !now.Before(e.backOff)
+	return e.refusals > 0 && !e.reported.After(e.refused) && !now.Before(e.backOff)
 }
 
 // stateUnknown lets one own attempt at a time through to an endpoint whose
@@ -132,10 +132,13 @@
 	events [historySize]event
 	next   int
 	n      int
+	// first is the work before the oldest remembered change.
+	first event
 }
 
 const historySize = 32
 
+// event is the own work from a moment on.
 type event struct {
 	at     time.Time
 	own    int
@@ -144,20 +147,22 @@
 
 // add records the own work from at on.
 func (h *history) add(at time.Time, own, tokens int) {
+	if h.n == historySize {
+		h.first = h.events[h.next]
+	}
 	h.events[h.next] = event{at, own, tokens}
 	h.next = (h.next + 1) % historySize
 	h.n = min(h.n+1, historySize)
 }
 
-// before returns the own work at the given time, or the oldest remembered, or
-// the present one when nothing is remembered.
-func (h *history) before(at time.Time, own, tokens int) (int, int) {
+// before returns the own work at the given time; for a time before the oldest
+// remembered change, the work before that change.
+func (h *history) before(at time.Time) (own, tokens int) {
 	for i := 1; i <= h.n; i++ {
 		ev := &h.events[(h.next-i+historySize)%historySize]
-		own, tokens = ev.own, ev.tokens
 		if !ev.at.After(at) {
-			return own, tokens
+			return ev.own, ev.tokens
 		}
 	}
-	return own, tokens
+	return h.first.own, h.first.tokens
 }
--- /dev/null
+++ b/internal/endpoint/placement/placement_test.go
@@ -0,0 +1,495 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func name(i int) string { return fmt.Sprintf("endpoint%05d", i) }
+
+// warm reports an idle endpoint that has long been in service.
+func warm(i int, at time.Time) Report {
+	return Report{
+		Endpoint: name(i), Incarnation: 1, DataCentre: fmt.Sprint("dc", i%3), Routes: []string{"model"},
+		Allowance: 8, Capacity: 8, At: at,
+	}
+}
+
+// newPicture returns a picture of n idle endpoints after slow start.
+func newPicture(n int, now time.Time) *Picture {
+	p := &Picture{DataCentre: "dc0", Spill: 0.01}
+	for i := range n {
+		p.Update(warm(i, now.Add(-time.Hour)), now.Add(-time.Hour))
+		p.Update(warm(i, now), now)
+	}
+	return p
+}
+
+func mustChoose(t testing.TB, p *Picture, q Query, now time.Time) Choice {
+	t.Helper()
+	c, ok, why := p.Choose(q, now)
+	if !ok {
+		t.Fatalf("no endpoint was chosen: %v", why)
+	}
+	return c
+}
+
+// spreadOf starts n requests and counts them by endpoint.
+func spreadOf(t testing.TB, p *Picture, q Query, n int, now time.Time) map[string]int {
+	t.Helper()
+	got := make(map[string]int)
+	for range n {
+		c := mustChoose(t, p, q, now)
+		p.Started(c, q, now)
+		got[c.Endpoint]++
+	}
+	return got
+}
+
+func assertNone(t testing.TB, p *Picture, q Query, now time.Time, want result.Code) {
+	t.Helper()
+	if c, ok, why := p.Choose(q, now); ok || why != want {
+		t.Errorf("chose %v, %v, %v; want none and %v", c, ok, why, want)
+	}
+}
+
+var query = Query{Route: "model", Tokens: 500}
+
+func TestReasons(t *testing.T) {
+	now := epoch
+	for _, tc := range []struct {
+		name   string
+		change func(r *Report)
+		want   result.Code
+	}{
+		{"out", func(r *Report) { r.Out = true }, result.OutOfService},
+		{"leaving", func(r *Report) { r.Leaving = true }, result.EndpointLeaving},
+		{"cold and used", func(r *Report) { r.Cold, r.Allowance, r.Running = true, 1, 1 }, result.EndpointCold},
+		{"busy", func(r *Report) { r.Running = 8 }, result.EndpointBusy},
+		{"other route", func(r *Report) { r.Routes = []string{"other"} }, result.NoEndpoint},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := &Picture{DataCentre: "dc0"}
+			r := warm(0, now)
+			tc.change(&r)
+			p.Update(r, now)
+			assertNone(t, p, query, now, tc.want)
+		})
+	}
+	p := newPicture(2, now)
+	assertNone(t, p, Query{Route: "model", Tried: []string{name(0), name(1)}}, now, result.NoEndpoint)
+	p.SetOut([]string{name(0)}, []string{"dc1"}, now)
+	assertNone(t, p, query, now, result.OutOfService)
+	p.Update(warm(1, now.Add(time.Second)), now.Add(time.Second))
+	assertNone(t, p, query, now, result.OutOfService)
+}
+
+// naivePicture keeps every change of the own work and finds what it was at the
+// moment of a report by looking through all of them.
+type naivePicture struct {
+	at  []time.Time
+	own []int
+}
+
+func (n *naivePicture) others(r Report) int {
+	own := 0
+	for i, at := range n.at {
+		if !at.After(r.At) {
+			own = n.own[i]
+		}
+	}
+	return max(0, r.Running-own)
+}
+
+// An endpoint would look idle, or full, for as long as reports lag: own work
+// is counted twice, or not at all.
+func TestOwnWorkIsJoinedWithLaggingReports(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	p := &Picture{DataCentre: "dc0"}
+	p.Update(warm(0, epoch), epoch)
+	ref := &naivePicture{}
+	var open []*Attempt
+	now, last := epoch, epoch
+	for range 3000 {
+		now = now.Add(time.Duration(1+rng.IntN(50)) * time.Millisecond)
+		switch x := rng.IntN(10); {
+		case x < 5 && len(open) < 20:
+			open = append(open, p.Started(Choice{Endpoint: name(0)}, query, now))
+		case x < 9 && len(open) > 0:
+			i := rng.IntN(len(open))
+			p.Ended(open[i], now)
+			open = append(open[:i], open[i+1:]...)
+		default:
+			at := now.Add(-time.Duration(rng.IntN(500)) * time.Millisecond)
+			if at.Before(last) {
+				at = last
+			}
+			last = at
+			r := warm(0, at)
+			r.Running = 20 + rng.IntN(10)
+			p.Update(r, now)
+			want := float64(ref.others(r) + len(open))
+			if got, _ := p.Load(name(0), now); got != want {
+				t.Fatalf("load is %v, want %v", got, want)
+			}
+			continue
+		}
+		ref.at = append(ref.at, now)
+		ref.own = append(ref.own, len(open))
+	}
+}
+
+// A crowd would go to an endpoint that looks idle because its reports have
+// stopped, or carry no time.
+func TestUnknownLoadIsNotZero(t *testing.T) {
+	for _, at := range []time.Time{{}, epoch.Add(-time.Minute)} {
+		p := newPicture(12, epoch)
+		r := warm(3, at)
+		r.Incarnation = 2
+		p.Update(r, epoch.Add(-time.Minute))
+		got := spreadOf(t, p, query, 60, epoch)
+		if got[name(3)] > 1 {
+			t.Errorf("%d of 60 went to an endpoint whose load is unknown", got[name(3)])
+		}
+	}
+}
+
+// A cold endpoint would fall over: nine entries see its one free place in the
+// same report.
+func TestColdEndpointGetsItsAllowanceAtMost(t *testing.T) {
+	for _, allowance := range []int{0, 1, 4, 30} {
+		total := 0
+		for entry := range 9 {
+			p := newPicture(3, epoch)
+			p.Entries, p.Seed = 9, uint64(entry)
+			r := warm(0, epoch)
+			r.Cold, r.Allowance = true, allowance
+			p.Update(r, epoch)
+			for range 40 {
+				if c, ok, _ := p.Choose(query, epoch); ok {
+					p.Started(c, query, epoch)
+				}
+			}
+			n, _ := p.Load(name(0), epoch)
+			total += int(n)
+			if int(n) > allowance {
+				t.Errorf("one entry gave %v to a cold endpoint that bears %d", n, allowance)
+			}
+		}
+		// Each entry rounds its part up, so the excess is under one an entry;
+		// the agent refuses that.
+		if total >= allowance+9 {
+			t.Errorf("nine entries gave %d to a cold endpoint that bears %d", total, allowance)
+		}
+	}
+}
+
+// All entries would send everything to a data centre in the moment it returns,
+// because its endpoints look empty.
+func TestReturningDataCentreIsNotStormed(t *testing.T) {
+	p := newPicture(12, epoch)
+	p.SetOut(nil, []string{"dc1"}, epoch)
+	spreadOf(t, p, query, 30, epoch)
+	p.SetOut(nil, nil, epoch)
+	assertReturned(t, p, 100*time.Millisecond, 0, 4)
+	assertReturned(t, p, 4*time.Second, 6, 20)
+}
+
+// assertReturned starts 24 requests and checks how many go to the endpoints of
+// the data centre that has returned.
+func assertReturned(t *testing.T, p *Picture, after time.Duration, least, most int) {
+	t.Helper()
+	now := epoch.Add(after)
+	got := spreadOf(t, p, query, 24, now)
+	back := 0
+	for i := 1; i < 12; i += 3 {
+		back += got[name(i)]
+	}
+	if back < least || back > most {
+		t.Errorf("%v after the return %d of 24 went there, want %d to %d", after, back, least, most)
+	}
+}
+
+// runSlow sends a request each 20 ms for d; endpoint 2 takes factor times as
+// long for each piece. It returns how many each endpoint got.
+func runSlow(t testing.TB, p *Picture, start time.Time, d time.Duration, factor int) map[string]int {
+	t.Helper()
+	type end struct {
+		at time.Time
+		a  *Attempt
+	}
+	var ends []end
+	got := make(map[string]int)
+	for now := start; now.Before(start.Add(d)); now = now.Add(20 * time.Millisecond) {
+		var rest []end
+		for _, e := range ends {
+			if e.at.After(now) {
+				rest = append(rest, e)
+				continue
+			}
+			p.Piece(e.a, now)
+			p.Ended(e.a, now)
+		}
+		ends = rest
+		for i := range 6 {
+			p.Update(warm(i, now), now)
+		}
+		c, ok, _ := p.Choose(query, now)
+		if !ok {
+			continue
+		}
+		run := 100 * time.Millisecond
+		if c.Endpoint == name(2) {
+			run *= time.Duration(factor)
+		}
+		got[c.Endpoint]++
+		ends = append(ends, end{now.Add(run), p.Started(c, query, now)})
+	}
+	for _, e := range ends {
+		p.Piece(e.a, e.at)
+		p.Ended(e.a, e.at)
+	}
+	return got
+}
+
+// Callers would wait at an endpoint that has slowed down: it completes little,
+// so it looks free. When it has recovered it must get its part again.
+func TestSlowEndpointGetsLessAndIsProbedBack(t *testing.T) {
+	p := newPicture(6, epoch)
+	got := runSlow(t, p, epoch, 10*time.Second, 1)
+	assertPart(t, got, name(2), 0.08, 0.3)
+	got = runSlow(t, p, epoch.Add(10*time.Second), 20*time.Second, 5)
+	assertPart(t, got, name(2), 0.005, 0.03)
+	runSlow(t, p, epoch.Add(30*time.Second), 20*time.Second, 1)
+	got = runSlow(t, p, epoch.Add(50*time.Second), 10*time.Second, 1)
+	assertPart(t, got, name(2), 0.08, 0.3)
+}
+
+func assertPart(t testing.TB, got map[string]int, endpoint string, least, most float64) {
+	t.Helper()
+	all := 0
+	for _, n := range got {
+		all += n
+	}
+	if part := float64(got[endpoint]) / float64(all); part < least || part > most {
+		t.Errorf("%s got %.3f of %d, want %v to %v", endpoint, part, all, least, most)
+	}
+}
+
+// More callers would join a stream that has stopped: the endpoint takes
+// requests, and its running ones get no further pieces.
+func TestSilentEndpointGetsLess(t *testing.T) {
+	p := newPicture(6, epoch)
+	runSlow(t, p, epoch.Add(-time.Minute), 10*time.Second, 1)
+	for i := range 6 {
+		p.Update(warm(i, epoch), epoch)
+		for range 4 {
+			a := p.Started(Choice{Endpoint: name(i)}, query, epoch)
+			p.Piece(a, epoch.Add(100*time.Millisecond))
+			if i != 2 {
+				p.Piece(a, epoch.Add(3*time.Second))
+			}
+		}
+	}
+	got := spreadOf(t, p, query, 12, epoch.Add(3*time.Second))
+	if got[name(2)] != 0 {
+		t.Errorf("%d of 12 went to an endpoint that has been silent for 2.9 s", got[name(2)])
+	}
+}
+
+// A request that may not be repeated would be used to find out whether a slow
+// endpoint still is.
+func TestRunOnceIsNoProbe(t *testing.T) {
+	p := newPicture(6, epoch)
+	runSlow(t, p, epoch, 10*time.Second, 20)
+	assertProbes(t, p, true, 0)
+	assertProbes(t, p, false, 1)
+}
+
+// assertProbes chooses for a while and checks that at least, or without any
+// wanted exactly, so many choices were probes.
+func assertProbes(t *testing.T, p *Picture, runOnce bool, want int) {
+	t.Helper()
+	q := query
+	q.RunOnce = runOnce
+	probes := 0
+	for i := range 100 {
+		now := epoch.Add(time.Minute + time.Duration(i)*100*time.Millisecond)
+		for k := range 6 {
+			p.Update(warm(k, now), now)
+		}
+		if c := mustChoose(t, p, q, now); c.Probe {
+			probes++
+		}
+	}
+	if probes < want || (want == 0 && probes > 0) {
+		t.Errorf("runOnce %v: %d probes, want %d", runOnce, probes, want)
+	}
+}
+
+func TestPrefixKeepsItsEndpointWithinBound(t *testing.T) {
+	p := newPicture(12, epoch)
+	home := make(map[uint64]string)
+	for prefix := uint64(1); prefix <= 20; prefix++ {
+		c := mustChoose(t, p, Query{Route: "model", Prefix: prefix}, epoch)
+		home[prefix] = c.Endpoint
+	}
+	for prefix, want := range home {
+		if c := mustChoose(t, p, Query{Route: "model", Prefix: prefix}, epoch); c.Endpoint != want || !c.Affine {
+			t.Errorf("prefix %d went to %v, want %s", prefix, c, want)
+		}
+	}
+	hot := spreadOf(t, p, Query{Route: "model", Tokens: 500, Prefix: 1}, 24, epoch)
+	if most := hot[home[1]]; most < 2 || most > 6 {
+		t.Errorf("the home of a hot prefix got %d of 24, want 2 to 6", most)
+	}
+}
+
+func TestNearDataCentreUntilPressed(t *testing.T) {
+	p := newPicture(12, epoch)
+	p.Spill = DefaultSpill
+	got := spreadOf(t, p, query, 30, epoch)
+	near := got[name(0)] + got[name(3)] + got[name(6)] + got[name(9)]
+	if near < 12 || near > 24 {
+		t.Errorf("%d of 30 went to the near third, want 12 to 24", near)
+	}
+}
+
+// Draws must not do much worse than looking at all endpoints.
+func TestDrawsAreNearTheFullScan(t *testing.T) {
+	p := newPicture(90, epoch)
+	got := spreadOf(t, p, query, 360, epoch)
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	if most > 6 {
+		t.Errorf("the fullest of 90 endpoints got %d of 360, a full scan gives 4", most)
+	}
+}
+
+// An entry would ask a full endpoint over and over, on each lagging report
+// that shows a place.
+func TestRefusalPausesUntilNewerReport(t *testing.T) {
+	p := newPicture(1, epoch)
+	p.Refused(p.Started(mustChoose(t, p, query, epoch), query, epoch), 0, epoch)
+	assertNone(t, p, query, epoch, result.EndpointBusy)
+	p.Update(warm(0, epoch), epoch.Add(5*time.Millisecond))
+	assertNone(t, p, query, epoch.Add(5*time.Millisecond), result.EndpointBusy)
+	mustChoose(t, p, query, epoch.Add(leastBackOff))
+	later := epoch.Add(10 * time.Millisecond)
+	p.Update(warm(0, later), later)
+	mustChoose(t, p, query, later)
+}
+
+func TestOlderIncarnationIsIgnored(t *testing.T) {
+	p := newPicture(1, epoch)
+	r := warm(0, epoch)
+	r.Incarnation = 3
+	p.Update(r, epoch)
+	r.Incarnation, r.Leaving, r.At = 2, true, epoch.Add(time.Hour)
+	if p.Update(r, epoch) {
+		t.Error("a report of an older incarnation was taken in")
+	}
+	mustChoose(t, p, query, epoch)
+}
+
+func TestSubset(t *testing.T) {
+	var all []string
+	for i := range 630 {
+		all = append(all, name(i))
+	}
+	heard := make(map[string]int)
+	for entry := range 35 {
+		who := fmt.Sprint("entry", entry)
+		s := Subset(who, all, 90)
+		for _, n := range s {
+			heard[n]++
+		}
+		same := make(map[string]bool)
+		for _, n := range Subset(who, all[1:], 90) {
+			same[n] = true
+		}
+		kept := 0
+		for _, n := range s {
+			if same[n] {
+				kept++
+			}
+		}
+		if len(s) != 90 || kept < 89 {
+			t.Fatalf("%s: %d endpoints, %d kept when one leaves", who, len(s), kept)
+		}
+	}
+	for _, n := range all {
+		if heard[n] > 14 {
+			t.Errorf("%s must report to %d of 35 entries", n, heard[n])
+		}
+	}
+}
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	p := newPicture(630, epoch)
+	q := Query{Route: "model", Tokens: 500, Tried: []string{name(5)}}
+	for _, q.Prefix = range []uint64{0, 7} {
+		if n := testing.AllocsPerRun(100, func() { p.Choose(q, epoch) }); n != 0 {
+			t.Errorf("a choice allocates %v times", n)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{15, 90, 630, 12000} {
+		p := newPicture(n, epoch)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range n {
+			r := warm(i, epoch)
+			r.Running = rng.IntN(8)
+			p.Update(r, epoch)
+		}
+		for _, prefix := range []uint64{0, 7} {
+			b.Run(fmt.Sprintf("endpoints=%d/prefix=%d", n, prefix), func(b *testing.B) {
+				q := query
+				b.ReportAllocs()
+				for i := range b.N {
+					q.Prefix = prefix * uint64(i)
+					p.Choose(q, epoch)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	p := newPicture(630, epoch)
+	r := warm(5, epoch)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Update(r, epoch)
+	}
+}
+
+func ExamplePicture() {
+	now := epoch
+	p := &Picture{DataCentre: "dc0"}
+	p.Update(Report{
+		Endpoint: "endpoint1", Incarnation: 1, DataCentre: "dc0", Routes: []string{"model"},
+		Allowance: 1, Capacity: 8, At: now,
+	}, now)
+	q := Query{Route: "model", Tokens: 300}
+	c, ok, _ := p.Choose(q, now)
+	fmt.Println(c.Endpoint, ok)
+	a := p.Started(c, q, now)
+	_, ok, why := p.Choose(q, now)
+	fmt.Println(ok, why)
+	p.Ended(a, now.Add(time.Second))
+	// Output:
+	// endpoint1 true
+	// false endpointBusy
+}
+
