Carry the messages of a group of ranks between its agents

Cause: the state machines need their way to peers, engine and platform. Ruled out: sending maps in each stage order (a map of 60 KB to 127 members loads the leader alone); members fetch it from their parent in a tree.

--- a/internal/rank/engine.go
+++ b/internal/rank/engine.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
 )
 
 // Engine is the way to the ranks of one endpoint. The implementation passes the
@@ -17,45 +18,22 @@
 	// Activate makes the ranks use a staged map from a step on, until the next
 	// greater step of an activated map, in whatever order they came. With restart
 	// the ranks forget maps and steps before and begin at this step.
-	Activate(ctx context.Context, e Entry, restart bool, fencing uint64) error
+	Activate(ctx context.Context, e naming.Entry, restart bool, fencing uint64) error
 	// Allow lets the ranks begin steps up to and with the given one. Ranks
 	// wait before a step that they may not begin or have no map for. A lower
 	// step than before changes nothing.
 	Allow(ctx context.Context, step, fencing uint64) error
 	// State returns what the ranks say of themselves.
-	State(ctx context.Context) (EngineState, error)
+	State(ctx context.Context) (naming.EngineState, error)
+	// Counts returns the mean tokens a step that the endpoint's ranks computed
+	// since the last call, for the experts they hold.
+	Counts(ctx context.Context) ([]Count, error)
 }
 
-// EngineState is what the ranks of an endpoint say of themselves.
-type EngineState struct {
-	// Incarnation changes when the ranks have restarted and lost their maps.
-	Incarnation uint64
-	// Begun is the last step that a rank has begun. A rank that restarts in a
-	// step does the step again, so it is the step before then.
-	Begun uint64
-	// Allowed is the last step that the ranks may begin.
-	Allowed uint64
-	// Staged lists the maps kept ready.
-	Staged []Ref
-	// Schedule holds the activated maps, oldest first.
-	Schedule []Entry
+// Count is the load of one expert on the ranks of one endpoint.
+type Count struct {
+	// Layer and Expert name the expert.
+	Layer, Expert int
+	// Tokens is the mean number of tokens a step.
+	Tokens float64
 }
-
-// EngineOrder is an order of the Member to its engine.
-type EngineOrder interface{ isEngineOrder() }
-
-// EngineStage orders Engine.Stage.
-type EngineStage struct{ Map *expertmap.Map }
-
-// EngineActivate orders Engine.Activate.
-type EngineActivate struct {
-	Entry   Entry
-	Restart bool
-}
-
-// EngineAllow orders Engine.Allow.
-type EngineAllow struct{ Step uint64 }
-
-func (EngineStage) isEngineOrder()    {}
-func (EngineActivate) isEngineOrder() {}
-func (EngineAllow) isEngineOrder()    {}
--- a/internal/rank/expertmap/layer.go
+++ b/internal/rank/expertmap/layer.go
@@ -137,6 +137,9 @@
 	return l.slots[r*l.shape.Slots : (r+1)*l.shape.Slots]
 }
 
+// Slots returns all slots, rank after rank. The caller must not change them.
+func (l *Layer) Slots() []Slot { return l.slots }
+
 // Holds reports whether rank r holds a replica of expert e.
 func (l *Layer) Holds(r, e int) bool {
 	for _, s := range l.Rank(r) {
--- a/internal/rank/expertmap/map.go
+++ b/internal/rank/expertmap/map.go
@@ -47,3 +47,10 @@
 
 // Ranks returns the number of ranks in the group.
 func (m *Map) Ranks() int { return m.layers[0].shape.Ranks }
+
+// WithVersion returns the same layers under another version.
+func (m *Map) WithVersion(version uint64) *Map {
+	c := *m
+	c.version = version
+	return &c
+}
--- a/internal/rank/lease.go
+++ b/internal/rank/lease.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
 )
 
 // ErrLeaseHeld is returned when another agent leads the group.
@@ -26,33 +28,21 @@
 	// Renew extends the lease. It returns ErrLeaseLost when it has lapsed.
 	Renew(ctx context.Context, now time.Time) (until time.Time, err error)
 	// Read returns the group's record and its revision, zero for none.
-	Read(ctx context.Context) (Record, int64, error)
+	Read(ctx context.Context) (naming.Record, int64, error)
 	// CAS replaces the record of the given revision. It returns
 	// ErrRecordChanged when the record has another; any other error leaves
 	// open whether the write has taken or will take effect.
-	CAS(ctx context.Context, revision int64, r Record) error
+	CAS(ctx context.Context, revision int64, r naming.Record) error
 }
 
-// WriteOutcome says what is known of a write of the record.
-type WriteOutcome int
-
-const (
-	// Written means that the record is now as written.
-	Written WriteOutcome = iota
-	// NotWritten means that the record had changed and is as it was.
-	NotWritten
-	// WriteUnknown means that the record may be either.
-	WriteUnknown
-)
-
-// OutcomeOf returns what the error of a CAS says.
-func OutcomeOf(err error) WriteOutcome {
+// outcomeOf returns what the error of a CAS says.
+func outcomeOf(err error) naming.WriteOutcome {
 	switch {
 	case err == nil:
-		return Written
+		return naming.Written
 	case errors.Is(err, ErrRecordChanged):
-		return NotWritten
+		return naming.NotWritten
 	default:
-		return WriteUnknown
+		return naming.WriteUnknown
 	}
 }
--- a/internal/rank/join.go
+++ b/internal/rank/naming/join.go
@@ -1,4 +1,4 @@
-package rank
+package naming
 
 // reset forgets what the group agreed on, as after a restart of the ranks.
 //
@@ -32,11 +32,7 @@
 	if j.Member >= 0 && j.Member < len(m.view) {
 		out.Noted = m.view[j.Member]
 	}
-	for _, e := range m.maps {
-		if m.needs(RefOf(e)) {
-			out.Maps = append(out.Maps, e)
-		}
-	}
+	out.Maps = m.Needed()
 	return out
 }
 
--- a/internal/rank/leader.go
+++ b/internal/rank/naming/leader.go
@@ -1,4 +1,4 @@
-package rank
+package naming
 
 import (
 	"time"
@@ -14,9 +14,11 @@
 	Members int
 	// Token is the fencing token of the lease.
 	Token uint64
-	// Resend is how long an answer of a member is waited for. It is also how
-	// old a member's state may get before it is asked again.
+	// Resend is how long an answer of a member is waited for.
 	Resend time.Duration
+	// Refresh is how old a member's state may get before it is asked again
+	// although there is nothing to tell it.
+	Refresh time.Duration
 	// HoldTime bounds how long a name that is not committed may be held for,
 	// because ranks that reach its step wait.
 	HoldTime time.Duration
@@ -211,7 +213,7 @@
 func (l *Leader) refresh(now time.Time) []Action {
 	var actions []Action
 	for i := range l.Members {
-		if now.Sub(l.seen[i]) < l.Resend {
+		if now.Sub(l.seen[i]) < l.Refresh {
 			continue
 		}
 		actions = append(actions, l.send(i, Query{Head{Token: l.Token}}, now)...)
@@ -249,3 +251,24 @@
 	}
 	return view
 }
+
+// Settled reports whether the leader has no name on its way. A map that is only
+// proposed does not count.
+func (l *Leader) Settled() bool { return l.name == Name{} }
+
+// Current returns what all members run on, and false while they differ or a
+// name is on its way.
+func (l *Leader) Current() (Ref, bool) {
+	if l.deposed || !l.ready() || !l.Idle() || l.active() != (Name{}) {
+		return Ref{}, false
+	}
+	r := latest(l.states[0].Schedule).Map
+	same := l.all(func(s State) bool { return s.Joined && latest(s.Schedule).Map == r })
+	return r, same
+}
+
+// Lost reports whether all members have lost their maps, so that the group needs
+// a map from outside.
+func (l *Leader) Lost() bool {
+	return !l.deposed && l.ready() && l.Idle() && l.all(func(s State) bool { return !s.Joined && s.Orphan })
+}
--- a/internal/rank/member.go
+++ b/internal/rank/naming/member.go
@@ -1,4 +1,4 @@
-package rank
+package naming
 
 import (
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
@@ -227,3 +227,15 @@
 	}
 	return s
 }
+
+// Needed returns the maps of the schedule and of the pending name, which a
+// leader may have to stage again.
+func (m *Member) Needed() []*expertmap.Map {
+	var out []*expertmap.Map
+	for _, e := range m.maps {
+		if m.needs(RefOf(e)) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/internal/rank/schedule_test.go
+++ b/internal/rank/naming/schedule_test.go
@@ -1,4 +1,4 @@
-package rank
+package naming
 
 import (
 	"testing"
--- a/internal/rank/tick.go
+++ b/internal/rank/naming/tick.go
@@ -1,4 +1,4 @@
-package rank
+package naming
 
 // Tick takes what the engine says of itself and returns the orders that bring
 // it to what the member wants. It compares anew on each call, so orders whose
--- a/internal/rank/world_test.go
+++ b/internal/rank/naming/world_test.go
@@ -1,4 +1,4 @@
-package rank
+package naming
 
 import (
 	"fmt"
@@ -237,7 +237,7 @@
 	w.kv.token++
 	w.kv.holder, w.kv.until = i, w.now.Add(leaseTime)
 	l := &Leader{
-		Members: w.n, Token: w.kv.token, Resend: 4 * tick, HoldTime: 60 * tick, Margin: 8,
+		Members: w.n, Token: w.kv.token, Resend: 4 * tick, Refresh: 4 * tick, HoldTime: 60 * tick, Margin: 8,
 	}
 	l.Extend(w.kv.until)
 	w.leads[i].leader = l
--- /dev/null
+++ b/internal/rank/service.go
@@ -0,0 +1,153 @@
+package rank
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/rankpb"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// service answers the other agents of the group.
+type service struct {
+	rankpb.UnimplementedRankServer
+
+	runner *Runner
+}
+
+// Give implements rankpb.RankServer.
+func (s *service) Give(ctx context.Context, p *rankpb.GiveRequest) (*rankpb.GiveReply, error) {
+	r := s.runner
+	if err := r.checkGroup(p.GetGroup()); err != nil {
+		return &rankpb.GiveReply{Code: codeOf(err), Detail: err.Error()}, nil
+	}
+	staged, err := r.mapToStage(ctx, p.GetStage())
+	if err != nil {
+		return r.refusal(err), nil
+	}
+	o, err := orderFrom(p, staged)
+	if err != nil {
+		return r.refusal(err), nil
+	}
+	state, err := r.give(o, time.Now())
+	reply := &rankpb.GiveReply{State: stateProto(state)}
+	if err != nil {
+		reply.Code, reply.Detail = codeOf(err), err.Error()
+	}
+	return reply, nil
+}
+
+// refusal answers an order that did not reach the member.
+func (r *Runner) refusal(err error) *rankpb.GiveReply {
+	r.mu.Lock()
+	state := r.member.State()
+	r.mu.Unlock()
+	return &rankpb.GiveReply{Code: codeOf(err), Detail: err.Error(), State: stateProto(state)}
+}
+
+// give hands an order to the member.
+func (r *Runner) give(o naming.Order, now time.Time) (naming.State, error) {
+	r.mu.Lock()
+	state, err := r.member.Handle(o)
+	if err == nil {
+		r.heard = now
+	}
+	r.mu.Unlock()
+	r.counts.orders.Inc(1)
+	if err != nil {
+		r.counts.refused.Inc(1)
+	}
+	r.observe()
+	return state, err
+}
+
+// mapToStage returns the map that a Stage order names: the member's own copy, or
+// that of the first member asked that has it.
+func (r *Runner) mapToStage(ctx context.Context, p *rankpb.Stage) (*expertmap.Map, error) {
+	if p == nil {
+		return nil, nil
+	}
+	ref := refFrom(p.GetMap())
+	r.mu.Lock()
+	m, ok := r.member.Map(ref)
+	r.mu.Unlock()
+	if ok {
+		return m, nil
+	}
+	err := error(result.Newf(result.MapMissing, "version %d", ref.Version))
+	for _, i := range p.GetFrom() {
+		m, err = r.fetch(ctx, int(i), ref)
+		if err == nil {
+			return m, nil
+		}
+	}
+	return nil, err
+}
+
+// Join implements rankpb.RankServer.
+func (s *service) Join(_ context.Context, p *rankpb.JoinRequest) (*rankpb.JoinReply, error) {
+	r := s.runner
+	if err := r.checkGroup(p.GetGroup()); err != nil {
+		return &rankpb.JoinReply{Code: codeOf(err), Detail: err.Error()}, nil
+	}
+	r.mu.Lock()
+	a := r.member.HandleJoin(naming.Join{Member: int(p.GetMember()), Incarnation: p.GetIncarnation()})
+	r.mu.Unlock()
+	reply := &rankpb.JoinReply{To: a.To, Noted: a.Noted, State: stateProto(a.State)}
+	for _, m := range a.Maps {
+		reply.Maps = append(reply.Maps, mapProto(m))
+	}
+	return reply, nil
+}
+
+// Fetch implements rankpb.RankServer.
+func (s *service) Fetch(_ context.Context, p *rankpb.FetchRequest) (*rankpb.FetchReply, error) {
+	r := s.runner
+	if err := r.checkGroup(p.GetGroup()); err != nil {
+		return &rankpb.FetchReply{Code: codeOf(err), Detail: err.Error()}, nil
+	}
+	r.mu.Lock()
+	m, ok := r.member.Map(refFrom(p.GetMap()))
+	r.mu.Unlock()
+	if !ok {
+		return &rankpb.FetchReply{Code: int32(result.MapMissing)}, nil
+	}
+	return &rankpb.FetchReply{Map: mapProto(m)}, nil
+}
+
+// Count implements rankpb.RankServer.
+func (s *service) Count(ctx context.Context, p *rankpb.CountRequest) (*rankpb.CountReply, error) {
+	r := s.runner
+	if err := r.checkGroup(p.GetGroup()); err != nil {
+		return &rankpb.CountReply{Code: codeOf(err), Detail: err.Error()}, nil
+	}
+	counts, err := r.Engine.Counts(ctx)
+	if err != nil {
+		return &rankpb.CountReply{Code: codeOf(err), Detail: err.Error()}, nil
+	}
+	reply := &rankpb.CountReply{}
+	for _, c := range counts {
+		reply.Layers = append(reply.Layers, uint32(c.Layer))
+		reply.Experts = append(reply.Experts, uint32(c.Expert))
+		reply.Counts = append(reply.Counts, float32(c.Tokens))
+	}
+	return reply, nil
+}
+
+func (r *Runner) checkGroup(group string) error {
+	if group != r.Group {
+		return result.Newf(result.MalformedMsg, "message for group %q at an agent of %q", group, r.Group)
+	}
+	return nil
+}
+
+// codeOf returns the result code behind an error. Errors without one are from
+// the engine or the network.
+func codeOf(err error) int32 {
+	if e := result.Of(err); e != nil {
+		return int32(e.Code())
+	}
+	return int32(result.EndpointFailed)
+}
