Failures end to end; a resumed stream never ends in another body

Ruled out: the entry, whose count of pieces agreed. Change: the head of a resumed stream is checked, and a broken stream drops the allowance before the resume.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -130,3 +130,9 @@
 	}
 	return 0
 }
+
+// OutOfService reports whether the endpoint or its data centre is out.
+func (a *Agent) OutOfService() bool {
+	v := a.view.Load()
+	return v != nil && v.out
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -86,8 +87,14 @@
 		if !resumable(at, err) {
 			break
 		}
-		a.event(timeline.PieceLost, at.req, "resumed", at.count(), a.now())
+		now = a.now()
+		// All streams of a restarted engine break at once. Its allowance has to
+		// fall before the next request is admitted, not after this one is
+		// given up.
+		a.restarted(allowance.ConnectionLost, now)
+		a.event(timeline.PieceLost, at.req, "resumed", at.count(), now)
 		call.ResumeFrom = at.count()
+		s.resumed = true
 		err = a.client.Do(ctx, call, s.take)
 	}
 	return ranError(ctx, err)
@@ -146,13 +153,14 @@
 	ctx    context.Context
 	sent   time.Time
 	begun  bool
+	// resumed says that the answer goes on where an earlier call broke off.
+	resumed bool
 }
 
 func (s *sink) take(e endpoint.Event) error {
 	switch e := e.(type) {
 	case endpoint.Head:
-		s.head(e)
-		return nil
+		return s.head(e)
 	case endpoint.Piece:
 		s.firstPiece()
 		return s.at.add(s.ctx, append([]byte(nil), e.Data...))
@@ -160,9 +168,19 @@
 	return nil
 }
 
-func (s *sink) head(h endpoint.Head) {
+// head takes the start of an answer. An engine that restarted since does not
+// know the stream that is resumed and says so with an error of its own, which
+// would follow the first pieces as if it were the rest of the answer.
+func (s *sink) head(h endpoint.Head) error {
 	s.agent.allowance.Incarnation(h.Incarnation)
+	if s.resumed {
+		if h.Status != http.StatusOK {
+			return result.Newf(result.AnswerIncomplete, "the stream can't be resumed: status %d", h.Status)
+		}
+		return nil
+	}
 	s.at.setHead(&peerpb.Head{Status: int32(h.Status), ContentType: h.ContentType})
+	return nil
 }
 
 func (s *sink) firstPiece() {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -140,7 +140,7 @@
 	}
 	o.whole = isWhole(s, id, string(body))
 	if !o.whole {
-		o.detail = fmt.Sprintf("taken for whole: %q", body)
+		o.detail = fmt.Sprintf("taken for whole: ...%q", body[max(0, len(body)-200):])
 	}
 	return o
 }
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -322,6 +323,73 @@
 	return all
 }
 
+// Serving returns the entries to which the platform's balancer would send
+// callers.
+func (s *System) Serving() []*Entry {
+	var es []*Entry
+	for _, e := range s.EntriesOf("") {
+		if !e.Process.Leaving() {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
+// RestartAgent stops an agent gracefully and starts another in its place.
+func (s *System) RestartAgent(a *Agent) error {
+	if err := a.Stop(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.agents = slices.DeleteFunc(s.agents, func(x *Agent) bool { return x == a })
+	s.mu.Unlock()
+	_, err := s.StartAgent(a.DataCentre, a.Name, a.Endpoint, a.Process.Settings.Kind)
+	return err
+}
+
+// agent returns the agent beside the endpoint.
+func (s *System) agent(endpoint string) *Agent {
+	for _, a := range s.Agents() {
+		if a.Name == endpoint {
+			return a
+		}
+	}
+	return nil
+}
+
+// begun returns how many requests have begun at the data centre's endpoints.
+func (s *System) begun(dc string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for name, e := range s.engines {
+		if strings.HasPrefix(name, dc+"-") {
+			n += len(e.Counters().Ran)
+		}
+	}
+	for name, v := range s.services {
+		if strings.HasPrefix(name, dc+"-") {
+			n += v.Counters().Requests
+		}
+	}
+	return n
+}
+
+// allOut reports whether each process knows that the data centre is out.
+func (s *System) allOut(dc string) bool {
+	for _, e := range s.EntriesOf("") {
+		if !e.Process.IsOut(config.DataCentre(dc)) {
+			return false
+		}
+	}
+	for _, a := range s.Agents() {
+		if a.DataCentre == dc && !a.Process.OutOfService() {
+			return false
+		}
+	}
+	return true
+}
+
 // Ran returns how often each request id has been run at any endpoint.
 func (s *System) Ran() map[string]int {
 	s.mu.Lock()
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -8,7 +8,6 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
-	"github.com/hyssoprelay/hyssoprelay/internal/process"
 )
 
 const (
@@ -57,7 +56,17 @@
 
 // run follows the list until ctx ends.
 func (d *directory) run(ctx context.Context) error {
-	return process.Every(ctx, joinEvery, d.take)
+	t := time.NewTicker(joinEvery)
+	defer t.Stop()
+	for {
+		d.take(ctx)
+		select {
+		case <-t.C:
+		case <-d.list.Changed():
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 func (d *directory) take(ctx context.Context) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -262,3 +263,18 @@
 	}
 	return 0
 }
+
+// IsOut reports whether the target is out of service as this entry acts.
+func (e *Entry) IsOut(t config.Target) bool {
+	v := e.view.Load()
+	if v == nil {
+		return false
+	}
+	if t.Kind() == config.DataCentreKind {
+		return slices.Contains(v.dataCentres, t.Name())
+	}
+	return slices.Contains(v.endpoints, t.Name())
+}
+
+// Leaving reports whether the entry has announced that it leaves.
+func (e *Entry) Leaving() bool { return e.leaving.Load() }
