--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -82,6 +82,9 @@
 			}
 		}
 		entries := l.Entries()
+		if len(entries) == 0 {
+			continue
+		}
 		e := entries[rng.IntN(len(entries))]
 		shape := Shape(rng.IntN(int(shapes)))
 		id := fmt.Sprintf("demo-%d-%d", l.Seed, sent)
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -324,11 +324,11 @@
 }
 
 // Serving returns the entries to which the platform's balancer would send
-// callers.
+// callers: those whose /readyz says yes.
 func (s *System) Serving() []*Entry {
 	var es []*Entry
 	for _, e := range s.EntriesOf("") {
-		if !e.Process.Leaving() {
+		if !e.Process.Leaving() && e.Process.Ready() == nil {
 			es = append(es, e)
 		}
 	}
