--- a/internal/operator/command/print.go
+++ b/internal/operator/command/print.go
@@ -59,7 +59,11 @@
 		_, _ = fmt.Fprintln(w, strings.Join(r, "\t"))
 	}
 	_ = w.Flush()
-	return strings.TrimRight(b.String(), "\n")
+	lines := strings.Split(strings.TrimRight(b.String(), "\n"), "\n")
+	for i, line := range lines {
+		lines[i] = strings.TrimRight(line, " ")
+	}
+	return strings.Join(lines, "\n")
 }
 
 func yes(b bool) string {
--- a/internal/operator/command/trace.go
+++ b/internal/operator/command/trace.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"strconv"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
@@ -15,7 +16,7 @@
 	Category string     `json:"cat,omitempty"`
 	Phase    string     `json:"ph"`
 	Time     float64    `json:"ts"`
-	Duration float64    `json:"dur,omitempty"`
+	Duration *float64   `json:"dur,omitempty"`
 	Process  int        `json:"pid"`
 	Thread   int        `json:"tid"`
 	Scope    string     `json:"s,omitempty"`
@@ -39,7 +40,7 @@
 	phaseInstant   = "i"
 	phaseMetadata  = "M"
 	phaseFlowStart = "s"
-	phaseFlowStep  = "t"
+	phaseFlowEnd   = "f"
 	logicalSteps   = 4096
 )
 
@@ -68,7 +69,7 @@
 
 // traceText returns events, which must be in causal order, as trace events.
 func traceText(events []operator.EventView) (string, error) {
-	t := &trace{processes: map[string]int{}, spans: map[spanKey]*span{}}
+	t := &trace{events: []traceEvent{}, processes: map[string]int{}, spans: map[spanKey]*span{}}
 	for _, e := range events {
 		t.measure(e)
 	}
@@ -161,9 +162,10 @@
 
 func (t *trace) addSpans() {
 	for _, s := range t.sorted() {
+		d := s.last - s.first
 		t.events = append(t.events, traceEvent{
 			Name: s.request, Category: "request", Phase: phaseComplete, Time: s.first,
-			Duration: s.last - s.first, Process: s.process, Thread: s.lane,
+			Duration: &d, Process: s.process, Thread: s.lane,
 		})
 	}
 }
@@ -184,8 +186,9 @@
 }
 
 // addFlows draws an arrow wherever a request's next event is in another
-// process.
+// process. Each has an id of its own, as viewers want it.
 func (t *trace) addFlows(events []operator.EventView) {
+	n := 0
 	last := map[string]operator.EventView{}
 	for _, e := range events {
 		if e.RequestID == "" {
@@ -196,14 +199,15 @@
 		if !ok || before.Process == e.Process {
 			continue
 		}
-		t.flow(phaseFlowStart, before)
-		t.flow(phaseFlowStep, e)
+		n++
+		t.flow(phaseFlowStart, n, before)
+		t.flow(phaseFlowEnd, n, e)
 	}
 }
 
-func (t *trace) flow(phase string, e operator.EventView) {
+func (t *trace) flow(phase string, n int, e operator.EventView) {
 	t.events = append(t.events, traceEvent{
-		Name: "request", Category: "request", Phase: phase, ID: e.RequestID, Binding: "e",
+		Name: "request", Category: "request", Phase: phase, ID: strconv.Itoa(n), Binding: "e",
 		Time: micros(e.Stamp), Process: t.processes[e.Process], Thread: t.lane(e),
 	})
 }
