--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,8 @@
 	Registry metrics.Registry
 	// TLS secures the agent's connections; its zero value means plain TCP.
 	TLS process.TLS
+	// Dial opens connections to other processes; nil means TCP.
+	Dial process.Dial
 
 	clock        timeline.Clock
 	ring         *timeline.Ring
@@ -120,3 +122,11 @@
 		}
 	}
 }
+
+// Generation returns the generation of the configuration in force here.
+func (a *Agent) Generation() uint64 {
+	if v := a.view.Load(); v != nil {
+		return v.generation
+	}
+	return 0
+}
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 	KV *kv.Server
 	// List is the stand-in of the platform's list of VMs.
 	List *vmlist.Server
+	// Network carries the processes' connections.
+	Network Network
 
 	client *platform.Client
 	ctx    context.Context
@@ -118,6 +121,8 @@
 	s.parts = append(s.parts, s.run(s.KV.Run))
 	s.List = &vmlist.Server{}
 	s.parts = append(s.parts, s.run(s.List.Run))
+	s.Network.at(s.KV.Addr(), Platform)
+	s.Network.at(s.List.Addr(), Platform)
 	s.client = &platform.Client{Addrs: []string{s.KV.Addr()}, Timeout: time.Second}
 	s.parts = append(s.parts, s.run(s.client.Run))
 	if err := s.putPreset(); err != nil {
@@ -209,11 +214,13 @@
 			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
 			Kind:            kind,
 		},
-		Log: s.Log,
+		Log:  s.Log,
+		Dial: s.Network.From(dc),
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.Network.at(p.Address(), dc)
 	s.List.Put(list.NewVM(name, list.Agent, dc, p.Address(), list.Live))
 	a := &Agent{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
 	s.mu.Lock()
@@ -233,11 +240,13 @@
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
 		Log:      s.Log,
+		Dial:     s.Network.From(dc),
 		Announce: 300 * time.Millisecond,
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.Network.at(p.PeerAddress(), dc)
 	s.List.Put(list.NewVM(name, list.Entry, dc, p.PeerAddress(), list.Live))
 	e := &Entry{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p}
 	s.mu.Lock()
@@ -313,6 +322,45 @@
 	return all
 }
 
+// Ran returns how often each request id has been run at any endpoint.
+func (s *System) Ran() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]int{}
+	for _, v := range s.services {
+		addRuns(all, v.Counters().Ran)
+	}
+	for _, e := range s.engines {
+		addRuns(all, e.Counters().Ran)
+	}
+	return all
+}
+
+// addRuns counts runs under the callers' request ids, to which an agent adds
+// the account.
+func addRuns(all, ran map[string]int) {
+	for id, n := range ran {
+		if i := strings.LastIndexByte(id, '.'); i >= 0 {
+			id = id[:i]
+		}
+		all[id] += n
+	}
+}
+
+// Breaches returns the engines that were given more than they bear in cold
+// start, and how often.
+func (s *System) Breaches() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]int{}
+	for name, e := range s.engines {
+		if n := e.Counters().Breaches; n > 0 {
+			all[name] = n
+		}
+	}
+	return all
+}
+
 // Stop stops entries and agents gracefully, then the stand-ins.
 func (s *System) Stop() {
 	s.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
@@ -45,6 +46,8 @@
 	Registry metrics.Registry
 	// TLS secures the entry's connections; its zero value means plain TCP.
 	TLS process.TLS
+	// Dial opens connections to other processes; nil means TCP.
+	Dial process.Dial
 	// Announce is how long requests are still taken after the entry began to
 	// leave; zero means two seconds.
 	Announce time.Duration
@@ -66,6 +69,7 @@
 	peers     *peer.Server
 	admin     *operator.Server
 	directory directory
+	shares    shares
 }
 
 func (e *Entry) now() time.Time { return time.Now() }
@@ -81,6 +85,7 @@
 	e.ring = &timeline.Ring{Clock: &e.clock}
 	e.counters = newCounters(e.Registry)
 	e.conns.TLS = e.TLS.Client
+	e.conns.Dial = e.Dial
 	e.scheduler.init()
 	e.scheduler.picture.DataCentre = e.Settings.DataCentre
 	e.scheduler.picture.Seed = seedOf(e.Settings.Name)
@@ -90,12 +95,14 @@
 		log: e.Log, name: e.Settings.Name, now: e.now,
 		report: e.scheduler.report, lost: e.lost,
 	}
-	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Registry)
+	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Dial, e.Registry)
 	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.refresh}
 	e.directory = directory{
 		name: e.Settings.Name, dataCentre: e.Settings.DataCentre,
-		list: process.VMList(&e.Settings.Process, e.Registry), members: &e.members,
+		list: process.VMList(&e.Settings.Process, e.Dial, e.Registry), members: &e.members,
 	}
+	e.shares.entry = e
+	e.shares.init()
 }
 
 // Listen opens the entry's addresses, so that they are known before Run.
@@ -105,6 +112,9 @@
 		Addr: e.Settings.PeerAddress.String(),
 		TLS:  e.TLS.Peers,
 		Peer: e.service(),
+		Register: func(r grpc.ServiceRegistrar) {
+			peerpb.RegisterEntryServer(r, &server{shares: &e.shares})
+		},
 	}
 	if err := e.peers.Listen(); err != nil {
 		return err
@@ -244,3 +254,11 @@
 	}
 	return n
 }
+
+// Generation returns the generation of the configuration in force here.
+func (e *Entry) Generation() uint64 {
+	if v := e.view.Load(); v != nil {
+		return v.generation
+	}
+	return 0
+}
