Certificates are checked anew at each connection between processes

Cause: processes check each other by a pool of certificates that tls.Config reads once; renewing the authority would need a restart of every process. Ruled out: verifying by ConnectionState.ServerName: it is empty for hosts that are IP addresses, as all of ours are, and the first version took a peer at another address for the right one (TestHandshakes, "peer at another address", handshake true, want false).

--- a/internal/settings/reload_test.go
+++ b/internal/settings/reload_test.go
@@ -87,6 +87,7 @@
 		NotAfter:     start.Add(100 * 365 * 24 * time.Hour),
 		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
 		IsCA:         true,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 
 		BasicConstraintsValid: true,
 	}
@@ -181,6 +182,20 @@
 	known := client.Clone()
 	known.Certificates = []tls.Certificate{*pair}
 	t.Run("peer", func(t *testing.T) { checkHandshake(t, known, server, true) })
+	stranger := &KeyPair{Files: testFiles(t)}
+	putPair(t, stranger.Files, 8, start)
+	late := func() time.Time { return start.Add(101 * 365 * 24 * time.Hour) }
+	for name, c := range map[string]struct {
+		cfg  *tls.Config
+		want bool
+	}{
+		"by the same files":     {k.Client("127.0.0.1", clock), true},
+		"at another address":    {k.Client("127.0.0.2", clock), false},
+		"of another system":     {stranger.Client("127.0.0.1", clock), false},
+		"certificate has ended": {k.Client("127.0.0.1", late), false},
+	} {
+		t.Run("peer "+name, func(t *testing.T) { checkHandshake(t, c.cfg, server, c.want) })
+	}
 }
 
 // checkHandshake sends one byte from the server to the client.
