--- a/internal/settings/keytls.go
+++ b/internal/settings/keytls.go
@@ -3,9 +3,12 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"time"
 )
 
+var errNoHost = errors.New("settings: no host to check a certificate by")
+
 // Server returns a configuration that asks Load anew for each connection. The
 // other side must show a certificate of the pool when mutual is true.
 func (k *KeyPair) Server(mutual bool, clock func() time.Time) *tls.Config {
@@ -65,6 +68,10 @@
 }
 
 func verify(host string, chain []*x509.Certificate, pool *x509.CertPool, now time.Time) error {
+	if host == "" {
+		// x509 would leave out the check of the host.
+		return errNoHost
+	}
 	opts := x509.VerifyOptions{
 		DNSName:       host,
 		Roots:         pool,
