Told outcomes of operators' orders are checked against the document

Cause: each guard of the command line was proved alone; operators at once, over lines that lose answers or deliver orders late, were not. Ruled out: a simulator; two entries, a stand-in of the platform's service and two lossy lines on loopback do. Change: TestToldOutcomesAreTrue gives 80 orders by four operators and compares what was told with the document; the listener takes its byte count from the shared eventloop.Order.

--- a/internal/operator/command/main_test.go
+++ b/internal/operator/command/main_test.go
@@ -126,42 +126,62 @@
 	return ln.Addr().String()
 }
 
-// lossyAddress returns an address that passes requests on to another and
-// closes the connection in place of the answer. Without another it only takes
-// requests.
-func lossyAddress(t *testing.T, to string) string {
+// lossy is an address that passes requests on to another and closes the
+// connection in place of the answer.
+type lossy struct {
+	// to is the other address; empty means that requests are dropped.
+	to string
+	// delay is how long a request is kept after its sender has been cut off.
+	delay time.Duration
+
+	ln   net.Listener
+	done chan struct{}
+}
+
+// listen opens the address and returns it.
+func (l *lossy) listen(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			lose(c, to)
-		}
-	}()
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-	})
+	l.ln = ln
+	l.done = make(chan struct{})
+	go l.run()
+	t.Cleanup(l.stop)
 	return ln.Addr().String()
 }
 
+func (l *lossy) run() {
+	defer close(l.done)
+	for {
+		c, err := l.ln.Accept()
+		if err != nil {
+			return
+		}
+		l.lose(c)
+	}
+}
+
+// stop returns when all requests have been passed on. It may be called twice.
+func (l *lossy) stop() {
+	_ = l.ln.Close()
+	<-l.done
+}
+
 // lose passes one request on, waits for the answer's begin and drops it.
-func lose(c net.Conn, to string) {
+func (l *lossy) lose(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	request := make([]byte, 1<<20)
 	n, err := c.Read(request)
-	if err != nil || to == "" {
+	if err != nil || l.to == "" {
 		return
 	}
-	s, err := net.Dial("tcp", to)
+	if l.delay > 0 {
+		_ = c.Close()
+		time.Sleep(l.delay)
+	}
+	s, err := net.Dial("tcp", l.to)
 	if err != nil {
 		return
 	}
--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -74,9 +75,8 @@
 	l.address = ln.Addr().String()
 	l.ended = make(chan struct{}, maxConns)
 	l.engine = nbhttp.NewEngine(l.config(ln))
-	l.engine.OnOpen(l.opened)
+	eventloop.Order(l.engine, l.opened, l.arrived)
 	l.engine.OnClose(l.closed)
-	l.engine.OnData(l.arrived)
 	return eris.Wrap(l.engine.Start(), "admin listener")
 }
 
@@ -119,20 +119,11 @@
 	}
 }
 
-// arrived hands data on to the connection's parser and closes a connection
-// that sends more than one request may take. The look-up also orders this
-// after opened for the race detector, which can't see that the event loop
-// learns of a connection from the goroutine that accepted it.
-func (l *listener) arrived(c *nbio.Conn, data []byte) {
+// arrived counts what a connection sends and reports false when that is more
+// than one request may take.
+func (l *listener) arrived(c *nbio.Conn, n int) bool {
 	v, ok := l.byConn.Load(c)
-	if !ok {
-		return
-	}
-	if v.(*meter).received.Add(int64(len(data))) > maxRequest {
-		_ = c.Close()
-		return
-	}
-	c.DataHandler()(c, data)
+	return ok && v.(*meter).received.Add(int64(n)) <= maxRequest
 }
 
 // serve answers one request and leaves it to the other side to close the
