--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -150,7 +151,8 @@
 	for _, f := range []string{"tazalyk-ordinary.ini", "tazalyk-peak.ini"} {
 		assertOutcome(t, runLine(t, []string{one}, "preset", "put", examples+f, "--plain"), exitDone)
 	}
-	o := runLine(t, []string{(&lossy{to: one}).listen(t), two}, "preset", "switch", "tazalyk-peak", "--plain")
+	bad, _ := listen(t, &line.Lossy{To: one})
+	o := runLine(t, []string{bad, two}, "preset", "switch", "tazalyk-peak", "--plain")
 	assertOutcome(t, o, exitDone, "generation 3", "tazalyk-peak in force")
 }
 
@@ -161,7 +163,8 @@
 func TestLostAnswerNotConfirmed(t *testing.T) {
 	good := serve(t, newEntry(t, newService(t)))
 	assertOutcome(t, runLine(t, []string{good}, "preset", "put", examples+"tazalyk-peak.ini", "--plain"), exitDone)
-	o := runLine(t, []string{(&lossy{}).listen(t), good}, "preset", "switch", "tazalyk-peak", "--ifGeneration=7", "--changeId=mine", "--plain")
+	bad, _ := listen(t, &line.Lossy{})
+	o := runLine(t, []string{bad, good}, "preset", "switch", "tazalyk-peak", "--ifGeneration=7", "--changeId=mine", "--plain")
 	assertOutcome(t, o, exitFailed, "4007 writeUnknown", "4002 conflict", "--changeId mine")
 }
 
--- a/internal/operator/command/history_test.go
+++ b/internal/operator/command/history_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -40,8 +41,9 @@
 	for _, f := range []string{"tazalyk-ordinary.ini", "tazalyk-peak.ini"} {
 		assertOutcome(t, runLine(t, addrs, "preset", "put", examples+f, "--plain"), exitDone)
 	}
-	lines := []*lossy{{to: addrs[0]}, {to: addrs[1], delay: 30 * time.Millisecond}}
-	bad := []string{lines[0].listen(t), lines[1].listen(t)}
+	lost, stopLost := listen(t, &line.Lossy{To: addrs[0]})
+	late, stopLate := listen(t, &line.Lossy{To: addrs[1], Delay: 30 * time.Millisecond})
+	bad := []string{lost, late}
 	engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 1})
 	if err := engine.Start(); err != nil {
 		t.Fatal(err)
@@ -70,9 +72,8 @@
 	for range historyOperators {
 		all = append(all, <-results...)
 	}
-	for _, l := range lines {
-		l.stop()
-	}
+	stopLost()
+	stopLate()
 	doc := first.Configuration
 	if err := doc.Refresh(context.Background(), start); err != nil {
 		t.Fatal(err)
--- a/internal/operator/command/main_test.go
+++ b/internal/operator/command/main_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 )
 
 const (
@@ -28,18 +30,20 @@
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
-// run starts f and ends it with the test.
-func run(t *testing.T, f func(context.Context) error) {
+// run starts f and ends it with the test, or before by the returned function.
+func run(t *testing.T, f func(context.Context) error) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f(ctx) }()
-	t.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
 	})
+	t.Cleanup(stop)
+	return stop
 }
 
 func newService(t *testing.T) *kv.Server {
@@ -126,70 +130,14 @@
 	return ln.Addr().String()
 }
 
-// lossy is an address that passes requests on to another and closes the
-// connection in place of the answer.
-type lossy struct {
-	// to is the other address; empty means that requests are dropped.
-	to string
-	// delay is how long a request is kept after its sender has been cut off.
-	delay time.Duration
-
-	ln   net.Listener
-	done chan struct{}
-}
-
-// listen opens the address and returns it.
-func (l *lossy) listen(t *testing.T) string {
+// listen opens a lossy line, which runs until stop or the end of the test.
+func listen(t *testing.T, l *line.Lossy) (addr string, stop func()) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := l.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.ln = ln
-	l.done = make(chan struct{})
-	go l.run()
-	t.Cleanup(l.stop)
-	return ln.Addr().String()
-}
-
-func (l *lossy) run() {
-	defer close(l.done)
-	for {
-		c, err := l.ln.Accept()
-		if err != nil {
-			return
-		}
-		l.lose(c)
-	}
-}
-
-// stop returns when all requests have been passed on. It may be called twice.
-func (l *lossy) stop() {
-	_ = l.ln.Close()
-	<-l.done
-}
-
-// lose passes one request on, waits for the answer's begin and drops it.
-func (l *lossy) lose(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	request := make([]byte, 1<<20)
-	n, err := c.Read(request)
-	if err != nil || l.to == "" {
-		return
-	}
-	if l.delay > 0 {
-		_ = c.Close()
-		time.Sleep(l.delay)
-	}
-	s, err := net.Dial("tcp", l.to)
-	if err != nil {
-		return
-	}
-	defer func() { _ = s.Close() }()
-	if _, err := s.Write(request[:n]); err != nil {
-		return
-	}
-	_, _ = s.Read(make([]byte, 1))
+	return addr, run(t, l.Run)
 }
 
 func writeFile(t *testing.T, text string) string {
--- a/internal/operator/main_test.go
+++ b/internal/operator/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"strings"
 	"testing"
@@ -158,3 +159,26 @@
 		a.do(http.MethodPut, "/admin/presets/"+name, putBody(t, "put-"+name, example(t, name)))
 	}
 }
+
+// sendURL is send for an address that httptest would not parse.
+func (a *api) sendURL(method string, u *url.URL, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/", strings.NewReader(body))
+	r.Method, r.URL, r.RequestURI = method, u, u.String()
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	a.h.ServeHTTP(w, r)
+	return w
+}
+
+// offline is an empty configuration that takes nothing.
+type offline struct{}
+
+func (offline) Current() *config.Snapshot { return (&config.Store{}).Current() }
+
+func (offline) Refresh(context.Context, time.Time) error {
+	return result.New(result.PlatformRefused, "")
+}
+
+func (offline) Submit(context.Context, config.Order, time.Time) (config.Head, error) {
+	return config.Head{}, result.New(result.PlatformRefused, "")
+}
--- a/internal/operator/preset/examples_test.go
+++ b/internal/operator/preset/examples_test.go
@@ -1,49 +1,57 @@
-package preset
+package preset_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
 )
 
-const examplesDir = "../../../examples"
+const examples = "../../../examples/"
 
 // TestExamplesParse keeps the presets that operators start from readable.
 func TestExamplesParse(t *testing.T) {
-	files, err := filepath.Glob(filepath.Join(examplesDir, "*-*.ini"))
+	files, err := filepath.Glob(examples + "*-*.ini")
 	if err != nil || len(files) < 6 {
 		t.Fatalf("found %d examples, error %v", len(files), err)
 	}
 	for _, f := range files {
-		name := strings.TrimSuffix(filepath.Base(f), ".ini")
-		t.Run(name, func(t *testing.T) { checkExample(t, f, name) })
+		t.Run(filepath.Base(f), func(t *testing.T) { checkExample(t, f) })
 	}
 }
 
-func checkExample(t *testing.T, file, name string) {
+func checkExample(t *testing.T, file string) {
 	t.Helper()
 	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, faults := Parse(text)
-	for _, f := range faults {
-		t.Error(f)
-	}
-	if p == nil {
-		t.FailNow()
-	}
-	if p.Name() != name {
-		t.Errorf("name %q in %s", p.Name(), file)
+	p, faults := preset.Parse(text)
+	if len(faults) > 0 || p.Name()+".ini" != filepath.Base(file) {
+		t.Fatalf("faults %v", faults)
 	}
 	for _, a := range p.Accounts() {
-		got, ok := p.AccountByKey("example-key-" + a.Name())
-		if !ok || got.Name() != a.Name() {
+		if got, ok := p.AccountByKey("example-key-" + a.Name()); !ok || got.Name() != a.Name() {
 			t.Errorf("the example key of %s is not known", a.Name())
 		}
 	}
-	if _, ok := p.AccountByKey(""); ok {
-		t.Error("an empty key has an account")
-	}
+}
+
+func ExampleParse() {
+	text, err := os.ReadFile(examples + "association-peak.ini")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	p, _ := preset.Parse(text)
+	r, _ := p.Route("print-orders")
+	fmt.Println(r.Serves("uppsala-print-1"), r.Repeatable(), r.Capacity().Concurrency())
+	_, faults := preset.Parse([]byte(strings.Replace(string(text), "weight = 5", "weight = 0", 1)))
+	fmt.Println(faults[0])
+	// Output:
+	// true false 8
+	// line 32: [account goteborg-club] weight: "0"; allowed: a number above 0, at most 1e+06
 }
