Prove that idle time earns an account no claim

Cause: the test passed with its guard taken out: most of the returned account's requests were refused by their short deadlines, so nothing could be claimed. Ruled out: an unneeded guard. Change: deadlines of 30 s and a burst of 16 at the return; the bound is 6 of each account in 4 s of 4 places, which is stricter than the parts before.

--- a/internal/caller/admission/controller_test.go
+++ b/internal/caller/admission/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,16 +182,13 @@
 
 func (b *bench) assertServedPart(prefix string, least float64) {
 	b.t.Helper()
-	var all, ok float64
-	for id, code := range b.ended {
-		if len(id) < len(prefix) || id[:len(prefix)] != prefix {
-			continue
-		}
-		all++
-		if code == result.OK {
-			ok++
+	all := 0.0
+	for id := range b.ended {
+		if strings.HasPrefix(id, prefix) {
+			all++
 		}
 	}
+	ok := float64(b.served(prefix))
 	if ok < least*all || all == 0 {
 		b.t.Errorf("%s: served %v of %v, want at least a part of %v", prefix, ok, all, least)
 	}
@@ -303,19 +301,34 @@
 func TestIdleAccountEarnsNoClaim(t *testing.T) {
 	b := newBench(t, 4, &Controller{FairPart: 1}, Limits{Account: "busy"}, Limits{Account: "idle"})
 	ask := func(account string, i int) {
-		b.arrive(b.request(fmt.Sprint(account, ".", i), account, time.Second, 4*time.Second), time.Second)
+		b.arrive(b.request(fmt.Sprint(account, ".", i), account, time.Second, 30*time.Second), time.Second)
 	}
 	for i := range 400 {
 		ask("busy", i)
 		b.advance(100 * time.Millisecond)
 	}
-	for i := range 100 {
-		ask("busy", 5000+i)
+	before := b.served("busy.")
+	for i := range 16 {
 		ask("idle", 5000+i)
+	}
+	for i := range 40 {
+		ask("busy", 5000+i)
 		b.advance(100 * time.Millisecond)
 	}
-	b.assertServedPart("busy.50", 0.1)
-	b.assertServedPart("idle.50", 0.15)
+	busy, idle := b.served("busy.")-before, b.served("idle.")
+	if busy < 6 || idle < 6 {
+		t.Errorf("served %d of the busy account and %d of the returned one in 4 s of 4 places, want 6 of each", busy, idle)
+	}
+}
+
+// served counts the requests with this prefix that were served.
+func (b *bench) served(prefix string) (n int) {
+	for id, code := range b.ended {
+		if code == result.OK && strings.HasPrefix(id, prefix) {
+			n++
+		}
+	}
+	return n
 }
 
 func TestDrainFinishesWhatWaits(t *testing.T) {
