--- a/internal/measure/naive.go
+++ b/internal/measure/naive.go
@@ -12,12 +12,18 @@
 	reports []placement.Report
 	queue   []*job
 	turn    int
+	// inTurn places in turn instead of by the least reported load.
+	inTurn bool
 }
 
 func newNaive(w *world, i int) entry {
 	return &naive{w: w, reports: make([]placement.Report, len(w.servers)), turn: i}
 }
 
+func newInTurn(w *world, i int) entry {
+	return &naive{w: w, reports: make([]placement.Report, len(w.servers)), turn: i, inTurn: true}
+}
+
 const (
 	naiveTries = 3
 	naivePause = 50 * time.Millisecond
@@ -53,8 +59,7 @@
 
 func (n *naive) expired(*job, time.Duration) {}
 
-// tick starts waiting requests in order of arrival at the endpoint with the
-// least reported load, ties in turn.
+// tick starts waiting requests in order of arrival.
 func (n *naive) tick(time.Duration) {
 	for len(n.queue) > 0 {
 		s := n.least()
@@ -67,6 +72,9 @@
 	}
 }
 
+// least returns the endpoint with the least reported load, ties in turn, or the
+// next in turn. Endpoints that report as many requests as they bear are left
+// out.
 func (n *naive) least() *server {
 	var best *server
 	n.turn++
@@ -76,6 +84,9 @@
 		if r.Endpoint == "" || r.Out || r.Running >= endpointCapacity {
 			continue
 		}
+		if n.inTurn {
+			return n.w.servers[i]
+		}
 		if best == nil || r.Running < n.reports[best.index].Running {
 			best = n.w.servers[i]
 		}
