Hold a slow endpoint to its part of the allowance

Change: an endpoint that is slower by a factor bears that much less, at least one stream; probes of an endpoint that stays slow double their distance, and recovery is seen in fewer answers.

--- a/internal/endpoint/placement/affinity.go
+++ b/internal/endpoint/placement/affinity.go
@@ -91,7 +91,7 @@
 		}
 		last = e
 		steps++
-		if p.state(e, now) != eligible || tried(q, e) || e.slowness(s, now) >= slowFrom {
+		if p.state(e, s, now) != eligible || tried(q, e) || e.slowness(s, now) >= slowFrom {
 			continue
 		}
 		if p.pressure(e, s, q, now) <= bound {
--- a/internal/endpoint/placement/choose.go
+++ b/internal/endpoint/placement/choose.go
@@ -96,6 +96,9 @@
 
 func (p *Picture) chosen(e *endpoint, affine, probe bool, now time.Time) Choice {
 	e.chosen = now
+	if probe {
+		e.probes++
+	}
 	return Choice{
 		Endpoint: e.name, Incarnation: e.incarnation, DataCentre: e.dataCentre,
 		Affine: affine, Probe: probe,
@@ -108,7 +111,7 @@
 	n := uint64(len(s.endpoints))
 	for range p.Draws {
 		e := s.endpoints[p.next()%n]
-		if p.state(e, now) != eligible || tried(q, e) {
+		if p.state(e, s, now) != eligible || tried(q, e) {
 			continue
 		}
 		if p.wantsProbe(e, s, q, now) {
@@ -123,9 +126,11 @@
 
 // wantsProbe reports whether a slow endpoint without work is due to be tried.
 // Without it an endpoint that was slow once would look slow for ever, because
-// it gets no work that could show its recovery.
+// it gets no work that could show its recovery. Each probe makes a caller wait
+// if the endpoint is still slow, so they come ever more seldom.
 func (p *Picture) wantsProbe(e *endpoint, s *routeSet, q *Query, now time.Time) bool {
-	if q.RunOnce || e.own > 0 || now.Sub(e.chosen) < p.ProbeEvery {
+	gap := p.ProbeEvery << min(e.probes, mostProbeDoublings)
+	if q.RunOnce || e.own > 0 || now.Sub(e.chosen) < gap {
 		return false
 	}
 	return e.slowness(s, now) >= slowFrom
@@ -139,7 +144,7 @@
 		if tried(q, e) {
 			continue
 		}
-		st := p.state(e, now)
+		st := p.state(e, s, now)
 		if st != eligible {
 			why = max(why, st)
 			continue
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -36,7 +36,9 @@
 	refused  time.Time
 	backOff  time.Time
 	refusals int
-	chosen  time.Time
+	chosen   time.Time
+	// probes counts the probes since the endpoint last answered in usual time.
+	probes int
 	// firstPiece is the smoothed time to the first piece in seconds.
 	firstPiece float64
 }
@@ -80,7 +82,7 @@
 func (e *endpoint) streams() float64 { return e.others + float64(e.own) }
 
 // state returns eligible, or why the endpoint can't be chosen.
-func (p *Picture) state(e *endpoint, now time.Time) int {
+func (p *Picture) state(e *endpoint, s *routeSet, now time.Time) int {
 	switch {
 	case e.out:
 		return outOfService
@@ -90,7 +92,7 @@
 		return p.stateUnknown(e, now)
 	case e.cold:
 		return p.stateCold(e, now)
-	case e.streams() >= float64(e.allowance) && !e.mayAskAgain(now):
+	case e.streams() >= e.bears(s, now) && !e.mayAskAgain(now):
 		return busy
 	}
 	return eligible
--- a/internal/endpoint/placement/placement_test.go
+++ b/internal/endpoint/placement/placement_test.go
@@ -492,4 +492,3 @@
 	// endpoint1 true
 	// false endpointBusy
 }
-
--- a/internal/endpoint/placement/slow.go
+++ b/internal/endpoint/placement/slow.go
@@ -15,8 +15,14 @@
 	// patience is how many typical times to the first piece an attempt may be
 	// silent before the endpoint counts as slower.
 	patience = 3
-	// firstPieceStep smooths the time to the first piece.
+	// firstPieceStep smooths the time to the first piece while it rises and
+	// recoveryStep while it falls: a slow endpoint gets few requests, so few
+	// must be enough to see that it has recovered.
 	firstPieceStep = 0.2
+	recoveryStep   = 0.5
+	// mostProbeDoublings bounds how far probes of an endpoint that stays slow
+	// are spaced out: to sixteen times ProbeEvery.
+	mostProbeDoublings = 4
 	// typicalStep moves the route's typical time by this part for each sample.
 	typicalStep = 0.02
 )
@@ -33,7 +39,14 @@
 		e.firstPiece = s
 		return
 	}
-	e.firstPiece += firstPieceStep * (s - e.firstPiece)
+	step := firstPieceStep
+	if s < e.firstPiece {
+		step = recoveryStep
+	}
+	e.firstPiece += step * (s - e.firstPiece)
+	if a.set != nil && s < slowFrom*a.set.typical {
+		e.probes = 0
+	}
 }
 
 // observe moves the route's median time to the first piece. A median is not
@@ -65,3 +78,17 @@
 	}
 	return math.Min(math.Max(f, 1), slowMost)
 }
+
+// bears returns how many streams the endpoint is given at the most. The load
+// is a group that is nearly full: its one slow endpoint has the only free
+// places, and a request that is put there ends later than one that waits for a
+// place elsewhere. So a slow endpoint is full at its part of the allowance, at
+// least one stream.
+func (e *endpoint) bears(s *routeSet, now time.Time) float64 {
+	allowance := float64(e.allowance)
+	slow := e.slowness(s, now)
+	if slow < slowFrom {
+		return allowance
+	}
+	return math.Min(allowance, math.Max(1, allowance/slow))
+}
--- a/internal/measure/arrivals.go
+++ b/internal/measure/arrivals.go
@@ -80,7 +80,7 @@
 	entry    int
 	tries    int
 
-	outcome  outcome
+	outcome outcome
 	// told is when the caller first heard that the request is not served, by
 	// a refusal or by the passing of its deadline.
 	told time.Duration
--- a/internal/measure/naive.go
+++ b/internal/measure/naive.go
@@ -39,7 +39,7 @@
 	n.reports[serverIndex(r.Endpoint)] = r
 }
 
-func (n *naive) first(*job, time.Duration) {}
+func (n *naive) piece(*job, time.Duration) {}
 
 func (n *naive) ended(j *job, whole bool, now time.Duration) {
 	if !whole && j.outcome == pending {
--- a/internal/measure/ours.go
+++ b/internal/measure/ours.go
@@ -130,7 +130,7 @@
 	o.pic.Update(r, clock(now))
 }
 
-func (o *ours) first(j *job, now time.Duration) { o.pic.Piece(o.attempt[j], clock(now)) }
+func (o *ours) piece(j *job, now time.Duration) { o.pic.Piece(o.attempt[j], clock(now)) }
 
 func (o *ours) ended(j *job, whole bool, now time.Duration) {
 	id := strconv.Itoa(j.id)
--- a/internal/measure/server.go
+++ b/internal/measure/server.go
@@ -15,8 +15,11 @@
 	// stays cold.
 	coldCapacity = 1
 	coldTime     = 10 * time.Second
-	// firstPiece is the time to the first piece in a full batch.
-	firstPiece = 0.2
+	// prefillAlone is the time to the first piece in seconds, prefillBatch what
+	// a full batch adds, and pieceEvery the time between later pieces.
+	prefillAlone = 0.05
+	prefillBatch = 0.15
+	pieceEvery   = 0.2
 )
 
 // server is an endpoint: a few lines of behaviour.
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -26,8 +26,8 @@
 	ended(j *job, whole bool, now time.Duration)
 	// expired learns that the caller's deadline has passed.
 	expired(j *job, now time.Duration)
-	// first learns of an attempt's first piece.
-	first(j *job, now time.Duration)
+	// piece learns of a piece of an attempt's answer.
+	piece(j *job, now time.Duration)
 	// tick gives the entry a moment to start what waits.
 	tick(now time.Duration)
 }
@@ -194,13 +194,20 @@
 	if lost != nil {
 		return
 	}
-	first := firstPiece * float64(len(s.jobs)) / endpointCapacity * s.slow
-	w.at(w.now+toDuration(first), func() {
-		if j.attempt == attempt && j.server == s {
-			w.entries[j.entry].first(j, w.now)
+	prefill := prefillAlone + prefillBatch*float64(len(s.jobs))/endpointCapacity
+	w.pieces(s, j, attempt, toDuration(prefill*s.slow))
+	w.planEnd(s)
+}
+
+// pieces sends the entry a piece after d and then one each pieceEvery.
+func (w *world) pieces(s *server, j *job, attempt uint64, d time.Duration) {
+	w.at(w.now+d, func() {
+		if j.attempt != attempt || j.server != s {
+			return
 		}
+		w.entries[j.entry].piece(j, w.now)
+		w.pieces(s, j, attempt, toDuration(pieceEvery*s.slow))
 	})
-	w.planEnd(s)
 }
 
 // offer runs an attempt if the endpoint's agent accepts it.
