Measure prefix affinity

Cause: the bound of affinity was chosen without a figure. Ruled out: a constant that can't be varied; it is a field of the picture now. Change: a section that plays Zipf prefixes against least recently used caches.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -22,6 +22,7 @@
 	measure.Service(),
 	measure.Fairness(),
 	measure.Placing(),
+	measure.Affinity(),
 }
 
 func main() {
--- a/internal/endpoint/placement/affinity.go
+++ b/internal/endpoint/placement/affinity.go
@@ -10,10 +10,6 @@
 	ringPoints = 16
 	// ringSteps is how many endpoints are tried along the ring.
 	ringSteps = 4
-	// affineBound is how much more than the mean pressure an endpoint may bear
-	// to keep a prefix. Less breaks up the caches, more makes one endpoint
-	// hot for a popular prefix.
-	affineBound = 1.25
 	// affineSample is how many endpoints the mean is estimated from.
 	affineSample = 8
 )
@@ -80,7 +76,7 @@
 	if len(points) == 0 {
 		return nil
 	}
-	bound := affineBound * p.meanPressure(s, q, now)
+	bound := p.AffineBound * p.meanPressure(s, q, now)
 	at := s.ring.find(mix(q.Prefix))
 	var last *endpoint
 	for steps := 0; steps < ringSteps; at++ {
--- a/internal/endpoint/placement/picture.go
+++ b/internal/endpoint/placement/picture.go
@@ -9,11 +9,12 @@
 
 // Defaults of the Picture's fields.
 const (
-	DefaultStaleAfter = 5 * time.Second
-	DefaultSlowStart  = 10 * time.Second
-	DefaultProbeEvery = 2 * time.Second
-	DefaultDraws      = 4
-	DefaultSpill      = 0.15
+	DefaultStaleAfter  = 5 * time.Second
+	DefaultSlowStart   = 10 * time.Second
+	DefaultProbeEvery  = 2 * time.Second
+	DefaultDraws       = 4
+	DefaultSpill       = 0.15
+	DefaultAffineBound = 1.25
 )
 
 // Picture is one entry's view of its endpoints. Its exported fields are set
@@ -38,6 +39,10 @@
 	// Spill is how much more pressed the own data centre must be before a
 	// request goes to another, as a part of an endpoint's capacity.
 	Spill float64
+	// AffineBound is how much more than the mean pressure an endpoint may bear
+	// to keep a prefix. Less breaks up the caches, more makes one endpoint hot
+	// for a popular prefix.
+	AffineBound float64
 
 	endpoints map[string]*endpoint
 	routes    map[string]*routeSet
@@ -75,6 +80,9 @@
 	if p.Spill <= 0 {
 		p.Spill = DefaultSpill
 	}
+	if p.AffineBound <= 0 {
+		p.AffineBound = DefaultAffineBound
+	}
 }
 
 // firstMeanTokens is the mean request until some have been seen.
