Measure the drain rate by starts; endings by Cancel count

Cause: an entry that ends its requests by Cancel never fed the drain rate, which fell towards zero while places became free, so callers were refused. Ruled out: feeding it from Cancel as well (a request that an agent refuses and that is queued again would count twice). Change: work counts when it leaves the queue for a place and is taken back by Requeue; Done ends waiting requests too; the estimate from running requests weighs 1 s instead of 0.25 s, because places need not become free in a quarter of a second; Piece implies Accepted. Without the guard TestPlacesFreedByLeavingCallersCount saw request 21 refused. Conclusion: the rate no longer depends on how a request ends.

--- a/internal/caller/admission/controller.go
+++ b/internal/caller/admission/controller.go
@@ -229,19 +229,25 @@
 	c.running++
 	r.running++
 	r.charge(it, c.FairPart, fair, queued)
+	if queued {
+		r.drain.work += it.work
+	}
 }
 
-// Done records that a running request has ended at its endpoint, whole or not.
-// Unknown ids are ignored, so that ending twice does no harm.
+// Done records that a running request has ended at its endpoint, whole or not,
+// or that a waiting one is given up. Unknown ids are ignored, so that ending
+// twice does no harm.
 func (c *Controller) Done(id string, now time.Time) {
 	it := c.open[id]
-	if it == nil || !it.running {
+	if it == nil {
 		return
 	}
 	r := c.routeOf(it.req.Route)
 	r.drain.advance(now, r.waiting > 0)
-	if r.waiting > 0 {
-		r.drain.work += it.work
+	if !it.running {
+		c.unqueue(it, r)
+		c.close(it, r)
+		return
 	}
 	actual := now.Sub(it.started).Seconds()
 	r.runs.observe(actual, it.work, it.req.ExpectedRun > 0, now)
@@ -249,8 +255,9 @@
 	c.close(it, r)
 }
 
-// Cancel records that the caller of a waiting or running request has left.
-// Unknown ids are ignored.
+// Cancel records that the caller of a waiting or running request has left. A
+// running time that was cut short says nothing about the next one, so that it
+// is not learnt from. Unknown ids are ignored.
 func (c *Controller) Cancel(id string) {
 	it := c.open[id]
 	if it == nil {
--- a/internal/caller/admission/controller_test.go
+++ b/internal/caller/admission/controller_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// Callers would be refused under load although places become free all the
+// time: their predecessors left before the answer was whole, and only whole
+// answers counted as a queue that moves.
+func TestPlacesFreedByLeavingCallersCount(t *testing.T) {
+	b := newBench(t, 4, &Controller{}, Limits{Account: "a"})
+	for i := range 200 {
+		d := b.arrive(b.request(fmt.Sprint(i), "a", time.Second, 8*time.Second), time.Hour)
+		if r, ok := d.(Refuse); ok {
+			t.Fatalf("request %d was refused with %v", i, r.Code)
+		}
+		if i < 16 {
+			continue
+		}
+		// Each quarter of a second the caller leaves who has waited longest.
+		b.advance(250 * time.Millisecond)
+		left := fmt.Sprint(i - 16)
+		delete(b.running, left)
+		b.c.Cancel(left)
+	}
+}
+
 // Ten small accounts would get no answers while a large one is served: it
 // sends so much, worth as much, that the queue holds nothing else.
 func TestLargeAccountDoesNotStarveSmallOnes(t *testing.T) {
--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -13,8 +13,8 @@
 	// a data centre has left.
 	drainMemory = 3 * time.Second
 	// drainPrior is how long the estimate from running requests counts against
-	// the measurement.
-	drainPrior = 0.25
+	// the measurement: some running times, in which a queue need not move.
+	drainPrior = 1
 	// spreadMemory is the time constant for counting recent refusals.
 	spreadMemory = 2 * time.Second
 )
@@ -26,7 +26,9 @@
 	MaxComeBack = 30 * time.Second
 )
 
-// drainMeter measures work done a second while requests were waiting.
+// drainMeter measures the work that leaves a queue a second while requests are
+// waiting. Starts count and not ends, so that it does not matter how a request
+// that made room has ended.
 type drainMeter struct {
 	work, busy float64
 	at         time.Time
--- a/internal/caller/admission/queue.go
+++ b/internal/caller/admission/queue.go
@@ -206,6 +206,7 @@
 	r := c.routeOf(it.req.Route)
 	r.drain.advance(now, r.waiting > 0)
 	r.correct(it, 0)
+	r.drain.work = math.Max(0, r.drain.work-it.work)
 	it.running = false
 	c.running--
 	r.running--
--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -77,6 +77,7 @@
 		return
 	}
 	e := a.endpoint
+	p.Accepted(a)
 	if !a.answered {
 		a.answered = true
 		e.observe(now.Sub(a.started).Seconds(), a)
