End requests by Done, so that running times are learnt

Cause: the entry called Cancel before Done, and Done then found nothing: the margin on running times and the correction of fair share never learnt anything. Ruled out: a clock in Cancel.

--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -243,7 +243,6 @@
 	s.release(j, false, 0, now)
 	if _, ok := s.jobs[j.id]; ok {
 		delete(s.jobs, j.id)
-		s.admission.Cancel(j.id)
 		s.admission.Done(j.id, now)
 	}
 	s.pump(now)
