--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -77,6 +77,7 @@
 		return
 	}
 	e := a.endpoint
+	p.Accepted(a)
 	if !a.answered {
 		a.answered = true
 		e.observe(now.Sub(a.started).Seconds(), a)
@@ -125,9 +126,9 @@
 	}
 }
 
-// Bounds of the pause after a refusal: from some round trips between the data
-// centres of a region to what a caller hardly notices.
+// Bounds of the pause after a refusal. Reports usually come sooner than the
+// lower one; the upper one is what a caller hardly notices.
 const (
-	leastBackOff = 20 * time.Millisecond
+	leastBackOff = 250 * time.Millisecond
 	mostBackOff  = time.Second
 )
