--- a/internal/rank/counts.go
+++ b/internal/rank/counts.go
@@ -4,9 +4,9 @@
 
 // counts are the metrics of a Runner.
 type counts struct {
-	// orders, refused and failed count orders that the member got, those it
-	// refused, and calls to the engine that failed.
-	orders, refused, failed metrics.Counter
+	// orders and refused count orders that the member got and refused; failed
+	// and peerFailed count calls to the engine and to peers that failed.
+	orders, refused, failed, peerFailed metrics.Counter
 	// maps, joins and losses count changes of the member's state.
 	maps, joins, losses metrics.Counter
 	// leads and deposed count changes of leadership.
@@ -26,6 +26,7 @@
 		orders:     metrics.GetOrRegisterCounter("rank.orders", r),
 		refused:    metrics.GetOrRegisterCounter("rank.ordersRefused", r),
 		failed:     metrics.GetOrRegisterCounter("rank.engineFailures", r),
+		peerFailed: metrics.GetOrRegisterCounter("rank.peerFailures", r),
 		maps:       metrics.GetOrRegisterCounter("rank.mapsInForce", r),
 		joins:      metrics.GetOrRegisterCounter("rank.joins", r),
 		losses:     metrics.GetOrRegisterCounter("rank.losses", r),
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -13,7 +13,7 @@
 	leader *naming.Leader
 	// calls counts calls under way, each of which reports its end on done.
 	calls int
-	done  chan error
+	done  chan struct{}
 	plans planner
 	// The lease's end, when it is renewed next and whether a call for that is
 	// under way; guarded by the runner's mu.
@@ -62,7 +62,7 @@
 	r.counts.leads.Inc(1)
 	r.emit(Event{Kind: EventLead, Number: token})
 	return &term{
-		runner: r, leader: l, until: until, done: make(chan error, 1),
+		runner: r, leader: l, until: until, done: make(chan struct{}, 1),
 		renewAt: time.Now().Add(r.LeaseTime / 3),
 		plans:   planner{runner: r, next: time.Now().Add(r.PlanEvery)},
 	}
@@ -81,7 +81,6 @@
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
-		case <-r.wake:
 		case <-t.done:
 			t.calls--
 		}
@@ -132,7 +131,7 @@
 		c, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		f(c)
-		t.done <- nil
+		t.done <- struct{}{}
 	}()
 }
 
@@ -170,6 +169,7 @@
 		s, err = r.order(ctx, a.To, a.Order)
 	}
 	if err != nil {
+		r.counts.peerFailed.Inc(1)
 		return
 	}
 	r.mu.Lock()
--- a/internal/rank/loops.go
+++ b/internal/rank/loops.go
@@ -82,7 +82,9 @@
 		go func() { done <- r.joinAt(call, i, j) }()
 	}
 	for range asked {
-		<-done
+		if err := <-done; err != nil {
+			r.counts.peerFailed.Inc(1)
+		}
 	}
 }
 
--- a/internal/rank/naming/name.go
+++ b/internal/rank/naming/name.go
@@ -42,9 +42,9 @@
 // rank needs more than the entry in force and the one before.
 const keptEntries = 2
 
-// covers returns the map for a step, and false when there is none. Entries may
+// MapAt returns the map for a step, and false when there is none. Entries may
 // come in any order.
-func covers(schedule []Entry, step uint64) (Ref, bool) {
+func MapAt(schedule []Entry, step uint64) (Ref, bool) {
 	best, found := Entry{}, false
 	for _, e := range schedule {
 		if e.From <= step && (!found || e.From > best.From) {
--- a/internal/rank/naming/world_test.go
+++ b/internal/rank/naming/world_test.go
@@ -318,7 +318,7 @@
 			return
 		}
 	}
-	r, ok := covers(e.Schedule, next)
+	r, ok := MapAt(e.Schedule, next)
 	if !ok || next > e.Allowed {
 		return
 	}
--- a/internal/rank/runner.go
+++ b/internal/rank/runner.go
@@ -45,8 +45,9 @@
 // with the agent's gRPC server by Register, then Run it. Orders that come before
 // Run are answered; the ranks get no order before it.
 //
-// Locks: mu is taken for single calls of the member's and the leader's state
-// machines and for nothing that waits; no other lock is taken under it.
+// Locks: mu guards the member's and the leader's state machines. It is taken for
+// single calls of them and for nothing that waits; no other lock is taken under
+// it.
 type Runner struct {
 	// Group is the group's name.
 	Group string
@@ -97,11 +98,9 @@
 	once   sync.Once
 	conns  []*grpc.ClientConn
 	counts counts
-	wake   chan struct{}
 
 	mu     sync.Mutex
 	member *naming.Member
-	leader *naming.Leader
 	// heard is when an order of a leader came last; joined is what the member
 	// said last, to tell changes.
 	heard  time.Time
@@ -118,7 +117,6 @@
 func (r *Runner) init() {
 	r.once.Do(func() {
 		r.counts = newCounts(r.Metrics)
-		r.wake = make(chan struct{}, 1)
 		if r.Log == nil {
 			r.Log = logrus.StandardLogger()
 		}
