Count the spread of a rank's load when shares and moves are chosen

Cause: a step lasts as long as its slowest rank, so the mean of the largest load counts, and loads vary by drift and by the draw of tokens. Ruled out: levelling the means alone: a rank with one large replica is then the slow one more often than a rank with many small ones. Change: Risk; a rank counts with its standard deviations; Popularity.Drift estimates how far loads move on while a map is in force; up to three moves that don't pay are looked past.

--- a/internal/rank/expertmap/balance.go
+++ b/internal/rank/expertmap/balance.go
@@ -25,20 +25,32 @@
 	part []float64
 	// replicas lists the slots of each expert.
 	replicas [][]int
-	// ranks is the load of each rank.
-	ranks []float64
-	load  []float64
-	mean  float64
+	// ranks is the load of each rank, variance its variance and risk what is
+	// added to the load for it; see Risk.
+	ranks, variance, risk []float64
+	load                  []float64
+	// relative is the variance of each expert's load over the load's square.
+	relative   []float64
+	deviations float64
+	mean       float64
 }
 
-func newPlacement(shape Shape, load []float64) *placement {
+func newPlacement(shape Shape, load []float64, risk Risk) *placement {
 	p := &placement{
 		shape:    shape,
 		at:       make([]int, shape.Ranks*shape.Slots),
 		part:     make([]float64, shape.Ranks*shape.Slots),
 		replicas: make([][]int, shape.Experts),
 		ranks:    make([]float64, shape.Ranks),
+		variance: make([]float64, shape.Ranks),
+		risk:     make([]float64, shape.Ranks),
 		load:     load,
+		relative: make([]float64, shape.Experts),
+
+		deviations: deviations(shape.Ranks),
+	}
+	for e, v := range load {
+		p.relative[e] = risk.relative(v)
 	}
 	for i := range p.at {
 		p.at[i] = none
@@ -49,8 +61,8 @@
 	return p
 }
 
-func placementOf(l *Layer, load []float64) *placement {
-	p := newPlacement(l.shape, load)
+func placementOf(l *Layer, load []float64, risk Risk) *placement {
+	p := newPlacement(l.shape, load, risk)
 	for i, s := range l.slots {
 		if s.Expert != none {
 			p.put(i, s.Expert)
@@ -64,13 +76,16 @@
 	copy(p.at, q.at)
 	copy(p.part, q.part)
 	copy(p.ranks, q.ranks)
+	copy(p.variance, q.variance)
+	copy(p.risk, q.risk)
 	for e := range q.replicas {
 		p.replicas[e] = append(p.replicas[e][:0], q.replicas[e]...)
 	}
 }
 
 func (p *placement) clone() *placement {
-	q := newPlacement(p.shape, p.load)
+	q := newPlacement(p.shape, p.load, Risk{})
+	copy(q.relative, p.relative)
 	q.copyFrom(p)
 	return q
 }
@@ -100,10 +115,19 @@
 }
 
 func (p *placement) setPart(slot int, v float64) {
-	p.ranks[p.rankOf(slot)] += v - p.part[slot]
+	r, old := p.rankOf(slot), p.part[slot]
+	if v == old {
+		return
+	}
+	p.ranks[r] += v - old
 	p.part[slot] = v
+	p.variance[r] += (v*v - old*old) * p.relative[p.at[slot]]
+	p.risk[r] = p.deviations * math.Sqrt(max(0, p.variance[r]))
 }
 
+// counted returns the load of a rank with its risk.
+func (p *placement) counted(r int) float64 { return p.ranks[r] + p.risk[r] }
+
 func (p *placement) holds(r, e int) bool {
 	for _, s := range p.replicas[e] {
 		if p.rankOf(s) == r {
@@ -113,7 +137,17 @@
 	return false
 }
 
-func (p *placement) skew() float64 { return skewOf(p.ranks) }
+// skew returns the skew to be expected: the largest counted load over the mean.
+func (p *placement) skew() float64 {
+	if p.mean == 0 {
+		return 1
+	}
+	most := 0.0
+	for r := range p.ranks {
+		most = max(most, p.counted(r))
+	}
+	return most / p.mean
+}
 
 // balance sets the parts so that the sum of squares of the ranks' loads is
 // least for this placement, by exact minimisation over one expert after the
@@ -162,9 +196,11 @@
 	return change
 }
 
-// others returns the load of a slot's rank without the slot's own part.
+// others returns the counted load of a slot's rank without the slot's own part.
+// The part of the risk that is the slot's own stays in; it changes little from
+// one sweep to the next, so the sweeps settle.
 func (p *placement) others(slot int) float64 {
-	return p.ranks[p.rankOf(slot)] - p.part[slot]
+	return p.counted(p.rankOf(slot)) - p.part[slot]
 }
 
 // height returns the level to which the expert's load fills the ranks of its
--- a/internal/rank/expertmap/improve.go
+++ b/internal/rank/expertmap/improve.go
@@ -14,6 +14,9 @@
 	triedSlots   = 2
 	// trialSweeps is enough to compare moves; the one taken is balanced fully.
 	trialSweeps = 12
+	// patience is how many moves in a row may fail to pay before no more are
+	// tried.
+	patience = 3
 )
 
 // Move is one replica that a rank has to load.
@@ -44,13 +47,13 @@
 // Moves returns the number of replicas that ranks must load.
 func (i *Improvement) Moves() int { return i.moves }
 
-// Before returns the skew of the layer as it was.
+// Before returns the expected skew of the layer as it was.
 func (i *Improvement) Before() float64 { return i.before }
 
-// Kept returns the skew with new shares and no move.
+// Kept returns the expected skew with new shares and no move.
 func (i *Improvement) Kept() float64 { return i.kept }
 
-// After returns the skew of the improved layer.
+// After returns the expected skew of the improved layer.
 func (i *Improvement) After() float64 { return i.after }
 
 func checkLoads(shape Shape, load []float64) error {
@@ -60,29 +63,30 @@
 	return checkLoad(load)
 }
 
-// Improve sets the shares of l for the given loads and then moves replicas, at
-// most maxMoves, for as long as a move pays: cost is what the skew must fall by
-// for each move. Moves are tried one after the other, and the number of moves
-// with the best gain less cost is taken, so that a move that pays only together
-// with the next one is not missed. Once the skew is within goal of the lower
-// bound no further move is tried. It returns ErrObservation for loads that
-// don't fit the layer.
-func Improve(l *Layer, load []float64, maxMoves int, cost, goal float64) (*Improvement, error) {
+// Improve sets the shares of l for the given loads and risk and then moves
+// replicas, at most maxMoves, for as long as a move pays: cost is what the
+// expected skew must fall by for each move. Moves are tried one after the other,
+// and the number of moves with the best gain less cost is taken, so that a move
+// that pays only together with the next ones is not missed. Once the skew is
+// within goal of the lower bound no further move is tried. It returns
+// ErrObservation for loads that don't fit the layer.
+func Improve(l *Layer, load []float64, risk Risk, maxMoves int, cost, goal float64) (*Improvement, error) {
 	if err := checkLoads(l.shape, load); err != nil {
 		return nil, err
 	}
-	before := Skew(l, load)
-	p := placementOf(l, load)
+	p := placementOf(l, load, risk)
+	out := &Improvement{before: p.skew()}
 	p.balance(maxSweeps)
-	out := &Improvement{layer: p.layer(), before: before, kept: p.skew(), after: p.skew()}
+	out.layer, out.kept, out.after = p.layer(), p.skew(), p.skew()
 	target := LowerBound(load, l.shape) + goal
-	best := p.skew()
-	for n := 1; n <= maxMoves && p.skew() > target; n++ {
+	best, idle := p.skew(), 0
+	for n := 1; n <= maxMoves && idle < patience && p.skew() > target; n++ {
 		if !p.move() {
 			break
 		}
+		idle++
 		if worth := p.skew() + cost*float64(n); worth < best {
-			best = worth
+			best, idle = worth, 0
 			out.layer, out.after = p.layer(), p.skew()
 		}
 	}
@@ -126,8 +130,8 @@
 // ranks are equally slow, a move that relieves one of them already lowers it.
 func (p *placement) potential() float64 {
 	sum := 0.0
-	for _, v := range p.ranks {
-		x := v / p.mean
+	for r := range p.ranks {
+		x := p.counted(r) / p.mean
 		x *= x
 		x *= x
 		x *= x
@@ -140,8 +144,8 @@
 // hotExperts returns the experts with the largest parts on the slowest rank.
 func (p *placement) hotExperts() []int {
 	slow := 0
-	for r, v := range p.ranks {
-		if v > p.ranks[slow] {
+	for r := range p.ranks {
+		if p.counted(r) > p.counted(slow) {
 			slow = r
 		}
 	}
@@ -167,7 +171,7 @@
 			ranks = append(ranks, r)
 		}
 	}
-	sort.Slice(ranks, func(i, j int) bool { return p.ranks[ranks[i]] < p.ranks[ranks[j]] })
+	sort.Slice(ranks, func(i, j int) bool { return p.counted(ranks[i]) < p.counted(ranks[j]) })
 	return ranks[:min(len(ranks), triedRanks)]
 }
 
--- a/internal/rank/expertmap/plan.go
+++ b/internal/rank/expertmap/plan.go
@@ -28,6 +28,9 @@
 	// Goal is the distance from the lower bound, in skew, at which a layer
 	// counts as good enough to move nothing.
 	Goal float64
+	// Tokens says that loads are counted in tokens a step, so that the chance
+	// in their draw is allowed for.
+	Tokens bool
 }
 
 // MaxMoves returns how many replicas the store gives within StageTime.
@@ -111,7 +114,8 @@
 	weight := 0.0
 	for _, i := range bySkew(current, pop) {
 		load := pop.Load(i)
-		imp, err := Improve(current.layers[i], load, budget, limits.moveCost(), limits.Goal)
+		risk := Risk{Drift: pop.Drift(i), Draw: limits.Tokens}
+		imp, err := Improve(current.layers[i], load, risk, budget, limits.moveCost(), limits.Goal)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rank/expertmap/popularity.go
+++ b/internal/rank/expertmap/popularity.go
@@ -20,6 +20,11 @@
 type estimate struct {
 	load []float64
 	last time.Time
+	// change is the mean square of the relative change of an expert's load
+	// from one observation to the next, weighted by load.
+	change float64
+	// seen is the newest observation.
+	seen []float64
 }
 
 // NewPopularity returns an estimator for the given numbers of layers and
@@ -46,6 +51,7 @@
 		return err
 	}
 	e := &p.layers[layer]
+	e.note(counts)
 	a := p.gain(e.last, now)
 	for i, c := range counts {
 		e.load[i] += a * (c - e.load[i])
@@ -56,6 +62,43 @@
 	return nil
 }
 
+// changeGain is the weight of the newest observation in the estimate of drift.
+const changeGain = 0.1
+
+func (e *estimate) note(counts []float64) {
+	if e.seen == nil {
+		e.seen = append([]float64(nil), counts...)
+		return
+	}
+	sum, weight := 0.0, 0.0
+	for i, c := range counts {
+		if mid := (c + e.seen[i]) / 2; mid > 0 {
+			d := (c - e.seen[i]) / mid
+			sum += mid * d * d
+			weight += mid
+		}
+	}
+	if weight > 0 && e.change == 0 {
+		e.change = sum / weight
+	} else if weight > 0 {
+		e.change += changeGain * (sum/weight - e.change)
+	}
+	copy(e.seen, counts)
+}
+
+// Drift returns the standard deviation, as a part of an expert's load, by which
+// the load differs from the newest observation while a map planned from it is in
+// force, or zero before the second observation.
+//
+// If loads wander like Brownian motion, the mean over an interval of length T
+// differs from the next one's by 2T/3 in variance. A map planned at the end of an
+// interval takes force about an interval later and stays for one, so the load in
+// its middle differs by T/3 + T + T/2.
+func (p *Popularity) Drift(layer int) float64 {
+	const lag = (1.0/3 + 1 + 1.0/2) / (2.0 / 3)
+	return math.Sqrt(lag * p.layers[layer].change)
+}
+
 func (p *Popularity) gain(last, now time.Time) float64 {
 	if last.IsZero() || p.tau <= 0 {
 		return 1
--- a/internal/rank/expertmap/skewtable/run.go
+++ b/internal/rank/expertmap/skewtable/run.go
@@ -68,7 +68,7 @@
 	if r.static, err = expertmap.Contiguous(r.of.Shape); err != nil {
 		return err
 	}
-	first, err := expertmap.Solve(r.of.Shape, r.drift.expected(r.tokens))
+	first, err := expertmap.Solve(r.of.Shape, r.drift.expected(r.tokens), expertmap.Risk{})
 	if err != nil {
 		return err
 	}
@@ -94,7 +94,7 @@
 }
 
 func (r *run) step(expected, drawn []float64) error {
-	known, err := expertmap.Solve(r.of.Shape, expected)
+	known, err := expertmap.Solve(r.of.Shape, expected, expertmap.Risk{Draw: true})
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 }
 
 func (r *run) plan(counts []float64, pop *expertmap.Popularity, now time.Time) error {
-	full, err := expertmap.Solve(r.of.Shape, counts)
+	full, err := expertmap.Solve(r.of.Shape, counts, expertmap.Risk{})
 	if err != nil {
 		return err
 	}
--- a/internal/rank/expertmap/skewtable/table.go
+++ b/internal/rank/expertmap/skewtable/table.go
@@ -32,6 +32,7 @@
 		Slowdown:    0.2,
 		MinGain:     0.001,
 		Goal:        0.01,
+		Tokens:      true,
 	}
 }
 
--- a/internal/rank/expertmap/solve.go
+++ b/internal/rank/expertmap/solve.go
@@ -2,22 +2,22 @@
 
 import "sort"
 
-// Solve returns a layer for the given loads that is built from nothing. The
-// length of load must be shape.Experts; it returns ErrShape for impossible
+// Solve returns a layer for the given loads that is built from nothing, with
+// shares that allow for the given risk. The length of load must be shape.Experts; it returns ErrShape for impossible
 // sizes and ErrObservation for loads that are negative or not finite.
 //
 // Redundant slots go one after the other to the expert whose replicas are
 // loaded most. Replicas are then placed heaviest first on the rank that is
 // loaded least and has a slot (longest processing time first, Graham 1969),
 // and shares are balanced.
-func Solve(shape Shape, load []float64) (*Layer, error) {
+func Solve(shape Shape, load []float64, risk Risk) (*Layer, error) {
 	if err := shape.check(); err != nil {
 		return nil, err
 	}
 	if err := checkLoads(shape, load); err != nil {
 		return nil, err
 	}
-	p := newPlacement(shape, load)
+	p := newPlacement(shape, load, risk)
 	p.fill(replicate(shape, load))
 	p.balance(maxSweeps)
 	return p.layer(), nil
