--- a/internal/endpoint/cancel.go
+++ b/internal/endpoint/cancel.go
@@ -10,8 +10,13 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// cancelTimeout bounds one cancel at the engine.
-const cancelTimeout = 5 * time.Second
+const (
+	// cancelTimeout bounds one cancel at the engine.
+	cancelTimeout = 5 * time.Second
+	// cancelWorkers is how many cancels go to the engine at once. It leaves
+	// control connections for load reports and orders when the engine hangs.
+	cancelWorkers = controlConns / 2
+)
 
 func streamPath(requestID string) string {
 	return "/v1/streams/" + url.PathEscape(requestID)
@@ -33,16 +38,16 @@
 	}
 }
 
-// runCancels sends cancels until ctx ends, controlConns at a time.
+// runCancels sends cancels until ctx ends, cancelWorkers at a time.
 func (c *Client) runCancels(ctx context.Context) {
-	done := make(chan struct{}, controlConns)
-	for range controlConns {
+	done := make(chan struct{}, cancelWorkers)
+	for range cancelWorkers {
 		go func() {
 			c.sendCancels(ctx)
 			done <- struct{}{}
 		}()
 	}
-	for range controlConns {
+	for range cancelWorkers {
 		<-done
 	}
 }
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -17,6 +17,7 @@
 	DefaultDialTimeout    = time.Second
 	DefaultHeadTimeout    = 30 * time.Second
 	DefaultPieceTimeout   = 30 * time.Second
+	DefaultIdleTimeout    = 30 * time.Second
 	DefaultMaxConns       = 256
 	DefaultMaxAnswerBytes = 8 << 20
 )
@@ -42,10 +43,14 @@
 	HeadTimeout time.Duration
 	// PieceTimeout bounds the silence between two parts of an answer.
 	PieceTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. It has to be shorter
+	// than the endpoint's own: a connection that the endpoint closes while a
+	// request is on its way leaves the outcome unknown.
+	IdleTimeout time.Duration
 	// MaxConns bounds the connections for requests.
 	MaxConns int
-	// MaxAnswerBytes bounds an answer that is not a stream, and one event of a
-	// stream.
+	// MaxAnswerBytes bounds what has to be held until it is whole: an answer of
+	// declared length, one chunk, one event of a stream.
 	MaxAnswerBytes int
 	// Service says that the endpoint is a plain service: it has no call that
 	// cancels a request.
@@ -75,6 +80,7 @@
 	setDuration(&c.DialTimeout, DefaultDialTimeout)
 	setDuration(&c.HeadTimeout, DefaultHeadTimeout)
 	setDuration(&c.PieceTimeout, DefaultPieceTimeout)
+	setDuration(&c.IdleTimeout, DefaultIdleTimeout)
 	if c.MaxConns <= 0 {
 		c.MaxConns = DefaultMaxConns
 	}
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -33,6 +33,9 @@
 type conn struct {
 	nb     *nbio.Conn
 	parser *nbhttp.Parser
+	// usedAt is when the last answer ended. It belongs to whoever holds the
+	// connection: the pool or one call.
+	usedAt time.Time
 
 	// ready holds one token when there is something new to look at.
 	ready chan struct{}
--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -65,7 +65,7 @@
 	}
 	err = c.receive(ctx, cn, resp, sink)
 	if resp.reusable() && err == nil {
-		p.keep(cn)
+		p.keep(cn, time.Now())
 	} else {
 		cn.close()
 	}
@@ -81,7 +81,7 @@
 // OutcomeUnknown by the caller of send. Only a connection that refuses the
 // first byte is replaced here, because then nothing left.
 func (c *Client) send(ctx context.Context, p *pool, raw []byte) (*conn, error) {
-	for cn := p.idleConn(); cn != nil; cn = p.idleConn() {
+	for cn := p.idleConn(time.Now()); cn != nil; cn = p.idleConn(time.Now()) {
 		if accepted, err := cn.write(raw); accepted {
 			return cn, err
 		}
@@ -173,6 +173,7 @@
 	if err != nil && !resp.complete {
 		return incomplete(resp, err)
 	}
+	resp.overrun = resp.overrun || err != nil
 	return nil
 }
 
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -15,6 +15,7 @@
 	addr        string
 	loop        *loop
 	dialTimeout time.Duration
+	idleTimeout time.Duration
 	limits      *nbhttp.Engine
 	slots       chan struct{}
 
@@ -28,6 +29,7 @@
 		addr:        c.Addr,
 		loop:        l,
 		dialTimeout: c.DialTimeout,
+		idleTimeout: c.IdleTimeout,
 		limits:      &nbhttp.Engine{Config: nbhttp.Config{ReadLimit: c.MaxAnswerBytes}},
 		slots:       make(chan struct{}, size),
 	}
@@ -46,13 +48,13 @@
 func (p *pool) release() { <-p.slots }
 
 // idleConn returns the idle connection used last, or nil.
-func (p *pool) idleConn() *conn {
+func (p *pool) idleConn(now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.free) > 0 {
 		c := p.free[len(p.free)-1]
 		p.free = p.free[:len(p.free)-1]
-		if c.idle() {
+		if c.idle() && now.Sub(c.usedAt) < p.idleTimeout {
 			return c
 		}
 		c.close()
@@ -71,7 +73,8 @@
 }
 
 // keep takes back a connection whose answer is whole.
-func (p *pool) keep(c *conn) {
+func (p *pool) keep(c *conn, now time.Time) {
+	c.usedAt = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -134,6 +134,9 @@
 		r.fail("status %d", r.status)
 	}
 	r.checkFraming(n)
+	if r.fault != nil {
+		return
+	}
 	r.headDone = true
 	if r.failed() {
 		return
@@ -155,6 +158,8 @@
 		r.fail("status %d with a body", r.status)
 	case !bodiless && n == noLength && !r.chunked:
 		r.fail("answer of unknown length")
+	case n > r.limit:
+		r.fail("answer of %d bytes, allowed are %d", n, r.limit)
 	}
 }
 
