--- /dev/null
+++ b/internal/rank/engine.go
@@ -0,0 +1,39 @@
+package rank
+
+import (
+	"context"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
+)
+
+// Engine is the way to the ranks of one endpoint. The implementation passes the
+// fencing token on; the Member checks it before, because some engines don't.
+// Each order is idempotent, and may fail after it has taken effect. No order may
+// take effect after its call has returned, nor more than Runner.Drain after the
+// agent that gave it has ended.
+type Engine interface {
+	// Stage loads the weights that m needs and keeps m ready.
+	Stage(ctx context.Context, m *expertmap.Map, fencing uint64) error
+	// Activate makes the ranks use a staged map from a step on, until the next
+	// greater step of an activated map, in whatever order they came. With restart
+	// the ranks forget maps and steps before and begin at this step.
+	Activate(ctx context.Context, e naming.Entry, restart bool, fencing uint64) error
+	// Allow lets the ranks begin steps up to and with the given one. Ranks
+	// wait before a step that they may not begin or have no map for. A lower
+	// step than before changes nothing.
+	Allow(ctx context.Context, step, fencing uint64) error
+	// State returns what the ranks say of themselves.
+	State(ctx context.Context) (naming.EngineState, error)
+	// Counts returns the mean tokens a step that the endpoint's ranks computed
+	// since the last call, for the experts they hold.
+	Counts(ctx context.Context) ([]Count, error)
+}
+
+// Count is the load of one expert on the ranks of one endpoint.
+type Count struct {
+	// Layer and Expert name the expert.
+	Layer, Expert int
+	// Tokens is the mean number of tokens a step.
+	Tokens float64
+}
