--- a/internal/demo/failures_test.go
+++ b/internal/demo/failures_test.go
@@ -168,10 +168,8 @@
 	if status != http.StatusOK {
 		t.Errorf("chat: %d %s", status, body)
 	}
-	status, body = print1(t, e, "cut")
-	if status != http.StatusServiceUnavailable {
-		t.Errorf("order: %d %s", status, body)
-	}
+	_, body = print1(t, e, "cut")
+	assertCode(t, body, result.PlatformDown)
 	assertRuns(t, s, "cut", 0)
 	s.Network.Heal()
 	eventually(t, "the order runs after the cut", func() bool {
