Proofs over real processes

Cause: promises have to hold between processes, not only in one. Change: tests in which an entry dies in the middle of an answer, VMs are told to go while they stream, a process is dead while an operator looks, the platform is down, and an agent freezes and wakes during orders.

--- /dev/null
+++ b/cmd/hyssoprelay/failure_test.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// stream opens a streamed chat and returns its fetch id and body.
+func (f *fleet) stream(e *entryProc, id string, tokens int) (string, *http.Response) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"model":"small","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`, tokens)
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("X-Request-Id", id)
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if res.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(res.Body)
+		f.t.Fatalf("%d %s", res.StatusCode, b)
+	}
+	return res.Header.Get("X-Fetch-Id"), res
+}
+
+func (f *fleet) fetch(e *entryProc, fetchID string, from int) (int, string, error) {
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v1/answers/%s?from=%d", e.callers, fetchID, from), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+// A clerk reads a long quote as it is written, and the entry's VM dies. Without
+// the agent's copy the clerk would have to ask again and get another text; with
+// it the rest comes through another entry, from the piece that is missing.
+func TestEntryDiesInTheMiddleOfAnAnswer(t *testing.T) {
+	f := newFleet(t)
+	const tokens = 900
+	fetchID, res := f.stream(f.entries[0], "long", tokens)
+	br := bufio.NewReader(res.Body)
+	var got strings.Builder
+	pieces := 0
+	for pieces < 50 {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		got.WriteString(line)
+		if line == "\n" {
+			pieces++
+		}
+	}
+	f.entries[0].kill()
+	if _, err := io.ReadAll(br); err == nil {
+		t.Error("the half answer ended as if it were whole")
+	}
+	status, rest, err := f.fetch(f.entries[1], fetchID, pieces)
+	if err != nil || status != http.StatusOK {
+		t.Fatalf("fetch: %d %v %s", status, err, rest)
+	}
+	_, whole, err := f.fetch(f.entries[2], fetchID, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.String()+rest != whole {
+		t.Error("the first pieces and the rest are not the whole answer")
+	}
+	if n := strings.Count(whole, "data: "); n != tokens+1 {
+		t.Errorf("%d events in place of %d", n, tokens+1)
+	}
+}
+
+// A VM is told to go while it streams long answers. Without the wait for what
+// runs, its callers would lose theirs.
+func TestStopLetsLongAnswersEnd(t *testing.T) {
+	f := newFleet(t)
+	type answer struct {
+		body string
+		err  error
+	}
+	answers := make(chan answer, 6)
+	for i := range 6 {
+		_, res := f.stream(f.entries[i%2], fmt.Sprintf("stop-%d", i), 600)
+		go func() {
+			b, err := io.ReadAll(res.Body)
+			answers <- answer{string(b), err}
+		}()
+	}
+	for _, p := range []*proc{f.entries[0].proc, f.entries[1].proc, f.agents[0].proc, f.agents[2].proc} {
+		p.signal(syscall.SIGTERM)
+	}
+	for range 6 {
+		a := <-answers
+		if a.err != nil || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+			t.Errorf("cut off after %d bytes: %v", len(a.body), a.err)
+		}
+	}
+	for _, p := range []*proc{f.entries[0].proc, f.entries[1].proc, f.agents[0].proc, f.agents[2].proc} {
+		if err := p.cmd.Wait(); err != nil {
+			t.Errorf("%s: %v", p.name, err)
+		}
+	}
+}
+
+// An operator looks for the cause of a slow morning while one VM is dead. The
+// dead one must be named and must not hold up what the others say.
+func TestStatusAndTimelineWithADeadProcess(t *testing.T) {
+	f := newFleet(t)
+	assertServes(t, f, f.entries[0], "story")
+	f.agents[1].kill()
+	t.Run("status", func(t *testing.T) {
+		out, code := f.run("--plain", "--json", "status")
+		if code != 0 {
+			t.Fatalf("exit %d: %s", code, out)
+		}
+		var v struct {
+			Silent    []string `json:"silent"`
+			Processes []any    `json:"processes"`
+		}
+		if err := json.Unmarshal([]byte(out), &v); err != nil {
+			t.Fatalf("%v: %s", err, out)
+		}
+		if len(v.Silent) != 1 || v.Silent[0] != f.agents[1].endpoint || len(v.Processes) != 6 {
+			t.Errorf("silent %v, %d answered", v.Silent, len(v.Processes))
+		}
+	})
+	t.Run("a request's story", func(t *testing.T) {
+		out, code := f.run("--plain", "timeline", "--request", "story")
+		if code != 0 {
+			t.Fatalf("exit %d: %s", code, out)
+		}
+		at := 0
+		for _, kind := range []string{"admitted", "placed", "dispatched", "firstPiece", "answered"} {
+			i := strings.Index(out[at:], kind)
+			if i < 0 {
+				t.Fatalf("no %s in its place: %s", kind, out)
+			}
+			at += i
+		}
+	})
+	t.Run("trace events", func(t *testing.T) {
+		out, code := f.run("--plain", "timeline", "--request", "story", "--format", "trace")
+		if code != 0 || !json.Valid([]byte(out)) {
+			t.Errorf("exit %d: %s", code, out)
+		}
+	})
+}
+
+// The platform's service is down for a while. Chats go on, orders are refused
+// as not run, and after the outage each of them runs once.
+func TestPlatformOutage(t *testing.T) {
+	f := newFleet(t)
+	f.post("http://"+f.control, `{"down":true}`)
+	for i, e := range f.entries {
+		assertServes(t, f, e, fmt.Sprintf("outage-%d", i))
+		status, body, err := f.order(e, fmt.Sprintf("outage-%d", i))
+		if err != nil || status == http.StatusOK {
+			t.Errorf("order: %d %s %v", status, body, err)
+		}
+	}
+	f.post("http://"+f.control, `{"down":false}`)
+	for i, e := range f.entries {
+		key := fmt.Sprintf("outage-%d", i)
+		f.eventually(key+" runs", func() bool {
+			status, _, err := f.order(e, key)
+			return err == nil && status == http.StatusOK
+		})
+		assertRanOnce(t, f, key)
+	}
+}
+
+// An agent is frozen at some moment of an order, past its lease on the claim,
+// and wakes after the order has been sent again. Whatever the moment, the order
+// must not run twice.
+func TestAgentFrozenDuringOrders(t *testing.T) {
+	f := newFleet(t)
+	keys := make(chan string, 64)
+	go func() {
+		defer close(keys)
+		for i := range 40 {
+			key := fmt.Sprintf("freeze-%d", i)
+			_, _, _ = f.order(f.entries[i%3], key)
+			keys <- key
+		}
+	}()
+	desk := f.agents[1]
+	for range 4 {
+		desk.signal(syscall.SIGSTOP)
+		time.Sleep(300 * time.Millisecond)
+		desk.signal(syscall.SIGCONT)
+		time.Sleep(50 * time.Millisecond)
+	}
+	for key := range keys {
+		f.eventually(key+" is answered", func() bool {
+			status, _, err := f.order(f.entries[0], key)
+			return err == nil && status == http.StatusOK
+		})
+	}
+	for key, n := range f.runs() {
+		if n != 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
