An order that is held locally goes to every address

Cause: while the platform's service is down, an order to take out holds in the data centre of the entry that took it. The command line stopped at the first address; a data centre that is cut off from it went on sending work. Ruled out: relying on processes to pass holds on: they do, but not across a cut. Conclusion: what an operator can reach is told.

--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -168,6 +168,26 @@
 	assertOutcome(t, o, exitFailed, "4007 writeUnknown", "4002 conflict", "--changeId mine")
 }
 
+// TestTakeOutOfCutOffDataCentres: the platform's service is down and the data
+// centres can't reach each other. An operator who reaches both takes astana
+// out. Were only the first entry told, callers of the other data centre would
+// still be sent to astana until the platform is back.
+func TestTakeOutOfCutOffDataCentres(t *testing.T) {
+	var addrs []string
+	for range 2 {
+		service := newService(t)
+		addr := serve(t, newEntry(t, service))
+		assertOutcome(t, runLine(t, []string{addr}, "preset", "put", examples+"tazalyk-peak.ini", "--plain"), exitDone)
+		service.SetDown(true)
+		addrs = append(addrs, addr)
+	}
+	o := runLine(t, append(addrs, deadAddress(t)), "datacentre", "out", "astana", "--plain", "--timeout=30s")
+	assertOutcome(t, o, exitDone, "4009 heldLocally", "2 of 3 addresses")
+	for _, a := range addrs {
+		assertOutcome(t, runLine(t, []string{a}, "status", "--plain"), exitDone, "dataCentre astana", "held locally")
+	}
+}
+
 // TestTLS gives an order over TLS and refuses an entry whose certificate is
 // not known.
 func TestTLS(t *testing.T) {
