Values keep # and ; without a space; time lines are bounded

Cause: "token = a#b" was read as "a", because the library takes any # for a comment. A time line of all processes could take more memory than an entry VM has. Ruled out: refusing # and ; in values; notes and tokens have them. Change: a comment after a value needs a space; an answer holds the newest 20,000 events and says how many were left out.

--- a/internal/inifile/doc.go
+++ b/internal/inifile/doc.go
@@ -7,7 +7,8 @@
 // for the kinds that may stand several times, its name: "[account sales]" has
 // the kind "account" and the name "sales". Keys are in camel case. A value is
 // one line; lists are separated by commas; durations are written as in
-// time.ParseDuration ("250ms", "3s").
+// time.ParseDuration ("250ms", "3s"). Comments begin with # or ; at the start
+// of a line, or after a value and a space.
 //
 // gopkg.in/ini.v1 reads one line at a time here, because it would otherwise
 // stop at the first line that it can't read, merge repeated sections and
--- a/internal/inifile/document.go
+++ b/internal/inifile/document.go
@@ -27,11 +27,13 @@
 	maxShown = 80
 )
 
+// lineOptions read one line. A comment after a value needs a space before its
+// sign; without that, a token such as "a#b" would lose its end unseen.
 var lineOptions = ini.LoadOptions{
-	IgnoreContinuation:      true,
-	KeyValueDelimiters:      "=",
-	ReaderBufferSize:        512,
-	SkipUnrecognizableLines: false,
+	IgnoreContinuation:       true,
+	SpaceBeforeInlineComment: true,
+	KeyValueDelimiters:       "=",
+	ReaderBufferSize:         512,
 }
 
 // Document is a document that has been split into sections. Faults gather in
--- a/internal/operator/command/timeline.go
+++ b/internal/operator/command/timeline.go
@@ -121,6 +121,7 @@
 				all.Events = append(all.Events, e)
 			}
 		}
+		all.Omitted = max(all.Omitted, r.Omitted)
 		for _, s := range r.Silent {
 			silent[s]++
 			if silent[s] == len(replies) {
@@ -143,6 +144,9 @@
 		rows = append(rows, []string{at, e.DataCentre, e.Process, e.Kind, e.RequestID, e.Endpoint, n, e.Detail})
 	}
 	text := table(rows)
+	if r.Omitted > 0 {
+		text += fmt.Sprintf("\n\n%d older events are left out; select by --request, --endpoint, --dataCentre, --kind or --since", r.Omitted)
+	}
 	if len(r.Silent) > 0 {
 		text += fmt.Sprintf("\n\nno answer from %s", strings.Join(r.Silent, ", "))
 	}
--- a/internal/operator/listener_test.go
+++ b/internal/operator/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -172,9 +173,9 @@
 type manyEvents struct{}
 
 func (manyEvents) Timeline(context.Context, *peerpb.TimelineRequest) ([]*peerpb.TimelineEvent, []string) {
-	events := make([]*peerpb.TimelineEvent, 100_000)
+	events := make([]*peerpb.TimelineEvent, maxEvents+5)
 	for i := range events {
-		events[i] = &peerpb.TimelineEvent{Hlc: uint64(i), Process: "astana-entry-1", Kind: "placed", RequestId: "request"}
+		events[i] = &peerpb.TimelineEvent{Hlc: uint64(i), Process: "astana-entry-1", Kind: "placed", Detail: strings.Repeat("a", 500)}
 	}
 	return events, nil
 }
@@ -192,9 +193,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := io.Copy(io.Discard, res.Body)
-	if err != nil || n != res.ContentLength || n < 8<<20 {
-		t.Errorf("%d of %d bytes, error %v", n, res.ContentLength, err)
+	body, err := io.ReadAll(res.Body)
+	if err != nil || int64(len(body)) != res.ContentLength || len(body) < 8<<20 {
+		t.Fatalf("%d of %d bytes, error %v", len(body), res.ContentLength, err)
+	}
+	var r TimelineReply
+	if err := json.Unmarshal(body, &r); err != nil || r.Omitted != 5 || r.Events[0].Stamp != 5 || len(r.Events) != maxEvents {
+		t.Errorf("%d events, %d omitted, error %v", len(r.Events), r.Omitted, err)
 	}
 }
 
--- a/internal/operator/views.go
+++ b/internal/operator/views.go
@@ -17,6 +17,12 @@
 // processes. One that is cut off must not keep operators from the rest.
 const gatherTimeout = 2 * time.Second
 
+// maxEvents bounds the events of one answer: 20,000 are about 4 MB of JSON,
+// some seconds of a busy system. All events of all processes would take more
+// memory than an entry VM has for operators; who looks for older ones selects
+// by request, endpoint, data centre, kind or time.
+const maxEvents = 20_000
+
 func (s *Server) listPresets(*http.Request) (any, error) {
 	h := s.Configuration.Current().Head()
 	list := PresetList{Generation: h.Generation(), Presets: []PresetView{}}
@@ -170,6 +176,10 @@
 	defer cancel()
 	events, silent := s.Timeline.Timeline(ctx, req)
 	reply.Events = eventViews(events)
+	if n := len(reply.Events) - maxEvents; n > 0 {
+		reply.Omitted = n
+		reply.Events = reply.Events[n:]
+	}
 	reply.Silent = append(reply.Silent, silent...)
 	return reply, nil
 }
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -146,6 +146,8 @@
 // TimelineReply answers for events, in causal order.
 type TimelineReply struct {
 	Events []EventView `json:"events"`
+	// Omitted is how many older events were left out.
+	Omitted int `json:"omitted,omitempty"`
 	Silent []string    `json:"silent"`
 }
 
