--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -147,8 +147,8 @@
 type TimelineReply struct {
 	Events []EventView `json:"events"`
 	// Omitted is how many older events were left out.
-	Omitted int `json:"omitted,omitempty"`
-	Silent []string    `json:"silent"`
+	Omitted int      `json:"omitted,omitempty"`
+	Silent  []string `json:"silent"`
 }
 
 // EventView is one event of one process.
