--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -20,7 +20,9 @@
 // sections lists the report's parts in the order of printing.
 var sections = []measure.Section{
 	measure.Service(),
+	measure.Fairness(),
 	measure.Placing(),
+	measure.Affinity(),
 }
 
 func main() {
