Leave an endpoint alone that fails at once

Cause: an endpoint that fails each request within moments never has work, so committed load makes it the best choice for all entries. Change: Picture.Failed pauses the endpoint, doubling from 250 ms to 16 s until it answers; the entry's retry calls it (one line in internal/entry); a row of the service table.

--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -80,6 +80,7 @@
 	p.Accepted(a)
 	if !a.answered {
 		a.answered = true
+		e.failures = 0
 		e.observe(now.Sub(a.started).Seconds(), a)
 	}
 	a.heard = now
@@ -119,6 +120,34 @@
 	e.others = max(e.others, float64(e.allowance-e.own))
 }
 
+// Failed records that the endpoint has failed the attempt, and ends it. The
+// endpoint is left alone for a pause that doubles with each failure in a row.
+//
+// The load is an endpoint that fails each request within moments. It never has
+// work, so by committed load it is always the best choice, and a fleet sends
+// it a large part of all requests. After the pause one failure is enough to
+// pause it again for longer, so it costs few callers until it is healthy.
+func (p *Picture) Failed(a *Attempt, now time.Time) {
+	if a == nil || a.ended {
+		return
+	}
+	p.Ended(a, now)
+	e := a.endpoint
+	if a.incarnation != e.incarnation {
+		return
+	}
+	e.failedUntil = now.Add(leastFailPause << min(e.failures, mostFailDoublings))
+	e.failures++
+}
+
+// Bounds of the pause after a failure: a quarter of a second, doubled up to 16
+// seconds. A request or two of a healthy endpoint fail for their own reasons,
+// which must not cost its capacity for long.
+const (
+	leastFailPause    = 250 * time.Millisecond
+	mostFailDoublings = 6
+)
+
 // Accepted records that the agent has accepted the attempt.
 func (p *Picture) Accepted(a *Attempt) {
 	if a != nil && a.incarnation == a.endpoint.incarnation {
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -36,7 +36,11 @@
 	refused  time.Time
 	backOff  time.Time
 	refusals int
-	chosen   time.Time
+	// failures counts the failures since the last answer, and failedUntil is
+	// when the endpoint may be chosen again after the last one.
+	failures    int
+	failedUntil time.Time
+	chosen      time.Time
 	// probes counts the probes since the endpoint last answered in usual time.
 	probes int
 	// firstPiece is the smoothed time to the first piece in seconds.
@@ -49,6 +53,7 @@
 	e.reported = time.Time{}
 	e.refused, e.backOff = time.Time{}, time.Time{}
 	e.refusals = 0
+	e.failures, e.failedUntil = 0, time.Time{}
 	e.firstPiece = 0
 }
 
@@ -88,6 +93,8 @@
 		return outOfService
 	case e.leaving:
 		return leaving
+	case now.Before(e.failedUntil):
+		return busy
 	case !e.fresh(now, p.StaleAfter):
 		return p.stateUnknown(e, now)
 	case e.cold:
--- a/internal/endpoint/placement/placement_test.go
+++ b/internal/endpoint/placement/placement_test.go
@@ -303,6 +303,38 @@
 	}
 }
 
+// A fleet would lose a large part of its requests to one endpoint that fails
+// each of them within moments, because it never has work and looks free.
+func TestFailingEndpointIsLeftAlone(t *testing.T) {
+	p := newPicture(6, epoch)
+	got := make(map[string]int)
+	now := epoch
+	for i := range 1500 {
+		now = now.Add(20 * time.Millisecond)
+		for k := range 6 {
+			p.Update(warm(k, now), now)
+		}
+		c := mustChoose(t, p, query, now)
+		a := p.Started(c, query, now)
+		if c.Endpoint == name(2) && i < 1000 {
+			got["failed"]++
+			p.Failed(a, now)
+			continue
+		}
+		if i >= 1000 {
+			got[c.Endpoint]++
+		}
+		p.Piece(a, now.Add(100*time.Millisecond))
+		p.Ended(a, now.Add(100*time.Millisecond))
+	}
+	if got["failed"] == 0 || got["failed"] > 10 {
+		t.Errorf("%d of 1000 requests failed, want 1 to 10", got["failed"])
+	}
+	if got[name(2)] < 5 {
+		t.Errorf("the recovered endpoint got %d of 500", got[name(2)])
+	}
+}
+
 // A request that may not be repeated would be used to find out whether a slow
 // endpoint still is.
 func TestRunOnceIsNoProbe(t *testing.T) {
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -124,6 +124,7 @@
 func (s *scheduler) retry(j *job, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.picture.Failed(j.attempt, now)
 	s.release(j, false, 0, now)
 	if !s.budget.Take(now) {
 		s.drop(j, result.New(result.RetryBudget, "").WithRetryAfter(absentRetry), now)
--- a/internal/measure/arrivals.go
+++ b/internal/measure/arrivals.go
@@ -38,6 +38,8 @@
 	long float64
 	// slowEndpoint slows one endpoint down by this factor from 30 s to 90 s.
 	slowEndpoint float64
+	// failing makes one endpoint fail each request at once from 30 s to 90 s.
+	failing bool
 	// leave takes a data centre out at 30 s and brings it back, cold, at 70 s.
 	leave bool
 	// sameWorth makes all accounts worth the same.
--- a/internal/measure/bound.go
+++ b/internal/measure/bound.go
@@ -43,6 +43,9 @@
 		if s.slowEndpoint > 0 && t >= 30 && t < 90 {
 			caps[t] -= endpointCapacity * (1 - 1/s.slowEndpoint)
 		}
+		if s.failing && t >= 31 && t < 90 {
+			caps[t] -= endpointCapacity
+		}
 		if s.leave && t >= 30 && t < 70 {
 			away := float64(endpointCapacity * endpointsPerDC)
 			caps[t] -= away - math.Min(away, w.finishing(30*time.Second, t))
--- a/internal/measure/ours.go
+++ b/internal/measure/ours.go
@@ -134,7 +134,11 @@
 
 func (o *ours) ended(j *job, whole bool, now time.Duration) {
 	id := strconv.Itoa(j.id)
-	o.pic.Ended(o.attempt[j], clock(now))
+	if whole {
+		o.pic.Ended(o.attempt[j], clock(now))
+	} else {
+		o.pic.Failed(o.attempt[j], clock(now))
+	}
 	delete(o.attempt, j)
 	if whole || j.outcome != pending || !o.budget.Take(clock(now)) {
 		o.finish(j, id, now)
--- a/internal/measure/server.go
+++ b/internal/measure/server.go
@@ -32,6 +32,7 @@
 	version   int
 	slow      float64
 	out       bool
+	failing   bool
 	coldUntil time.Duration
 	// incarnation counts restarts.
 	incarnation uint64
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -13,6 +13,7 @@
 	{name: "bursts of 3 times, mean 0.8", load: 0.8, burst: 3},
 	{name: "one account sends 80 in 100, 1.5", load: 1.5, skew: 0.8, sameWorth: true},
 	{name: "one slow endpoint, 0.8", load: 0.8, slowEndpoint: 10},
+	{name: "one endpoint fails at once, 0.8", load: 0.8, failing: true},
 	{name: "long and short mixed, 0.8", load: 0.8, long: 0.1},
 	{name: "long and short mixed, 1.5", load: 1.5, long: 0.1},
 	{name: "data centre leaves and returns, 0.8", load: 0.8, leave: true},
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -137,6 +137,11 @@
 		w.at(30*time.Second, func() { w.setSlow(s, w.shape.slowEndpoint) })
 		w.at(90*time.Second, func() { w.setSlow(s, 1) })
 	}
+	if w.shape.failing {
+		s := w.servers[5]
+		w.at(30*time.Second, func() { s.failing = true })
+		w.at(90*time.Second, func() { s.failing = false })
+	}
 	if w.shape.leave {
 		w.at(30*time.Second, func() { w.setOut(2, true) })
 		w.at(70*time.Second, func() { w.setOut(2, false) })
@@ -183,10 +188,21 @@
 	})
 }
 
+// failAfter is how long a failing endpoint takes to fail.
+const failAfter = 20 * time.Millisecond
+
 // start runs an attempt at an endpoint, whatever that can bear.
 func (w *world) start(s *server, j *job) {
 	j.attempt++
 	attempt := j.attempt
+	if s.failing {
+		w.at(w.now+failAfter, func() {
+			if j.attempt == attempt {
+				w.entries[j.entry].ended(j, false, w.now)
+			}
+		})
+		return
+	}
 	lost := s.take(j, w.now)
 	for _, x := range lost {
 		w.at(w.now, func() { w.entries[x.entry].ended(x, false, w.now) })
