--- a/internal/measure/affinity.go
+++ b/internal/measure/affinity.go
@@ -39,8 +39,12 @@
 		name  string
 		bound float64
 	}{
-		{"without affinity", 0}, {"bound 1.05", 1.05}, {"bound 1.25", 1.25}, {"bound 1.5", 1.5},
-		{"bound 2", 2}, {"hashing alone", noBound},
+		{"without affinity", 0},
+		{"bound 1.05", 1.05},
+		{"bound 1.25", 1.25},
+		{"bound 1.5", 1.5},
+		{"bound 2", 2},
+		{"hashing alone", noBound},
 	} {
 		hits, fullest := playAffinity(way.bound, seed)
 		t.Rows = append(t.Rows, []string{way.name, percent(hits), fmt.Sprintf("%.2f", fullest)})
