--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -40,9 +40,10 @@
 }
 
 // Ticket stands for one admitted request. It remembers which cold start the
-// request began in.
+// request began in, and when it began.
 type Ticket struct {
 	epoch uint64
+	began time.Time
 }
 
 // Cause says why an endpoint is taken to be cold.
@@ -153,14 +154,17 @@
 	defer a.mu.Unlock()
 	bound := a.bound()
 	if a.running < bound {
+		if a.running == 0 {
+			a.pace.busy(now)
+		}
 		a.running++
-		return Ticket{epoch: a.epoch}, nil
+		return Ticket{epoch: a.epoch, began: now}, nil
 	}
 	code := result.EndpointBusy
 	if bound < a.limits.Full || bound == 0 {
 		code = result.EndpointCold
 	}
-	after := a.pace.retryAfter(a.running-bound, now)
+	after := a.pace.retryAfter(bound, now)
 	return Ticket{}, result.Newf(code, "%d of %d running", a.running, bound).WithRetryAfter(after)
 }
 
@@ -183,24 +187,24 @@
 func (a *Allowance) Completed(t Ticket, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.endLocked(now)
+	a.endLocked()
+	a.pace.ended(t.began, now)
 	if t.epoch == a.epoch && a.bound() < a.limits.Full {
 		a.completions++
 	}
 }
 
 // Failed gives the place back after anything else than a whole answer.
-func (a *Allowance) Failed(_ Ticket, now time.Time) {
+func (a *Allowance) Failed(_ Ticket, _ time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.endLocked(now)
+	a.endLocked()
 }
 
-func (a *Allowance) endLocked(now time.Time) {
+func (a *Allowance) endLocked() {
 	if a.running > 0 {
 		a.running--
 	}
-	a.pace.ended(now)
 }
 
 // Restarted drops the bound to the cold bound.
--- /dev/null
+++ b/internal/endpoint/allowance/example_test.go
@@ -0,0 +1,27 @@
+package allowance_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
+)
+
+// A cold endpoint bears one request; two whole answers let it bear two.
+func Example() {
+	now := time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+	a := &allowance.Allowance{}
+	if err := a.Configure(allowance.Limits{Cold: 1, Full: 4, RampCompletions: 2}); err != nil {
+		fmt.Println(err)
+	}
+	first, _ := a.Admit(now)
+	_, refused := a.Admit(now)
+	fmt.Println(refused.Code(), refused.RetryAfter())
+	a.Completed(first, now)
+	second, _ := a.Admit(now)
+	a.Completed(second, now)
+	fmt.Println(a.State().Bound())
+	// Output:
+	// endpointCold 500ms
+	// 2
+}
--- a/internal/endpoint/allowance/pace.go
+++ b/internal/endpoint/allowance/pace.go
@@ -3,56 +3,72 @@
 import "time"
 
 const (
-	// retryUnknown is the time to come back when no request has ended yet.
-	retryUnknown = time.Second
+	// workUnknown is the time that one request is taken to need before any has
+	// ended, and the longest time to come back until then.
+	workUnknown = time.Second
 	// retryLeast keeps a fast endpoint from being asked in a busy loop.
 	retryLeast = 20 * time.Millisecond
 	// retryMost keeps callers from staying away long after a stall has ended.
-	retryMost = 10 * time.Second
-	// paceWeight is the share, one in so many, of the newest gap in the mean.
+	retryMost = 5 * time.Second
+	// paceWeight is the share, one in so many, of the newest time in the mean.
 	paceWeight = 8
+	// promisesPerPlace is to how many of the refused each place that becomes
+	// free is promised. Some don't come back, and a refusal costs one message,
+	// while an empty place costs the work of an endpoint.
+	promisesPerPlace = 2
 )
 
-// pace follows how often places become free.
+// pace follows how long requests take, and so how often places become free.
 type pace struct {
-	last    time.Time
-	gap     time.Duration
-	refused int
+	work time.Duration
+	// last is when a request last ended, or when the first one began after
+	// none ran.
+	last     time.Time
+	promised time.Time
 }
 
-// ended notes that a place has become free.
-func (p *pace) ended(now time.Time) {
-	if p.refused > 0 {
-		p.refused--
-	}
-	if p.last.IsZero() || now.Before(p.last) {
-		p.last = now
-		return
-	}
-	gap := now.Sub(p.last)
+// busy notes that the first request begins after none ran: an idle time is no
+// stall.
+func (p *pace) busy(now time.Time) { p.last = now }
+
+// ended notes the whole answer of a request that began at began. Failures tell
+// nothing about how long requests take.
+func (p *pace) ended(began, now time.Time) {
 	p.last = now
-	if p.gap == 0 {
-		p.gap = gap
+	took := max(now.Sub(began), time.Nanosecond)
+	if p.work == 0 {
+		p.work = took
 		return
 	}
-	p.gap += (gap - p.gap) / paceWeight
+	p.work += (took - p.work) / paceWeight
 }
 
-// retryAfter returns when a place may be free for the one refused now; excess
-// is how many more run than may.
+// retryAfter returns when the one refused now should come back; bound is how
+// many requests may run.
 //
 // Decision, for a burst far above the bound. Harm prevented: all refused come
 // back at the same moment, are refused again, and the endpoint runs empty
-// between. Each gets the mean gap times its rank among those refused and not
-// yet served, so that they come back spread at the pace of the endpoint. A gap
-// that has already lasted longer than the mean replaces it, because the
-// endpoint has slowed down.
-func (p *pace) retryAfter(excess int, now time.Time) time.Duration {
-	p.refused++
-	if p.gap == 0 {
-		return retryUnknown
+// between. Places become free once in the mean time of a request divided by the
+// bound (Little's law), so the refused are called back one after another at
+// that pace. The gaps between endings can't stand for it: when few come back
+// the gaps grow, and fewer still would be called. Work that has ended nothing
+// for longer than the mean slows the pace down. Beyond the longest time the
+// promises start again in its second half, spread as before.
+func (p *pace) retryAfter(bound int, now time.Time) time.Duration {
+	work, most := p.work, retryMost
+	if work == 0 {
+		work, most = workUnknown, workUnknown
+	} else {
+		work = max(work, now.Sub(p.last))
+	}
+	gap := work / time.Duration(max(bound, 1)*promisesPerPlace)
+	if p.promised.Before(now) {
+		p.promised = now
+	}
+	wait := p.promised.Sub(now) + gap
+	if wait > most {
+		wait = most/2 + wait%(most/2)
 	}
-	gap := max(p.gap, now.Sub(p.last))
-	rank := min(max(excess, 0)+p.refused, int(retryMost/retryLeast))
-	return min(max(time.Duration(rank)*gap, retryLeast), retryMost)
+	p.promised = now.Add(wait)
+	return max(wait, retryLeast)
 }
