Charge staging as long as it takes in the table of skew

Cause: the table let each map wait an interval, also those that move nothing; its floor was no floor, since it placed replicas by the plain solution. Ruled out: charging the full solution for loading its 200 moves each interval, which would take 100 s; it is let off with an interval. Change: a planned map takes force after a quarter of an interval plus its moves at the store's rate; the column known is improved with nothing to save; 180 intervals in place of 360.

--- a/internal/rank/expertmap/popularity.go
+++ b/internal/rank/expertmap/popularity.go
@@ -92,10 +92,10 @@
 //
 // If loads wander like Brownian motion, the mean over an interval of length T
 // differs from the next one's by 2T/3 in variance. A map planned at the end of an
-// interval takes force about an interval later and stays for one, so the load in
-// its middle differs by T/3 + T + T/2.
+// interval takes force about a quarter of an interval later and stays for one,
+// so the load differs by T/3 + T/4 + T/2 on average.
 func (p *Popularity) Drift(layer int) float64 {
-	const lag = (1.0/3 + 1 + 1.0/2) / (2.0 / 3)
+	const lag = (1.0/3 + 1.0/4 + 1.0/2) / (2.0 / 3)
 	return math.Sqrt(lag * p.layers[layer].change)
 }
 
--- a/internal/rank/expertmap/skewtable/run.go
+++ b/internal/rank/expertmap/skewtable/run.go
@@ -1,13 +1,13 @@
 package skewtable
 
 import (
+	"math"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
 )
 
-// run is one case while it is measured. The maps in force are those that were
-// planned an interval ago.
+// run is one case while it is measured.
 type run struct {
 	of      Case
 	drift   *drift
@@ -15,19 +15,54 @@
 	planned keeper
 	full    keeper
 	static  *expertmap.Layer
-	skews   struct{ static, full, planned, floor, bound []float64 }
+	skews   struct{ static, full, planned, known, bound []float64 }
 }
 
-// keeper is one way of keeping a map: what is in force and what comes next.
+// keeper is one way of keeping a map: what is in force and what is on its way.
 type keeper struct {
-	now, next *expertmap.Layer
-	moves     int
+	now     *expertmap.Layer
+	pending []staged
+	moves   int
 }
 
-func (k *keeper) take(l *expertmap.Layer) {
-	k.now = k.next
-	k.next = l
-	k.moves += l.Moves(k.now)
+// staged is a layer that is in force after some more measured steps.
+type staged struct {
+	layer *expertmap.Layer
+	wait  int
+}
+
+// newest returns the layer planned last.
+func (k *keeper) newest() *expertmap.Layer {
+	if n := len(k.pending); n > 0 {
+		return k.pending[n-1].layer
+	}
+	return k.now
+}
+
+// take plans l. It takes force after wait measured steps, and not before the
+// layers that are on their way.
+func (k *keeper) take(l *expertmap.Layer, wait int) {
+	k.moves += l.Moves(k.newest())
+	k.pending = append(k.pending, staged{layer: l, wait: wait})
+}
+
+// step brings the layers into force whose time has come.
+func (k *keeper) step() {
+	for i := range k.pending {
+		k.pending[i].wait--
+	}
+	for len(k.pending) > 0 && k.pending[0].wait < 0 {
+		k.now = k.pending[0].layer
+		k.pending = k.pending[1:]
+	}
+}
+
+// staging returns how many measured steps pass until a map with that many moves
+// is in force: one for the messages, and the time in which the weights load.
+func staging(moves int) int {
+	l := Limits()
+	load := float64(moves) * float64(l.ExpertBytes) / float64(l.StoreRate)
+	return 1 + int(math.Ceil(load/(interval.Seconds()/stepsMeasured)))
 }
 
 // Run measures one case.
@@ -42,12 +77,14 @@
 	}
 	pop := expertmap.NewPopularity(1, c.Shape.Experts, memory)
 	now := time.Unix(0, 0)
-	for range intervals {
-		now = now.Add(interval)
-		counts, err := r.interval()
-		if err != nil {
-			return Row{}, err
+	for i := range intervals {
+		if i%knownEvery == 0 {
+			if err := r.know(); err != nil {
+				return Row{}, err
+			}
 		}
+		now = now.Add(interval)
+		counts := r.interval()
 		if err := pop.Observe(0, counts, now); err != nil {
 			return Row{}, err
 		}
@@ -73,38 +110,53 @@
 	if err != nil {
 		return err
 	}
-	r.planned = keeper{now: first, next: first}
-	r.full = keeper{now: first, next: first}
+	r.planned = keeper{now: first}
+	r.full = keeper{now: first}
 	return nil
 }
 
 // interval measures some steps of one interval and returns its mean counts.
-func (r *run) interval() ([]float64, error) {
+func (r *run) interval() []float64 {
 	sum := make([]float64, r.of.Shape.Experts)
 	for range stepsMeasured {
 		r.drift.advance(interval / stepsMeasured)
 		expected := r.drift.expected(r.tokens)
-		if err := r.step(expected, r.drift.draw(expected, 1)); err != nil {
-			return nil, err
-		}
+		r.step(r.drift.draw(expected, 1))
 		for e, v := range r.drift.draw(expected, stepsPerInterval/stepsMeasured) {
 			sum[e] += v / stepsMeasured
 		}
 	}
-	return sum, nil
+	return sum
 }
 
-func (r *run) step(expected, drawn []float64) error {
-	known, err := expertmap.Solve(r.of.Shape, expected, expertmap.Risk{Draw: true})
-	if err != nil {
-		return err
-	}
+func (r *run) step(drawn []float64) {
 	s := &r.skews
+	r.full.step()
+	r.planned.step()
 	s.static = append(s.static, expertmap.Skew(r.static, drawn))
 	s.full = append(s.full, expertmap.Skew(r.full.now, drawn))
 	s.planned = append(s.planned, expertmap.Skew(r.planned.now, drawn))
-	s.floor = append(s.floor, expertmap.Skew(known, drawn))
 	s.bound = append(s.bound, expertmap.LowerBound(drawn, r.of.Shape))
+}
+
+// know measures a layer that is made for the very popularity its steps are
+// drawn from.
+func (r *run) know() error {
+	const moves, draws = 32, 16
+	expected := r.drift.expected(r.tokens)
+	risk := expertmap.Risk{Draw: true}
+	first, err := expertmap.Solve(r.of.Shape, expected, risk)
+	if err != nil {
+		return err
+	}
+	known, err := expertmap.Improve(first, expected, risk, moves, 0, 0)
+	if err != nil {
+		return err
+	}
+	for range draws {
+		drawn := r.drift.draw(expected, 1)
+		r.skews.known = append(r.skews.known, expertmap.Skew(known.Layer(), drawn))
+	}
 	return nil
 }
 
@@ -113,8 +165,8 @@
 	if err != nil {
 		return err
 	}
-	r.full.take(full)
-	current, err := expertmap.NewMap(1, []*expertmap.Layer{r.planned.next})
+	r.full.take(full, stepsMeasured)
+	current, err := expertmap.NewMap(1, []*expertmap.Layer{r.planned.newest()})
 	if err != nil {
 		return err
 	}
@@ -122,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	r.planned.take(plan.Next().Layer(0))
+	r.planned.take(plan.Next().Layer(0), staging(len(plan.Moves())))
 	return nil
 }
 
@@ -132,7 +184,7 @@
 		static:  summary(r.skews.static, 0),
 		full:    summary(r.skews.full, r.full.moves),
 		planned: summary(r.skews.planned, r.planned.moves),
-		floor:   summary(r.skews.floor, 0),
+		known:   summary(r.skews.known, 0),
 		bound:   summary(r.skews.bound, 0),
 	}
 }
--- a/internal/rank/expertmap/skewtable/table.go
+++ b/internal/rank/expertmap/skewtable/table.go
@@ -13,8 +13,9 @@
 const (
 	interval         = 10 * time.Second
 	stepTime         = 20 * time.Millisecond
-	intervals        = 360
+	intervals        = 180
 	stepsMeasured    = 4
+	knownEvery       = 20
 	tokensPerRank    = 256
 	expertsPerToken  = 8
 	stepsPerInterval = float64(interval / stepTime)
@@ -81,7 +82,7 @@
 // Row is the measurement of one case.
 type Row struct {
 	of                                  Case
-	static, full, planned, floor, bound Skews
+	static, full, planned, known, bound Skews
 }
 
 // Case returns what was measured.
@@ -97,7 +98,7 @@
 func (r Row) Planned() Skews { return r.planned }
 
 // Floor returns the skew under a solution that knows the popularity exactly.
-func (r Row) Floor() Skews { return r.floor }
+func (r Row) Floor() Skews { return r.known }
 
 // Bound returns the lower bound on the skew.
 func (r Row) Bound() Skews { return r.bound }
@@ -118,10 +119,10 @@
 // Write prints the rows as a table.
 func Write(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "ranks x experts\tdrift\tbound\tfloor\tstatic\tp99\tfull\tp99\tmoves\tplanned\tp99\tmoves\tover bound\tof full's moves\t")
+	_, _ = fmt.Fprintln(t, "ranks x experts\tdrift\tbound\tknown\tstatic\tp99\tfull\tp99\tmoves\tplanned\tp99\tmoves\tover bound\tof full's moves\t")
 	for _, r := range rows {
 		_, _ = fmt.Fprintf(t, "%d x %d\t%v\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%.3f\t%.3f\t%d\t%.1f%%\t%.1f%%\t\n",
-			r.of.Shape.Ranks, r.of.Shape.Experts, r.of.Correlation, r.bound.mean, r.floor.mean,
+			r.of.Shape.Ranks, r.of.Shape.Experts, r.of.Correlation, r.bound.mean, r.known.mean,
 			r.static.mean, r.static.p99, r.full.mean, r.full.p99, r.full.moves,
 			r.planned.mean, r.planned.p99, r.planned.moves,
 			100*(r.planned.mean/r.bound.mean-1), 100*float64(r.planned.moves)/float64(max(1, r.full.moves)))
