Bench waits for the event loop's first turn

Ruled out: a connection left open (the wait for connections had passed). Change: the bench makes one call first. Conclusion: a process that is told to stop within its first microseconds could hang; the half second of the announcement makes that impossible in the product.

--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -81,6 +81,10 @@
 		}
 	})
 	a.apply(viewOf(t, "a-desk-0", false))
+	// The library's event loop never ends when it is stopped before its first
+	// turn, which this broken call waits for.
+	_, _ = a.client.Load(ctx)
+	<-b.dialled
 	return b
 }
 
