Say not run only when no attempt of a request may have run

Cause: after an attempt that may have run (agent lost, endpoint failed), the wait for the next one or its refusal ended with a code that means not run (deadline passed, no endpoint, platform down), and the caller was told so. Found by reading; the test stands for it. Ruled out: changing the codes, which are true of the last attempt. Change: the entry remembers the last attempt that may have run; its result goes to the caller in place of a later refusal.

--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -206,3 +206,42 @@
 	m.byAddr["new"] = &member{addr: "new", endpoint: "a-engine-0", attempts: map[*job]context.CancelCauseFunc{}}
 	m.drop(old)
 }
+
+// An agent is lost in the middle of a print order; asked for again under its
+// claim, the order is refused by the next agent because the platform's service
+// is down. The clerk must not be told "not run": the first agent may have
+// printed, and a second order under a new key would print once more.
+func TestNotRunIsOnlySaidOfAllAttempts(t *testing.T) {
+	agentLost := lost(result.New(result.OutcomeUnknown, ""))
+	busy := result.New(result.EndpointBusy, "")
+	down := result.New(result.PlatformDown, "").WithRetryAfter(time.Second)
+	cases := []struct {
+		name    string
+		earlier []*result.Error
+		last    *result.Error
+		want    result.Code
+	}{
+		{"the only attempt is refused", nil, down, result.PlatformDown},
+		{"all are refused", []*result.Error{busy, busy}, down, result.PlatformDown},
+		{"refused after one was lost", []*result.Error{agentLost}, down, result.OutcomeUnknown},
+		{"refused twice after one was lost", []*result.Error{agentLost, busy}, down, result.OutcomeUnknown},
+		{"no time is left after one failed", []*result.Error{result.New(result.EndpointFailed, "")}, result.New(result.DeadlinePassed, ""), result.EndpointFailed},
+		{"fails after one was lost", []*result.Error{agentLost}, result.New(result.EndpointFailed, ""), result.EndpointFailed},
+		{"whole after one was lost", []*result.Error{agentLost}, nil, result.OK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tk := &task{}
+			for _, e := range c.earlier {
+				tk.note(e)
+			}
+			got := tk.final(c.last)
+			if codeOf(got) != c.want {
+				t.Errorf("told %d, want %d", codeOf(got), c.want)
+			}
+			if got != nil && got.RetryAfter() != c.last.RetryAfter() {
+				t.Errorf("come back after %s", got.RetryAfter())
+			}
+		})
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,6 +33,8 @@
 	began    time.Time
 	attempts uint32
 	relay    *relay
+	// mayHaveRun is the last attempt's error that does not mean not run.
+	mayHaveRun *result.Error
 }
 
 // Ready implements caller.Handler.
@@ -164,15 +166,16 @@
 func (e *Entry) attemptAll(ctx context.Context, t *task) *result.Error {
 	for {
 		if err := e.await(ctx, t); err != nil {
-			return err
+			return t.final(err)
 		}
 		t.attempts++
 		t.began = e.now()
 		e.ring.Add(timeline.Placed, t.request.ID(), t.choice.Endpoint, "", uint64(t.attempts), t.began)
 		err := e.attempt(ctx, t)
 		if err == nil || !e.mayRetry(ctx, t, err) {
-			return err
+			return t.final(err)
 		}
+		t.note(err)
 		now := e.now()
 		e.ring.Add(timeline.Retried, t.request.ID(), t.choice.Endpoint, err.Detail(), uint64(err.Code()), now)
 		e.counters.retries.Inc(1)
@@ -185,6 +188,30 @@
 	}
 }
 
+// note remembers an attempt that may have run its request.
+func (t *task) note(err *result.Error) {
+	if err.Code().Effect() != result.NotRun {
+		t.mayHaveRun = err
+	}
+}
+
+// final returns what the caller is told when the last attempt, or the wait for
+// it, ended with err.
+//
+// Guard: an agent is lost in the middle of a print order, and the next one
+// refuses the order truly, because the platform's service is down. "Not run"
+// would be true of that attempt and false of the request; the clerk would print
+// the catalogue again under another key. What is known of the request is what
+// is known of all its attempts, so the earlier one's result stands.
+func (t *task) final(err *result.Error) *result.Error {
+	if err == nil || t.mayHaveRun == nil || err.Code().Effect() != result.NotRun {
+		return err
+	}
+	earlier := t.mayHaveRun
+	detail := "an attempt before the last may have run; the last: " + err.Code().String()
+	return result.New(earlier.Code(), detail).WithRetryAfter(err.RetryAfter())
+}
+
 // await returns when the request has a place, or with its final answer.
 func (e *Entry) await(ctx context.Context, t *task) *result.Error {
 	select {
