Chaos over a whole system, with VMs that die without a word

Cause: failures were proved one at a time and stops in one process were all graceful. Ruled out: a simulator of our own; the demonstration's system runs the real processes. Engines' cold bound is not judged here, because a killed agent's work goes on at its engine, unseen by its successor.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -55,6 +56,8 @@
 	Deadline time.Duration
 	// Seed makes arrivals and shapes repeatable.
 	Seed uint64
+	// Dial opens the callers' connections; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	client *http.Client
 
@@ -64,7 +67,11 @@
 
 // Run sends requests until ctx ends and waits for their answers.
 func (l *Load) Run(ctx context.Context) error {
-	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	tr := &http.Transport{MaxIdleConnsPerHost: 64}
+	if l.Dial != nil {
+		tr.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return l.Dial(ctx, addr) }
+	}
+	l.client = &http.Client{Transport: tr}
 	defer l.client.CloseIdleConnections()
 	rng := rand.New(rand.NewPCG(l.Seed, l.Seed))
 	done := make(chan Outcome, 64)
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -21,14 +22,24 @@
 	place map[string]string // address to data centre
 	cuts  map[[2]string]bool
 	conns map[*carried]struct{}
+	dead  map[string]bool // addresses of hosts that were killed
+}
+
+// Host is where one process runs, as the network sees it.
+type Host struct {
+	network *Network
+	place   string
+	dead    bool // guarded by the network's mu
 }
 
 // carried is a connection of the network.
 type carried struct {
 	net.Conn
 	network *Network
+	host    *Host
 	from    string
 	to      string
+	addr    string
 }
 
 // Close implements net.Conn.
@@ -46,37 +57,61 @@
 		n.place = map[string]string{}
 		n.cuts = map[[2]string]bool{}
 		n.conns = map[*carried]struct{}{}
+		n.dead = map[string]bool{}
 	}
 	n.place[addr] = place
 }
 
+// Host returns a new host in the data centre.
+func (n *Network) Host(dc string) *Host { return &Host{network: n, place: dc} }
+
 // From returns how a process in the data centre opens connections.
 func (n *Network) From(dc string) func(ctx context.Context, addr string) (net.Conn, error) {
-	return func(ctx context.Context, addr string) (net.Conn, error) {
-		if n.isCut(dc, addr) {
-			return nil, errCut
-		}
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			return nil, err
-		}
-		return n.carry(conn, dc, addr)
+	return n.Host(dc).Dial
+}
+
+// Dial opens a connection from the host.
+func (h *Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if h.network.isCut(h, addr) {
+		return nil, errCut
 	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return h.network.carry(conn, h, addr)
 }
 
-func (n *Network) isCut(dc, addr string) bool {
+// Kill takes the host off the network for good, as when its VM dies: all
+// connections from it and to its addresses break, and none can be opened.
+func (h *Host) Kill(addrs ...string) {
+	n := h.network
+	n.mu.Lock()
+	h.dead = true
+	for _, a := range addrs {
+		n.dead[a] = true
+	}
+	n.mu.Unlock()
+	n.breakConns(func(c *carried) bool { return c.host == h || slices.Contains(addrs, c.addr) })
+}
+
+func (n *Network) isCut(h *Host, addr string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cuts[pair(dc, n.place[addr])]
+	return n.cutLocked(h, addr)
+}
+
+func (n *Network) cutLocked(h *Host, addr string) bool {
+	return h.dead || n.dead[addr] || n.cuts[pair(h.place, n.place[addr])]
 }
 
 // carry registers a connection, unless a cut came while it was opened.
-func (n *Network) carry(conn net.Conn, dc, addr string) (net.Conn, error) {
+func (n *Network) carry(conn net.Conn, h *Host, addr string) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c := &carried{Conn: conn, network: n, from: dc, to: n.place[addr]}
-	if n.cuts[pair(c.from, c.to)] {
+	c := &carried{Conn: conn, network: n, host: h, from: h.place, to: n.place[addr], addr: addr}
+	if n.cutLocked(h, addr) {
 		_ = conn.Close()
 		return nil, errCut
 	}
@@ -88,9 +123,15 @@
 func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
 	n.cuts[pair(a, b)] = true
+	n.mu.Unlock()
+	n.breakConns(func(c *carried) bool { return pair(c.from, c.to) == pair(a, b) })
+}
+
+func (n *Network) breakConns(which func(*carried) bool) {
+	n.mu.Lock()
 	var broken []*carried
 	for c := range n.conns {
-		if pair(c.from, c.to) == pair(a, b) {
+		if which(c) {
 			broken = append(broken, c)
 		}
 	}
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -61,6 +61,7 @@
 	mu       sync.Mutex
 	entries  []*Entry
 	agents   []*Agent
+	killed   []*Part
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
 }
@@ -83,6 +84,7 @@
 // Entry is a running entry.
 type Entry struct {
 	*Part
+	host       *Host
 	Name       string
 	DataCentre string
 	Process    *entry.Entry
@@ -91,6 +93,7 @@
 // Agent is a running agent.
 type Agent struct {
 	*Part
+	host       *Host
 	Name       string
 	DataCentre string
 	Process    *agent.Agent
@@ -208,6 +211,7 @@
 
 // StartAgent starts the agent beside an endpoint.
 func (s *System) StartAgent(dc, name, endpointAddr string, kind settings.EndpointKind) (*Agent, error) {
+	h := s.Network.Host(dc)
 	p := &agent.Agent{
 		Settings: &settings.Agent{
 			Process:         s.process(dc, name+"-agent"),
@@ -216,14 +220,14 @@
 			Kind:            kind,
 		},
 		Log:  s.Log,
-		Dial: s.Network.From(dc),
+		Dial: h.Dial,
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
 	s.Network.at(p.Address(), dc)
 	s.List.Put(list.NewVM(name, list.Agent, dc, p.Address(), list.Live))
-	a := &Agent{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
+	a := &Agent{Part: s.run(p.Run), host: h, Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.agents = append(s.agents, a)
@@ -232,6 +236,7 @@
 
 // StartEntry starts an entry.
 func (s *System) StartEntry(dc, name string) (*Entry, error) {
+	h := s.Network.Host(dc)
 	p := &entry.Entry{
 		Settings: &settings.Entry{
 			Process:       s.process(dc, name),
@@ -241,7 +246,7 @@
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
 		Log:      s.Log,
-		Dial:     s.Network.From(dc),
+		Dial:     h.Dial,
 		Announce: 300 * time.Millisecond,
 	}
 	if err := p.Listen(); err != nil {
@@ -249,7 +254,7 @@
 	}
 	s.Network.at(p.PeerAddress(), dc)
 	s.List.Put(list.NewVM(name, list.Entry, dc, p.PeerAddress(), list.Live))
-	e := &Entry{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p}
+	e := &Entry{Part: s.run(p.Run), host: h, Name: name, DataCentre: dc, Process: p}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = append(s.entries, e)
@@ -347,6 +352,35 @@
 	return err
 }
 
+// KillAgent takes an agent's VM away without a word. What it had sent to its
+// endpoint still takes effect there; nobody hears of it.
+func (s *System) KillAgent(a *Agent) {
+	a.host.Kill(a.Process.Address())
+	a.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agents = slices.DeleteFunc(s.agents, func(x *Agent) bool { return x == a })
+	s.killed = append(s.killed, a.Part)
+}
+
+// ReplaceAgent starts a new agent beside a killed one's endpoint.
+func (s *System) ReplaceAgent(a *Agent) error {
+	_, err := s.StartAgent(a.DataCentre, a.Name, a.Endpoint, a.Process.Settings.Kind)
+	return err
+}
+
+// KillEntry takes an entry's VM away without a word. Its callers' connections
+// break when they were opened through the system's Network.
+func (s *System) KillEntry(e *Entry) {
+	e.host.Kill(e.Process.PeerAddress(), e.Process.CallerAddress(), e.Process.AdminAddress())
+	e.cancel()
+	s.List.Remove(e.Name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = slices.DeleteFunc(s.entries, func(x *Entry) bool { return x == e })
+	s.killed = append(s.killed, e.Part)
+}
+
 // agent returns the agent beside the endpoint.
 func (s *System) agent(endpoint string) *Agent {
 	for _, a := range s.Agents() {
@@ -432,7 +466,7 @@
 // Stop stops entries and agents gracefully, then the stand-ins.
 func (s *System) Stop() {
 	s.mu.Lock()
-	entries, agents := s.entries, s.agents
+	entries, agents, killed := s.entries, s.agents, s.killed
 	s.mu.Unlock()
 	for _, e := range entries {
 		e.cancel()
@@ -446,6 +480,9 @@
 	for _, a := range agents {
 		_ = a.Stop()
 	}
+	for _, p := range killed {
+		_ = p.Stop()
+	}
 	for _, p := range s.parts {
 		_ = p.Stop()
 	}
--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -11,13 +11,16 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 )
 
-func startSystem(t *testing.T) *System {
+func startSystem(t *testing.T, change ...func(*System)) *System {
 	t.Helper()
 	s := &System{
 		DataCentres: []string{"a", "b", "c"}, Entries: 1, Engines: 1, Services: 1,
 		EngineSettings: engine.Settings{Capacity: 8, ColdBound: 2, WarmAfter: 4, TokenMicros: 200},
 		Preset:         Preset("ordinary", 1),
 	}
+	for _, f := range change {
+		f(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	if err := s.Start(ctx); err != nil {
