--- a/internal/platform/config/join.go
+++ b/internal/platform/config/join.go
@@ -1,6 +1,9 @@
 package config
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // Newer returns the join of two heads. It is commutative, associative and
 // idempotent, has the higher generation of both and loses no change that either
@@ -82,12 +85,16 @@
 func joinOuts(a, b Head) []Out {
 	var outs []Out
 	for _, o := range a.outs {
-		if b.has(o) || !b.seen(o.dot) {
+		p, both := b.find(o)
+		switch {
+		case both:
+			outs = append(outs, laterOut(o, p))
+		case !b.seen(o.dot):
 			outs = append(outs, o)
 		}
 	}
 	for _, o := range b.outs {
-		if !a.has(o) && !a.seen(o.dot) {
+		if _, both := a.find(o); !both && !a.seen(o.dot) {
 			outs = append(outs, o)
 		}
 	}
@@ -95,13 +102,24 @@
 	return outs
 }
 
-func (h Head) has(o Out) bool {
+// find returns the head's entry for the same order.
+func (h Head) find(o Out) (Out, bool) {
 	for _, p := range h.outs {
 		if p.target == o.target && p.dot == o.dot {
-			return true
+			return p, true
 		}
 	}
-	return false
+	return Out{}, false
+}
+
+// laterOut chooses between two entries for one order. They differ when the
+// order was given again, through another process, after the service had been
+// restored from a copy without it.
+func laterOut(a, b Out) Out {
+	if a.at.Equal(b.at) && a.by > b.by || a.at.After(b.at) {
+		return a
+	}
+	return b
 }
 
 // joinDots merges two ordered lists and leaves out what floor covers.
@@ -121,6 +139,14 @@
 	return ds
 }
 
+// equal reports whether both hold the same.
+func (h Head) equal(o Head) bool {
+	return h.dot == o.dot && h.floor == o.floor && h.joined == o.joined &&
+		h.inForce == o.inForce && h.inForceSince == o.inForceSince &&
+		slices.Equal(h.presets, o.presets) && slices.Equal(h.outs, o.outs) &&
+		slices.Equal(h.recent, o.recent) && slices.Equal(h.settled, o.settled)
+}
+
 // Covers reports whether everything that b holds is part of a's past, so that
 // their join is a.
 func Covers(a, b Head) bool {
--- a/internal/platform/config/repair.go
+++ b/internal/platform/config/repair.go
@@ -40,10 +40,10 @@
 	if err != nil {
 		return stored{}, false, err
 	}
-	if next.dot == cur.head.dot && Covers(cur.head, next) {
+	if next.equal(cur.head) {
 		return cur, true, nil
 	}
-	if err := w.haveParts(ctx, next); err != nil {
+	if err := w.writeParts(ctx, next); err != nil {
 		return stored{}, false, err
 	}
 	done, ok, err := w.swap(ctx, cur, next)
@@ -66,7 +66,7 @@
 		h = n
 	}
 	for _, d := range known.holds {
-		n, err := settle(h, d, now)
+		n, err := settle(h, d)
 		if err != nil {
 			return Head{}, err
 		}
@@ -79,8 +79,9 @@
 // of them write the same document.
 func joinID(h Head) string { return "join-" + Digest(h.Encode())[:32] }
 
-// settle writes a hold, or its release, into the document.
-func settle(h Head, d Hold, now time.Time) (Head, error) {
+// settle writes a hold, or its release, into the document. It uses the hold's
+// own time, so that processes that settle the same hold write the same.
+func settle(h Head, d Hold) (Head, error) {
 	if d.settledBy(h) {
 		return h, nil
 	}
@@ -88,5 +89,5 @@
 	if d.Released() {
 		o = Order{ChangeID: d.release.changeID, By: d.release.by, Change: endHold{holdID: d.changeID}}
 	}
-	return Apply(h, o, now)
+	return Apply(h, o, d.at)
 }
--- a/internal/platform/config/store.go
+++ b/internal/platform/config/store.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,8 +75,25 @@
 type Store struct {
 	current atomic.Pointer[Snapshot]
 
-	mu   sync.Mutex // guards writes of current, and subs
-	subs map[chan struct{}]bool
+	mu     sync.Mutex // guards writes of current, and all below
+	subs   map[chan struct{}]bool
+	parked [][]byte // parts of orders whose outcome may still be open
+}
+
+// maxParked bounds the parts that are kept although no document names them: as
+// many as operators have under way through one process.
+const maxParked = 4
+
+// keep keeps a part that a document may name later. It guards against a head
+// without its body: the write of the head took effect, its answer was lost, and
+// then the service lost the part to a restore; nobody else has it.
+func (s *Store) keep(body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parked = append(s.parked, body)
+	if len(s.parked) > maxParked {
+		s.parked = s.parked[1:]
+	}
 }
 
 // Current returns the newest configuration.
@@ -117,7 +135,7 @@
 	old := s.Current()
 	next := &Snapshot{head: Newer(old.head, h), preset: old.preset}
 	next.holds = joinHolds(old.holds, holds, next.head)
-	next.parts = joinParts(old, next.head, parts)
+	next.parts = joinParts(old, next.head, slices.Concat(parts, s.parked))
 	if p, ok := next.head.InForce(); ok && next.has(p.digest) {
 		next.preset = p
 	}
@@ -166,7 +184,7 @@
 			return false
 		}
 	}
-	return Covers(a.head, b.head)
+	return a.head.equal(b.head)
 }
 
 func (d Hold) equal(o Hold) bool {
--- a/internal/platform/config/watcher.go
+++ b/internal/platform/config/watcher.go
@@ -140,14 +140,7 @@
 
 // fetch reads the parts that the document names and the store lacks.
 func (w *Watcher) fetch(ctx context.Context) {
-	for _, d := range w.Writer.Store.Current().Missing() {
-		r, err := w.Source.Get(ctx, PartsPrefix+d)
-		if err != nil {
-			w.failures.Inc(1)
-			return
-		}
-		if kv, ok := r.First(); ok {
-			w.Writer.Store.Offer(Head{}, kv.Value())
-		}
+	if err := w.Writer.FetchParts(ctx); err != nil {
+		w.failures.Inc(1)
 	}
 }
