--- a/internal/platform/config/writer_test.go
+++ b/internal/platform/config/writer_test.go
@@ -213,6 +213,31 @@
 	})
 }
 
+// A preset's write takes effect, its answer is lost, the service goes down and
+// comes back from an older copy. Another process has read the document but not
+// the body, which only the process that met the order still has.
+func TestBodySurvivesUnknownWrite(t *testing.T) {
+	withSite(t, 2, func(s *site) {
+		old := s.server.Copy()
+		s.server.SetSlow(100 * time.Millisecond)
+		lose := time.AfterFunc(250*time.Millisecond, func() { s.server.LoseAnswers(1) })
+		down := time.AfterFunc(310*time.Millisecond, func() { s.server.SetDown(true) })
+		defer lose.Stop()
+		defer down.Stop()
+		_, err := s.submit(0, "day", 0, PutPreset{Name: "day", Body: []byte("d")})
+		wantCode(t, err, result.WriteUnknown)
+		s.server.SetDown(false)
+		s.repair(1)
+		s.server.Restore(old)
+		s.repair(1)
+		s.exchange(0, 1)
+		s.exchange(1, 0)
+		if _, _, ok := s.ps[1].Store.Current().Preset(); !ok {
+			t.Error("the preset's body is lost")
+		}
+	})
+}
+
 // The service is restored from a copy older than the order to take a data
 // centre out, and a process that has not seen that order makes another change.
 // Without the join the data centre would get work again.
