--- /dev/null
+++ b/internal/settings/flags.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/inifile"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// Flags are the flags of one role. The zero value is of no use; EntryFlags
+// and AgentFlags give one.
+type Flags struct {
+	data  any
+	group *flags.Group
+}
+
+// Grouper is a command or a group that flags can be added to.
+type Grouper interface {
+	AddGroup(shortDescription, longDescription string, data any) (*flags.Group, error)
+}
+
+// EntryFlags returns the flags of an entry.
+func EntryFlags() *Flags { return &Flags{data: &entryFlags{}} }
+
+// AgentFlags returns the flags of an agent.
+func AgentFlags() *Flags { return &Flags{data: &agentFlags{}} }
+
+// AddTo adds the flags to a command. Their values are there after the command
+// line has been parsed.
+func (f *Flags) AddTo(g Grouper) error {
+	var err error
+	f.group, err = g.AddGroup("Settings", "each wins over the same key of the settings file", f.data)
+	return err
+}
+
+// document reads the file, if one was named, and puts the flags over it.
+func (f *Flags) document() (*inifile.Document, error) {
+	given := map[string]string{}
+	if f.group != nil {
+		collect(f.group, given)
+	}
+	var text []byte
+	if file := given[settingsFlag]; file != "" {
+		var err error
+		text, err = os.ReadFile(file)
+		if err != nil {
+			return nil, Errors{result.New(result.SettingsFile, err.Error())}
+		}
+	}
+	delete(given, settingsFlag)
+	doc := inifile.Split(text)
+	for name, value := range given {
+		section, key, ok := strings.Cut(name, ".")
+		if !ok {
+			section, key = "process", name
+		}
+		doc.Set(section, key, value)
+	}
+	return doc, nil
+}
+
+// collect puts the values of the flags that were given into given.
+func collect(g *flags.Group, given map[string]string) {
+	for _, o := range g.Options() {
+		if s, ok := o.Value().(string); ok && s != "" {
+			given[o.LongNameWithNamespace()] = s
+		}
+	}
+	for _, sub := range g.Groups() {
+		collect(sub, given)
+	}
+}
+
+// settingsFlag is the one flag that is no key.
+const settingsFlag = "settings"
+
+// commonFlags are the flags of every role. All are strings, because the same
+// code reads them as reads the file.
+type commonFlags struct {
+	File              string `long:"settings" description:"settings file (INI)" value-name:"FILE"`
+	Name              string `long:"name" description:"name of the process, unique in the system"`
+	DataCentre        string `long:"dataCentre" description:"data centre of the process"`
+	PeerAddress       string `long:"peerAddress" description:"IP:port for other processes of the system"`
+	MetricsAddress    string `long:"metricsAddress" description:"IP:port for metrics without a token; none when absent"`
+	PlatformAddresses string `long:"platformAddresses" description:"IP:port list of the platform's key-value service"`
+	VMListAddress     string `long:"vmListAddress" description:"IP:port of the platform's list of VMs"`
+	DrainTimeout      string `long:"drainTimeout" description:"how long a graceful stop waits for open requests"`
+	LogFormat         string `long:"logFormat" description:"text or json"`
+
+	TLS struct {
+		Cert           string `long:"cert" description:"file of the certificate (PEM)"`
+		Key            string `long:"key" description:"file of the certificate's key (PEM)"`
+		CA             string `long:"ca" description:"file of the certificates that peers are checked by (PEM)"`
+		Insecure       string `long:"insecure" description:"true to go without TLS"`
+		ReloadInterval string `long:"reloadInterval" description:"how often certificate files are looked at"`
+	} `group:"TLS" namespace:"tls"`
+}
+
+type entryFlags struct {
+	Common        commonFlags `group:"Process"`
+	CallerAddress string      `long:"callerAddress" description:"IP:port for callers"`
+	AdminAddress  string      `long:"adminAddress" description:"IP:port for operators"`
+
+	Operator struct {
+		TokenFile      string `long:"tokenFile" description:"file of the operator token"`
+		ReloadInterval string `long:"reloadInterval" description:"how often the token file is looked at"`
+	} `group:"Operator" namespace:"operator"`
+
+	Limits struct {
+		BodyBytes      string `long:"bodyBytes" description:"largest body of a request in bytes"`
+		HeaderTimeout  string `long:"headerTimeout" description:"time for a request's headers to arrive"`
+		RequestTimeout string `long:"requestTimeout" description:"time for a request to arrive whole"`
+		IdleTimeout    string `long:"idleTimeout" description:"time for which an idle connection is kept"`
+		MaxConnections string `long:"maxConnections" description:"most connections of callers"`
+		QueueLength    string `long:"queueLength" description:"most waiting requests; 0 takes the preset's"`
+	} `group:"Limits" namespace:"limits"`
+}
+
+type agentFlags struct {
+	Common commonFlags `group:"Process"`
+
+	Endpoint struct {
+		Name    string `long:"name" description:"name of the endpoint, which presets match"`
+		Address string `long:"address" description:"IP:port of the endpoint"`
+		Kind    string `long:"kind" description:"engine or plain"`
+		Fencing string `long:"fencing" description:"checked when the endpoint refuses old fencing tokens, else ignored"`
+	} `group:"Endpoint" namespace:"endpoint"`
+}
