--- a/internal/platform/acquire.go
+++ b/internal/platform/acquire.go
@@ -82,15 +82,6 @@
 	}
 }
 
-func (c *Client) ready() (*grpc.ClientConn, bool) {
-	for _, conn := range c.current() {
-		if conn.GetState() == connectivity.Ready {
-			return conn, true
-		}
-	}
-	return nil, false
-}
-
 // await returns when a connection may have come up, or with a NotSentError.
 func (c *Client) await(ctx context.Context) error {
 	select {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,12 +8,9 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/etcdpb"
 )
@@ -34,14 +31,6 @@
 // for keys, or a page of smaller ones.
 const maxMessage = 8 << 20
 
-// Reconnecting waits at least 50 ms, so that a service that is down is not
-// flooded with connections, and at most a second, so that one that is up again
-// is found within the seconds that an operator's change may take.
-const (
-	minReconnect = 50 * time.Millisecond
-	maxReconnect = time.Second
-)
-
 // ErrNoAddrs says that a Client has no address.
 var ErrNoAddrs = errors.New("platform: Client.Addrs is empty")
 
@@ -73,8 +62,9 @@
 	reads  budget
 	counts counts
 
-	mu    sync.Mutex // guards conns
-	conns []*grpc.ClientConn
+	mu     sync.Mutex // guards all below
+	conns  []*grpc.ClientConn
+	prefer int // index of the connection to use first
 }
 
 // Run connects and keeps the connections until ctx ends. It returns nil then,
@@ -111,42 +101,6 @@
 	})
 }
 
-func (c *Client) dial() ([]*grpc.ClientConn, error) {
-	creds := c.Credentials
-	if creds == nil {
-		creds = insecure.NewCredentials()
-	}
-	bo := backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect}
-	opts := []grpc.DialOption{
-		grpc.WithTransportCredentials(creds),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: maxReconnect}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-		grpc.WithDisableRetry(),
-		grpc.WithIdleTimeout(0),
-	}
-	if c.Dial != nil {
-		opts = append(opts, grpc.WithContextDialer(c.Dial))
-	}
-	var conns []*grpc.ClientConn
-	for _, a := range c.Addrs {
-		conn, err := grpc.NewClient("passthrough:///"+a, opts...)
-		if err != nil {
-			return nil, errors.Join(eris.Wrap(err, "platform address "+a), closeAll(conns))
-		}
-		conn.Connect()
-		conns = append(conns, conn)
-	}
-	return conns, nil
-}
-
-func closeAll(conns []*grpc.ClientConn) error {
-	var errs []error
-	for _, conn := range conns {
-		errs = append(errs, conn.Close())
-	}
-	return errors.Join(errs...)
-}
-
 // Reachable reports whether a connection to the service is up.
 func (c *Client) Reachable() bool {
 	for _, conn := range c.current() {
@@ -204,6 +158,7 @@
 	c.counts.reads.Inc(1)
 	p, err := etcdpb.NewKVClient(conn).Range(ctx, r)
 	if err != nil {
+		c.avoid(conn)
 		return RangeReply{}, ReadFailed(err)
 	}
 	return RangeReplyFrom(p), nil
@@ -220,7 +175,7 @@
 	c.counts.writes.Inc(1)
 	p, err := etcdpb.NewKVClient(conn).Txn(ctx, t.Proto())
 	if err != nil {
-		return TxnReply{}, c.writeFailed(err)
+		return TxnReply{}, c.writeFailed(conn, err)
 	}
 	return TxnReplyFrom(p), nil
 }
@@ -231,10 +186,11 @@
 	return r.Succeeded(), err
 }
 
-func (c *Client) writeFailed(err error) error {
+func (c *Client) writeFailed(conn *grpc.ClientConn, err error) error {
 	err = WriteError(err)
 	if IsUnknown(err) {
 		c.counts.unknown.Inc(1)
+		c.avoid(conn)
 	}
 	return err
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// One member of the service accepts connections and answers nothing. Calls must
+// move to the next one instead of timing out one after the other.
+func TestSilentMemberIsAvoided(t *testing.T) {
+	silent, well := &kv.Server{}, &kv.Server{}
+	run(t, silent.Run)
+	run(t, well.Run)
+	silent.SetSlow(2 * long)
+	addrs := []string{silent.Addr(), well.Addr()}
+	c := &platform.Client{Addrs: addrs, Timeout: 200 * time.Millisecond, Metrics: metrics.NewRegistry()}
+	run(t, c.Run)
+	for range 100 {
+		if _, err := c.Get(t.Context(), "a"); err == nil {
+			return
+		}
+	}
+	t.Error("no call was answered")
+}
+
 func TestLeases(t *testing.T) {
 	s := &kv.Server{}
 	c := start(t, s, long)
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -20,7 +20,7 @@
 	secs := int64((ttl + time.Second - 1) / time.Second)
 	p, err := etcdpb.NewLeaseClient(conn).LeaseGrant(ctx, &etcdpb.LeaseGrantRequest{TTL: secs})
 	if err != nil {
-		return 0, c.writeFailed(err)
+		return 0, c.writeFailed(conn, err)
 	}
 	return LeaseID(p.GetID()), nil
 }
@@ -37,14 +37,14 @@
 	c.counts.writes.Inc(1)
 	s, err := etcdpb.NewLeaseClient(conn).LeaseKeepAlive(ctx)
 	if err != nil {
-		return 0, c.writeFailed(err)
+		return 0, c.writeFailed(conn, err)
 	}
 	if err := s.Send(&etcdpb.LeaseKeepAliveRequest{ID: int64(id)}); err != nil {
-		return 0, c.writeFailed(err)
+		return 0, c.writeFailed(conn, err)
 	}
 	p, err := s.Recv()
 	if err != nil {
-		return 0, c.writeFailed(err)
+		return 0, c.writeFailed(conn, err)
 	}
 	return time.Duration(p.GetTTL()) * time.Second, nil
 }
@@ -60,7 +60,7 @@
 	c.counts.writes.Inc(1)
 	_, err = etcdpb.NewLeaseClient(conn).LeaseRevoke(ctx, &etcdpb.LeaseRevokeRequest{ID: int64(id)})
 	if err != nil {
-		return c.writeFailed(err)
+		return c.writeFailed(conn, err)
 	}
 	return nil
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -112,6 +112,7 @@
 	w.c.counts.reads.Inc(1)
 	s, err := etcdpb.NewWatchClient(conn).Watch(ctx)
 	if err != nil {
+		w.c.avoid(conn)
 		return nil, err
 	}
 	r := &etcdpb.WatchCreateRequest{
