A full document refuses no change; the digest is made once a change

Cause: a hold that found no room in the document made every later change fail, also one that makes room; each exchange encoded the whole head for its digest. Ruled out: dropping the hold. Figures: without the first change TestFullDocumentStillAcceptsChanges: bringing an endpoint in is answered platformRefused. The second was not measured. Conclusion: a full document recovers by itself.

--- a/internal/platform/config/exchange.go
+++ b/internal/platform/config/exchange.go
@@ -26,7 +26,7 @@
 
 // Summary returns the message that begins an exchange.
 func (s *Store) Summary() []byte {
-	return mustMarshal(message{Digest: digestOf(s.Current())})
+	return mustMarshal(message{Digest: s.Current().digest})
 }
 
 // State returns the message with all that the store knows except parts.
@@ -34,17 +34,17 @@
 
 func stateOf(c *Snapshot) []byte {
 	return mustMarshal(message{
-		Digest: digestOf(c),
+		Digest: c.digest,
 		Head:   c.head.Encode(),
 		Holds:  holdsToJSON(c.holds),
 	})
 }
 
-// digestOf names the knowledge of a snapshot without its parts.
-func digestOf(c *Snapshot) string {
+// digestOf names what a process knows apart from parts.
+func digestOf(head Head, holds []Hold) string {
 	h := sha256.New()
-	h.Write(c.head.Encode())
-	h.Write(mustMarshal(holdsToJSON(c.holds)))
+	h.Write(head.Encode())
+	h.Write(mustMarshal(holdsToJSON(holds)))
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
@@ -59,7 +59,7 @@
 	}
 	c := s.Current()
 	parts := partsOf(c, want)
-	if m.Digest == digestOf(c) {
+	if m.Digest == c.digest {
 		return mustMarshal(message{Digest: m.Digest}), parts, nil
 	}
 	return stateOf(c), parts, nil
@@ -75,7 +75,7 @@
 	for _, b := range parts {
 		s.Offer(Head{}, b)
 	}
-	if c := s.Current(); m.Digest != digestOf(c) {
+	if c := s.Current(); m.Digest != c.digest {
 		return stateOf(c), nil
 	}
 	return nil, nil
--- a/internal/platform/config/hold_test.go
+++ b/internal/platform/config/hold_test.go
@@ -105,3 +105,26 @@
 		}
 	})
 }
+
+// A data centre's hold meets a document that has no room for another order. An
+// order that makes room must still be accepted, and the hold joins then.
+func TestFullDocumentStillAcceptsChanges(t *testing.T) {
+	withSite(t, 1, func(s *site) {
+		h := Head{}
+		for i := range maxOuts {
+			h = mustApply(s.T, h, fmt.Sprint("out", i), TakeOut{Target: Endpoint(fmt.Sprint(i))})
+		}
+		_, _, err := s.ps[0].swap(s.Context(), stored{}, h)
+		wantCode(t, err, result.OK)
+		s.ps[0].cut = true
+		_, err = s.submit(0, "hold", 0, TakeOut{Target: dc})
+		wantCode(t, err, result.HeldLocally)
+		s.ps[0].cut = false
+		s.accept(0, "in", BringIn{Target: Endpoint("0")})
+		s.wantOut(0, dc, true)
+		s.repair(0)
+		if h := s.wantStored(0); !h.IsOut(dc) {
+			t.Error("the hold did not join when there was room")
+		}
+	})
+}
--- a/internal/platform/config/repair.go
+++ b/internal/platform/config/repair.go
@@ -68,7 +68,9 @@
 	for _, d := range known.holds {
 		n, err := settle(h, d)
 		if err != nil {
-			return Head{}, err
+			// The document is full. The hold stays in force here; were it an
+			// error, no change could be made any more, nor one that makes room.
+			continue
 		}
 		h = n
 	}
--- a/internal/platform/config/store.go
+++ b/internal/platform/config/store.go
@@ -13,6 +13,7 @@
 	holds  []Hold
 	parts  map[string][]byte // by digest
 	preset Preset            // the newest in force whose body is known
+	digest string            // names head and holds
 }
 
 // Head returns the newest document.
@@ -101,9 +102,11 @@
 	if c := s.current.Load(); c != nil {
 		return c
 	}
-	return &Snapshot{}
+	return emptySnapshot
 }
 
+var emptySnapshot = &Snapshot{digest: digestOf(Head{}, nil)}
+
 // Offer joins a document and parts into the store and reports whether anything
 // changed. Parts are named by their digests here; those that the document does
 // not name are dropped.
@@ -142,6 +145,7 @@
 	if same(old, next) {
 		return false
 	}
+	next.digest = digestOf(next.head, next.holds)
 	s.current.Store(next)
 	for c := range s.subs {
 		notify(c)
