--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -146,7 +146,9 @@
 // TimelineReply answers for events, in causal order.
 type TimelineReply struct {
 	Events []EventView `json:"events"`
-	Silent []string    `json:"silent"`
+	// Omitted is how many older events were left out.
+	Omitted int      `json:"omitted,omitempty"`
+	Silent  []string `json:"silent"`
 }
 
 // EventView is one event of one process.
--- a/internal/rank/expertmap/balance.go
+++ b/internal/rank/expertmap/balance.go
@@ -13,6 +13,8 @@
 	// levelError is the change of load in a sweep, as part of the mean load
 	// of a rank, below which the ranks count as level.
 	levelError = 1e-5
+	// trialError is levelError for the comparison of moves.
+	trialError = 1e-3
 )
 
 // placement is a layer under construction: which slot holds which expert, and
@@ -25,20 +27,32 @@
 	part []float64
 	// replicas lists the slots of each expert.
 	replicas [][]int
-	// ranks is the load of each rank.
-	ranks []float64
-	load  []float64
-	mean  float64
+	// ranks is the load of each rank, variance its variance and risk what is
+	// added to the load for it; see Risk.
+	ranks, variance, risk []float64
+	load                  []float64
+	// relative is the variance of each expert's load over the load's square.
+	relative   []float64
+	deviations float64
+	mean       float64
 }
 
-func newPlacement(shape Shape, load []float64) *placement {
+func newPlacement(shape Shape, load []float64, risk Risk) *placement {
 	p := &placement{
 		shape:    shape,
 		at:       make([]int, shape.Ranks*shape.Slots),
 		part:     make([]float64, shape.Ranks*shape.Slots),
 		replicas: make([][]int, shape.Experts),
 		ranks:    make([]float64, shape.Ranks),
+		variance: make([]float64, shape.Ranks),
+		risk:     make([]float64, shape.Ranks),
 		load:     load,
+		relative: make([]float64, shape.Experts),
+
+		deviations: deviations(shape.Ranks),
+	}
+	for e, v := range load {
+		p.relative[e] = risk.relative(v)
 	}
 	for i := range p.at {
 		p.at[i] = none
@@ -49,8 +63,8 @@
 	return p
 }
 
-func placementOf(l *Layer, load []float64) *placement {
-	p := newPlacement(l.shape, load)
+func placementOf(l *Layer, load []float64, risk Risk) *placement {
+	p := newPlacement(l.shape, load, risk)
 	for i, s := range l.slots {
 		if s.Expert != none {
 			p.put(i, s.Expert)
@@ -64,13 +78,16 @@
 	copy(p.at, q.at)
 	copy(p.part, q.part)
 	copy(p.ranks, q.ranks)
+	copy(p.variance, q.variance)
+	copy(p.risk, q.risk)
 	for e := range q.replicas {
 		p.replicas[e] = append(p.replicas[e][:0], q.replicas[e]...)
 	}
 }
 
 func (p *placement) clone() *placement {
-	q := newPlacement(p.shape, p.load)
+	q := newPlacement(p.shape, p.load, Risk{})
+	copy(q.relative, p.relative)
 	q.copyFrom(p)
 	return q
 }
@@ -82,7 +99,8 @@
 	p.replicas[e] = append(p.replicas[e], slot)
 }
 
-// drop empties a slot and gives its load to the expert's other replicas.
+// drop empties a slot and gives its load to the expert's first other replica, if
+// there is one.
 func (p *placement) drop(slot int) {
 	e, left := p.at[slot], p.part[slot]
 	p.setPart(slot, 0)
@@ -100,10 +118,19 @@
 }
 
 func (p *placement) setPart(slot int, v float64) {
-	p.ranks[p.rankOf(slot)] += v - p.part[slot]
+	r, old := p.rankOf(slot), p.part[slot]
+	if v == old {
+		return
+	}
+	p.ranks[r] += v - old
 	p.part[slot] = v
+	p.variance[r] += (v*v - old*old) * p.relative[p.at[slot]]
+	p.risk[r] = p.deviations * math.Sqrt(max(0, p.variance[r]))
 }
 
+// counted returns the load of a rank with its risk.
+func (p *placement) counted(r int) float64 { return p.ranks[r] + p.risk[r] }
+
 func (p *placement) holds(r, e int) bool {
 	for _, s := range p.replicas[e] {
 		if p.rankOf(s) == r {
@@ -113,15 +140,13 @@
 	return false
 }
 
-func (p *placement) skew() float64 { return skewOf(p.ranks) }
-
 // balance sets the parts so that the sum of squares of the ranks' loads is
 // least for this placement, by exact minimisation over one expert after the
 // other. Rank loads under a fixed placement form the base of a polymatroid, on
 // which the vector with the least sum of squares also has the least maximum
 // (Fujishige 1980), so the slowest rank is as fast as shares can make it. The
 // sum of squares is convex and smooth, so the rounds converge to it.
-func (p *placement) balance(sweeps int) {
+func (p *placement) balance(sweeps int, levelError float64) {
 	for range sweeps {
 		change := 0.0
 		for e := range p.replicas {
@@ -162,9 +187,11 @@
 	return change
 }
 
-// others returns the load of a slot's rank without the slot's own part.
+// others returns the counted load of a slot's rank without the slot's own part.
+// The part of the risk that is the slot's own stays in; it changes little from
+// one sweep to the next, so the sweeps settle.
 func (p *placement) others(slot int) float64 {
-	return p.ranks[p.rankOf(slot)] - p.part[slot]
+	return p.counted(p.rankOf(slot)) - p.part[slot]
 }
 
 // height returns the level to which the expert's load fills the ranks of its
