Out of service wins, whoever says so

Cause: a test against the last report found an endpoint chosen whose agent says that it is out: an order of the operators for others had overwritten it. Ruled out: a fault of the test. Change: what the agent says and what the configuration says are kept apart. A retry budget of 0 means no retries (it meant 10 in 100). Conclusion: an endpoint returns when both say so.

--- a/internal/caller/admission/retry.go
+++ b/internal/caller/admission/retry.go
@@ -12,8 +12,7 @@
 // attempts fail. With the budget, retries are at most Percent of the first
 // attempts plus PerSecond, whatever fails.
 type RetryBudget struct {
-	// Percent of first attempts that may be retried; zero means 10, which
-	// serves the loss of an endpoint among twelve.
+	// Percent of first attempts that may be retried. Zero means no retries.
 	Percent float64
 	// Burst is how many retries may be saved up; zero means 20.
 	Burst float64
@@ -26,6 +25,9 @@
 	started bool
 }
 
+// DefaultRetryPercent serves the loss of one endpoint among twelve.
+const DefaultRetryPercent = 10
+
 func orDefault(x, d float64) float64 {
 	if x == 0 {
 		return d
@@ -49,14 +51,14 @@
 
 // First records a first attempt.
 func (b *RetryBudget) First(now time.Time) {
-	b.fill(now, orDefault(b.Percent, 10)/100)
+	b.fill(now, b.Percent/100)
 }
 
 // Take reports whether a retry may be made, and spends one if so. When it may
 // not, the request is answered with result.RetryBudget.
 func (b *RetryBudget) Take(now time.Time) bool {
 	b.fill(now, 0)
-	if b.tokens < 1 {
+	if b.tokens < 1 || b.Percent <= 0 {
 		return false
 	}
 	b.tokens--
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -19,7 +19,10 @@
 	capacity  int
 	cold      bool
 	leaving   bool
-	out       bool
+	// out is what the agent says and ordered what this entry's configuration
+	// says. Either may lag behind the other, and out of service wins.
+	out     bool
+	ordered bool
 	// others and otherTokens are the reported work that is not this entry's.
 	others      float64
 	otherTokens float64
@@ -57,7 +60,7 @@
 	e.firstPiece = 0
 }
 
-func (e *endpoint) unavailable() bool { return e.leaving || e.out }
+func (e *endpoint) unavailable() bool { return e.leaving || e.out || e.ordered }
 
 // take copies the report and subtracts the entry's own part as it was when the
 // report was true. Own attempts started since then are counted at once, those
@@ -67,7 +70,7 @@
 	e.local = r.DataCentre == dataCentre
 	e.allowance = max(0, r.Allowance)
 	e.capacity = max(1, r.Capacity, r.Allowance)
-	e.cold, e.leaving = r.Cold, r.Leaving
+	e.cold, e.leaving, e.out = r.Cold, r.Leaving, r.Out
 	e.reported = r.At
 	own, tokens := e.history.before(r.At)
 	others := math.Max(0, float64(r.Running-own))
@@ -89,7 +92,7 @@
 // state returns eligible, or why the endpoint can't be chosen.
 func (p *Picture) state(e *endpoint, s *routeSet, now time.Time) int {
 	switch {
-	case e.out:
+	case e.out || e.ordered:
 		return outOfService
 	case e.leaving:
 		return leaving
--- a/internal/endpoint/placement/picture.go
+++ b/internal/endpoint/placement/picture.go
@@ -108,11 +108,12 @@
 	} else if !r.At.IsZero() && r.At.Before(e.reported) {
 		return false
 	}
-	if e.unavailable() && !r.Leaving && !r.Out {
+	was := e.unavailable()
+	e.take(r, p.DataCentre)
+	e.ordered = p.out[r.Endpoint] || p.outDC[r.DataCentre]
+	if was && !e.unavailable() {
 		e.returned = now
 	}
-	e.take(r, p.DataCentre)
-	e.out = r.Out || p.out[r.Endpoint] || p.outDC[r.DataCentre]
 	p.join(e, r.Routes)
 	return true
 }
@@ -136,9 +137,9 @@
 	p.out = set(endpoints)
 	p.outDC = set(dataCentres)
 	for _, e := range p.endpoints {
-		was := e.out
-		e.out = p.out[e.name] || p.outDC[e.dataCentre]
-		if was && !e.out {
+		was := e.unavailable()
+		e.ordered = p.out[e.name] || p.outDC[e.dataCentre]
+		if was && !e.unavailable() {
 			e.returned = now
 		}
 	}
--- /dev/null
+++ b/internal/endpoint/placement/speed_test.go
@@ -0,0 +1,48 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	p := newPicture(630, epoch)
+	q := Query{Route: "model", Tokens: 500, Tried: []string{name(5)}}
+	for _, q.Prefix = range []uint64{0, 7} {
+		if n := testing.AllocsPerRun(100, func() { p.Choose(q, epoch) }); n != 0 {
+			t.Errorf("a choice allocates %v times", n)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{15, 90, 630, 12000} {
+		p := newPicture(n, epoch)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range n {
+			r := warm(i, epoch)
+			r.Running = rng.IntN(8)
+			p.Update(r, epoch)
+		}
+		for _, prefix := range []uint64{0, 7} {
+			b.Run(fmt.Sprintf("endpoints=%d/prefix=%d", n, prefix), func(b *testing.B) {
+				q := query
+				b.ReportAllocs()
+				for i := range b.N {
+					q.Prefix = prefix * uint64(i)
+					p.Choose(q, epoch)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	p := newPicture(630, epoch)
+	r := warm(5, epoch)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Update(r, epoch)
+	}
+}
--- a/internal/measure/ours.go
+++ b/internal/measure/ours.go
@@ -34,7 +34,8 @@
 
 func makeOurs(place placing, w *world, i int) *ours {
 	o := &ours{
-		w: w, place: place, open: make(map[string]*job), attempt: make(map[*job]*placement.Attempt),
+		budget: admission.RetryBudget{Percent: admission.DefaultRetryPercent},
+		w:      w, place: place, open: make(map[string]*job), attempt: make(map[*job]*placement.Attempt),
 		pic: placement.Picture{
 			DataCentre: dcName(i / entriesPerDC), Seed: uint64(i),
 			Entries: dataCentres * entriesPerDC, StaleAfter: max(5*time.Second, 3*w.lag.delay),
