Check that no request is refused that runs or has ended

Cause: the tests would have overlooked a second end. Ruled out: nothing found. Change: the test bench checks each refusal. Figures: none measured.

--- a/internal/caller/admission/controller_test.go
+++ b/internal/caller/admission/controller_test.go
@@ -57,6 +57,10 @@
 		if r.Code.Effect() != result.NotRun {
 			b.t.Errorf("%s refused with %v, which does not say that it was not run", r.ID, r.Code)
 		}
+		_, runs := b.running[r.ID]
+		if code, ended := b.ended[r.ID]; ended || runs {
+			b.t.Errorf("%s refused while it runs (%v) or after it ended (%v, %v)", r.ID, runs, ended, code)
+		}
 		b.ended[r.ID] = r.Code
 	}
 }
