Measure the expert maps' skew in the same command

Cause: go run ./cmd/measure left one of the three measures out. Ruled out: a second command. Change: a section writes itself; the skew table of package skewtable is one. Conclusion: all measures come from one command.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -4,11 +4,13 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/measure"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap/skewtable"
 )
 
 // options are the command line.
@@ -23,6 +25,19 @@
 	measure.Fairness(),
 	measure.Placing(),
 	measure.Affinity(),
+	{Name: "skew", Write: writeSkew},
+}
+
+// writeSkew writes the step-time skew of expert maps, which has its own seeds.
+func writeSkew(w io.Writer, _ uint64) error {
+	if _, err := fmt.Fprintf(w, "## Step-time skew of expert maps\n\n"); err != nil {
+		return err
+	}
+	rows, err := skewtable.Measure()
+	if err != nil {
+		return err
+	}
+	return skewtable.Write(w, rows)
 }
 
 func main() {
@@ -44,10 +59,8 @@
 		if opts.Only != "" && opts.Only != s.Name {
 			continue
 		}
-		for _, t := range s.Tables(opts.Seed) {
-			if _, err := t.WriteTo(os.Stdout); err != nil {
-				return err
-			}
+		if err := s.Write(os.Stdout, opts.Seed); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/measure/affinity.go
+++ b/internal/measure/affinity.go
@@ -20,7 +20,7 @@
 
 // Affinity compares ways to place requests with shared prompt prefixes.
 func Affinity() Section {
-	return Section{Name: "affinity", Tables: affinityTables}
+	return tables("affinity", affinityTables)
 }
 
 func affinityTables(seed uint64) []Table {
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -6,7 +6,7 @@
 
 // Fairness shows what fair share costs.
 func Fairness() Section {
-	return Section{Name: "fairness", Tables: fairnessTables}
+	return tables("fairness", fairnessTables)
 }
 
 func fairnessTables(seed uint64) []Table {
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -22,7 +22,7 @@
 
 // Service compares admission and placement with the naive way.
 func Service() Section {
-	return Section{Name: "service", Tables: serviceTables}
+	return tables("service", serviceTables)
 }
 
 // runsPerRow is how many seeds each row is the mean of.
@@ -93,7 +93,7 @@
 
 // Placing compares what load a placement goes by.
 func Placing() Section {
-	return Section{Name: "placing", Tables: placingTables}
+	return tables("placing", placingTables)
 }
 
 func placingTables(seed uint64) []Table {
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -14,10 +14,22 @@
 	Rows    [][]string
 }
 
-// Section makes the tables of one topic from a seed.
+// Section writes the tables of one topic.
 type Section struct {
-	Name   string
-	Tables func(seed uint64) []Table
+	Name  string
+	Write func(w io.Writer, seed uint64) error
+}
+
+// tables returns a section of the given tables.
+func tables(name string, from func(seed uint64) []Table) Section {
+	return Section{Name: name, Write: func(w io.Writer, seed uint64) error {
+		for _, t := range from(seed) {
+			if _, err := t.WriteTo(w); err != nil {
+				return err
+			}
+		}
+		return nil
+	}}
 }
 
 // WriteTo writes the table as aligned text. It implements io.WriterTo.
