--- a/internal/rank/expertmap/balance.go
+++ b/internal/rank/expertmap/balance.go
@@ -1,9 +1,6 @@
 package expertmap
 
-import (
-	"math"
-	"sort"
-)
+import "math"
 
 const (
 	// maxSweeps bounds the work of one balance. Load travels one rank a
@@ -167,7 +164,7 @@
 	if len(slots) == 2 {
 		return p.levelTwo(e, slots[0], slots[1])
 	}
-	sort.Slice(slots, func(i, j int) bool { return p.others(slots[i]) < p.others(slots[j]) })
+	p.sortByOthers(slots)
 	height := p.height(e, slots)
 	change := 0.0
 	for _, s := range slots {
@@ -178,6 +175,16 @@
 	return change
 }
 
+// sortByOthers sorts the few slots of an expert by insertion; it is called for
+// each expert in each sweep, and they are nearly in order.
+func (p *placement) sortByOthers(slots []int) {
+	for i := 1; i < len(slots); i++ {
+		for j := i; j > 0 && p.others(slots[j]) < p.others(slots[j-1]); j-- {
+			slots[j], slots[j-1] = slots[j-1], slots[j]
+		}
+	}
+}
+
 func (p *placement) levelTwo(e, a, b int) float64 {
 	v := (p.load[e] + p.others(b) - p.others(a)) / 2
 	v = min(max(v, 0), p.load[e])
--- a/internal/rank/expertmap/improve.go
+++ b/internal/rank/expertmap/improve.go
@@ -5,8 +5,8 @@
 const (
 	// The number of experts of each kind that are tried for a move, and of slots
 	// of each kind: four times their product bounds the time of a move.
-	triedExperts = 2
-	triedSlots   = 4
+	triedExperts = 3
+	triedSlots   = 6
 	// trialSweeps is enough to compare moves; the one taken is balanced fully.
 	trialSweeps = 12
 	// patience is how many moves in a row may fail to pay before no more are
--- a/internal/rank/expertmap/skewtable/run.go
+++ b/internal/rank/expertmap/skewtable/run.go
@@ -59,10 +59,10 @@
 
 // staging returns how many measured steps pass until a map with that many moves
 // is in force: one for the messages, and the time in which the weights load.
-func staging(moves int) int {
-	l := Limits()
+func (c Case) staging(moves int) int {
+	l := c.Limits()
 	load := float64(moves) * float64(l.ExpertBytes) / float64(l.StoreRate)
-	return 1 + int(math.Ceil(load/(interval.Seconds()/stepsMeasured)))
+	return 1 + int(math.Ceil(load/(c.Interval.Seconds()/stepsMeasured)))
 }
 
 // Run measures one case.
@@ -75,15 +75,15 @@
 	if err := r.start(); err != nil {
 		return Row{}, err
 	}
-	pop := expertmap.NewPopularity(1, c.Shape.Experts, memory)
+	pop := expertmap.NewPopularity(1, c.Shape.Experts, c.Interval/memory)
 	now := time.Unix(0, 0)
-	for i := range intervals {
+	for i := range c.Intervals {
 		if i%knownEvery == 0 {
 			if err := r.know(); err != nil {
 				return Row{}, err
 			}
 		}
-		now = now.Add(interval)
+		now = now.Add(c.Interval)
 		counts := r.interval()
 		if err := pop.Observe(0, counts, now); err != nil {
 			return Row{}, err
@@ -95,9 +95,9 @@
 	return r.row(), nil
 }
 
-// memory is how far back the estimate of popularity reaches. An interval has
+// memory is the interval over how far back the estimate of popularity reaches. An interval has
 // hundreds of steps, so its own counts are exact enough to need no older ones.
-const memory = interval / 10
+const memory = 10
 
 // start lets all ways begin with the full solution for the first popularity,
 // but for the static one.
@@ -118,11 +118,12 @@
 // interval measures some steps of one interval and returns its mean counts.
 func (r *run) interval() []float64 {
 	sum := make([]float64, r.of.Shape.Experts)
+	steps := float64(r.of.Interval/stepTime) / stepsMeasured
 	for range stepsMeasured {
-		r.drift.advance(interval / stepsMeasured)
+		r.drift.advance(r.of.Interval / stepsMeasured)
 		expected := r.drift.expected(r.tokens)
 		r.step(r.drift.draw(expected, 1))
-		for e, v := range r.drift.draw(expected, stepsPerInterval/stepsMeasured) {
+		for e, v := range r.drift.draw(expected, steps) {
 			sum[e] += v / stepsMeasured
 		}
 	}
@@ -170,11 +171,11 @@
 	if err != nil {
 		return err
 	}
-	plan, err := expertmap.NewPlan(current, pop, Limits(), now)
+	plan, err := expertmap.NewPlan(current, pop, r.of.Limits(), now)
 	if err != nil {
 		return err
 	}
-	r.planned.take(plan.Next().Layer(0), staging(len(plan.Moves())))
+	r.planned.take(plan.Next().Layer(0), r.of.staging(len(plan.Moves())))
 	return nil
 }
 
--- a/internal/rank/expertmap/skewtable/table.go
+++ b/internal/rank/expertmap/skewtable/table.go
@@ -11,25 +11,23 @@
 )
 
 const (
-	interval         = 10 * time.Second
-	stepTime         = 20 * time.Millisecond
-	intervals        = 180
-	stepsMeasured    = 4
-	knownEvery       = 20
-	tokensPerRank    = 256
-	expertsPerToken  = 8
-	stepsPerInterval = float64(interval / stepTime)
+	stepTime        = 20 * time.Millisecond
+	intervals       = 180
+	stepsMeasured   = 4
+	knownEvery      = 20
+	tokensPerRank   = 256
+	expertsPerToken = 8
 )
 
-// Limits returns the limits that the table plans with: experts of 45 MB, a
-// weight store that gives the group 100 MB/s, steps that last a fifth longer
-// while weights load.
-func Limits() expertmap.Limits {
+// Limits returns the limits that a case plans with: experts of 45 MB, a weight
+// store that gives the group 100 MB/s, steps that last a fifth longer while
+// weights load, replicas that are of use for an hour.
+func (c Case) Limits() expertmap.Limits {
 	return expertmap.Limits{
 		ExpertBytes: 45_000_000,
 		StoreRate:   100_000_000,
-		StageTime:   interval,
-		Life:        10 * time.Minute,
+		StageTime:   c.Interval,
+		Life:        time.Hour,
 		Slowdown:    0.2,
 		MinGain:     0.001,
 		Goal:        0.01,
@@ -43,11 +41,24 @@
 	Shape expertmap.Shape
 	// Correlation is the time in which popularity forgets where it was.
 	Correlation time.Duration
+	// Interval is the time between two plans.
+	Interval time.Duration
+	// Intervals is how many intervals are measured.
+	Intervals int
 	// Seed makes the run repeatable.
 	Seed int64
 }
 
-// Cases returns the sizes and speeds of the table.
+// The intervals of the table. The longer one is affordable for hundreds of
+// groups, whose names all go through the platform's service; the shorter one for
+// a few dozen.
+const (
+	usual = 10 * time.Second
+	short = 2 * time.Second
+)
+
+// Cases returns the sizes and speeds of the table, and each size once more with
+// a short interval.
 func Cases() []Case {
 	shapes := []expertmap.Shape{
 		{Ranks: 8, Slots: 5, Experts: 32},
@@ -58,9 +69,16 @@
 	var cases []Case
 	for _, s := range shapes {
 		for _, v := range speeds {
-			cases = append(cases, Case{Shape: s, Correlation: v, Seed: int64(len(cases) + 1)})
+			cases = append(cases, Case{Shape: s, Correlation: v, Interval: usual})
 		}
 	}
+	for _, s := range shapes {
+		cases = append(cases, Case{Shape: s, Correlation: time.Hour, Interval: short})
+	}
+	for i := range cases {
+		cases[i].Seed = int64(i + 1)
+		cases[i].Intervals = intervals
+	}
 	return cases
 }
 
@@ -119,10 +137,10 @@
 // Write prints the rows as a table.
 func Write(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "ranks x experts\tdrift\tbound\tknown\tstatic\tp99\tfull\tp99\tmoves\tplanned\tp99\tmoves\tover bound\tof full's moves\t")
+	_, _ = fmt.Fprintln(t, "ranks x experts\tdrift\tinterval\tbound\tknown\tstatic\tp99\tfull\tp99\tmoves\tplanned\tp99\tmoves\tover bound\tof full's moves\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(t, "%d x %d\t%v\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%.3f\t%.3f\t%d\t%.1f%%\t%.1f%%\t\n",
-			r.of.Shape.Ranks, r.of.Shape.Experts, r.of.Correlation, r.bound.mean, r.known.mean,
+		_, _ = fmt.Fprintf(t, "%d x %d\t%v\t%v\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%.3f\t%.3f\t%d\t%.1f%%\t%.1f%%\t\n",
+			r.of.Shape.Ranks, r.of.Shape.Experts, r.of.Correlation, r.of.Interval, r.bound.mean, r.known.mean,
 			r.static.mean, r.static.p99, r.full.mean, r.full.p99, r.full.moves,
 			r.planned.mean, r.planned.p99, r.planned.moves,
 			100*(r.planned.mean/r.bound.mean-1), 100*float64(r.planned.moves)/float64(max(1, r.full.moves)))
