Test what expert maps refuse, forget and spare; example of skew

Cause: limits and refusals were not held by tests. Ruled out: none. Change: tests of inputs, popularity and plans; a runnable example.

--- /dev/null
+++ b/internal/rank/expertmap/example_test.go
@@ -0,0 +1,33 @@
+package expertmap_test
+
+import (
+	"fmt"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+)
+
+// Skew is the load of the slowest rank over the mean load. Here one expert takes
+// half of all tokens; without a second replica its rank is twice as slow as the
+// mean, and every rank waits for it in each step.
+func Example() {
+	shape := expertmap.Shape{Ranks: 4, Slots: 2, Experts: 4}
+	load := []float64{600, 200, 200, 200}
+
+	static, err := expertmap.Contiguous(shape)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	imp, err := expertmap.Improve(static, load, expertmap.Risk{}, 4, 0.01, 0)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Printf("static %.2f\n", expertmap.Skew(static, load))
+	fmt.Printf("improved %.2f by %d moves\n", expertmap.Skew(imp.Layer(), load), imp.Moves())
+	fmt.Printf("bound %.2f\n", expertmap.LowerBound(load, shape))
+	// Output:
+	// static 2.00
+	// improved 1.00 by 3 moves
+	// bound 1.00
+}
--- /dev/null
+++ b/internal/rank/expertmap/input_test.go
@@ -0,0 +1,153 @@
+package expertmap
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+)
+
+func assertError(t *testing.T, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("error %v, want %v", got, want)
+	}
+}
+
+func TestNewLayerRefuses(t *testing.T) {
+	shape := Shape{Ranks: 2, Slots: 2, Experts: 2}
+	whole := Slot{Expert: 0, Share: ShareUnits}
+	empty := Slot{Expert: none}
+	for _, c := range []struct {
+		name  string
+		shape Shape
+		slots []Slot
+		want  error
+	}{
+		{"more experts than slots", Shape{1, 1, 2}, nil, ErrShape},
+		{"no ranks", Shape{0, 1, 1}, nil, ErrShape},
+		{"too few slots", shape, []Slot{whole}, ErrLayer},
+		{"an expert without replica", shape, []Slot{whole, empty, empty, empty}, ErrLayer},
+		{"an expert twice on a rank", shape, []Slot{{0, 1}, {0, ShareUnits - 1}, {1, ShareUnits}, empty}, ErrLayer},
+		{"shares that don't add up", shape, []Slot{{0, 1}, {1, ShareUnits}, empty, empty}, ErrLayer},
+		{"an unknown expert", shape, []Slot{whole, {2, ShareUnits}, {1, ShareUnits}, empty}, ErrLayer},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := NewLayer(c.shape, c.slots)
+			assertError(t, err, c.want)
+		})
+	}
+}
+
+func TestLoadsAreChecked(t *testing.T) {
+	shape := Shape{Ranks: 2, Slots: 2, Experts: 2}
+	for _, load := range [][]float64{{1}, {1, -1}, {1, math.NaN()}, {1, math.Inf(1)}} {
+		_, err := Solve(shape, load, Risk{})
+		assertError(t, err, ErrObservation)
+		err = NewPopularity(1, 2, 0).Observe(0, load, time.Unix(1, 0))
+		assertError(t, err, ErrObservation)
+	}
+}
+
+func TestNothingToCarry(t *testing.T) {
+	shape := Shape{Ranks: 2, Slots: 2, Experts: 3}
+	imp, err := Improve(solved(t, shape, make([]float64, 3)), make([]float64, 3), Risk{Draw: true}, 4, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertNear(t, imp.After(), 1, 0)
+	if imp.Moves() != 0 {
+		t.Errorf("%d moves without load", imp.Moves())
+	}
+}
+
+func TestPopularityForgets(t *testing.T) {
+	p := NewPopularity(1, 1, time.Minute)
+	at := time.Unix(100, 0)
+	for _, c := range []struct {
+		after time.Duration
+		count float64
+		want  float64
+	}{
+		{0, 100, 100},
+		{time.Minute, 200, 100 + 100*(1-1/math.E)},
+		{0, 500, 100 + 100*(1-1/math.E)},
+		{time.Hour, 50, 50},
+	} {
+		at = at.Add(c.after)
+		if err := p.Observe(0, []float64{c.count}, at); err != nil {
+			t.Fatal(err)
+		}
+		assertNear(t, p.Load(0)[0], c.want, 1e-9)
+	}
+}
+
+// TestPlanSparesMoves: a group that moved weights for each passing wave would
+// spend its store's rate on nothing. Moves that cost more than they bring, or
+// that the store can't give, are not planned, and a small gain changes nothing.
+func TestPlanSparesMoves(t *testing.T) {
+	shape := Shape{Ranks: 4, Slots: 3, Experts: 8}
+	cheap := Limits{ExpertBytes: 1, StoreRate: 100, StageTime: time.Second, Life: time.Hour, Slowdown: 0.1}
+	dear := cheap
+	dear.ExpertBytes, dear.StageTime, dear.Life = 100, 100*time.Second, 10*time.Millisecond
+	starved := cheap
+	starved.StageTime = 0
+	content := cheap
+	content.MinGain = 10
+	for _, c := range []struct {
+		name    string
+		limits  Limits
+		moves   bool
+		changed bool
+	}{
+		{"moves pay", cheap, true, true},
+		{"moves cost too much", dear, false, true},
+		{"the store gives none", starved, false, true},
+		{"the gain is too small", content, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			plan := planned(t, shape, c.limits)
+			if got := len(plan.Moves()) > 0; got != c.moves {
+				t.Errorf("%d moves", len(plan.Moves()))
+			}
+			if got := plan.Next().Version() == 2; got != c.changed {
+				t.Errorf("version %d", plan.Next().Version())
+			}
+			assertAtMost(t, plan.After(), plan.Before())
+		})
+	}
+}
+
+// planned plans from a map for even load when one expert has become popular.
+func planned(t *testing.T, shape Shape, limits Limits) *Plan {
+	t.Helper()
+	load := make([]float64, shape.Experts)
+	for e := range load {
+		load[e] = 1
+	}
+	current, err := NewMap(1, []*Layer{solved(t, shape, load)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	load[shape.Experts-1] = 20
+	pop := NewPopularity(1, shape.Experts, 0)
+	if err := pop.Observe(0, load, time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	plan, err := NewPlan(current, pop, limits, time.Unix(1, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+func TestPlanNeedsObservations(t *testing.T) {
+	current, err := NewMap(1, []*Layer{solved(t, Shape{2, 1, 2}, []float64{1, 1})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = NewPlan(current, NewPopularity(1, 2, 0), Limits{}, time.Unix(1, 0))
+	assertError(t, err, ErrNotObserved)
+	_, err = NewPlan(current, NewPopularity(2, 2, 0), Limits{}, time.Unix(1, 0))
+	assertError(t, err, ErrShape)
+}
