--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,8 @@
 	Registry metrics.Registry
 	// TLS secures the agent's connections; its zero value means plain TCP.
 	TLS process.TLS
+	// Dial opens connections to other processes; nil means TCP.
+	Dial process.Dial
 
 	clock        timeline.Clock
 	ring         *timeline.Ring
@@ -128,3 +130,9 @@
 	}
 	return 0
 }
+
+// OutOfService reports whether the endpoint or its data centre is out.
+func (a *Agent) OutOfService() bool {
+	v := a.view.Load()
+	return v != nil && v.out
+}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -82,6 +82,9 @@
 			}
 		}
 		entries := l.Entries()
+		if len(entries) == 0 {
+			continue
+		}
 		e := entries[rng.IntN(len(entries))]
 		shape := Shape(rng.IntN(int(shapes)))
 		id := fmt.Sprintf("demo-%d-%d", l.Seed, sent)
@@ -140,7 +143,7 @@
 	}
 	o.whole = isWhole(s, id, string(body))
 	if !o.whole {
-		o.detail = fmt.Sprintf("taken for whole: %q", body)
+		o.detail = fmt.Sprintf("taken for whole: ...%q", body[max(0, len(body)-200):])
 	}
 	return o
 }
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +51,8 @@
 	KV *kv.Server
 	// List is the stand-in of the platform's list of VMs.
 	List *vmlist.Server
+	// Network carries the processes' connections.
+	Network Network
 
 	client *platform.Client
 	ctx    context.Context
@@ -119,6 +122,8 @@
 	s.parts = append(s.parts, s.run(s.KV.Run))
 	s.List = &vmlist.Server{}
 	s.parts = append(s.parts, s.run(s.List.Run))
+	s.Network.at(s.KV.Addr(), Platform)
+	s.Network.at(s.List.Addr(), Platform)
 	s.client = &platform.Client{Addrs: []string{s.KV.Addr()}, Timeout: time.Second}
 	s.parts = append(s.parts, s.run(s.client.Run))
 	if err := s.putPreset(); err != nil {
@@ -210,11 +215,13 @@
 			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
 			Kind:            kind,
 		},
-		Log: s.Log,
+		Log:  s.Log,
+		Dial: s.Network.From(dc),
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.Network.at(p.Address(), dc)
 	s.List.Put(list.NewVM(name, list.Agent, dc, p.Address(), list.Live))
 	a := &Agent{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p, Endpoint: endpointAddr}
 	s.mu.Lock()
@@ -234,11 +241,13 @@
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
 		Log:      s.Log,
+		Dial:     s.Network.From(dc),
 		Announce: 300 * time.Millisecond,
 	}
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
+	s.Network.at(p.PeerAddress(), dc)
 	s.List.Put(list.NewVM(name, list.Entry, dc, p.PeerAddress(), list.Live))
 	e := &Entry{Part: s.run(p.Run), Name: name, DataCentre: dc, Process: p}
 	s.mu.Lock()
@@ -314,6 +323,73 @@
 	return all
 }
 
+// Serving returns the entries to which the platform's balancer would send
+// callers: those whose /readyz says yes.
+func (s *System) Serving() []*Entry {
+	var es []*Entry
+	for _, e := range s.EntriesOf("") {
+		if !e.Process.Leaving() && e.Process.Ready() == nil {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
+// RestartAgent stops an agent gracefully and starts another in its place.
+func (s *System) RestartAgent(a *Agent) error {
+	if err := a.Stop(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.agents = slices.DeleteFunc(s.agents, func(x *Agent) bool { return x == a })
+	s.mu.Unlock()
+	_, err := s.StartAgent(a.DataCentre, a.Name, a.Endpoint, a.Process.Settings.Kind)
+	return err
+}
+
+// agent returns the agent beside the endpoint.
+func (s *System) agent(endpoint string) *Agent {
+	for _, a := range s.Agents() {
+		if a.Name == endpoint {
+			return a
+		}
+	}
+	return nil
+}
+
+// begun returns how many requests have begun at the data centre's endpoints.
+func (s *System) begun(dc string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for name, e := range s.engines {
+		if strings.HasPrefix(name, dc+"-") {
+			n += len(e.Counters().Ran)
+		}
+	}
+	for name, v := range s.services {
+		if strings.HasPrefix(name, dc+"-") {
+			n += v.Counters().Requests
+		}
+	}
+	return n
+}
+
+// allOut reports whether each process knows that the data centre is out.
+func (s *System) allOut(dc string) bool {
+	for _, e := range s.EntriesOf("") {
+		if !e.Process.IsOut(config.DataCentre(dc)) {
+			return false
+		}
+	}
+	for _, a := range s.Agents() {
+		if a.DataCentre == dc && !a.Process.OutOfService() {
+			return false
+		}
+	}
+	return true
+}
+
 // Ran returns how often each request id has been run at any endpoint.
 func (s *System) Ran() map[string]int {
 	s.mu.Lock()
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -36,7 +36,13 @@
 	refused  time.Time
 	backOff  time.Time
 	refusals int
-	chosen  time.Time
+	// failures counts the failures since the last answer, and failedUntil is
+	// when the endpoint may be chosen again after the last one.
+	failures    int
+	failedUntil time.Time
+	chosen      time.Time
+	// probes counts the probes since the endpoint last answered in usual time.
+	probes int
 	// firstPiece is the smoothed time to the first piece in seconds.
 	firstPiece float64
 }
@@ -47,6 +53,7 @@
 	e.reported = time.Time{}
 	e.refused, e.backOff = time.Time{}, time.Time{}
 	e.refusals = 0
+	e.failures, e.failedUntil = 0, time.Time{}
 	e.firstPiece = 0
 }
 
@@ -62,9 +69,9 @@
 	e.capacity = max(1, r.Capacity, r.Allowance)
 	e.cold, e.leaving = r.Cold, r.Leaving
 	e.reported = r.At
-	own, tokens := e.history.before(r.At, e.own, e.ownTokens)
+	own, tokens := e.history.before(r.At)
 	others := math.Max(0, float64(r.Running-own))
-	if r.At.Before(e.refused) {
+	if !r.At.After(e.refused) {
 		others = math.Max(others, e.others)
 	}
 	e.others = others
@@ -80,17 +87,19 @@
 func (e *endpoint) streams() float64 { return e.others + float64(e.own) }
 
 // state returns eligible, or why the endpoint can't be chosen.
-func (p *Picture) state(e *endpoint, now time.Time) int {
+func (p *Picture) state(e *endpoint, s *routeSet, now time.Time) int {
 	switch {
 	case e.out:
 		return outOfService
 	case e.leaving:
 		return leaving
+	case now.Before(e.failedUntil):
+		return busy
 	case !e.fresh(now, p.StaleAfter):
 		return p.stateUnknown(e, now)
 	case e.cold:
 		return p.stateCold(e, now)
-	case e.streams() >= float64(e.allowance) && !e.mayAskAgain(now):
+	case e.streams() >= e.bears(s, now) && !e.mayAskAgain(now):
 		return busy
 	}
 	return eligible
@@ -99,7 +108,7 @@
 // mayAskAgain reports whether an endpoint that is full by an own refusal, and
 // of which no newer report has come, may be asked again.
 func (e *endpoint) mayAskAgain(now time.Time) bool {
-	return e.refusals > 0 && e.reported.Before(e.refused) && !now.Before(e.backOff)
+	return e.refusals > 0 && !e.reported.After(e.refused) && !now.Before(e.backOff)
 }
 
 // stateUnknown lets one own attempt at a time through to an endpoint whose
@@ -132,10 +141,13 @@
 	events [historySize]event
 	next   int
 	n      int
+	// first is the work before the oldest remembered change.
+	first event
 }
 
 const historySize = 32
 
+// event is the own work from a moment on.
 type event struct {
 	at     time.Time
 	own    int
@@ -144,20 +156,22 @@
 
 // add records the own work from at on.
 func (h *history) add(at time.Time, own, tokens int) {
+	if h.n == historySize {
+		h.first = h.events[h.next]
+	}
 	h.events[h.next] = event{at, own, tokens}
 	h.next = (h.next + 1) % historySize
 	h.n = min(h.n+1, historySize)
 }
 
-// before returns the own work at the given time, or the oldest remembered, or
-// the present one when nothing is remembered.
-func (h *history) before(at time.Time, own, tokens int) (int, int) {
+// before returns the own work at the given time; for a time before the oldest
+// remembered change, the work before that change.
+func (h *history) before(at time.Time) (own, tokens int) {
 	for i := 1; i <= h.n; i++ {
 		ev := &h.events[(h.next-i+historySize)%historySize]
-		own, tokens = ev.own, ev.tokens
 		if !ev.at.After(at) {
-			return own, tokens
+			return ev.own, ev.tokens
 		}
 	}
-	return own, tokens
+	return h.first.own, h.first.tokens
 }
--- a/internal/measure/arrivals.go
+++ b/internal/measure/arrivals.go
@@ -38,6 +38,8 @@
 	long float64
 	// slowEndpoint slows one endpoint down by this factor from 30 s to 90 s.
 	slowEndpoint float64
+	// failing makes one endpoint fail each request at once from 30 s to 90 s.
+	failing bool
 	// leave takes a data centre out at 30 s and brings it back, cold, at 70 s.
 	leave bool
 	// sameWorth makes all accounts worth the same.
@@ -80,7 +82,7 @@
 	entry    int
 	tries    int
 
-	outcome  outcome
+	outcome outcome
 	// told is when the caller first heard that the request is not served, by
 	// a refusal or by the passing of its deadline.
 	told time.Duration
