--- a/internal/rank/codec.go
+++ b/internal/rank/codec.go
@@ -122,3 +122,6 @@
 	}
 	return naming.Record{Token: p.GetToken(), Name: nameFrom(p.GetName())}, nil
 }
+
+// MapBytes returns the size of a map as it goes over the wire.
+func MapBytes(m *expertmap.Map) int { return proto.Size(mapProto(m)) }
--- a/internal/rank/engine.go
+++ b/internal/rank/engine.go
@@ -9,15 +9,17 @@
 
 // Engine is the way to the ranks of one endpoint. The implementation passes the
 // fencing token on; the Member checks it before, because some engines don't.
-// Each order is idempotent, and may fail after it has taken effect. No order may
-// take effect after its call has returned, nor more than Runner.Drain after the
-// agent that gave it has ended.
+// Each order is idempotent and may take effect although its call has failed, or
+// later; but not after the ranks that it was sent to have restarted, because it
+// ends with their connection, and no later than Runner.Drain after the agent
+// that gave it has ended.
 type Engine interface {
 	// Stage loads the weights that m needs and keeps m ready.
 	Stage(ctx context.Context, m *expertmap.Map, fencing uint64) error
 	// Activate makes the ranks use a staged map from a step on, until the next
 	// greater step of an activated map, in whatever order they came. With restart
-	// the ranks forget maps and steps before and begin at this step.
+	// the ranks forget earlier entries and steps and begin at this step, unless
+	// they are beyond it.
 	Activate(ctx context.Context, e naming.Entry, restart bool, fencing uint64) error
 	// Allow lets the ranks begin steps up to and with the given one. Ranks
 	// wait before a step that they may not begin or have no map for. A lower
--- a/internal/rank/expertmap/expertmap_test.go
+++ b/internal/rank/expertmap/expertmap_test.go
@@ -1,8 +1,11 @@
 package expertmap
 
 import (
+	"fmt"
+	"math"
 	"math/rand"
 	"testing"
+	"time"
 )
 
 func randomLoad(rng *rand.Rand, n int) []float64 {
@@ -48,3 +51,47 @@
 	l := Layer{shape: s}
 	return l.String()
 }
+
+func BenchmarkPlan(b *testing.B) {
+	for _, layers := range []int{1, 58} {
+		b.Run(fmt.Sprintf("%d_layers", layers), func(b *testing.B) {
+			benchmarkPlan(b, layers)
+		})
+	}
+}
+
+// benchmarkPlan plans for 128 ranks and experts after popularity has moved on
+// for some minutes.
+func benchmarkPlan(b *testing.B, n int) {
+	rng := rand.New(rand.NewSource(1))
+	shape := Shape{128, 2, 128}
+	pop := NewPopularity(n, shape.Experts, 0)
+	layers := make([]*Layer, n)
+	for i := range layers {
+		load := randomLoad(rng, shape.Experts)
+		l, err := Solve(shape, load, Risk{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		layers[i] = l
+		for e := range load {
+			load[e] *= math.Exp(0.1 * rng.NormFloat64())
+		}
+		if err := pop.Observe(i, load, time.Unix(1, 0)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	current, err := NewMap(1, layers)
+	if err != nil {
+		b.Fatal(err)
+	}
+	limits := Limits{
+		ExpertBytes: 45_000_000, StoreRate: 100_000_000, StageTime: 10 * time.Second,
+		Life: time.Hour, Slowdown: 0.2, Goal: 0.01,
+	}
+	for b.Loop() {
+		if _, err := NewPlan(current, pop, limits, time.Unix(2, 0)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rank/kvlease_test.go
@@ -0,0 +1,141 @@
+package rank_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
+)
+
+func leases(t *testing.T, s *kv.Server) (a, b *rank.KVLease) {
+	t.Helper()
+	background(t, s.Run)
+	c := &platform.Client{Addrs: []string{s.Addr()}, Timeout: time.Second, Metrics: metrics.NewRegistry()}
+	background(t, c.Run)
+	a = &rank.KVLease{KV: c, Group: "chat", Holder: "a", TTL: time.Minute}
+	b = &rank.KVLease{KV: c, Group: "chat", Holder: "b", TTL: time.Minute}
+	return a, b
+}
+
+func assertErrorIs(t *testing.T, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("error %v, want %v", got, want)
+	}
+}
+
+// TestLapsedHolderWritesNothing: two agents would lead if the lease of a paused
+// one lapsed and it still wrote the record. The second takes the lease with a
+// greater token; the first can neither renew nor write, with the right revision
+// or an old one.
+func TestLapsedHolderWritesNothing(t *testing.T) {
+	s := &kv.Server{}
+	a, b := leases(t, s)
+	ctx := t.Context()
+	first, _, err := a.Acquire(ctx, time.Now())
+	assertErrorIs(t, err, nil)
+	_, _, err = b.Acquire(ctx, time.Now())
+	assertErrorIs(t, err, rank.ErrLeaseHeld)
+	assertErrorIs(t, a.CAS(ctx, 0, naming.Record{Token: first}), nil)
+
+	s.LapseLeases(time.Hour)
+	second := await(ctx, t, b)
+	if second <= first {
+		t.Errorf("token %d after %d", second, first)
+	}
+	_, err = a.Renew(ctx, time.Now())
+	assertErrorIs(t, err, rank.ErrLeaseLost)
+	record, revision, err := b.Read(ctx)
+	assertErrorIs(t, err, nil)
+	assertErrorIs(t, a.CAS(ctx, revision, naming.Record{Token: first}), rank.ErrRecordChanged)
+	assertErrorIs(t, b.CAS(ctx, 0, naming.Record{Token: second}), rank.ErrRecordChanged)
+	assertErrorIs(t, b.CAS(ctx, revision, naming.Record{Token: second}), nil)
+	if record.Token != first {
+		t.Errorf("record of token %d, want %d", record.Token, first)
+	}
+}
+
+func await(ctx context.Context, t *testing.T, l *rank.KVLease) uint64 {
+	t.Helper()
+	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if token, _, err := l.Acquire(ctx, time.Now()); err == nil {
+			return token
+		}
+	}
+	t.Fatal("the lease was not to be had")
+	return 0
+}
+
+// deafKV loses the answer of each transaction after it has taken effect.
+type deafKV struct{ rank.KV }
+
+func (k deafKV) Txn(ctx context.Context, x platform.Txn) (platform.TxnReply, error) {
+	if _, err := k.KV.Txn(ctx, x); err != nil {
+		return platform.TxnReply{}, err
+	}
+	return platform.TxnReply{}, platform.WriteError(context.DeadlineExceeded)
+}
+
+// TestLostAnswerOfAcquire: a group would be without a leader for the life of a
+// lease if the holder did not know of its own. The answer of the write that
+// takes the lease is lost; the holder finds out by reading, and so does an agent
+// that was beaten to it.
+func TestLostAnswerOfAcquire(t *testing.T) {
+	a, b := leases(t, &kv.Server{})
+	plain := a.KV
+	a.KV, b.KV = deafKV{plain}, deafKV{plain}
+	token, _, err := a.Acquire(t.Context(), time.Now())
+	assertErrorIs(t, err, nil)
+	_, _, err = b.Acquire(t.Context(), time.Now())
+	assertErrorIs(t, err, rank.ErrLeaseHeld)
+	a.KV = plain
+	assertErrorIs(t, a.CAS(t.Context(), 0, naming.Record{Token: token}), nil)
+}
+
+func TestRecordKeepsItsName(t *testing.T) {
+	want := naming.Record{
+		Token: 7,
+		Name:  naming.Name{Token: 6, Step: 1 << 40, Map: naming.Ref{Version: 6 << 20, Digest: 1<<64 - 1}},
+	}
+	b, err := rank.EncodeRecord(want)
+	assertErrorIs(t, err, nil)
+	got, err := rank.DecodeRecord(b)
+	assertErrorIs(t, err, nil)
+	if got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if _, err := rank.DecodeRecord([]byte{0xff}); err == nil {
+		t.Error("read a record from nothing")
+	}
+}
+
+// BenchmarkMapBytes reports the size of a map of 58 layers as it is sent.
+func BenchmarkMapBytes(b *testing.B) {
+	load := make([]float64, 128)
+	for e := range load {
+		load[e] = float64(1 + e)
+	}
+	l, err := expertmap.Solve(expertmap.Shape{Ranks: 128, Slots: 2, Experts: 128}, load, expertmap.Risk{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	layers := make([]*expertmap.Layer, 58)
+	for i := range layers {
+		layers[i] = l
+	}
+	m, err := expertmap.NewMap(1<<40, layers)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		b.ReportMetric(float64(rank.MapBytes(m)), "bytes/map")
+	}
+}
--- a/internal/rank/naming/engine.go
+++ b/internal/rank/naming/engine.go
@@ -26,7 +26,7 @@
 
 // EngineActivate asks the ranks to use a staged map from a step on, until the
 // next greater step of an activated map, in whatever order they came. With
-// Restart the ranks forget maps and steps before and begin at this step.
+// Restart the ranks forget earlier entries and steps and begin at this step.
 type EngineActivate struct {
 	Entry   Entry
 	Restart bool
--- a/internal/rank/naming/guards_test.go
+++ b/internal/rank/naming/guards_test.go
@@ -219,6 +219,29 @@
 	}
 }
 
+// TestPassedStepIsNotHeldFor: callers would see garbled answers of one step. A
+// leader gives a name up whose write took effect, one member goes past its step
+// with the old map, and the leader dies. That member's agent restarts and hears
+// of the name from its peer, and the next leader reads the commit.
+func TestPassedStepIsNotHeldFor(t *testing.T) {
+	r, a := begun(t)
+	a.Propose(testMap(2))
+	r.drive(a, 60, func(s Send) bool { return isAbandon(s) && s.To == 1 }, func(w WriteRecord) WriteOutcome {
+		r.write(w)
+		r.kv.down = true
+		return WriteUnknown
+	})
+	r.kv.down = false
+	r.members[0] = r.newMember(0, 2)
+	r.run(3)
+	b := r.leader(2)
+	b.Learn(testMap(2))
+	b.Propose(testMap(3))
+	r.drive(b, 80, nil, r.write)
+	r.assertOneMap()
+	r.assertInForce(3)
+}
+
 // TestGroupGoesOnWithoutPlatform: callers would wait for nothing if a group
 // stopped because the platform is down. No leader and no platform is there, and
 // the ranks of one endpoint restart; steps go on with the map in force.
--- a/internal/rank/naming/name.go
+++ b/internal/rank/naming/name.go
@@ -54,6 +54,18 @@
 	return best.Map, found
 }
 
+// After returns the entries of a schedule that hold from a later step than the
+// given one.
+func After(schedule []Entry, step uint64) []Entry {
+	var out []Entry
+	for _, e := range schedule {
+		if e.From > step {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // latest returns the newest entry of a schedule, or the zero Entry.
 func latest(schedule []Entry) Entry {
 	if len(schedule) == 0 {
--- a/internal/rank/naming/tick.go
+++ b/internal/rank/naming/tick.go
@@ -48,13 +48,19 @@
 	return false
 }
 
-// activateOrders gives the engine the first entry of the schedule that it
-// lacks: one after the other, so that a lost order does not let a newer entry
-// overtake the one before it. The ranks restart at the first entry when it
-// leaves out their next step: that is so only after all members have lost their
-// maps together.
+// activateOrders gives the engine the entries of the schedule that it lacks, one
+// after the other and the newest first.
+//
+// Failure: ranks that restarted are given an old entry and a bound that was set
+// before, and begin a step of the newer entry with the old map. It shows as two
+// maps in this step. With the newest entry first, steps before it have no map,
+// and the ranks wait there until the older entry comes.
+//
+// The ranks restart at the oldest entry when it leaves out their next step: that
+// is so only after all members have lost their maps together.
 func (m *Member) activateOrders() []EngineOrder {
-	for i, e := range m.schedule {
+	for i := len(m.schedule) - 1; i >= 0; i-- {
+		e := m.schedule[i]
 		if !scheduled(m.engine.Schedule, e) {
 			restart := i == 0 && e.From > m.engine.Begun+1
 			return []EngineOrder{EngineActivate{Entry: e, Restart: restart}}
--- a/internal/rank/naming/world_test.go
+++ b/internal/rank/naming/world_test.go
@@ -8,7 +8,12 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
 )
 
-const tick = 10 * time.Millisecond
+const (
+	tick = 10 * time.Millisecond
+	// drain is how many ticks a message may be late, and how long an agent that
+	// starts waits for the orders of the one before.
+	drain = 60
+)
 
 // fakeEngine is the ranks of one endpoint. They begin at most a step a tick.
 type fakeEngine struct {
@@ -19,7 +24,9 @@
 func (e *fakeEngine) order(o EngineOrder) {
 	switch o := o.(type) {
 	case EngineStage:
-		e.Staged = append(e.Staged, RefOf(o.Map))
+		if !e.has(RefOf(o.Map)) {
+			e.Staged = append(e.Staged, RefOf(o.Map))
+		}
 	case EngineActivate:
 		e.activate(o)
 	case EngineAllow:
@@ -27,12 +34,21 @@
 	}
 }
 
+func (e *fakeEngine) has(r Ref) bool {
+	for _, o := range e.Staged {
+		if o == r {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *fakeEngine) activate(o EngineActivate) {
-	if scheduled(e.Schedule, o.Entry) {
+	if scheduled(e.Schedule, o.Entry) || !e.has(o.Entry.Map) {
 		return
 	}
 	if o.Restart && o.Entry.From > e.Begun {
-		e.Schedule = nil
+		e.Schedule = After(e.Schedule, o.Entry.From)
 		e.Begun = o.Entry.From - 1
 	}
 	e.Schedule = append(e.Schedule, o.Entry)
@@ -106,7 +122,7 @@
 	for range copies {
 		delay := 1
 		if w.chance(0.2) {
-			delay += w.rng.Intn(60)
+			delay += w.rng.Intn(drain - 1)
 		}
 		w.events = append(w.events, event{at: w.tick + delay, run: f})
 	}
@@ -174,7 +190,7 @@
 func (w *world) restartAgent(i int) {
 	w.members[i] = w.newMember(i, w.members[i].Incarnation+1)
 	w.leads[i] = &candidate{next: w.leads[i].next}
-	w.down[i] = w.tick + w.rng.Intn(30)
+	w.down[i] = w.tick + drain + w.rng.Intn(30)
 }
 
 func (w *world) stepMember(i int) {
@@ -183,9 +199,7 @@
 	}
 	m, e := w.members[i], w.engines[i]
 	for _, o := range m.Tick(e.EngineState) {
-		if !w.chance(0.1) {
-			e.order(o)
-		}
+		w.orderEngine(e, o)
 	}
 	if j, ask := m.Joins(); ask && w.tick%5 == 0 {
 		for p := range w.n {
@@ -196,6 +210,17 @@
 	}
 }
 
+// orderEngine lets an order take effect later. An order does not outlive the
+// connection to the ranks that it was sent to.
+func (w *world) orderEngine(e *fakeEngine, o EngineOrder) {
+	incarnation := e.Incarnation
+	w.send(func() {
+		if e.Incarnation == incarnation {
+			e.order(o)
+		}
+	})
+}
+
 func (w *world) answerJoin(p, i int, j Join) {
 	if w.tick < w.down[p] {
 		return
--- a/internal/standin/ranks/engine.go
+++ b/internal/standin/ranks/engine.go
@@ -81,7 +81,7 @@
 		}
 	}
 	if restart && n.From > e.state.Begun {
-		e.state.Schedule = nil
+		e.state.Schedule = naming.After(e.state.Schedule, n.From)
 		e.state.Begun = n.From - 1
 	}
 	e.state.Schedule = append(e.state.Schedule, n)
