Name a step beyond each committed one when a group begins anew

Ruled out: the bounds alone as the measure: they say nothing of a name ahead. Change: a name is beyond that of the record, and a member refuses one that its ranks have a later entry for; a test that plays the schedule.

--- a/internal/rank/naming/decide.go
+++ b/internal/rank/naming/decide.go
@@ -189,12 +189,14 @@
 const maxTries = 6
 
 // beyond returns a step that no rank may have been allowed to begin when the
-// members hear of it. It differs from that of a name given up, so that late
+// members hear of it, and that is later than that of each name committed before:
+// ranks whose agents have lost their memory may still have such a name ahead of
+// them. It differs from that of a name given up, so that late
 // orders about the old name are not taken for the new one's, and lies twice as
 // far off after each failed try, because members extend their bounds while the
 // hold is on its way and slow messages would otherwise fail each time.
 func (l *Leader) beyond() uint64 {
-	step := l.given.Step
+	step := max(l.given.Step, l.record.Name.Step)
 	for _, s := range l.states {
 		step = max(step, s.Granted, s.Begun)
 	}
--- a/internal/rank/naming/guards_test.go
+++ b/internal/rank/naming/guards_test.go
@@ -242,6 +242,29 @@
 	r.assertInForce(3)
 }
 
+// TestRestartedGroupNamesLaterStep: callers would see garbled answers of one
+// step. The ranks of one member have been told of a name ahead of them when all
+// agents lose their memory and the other's ranks their maps. The group begins
+// anew, and must not reach the name's step with another map.
+func TestRestartedGroupNamesLaterStep(t *testing.T) {
+	r, a := begun(t)
+	a.Propose(testMap(2))
+	r.drive(a, 8, releaseTo(1), r.write)
+	r.back = nil
+	ahead := latest(r.engines[0].Schedule)
+	if ahead.Map.Version != 2 || ahead.From <= r.engines[0].Begun {
+		t.Fatalf("member 0 stands at %d and has %+v ahead", r.engines[0].Begun, ahead)
+	}
+	r.members[0], r.members[1] = r.newMember(0, 2), r.newMember(1, 2)
+	r.restartRanks(1)
+	b := r.leader(2)
+	b.Margin = 0
+	b.Propose(testMap(3))
+	r.drive(b, 80, nil, r.write)
+	r.assertOneMap()
+	r.assertInForce(3)
+}
+
 // TestGroupGoesOnWithoutPlatform: callers would wait for nothing if a group
 // stopped because the platform is down. No leader and no platform is there, and
 // the ranks of one endpoint restart; steps go on with the map in force.
--- a/internal/rank/naming/member.go
+++ b/internal/rank/naming/member.go
@@ -104,6 +104,8 @@
 		return nil
 	case m.granted >= o.Name.Step || m.engine.Begun >= o.Name.Step:
 		return result.Newf(result.Conflict, "the ranks may run up to step %d", m.granted)
+	case len(After(m.engine.Schedule, o.Name.Step-1)) > 0:
+		return result.New(result.Conflict, "the ranks have a later name ahead of them")
 	case !m.engineStaged(o.Name.Map):
 		return result.Newf(result.MapMissing, "version %d", o.Name.Map.Version)
 	}
