Send maps as changes, in two bytes a share

Cause: a map of 60,559 bytes each 10 s is beyond what control may cost an agent. Ruled out: shares in one byte: a step of 1/256 of an expert is 0.4% of a rank at 128x128, against a gain of a quarter of the bytes. Change: shares in units of 1/16384; a member names the maps that it has, and layers that have the same experts are sent as shares alone.

--- a/internal/endpoint/ranks.go
+++ b/internal/endpoint/ranks.go
@@ -41,7 +41,7 @@
 }
 
 // RanksLayer is the placement of one layer: for each slot, rank after rank, the
-// expert or -1, and its share in units of 1/65536.
+// expert or -1, and its share in units of 1/16384.
 type RanksLayer struct {
 	Ranks   int   `json:"ranks"`
 	Slots   int   `json:"slots"`
--- a/internal/rank/codec.go
+++ b/internal/rank/codec.go
@@ -3,7 +3,6 @@
 import (
 	"google.golang.org/protobuf/proto"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/rankpb"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -55,59 +54,6 @@
 	return s
 }
 
-func mapProto(m *expertmap.Map) *rankpb.Map {
-	p := &rankpb.Map{Version: m.Version()}
-	for i := range m.Layers() {
-		l := m.Layer(i)
-		shape := l.Shape()
-		layer := &rankpb.Layer{
-			Ranks: uint32(shape.Ranks), Slots: uint32(shape.Slots), Experts: uint32(shape.Experts),
-		}
-		for _, s := range l.Slots() {
-			layer.Expert = append(layer.Expert, uint32(s.Expert+1))
-			layer.Share = append(layer.Share, uint32(s.Share))
-		}
-		p.Layers = append(p.Layers, layer)
-	}
-	return p
-}
-
-// maxSide bounds the sizes of a layer that a peer may send, so that a broken
-// message can't ask for unbounded memory.
-const maxSide = 1 << 14
-
-func mapFrom(p *rankpb.Map) (*expertmap.Map, error) {
-	layers := make([]*expertmap.Layer, 0, len(p.GetLayers()))
-	for _, l := range p.GetLayers() {
-		layer, err := layerFrom(l)
-		if err != nil {
-			return nil, err
-		}
-		layers = append(layers, layer)
-	}
-	m, err := expertmap.NewMap(p.GetVersion(), layers)
-	if err != nil {
-		return nil, result.Newf(result.MalformedMsg, "map: %v", err)
-	}
-	return m, nil
-}
-
-func layerFrom(p *rankpb.Layer) (*expertmap.Layer, error) {
-	shape := expertmap.Shape{Ranks: int(p.GetRanks()), Slots: int(p.GetSlots()), Experts: int(p.GetExperts())}
-	if max(shape.Ranks, shape.Slots, shape.Experts) > maxSide || len(p.GetExpert()) != len(p.GetShare()) {
-		return nil, result.New(result.MalformedMsg, "layer sizes")
-	}
-	slots := make([]expertmap.Slot, len(p.GetExpert()))
-	for i, e := range p.GetExpert() {
-		slots[i] = expertmap.Slot{Expert: int(e) - 1, Share: int(p.GetShare()[i])}
-	}
-	l, err := expertmap.NewLayer(shape, slots)
-	if err != nil {
-		return nil, result.Newf(result.MalformedMsg, "layer: %v", err)
-	}
-	return l, nil
-}
-
 // EncodeRecord returns the record as it is kept in the key-value service.
 func EncodeRecord(r naming.Record) ([]byte, error) {
 	return proto.Marshal(&rankpb.Record{Token: r.Token, Name: nameProto(r.Name)})
@@ -122,6 +68,3 @@
 	}
 	return naming.Record{Token: p.GetToken(), Name: nameFrom(p.GetName())}, nil
 }
-
-// MapBytes returns the size of a map as it goes over the wire.
-func MapBytes(m *expertmap.Map) int { return proto.Size(mapProto(m)) }
--- a/internal/rank/expertmap/layer.go
+++ b/internal/rank/expertmap/layer.go
@@ -9,8 +9,10 @@
 )
 
 // ShareUnits is the number of units that the shares of an expert's replicas
-// add up to. Whole units make a map's digest the same on every machine type.
-const ShareUnits = 1 << 16
+// add up to. Whole units make a map's digest the same on every processor, and
+// 1<<14 of them are two bytes on the wire, and fine enough to split the most
+// popular expert to a ten-thousandth.
+const ShareUnits = 1 << 14
 
 // none marks a slot that holds no expert.
 const none = -1
@@ -161,6 +163,20 @@
 	return n
 }
 
+// SamePlacement reports whether both layers hold the same experts in the same
+// slots, whatever their shares.
+func (l *Layer) SamePlacement(o *Layer) bool {
+	if l.shape != o.shape {
+		return false
+	}
+	for i, s := range l.slots {
+		if s.Expert != o.slots[i].Expert {
+			return false
+		}
+	}
+	return true
+}
+
 // Moves returns the number of replicas that l has and from has not: what ranks
 // must load from the weight store to go from one layer to the other.
 func (l *Layer) Moves(from *Layer) int {
--- a/internal/rank/kvlease_test.go
+++ b/internal/rank/kvlease_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
-	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
 )
@@ -116,26 +115,3 @@
 		t.Error("read a record from nothing")
 	}
 }
-
-// BenchmarkMapBytes reports the size of a map of 58 layers as it is sent.
-func BenchmarkMapBytes(b *testing.B) {
-	load := make([]float64, 128)
-	for e := range load {
-		load[e] = float64(1 + e)
-	}
-	l, err := expertmap.Solve(expertmap.Shape{Ranks: 128, Slots: 2, Experts: 128}, load, expertmap.Risk{})
-	if err != nil {
-		b.Fatal(err)
-	}
-	layers := make([]*expertmap.Layer, 58)
-	for i := range layers {
-		layers[i] = l
-	}
-	m, err := expertmap.NewMap(1<<40, layers)
-	if err != nil {
-		b.Fatal(err)
-	}
-	for b.Loop() {
-		b.ReportMetric(float64(rank.MapBytes(m)), "bytes/map")
-	}
-}
--- a/internal/rank/peers.go
+++ b/internal/rank/peers.go
@@ -88,14 +88,21 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := p.Fetch(ctx, &rankpb.FetchRequest{Group: r.Group, Map: refProto(ref)})
+	r.mu.Lock()
+	held := r.member.Needed()
+	r.mu.Unlock()
+	ask := &rankpb.FetchRequest{Group: r.Group, Map: refProto(ref)}
+	for _, m := range held {
+		ask.Have = append(ask.Have, refProto(naming.RefOf(m)))
+	}
+	reply, err := p.Fetch(ctx, ask)
 	if err != nil {
 		return nil, eris.Wrapf(err, "map from member %d", from)
 	}
 	if reply.GetCode() != 0 {
 		return nil, result.New(result.Code(reply.GetCode()), reply.GetDetail())
 	}
-	m, err := mapFrom(reply.GetMap())
+	m, err := mapFrom(reply.GetMap(), baseOf(reply.GetMap(), held))
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +112,16 @@
 	return m, nil
 }
 
+// baseOf returns the map that p names as its base, or nil.
+func baseOf(p *rankpb.Map, held []*expertmap.Map) *expertmap.Map {
+	for _, m := range held {
+		if p.GetBase() != nil && naming.RefOf(m) == refFrom(p.GetBase()) {
+			return m
+		}
+	}
+	return nil
+}
+
 func (r *Runner) askJoin(ctx context.Context, of int, j naming.Join) (naming.Joining, error) {
 	p, err := r.peer(of)
 	if err != nil {
@@ -121,7 +138,7 @@
 	}
 	a := naming.Joining{To: reply.GetTo(), Noted: reply.GetNoted(), State: stateFrom(reply.GetState())}
 	for _, p := range reply.GetMaps() {
-		m, err := mapFrom(p)
+		m, err := mapFrom(p, nil)
 		if err != nil {
 			return naming.Joining{}, err
 		}
--- a/internal/rank/service.go
+++ b/internal/rank/service.go
@@ -97,7 +97,7 @@
 	r.mu.Unlock()
 	reply := &rankpb.JoinReply{To: a.To, Noted: a.Noted, State: stateProto(a.State)}
 	for _, m := range a.Maps {
-		reply.Maps = append(reply.Maps, mapProto(m))
+		reply.Maps = append(reply.Maps, mapProto(m, nil))
 	}
 	return reply, nil
 }
@@ -110,11 +110,17 @@
 	}
 	r.mu.Lock()
 	m, ok := r.member.Map(refFrom(p.GetMap()))
+	var base *expertmap.Map
+	for _, have := range p.GetHave() {
+		if b, ok := r.member.Map(refFrom(have)); ok {
+			base = b
+		}
+	}
 	r.mu.Unlock()
 	if !ok {
 		return &rankpb.FetchReply{Code: int32(result.MapMissing)}, nil
 	}
-	return &rankpb.FetchReply{Map: mapProto(m)}, nil
+	return &rankpb.FetchReply{Map: mapProto(m, base)}, nil
 }
 
 // Count implements rankpb.RankServer.
