--- /dev/null
+++ b/internal/rank/naming/fakes_test.go
@@ -0,0 +1,70 @@
+package naming
+
+import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+)
+
+// fakeEngine is the ranks of one endpoint. They begin at most a step a tick.
+type fakeEngine struct {
+	EngineState
+	ran map[uint64]Ref
+}
+
+func (e *fakeEngine) order(o EngineOrder) {
+	switch o := o.(type) {
+	case EngineStage:
+		if !e.has(RefOf(o.Map)) {
+			e.Staged = append(e.Staged, RefOf(o.Map))
+		}
+	case EngineActivate:
+		e.activate(o)
+	case EngineAllow:
+		e.Allowed = max(e.Allowed, o.Step)
+	}
+}
+
+func (e *fakeEngine) has(r Ref) bool {
+	for _, o := range e.Staged {
+		if o == r {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *fakeEngine) activate(o EngineActivate) {
+	if scheduled(e.Schedule, o.Entry) || !e.has(o.Entry.Map) {
+		return
+	}
+	if o.Restart && o.Entry.From > e.Begun {
+		e.Schedule = After(e.Schedule, o.Entry.From)
+		e.Begun = o.Entry.From - 1
+	}
+	e.Schedule = append(e.Schedule, o.Entry)
+}
+
+// fakeKV keeps the group's record and lease. Calls fail while it is down, and
+// may take effect and still fail.
+type fakeKV struct {
+	record   Record
+	revision int64
+	down     bool
+	lossy    bool
+	token    uint64
+	holder   int
+	until    time.Time
+}
+
+func testMap(version uint64) *expertmap.Map {
+	l, err := expertmap.Contiguous(expertmap.Shape{Ranks: 2, Slots: 2, Experts: 4})
+	if err != nil {
+		panic(err)
+	}
+	m, err := expertmap.NewMap(version, []*expertmap.Layer{l})
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
