--- a/internal/rank/naming/world_test.go
+++ b/internal/rank/naming/world_test.go
@@ -99,47 +99,6 @@
 	}
 }
 
-func (w *world) fault() {
-	i := w.rng.Intn(w.n)
-	switch {
-	case w.chance(0.01):
-		w.restartRanks(i)
-	case w.chance(0.01):
-		w.restartAgent(i)
-	case w.chance(0.003):
-		for j := range w.n {
-			w.restartRanks(j)
-			w.restartAgent(j)
-		}
-	case w.chance(0.01):
-		w.leads[i].paused = w.tick + 20 + w.rng.Intn(200)
-	case w.chance(0.02):
-		w.kv.down = !w.kv.down
-	}
-	w.kv.lossy = w.chance(0.2)
-}
-
-// restartRanks loses the maps of an endpoint's ranks. They do the step again
-// that not all ranks have begun.
-func (w *world) restartRanks(i int) {
-	e := w.engines[i]
-	begun := e.Begun
-	for _, o := range w.engines {
-		if o.Begun < begun {
-			begun = e.Begun - 1
-			delete(e.ran, e.Begun)
-			break
-		}
-	}
-	e.EngineState = EngineState{Incarnation: e.Incarnation + 1, Begun: begun}
-}
-
-func (w *world) restartAgent(i int) {
-	w.members[i] = w.newMember(i, w.members[i].Incarnation+1)
-	w.leads[i] = &candidate{next: w.leads[i].next}
-	w.down[i] = w.tick + drain + w.rng.Intn(30)
-}
-
 func (w *world) stepMember(i int) {
 	if w.tick < w.down[i] {
 		return
