A falling endpoint's dropped requests are a sign of coldness

Cause: an endpoint that falls over drops the requests it has just taken. Their result is outcomeUnknown, which the agent did not take for a lost connection; an engine that names no incarnation stayed 'warm' until its next refusal. Ruled out: all outcomeUnknown results (a kept connection that closes in the ordinary way, a 503 and a timeout give it too). Conclusion: tests of both sides pass.

--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -97,6 +97,11 @@
 		s.resumed = true
 		err = a.client.Do(ctx, call, s.take)
 	}
+	// A falling endpoint drops the requests that it has just taken: their
+	// outcome is unknown, and the next one must already find it cold.
+	if result.CodeOf(err) == result.OutcomeUnknown && endpoint.ConnectionLost(err) {
+		a.restarted(allowance.ConnectionLost, a.now())
+	}
 	return ranError(ctx, err)
 }
 
--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -64,6 +64,9 @@
 		return true, result.Newf(result.OutcomeUnknown, "the connection broke while the request was sent: %v", err)
 	}
 	err = c.receive(ctx, cn, resp, sink)
+	if resp.cut && (resp.headDone || cn.usedAt.IsZero()) {
+		err = lostError{err: err}
+	}
 	if resp.reusable() && err == nil {
 		p.keep(cn, time.Now())
 	} else {
@@ -122,6 +125,7 @@
 		case resp.complete:
 			return failure(resp)
 		case cause != nil:
+			resp.cut = true
 			return incomplete(resp, cause)
 		case len(data) > 0:
 			timer.Reset(c.silence(resp))
@@ -177,6 +181,26 @@
 	return nil
 }
 
+// lostError marks a result that comes from a broken connection.
+type lostError struct {
+	err error
+}
+
+// Error implements error.
+func (e lostError) Error() string { return e.err.Error() }
+
+// Unwrap returns the result.
+func (e lostError) Unwrap() error { return e.err }
+
+// ConnectionLost reports whether err shows that the endpoint may have fallen: it
+// takes no connection, or it broke one. A kept connection that breaks before
+// the first byte of an answer is no such sign, because an endpoint closes idle
+// connections in the ordinary way.
+func ConnectionLost(err error) bool {
+	var lost lostError
+	return errors.As(err, &lost) || result.CodeOf(err) == result.EndpointDown
+}
+
 // incomplete returns the result of an answer that will not become whole.
 func incomplete(resp *response, cause error) error {
 	if !resp.headDone {
--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -29,7 +29,11 @@
 	c := client(t, s.start(t), nil)
 	var a answer
 	requireCode(t, c.Do(testContext(t), plainCall("first"), a.sink), result.OK)
-	requireCode(t, c.Do(testContext(t), plainCall("second"), a.sink), result.OutcomeUnknown)
+	err := c.Do(testContext(t), plainCall("second"), a.sink)
+	requireCode(t, err, result.OutcomeUnknown)
+	if endpoint.ConnectionLost(err) {
+		t.Error("an idle connection that closes is taken for a fallen endpoint")
+	}
 	if !s.hasRun("second") || s.connCount() != 1 {
 		t.Fatalf("ran %v on %d connections: the case was not met", s.hasRun("second"), s.connCount())
 	}
@@ -48,7 +52,24 @@
 	}
 	c := client(t, addr, nil)
 	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.EndpointDown)
+	err = c.Do(testContext(t), plainCall("r"), a.sink)
+	requireCode(t, err, result.EndpointDown)
+	if !endpoint.ConnectionLost(err) {
+		t.Error("no sign of a fallen endpoint")
+	}
+}
+
+// An engine falls over and drops the requests that it has just taken, before
+// any head: that is the moment to stop sending to it.
+func TestFallenEndpointIsSeen(t *testing.T) {
+	s := &rawServer{answer: func(net.Conn, *http.Request, int) bool { return false }}
+	c := client(t, s.start(t), nil)
+	var a answer
+	err := c.Do(testContext(t), plainCall("r"), a.sink)
+	requireCode(t, err, result.OutcomeUnknown)
+	if !endpoint.ConnectionLost(err) {
+		t.Error("no sign of a fallen endpoint")
+	}
 }
 
 // A header or path with a line break in it must not become a request of its
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -36,6 +36,7 @@
 	headDone     bool
 	complete     bool
 	overrun      bool
+	cut          bool
 	stream       *splitter
 	events       []Event
 	failedDetail []byte
