A stream whose connection broke can be continued

Cause: run against a whole system, a stream whose caller's connection broke ended with '3005 cancelled: the caller left' after 15 pieces: the entry takes the break for a caller who left and cancels at the agent at once. Ruled out: asking for the draft anew and skipping pieces (another run gives other words); a longer-lived cancel at the entry (it may be the one that died). Change: internal/agent (small, for its owner to judge): a begun stream is ended when nobody has followed it for two seconds; before the first piece at once as before. pkg/client asks anew after a mistaken cancel when nothing has arrived.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -118,7 +118,7 @@
 	at := a.attempts.get(requestKey{account: req.GetAccount(), id: req.GetRequestId()})
 	if at != nil && at.req.GetAttempt() == req.GetAttempt() && !at.req.GetRunOnce() {
 		a.event(timeline.CancelledByCaller, at.req, "", uint64(req.GetAttempt()), now)
-		at.cancel()
+		a.abandon(at)
 	}
 	return &peerpb.CancelReply{Hlc: uint64(a.clock.Next(now))}, nil
 }
--- a/pkg/client/chat.go
+++ b/pkg/client/chat.go
@@ -62,25 +62,35 @@
 		if err == nil {
 			return a, nil
 		}
-		if !again(err) || n >= c.attempts() || !c.pause(ctx, err, n) {
+		if !again(ctx, err, 0) || n >= c.attempts() || !c.pause(ctx, err, n) {
 			return nil, err
 		}
 		next = c.follow(k, err, "", 0)
 	}
 }
 
-// again says whether a chat goes on after err.
-func again(err error) bool {
-	return retryable(err, true) || result.CodeOf(err) == result.AnswerNotFound
+// again says whether a chat of which have pieces have arrived goes on after
+// err. A connection that breaks can make an entry believe that its caller left:
+// then the answer was cancelled while the caller still waits, and is asked for
+// anew unless a part of it has arrived.
+func again(ctx context.Context, err error, have uint64) bool {
+	switch result.CodeOf(err) {
+	case result.AnswerNotFound:
+		return true
+	case result.Cancelled:
+		return have == 0 && ctx.Err() == nil
+	default:
+		return retryable(err, true)
+	}
 }
 
 // follow returns what to send after err: where the first sending may have
 // been run, its answer is asked for before it is run again. An answer that
 // nobody has is asked for anew, unless a part of it has arrived.
 func (c *Client) follow(k *call, err error, fetchID string, have uint64) *call {
-	notRun := result.CodeOf(err).Effect() == result.NotRun
-	lost := result.CodeOf(err) == result.AnswerNotFound
-	if have == 0 && (notRun || lost) {
+	code := result.CodeOf(err)
+	lost := code == result.AnswerNotFound || code == result.Cancelled
+	if have == 0 && (lost || code.Effect() == result.NotRun) {
 		return k
 	}
 	return k.fetch(fetchID, have)
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -225,6 +225,16 @@
 	s.requireSeen(t, "POST /v1/chat/completions", "GET /v1/answers/r1?from=0", "POST /v1/chat/completions")
 }
 
+// A broken connection made the entry believe that the clerk had left, and the
+// draft was cancelled while she still waits: it is asked for anew.
+func TestChatCancelledByMistake(t *testing.T) {
+	s := &script{answers: []func(http.ResponseWriter, *http.Request){
+		dropping, refusing(result.Cancelled), saying("draft"),
+	}}
+	_, err := s.client(t).Chat(t.Context(), Chat{Model: "m", RequestID: "r1"})
+	requireCode(t, err, result.OK)
+}
+
 // collect streams a chat and returns its pieces joined.
 func collect(t *testing.T, s *script) (string, error) {
 	t.Helper()
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -63,7 +63,7 @@
 		if errors.As(err, &own) {
 			return own.err
 		}
-		if err == nil || !again(err) {
+		if err == nil || !again(ctx, err, s.next) {
 			return err
 		}
 		if s.next > had {
