Reports of coldness, and no bound for heads on whole answers

Cause: the design names an engine's own word that it is cold, which nobody read; and a long answer that is not streamed was cut off by the bound for heads (30 s), because its head comes only when all of it is computed. Ruled out: counting each report of coldness (old ones come after the ramp and cost one cold start after another); a longer bound for streams as well (a silent engine would be noticed later). Change: Allowance.Reported, read by the agent with each load report; Client.WholeTimeout besides HeadTimeout. Seen without: 'got outcomeUnknown, want ok' for a whole answer after the bound for heads; 'bound 2 after announced, want 4' for an old report. Conclusion: both as the design says.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -23,7 +23,8 @@
 	// that entries hear of it first and send their requests elsewhere.
 	announceTime = 500 * time.Millisecond
 	// loadEvery is how often an engine's load report is read. The report lags,
-	// and is read only for the engine's incarnation.
+	// and is read only for the engine's incarnation and its own word that it
+	// is cold.
 	loadEvery = time.Second
 	// loadTimeout bounds one load report.
 	loadTimeout = time.Second
@@ -208,6 +209,7 @@
 		return
 	}
 	a.allowance.Incarnation(l.Incarnation)
+	a.allowance.Reported(l.Cold, a.now().Add(-time.Duration(l.AgeMillis)*time.Millisecond))
 	if s := a.allowance.State(); s.Cold() && !was {
 		a.Log.WithFields(logrus.Fields{"cause": s.Cause().String()}).Warn("endpoint is cold")
 		a.ring.Add(timeline.EndpointCold, "", a.Settings.EndpointName, s.Cause().String(), 0, a.now())
--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -108,8 +108,10 @@
 	running     int
 	cause       Cause
 	incarnation string
-	tokens      firstTokens
-	pace        pace
+	// warmSince is when the bound last reached the full one.
+	warmSince time.Time
+	tokens    firstTokens
+	pace      pace
 }
 
 // Configure sets the limits. It changes nothing of what has been learnt, so a
@@ -191,6 +193,9 @@
 	a.pace.ended(t.began, now)
 	if t.epoch == a.epoch && a.bound() < a.limits.Full {
 		a.completions++
+		if a.bound() == a.limits.Full {
+			a.warmSince = now
+		}
 	}
 }
 
@@ -242,6 +247,21 @@
 	a.incarnation = id
 }
 
+// Reported tells what a load report that was made at made says about coldness.
+//
+// Decision, for an engine that announces its coldness in reports that lag.
+// Harm prevented: a warm engine loses its places again and again to old reports
+// of its own cold start. So a report counts only when it was made after the
+// bound had become the full one; while the bound grows it would add nothing. A
+// report of warmth never counts: it may be older than the coldness.
+func (a *Allowance) Reported(cold bool, made time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if cold && a.bound() == a.limits.Full && made.After(a.warmSince) {
+		a.coldLocked(Announced)
+	}
+}
+
 // State returns the present picture.
 func (a *Allowance) State() State {
 	a.mu.Lock()
--- a/internal/endpoint/allowance/allowance_test.go
+++ b/internal/endpoint/allowance/allowance_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// An engine says in its load reports that it is cold, and its reports lag: one
+// from before it was warm must not cost a cold start, a newer one must.
+func TestReportsOfColdness(t *testing.T) {
+	a := newAllowance(t, Limits{Cold: 2, Full: 4, RampCompletions: 1})
+	warm(t, a)
+	a.Reported(true, start.Add(-time.Second))
+	a.Reported(false, start.Add(time.Second))
+	requireBound(t, a, 4, Unknown)
+	a.Reported(true, start.Add(time.Second))
+	requireBound(t, a, 2, Announced)
+	a.Reported(false, start.Add(2*time.Second))
+	requireBound(t, a, 2, Announced)
+}
+
 // Answers of the warm time arrive after the endpoint turned cold. They prove
 // nothing, and the work still running counts against the cold bound.
 func TestOldAnswersProveNothing(t *testing.T) {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -16,6 +16,7 @@
 const (
 	DefaultDialTimeout    = time.Second
 	DefaultHeadTimeout    = 30 * time.Second
+	DefaultWholeTimeout   = time.Hour
 	DefaultPieceTimeout   = 30 * time.Second
 	DefaultIdleTimeout    = 30 * time.Second
 	DefaultMaxConns       = 256
@@ -39,8 +40,13 @@
 	Addr string
 	// DialTimeout bounds connecting.
 	DialTimeout time.Duration
-	// HeadTimeout bounds the time from the request to the answer's head.
+	// HeadTimeout bounds the time from a request for a stream, an order or a
+	// report to the head of its answer.
 	HeadTimeout time.Duration
+	// WholeTimeout bounds the same for all other requests, whose endpoint sends
+	// nothing before it has computed the whole answer. It is long: the deadline
+	// in the context of Do is what bounds these requests.
+	WholeTimeout time.Duration
 	// PieceTimeout bounds the silence between two parts of an answer.
 	PieceTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept. It has to be shorter
@@ -79,6 +85,7 @@
 func (c *Client) setDefaults() {
 	setDuration(&c.DialTimeout, DefaultDialTimeout)
 	setDuration(&c.HeadTimeout, DefaultHeadTimeout)
+	setDuration(&c.WholeTimeout, DefaultWholeTimeout)
 	setDuration(&c.PieceTimeout, DefaultPieceTimeout)
 	setDuration(&c.IdleTimeout, DefaultIdleTimeout)
 	if c.MaxConns <= 0 {
--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -114,7 +114,7 @@
 // receive reads until the answer is whole or can't become whole.
 func (c *Client) receive(ctx context.Context, cn *conn, resp *response, sink func(Event) error) error {
 	cn.parser.Processor = resp
-	timer := time.NewTimer(c.HeadTimeout)
+	timer := time.NewTimer(c.silence(resp))
 	defer timer.Stop()
 	for {
 		data, cause := cn.take()
@@ -138,10 +138,14 @@
 
 // silence is how long the endpoint may say nothing now.
 func (c *Client) silence(resp *response) time.Duration {
-	if resp.headDone {
+	switch {
+	case resp.headDone:
 		return c.PieceTimeout
+	case resp.wantStream || resp.control:
+		return c.HeadTimeout
+	default:
+		return c.WholeTimeout
 	}
-	return c.HeadTimeout
 }
 
 // wait returns when there is something to read, or with the reason to stop.
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	resp := &response{limit: c.MaxAnswerBytes}
+	resp := &response{limit: c.MaxAnswerBytes, control: true}
 	if out == nil {
 		out = &bytes.Buffer{}
 	}
--- a/internal/endpoint/raw_test.go
+++ b/internal/endpoint/raw_test.go
@@ -24,42 +24,39 @@
 
 // start listens until the test ends and returns the address.
 func (s *rawServer) start(t *testing.T) string {
+	return listen(t, func(conn net.Conn, _ int) {
+		s.mu.Lock()
+		s.conns++
+		s.mu.Unlock()
+		s.serve(conn)
+	})
+}
+
+// listen gives serve each connection with its number from 0, until the test
+// ends, and returns the address.
+func listen(t *testing.T, serve func(conn net.Conn, n int)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.accept(ln)
-	}()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { serve(conn, n) })
+		}
+	})
 	t.Cleanup(func() {
 		_ = ln.Close()
-		<-done
+		wg.Wait()
 	})
 	return ln.Addr().String()
 }
 
-func (s *rawServer) accept(ln net.Listener) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		s.conns++
-		s.mu.Unlock()
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			s.serve(conn)
-		}()
-	}
-}
-
 func (s *rawServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -166,51 +166,18 @@
 // connection as its first answer begins, and refuses each eleventh.
 type cutter struct {
 	target string
-	n      int
 }
 
 func (k *cutter) start(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.accept(ln)
-	}()
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-	})
-	return ln.Addr().String()
-}
-
-func (k *cutter) accept(ln net.Listener) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
+	return listen(t, func(conn net.Conn, n int) {
+		if n%11 != 10 {
+			k.relay(conn, n%5 == 4)
 		}
-		k.n++
-		if k.n%11 == 10 {
-			_ = conn.Close()
-			continue
-		}
-		cut := k.n%5 == 4
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			k.relay(conn, cut)
-		}()
-	}
+		_ = conn.Close()
+	})
 }
 
 func (k *cutter) relay(conn net.Conn, cut bool) {
-	defer func() { _ = conn.Close() }()
 	out, err := net.Dial("tcp", k.target)
 	if err != nil {
 		return
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -24,7 +24,9 @@
 type response struct {
 	requestID  string
 	wantStream bool
-	limit      int
+	// control marks an order or a report, which are answered at once.
+	control bool
+	limit   int
 
 	status       int
 	contentType  string
--- a/internal/endpoint/whole_test.go
+++ b/internal/endpoint/whole_test.go
@@ -158,11 +158,24 @@
 				c.HeadTimeout, c.PieceTimeout = tc.head, tc.piece
 			})
 			var a answer
-			requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), tc.want)
+			requireCode(t, c.Do(testContext(t), chatCall("r", true), a.sink), tc.want)
 		})
 	}
 }
 
+// A long draft that is not streamed has no head before its last word: the
+// bound for heads must not cut it off.
+func TestLongWholeAnswer(t *testing.T) {
+	s := &rawServer{answer: func(conn net.Conn, _ *http.Request, _ int) bool {
+		time.Sleep(50 * time.Millisecond)
+		send(conn, jsonAnswer)
+		return true
+	}}
+	c := client(t, s.start(t), func(c *endpoint.Client) { c.HeadTimeout = time.Millisecond })
+	var a answer
+	requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.OK)
+}
+
 // An endpoint that fails says so; the caller has to learn what is known.
 func TestFailedStatus(t *testing.T) {
 	for status, want := range map[int]result.Code{
