--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -29,7 +29,11 @@
 	c := client(t, s.start(t), nil)
 	var a answer
 	requireCode(t, c.Do(testContext(t), plainCall("first"), a.sink), result.OK)
-	requireCode(t, c.Do(testContext(t), plainCall("second"), a.sink), result.OutcomeUnknown)
+	err := c.Do(testContext(t), plainCall("second"), a.sink)
+	requireCode(t, err, result.OutcomeUnknown)
+	if endpoint.ConnectionLost(err) {
+		t.Error("an idle connection that closes is taken for a fallen endpoint")
+	}
 	if !s.hasRun("second") || s.connCount() != 1 {
 		t.Fatalf("ran %v on %d connections: the case was not met", s.hasRun("second"), s.connCount())
 	}
@@ -48,7 +52,24 @@
 	}
 	c := client(t, addr, nil)
 	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.EndpointDown)
+	err = c.Do(testContext(t), plainCall("r"), a.sink)
+	requireCode(t, err, result.EndpointDown)
+	if !endpoint.ConnectionLost(err) {
+		t.Error("no sign of a fallen endpoint")
+	}
+}
+
+// An engine falls over and drops the requests that it has just taken, before
+// any head: that is the moment to stop sending to it.
+func TestFallenEndpointIsSeen(t *testing.T) {
+	s := &rawServer{answer: func(net.Conn, *http.Request, int) bool { return false }}
+	c := client(t, s.start(t), nil)
+	var a answer
+	err := c.Do(testContext(t), plainCall("r"), a.sink)
+	requireCode(t, err, result.OutcomeUnknown)
+	if !endpoint.ConnectionLost(err) {
+		t.Error("no sign of a fallen endpoint")
+	}
 }
 
 // A header or path with a line break in it must not become a request of its
@@ -145,51 +166,18 @@
 // connection as its first answer begins, and refuses each eleventh.
 type cutter struct {
 	target string
-	n      int
 }
 
 func (k *cutter) start(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.accept(ln)
-	}()
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-	})
-	return ln.Addr().String()
-}
-
-func (k *cutter) accept(ln net.Listener) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		k.n++
-		if k.n%11 == 10 {
-			_ = conn.Close()
-			continue
+	return listen(t, func(conn net.Conn, n int) {
+		if n%11 != 10 {
+			k.relay(conn, n%5 == 4)
 		}
-		cut := k.n%5 == 4
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			k.relay(conn, cut)
-		}()
-	}
+		_ = conn.Close()
+	})
 }
 
 func (k *cutter) relay(conn net.Conn, cut bool) {
-	defer func() { _ = conn.Close() }()
 	out, err := net.Dial("tcp", k.target)
 	if err != nil {
 		return
