Work out the configuration's digest once a change

Cause: each report of load compares digests, and each comparison encoded the whole document (82 us at 256 changes); at 128 agents with 20 reports a second that is 21% of a core at an entry, against 2.9% for all control. Ruled out: a cache beside the store, which would need its own invalidation.

--- a/internal/platform/config/exchange.go
+++ b/internal/platform/config/exchange.go
@@ -24,17 +24,16 @@
 	Holds  []holdJSON      `json:"holds,omitempty"`
 }
 
-// Summary returns the message that begins an exchange.
-func (s *Store) Summary() []byte {
-	return mustMarshal(message{Digest: digestOf(s.Current())})
-}
+// Summary returns the message that begins an exchange, which must not be
+// changed. It costs nothing while the configuration stays.
+func (s *Store) Summary() []byte { return s.Current().summary }
 
 // State returns the message with all that the store knows except parts.
 func (s *Store) State() []byte { return stateOf(s.Current()) }
 
 func stateOf(c *Snapshot) []byte {
 	return mustMarshal(message{
-		Digest: digestOf(c),
+		Digest: c.digest,
 		Head:   c.head.Encode(),
 		Holds:  holdsToJSON(c.holds),
 	})
@@ -59,8 +58,8 @@
 	}
 	c := s.Current()
 	parts := partsOf(c, want)
-	if m.Digest == digestOf(c) {
-		return mustMarshal(message{Digest: m.Digest}), parts, nil
+	if m.Digest == c.digest {
+		return c.summary, parts, nil
 	}
 	return stateOf(c), parts, nil
 }
@@ -75,7 +74,7 @@
 	for _, b := range parts {
 		s.Offer(Head{}, b)
 	}
-	if c := s.Current(); m.Digest != digestOf(c) {
+	if c := s.Current(); m.Digest != c.digest {
 		return stateOf(c), nil
 	}
 	return nil, nil
--- a/internal/platform/config/store.go
+++ b/internal/platform/config/store.go
@@ -12,6 +12,20 @@
 	holds  []Hold
 	parts  map[string][]byte // by digest
 	preset Preset            // the newest in force whose body is known
+
+	digest  string // names head and holds
+	summary []byte // the message that begins an exchange
+}
+
+var emptySnapshot = (&Snapshot{}).seal()
+
+// seal works out the digest once for each change. Processes compare digests at
+// each report of load: at 128 agents that report up to 20 times a second,
+// encoding the document for each report would take a fifth of a core.
+func (s *Snapshot) seal() *Snapshot {
+	s.digest = digestOf(s)
+	s.summary = mustMarshal(message{Digest: s.digest})
+	return s
 }
 
 // Head returns the newest document.
@@ -83,7 +97,7 @@
 	if c := s.current.Load(); c != nil {
 		return c
 	}
-	return &Snapshot{}
+	return emptySnapshot
 }
 
 // Offer joins a document and parts into the store and reports whether anything
@@ -124,7 +138,7 @@
 	if same(old, next) {
 		return false
 	}
-	s.current.Store(next)
+	s.current.Store(next.seal())
 	for c := range s.subs {
 		notify(c)
 	}
