--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,7 @@
 	admin     *operator.Server
 	directory directory
 	shares    shares
+	spreading spreading
 }
 
 func (e *Entry) now() time.Time { return time.Now() }
@@ -97,11 +98,12 @@
 		report: e.scheduler.report, lost: e.lost,
 	}
 	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Dial, e.Registry)
-	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.refresh}
+	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.spreading.refresh}
 	e.directory = directory{
 		name: e.Settings.Name, dataCentre: e.Settings.DataCentre,
 		list: process.VMList(&e.Settings.Process, e.Dial, e.Registry), members: &e.members,
 	}
+	e.spreading.init(e)
 	e.shares.entry = e
 	e.shares.init()
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,22 +7,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/peer"
-	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
-	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
-const (
-	// gossipEvery is how often an entry exchanges configuration with another,
-	// so that one that hears nothing from the platform learns a change within
-	// seconds.
-	gossipEvery = 500 * time.Millisecond
-	// refreshPeers is how many peers are asked before a change is written.
-	refreshPeers = 3
-)
-
 // part is what one goroutine of the entry does until ctx ends.
 type part func(ctx context.Context) error
 
@@ -62,21 +50,17 @@
 }
 
 func (e *Entry) parts() []part {
-	w := &config.Watcher{
-		Source: e.platform, Writer: e.writer,
-		Period: watchPeriod, Timeout: process.PlatformTimeout, Now: e.now,
-		Log: e.Log, Metrics: e.Registry,
-	}
 	parts := []part{
 		e.platform.Run,
-		w.Run,
+		e.spreading.read,
+		e.spreading.run,
 		e.peers.Run,
 		e.admin.Run,
 		func(ctx context.Context) error { return e.scheduler.run(ctx, e.now) },
 		e.follow,
+		e.handOn,
 		e.directory.list.Run,
 		e.directory.run,
-		e.gossip,
 		e.shares.run,
 	}
 	if a := e.Settings.MetricsAddress; a.IsValid() {
@@ -100,13 +84,23 @@
 	}
 }
 
-// follow applies each change of the configuration and hands it to the agents.
+// follow applies each change of the configuration.
 func (e *Entry) follow(ctx context.Context) error {
+	return e.eachChange(ctx, func(context.Context) { e.apply(e.now()) })
+}
+
+// handOn hands each change to the agents. It is apart from follow because an
+// agent that is frozen holds it up until a timeout.
+func (e *Entry) handOn(ctx context.Context) error {
+	return e.eachChange(ctx, e.members.pushAll)
+}
+
+// eachChange calls f now and after each change until ctx ends.
+func (e *Entry) eachChange(ctx context.Context, f func(context.Context)) error {
 	c := e.store.Subscribe()
 	defer e.store.Unsubscribe(c)
 	for {
-		e.apply(e.now())
-		e.members.pushAll(ctx)
+		f(ctx)
 		select {
 		case <-c:
 		case <-ctx.Done():
@@ -115,43 +109,4 @@
 	}
 }
 
-// gossip exchanges configuration with other entries in turn. A data centre
-// that is cut off from the platform stays of one mind that way, and a new VM
-// learns the configuration during an outage.
-func (e *Entry) gossip(ctx context.Context) error {
-	t := time.NewTicker(gossipEvery)
-	defer t.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return nil
-		}
-		if peers := e.directory.entries(); len(peers) > 0 {
-			e.exchange(ctx, peers[i%len(peers)].Address())
-		}
-	}
-}
-
-func (e *Entry) exchange(ctx context.Context, addr string) {
-	cc, err := e.conns.Get(addr)
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, gossipEvery)
-	defer cancel()
-	// A peer that can't be reached is asked again on its next turn.
-	_ = peer.Exchange(ctx, peerpb.NewPeerClient(cc), &e.store, &e.clock, e.now)
-}
-
-// refresh asks some peers for their configuration before a change is written.
-func (e *Entry) refresh(ctx context.Context) {
-	for i, a := range e.directory.entries() {
-		if i == refreshPeers || ctx.Err() != nil {
-			return
-		}
-		e.exchange(ctx, a.Address())
-	}
-}
-
 func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
