Read a preset once; ask for lenders only of accounts in demand

Cause: measuring by accounts showed two costs that no one had asked about. At each change, also of an endpoint out, every entry and agent read the whole preset again (23 us for each account). In each round of shares, twice a second, an entry hashed each account over all entries once for each entry. Ruled out: keeping the lenders of all accounts (another table to keep right when entries come and go). Change: a view is made from the one before when the preset's digest is the same; a report looks whether an account is in demand before it asks who lends it. cmd/capacity has a section for accounts. TestHoldAtAnyEntryReachesThePlatform stops the agent now: with it, the test also passed without entries' exchanges, because agents pass holds on; without exchanges it now fails with 'not seen: the platform's document holds the order'.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -20,6 +20,7 @@
 
 // sections lists the report's parts in the order of printing.
 var sections = []capacity.Section{
+	capacity.Accounts(),
 	capacity.Spread(),
 	capacity.Platform(),
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -174,17 +174,23 @@
 
 func (a *Agent) takeConfiguration() {
 	s := a.store.Current()
-	_, body, ok := s.Preset()
+	in, body, ok := s.Preset()
 	if !ok {
 		return
 	}
+	out := s.IsOut(config.Endpoint(a.Settings.EndpointName)) || s.IsOut(config.DataCentre(a.Settings.DataCentre))
+	g := s.Head().Generation()
+	if v := a.view.Load(); v != nil && v.digest == in.Digest() {
+		a.apply(v.at(g, out))
+		return
+	}
 	p, faults := preset.Parse(body)
 	if len(faults) > 0 {
 		a.Log.WithField("faults", len(faults)).Error("the preset in force can't be read")
 		return
 	}
-	out := s.IsOut(config.Endpoint(a.Settings.EndpointName)) || s.IsOut(config.DataCentre(a.Settings.DataCentre))
-	v := newView(s.Head().Generation(), p, a.Settings.EndpointName, out)
+	v := newView(g, p, a.Settings.EndpointName, out)
+	v.digest = in.Digest()
 	a.apply(v)
 }
 
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -12,6 +12,7 @@
 // changed once made.
 type view struct {
 	generation uint64
+	digest     string // names the preset's text
 	preset     string
 	routes     map[string]preset.Route
 	names      []string
@@ -31,6 +32,16 @@
 	return v
 }
 
+// at returns the view at another generation with the same preset. Reading the
+// preset again at each change would take an agent of 12,000 accounts' preset a
+// quarter of a second.
+func (v *view) at(generation uint64, out bool) *view {
+	n := *v
+	n.generation = generation
+	n.out = out
+	return &n
+}
+
 func (v *view) add(r preset.Route, endpoint string) {
 	if !r.Serves(endpoint) {
 		return
--- a/internal/caller/admission/holder.go
+++ b/internal/caller/admission/holder.go
@@ -201,7 +201,9 @@
 	l.number, l.sent = h.Number, now
 	r := ShareReport{Holder: h.Entry, Number: h.Number, Echo: l.echo}
 	for name, a := range h.accounts {
-		if lenderOf(name) == lender && h.lists(a, name, l) {
+		// Whom an account belongs to costs a hash for each entry, so it is asked
+		// last: of 12,000 accounts some are in demand.
+		if h.lists(a, name, l) && lenderOf(name) == lender {
 			r.Accounts = append(r.Accounts, h.demand(name, a, lender, l.echo, now))
 		}
 	}
--- a/internal/demo/readers_test.go
+++ b/internal/demo/readers_test.go
@@ -39,9 +39,9 @@
 }
 
 // The platform's service is down while an operator takes an endpoint out at an
-// entry that does not read the service. When the service is back the order must
-// be in its document, or the next VM that learns from the service alone gives
-// the endpoint work.
+// entry that does not read the service. No agent is there to pass the order on.
+// When the service is back the order must be in its document, or the next VM
+// that learns from the service alone gives the endpoint work.
 func TestHoldAtAnyEntryReachesThePlatform(t *testing.T) {
 	s := &System{
 		DataCentres: []string{"a"}, Entries: spread.Watchers + 2, Engines: 1,
@@ -55,6 +55,11 @@
 	}
 	t.Cleanup(s.Stop)
 	e := idleEntry(t, s)
+	for _, a := range s.Agents() {
+		if err := a.Stop(); err != nil {
+			t.Fatal(err)
+		}
+	}
 	s.KV.SetDown(true)
 	out := orderAt(t, s, e, "endpoint", "out", "a-engine-0")
 	if !strings.Contains(out, result.HeldLocally.String()) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -213,7 +213,7 @@
 // apply puts the newest configuration into force in this entry.
 func (e *Entry) apply(now time.Time) {
 	s := e.store.Current()
-	v, faults := newView(s)
+	v, faults := newView(s, e.view.Load())
 	if len(faults) > 0 {
 		// The preset was checked when it was put. An entry of an older version
 		// may not know all of its keys; what was in force stays.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -12,23 +12,33 @@
 // made.
 type view struct {
 	generation  uint64
+	digest      string // names the preset's text
 	preset      *preset.Preset
 	endpoints   []string
 	dataCentres []string
 }
 
-// newView reads a snapshot. It returns nil when no preset is known yet, or with
-// faults when the preset can't be read.
-func newView(s *config.Snapshot) (*view, []preset.Fault) {
-	_, body, ok := s.Preset()
+// newView reads a snapshot after the view that is in force, which may be nil.
+// It returns nil when no preset is known yet, or with faults when the preset
+// can't be read.
+//
+// A preset is read once. Most changes concern what is out of service, and
+// reading 12,000 accounts again for each takes a quarter of a second.
+func newView(s *config.Snapshot, last *view) (*view, []preset.Fault) {
+	in, body, ok := s.Preset()
 	if !ok {
 		return nil, nil
 	}
-	p, faults := preset.Parse(body)
-	if len(faults) > 0 {
-		return nil, faults
+	v := &view{generation: s.Head().Generation(), digest: in.Digest()}
+	if last != nil && last.digest == v.digest {
+		v.preset = last.preset
+	} else {
+		p, faults := preset.Parse(body)
+		if len(faults) > 0 {
+			return nil, faults
+		}
+		v.preset = p
 	}
-	v := &view{generation: s.Head().Generation(), preset: p}
 	for _, o := range s.Head().Outs() {
 		v.out(o.Target())
 	}
