Measure reports, memory and messages by size

Cause: the capacity page needs slopes of what each role costs. Change: sections reports, memory and messages of cmd/capacity; the demonstration's network counts bytes.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -21,6 +21,9 @@
 // sections lists the report's parts in the order of printing.
 var sections = []capacity.Section{
 	capacity.Accounts(),
+	capacity.Reports(),
+	capacity.Memory(),
+	capacity.Messages(),
 	capacity.Spread(),
 	capacity.Platform(),
 }
--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -21,6 +22,7 @@
 	place map[string]string // address to data centre
 	cuts  map[[2]string]bool
 	conns map[*carried]struct{}
+	bytes map[[2]string]*atomic.Int64
 }
 
 // carried is a connection of the network.
@@ -29,6 +31,21 @@
 	network *Network
 	from    string
 	to      string
+	bytes   *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *carried) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *carried) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -76,6 +93,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := &carried{Conn: conn, network: n, from: dc, to: n.place[addr]}
+	c.bytes = n.count(c.from, c.to)
 	if n.cuts[pair(c.from, c.to)] {
 		_ = conn.Close()
 		return nil, errCut
@@ -84,6 +102,27 @@
 	return c, nil
 }
 
+// count returns the bytes of connections between two places. The lock must be
+// held.
+func (n *Network) count(from, to string) *atomic.Int64 {
+	if n.bytes == nil {
+		n.bytes = map[[2]string]*atomic.Int64{}
+	}
+	k := [2]string{from, to}
+	if n.bytes[k] == nil {
+		n.bytes[k] = &atomic.Int64{}
+	}
+	return n.bytes[k]
+}
+
+// Bytes returns the bytes that connections opened from one place to another
+// have carried so far, both ways.
+func (n *Network) Bytes(from, to string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.count(from, to).Load()
+}
+
 // Cut cuts two places off from each other.
 func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
