Peers send each other what the other lacks, not the document

Ruled out: compressing (change ids don't compress); fewer listed changes (they prove who has seen what). A log of changes between peers would be a second format for the same truth. Change: a store remembers its last 16 states by digest. A peer whose digest it knows gets the difference; whoever applies one compares the digest of the outcome and asks for the whole document when it differs. Conclusion: head changes fit; a preset's text still travels whole.

--- a/internal/platform/config/codec.go
+++ b/internal/platform/config/codec.go
@@ -69,7 +69,9 @@
 
 // Encode returns the head as JSON with camelCase keys. Equal heads have equal
 // encodings.
-func (h Head) Encode() []byte {
+func (h Head) Encode() []byte { return mustMarshal(h.toJSON()) }
+
+func (h Head) toJSON() headJSON {
 	j := headJSON{
 		Generation:   h.dot.generation,
 		ChangeID:     h.dot.changeID,
@@ -95,7 +97,7 @@
 			AtMicros:   o.at.UnixMicro(),
 		})
 	}
-	return mustMarshal(j)
+	return j
 }
 
 // mustMarshal encodes structs of strings and integers, which can't fail.
--- a/internal/platform/config/store.go
+++ b/internal/platform/config/store.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,8 +89,9 @@
 type Store struct {
 	current atomic.Pointer[Snapshot]
 
-	mu   sync.Mutex // guards writes of current, and subs
+	mu   sync.Mutex // guards writes of current, subs and past
 	subs map[chan struct{}]bool
+	past []past // earlier states, the newest last
 }
 
 // Current returns the newest configuration.
@@ -139,12 +141,36 @@
 		return false
 	}
 	s.current.Store(next.seal())
+	s.remember(old)
 	for c := range s.subs {
 		notify(c)
 	}
 	return true
 }
 
+// remember keeps an earlier state. s.mu must be held.
+func (s *Store) remember(c *Snapshot) {
+	if len(s.past) == maxPast {
+		s.past = slices.Delete(s.past, 0, 1)
+	}
+	s.past = append(s.past, past{digest: c.digest, head: c.head, holds: c.holds})
+}
+
+// recall returns an earlier or the current state by its digest, or nil.
+func (s *Store) recall(digest string) *past {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.Current(); c.digest == digest {
+		return &past{digest: c.digest, head: c.head, holds: c.holds}
+	}
+	for _, p := range s.past {
+		if p.digest == digest {
+			return &p
+		}
+	}
+	return nil
+}
+
 // joinParts keeps the parts that the head names and the one that is acted by.
 func joinParts(old *Snapshot, h Head, parts [][]byte) map[string][]byte {
 	named := map[string]bool{old.preset.digest: true}
