--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -132,7 +133,9 @@
 	used := heap() - before
 	cancel()
 	for range n {
-		<-done
+		if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+			return 0, err
+		}
 	}
 	return used, nil
 }
