An idle engine's restart is seen, and broken streams count once

Change: the endpoint client tells when the endpoint closes an idle connection, tickets are renewed just before dispatch, a failure counts once for attempts that began before the last one. The stand-in closes its connections when it restarts, as a process does. Conclusion: holds within the moment in which the close is on its way.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -54,7 +54,7 @@
 	defer cancel()
 	s := &demo.System{
 		DataCentres: []string{"a", "b", "c"}, Entries: 2, Engines: 4, Services: 1,
-		EngineSettings: engine.Settings{Capacity: 16, ColdBound: 4, WarmAfter: 20, TokenMicros: 1500, ColdFactor: 2},
+		EngineSettings: engine.Settings{Capacity: 16, ColdBound: 4, WarmAfter: 5, TokenMicros: 1500, ColdFactor: 2},
 		Preset:         demo.Preset("ordinary", 1),
 	}
 	if err := s.Start(ctx); err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,7 @@
 	tokens    atomic.Int64
 	version   atomic.Uint64
 	running   atomic.Int64
+	askLoad   chan struct{}
 	ended     chan struct{}
 }
 
@@ -136,3 +137,6 @@
 	v := a.view.Load()
 	return v != nil && v.out
 }
+
+// Allowance returns how many requests the endpoint bears at once now.
+func (a *Agent) Allowance() int { return a.allowance.State().Bound() }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator/preset"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
@@ -26,6 +27,9 @@
 	// and is read only for the engine's incarnation and its own word that it
 	// is cold.
 	loadEvery = time.Second
+	// restartIdle is how lately a connection must have been used for its close
+	// to count as a restart: endpoints keep idle ones longer than this.
+	restartIdle = 5 * time.Second
 	// loadTimeout bounds one load report.
 	loadTimeout = time.Second
 )
@@ -41,6 +45,7 @@
 	}
 	a.workCtx = workCtx
 	a.ended = make(chan struct{}, endBacklog)
+	a.askLoad = make(chan struct{}, 1)
 	a.incarnation = uint64(a.now().UnixMicro())
 	a.ring = &timeline.Ring{Clock: &a.clock}
 	a.client = &endpoint.Client{
@@ -48,6 +53,7 @@
 		Service: a.Settings.Kind == settings.Plain,
 		Metrics: a.Registry,
 		Log:     a.Log,
+		Lost:    a.connectionLost,
 	}
 	a.platform = process.Platform(&a.Settings.Process, platformBudget, a.TLS.Client, a.Dial, a.Registry)
 }
@@ -200,10 +206,34 @@
 	return process.Every(ctx, expireEvery, func(context.Context) { a.attempts.expire(a.now()) })
 }
 
+// connectionLost takes note that the endpoint closed an idle connection. One
+// that was used a moment ago is closed by a restart; one that was idle for long
+// may only have reached the endpoint's own limit, and an engine is asked.
+func (a *Agent) connectionLost(idle time.Duration) {
+	if idle < restartIdle {
+		a.restarted(allowance.ConnectionLost, a.now())
+		return
+	}
+	select {
+	case a.askLoad <- struct{}{}:
+	default:
+	}
+}
+
 // readLoad reads the engine's incarnation, so that a restart between two
 // answers is noticed.
 func (a *Agent) readLoad(ctx context.Context) error {
-	return process.Every(ctx, loadEvery, a.readLoadOnce)
+	t := time.NewTicker(loadEvery)
+	defer t.Stop()
+	for {
+		a.readLoadOnce(ctx)
+		select {
+		case <-t.C:
+		case <-a.askLoad:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 func (a *Agent) readLoadOnce(ctx context.Context) {
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -59,7 +59,7 @@
 	a.allowance.Failed(t, now)
 	a.event(timeline.Failed, at.req, err.Detail(), uint64(err.Code()), now)
 	switch err.Code() {
-	case result.EndpointDown, result.AnswerIncomplete:
+	case result.EndpointDown, result.AnswerIncomplete, result.OutcomeUnknown:
 		a.restarted(allowance.ConnectionLost, now)
 	}
 }
@@ -78,6 +78,10 @@
 // dispatch sends the request to the endpoint and takes its answer in.
 func (a *Agent) dispatch(ctx context.Context, at *attempt, t allowance.Ticket) *result.Error {
 	now := a.now()
+	t, cold := a.allowance.Renew(t, now)
+	if cold != nil {
+		return cold
+	}
 	a.event(timeline.Dispatched, at.req, "", uint64(at.req.GetAttempt()), now)
 	at.setAccepted(&peerpb.Accepted{Endpoint: a.Settings.EndpointName, Incarnation: a.incarnation})
 	call := a.callOf(at.req)
--- a/internal/demo/preset.go
+++ b/internal/demo/preset.go
@@ -27,7 +27,7 @@
 endpoints = *-engine-*
 coldStartConcurrency = 4
 concurrency = 16
-rampStep = 2
+rampStep = 1
 rampCompletions = 5
 defaultDeadline = 10s
 maxOutputTokens = 1000
@@ -38,7 +38,7 @@
 path = /
 coldStartConcurrency = 4
 concurrency = 16
-rampStep = 2
+rampStep = 1
 rampCompletions = 5
 defaultDeadline = 10s
 `
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -174,6 +174,7 @@
 func (s *System) StartEngine(dc, name string) error {
 	e := engine.New(s.EngineSettings)
 	srv := &standin.Server{Listen: loopback.String(), Handler: e}
+	e.Drop = srv.Drop
 	s.parts = append(s.parts, s.run(srv.Run))
 	s.mu.Lock()
 	s.engines[name] = e
--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -15,16 +15,21 @@
 	t.Helper()
 	s := &System{
 		DataCentres: []string{"a", "b", "c"}, Entries: 1, Engines: 1, Services: 1,
-		EngineSettings: engine.Settings{Capacity: 8, ColdBound: 2, WarmAfter: 4, TokenMicros: 200},
+		EngineSettings: engine.Settings{Capacity: 16, ColdBound: 4, WarmAfter: 4, TokenMicros: 200},
 		Preset:         Preset("ordinary", 1),
 	}
+	start(t, s)
+	return s
+}
+
+func start(t *testing.T, s *System) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	if err := s.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Stop)
-	return s
 }
 
 func ask(t *testing.T, e *Entry, path, body string, header ...string) (int, string) {
--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -170,6 +170,24 @@
 	return Ticket{}, result.Newf(code, "%d of %d running", a.running, bound).WithRetryAfter(after)
 }
 
+// Renew checks a ticket once more, immediately before its request is sent.
+//
+// Decision, for requests that were admitted while the endpoint was warm and
+// wait for their claim or their connection when it turns cold. Harm prevented:
+// they reach the cold endpoint together, more than it bears. A ticket of the
+// present epoch holds; an older one only if all that runs fits under the bound
+// of now. A refused ticket still has to be given back by Failed.
+func (a *Allowance) Renew(t Ticket, now time.Time) (Ticket, *result.Error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	bound := a.bound()
+	if t.epoch == a.epoch || a.running <= bound {
+		return Ticket{epoch: a.epoch, began: t.began}, nil
+	}
+	after := a.pace.retryAfter(bound, now)
+	return Ticket{}, result.New(result.EndpointCold, "it turned cold before the request was sent").WithRetryAfter(after)
+}
+
 // FirstToken tells how long the request took to its first token.
 func (a *Allowance) FirstToken(t Ticket, d time.Duration) {
 	a.mu.Lock()
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -61,6 +61,10 @@
 	// Service says that the endpoint is a plain service: it has no call that
 	// cancels a request.
 	Service bool
+	// Lost, when set, is told each time that the endpoint closes a connection
+	// which it had kept open, and how long that had been idle. It is called by
+	// the event loop and must not block.
+	Lost func(idle time.Duration)
 	// Metrics receives the counters; nil means the default registry.
 	Metrics metrics.Registry
 	// Log receives changes of state; nil means the standard logger.
@@ -114,7 +118,7 @@
 	c.prepare()
 	c.setDefaults()
 	c.counters = newCounters(c.Metrics)
-	l, err := startLoop()
+	l, err := startLoop(c.Lost)
 	if err != nil {
 		return eris.Wrap(err, "start the event loop to the endpoint")
 	}
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -45,6 +45,25 @@
 	paused  bool
 	closed  bool
 	cause   error
+	// kept says that the connection is idle in the pool, and since when.
+	kept      bool
+	idleSince time.Time
+}
+
+// setKept notes that the connection goes into the pool or leaves it.
+func (c *conn) setKept(kept bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept = kept
+	c.idleSince = now
+}
+
+// lost reports whether the endpoint closed the connection while it was idle,
+// and for how long it had been.
+func (c *conn) lost(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.idleSince), c.kept
 }
 
 // dial connects to addr and adds the connection to the event loop.
@@ -172,6 +191,7 @@
 }
 
 func (c *conn) close() {
+	c.setKept(false, time.Time{})
 	// The connection is given up; an error tells nothing that matters.
 	_ = c.nb.Close()
 }
--- a/internal/endpoint/loop.go
+++ b/internal/endpoint/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -15,6 +16,9 @@
 // Lock order: mu only; nothing is called with it held.
 type loop struct {
 	engine *nbio.Engine
+	// lost is told that an idle connection was closed by the endpoint; it may
+	// be nil.
+	lost func(idle time.Duration)
 
 	mu    sync.Mutex
 	conns map[*nbio.Conn]*conn
@@ -22,8 +26,8 @@
 
 // startLoop starts an event loop that reports a readable connection once and
 // then waits to be told to go on, which is how reading is paused.
-func startLoop() (*loop, error) {
-	l := &loop{conns: map[*nbio.Conn]*conn{}}
+func startLoop(lost func(idle time.Duration)) (*loop, error) {
+	l := &loop{lost: lost, conns: map[*nbio.Conn]*conn{}}
 	l.engine = nbio.NewEngine(nbio.Config{
 		Name:         "endpoint",
 		NPoller:      1,
@@ -37,6 +41,7 @@
 	})
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if c := l.remove(nb); c != nil {
+			l.tellLost(c)
 			c.onClosed(err)
 		}
 	})
@@ -49,6 +54,18 @@
 	return l, l.engine.Start()
 }
 
+// tellLost passes on that the endpoint closed an idle connection.
+//
+// Guard: an engine that restarts while nothing runs there breaks no answer, so
+// its agent would take it for warm until the next load report, and a burst
+// would overrun it. Its closed connections show within a millisecond.
+func (l *loop) tellLost(c *conn) {
+	idle, lost := c.lost(time.Now())
+	if lost && l.lost != nil {
+		l.lost(idle)
+	}
+}
+
 // add gives c to the event loop.
 func (l *loop) add(c *conn) error {
 	l.mu.Lock()
--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -114,7 +114,9 @@
 	p.Ended(a, now)
 	e := a.endpoint
 	pause := min(max(retryAfter, leastBackOff<<min(e.refusals, 10)), mostBackOff)
-	e.refusals++
+	if !a.started.Before(e.refused) {
+		e.refusals++
+	}
 	e.backOff = now.Add(pause)
 	e.refused = now
 	e.others = max(e.others, float64(e.allowance-e.own))
@@ -127,15 +129,20 @@
 // work, so by committed load it is always the best choice, and a fleet sends
 // it a large part of all requests. After the pause one failure is enough to
 // pause it again for longer, so it costs few callers until it is healthy.
+//
+// Attempts that began before the last failure say nothing new: an engine that
+// restarts breaks all its streams at once. Without that rule six broken streams
+// made a pause of 8 s for an engine that was back at once.
 func (p *Picture) Failed(a *Attempt, now time.Time) {
 	if a == nil || a.ended {
 		return
 	}
 	p.Ended(a, now)
 	e := a.endpoint
-	if a.incarnation != e.incarnation {
+	if a.incarnation != e.incarnation || a.started.Before(e.failedAt) {
 		return
 	}
+	e.failedAt = now
 	e.failedUntil = now.Add(leastFailPause << min(e.failures, mostFailDoublings))
 	e.failures++
 }
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -39,9 +39,11 @@
 	refused  time.Time
 	backOff  time.Time
 	refusals int
-	// failures counts the failures since the last answer, and failedUntil is
-	// when the endpoint may be chosen again after the last one.
+	// failures counts the failures since the last answer, failedAt is the time
+	// of the last one that counted, and failedUntil is when the endpoint may be
+	// chosen again after it.
 	failures    int
+	failedAt    time.Time
 	failedUntil time.Time
 	chosen      time.Time
 	// probes counts the probes since the endpoint last answered in usual time.
@@ -56,7 +58,7 @@
 	e.reported = time.Time{}
 	e.refused, e.backOff = time.Time{}, time.Time{}
 	e.refusals = 0
-	e.failures, e.failedUntil = 0, time.Time{}
+	e.failures, e.failedAt, e.failedUntil = 0, time.Time{}, time.Time{}
 	e.firstPiece = 0
 }
 
--- a/internal/endpoint/placement/slow_test.go
+++ b/internal/endpoint/placement/slow_test.go
@@ -122,6 +122,27 @@
 	assertPart(t, map[string]int{name(2): got[name(2)], "others": 500 - got[name(2)]}, name(2), 0.03, 0.3)
 }
 
+// An engine restarts and all its streams break at once. Counted one by one, the
+// eight failures would keep callers waiting for 16 s in front of an engine that
+// was back at once, and where it is the only one they would miss their
+// deadlines.
+func TestStreamsThatBreakTogetherAreOneFailure(t *testing.T) {
+	p := newPicture(1, epoch)
+	p.Update(warm(0, epoch), epoch)
+	var broken []*Attempt
+	for range 8 {
+		broken = append(broken, p.Started(mustChoose(t, p, query, epoch), query, epoch))
+	}
+	now := epoch.Add(time.Second)
+	for _, a := range broken {
+		p.Failed(a, now)
+		now = now.Add(time.Millisecond)
+	}
+	now = now.Add(leastFailPause)
+	p.Update(warm(0, now), now)
+	mustChoose(t, p, query, now)
+}
+
 // A request that may not be repeated would be used to find out whether a slow
 // endpoint still is.
 func TestRunOnceIsNoProbe(t *testing.T) {
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -54,6 +54,7 @@
 	for len(p.free) > 0 {
 		c := p.free[len(p.free)-1]
 		p.free = p.free[:len(p.free)-1]
+		c.setKept(false, now)
 		if c.idle() && now.Sub(c.usedAt) < p.idleTimeout {
 			return c
 		}
@@ -81,6 +82,7 @@
 		c.close()
 		return
 	}
+	c.setKept(true, now)
 	p.free = append(p.free, c)
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -118,6 +118,7 @@
 func (e *Entry) take(t *task, r *peerpb.RunReply, now time.Time) error {
 	switch k := r.GetKind().(type) {
 	case *peerpb.RunReply_Accepted:
+		e.scheduler.accepted(t.job)
 		e.ring.Add(timeline.Accepted, t.request.ID(), k.Accepted.GetEndpoint(), "", k.Accepted.GetIncarnation(), now)
 	case *peerpb.RunReply_Head:
 		t.relay.takeHead(k.Head)
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -228,6 +228,15 @@
 	return c, ok
 }
 
+// accepted notes that an attempt's agent took it.
+func (s *scheduler) accepted(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.attempt != nil {
+		s.picture.Accepted(j.attempt)
+	}
+}
+
 // piece notes that an attempt's answer goes on.
 func (s *scheduler) piece(j *job, now time.Time) {
 	s.mu.Lock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -73,6 +73,8 @@
 // Lock order: mu only; it is never held while waiting or writing.
 type Engine struct {
 	Settings Settings
+	// Drop, when set, closes the connections of the server before the engine.
+	Drop func()
 
 	once sync.Once
 	mux  *http.ServeMux
@@ -172,11 +174,14 @@
 	e.counters.Cold = true
 }
 
-// Restart loses all streams and begins a new incarnation, cold.
+// Restart loses all streams and connections and begins a new incarnation, cold.
 func (e *Engine) Restart() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.fallLocked()
+	e.mu.Unlock()
+	if e.Drop != nil {
+		e.Drop()
+	}
 }
 
 func (e *Engine) fallLocked() {
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -55,6 +55,9 @@
 		return err
 	}
 	s := &standin.Server{Listen: o.Listen, Handler: h}
+	if e, ok := h.(*engine.Engine); ok {
+		e.Drop = s.Drop
+	}
 	return o.serve(ctx, s.Run, s.Addr)
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -25,6 +25,15 @@
 	once  sync.Once
 	ready chan struct{}
 	addr  string
+	conns sync.Map // net.Conn to nil
+}
+
+// Drop closes all connections, as a process that restarts would.
+func (s *Server) Drop() {
+	s.conns.Range(func(c, _ any) bool {
+		_ = c.(net.Conn).Close()
+		return true
+	})
 }
 
 func (s *Server) prepare() {
@@ -57,7 +66,8 @@
 		MessageHandlerPoolSize: handlers,
 		Listen:                 s.listen,
 	})
-	eventloop.Order(engine, nil, nil)
+	engine.OnClose(func(c net.Conn, _ error) { s.conns.Delete(c) })
+	eventloop.Order(engine, func(c net.Conn) { s.conns.Store(c, nil) }, nil)
 	if err := engine.Start(); err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Listen)
 	}
