One of the entries that listen to an agent hands it a change

Ruled out: choosing one entry for each agent by hashing (entries don't know who else listens, and the chosen one may be dead). Change: entries wait a random time that grows with the number of entries, one second at most, and hand on what the agent still lacks then: an agent that has got a change says so to all at once. An agent that differs for 1.5 s is exchanged with again.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -24,6 +24,7 @@
 	capacity.Reports(),
 	capacity.Memory(),
 	capacity.Messages(),
+	capacity.Pushes(),
 	capacity.Spread(),
 	capacity.Platform(),
 }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -14,6 +14,7 @@
 	retries  metrics.Counter
 	strays   metrics.Counter
 	fetches  metrics.Counter
+	pushes   metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -22,6 +23,7 @@
 		retries:  metrics.GetOrRegisterCounter("entry.retries", r),
 		strays:   metrics.GetOrRegisterCounter("entry.strayReplies", r),
 		fetches:  metrics.GetOrRegisterCounter("entry.fetches", r),
+		pushes:   metrics.GetOrRegisterCounter("entry.pushes", r),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,7 +95,8 @@
 	e.members = members{
 		conns: &e.conns, store: &e.store, clock: &e.clock, ring: e.ring,
 		log: e.Log, name: e.Settings.Name, now: e.now,
-		report: e.scheduler.report, lost: e.lost,
+		report: e.scheduler.report, lost: e.lost, pushes: e.counters.pushes,
+		others: func() int { return len(e.directory.entries()) },
 	}
 	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Dial, e.Registry)
 	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.spreading.refresh}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
@@ -25,8 +26,6 @@
 	silentAfter = 2 * time.Second
 	// watchRetry is the pause before an agent is watched again.
 	watchRetry = 100 * time.Millisecond
-	// pushTimeout bounds the exchange of configuration with one peer.
-	pushTimeout = 2 * time.Second
 )
 
 // member is an agent that the entry listens to.
@@ -40,6 +39,8 @@
 	dataCentre string
 	heard      time.Time
 	last       *peerpb.LoadReport
+	// differs is since when the agent's configuration differs, or zero.
+	differs time.Time
 	// attempts holds how to end each attempt that waits for this agent.
 	attempts map[*job]context.CancelCauseFunc
 }
@@ -63,6 +64,9 @@
 	// report takes in what an agent said, and lost that it can't be reached.
 	report func(placement.Report, time.Time)
 	lost   func(endpoint string)
+	pushes metrics.Counter
+	// others returns how many other entries there are.
+	others func() int
 
 	mu      sync.Mutex
 	byAddr  map[string]*member
@@ -211,6 +215,7 @@
 	one.dataCentre = r.GetDataCentre()
 	one.heard = now
 	one.last = r
+	due := m.differsTooLong(one, joined, now)
 	leaving := m.leaving[one.addr]
 	m.mu.Unlock()
 	if joined {
@@ -219,38 +224,11 @@
 	p := reportOf(r, now)
 	p.Leaving = p.Leaving || leaving
 	m.report(p, now)
-	if r.GetConfigDigest() != peer.ConfigDigest(m.store) {
+	if due {
 		m.push(ctx, one.addr)
 	}
 }
 
-// push brings a peer to the newest configuration, and this entry too.
-func (m *members) push(ctx context.Context, addr string) {
-	cc, err := m.conns.Get(addr)
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
-	defer cancel()
-	// A peer that can't be reached is tried again at its next report.
-	_ = peer.Exchange(ctx, peerpb.NewPeerClient(cc), m.store, m.clock, m.now)
-}
-
-// pushAll hands a change to all agents at once.
-func (m *members) pushAll(ctx context.Context) {
-	done := make(chan struct{}, 1)
-	addrs := m.addrs()
-	for _, a := range addrs {
-		go func() {
-			m.push(ctx, a)
-			done <- struct{}{}
-		}()
-	}
-	for range addrs {
-		<-done
-	}
-}
-
 func (m *members) addrs() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
