--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -108,8 +108,10 @@
 	running     int
 	cause       Cause
 	incarnation string
-	tokens      firstTokens
-	pace        pace
+	// warmSince is when the bound last reached the full one.
+	warmSince time.Time
+	tokens    firstTokens
+	pace      pace
 }
 
 // Configure sets the limits. It changes nothing of what has been learnt, so a
@@ -168,6 +170,24 @@
 	return Ticket{}, result.Newf(code, "%d of %d running", a.running, bound).WithRetryAfter(after)
 }
 
+// Renew checks a ticket once more, immediately before its request is sent.
+//
+// Decision, for requests that were admitted while the endpoint was warm and
+// wait for their claim or their connection when it turns cold. Harm prevented:
+// they reach the cold endpoint together, more than it bears. A ticket of the
+// present epoch holds; an older one only if all that runs fits under the bound
+// of now. A refused ticket still has to be given back by Failed.
+func (a *Allowance) Renew(t Ticket, now time.Time) (Ticket, *result.Error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	bound := a.bound()
+	if t.epoch == a.epoch || a.running <= bound {
+		return Ticket{epoch: a.epoch, began: t.began}, nil
+	}
+	after := a.pace.retryAfter(bound, now)
+	return Ticket{}, result.New(result.EndpointCold, "it turned cold before the request was sent").WithRetryAfter(after)
+}
+
 // FirstToken tells how long the request took to its first token.
 func (a *Allowance) FirstToken(t Ticket, d time.Duration) {
 	a.mu.Lock()
@@ -191,6 +211,9 @@
 	a.pace.ended(t.began, now)
 	if t.epoch == a.epoch && a.bound() < a.limits.Full {
 		a.completions++
+		if a.bound() == a.limits.Full {
+			a.warmSince = now
+		}
 	}
 }
 
@@ -242,6 +265,21 @@
 	a.incarnation = id
 }
 
+// Reported tells what a load report that was made at made says about coldness.
+//
+// Decision, for an engine that announces its coldness in reports that lag.
+// Harm prevented: a warm engine loses its places again and again to old reports
+// of its own cold start. So a report counts only when it was made after the
+// bound had become the full one; while the bound grows it would add nothing. A
+// report of warmth never counts: it may be older than the coldness.
+func (a *Allowance) Reported(cold bool, made time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if cold && a.bound() == a.limits.Full && made.After(a.warmSince) {
+		a.coldLocked(Announced)
+	}
+}
+
 // State returns the present picture.
 func (a *Allowance) State() State {
 	a.mu.Lock()
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -24,7 +24,9 @@
 type response struct {
 	requestID  string
 	wantStream bool
-	limit      int
+	// control marks an order or a report, which are answered at once.
+	control bool
+	limit   int
 
 	status       int
 	contentType  string
@@ -36,6 +38,7 @@
 	headDone     bool
 	complete     bool
 	overrun      bool
+	cut          bool
 	stream       *splitter
 	events       []Event
 	failedDetail []byte
--- a/internal/rank/naming/world_test.go
+++ b/internal/rank/naming/world_test.go
@@ -4,51 +4,14 @@
 	"fmt"
 	"math/rand"
 	"time"
-
-	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
 )
 
-const tick = 10 * time.Millisecond
-
-// fakeEngine is the ranks of one endpoint. They begin at most a step a tick.
-type fakeEngine struct {
-	EngineState
-	ran map[uint64]Ref
-}
-
-func (e *fakeEngine) order(o EngineOrder) {
-	switch o := o.(type) {
-	case EngineStage:
-		e.Staged = append(e.Staged, RefOf(o.Map))
-	case EngineActivate:
-		e.activate(o)
-	case EngineAllow:
-		e.Allowed = max(e.Allowed, o.Step)
-	}
-}
-
-func (e *fakeEngine) activate(o EngineActivate) {
-	if scheduled(e.Schedule, o.Entry) {
-		return
-	}
-	if o.Restart && o.Entry.From > e.Begun {
-		e.Schedule = nil
-		e.Begun = o.Entry.From - 1
-	}
-	e.Schedule = append(e.Schedule, o.Entry)
-}
-
-// fakeKV keeps the group's record and lease. Calls fail while it is down, and
-// may take effect and still fail.
-type fakeKV struct {
-	record   Record
-	revision int64
-	down     bool
-	lossy    bool
-	token    uint64
-	holder   int
-	until    time.Time
-}
+const (
+	tick = 10 * time.Millisecond
+	// drain is how many ticks a message may be late, and how long an agent that
+	// starts waits for the orders of the one before.
+	drain = 60
+)
 
 // event is something that happens at a later tick.
 type event struct {
@@ -106,7 +69,7 @@
 	for range copies {
 		delay := 1
 		if w.chance(0.2) {
-			delay += w.rng.Intn(60)
+			delay += w.rng.Intn(drain - 1)
 		}
 		w.events = append(w.events, event{at: w.tick + delay, run: f})
 	}
@@ -136,56 +99,13 @@
 	}
 }
 
-func (w *world) fault() {
-	i := w.rng.Intn(w.n)
-	switch {
-	case w.chance(0.01):
-		w.restartRanks(i)
-	case w.chance(0.01):
-		w.restartAgent(i)
-	case w.chance(0.003):
-		for j := range w.n {
-			w.restartRanks(j)
-			w.restartAgent(j)
-		}
-	case w.chance(0.01):
-		w.leads[i].paused = w.tick + 20 + w.rng.Intn(200)
-	case w.chance(0.02):
-		w.kv.down = !w.kv.down
-	}
-	w.kv.lossy = w.chance(0.2)
-}
-
-// restartRanks loses the maps of an endpoint's ranks. They do the step again
-// that not all ranks have begun.
-func (w *world) restartRanks(i int) {
-	e := w.engines[i]
-	begun := e.Begun
-	for _, o := range w.engines {
-		if o.Begun < begun {
-			begun = e.Begun - 1
-			delete(e.ran, e.Begun)
-			break
-		}
-	}
-	e.EngineState = EngineState{Incarnation: e.Incarnation + 1, Begun: begun}
-}
-
-func (w *world) restartAgent(i int) {
-	w.members[i] = w.newMember(i, w.members[i].Incarnation+1)
-	w.leads[i] = &candidate{next: w.leads[i].next}
-	w.down[i] = w.tick + w.rng.Intn(30)
-}
-
 func (w *world) stepMember(i int) {
 	if w.tick < w.down[i] {
 		return
 	}
 	m, e := w.members[i], w.engines[i]
 	for _, o := range m.Tick(e.EngineState) {
-		if !w.chance(0.1) {
-			e.order(o)
-		}
+		w.orderEngine(e, o)
 	}
 	if j, ask := m.Joins(); ask && w.tick%5 == 0 {
 		for p := range w.n {
@@ -196,6 +116,17 @@
 	}
 }
 
+// orderEngine lets an order take effect later. An order does not outlive the
+// connection to the ranks that it was sent to.
+func (w *world) orderEngine(e *fakeEngine, o EngineOrder) {
+	incarnation := e.Incarnation
+	w.send(func() {
+		if e.Incarnation == incarnation {
+			e.order(o)
+		}
+	})
+}
+
 func (w *world) answerJoin(p, i int, j Join) {
 	if w.tick < w.down[p] {
 		return
@@ -330,15 +261,3 @@
 		}
 	}
 }
-
-func testMap(version uint64) *expertmap.Map {
-	l, err := expertmap.Contiguous(expertmap.Shape{Ranks: 2, Slots: 2, Experts: 4})
-	if err != nil {
-		panic(err)
-	}
-	m, err := expertmap.NewMap(version, []*expertmap.Layer{l})
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
