Let engines drop maps that no step to come uses

Cause: engines would keep each map ever staged, and a member would have staged again what an engine dropped, loading weights for nothing. Ruled out: an order to drop: one more message that can be late or lost. Change: a member stages the maps in use, the pending name's and the newest; entries that no step to come uses are not activated again; fake engines drop maps. Conclusion: memory of an engine is bounded by the maps in use and three more.

--- a/internal/rank/engine.go
+++ b/internal/rank/engine.go
@@ -14,7 +14,9 @@
 // ends with their connection, and no later than Runner.Drain after the agent
 // that gave it has ended.
 type Engine interface {
-	// Stage loads the weights that m needs and keeps m ready.
+	// Stage loads the weights that m needs and keeps m ready. The engine may
+	// drop a map that is in no activated entry that a step to come uses, oldest
+	// first, when it needs the room for three others; State tells.
 	Stage(ctx context.Context, m *expertmap.Map, fencing uint64) error
 	// Activate makes the ranks use a staged map from a step on, until the next
 	// greater step of an activated map, in whatever order they came. With restart
--- a/internal/rank/naming/fakes_test.go
+++ b/internal/rank/naming/fakes_test.go
@@ -17,6 +17,7 @@
 	case EngineStage:
 		if !e.has(RefOf(o.Map)) {
 			e.Staged = append(e.Staged, RefOf(o.Map))
+			e.dropOldest()
 		}
 	case EngineActivate:
 		e.activate(o)
@@ -25,6 +26,18 @@
 	}
 }
 
+// dropOldest makes room by dropping a map that no step to come uses.
+func (e *fakeEngine) dropOldest() {
+	const room = 3
+	for i := 0; len(e.Staged) > room && i < len(e.Staged)-1; i++ {
+		used := len(After(e.Schedule, e.Begun)) > 0
+		if r, ok := MapAt(e.Schedule, e.Begun+1); !used && (!ok || r != e.Staged[i]) {
+			e.Staged = append(e.Staged[:i], e.Staged[i+1:]...)
+			return
+		}
+	}
+}
+
 func (e *fakeEngine) has(r Ref) bool {
 	for _, o := range e.Staged {
 		if o == r {
--- a/internal/rank/naming/member.go
+++ b/internal/rank/naming/member.go
@@ -175,11 +175,15 @@
 // and one that is being staged, and one more for a leader that changed its mind.
 const keptMaps = keptEntries + 3
 
+// keep makes e the map that came last.
 func (m *Member) keep(e *expertmap.Map) {
-	if _, ok := m.Map(RefOf(e)); ok {
-		return
+	kept := m.maps[:0]
+	for _, o := range m.maps {
+		if RefOf(o) != RefOf(e) {
+			kept = append(kept, o)
+		}
 	}
-	m.maps = append(m.maps, e)
+	m.maps = append(kept, e)
 	m.forget()
 }
 
--- a/internal/rank/naming/tick.go
+++ b/internal/rank/naming/tick.go
@@ -29,16 +29,40 @@
 	m.granted = max(m.granted, e.Allowed)
 }
 
+// stageOrders gives the engine the maps in use, the pending name's and the one
+// that came last. Others it may have dropped, and would load their weights for
+// nothing.
 func (m *Member) stageOrders() []EngineOrder {
 	var orders []EngineOrder
-	for _, e := range m.maps {
-		if !m.engineStaged(RefOf(e)) {
+	for i, e := range m.maps {
+		r := RefOf(e)
+		if (i == len(m.maps)-1 || m.uses(r)) && !m.engineStaged(r) {
 			orders = append(orders, EngineStage{Map: e})
 		}
 	}
 	return orders
 }
 
+func (m *Member) uses(r Ref) bool {
+	for _, e := range m.inUse() {
+		if e.Map == r {
+			return true
+		}
+	}
+	return m.pending.Map == r
+}
+
+// inUse returns the entries of the schedule that the ranks' next step or a later
+// one uses.
+func (m *Member) inUse() []Entry {
+	for i := len(m.schedule) - 1; i > 0; i-- {
+		if m.schedule[i].From <= m.engine.Begun+1 {
+			return m.schedule[i:]
+		}
+	}
+	return m.schedule
+}
+
 func (m *Member) engineStaged(r Ref) bool {
 	for _, o := range m.engine.Staged {
 		if o == r {
@@ -48,8 +72,8 @@
 	return false
 }
 
-// activateOrders gives the engine the entries of the schedule that it lacks, one
-// after the other and the newest first.
+// activateOrders gives the engine the entries in use that it lacks, one after the
+// other and the newest first.
 //
 // Failure: ranks that restarted are given an old entry and a bound that was set
 // before, and begin a step of the newer entry with the old map. It shows as two
@@ -59,8 +83,9 @@
 // The ranks restart at the oldest entry when it leaves out their next step: that
 // is so only after all members have lost their maps together.
 func (m *Member) activateOrders() []EngineOrder {
-	for i := len(m.schedule) - 1; i >= 0; i-- {
-		e := m.schedule[i]
+	entries := m.inUse()
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := entries[i]
 		if !scheduled(m.engine.Schedule, e) {
 			restart := i == 0 && e.From > m.engine.Begun+1
 			return []EngineOrder{EngineActivate{Entry: e, Restart: restart}}
