--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -23,7 +23,8 @@
 	// that entries hear of it first and send their requests elsewhere.
 	announceTime = 500 * time.Millisecond
 	// loadEvery is how often an engine's load report is read. The report lags,
-	// and is read only for the engine's incarnation.
+	// and is read only for the engine's incarnation and its own word that it
+	// is cold.
 	loadEvery = time.Second
 	// loadTimeout bounds one load report.
 	loadTimeout = time.Second
@@ -174,17 +175,23 @@
 
 func (a *Agent) takeConfiguration() {
 	s := a.store.Current()
-	_, body, ok := s.Preset()
+	in, body, ok := s.Preset()
 	if !ok {
 		return
 	}
+	out := s.IsOut(config.Endpoint(a.Settings.EndpointName)) || s.IsOut(config.DataCentre(a.Settings.DataCentre))
+	g := s.Head().Generation()
+	if v := a.view.Load(); v != nil && v.digest == in.Digest() {
+		a.apply(v.at(g, out))
+		return
+	}
 	p, faults := preset.Parse(body)
 	if len(faults) > 0 {
 		a.Log.WithField("faults", len(faults)).Error("the preset in force can't be read")
 		return
 	}
-	out := s.IsOut(config.Endpoint(a.Settings.EndpointName)) || s.IsOut(config.DataCentre(a.Settings.DataCentre))
-	v := newView(s.Head().Generation(), p, a.Settings.EndpointName, out)
+	v := newView(g, p, a.Settings.EndpointName, out)
+	v.digest = in.Digest()
 	a.apply(v)
 }
 
@@ -208,6 +215,7 @@
 		return
 	}
 	a.allowance.Incarnation(l.Incarnation)
+	a.allowance.Reported(l.Cold, a.now().Add(-time.Duration(l.AgeMillis)*time.Millisecond))
 	if s := a.allowance.State(); s.Cold() && !was {
 		a.Log.WithFields(logrus.Fields{"cause": s.Cause().String()}).Warn("endpoint is cold")
 		a.ring.Add(timeline.EndpointCold, "", a.Settings.EndpointName, s.Cause().String(), 0, a.now())
