Let a member hold for the name that its ranks already have

Ruled out: dropping the check, which TestRestartedGroupNamesLaterStep needs. Change: the ranks' own entry of the name is no conflict.

--- a/internal/rank/naming/member.go
+++ b/internal/rank/naming/member.go
@@ -104,7 +104,7 @@
 		return nil
 	case m.granted >= o.Name.Step || m.engine.Begun >= o.Name.Step:
 		return result.Newf(result.Conflict, "the ranks may run up to step %d", m.granted)
-	case len(After(m.engine.Schedule, o.Name.Step-1)) > 0:
+	case m.engineBeyond(o.Name):
 		return result.New(result.Conflict, "the ranks have a later name ahead of them")
 	case !m.engineStaged(o.Name.Map):
 		return result.Newf(result.MapMissing, "version %d", o.Name.Map.Version)
@@ -157,6 +157,18 @@
 	return true
 }
 
+// engineBeyond reports whether the ranks have another entry for the name's step
+// or a later one, as ranks may whose agent has lost its memory.
+func (m *Member) engineBeyond(n Name) bool {
+	own := Entry{From: n.Step, Map: n.Map}
+	for _, e := range m.engine.Schedule {
+		if e.From >= n.Step && e != own {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Member) inForce(n Name) bool {
 	return scheduled(m.schedule, Entry{From: n.Step, Map: n.Map})
 }
