An event loop that is stopped as it starts ends

Cause: one run in about thirty of the endpoint tests hung in Engine.Stop (TestLineBreaksDontLeave, whose client never connects). nbio's poller sets its stop flag to false when its goroutine first runs; a Stop before that is undone and waits for ever. Ruled out: an open connection that Stop waits for (the hung client had none). Change: eventloop.Begin (nbio) and Start (nbhttp) return when each poller has closed a connection of a socket pair, and so runs; used by the endpoint client and the stand-ins. Other servers can use Start in place of Engine.Start.

--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -34,8 +34,7 @@
 func TestDoWholeAnswers(t *testing.T) {
 	c := client(t, serve(t, engine.New(engine.Settings{})), nil)
 	t.Run("json", func(t *testing.T) {
-		var a answer
-		requireCode(t, c.Do(testContext(t), chatCall("j1", false), a.sink), result.OK)
+		a := do(t, c, chatCall("j1", false), result.OK)
 		var got engine.Completion
 		if err := json.Unmarshal([]byte(strings.Join(a.pieces, "")), &got); err != nil {
 			t.Fatal(err)
@@ -45,8 +44,7 @@
 		}
 	})
 	t.Run("stream", func(t *testing.T) {
-		var a answer
-		requireCode(t, c.Do(testContext(t), chatCall("s1", true), a.sink), result.OK)
+		a := do(t, c, chatCall("s1", true), result.OK)
 		requireText(t, a, "s1", 8)
 	})
 }
--- a/internal/endpoint/engine_test.go
+++ b/internal/endpoint/engine_test.go
@@ -31,8 +31,7 @@
 	e := engine.New(engine.Settings{})
 	e.SetFaults(engine.Faults{DieAfterPieces: 3})
 	c := client(t, serve(t, e), nil)
-	var a answer
-	requireCode(t, c.Do(testContext(t), chatCall("r", true), a.sink), result.AnswerIncomplete)
+	a := do(t, c, chatCall("r", true), result.AnswerIncomplete)
 	e.SetFaults(engine.Faults{})
 	resumed := chatCall("r", true)
 	resumed.ResumeFrom = uint64(len(a.pieces))
@@ -114,8 +113,7 @@
 	c := client(t, serve(t, e), nil)
 	ctx := testContext(t)
 	for _, id := range []string{"a", "b", "c"} {
-		var a answer
-		requireCode(t, c.Do(ctx, chatCall(id, false), a.sink), result.OK)
+		do(t, c, chatCall(id, false), result.OK)
 	}
 	for since, gap := range map[uint64]bool{0: true, 1: false, 3: false} {
 		es, err := c.CacheEvents(ctx, since)
@@ -139,8 +137,7 @@
 	if before.Incarnation != "1" || after.Incarnation != "1" {
 		t.Fatalf("incarnations %q, %q", before.Incarnation, after.Incarnation)
 	}
-	var a answer
-	requireCode(t, c.Do(ctx, chatCall("r", false), a.sink), result.OK)
+	a := do(t, c, chatCall("r", false), result.OK)
 	if a.head.Incarnation != "2" {
 		t.Fatalf("answer names incarnation %q", a.head.Incarnation)
 	}
@@ -160,7 +157,7 @@
 	resumed := chatCall("r", true)
 	resumed.ResumeFrom = uint64(len(a.pieces))
 	requireCode(t, c2.Do(ctx, resumed, a.sink), result.OK)
-	requireText(t, a, "r", 8)
+	requireText(t, &a, "r", 8)
 	c1.Cancel("r")
 	until(ctx, t, "the first engine is free", func() bool { return from.Counters().Running == 0 })
 }
@@ -180,8 +177,7 @@
 		})
 	}()
 	<-first
-	var a answer
-	requireCode(t, c.Do(testContext(t), chatCall("two", true), a.sink), result.OutcomeUnknown)
+	do(t, c, chatCall("two", true), result.OutcomeUnknown)
 	requireCode(t, <-done, result.AnswerIncomplete)
 	if n := e.Counters(); n.Breaches != 1 || n.Incarnation != 2 {
 		t.Fatalf("counters %+v", n)
--- a/internal/endpoint/loop.go
+++ b/internal/endpoint/loop.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"github.com/lesismal/nbio"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 )
 
 // loop is the event loop of a client and the connections that it serves.
@@ -46,7 +48,7 @@
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, _ int) {
 		nb.ResetPollerEvent()
 	})
-	return l, l.engine.Start()
+	return l, eventloop.Begin(l.engine)
 }
 
 // add gives c to the event loop.
--- a/internal/endpoint/main_test.go
+++ b/internal/endpoint/main_test.go
@@ -97,7 +97,15 @@
 	}
 }
 
-func requireText(t *testing.T, a answer, id string, tokens int) {
+// do makes a call, checks its result and returns what the sink has seen.
+func do(t *testing.T, c *endpoint.Client, call endpoint.Call, want result.Code) *answer {
+	t.Helper()
+	a := &answer{}
+	requireCode(t, c.Do(testContext(t), call, a.sink), want)
+	return a
+}
+
+func requireText(t *testing.T, a *answer, id string, tokens int) {
 	t.Helper()
 	if got, want := streamText(t, a.pieces), engine.Text(id, tokens); got != want {
 		t.Fatalf("text %q, want %q", got, want)
--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -26,9 +26,8 @@
 		}
 		return false
 	}}
-	c := client(t, s.start(t), nil)
-	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("first"), a.sink), result.OK)
+	c := client(t, s.start(t), func(c *endpoint.Client) { c.Service = true })
+	a := do(t, c, plainCall("first"), result.OK)
 	err := c.Do(testContext(t), plainCall("second"), a.sink)
 	requireCode(t, err, result.OutcomeUnknown)
 	if endpoint.ConnectionLost(err) {
@@ -88,8 +87,7 @@
 		t.Run(name, func(t *testing.T) {
 			call := plainCall(name)
 			change(&call)
-			var a answer
-			requireCode(t, c.Do(testContext(t), call, a.sink), result.MalformedRequest)
+			do(t, c, call, result.MalformedRequest)
 			if s.hasRun(name) {
 				t.Fatal("ran, but was told that it was not")
 			}
@@ -204,8 +202,7 @@
 	c := client(t, serve(t, desk), func(c *endpoint.Client) { c.Service = true })
 	call := plainCall("r")
 	call.IdempotencyKey = "order-1"
-	var a answer
-	requireCode(t, c.Do(testContext(t), call, a.sink), result.OK)
+	a := do(t, c, call, result.OK)
 	if n := desk.Counters().Runs["order-1"]; n != 1 || !strings.Contains(a.pieces[0], `"key":"order-1"`) {
 		t.Fatalf("%d runs, answer %q", n, a.pieces)
 	}
--- a/internal/endpoint/slow_test.go
+++ b/internal/endpoint/slow_test.go
@@ -49,8 +49,7 @@
 	if n := sent.Load(); n > mostAhead {
 		t.Errorf("the endpoint got %d bytes ahead, allowed are %d", n, mostAhead)
 	}
-	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("other"), a.sink), result.OK)
+	do(t, c, plainCall("other"), result.OK)
 	close(release)
 	requireCode(t, <-done, result.Cancelled)
 }
@@ -128,8 +127,7 @@
 	c := client(t, s.start(t), func(c *endpoint.Client) { c.Service = true })
 	call := plainCall("r")
 	call.Body = make([]byte, want)
-	var a answer
-	requireCode(t, c.Do(testContext(t), call, a.sink), result.OK)
+	do(t, c, call, result.OK)
 	if got.Load() != int64(want) {
 		t.Fatalf("%d bytes arrived, want %d", got.Load(), want)
 	}
--- a/internal/endpoint/whole_test.go
+++ b/internal/endpoint/whole_test.go
@@ -59,8 +59,7 @@
 		return true
 	}}
 	c := client(t, s.start(t), nil)
-	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.AnswerIncomplete)
+	do(t, c, plainCall("r"), result.AnswerIncomplete)
 }
 
 // The same answers arrive whole however the network cuts them: here as single
@@ -76,8 +75,7 @@
 			}}
 			c := client(t, s.start(t), nil)
 			for range 3 {
-				var a answer
-				requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.OK)
+				a := do(t, c, plainCall("r"), result.OK)
 				if name == "stream" && strings.Join(a.pieces, "|") != "data: a\n\n|data: b\n\n|data: [DONE]\n\n" {
 					t.Fatalf("pieces %q", a.pieces)
 				}
@@ -97,8 +95,7 @@
 		return true
 	}}
 	c := client(t, s.start(t), nil)
-	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("mine"), a.sink), result.OutcomeUnknown)
+	a := do(t, c, plainCall("mine"), result.OutcomeUnknown)
 	if a.head.Status != 0 || len(a.pieces) != 0 {
 		t.Fatalf("passed on %+v", a)
 	}
@@ -157,8 +154,7 @@
 				c.Service = true
 				c.HeadTimeout, c.PieceTimeout = tc.head, tc.piece
 			})
-			var a answer
-			requireCode(t, c.Do(testContext(t), chatCall("r", true), a.sink), tc.want)
+			do(t, c, chatCall("r", true), tc.want)
 		})
 	}
 }
@@ -172,8 +168,7 @@
 		return true
 	}}
 	c := client(t, s.start(t), func(c *endpoint.Client) { c.HeadTimeout = time.Millisecond })
-	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.OK)
+	do(t, c, plainCall("r"), result.OK)
 }
 
 // An endpoint that fails says so; the caller has to learn what is known.
--- /dev/null
+++ b/internal/eventloop/begin_test.go
@@ -0,0 +1,27 @@
+package eventloop
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// A process is told to leave just as it starts, and never ends.
+func TestStopRightAfterBegin(t *testing.T) {
+	nbio.MaxOpenFiles = 4096
+	logging.SetLevel(logging.LevelNone)
+	for _, pollers := range []int{1, 3, 8} {
+		t.Run(fmt.Sprint(pollers), func(t *testing.T) {
+			for range 200 {
+				e := nbhttp.NewEngine(nbhttp.Config{NPoller: pollers, SupportServerOnly: true})
+				if err := Start(e); err != nil {
+					t.Fatal(err)
+				}
+				e.Stop()
+			}
+		})
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -58,7 +58,7 @@
 		Listen:                 s.listen,
 	})
 	eventloop.Order(engine, nil, nil)
-	if err := engine.Start(); err != nil {
+	if err := eventloop.Start(engine); err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Listen)
 	}
 	close(s.ready)
