--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -77,7 +77,9 @@
 		_ = ln.Close()
 		<-closed
 		for range 3 {
-			<-done
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
 		}
 	})
 	a.apply(viewOf(t, "a-desk-0", false))
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -68,7 +68,7 @@
 	})
 	engine.OnClose(func(c net.Conn, _ error) { s.conns.Delete(c) })
 	eventloop.Order(engine, func(c net.Conn) { s.conns.Store(c, nil) }, nil)
-	if err := engine.Start(); err != nil {
+	if err := eventloop.Start(engine); err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Listen)
 	}
 	close(s.ready)
