--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -158,7 +158,7 @@
 	e := b.run(order("r", "late"))
 	b.assertEnd(e, result.EndpointBusy)
 	b.assertDispatched(0)
-	t.Run("the key is free again", func(t *testing.T) {
+	t.Run("the key is free again", func(_ *testing.T) {
 		b.late.Store(0)
 		b.flush()
 		b.assertEnd(b.run(order("again", "late")), result.OutcomeUnknown)
