--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -82,7 +82,7 @@
 	eventloop.Order(s.engine, s.opened, s.arrived)
 	s.engine.OnClose(s.closedConn)
 	s.engine.OnWrittenSize(s.written)
-	return eris.Wrap(s.engine.Start(), "caller server")
+	return eris.Wrap(eventloop.Start(s.engine), "caller server")
 }
 
 func (s *Server) config(ln net.Listener) nbhttp.Config {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -16,6 +16,7 @@
 const (
 	DefaultDialTimeout    = time.Second
 	DefaultHeadTimeout    = 30 * time.Second
+	DefaultWholeTimeout   = time.Hour
 	DefaultPieceTimeout   = 30 * time.Second
 	DefaultIdleTimeout    = 30 * time.Second
 	DefaultMaxConns       = 256
@@ -39,8 +40,13 @@
 	Addr string
 	// DialTimeout bounds connecting.
 	DialTimeout time.Duration
-	// HeadTimeout bounds the time from the request to the answer's head.
+	// HeadTimeout bounds the time from a request for a stream, an order or a
+	// report to the head of its answer.
 	HeadTimeout time.Duration
+	// WholeTimeout bounds the same for all other requests, whose endpoint sends
+	// nothing before it has computed the whole answer. It is long: the deadline
+	// in the context of Do is what bounds these requests.
+	WholeTimeout time.Duration
 	// PieceTimeout bounds the silence between two parts of an answer.
 	PieceTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept. It has to be shorter
@@ -55,6 +61,10 @@
 	// Service says that the endpoint is a plain service: it has no call that
 	// cancels a request.
 	Service bool
+	// Lost, when set, is told each time that the endpoint closes a connection
+	// which it had kept open, and how long that had been idle. It is called by
+	// the event loop and must not block.
+	Lost func(idle time.Duration)
 	// Metrics receives the counters; nil means the default registry.
 	Metrics metrics.Registry
 	// Log receives changes of state; nil means the standard logger.
@@ -79,6 +89,7 @@
 func (c *Client) setDefaults() {
 	setDuration(&c.DialTimeout, DefaultDialTimeout)
 	setDuration(&c.HeadTimeout, DefaultHeadTimeout)
+	setDuration(&c.WholeTimeout, DefaultWholeTimeout)
 	setDuration(&c.PieceTimeout, DefaultPieceTimeout)
 	setDuration(&c.IdleTimeout, DefaultIdleTimeout)
 	if c.MaxConns <= 0 {
@@ -107,7 +118,7 @@
 	c.prepare()
 	c.setDefaults()
 	c.counters = newCounters(c.Metrics)
-	l, err := startLoop()
+	l, err := startLoop(c.Lost)
 	if err != nil {
 		return eris.Wrap(err, "start the event loop to the endpoint")
 	}
--- a/internal/endpoint/loop.go
+++ b/internal/endpoint/loop.go
@@ -2,8 +2,11 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 )
 
 // loop is the event loop of a client and the connections that it serves.
@@ -15,6 +18,9 @@
 // Lock order: mu only; nothing is called with it held.
 type loop struct {
 	engine *nbio.Engine
+	// lost is told that an idle connection was closed by the endpoint; it may
+	// be nil.
+	lost func(idle time.Duration)
 
 	mu    sync.Mutex
 	conns map[*nbio.Conn]*conn
@@ -22,8 +28,8 @@
 
 // startLoop starts an event loop that reports a readable connection once and
 // then waits to be told to go on, which is how reading is paused.
-func startLoop() (*loop, error) {
-	l := &loop{conns: map[*nbio.Conn]*conn{}}
+func startLoop(lost func(idle time.Duration)) (*loop, error) {
+	l := &loop{lost: lost, conns: map[*nbio.Conn]*conn{}}
 	l.engine = nbio.NewEngine(nbio.Config{
 		Name:         "endpoint",
 		NPoller:      1,
@@ -37,6 +43,7 @@
 	})
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if c := l.remove(nb); c != nil {
+			l.tellLost(c)
 			c.onClosed(err)
 		}
 	})
@@ -46,7 +53,19 @@
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, _ int) {
 		nb.ResetPollerEvent()
 	})
-	return l, l.engine.Start()
+	return l, eventloop.Begin(l.engine)
+}
+
+// tellLost passes on that the endpoint closed an idle connection.
+//
+// Guard: an engine that restarts while nothing runs there breaks no answer, so
+// its agent would take it for warm until the next load report, and a burst
+// would overrun it. Its closed connections show within a millisecond.
+func (l *loop) tellLost(c *conn) {
+	idle, lost := c.lost(time.Now())
+	if lost && l.lost != nil {
+		l.lost(idle)
+	}
 }
 
 // add gives c to the event loop.
--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -26,10 +26,13 @@
 		}
 		return false
 	}}
-	c := client(t, s.start(t), nil)
-	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("first"), a.sink), result.OK)
-	requireCode(t, c.Do(testContext(t), plainCall("second"), a.sink), result.OutcomeUnknown)
+	c := client(t, s.start(t), func(c *endpoint.Client) { c.Service = true })
+	a := do(t, c, plainCall("first"), result.OK)
+	err := c.Do(testContext(t), plainCall("second"), a.sink)
+	requireCode(t, err, result.OutcomeUnknown)
+	if endpoint.ConnectionLost(err) {
+		t.Error("an idle connection that closes is taken for a fallen endpoint")
+	}
 	if !s.hasRun("second") || s.connCount() != 1 {
 		t.Fatalf("ran %v on %d connections: the case was not met", s.hasRun("second"), s.connCount())
 	}
@@ -48,7 +51,24 @@
 	}
 	c := client(t, addr, nil)
 	var a answer
-	requireCode(t, c.Do(testContext(t), plainCall("r"), a.sink), result.EndpointDown)
+	err = c.Do(testContext(t), plainCall("r"), a.sink)
+	requireCode(t, err, result.EndpointDown)
+	if !endpoint.ConnectionLost(err) {
+		t.Error("no sign of a fallen endpoint")
+	}
+}
+
+// An engine falls over and drops the requests that it has just taken, before
+// any head: that is the moment to stop sending to it.
+func TestFallenEndpointIsSeen(t *testing.T) {
+	s := &rawServer{answer: func(net.Conn, *http.Request, int) bool { return false }}
+	c := client(t, s.start(t), nil)
+	var a answer
+	err := c.Do(testContext(t), plainCall("r"), a.sink)
+	requireCode(t, err, result.OutcomeUnknown)
+	if !endpoint.ConnectionLost(err) {
+		t.Error("no sign of a fallen endpoint")
+	}
 }
 
 // A header or path with a line break in it must not become a request of its
@@ -67,8 +87,7 @@
 		t.Run(name, func(t *testing.T) {
 			call := plainCall(name)
 			change(&call)
-			var a answer
-			requireCode(t, c.Do(testContext(t), call, a.sink), result.MalformedRequest)
+			do(t, c, call, result.MalformedRequest)
 			if s.hasRun(name) {
 				t.Fatal("ran, but was told that it was not")
 			}
@@ -145,51 +164,18 @@
 // connection as its first answer begins, and refuses each eleventh.
 type cutter struct {
 	target string
-	n      int
 }
 
 func (k *cutter) start(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.accept(ln)
-	}()
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-	})
-	return ln.Addr().String()
-}
-
-func (k *cutter) accept(ln net.Listener) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		k.n++
-		if k.n%11 == 10 {
-			_ = conn.Close()
-			continue
+	return listen(t, func(conn net.Conn, n int) {
+		if n%11 != 10 {
+			k.relay(conn, n%5 == 4)
 		}
-		cut := k.n%5 == 4
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			k.relay(conn, cut)
-		}()
-	}
+		_ = conn.Close()
+	})
 }
 
 func (k *cutter) relay(conn net.Conn, cut bool) {
-	defer func() { _ = conn.Close() }()
 	out, err := net.Dial("tcp", k.target)
 	if err != nil {
 		return
@@ -216,8 +202,7 @@
 	c := client(t, serve(t, desk), func(c *endpoint.Client) { c.Service = true })
 	call := plainCall("r")
 	call.IdempotencyKey = "order-1"
-	var a answer
-	requireCode(t, c.Do(testContext(t), call, a.sink), result.OK)
+	a := do(t, c, call, result.OK)
 	if n := desk.Counters().Runs["order-1"]; n != 1 || !strings.Contains(a.pieces[0], `"key":"order-1"`) {
 		t.Fatalf("%d runs, answer %q", n, a.pieces)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,7 @@
 	admin     *operator.Server
 	directory directory
 	shares    shares
+	spreading spreading
 }
 
 func (e *Entry) now() time.Time { return time.Now() }
@@ -94,14 +95,16 @@
 	e.members = members{
 		conns: &e.conns, store: &e.store, clock: &e.clock, ring: e.ring,
 		log: e.Log, name: e.Settings.Name, now: e.now,
-		report: e.scheduler.report, lost: e.lost,
+		report: e.scheduler.report, lost: e.lost, pushes: e.counters.pushes,
+		others: func() int { return len(e.directory.entries()) },
 	}
 	e.platform = process.Platform(&e.Settings.Process, platformBudget, e.TLS.Client, e.Dial, e.Registry)
-	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.refresh}
+	e.writer = &config.Writer{KV: e.platform, Store: &e.store, Refresh: e.spreading.refresh}
 	e.directory = directory{
 		name: e.Settings.Name, dataCentre: e.Settings.DataCentre,
 		list: process.VMList(&e.Settings.Process, e.Dial, e.Registry), members: &e.members,
 	}
+	e.spreading.init(e)
 	e.shares.entry = e
 	e.shares.init()
 }
@@ -211,7 +214,7 @@
 // apply puts the newest configuration into force in this entry.
 func (e *Entry) apply(now time.Time) {
 	s := e.store.Current()
-	v, faults := newView(s)
+	v, faults := newView(s, e.view.Load())
 	if len(faults) > 0 {
 		// The preset was checked when it was put. An entry of an older version
 		// may not know all of its keys; what was in force stays.
--- a/internal/platform/config/store.go
+++ b/internal/platform/config/store.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,20 @@
 	holds  []Hold
 	parts  map[string][]byte // by digest
 	preset Preset            // the newest in force whose body is known
+
+	digest  string // names head and holds
+	summary []byte // the message that begins an exchange
+}
+
+var emptySnapshot = (&Snapshot{}).seal()
+
+// seal works out the digest once for each change. Processes compare digests at
+// each report of load: at 128 agents that report up to 20 times a second,
+// encoding the document for each report would take a fifth of a core.
+func (s *Snapshot) seal() *Snapshot {
+	s.digest = digestOf(s)
+	s.summary = mustMarshal(message{Digest: s.digest})
+	return s
 }
 
 // Head returns the newest document.
@@ -74,8 +89,26 @@
 type Store struct {
 	current atomic.Pointer[Snapshot]
 
-	mu   sync.Mutex // guards writes of current, and subs
-	subs map[chan struct{}]bool
+	mu     sync.Mutex // guards writes of current, and all below
+	subs   map[chan struct{}]bool
+	past   []past   // earlier states, the newest last
+	parked [][]byte // parts of orders whose outcome may still be open
+}
+
+// maxParked bounds the parts that are kept although no document names them: as
+// many as operators have under way through one process.
+const maxParked = 4
+
+// keep keeps a part that a document may name later. It guards against a head
+// without its body: the write of the head took effect, its answer was lost, and
+// then the service lost the part to a restore; nobody else has it.
+func (s *Store) keep(body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parked = append(s.parked, body)
+	if len(s.parked) > maxParked {
+		s.parked = s.parked[1:]
+	}
 }
 
 // Current returns the newest configuration.
@@ -83,7 +116,7 @@
 	if c := s.current.Load(); c != nil {
 		return c
 	}
-	return &Snapshot{}
+	return emptySnapshot
 }
 
 // Offer joins a document and parts into the store and reports whether anything
@@ -117,20 +150,44 @@
 	old := s.Current()
 	next := &Snapshot{head: Newer(old.head, h), preset: old.preset}
 	next.holds = joinHolds(old.holds, holds, next.head)
-	next.parts = joinParts(old, next.head, parts)
+	next.parts = joinParts(old, next.head, slices.Concat(parts, s.parked))
 	if p, ok := next.head.InForce(); ok && next.has(p.digest) {
 		next.preset = p
 	}
 	if same(old, next) {
 		return false
 	}
-	s.current.Store(next)
+	s.current.Store(next.seal())
+	s.remember(old)
 	for c := range s.subs {
 		notify(c)
 	}
 	return true
 }
 
+// remember keeps an earlier state. s.mu must be held.
+func (s *Store) remember(c *Snapshot) {
+	if len(s.past) == maxPast {
+		s.past = slices.Delete(s.past, 0, 1)
+	}
+	s.past = append(s.past, past{digest: c.digest, head: c.head, holds: c.holds})
+}
+
+// recall returns an earlier or the current state by its digest, or nil.
+func (s *Store) recall(digest string) *past {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.Current(); c.digest == digest {
+		return &past{digest: c.digest, head: c.head, holds: c.holds}
+	}
+	for _, p := range s.past {
+		if p.digest == digest {
+			return &p
+		}
+	}
+	return nil
+}
+
 // joinParts keeps the parts that the head names and the one that is acted by.
 func joinParts(old *Snapshot, h Head, parts [][]byte) map[string][]byte {
 	named := map[string]bool{old.preset.digest: true}
@@ -166,7 +223,7 @@
 			return false
 		}
 	}
-	return Covers(a.head, b.head)
+	return a.head.equal(b.head)
 }
 
 func (d Hold) equal(o Hold) bool {
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -28,7 +28,7 @@
 		}),
 	})
 	eventloop.Order(e, nil, nil)
-	if err := e.Start(); err != nil {
+	if err := eventloop.Start(e); err != nil {
 		return result.Newf(result.AddressInUse, "%s: %v", addr, err)
 	}
 	<-ctx.Done()
--- a/internal/rank/naming/guards_test.go
+++ b/internal/rank/naming/guards_test.go
@@ -1,135 +1,6 @@
 package naming
 
-import (
-	"testing"
-	"time"
-)
-
-// rig is a group of two without faults of its own: messages arrive at once
-// unless a test holds them back.
-type rig struct {
-	*world
-	t *testing.T
-	// back holds the orders that a test held back.
-	back []Send
-}
-
-func newRig(t *testing.T) *rig {
-	t.Helper()
-	r := &rig{world: newWorld(1, 2), t: t}
-	r.faults = false
-	r.run(5)
-	return r
-}
-
-// run lets members and ranks go on, without leaders.
-func (r *rig) run(ticks int) {
-	for range ticks {
-		for i, m := range r.members {
-			for _, o := range m.Tick(r.engines[i].EngineState) {
-				r.engines[i].order(o)
-			}
-			if j, ask := m.Joins(); ask {
-				m.HandleJoining(r.members[1-i].HandleJoin(j))
-			}
-		}
-		for i := range r.members {
-			r.begin(i)
-		}
-	}
-}
-
-func (r *rig) leader(token uint64) *Leader {
-	l := &Leader{
-		Members: 2, Token: token, Resend: tick, Refresh: tick, HoldTime: 10 * tick, Margin: 8,
-	}
-	l.Extend(r.now.Add(time.Hour))
-	return l
-}
-
-// drive lets a leader act for some ticks. Orders for which back holds are not
-// sent but kept, and so is a write when late is set.
-func (r *rig) drive(l *Leader, ticks int, back func(Send) bool, write func(WriteRecord) WriteOutcome) {
-	for range ticks {
-		r.now = r.now.Add(tick)
-		for _, a := range l.Step(r.now) {
-			switch a := a.(type) {
-			case ReadRecord:
-				l.HandleRecord(r.kv.record, r.kv.revision, !r.kv.down)
-			case WriteRecord:
-				l.HandleWritten(write(a))
-			case Send:
-				if back != nil && back(a) {
-					r.back = append(r.back, a)
-				} else {
-					l.HandleState(r.give(a), r.now)
-				}
-			}
-		}
-		r.run(1)
-	}
-}
-
-func (r *rig) give(s Send) State {
-	state, _ := r.members[s.To].Handle(s.Order)
-	return state
-}
-
-// deliver gives all orders that were held back.
-func (r *rig) deliver() {
-	for _, s := range r.back {
-		r.give(s)
-	}
-	r.back = nil
-}
-
-func (r *rig) write(w WriteRecord) WriteOutcome {
-	if w.Revision != r.kv.revision {
-		return NotWritten
-	}
-	r.kv.record = w.Record
-	r.kv.revision++
-	return Written
-}
-
-// begun brings version 1 into force and returns the group and its leader.
-func begun(t *testing.T) (*rig, *Leader) {
-	t.Helper()
-	r := newRig(t)
-	a := r.leader(1)
-	a.Propose(testMap(1))
-	r.drive(a, 40, nil, r.write)
-	r.assertInForce(1)
-	return r, a
-}
-
-func (r *rig) assertInForce(version uint64) {
-	r.t.Helper()
-	for i, m := range r.members {
-		if got := latest(m.State().Schedule).Map.Version; got != version {
-			r.t.Fatalf("member %d runs on version %d, want %d", i, got, version)
-		}
-	}
-}
-
-func (r *rig) assertOneMap() {
-	r.t.Helper()
-	for _, v := range r.violations {
-		r.t.Error(v)
-	}
-}
-
-func isAbandon(s Send) bool {
-	_, ok := s.Order.(Abandon)
-	return ok
-}
-
-func releaseTo(i int) func(Send) bool {
-	return func(s Send) bool {
-		_, ok := s.Order.(Release)
-		return ok && s.To == i
-	}
-}
+import "testing"
 
 // TestPausedLeaderIsFenced: callers would see garbled answers of one step. A
 // leader commits a name, the answer of its write is lost and it gives the name
@@ -219,6 +90,52 @@
 	}
 }
 
+// TestPassedStepIsNotHeldFor: callers would see garbled answers of one step. A
+// leader gives a name up whose write took effect, one member goes past its step
+// with the old map, and the leader dies. That member's agent restarts and hears
+// of the name from its peer, and the next leader reads the commit.
+func TestPassedStepIsNotHeldFor(t *testing.T) {
+	r, a := begun(t)
+	a.Propose(testMap(2))
+	r.drive(a, 60, func(s Send) bool { return isAbandon(s) && s.To == 1 }, func(w WriteRecord) WriteOutcome {
+		r.write(w)
+		r.kv.down = true
+		return WriteUnknown
+	})
+	r.kv.down = false
+	r.members[0] = r.newMember(0, 2)
+	r.run(3)
+	b := r.leader(2)
+	b.Learn(testMap(2))
+	b.Propose(testMap(3))
+	r.drive(b, 80, nil, r.write)
+	r.assertOneMap()
+	r.assertInForce(3)
+}
+
+// TestRestartedGroupNamesLaterStep: callers would see garbled answers of one
+// step. The ranks of one member have been told of a name ahead of them when all
+// agents lose their memory and the other's ranks their maps. The group begins
+// anew, and must not reach the name's step with another map.
+func TestRestartedGroupNamesLaterStep(t *testing.T) {
+	r, a := begun(t)
+	a.Propose(testMap(2))
+	r.drive(a, 8, releaseTo(1), r.write)
+	r.back = nil
+	ahead := latest(r.engines[0].Schedule)
+	if ahead.Map.Version != 2 || ahead.From <= r.engines[0].Begun {
+		t.Fatalf("member 0 stands at %d and has %+v ahead", r.engines[0].Begun, ahead)
+	}
+	r.members[0], r.members[1] = r.newMember(0, 2), r.newMember(1, 2)
+	r.restartRanks(1)
+	b := r.leader(2)
+	b.Margin = 0
+	b.Propose(testMap(3))
+	r.drive(b, 80, nil, r.write)
+	r.assertOneMap()
+	r.assertInForce(3)
+}
+
 // TestGroupGoesOnWithoutPlatform: callers would wait for nothing if a group
 // stopped because the platform is down. No leader and no platform is there, and
 // the ranks of one endpoint restart; steps go on with the map in force.
@@ -250,3 +167,27 @@
 		}
 	}
 }
+
+// TestReadsBackOff: a platform that is down would be kept down by leaders that
+// ask it at once again and again. It fails for a while; reads get rarer, and one
+// that succeeds makes the leader ready again.
+func TestReadsBackOff(t *testing.T) {
+	r := newRig(t)
+	l := r.leader(1)
+	reads := 0
+	for range 400 {
+		r.now = r.now.Add(tick)
+		for _, a := range l.Step(r.now) {
+			if _, ok := a.(ReadRecord); ok {
+				reads++
+				l.HandleRecord(Record{}, 0, false)
+			}
+		}
+	}
+	if reads > 20 {
+		t.Errorf("%d reads in 400 ticks, want at most 20", reads)
+	}
+	l.Propose(testMap(1))
+	r.drive(l, 80, nil, r.write)
+	r.assertInForce(1)
+}
