--- a/internal/demo/chaos_test.go
+++ b/internal/demo/chaos_test.go
@@ -190,7 +190,10 @@
 // process may go back to an older configuration, and no order may vanish.
 func TestChaos(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3, 4} {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { testChaos(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			testChaos(t, seed)
+		})
 	}
 }
 
--- a/internal/demo/failures_test.go
+++ b/internal/demo/failures_test.go
@@ -185,6 +185,7 @@
 func TestNewEntryLearnsFromPeersInAnOutage(t *testing.T) {
 	s := startSystem(t)
 	order(t, s, "datacentre", "out", "b")
+	eventually(t, "every process knows", func() bool { return s.allOut("b") })
 	s.KV.SetDown(true)
 	e, err := s.StartEntry("a", "a-entry-new")
 	if err != nil {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -54,6 +54,8 @@
 	Rate float64
 	// Deadline is the time that each request has.
 	Deadline time.Duration
+	// Only are the shapes that are sent; empty means all.
+	Only []Shape
 	// Seed makes arrivals and shapes repeatable.
 	Seed uint64
 	// Dial opens the callers' connections; nil means TCP.
@@ -94,6 +96,9 @@
 		}
 		e := entries[rng.IntN(len(entries))]
 		shape := Shape(rng.IntN(int(shapes)))
+		if len(l.Only) > 0 {
+			shape = l.Only[rng.IntN(len(l.Only))]
+		}
 		id := fmt.Sprintf("demo-%d-%d", l.Seed, sent)
 		sent++
 		go func() { done <- l.send(e, id, shape) }()
