Callers leave before the measured system stops

Cause: the memory section ended with 'unexpected EOF': its streams broke when the system stopped. Ruled out: leaving errors out. Change: callers have a context of their own; more collections before memory is read; a third table of reports tells an entry's own cost from that of its agents.

--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -118,10 +118,12 @@
 	}
 	defer sys.Stop()
 	before := heap()
+	callers, leave := context.WithCancel(ctx)
+	defer leave()
 	done := make(chan error, n)
 	for i := range n {
 		go func() {
-			res, err := send(ctx, sys.EntriesOf("")[0], fmt.Sprintf("open-%d", i))
+			res, err := send(callers, sys.EntriesOf("")[0], fmt.Sprintf("open-%d", i))
 			if err == nil {
 				_, err = io.Copy(io.Discard, res.Body)
 				_ = res.Body.Close()
@@ -131,7 +133,7 @@
 	}
 	pause(ctx, 2*time.Second)
 	used := heap() - before
-	cancel()
+	leave()
 	for range n {
 		if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 			return 0, err
--- a/internal/capacity/reports.go
+++ b/internal/capacity/reports.go
@@ -34,6 +34,10 @@
 	if err != nil {
 		return nil, err
 	}
+	byFewer, err := systemTable(ctx, entries, func(n int) (int, int) { return n, 8 })
+	if err != nil {
+		return nil, err
+	}
 	notes := []string{
 		"One data centre at rest in one process. Bytes are those between entries and",
 		"agents, with the headers of HTTP/2; processor time and memory are of all",
@@ -42,6 +46,7 @@
 	return []measure.Table{
 		table("Reports of agents to one entry", "agents", notes, agents, byAgents...),
 		table("Entries that listen to 32 agents", "entries", notes, entries, byEntries...),
+		table("Entries that listen to 8 agents", "entries", notes, entries, byFewer...),
 	}, nil
 }
 
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -50,10 +50,15 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// collections is how often to collect: pools and finalizers keep what they hold
+// through some.
+const collections = 5
+
 // heap returns the bytes that are in use after a collection.
 func heap() float64 {
-	runtime.GC()
-	runtime.GC()
+	for range collections {
+		runtime.GC()
+	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc + m.StackInuse)
