Only streams have first tokens

Cause: the agent told the time to the first piece of every answer as a first token. A whole answer's first piece comes after all of its work, so three long ones in a row dropped a warm endpoint to its cold bound. Ruled out: a larger factor (a whole answer takes hundreds of tokens' time). Seen without it: 'long answers made the endpoint cold'. Conclusion: whole answers leave the allowance alone.

--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -194,6 +194,10 @@
 	}
 	s.begun = true
 	now := s.agent.now()
-	s.agent.allowance.FirstToken(s.ticket, now.Sub(s.sent))
+	// The first piece of an answer that is not streamed comes after all of its
+	// work: next to first tokens it would look like a cold endpoint.
+	if s.at.req.GetStream() {
+		s.agent.allowance.FirstToken(s.ticket, now.Sub(s.sent))
+	}
 	s.agent.event(timeline.FirstPiece, s.at.req, "", 0, now)
 }
--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -170,7 +170,8 @@
 	return Ticket{}, result.Newf(code, "%d of %d running", a.running, bound).WithRetryAfter(after)
 }
 
-// FirstToken tells how long the request took to its first token.
+// FirstToken tells how long a streamed request took to its first token. Whole
+// answers have no first token: their first bytes come after all of their work.
 func (a *Allowance) FirstToken(t Ticket, d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
