--- a/internal/endpoint/allowance/allowance_test.go
+++ b/internal/endpoint/allowance/allowance_test.go
@@ -179,6 +179,33 @@
 	}
 }
 
+// Orders wait for their claims when their warm desk turns cold. Sent all at
+// once they would fell it: only as many go as it bears, and those prove warmth.
+func TestOldTicketsAreRenewed(t *testing.T) {
+	a := newAllowance(t, Limits{Cold: 2, Full: 8, RampCompletions: 1})
+	warm(t, a)
+	var held []Ticket
+	for range 4 {
+		ticket, _ := a.Admit(start)
+		held = append(held, ticket)
+	}
+	a.Restarted(ConnectionLost)
+	for n, ticket := range held[:2] {
+		if _, err := a.Renew(ticket, start); result.CodeOf(err) != result.EndpointCold || err.RetryAfter() == 0 {
+			t.Fatalf("with %d held: %v", 4-n, err)
+		}
+		a.Failed(ticket, start)
+	}
+	for _, ticket := range held[2:] {
+		renewed, err := a.Renew(ticket, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Completed(renewed, start)
+	}
+	requireBound(t, a, 4, ConnectionLost)
+}
+
 // Many entries with old pictures push at a cold endpoint all at once.
 func TestEntriesAtOnceNeverExceed(t *testing.T) {
 	a := newAllowance(t, Limits{Cold: 2, Full: 6, RampCompletions: 4})
