A new entry begins with a small share of each limit

Cause: an entry that had just started held the whole of each account's limit until its first round of shares, and the whole part of its data centre until the list of VMs answered. Six entries flooded by one account with concurrency 6, one killed, one started: 9 and 10 ran at once (3 of 3 runs of TestAccountLimitHoldsOverAllEntries), all at the start of the new entry. Ruled out: not ready until the shares are settled (with the list down the entry would never serve); living on loans alone (when all start at once nobody deposits). Change: until the list has answered an entry takes itself for one of four of its data centre; shares are put into force with each configuration. Conclusion: while the others have not heard of the new entry the excess is one part of a limit, as docs/design says; the test did not see it.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -32,6 +32,8 @@
 
 	mu      sync.Mutex
 	entryAt []vmlist.VM
+	// joined says that the list has answered, so that entryAt can be right.
+	joined  bool
 	agentAt map[string]string
 }
 
@@ -42,6 +44,13 @@
 	return d.entryAt
 }
 
+// knows reports whether the list has answered since the entry started.
+func (d *directory) knows() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.joined
+}
+
 // agent returns the address of the agent beside the endpoint. The platform
 // lists an agent's VM under the endpoint's name.
 func (d *directory) agent(endpoint string) (string, bool) {
@@ -89,6 +98,7 @@
 	}
 	d.mu.Lock()
 	d.entryAt = entries
+	d.joined = d.joined || len(d.list.VMs()) > 0
 	d.agentAt = at
 	d.mu.Unlock()
 	d.members.setLeaving(leaving)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -225,6 +225,7 @@
 		return
 	}
 	e.scheduler.configure(v, e.Settings.Limits.QueueLength, now)
+	e.shares.apply(v, now)
 	old := e.view.Swap(v)
 	if old == nil || old.generation != v.generation || old.preset.Name() != v.preset.Name() {
 		e.Log.WithFields(logrus.Fields{"generation": v.generation, "preset": v.preset.Name()}).Info("configuration in force")
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -20,6 +20,10 @@
 	// most after one has left the list, so that a list that lags does not make
 	// the entries claim more than a limit together.
 	shrinkAfter = 10 * time.Second
+	// unknownEntries is how many entries a data centre is taken to have until
+	// the list of VMs has answered. Today's have three; a larger number would
+	// refuse more callers of a new entry while the list is down.
+	unknownEntries = 4
 )
 
 // shares divide the accounts' limits: in equal parts over the data centres in
@@ -33,6 +37,8 @@
 	lender admission.ShareLender
 	most   int
 	mostAt time.Time
+	// known says that most counts the entries of a list that has answered.
+	known bool
 }
 
 func (s *shares) init() {
@@ -55,14 +61,19 @@
 		return
 	}
 	now := s.entry.now()
+	known := s.entry.directory.knows()
 	at := s.colleagues()
 	names := []string{s.entry.Settings.Name}
 	for name := range at {
 		names = append(names, name)
 	}
-	for lender, r := range s.reports(v, names, now) {
+	reports := s.reports(v, names, now)
+	for lender, r := range reports {
 		s.send(ctx, lender, at[lender], r)
 	}
+	s.mu.Lock()
+	s.known = known
+	s.mu.Unlock()
 	s.apply(v, s.entry.now())
 }
 
@@ -127,6 +138,11 @@
 }
 
 // apply sets each account's share of its limits at this entry.
+//
+// Guard: an entry that has just started knows of no other. With the whole share
+// of its data centre, or before the first round with the whole limit, an
+// account that floods all entries has more than its limit in work while
+// entries come and go. The share of one of a few is less than it will have.
 func (s *shares) apply(v *view, now time.Time) {
 	part := 1 / float64(max(1, v.dataCentresIn()))
 	s.mu.Lock()
@@ -137,7 +153,10 @@
 	s.entry.scheduler.picture.Entries = s.most
 	for _, a := range v.preset.Accounts() {
 		share := 1.0
-		if s.most > 1 {
+		switch {
+		case !s.known:
+			share = 1.0 / unknownEntries
+		case s.most > 1:
 			share = float64(s.holder.Usable(a.Name(), now)) / admission.WholeShare
 		}
 		s.entry.scheduler.admission.SetShare(a.Name(), share*part, now)
