--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -166,6 +166,32 @@
 	})
 }
 
+// An order's claim is made so late that the clerk has been told already that
+// there is no time left. Sending it on then would print what counts as not run;
+// the key must be free again.
+func TestClaimAfterTheDeadline(t *testing.T) {
+	b := newBench(t)
+	req := order("r", "k")
+	key, err := claim.NewKey(req.GetRoute(), req.GetAccount(), req.GetIdempotencyKey())
+	if err != nil {
+		t.Fatal(err)
+	}
+	claimRequest := claim.Request{Key: key, BodyDigest: claimDigest(req), RequestID: "r", AttemptID: "r-1"}
+	v, ok := b.agent.claims.Claim(context.Background(), claimRequest).(claim.Granted)
+	if !ok {
+		t.Fatal("no claim")
+	}
+	at := newAttempt(req, func() {}, time.Now().Add(-time.Hour))
+	e := b.agent.runClaimed(context.Background(), at, allowance.Ticket{}, v.Grant)
+	if codeOf(e) != result.DeadlinePassed {
+		t.Errorf("code %d", codeOf(e))
+	}
+	b.assertDispatched(0)
+	b.flush()
+	b.assertEnd(b.run(order("s", "k")), result.OutcomeUnknown)
+	b.assertDispatched(1)
+}
+
 // The service dies in the middle of an order, so that nobody knows whether it
 // printed. The clerk's next tries must not print it again: they are told that
 // the outcome is unknown until an operator settles the claim.
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -144,13 +144,13 @@
 	j := newJob("r")
 	s.hear("a-engine-0", 1, epoch)
 	s.submit(j, epoch)
-	for i := range 20 {
+	for i := range 60 {
 		if err := verdictOf(t, j); err != nil {
 			t.Fatalf("after %d refusals: %v", i, err)
 		}
-		now := epoch.Add(time.Duration(i) * time.Second)
+		now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
 		s.refused(j, time.Millisecond, now)
-		s.hear("a-engine-0", 1, now.Add(500*time.Millisecond))
+		s.hear("a-engine-0", 1, now.Add(10*time.Millisecond))
 	}
 	s.done(j, epoch.Add(time.Minute))
 }
