--- a/internal/demo/failures_test.go
+++ b/internal/demo/failures_test.go
@@ -273,3 +273,32 @@
 	})
 	assertAllWhole(t, r)
 }
+
+// An entry and the agents are told to go while they stream answers that last
+// longer than their announcements. Without the waits for what runs, the callers
+// would lose the rest.
+func TestStopWaitsForAnswersBeyondTheAnnouncement(t *testing.T) {
+	s := startSystem(t, func(s *System) { s.EngineSettings.TokenMicros = 100_000 })
+	e := s.EntriesOf("a")[0]
+	type answer struct {
+		status int
+		body   string
+	}
+	answers := make(chan answer, 3)
+	for i := range 3 {
+		go func() {
+			status, body := ask(t, e, caller.PathChat, chat(true), "X-Request-Id", fmt.Sprint("stop-", i))
+			answers <- answer{status, body}
+		}()
+	}
+	eventually(t, "all stream", func() bool { return len(s.Ran()) == 3 })
+	e.cancel()
+	for _, a := range s.Agents() {
+		a.cancel()
+	}
+	for range 3 {
+		if a := <-answers; a.status != http.StatusOK || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+			t.Errorf("%d, cut off after %d bytes", a.status, len(a.body))
+		}
+	}
+}
