--- /dev/null
+++ b/internal/demo/metrics_test.go
@@ -0,0 +1,72 @@
+package demo
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+)
+
+// metricsPage is the page on metrics, as seen from this package.
+const metricsPage = "../../docs/METRICS.md"
+
+// families are metrics of which there is one for each result code.
+var families = []string{"endpoint.failed.", "entry.results."}
+
+// documented returns the names on the page.
+func documented(t *testing.T) map[string]bool {
+	t.Helper()
+	b, err := os.ReadFile(metricsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-zA-Z.*]+)` \\|").FindAllStringSubmatch(string(b), -1) {
+		names[m[1]] = true
+	}
+	return names
+}
+
+// registered returns the names that the processes of a running system have.
+func registered(s *System) map[string]bool {
+	names := map[string]bool{}
+	add := func(name string, _ any) {
+		for _, f := range families {
+			if strings.HasPrefix(name, f) {
+				name = f + "*"
+			}
+		}
+		names[name] = true
+	}
+	for _, e := range s.EntriesOf("") {
+		e.Process.Registry.Each(add)
+	}
+	for _, a := range s.Agents() {
+		a.Process.Registry.Each(add)
+	}
+	return names
+}
+
+// An operator looks a metric up in the night. Each one that a process shows is
+// on the page, and each one on the page is shown by some process; those of
+// groups of ranks belong to agents that lead or follow one.
+func TestMetricsPageIsComplete(t *testing.T) {
+	s := startSystem(t)
+	if status, body := ask(t, s.EntriesOf("a")[0], caller.PathChat, chat(true)); status != http.StatusOK {
+		t.Fatal(status, body)
+	}
+	page, shown := documented(t), registered(s)
+	for name := range shown {
+		if !page[name] {
+			t.Errorf("%s is not on the page", name)
+		}
+	}
+	for name := range page {
+		if !shown[name] && !strings.HasPrefix(name, "rank.") {
+			t.Errorf("%s is on the page and no process shows it", name)
+		}
+	}
+}
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -15,7 +15,9 @@
 )
 
 // frozenAgent reports once and then keeps its connection open without a word.
-type frozenAgent struct{ peerpb.UnimplementedAgentServer }
+type frozenAgent struct {
+	peerpb.UnimplementedAgentServer
+}
 
 func (frozenAgent) Watch(_ *peerpb.WatchRequest, stream grpc.ServerStreamingServer[peerpb.LoadReport]) error {
 	if err := stream.Send(&peerpb.LoadReport{Endpoint: "a-engine-0", ConfigDigest: peer.ConfigDigest(&config.Store{})}); err != nil {
