A stored answer is put in under the attempt's lock

Cause: calls follow an attempt by the time its claim says that the request was run before, and the stored answer was written without the lock. Ruled out: starting to follow later; the head must go out as soon as it is known. Change: attempt.set takes the lock.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// set makes body the only piece of an answer that is known already. Calls follow
+// the attempt by then.
+func (a *attempt) set(body []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pieces = [][]byte{body}
+	a.bytes = len(body)
+	a.total = uint64(len(body))
+	a.notify()
+}
+
 // forget drops pieces that every follower has, once the answer is too large to
 // be kept whole. The lock must be held.
 func (a *attempt) forget() {
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -170,9 +170,7 @@
 	at.setAccepted(&peerpb.Accepted{Endpoint: r.Endpoint(), Incarnation: r.Incarnation(), Joined: true})
 	at.setHead(&peerpb.Head{Status: int32(ans.Status), ContentType: ans.ContentType})
 	if len(ans.Body) > 0 {
-		at.pieces = [][]byte{ans.Body}
-		at.bytes = len(ans.Body)
-		at.total = uint64(len(ans.Body))
+		at.set(ans.Body)
 	}
 	return nil
 }
--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -322,3 +323,30 @@
 		})
 	}
 }
+
+// A clerk sends a basket again whose order was answered before. The call follows
+// the repeat while the stored answer is put in; it must get all of it, and the
+// desk must not get a second order.
+func TestRepeatGetsTheStoredAnswerWhole(t *testing.T) {
+	b := newBench(t)
+	req := order("r", "k")
+	key, err := claim.NewKey(req.GetRoute(), req.GetAccount(), req.GetIdempotencyKey())
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := b.agent.claims.Claim(context.Background(), claim.Request{Key: key, BodyDigest: claimDigest(req), RequestID: "r", AttemptID: "r-1"})
+	b.agent.conclude(v.(claim.Granted).Grant, claim.Completed, claim.Answer{Status: 200, Body: []byte("pallet 7")})
+	b.flush()
+	for i := range 8 {
+		at, _, rerr := b.agent.begin(order(fmt.Sprint("s-", i), "k"), time.Now())
+		if rerr != nil {
+			t.Fatal(rerr)
+		}
+		var tr transcript
+		if err := tr.read(context.Background(), at, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		assertTranscript(t, "repeat", &tr, []string{"pallet 7"})
+	}
+	b.assertDispatched(0)
+}
