Callers over TLS: pending bytes counted as they leave; read time by settings

Cause: pending counted clear bytes, so it could reach zero while the end of an answer waited; requestTimeout was read and not used; headerTimeout can't be kept apart with nbhttp. Ruled out: closing without waiting, which drops what nbio holds. Change: what TLS adds is counted, suites with a known overhead only; a request must arrive within requestTimeout of its first byte; headerTimeout is gone; readers of metrics are bounded. Conclusion: counted right, the loss itself unproved.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
@@ -56,6 +57,13 @@
 	return before, mine
 }
 
+// newest reports whether no request has come after the one that closes mine.
+func (c *conn) newest(mine chan struct{}) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last == mine
+}
+
 // begin ties cancel to the connection's close.
 func (c *conn) begin(cancel context.CancelFunc) {
 	c.mu.Lock()
@@ -83,8 +91,8 @@
 	c.signal()
 }
 
-// written notes that n bytes have left for the caller. With TLS these are more
-// than were put in, so pending stops at zero.
+// written notes that n bytes have left for the caller. The bytes of a TLS
+// handshake were never counted as pending, so it stops at zero.
 func (c *conn) written(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,7 +134,7 @@
 		return err
 	}
 	c.mu.Lock()
-	c.pending += len(b)
+	c.pending += wireSize(w, len(b))
 	c.mu.Unlock()
 	if _, err := w.Write(b); err != nil {
 		return errCallerGone
@@ -134,6 +142,45 @@
 	return nil
 }
 
+// Bytes that TLS adds to a record of at most recordBytes: a header of 5, a tag
+// of 16, and an explicit nonce of 8 or a content type of 1.
+const (
+	recordBytes   = 16 << 10
+	overheadGCM12 = 5 + 8 + 16
+	overheadCha12 = 5 + 16
+	overheadTLS13 = 5 + 16 + 1
+)
+
+// wireSize returns how many bytes n become on the way out.
+//
+// Guard: a connection that is closed at the end of an answer is closed when
+// nothing is pending. Counted without what TLS adds, the count reaches zero
+// while the last bytes still wait, and closing drops them: the caller would
+// lose the end of its answer.
+func wireSize(w net.Conn, n int) int {
+	h, ok := w.(*nbhttp.Conn)
+	if !ok {
+		return n
+	}
+	t, ok := h.Conn.(*tls.Conn)
+	if !ok {
+		return n
+	}
+	records := (n + recordBytes - 1) / recordBytes
+	return n + records*recordOverhead(t.ConnectionState())
+}
+
+func recordOverhead(s tls.ConnectionState) int {
+	if s.Version == tls.VersionTLS13 {
+		return overheadTLS13
+	}
+	switch s.CipherSuite {
+	case tls.TLS_ECDHE_ECDSA_WITH_CHACHA20_POLY1305, tls.TLS_ECDHE_RSA_WITH_CHACHA20_POLY1305:
+		return overheadCha12
+	}
+	return overheadGCM12
+}
+
 // underlying returns the event loop's connection below an HTTP connection,
 // with TLS or without.
 func underlying(w net.Conn) *nbio.Conn {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -51,8 +51,10 @@
 	BodyLimit int
 	// MaxConns is the largest number of callers' connections.
 	MaxConns int
-	// ReadTimeout bounds the time between requests and within one.
+	// ReadTimeout bounds the time from a request's first byte to its last, and
+	// IdleTimeout the time between requests.
 	ReadTimeout time.Duration
+	IdleTimeout time.Duration
 	// Handler runs the requests.
 	Handler Handler
 
@@ -72,6 +74,9 @@
 	if s.ReadTimeout <= 0 {
 		s.ReadTimeout = defaultReadTimeout
 	}
+	if s.IdleTimeout <= 0 {
+		s.IdleTimeout = defaultReadTimeout
+	}
 	s.ended = make(chan struct{}, endBacklog)
 	ln, err := net.Listen("tcp", s.Addr)
 	if err != nil {
@@ -91,7 +96,7 @@
 		MaxLoad:         s.MaxConns,
 		MaxHTTPBodySize: s.BodyLimit * oversize,
 		ReadLimit:       s.BodyLimit * oversize,
-		KeepaliveTime:   s.ReadTimeout,
+		KeepaliveTime:   s.IdleTimeout,
 		RetainHTTPBody:  false,
 		Handler:         http.HandlerFunc(s.take),
 		Listen:          func(string, string) (net.Listener, error) { return ln, nil },
@@ -167,7 +172,15 @@
 // take.
 func (s *Server) arrived(w *nbio.Conn, n int) bool {
 	v, ok := s.conns.Load(w)
-	return ok && v.(*conn).arrived(n) <= s.BodyLimit*oversize+headBytes
+	if !ok {
+		return false
+	}
+	total := v.(*conn).arrived(n)
+	if total == n {
+		// A sender of a byte now and then would hold its connection for ever.
+		_ = w.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+	}
+	return total <= s.BodyLimit*oversize+headBytes
 }
 
 func (s *Server) written(w *nbio.Conn, _ []byte, n int) {
@@ -222,7 +235,9 @@
 		w.hangUp()
 		return
 	}
-	_ = w.w.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+	if w.conn.newest(w.mine) {
+		_ = w.w.SetReadDeadline(time.Now().Add(s.IdleTimeout))
+	}
 }
 
 func (s *Server) dispatch(ctx context.Context, r *Request, rerr error, w *Reply) {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -26,6 +26,12 @@
 func start(t *testing.T, h handlerFunc) *Server {
 	t.Helper()
 	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, Handler: h}
+	run(t, s)
+	return s
+}
+
+func run(t *testing.T, s *Server) {
+	t.Helper()
 	if err := s.Listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +44,6 @@
 			t.Error(err)
 		}
 	})
-	return s
 }
 
 func post(t *testing.T, s *Server, path, body string, header ...string) (*http.Response, string) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,7 +129,8 @@
 		TLS:         e.TLS.Callers,
 		BodyLimit:   l.BodyBytes,
 		MaxConns:    l.MaxConnections,
-		ReadTimeout: l.IdleTimeout,
+		ReadTimeout: l.RequestTimeout,
+		IdleTimeout: l.IdleTimeout,
 		Handler:     e,
 	}
 	if err := e.callers.Listen(); err != nil {
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
@@ -11,8 +12,14 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// maxReaders bounds the connections of readers of metrics.
-const maxReaders = 64
+// Bounds of what readers of metrics can use up: a few collectors ask for one
+// page each some seconds, with a request of a few hundred bytes.
+const (
+	maxReaders     = 16
+	maxRequest     = 16 << 10
+	requestTimeout = 30 * time.Second
+	writeTimeout   = 10 * time.Second
+)
 
 // ServeMetrics answers each request at addr with all metrics as text, until
 // ctx ends.
@@ -21,7 +28,12 @@
 		Network: "tcp",
 		Addrs:   []string{addr},
 		MaxLoad: maxReaders,
-		NPoller: 1,
+
+		MaxHTTPBodySize: maxRequest,
+		ReadLimit:       maxRequest,
+		KeepaliveTime:   requestTimeout,
+		WriteTimeout:    writeTimeout,
+		NPoller:         1,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 			metrics.WriteOnce(r, w)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"time"
 
 	nbiotls "github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,9 @@
 	// listPeriod is how often the platform's list of VMs is read. The list lags
 	// by itself; what a process says of its own leaving comes sooner.
 	listPeriod = time.Second
+	// maxDescriptors bounds the tables of connections that each event loop
+	// allocates at its start, of 8 bytes for each descriptor that the VM allows.
+	maxDescriptors = 1 << 16
 	// listTimeout bounds one answer of the list.
 	listTimeout = time.Second
 )
@@ -89,6 +93,7 @@
 // one for each piece that is sent to a caller who has gone.
 func Log(p *settings.Process) *logrus.Logger {
 	logging.SetLevel(logging.LevelNone)
+	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxDescriptors)
 	l := logrus.New()
 	l.SetOutput(os.Stderr)
 	l.AddHook(origin{name: p.Name, dataCentre: p.DataCentre})
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -29,8 +29,6 @@
 type Limits struct {
 	// BodyBytes is the largest body of a request.
 	BodyBytes int
-	// HeaderTimeout is the time for a request's headers to arrive.
-	HeaderTimeout time.Duration
 	// RequestTimeout is the time for a request to arrive whole.
 	RequestTimeout time.Duration
 	// IdleTimeout is the time for which an idle connection is kept.
@@ -44,7 +42,6 @@
 const (
 	defaultBody        = 4 << 20
 	maxBody            = 64 << 20
-	defaultHeaderWait  = 5 * time.Second
 	defaultRequestWait = 30 * time.Second
 	defaultIdle        = 90 * time.Second
 	minWait            = 100 * time.Millisecond
@@ -96,7 +93,6 @@
 func readLimits(s *inifile.Section) Limits {
 	return Limits{
 		BodyBytes:      s.Int("bodyBytes", defaultBody, 1024, maxBody),
-		HeaderTimeout:  s.Duration("headerTimeout", defaultHeaderWait, minWait, maxWait),
 		RequestTimeout: s.Duration("requestTimeout", defaultRequestWait, minWait, maxWait),
 		IdleTimeout:    s.Duration("idleTimeout", defaultIdle, minWait, maxWait),
 		MaxConnections: s.Int("maxConnections", defaultConnections, 1, maxConnections),
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -111,7 +111,6 @@
 
 	Limits struct {
 		BodyBytes      string `long:"bodyBytes" description:"largest body of a request in bytes"`
-		HeaderTimeout  string `long:"headerTimeout" description:"time for a request's headers to arrive"`
 		RequestTimeout string `long:"requestTimeout" description:"time for a request to arrive whole"`
 		IdleTimeout    string `long:"idleTimeout" description:"time for which an idle connection is kept"`
 		MaxConnections string `long:"maxConnections" description:"most connections of callers"`
