Entries keep to a few peers, so that connections fit their memory

A reader met 35 entries every second turn. Ruled out: closing connections after each turn (a handshake each, with TLS). Change: peers by rendezvous hashing, 8 near and one of each other data centre; silent entries at every eighth turn, readers at every fourth. Conclusion: some 50 connections to entries, 4 MB.

--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -17,9 +17,7 @@
 )
 
 const (
-	// gossipEvery is how often an entry exchanges digests with another. Twice
-	// the number of readers of it bounds for how long a dead one keeps its
-	// place.
+	// gossipEvery is how often an entry exchanges digests with another.
 	gossipEvery = 500 * time.Millisecond
 	// exchangeTimeout bounds one exchange. It is longer than a round between
 	// regions takes, and a frozen entry holds up a change no longer.
--- a/internal/peer/spread/doc.go
+++ b/internal/peer/spread/doc.go
@@ -12,12 +12,13 @@
 //
 // # How a change spreads
 //
-// An entry that has learnt something tells Fanout others once: random ones of
-// its data centre, and one of another data centre (rumour mongering, Demers et
-// al., 1987: the number of rounds grows with the logarithm of the number of
-// entries). Rumours may miss an entry, so each entry also exchanges digests
-// with one other each period, by turns with a reader of its data centre and
-// with any entry (anti-entropy, same paper).
+// Each entry has a few peers by rendezvous hashing: some of its data centre and
+// one of each other. An entry that has learnt something tells Fanout of them
+// once, one of them in another data centre (rumour mongering, Demers et al.,
+// 1987: the number of rounds grows with the logarithm of the number of entries).
+// Rumours may miss an entry, so each entry also exchanges digests with one other
+// each period, by turns with a reader of its data centre and with a peer
+// (anti-entropy, same paper).
 //
 // The package uses no sockets, clocks or goroutines. Draws are seeded.
 package spread
--- a/internal/peer/spread/table.go
+++ b/internal/peer/spread/table.go
@@ -19,6 +19,19 @@
 	// fifty, whom anti-entropy reaches; each more would cost every entry one
 	// more exchange a change.
 	Fanout = 4
+	// nearPeers is how many entries of its data centre an entry exchanges with,
+	// besides one of each other data centre. A connection takes some 80 KB at
+	// each end, so that connections to all of 670 entries would take more than
+	// the 32 MB that a node has for control; with these it has some 50 open.
+	nearPeers = 8
+	// readerEvery is how many turns pass between two that go to a reader of the
+	// data centre. A reader hears from all entries of its data centre; at 35 of
+	// them every second turn would cost it 5 KB/s, with this 3 KB/s. A dead
+	// reader is found within Watchers times as many turns, 6 s.
+	readerEvery = 4
+	// silentEvery is how many turns pass between two that go to an entry that
+	// does not answer.
+	silentEvery = 8
 )
 
 // Node is an entry.
@@ -111,9 +124,9 @@
 	return t.ranked
 }
 
-// OnChange returns the entries to tell of a change: at most Fanout, one of them
-// in another data centre. Entries that do not answer are left out, because a
-// rumour told to nobody dies; they are asked by turns.
+// OnChange returns the entries to tell of a change: at most Fanout of the peers,
+// one of them in another data centre. Entries that do not answer are left out,
+// because a rumour told to nobody dies; they are asked by turns.
 func (t *Table) OnChange() []Node {
 	near, far := t.split()
 	chosen := t.draw(far, 1)
@@ -125,37 +138,66 @@
 	return chosen
 }
 
-// split returns the entries that answer, in the own data centre and elsewhere.
+// split returns the peers in the own data centre and elsewhere: by rendezvous
+// hashing the first that answer, so that an entry keeps to the same ones.
 func (t *Table) split() (near, far []Node) {
+	best := map[string]Node{}
 	for _, n := range t.nodes {
 		switch {
 		case t.silent[n.Name]:
 		case n.DataCentre == t.Self.DataCentre:
 			near = append(near, n)
-		default:
-			far = append(far, n)
+		case t.closer(n, best[n.DataCentre]):
+			best[n.DataCentre] = n
 		}
 	}
-	return near, far
+	slices.SortFunc(near, func(a, b Node) int { return cmp.Compare(t.score(a), t.score(b)) })
+	for _, n := range best {
+		far = append(far, n)
+	}
+	slices.SortFunc(far, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	return near[:min(len(near), nearPeers)], far
+}
+
+func (t *Table) closer(n, than Node) bool {
+	return than.Name == "" || t.score(n) < t.score(than)
 }
 
+// score ranks other entries differently at each entry.
+func (t *Table) score(n Node) uint64 { return xxhash.Sum64String(t.Self.Name + "\x00" + n.Name) }
+
 // Periodic returns the entry to exchange with now, or false when there is no
-// other. Every second turn goes to the readers of the data centre, silent ones
-// too, so that the next in order takes over within a few turns and hands back
-// when they answer again.
+// other. Some turns go to the readers of the data centre, silent ones too, so
+// that the next in order takes over within a few turns and hands back when they
+// answer again; the others go to a peer or to a silent entry.
 func (t *Table) Periodic() (Node, bool) {
 	if len(t.nodes) == 0 {
 		return Node{}, false
 	}
 	t.turn++
-	if t.turn%2 == 0 {
-		return t.draw(t.nodes, 1)[0], true
-	}
 	readers := slices.DeleteFunc(slices.Clone(t.readers()), func(n Node) bool { return n.Name == t.Self.Name })
-	if len(readers) == 0 {
-		return t.draw(t.nodes, 1)[0], true
+	if t.turn%readerEvery != 1 || len(readers) == 0 {
+		return t.any(), true
+	}
+	return readers[t.turn/readerEvery%len(readers)], true
+}
+
+// any returns a peer, or now and then a silent entry. There must be another
+// entry. In a data centre that is cut off most entries are silent; were each
+// asked as often as a peer, the peers would hear little of each other.
+func (t *Table) any() Node {
+	near, far := t.split()
+	peers := append(near, far...)
+	var silent []Node
+	for _, n := range t.nodes {
+		if t.silent[n.Name] {
+			silent = append(silent, n)
+		}
+	}
+	if len(peers) == 0 || len(silent) > 0 && t.turn%silentEvery == 0 {
+		return t.draw(silent, 1)[0]
 	}
-	return readers[t.turn/2%len(readers)], true
+	return t.draw(peers, 1)[0]
 }
 
 // Ask returns up to n entries that answer, at random.
