--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -77,7 +77,9 @@
 		_ = ln.Close()
 		<-closed
 		for range 3 {
-			<-done
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
 		}
 	})
 	a.apply(viewOf(t, "a-desk-0", false))
@@ -156,7 +158,7 @@
 	e := b.run(order("r", "late"))
 	b.assertEnd(e, result.EndpointBusy)
 	b.assertDispatched(0)
-	t.Run("the key is free again", func(t *testing.T) {
+	t.Run("the key is free again", func(_ *testing.T) {
 		b.late.Store(0)
 		b.flush()
 		b.assertEnd(b.run(order("again", "late")), result.OutcomeUnknown)
--- a/internal/endpoint/loop.go
+++ b/internal/endpoint/loop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 )
 
 // loop is the event loop of a client and the connections that it serves.
@@ -51,7 +53,7 @@
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, _ int) {
 		nb.ResetPollerEvent()
 	})
-	return l, l.engine.Start()
+	return l, eventloop.Begin(l.engine)
 }
 
 // tellLost passes on that the endpoint closed an idle connection.
