Play the schedule of a released name whose agents restart

Ruled out: none. Figures: with the fault put back, member 0 stays without a map. Conclusion: held by a test.

--- a/internal/rank/naming/guards_test.go
+++ b/internal/rank/naming/guards_test.go
@@ -136,6 +136,22 @@
 	r.assertInForce(3)
 }
 
+// TestReleasedNameIsFinished: callers would wait for a group that stands. One
+// member has been released and its ranks told of the name; then its agent and the
+// other's ranks restart. The leader, which lives, has to finish the name.
+func TestReleasedNameIsFinished(t *testing.T) {
+	r, a := begun(t)
+	a.Propose(testMap(2))
+	r.drive(a, 8, releaseTo(1), r.write)
+	r.back = nil
+	r.members[0] = r.newMember(0, 2)
+	r.restartRanks(1)
+	r.members[1].Tick(r.engines[1].EngineState)
+	r.drive(a, 80, nil, r.write)
+	r.assertOneMap()
+	r.assertInForce(2)
+}
+
 // TestGroupGoesOnWithoutPlatform: callers would wait for nothing if a group
 // stopped because the platform is down. No leader and no platform is there, and
 // the ranks of one endpoint restart; steps go on with the map in force.
