--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -77,7 +77,7 @@
 	l.engine = nbhttp.NewEngine(l.config(ln))
 	eventloop.Order(l.engine, l.opened, l.arrived)
 	l.engine.OnClose(l.closed)
-	return eris.Wrap(l.engine.Start(), "admin listener")
+	return eris.Wrap(eventloop.Start(l.engine), "admin listener")
 }
 
 func (l *listener) config(ln net.Listener) nbhttp.Config {
