The rest of an answer is only fetched from its own attempt

Cause: a fetch id named the agent's incarnation, which nobody compared, so a caller who asked anew under the same request id could get the rest of the new answer behind the first part of the old one. Ruled out: the request id alone, which callers choose. Change: each attempt has a serial, which the fetch id and the entry's own fetches carry.

--- a/cmd/hyssoprelay/failure_test.go
+++ b/cmd/hyssoprelay/failure_test.go
@@ -220,3 +220,34 @@
 		}
 	}
 }
+
+// A clerk's answer breaks off; the clerk asks anew under the same request id,
+// and only then does a program fetch the rest of the first answer. The engines
+// may word the second answer differently, so its pieces must not follow those
+// of the first.
+func TestRestIsNotFetchedFromAnotherAttempt(t *testing.T) {
+	f := newFleet(t)
+	first, res := f.stream(f.entries[0], "again", 30)
+	if _, err := io.ReadAll(res.Body); err != nil {
+		t.Fatal(err)
+	}
+	if status, body, err := f.fetch(f.entries[1], first, 10); err != nil || status != http.StatusOK {
+		t.Fatalf("the first answer: %d %v %s", status, err, body)
+	}
+	name := strings.Split(first, "@")[1]
+	for _, a := range f.agents {
+		if a.endpoint == name {
+			a.kill()
+			a.start()
+		}
+	}
+	f.eventually("the request is answered again by the same endpoint", func() bool {
+		id, res := f.stream(f.entries[0], "again", 30)
+		_, err := io.ReadAll(res.Body)
+		return err == nil && strings.Split(id, "@")[1] == name
+	})
+	status, body, err := f.fetch(f.entries[1], first, 10)
+	if err != nil || status != http.StatusNotFound {
+		t.Errorf("the rest came from another attempt: %d %v %s", status, err, body)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,7 @@
 	store        config.Store
 	platform     *platform.Client
 	claims       *claim.Batcher
+	serials      atomic.Uint64
 	attemptCount atomic.Uint64
 	peers        *peer.Server
 	stopWork     context.CancelFunc
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -22,6 +22,8 @@
 type attempt struct {
 	req    *peerpb.RunRequest
 	digest uint64
+	// serial names the attempt among all of the endpoint's agents.
+	serial uint64
 	begun  time.Time
 	// cancel ends the run at the endpoint.
 	cancel context.CancelFunc
@@ -58,6 +60,13 @@
 	}
 }
 
+// is reports whether a call that knows the serial, or none, means this attempt.
+//
+// Guard: a caller whose answer broke asks anew under the same request id and
+// then fetches the rest of the first answer. Pieces of the new attempt would
+// follow those of the old one, and the two texts would read as one answer.
+func (a *attempt) is(serial uint64) bool { return serial == 0 || serial == a.serial }
+
 // bodyDigest names what is asked for, to tell a repeat from another request
 // under the same id.
 func bodyDigest(req *peerpb.RunRequest) uint64 {
@@ -232,7 +241,7 @@
 	switch {
 	case a.accepted != nil && !c.accepted:
 		c.accepted = true
-		m := &peerpb.Accepted{Endpoint: a.accepted.Endpoint, Incarnation: a.accepted.Incarnation, Joined: joined}
+		m := &peerpb.Accepted{Endpoint: a.accepted.Endpoint, Incarnation: a.accepted.Incarnation, Joined: joined, Serial: a.serial}
 		return &peerpb.RunReply{Kind: &peerpb.RunReply_Accepted{Accepted: m}}, nil
 	case a.head != nil && !c.head:
 		c.head = true
--- a/internal/agent/resume_test.go
+++ b/internal/agent/resume_test.go
@@ -51,7 +51,9 @@
 		a.stopWork()
 		cancel()
 		for range 3 {
-			<-done
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
 		}
 	})
 	a.apply(viewOf(t, "a-engine-0", false))
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -57,6 +57,7 @@
 		}
 		ctx, cancel := context.WithTimeout(a.workCtx, budget)
 		at := newAttempt(req, cancel, now)
+		at.serial = a.incarnation + a.serials.Add(1)
 		a.start(ctx, at, t)
 		return at
 	})
@@ -72,7 +73,7 @@
 	a.clock.Observe(timeline.Stamp(req.GetHlc()), now)
 	k := requestKey{account: req.GetAccount(), id: req.GetRequestId()}
 	at := a.attempts.get(k)
-	if at == nil {
+	if at == nil || !at.is(req.GetSerial()) {
 		return stream.Send(endReply(result.New(result.AnswerNotFound, "")))
 	}
 	a.event(timeline.Fetched, at.req, "", req.GetFrom(), now)
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -15,8 +15,8 @@
 
 // Names of the headers of an answer.
 const (
-	// HeaderFetchID names the request, endpoint and agent incarnation to
-	// fetch an answer from.
+	// HeaderFetchID names the request, endpoint and attempt to fetch an answer
+	// from.
 	HeaderFetchID = "X-Fetch-Id"
 	// HeaderResult carries the numbered result code.
 	HeaderResult = "X-Result-Code"
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -66,6 +66,7 @@
 type Fetch struct {
 	from     uint64
 	endpoint string
+	serial   uint64
 }
 
 // Health asks whether the process lives.
@@ -92,6 +93,9 @@
 // From returns the number of the first piece that the caller lacks.
 func (f Fetch) From() uint64 { return f.from }
 
+// Serial returns the serial of the attempt that the fetch id names, or zero.
+func (f Fetch) Serial() uint64 { return f.serial }
+
 // Endpoint returns the endpoint that the fetch id names, or "" when the caller
 // knows only the request id.
 func (f Fetch) Endpoint() string { return f.endpoint }
@@ -270,13 +274,13 @@
 }
 
 // fetchSeparator stands between the parts of a fetch id: request id, endpoint
-// and incarnation of its agent.
+// and serial of the attempt.
 const fetchSeparator = "@"
 
-// FetchID returns the id under which an answer can be fetched without asking
-// every agent.
-func FetchID(requestID, endpoint string, incarnation uint64) string {
-	return requestID + fetchSeparator + endpoint + fetchSeparator + strconv.FormatUint(incarnation, 36)
+// FetchID returns the id under which the answer of one attempt can be fetched
+// without asking every agent.
+func FetchID(requestID, endpoint string, serial uint64) string {
+	return requestID + fetchSeparator + endpoint + fetchSeparator + strconv.FormatUint(serial, 36)
 }
 
 func (r *Request) readFetch(hr *http.Request) error {
@@ -289,6 +293,13 @@
 	if len(parts) > 1 {
 		f.endpoint = parts[1]
 	}
+	if len(parts) > 2 {
+		n, err := strconv.ParseUint(parts[2], 36, 64)
+		if err != nil {
+			return result.New(result.MalformedRequest, "the path is not a fetch id")
+		}
+		f.serial = n
+	}
 	if v := hr.URL.Query().Get("from"); v != "" {
 		n, err := strconv.ParseUint(v, 10, 64)
 		if err != nil {
--- a/internal/demo/chaos_test.go
+++ b/internal/demo/chaos_test.go
@@ -27,7 +27,7 @@
 	rng  *rand.Rand
 	gone []*Agent
 	new  int
-	done chan error // ends of operators' orders
+	done chan struct{} // ends of operators' orders
 	sent int
 }
 
@@ -106,7 +106,7 @@
 			defer cancel()
 			// Orders may be refused here; what counts is what holds at the end.
 			_, _ = c.s.Order(ctx, "--admin", admin, "endpoint", way, endpoint)
-			c.done <- nil
+			c.done <- struct{}{}
 		}()
 	}
 }
@@ -204,7 +204,7 @@
 		s.EngineSettings.ColdBound = 1 << 20
 		s.Drain = time.Second
 	})
-	c := &chaos{T: t, s: s, rng: rand.New(rand.NewPCG(seed, 7)), done: make(chan error, chaosSteps*2)}
+	c := &chaos{T: t, s: s, rng: rand.New(rand.NewPCG(seed, 7)), done: make(chan struct{}, chaosSteps*2)}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Load{Rate: 80, Deadline: 4 * time.Second, Seed: seed, Entries: s.Serving, Dial: s.Network.From("callers")}
 	loaded := make(chan error, 1)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -75,6 +76,7 @@
 		RequestId: t.request.ID(),
 		Account:   t.account,
 		From:      t.relay.next,
+		Serial:    t.serial,
 	}
 }
 
@@ -119,6 +121,8 @@
 	switch k := r.GetKind().(type) {
 	case *peerpb.RunReply_Accepted:
 		e.scheduler.accepted(t.job)
+		t.serial = k.Accepted.GetSerial()
+		t.relay.fetchID = caller.FetchID(t.request.ID(), t.choice.Endpoint, t.serial)
 		e.ring.Add(timeline.Accepted, t.request.ID(), k.Accepted.GetEndpoint(), "", k.Accepted.GetIncarnation(), now)
 	case *peerpb.RunReply_Head:
 		t.relay.takeHead(k.Head)
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -55,6 +55,7 @@
 		RequestId: r.ID(),
 		Account:   account,
 		From:      f.From(),
+		Serial:    f.Serial(),
 	})
 	t := &task{job: &job{}, request: r, account: account, relay: &relay{w: w, next: f.From(), stream: true}}
 	t.relay.skipped = f.From() > 0
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,6 +33,8 @@
 	began    time.Time
 	attempts uint32
 	relay    *relay
+	// serial names the present attempt at its agent, zero before it is known.
+	serial uint64
 	// mayHaveRun is the last attempt's error that does not mean not run.
 	mayHaveRun *result.Error
 }
@@ -254,7 +256,7 @@
 	if !ok {
 		return result.New(result.EndpointDown, "the agent has left")
 	}
-	t.relay.fetchID = caller.FetchID(t.request.ID(), t.choice.Endpoint, t.choice.Incarnation)
+	t.serial = 0
 	return e.call(ctx, t, addr)
 }
 
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -40,7 +40,9 @@
 	go func() { done <- srv.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	})
 	conns := &peer.Conns{}
 	defer conns.Close()
