Reachable opens lost connections to the platform

Cause: since only three entries of a data centre read the platform, the others make no calls. After an outage their connection stayed idle, and status would have said that they don't reach the platform. Ruled out: a read now and then by each entry (the load that was taken away). Without it TestReachableAgainWithoutCalls fails with 'reachable is not true'. Conclusion: status is right without calls.

--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -35,6 +35,7 @@
 	counter  metrics.Counter
 	failures metrics.Counter
 	reader   metrics.Gauge
+	reaches  metrics.Gauge
 
 	mu    sync.Mutex // guards table
 	table spread.Table
@@ -45,6 +46,7 @@
 	s.counter = metrics.GetOrRegisterCounter("entry.exchanges", e.Registry)
 	s.failures = metrics.GetOrRegisterCounter("entry.exchangeFailures", e.Registry)
 	s.reader = metrics.GetOrRegisterGauge("entry.readsPlatform", e.Registry)
+	s.reaches = metrics.GetOrRegisterGauge("entry.platformReachable", e.Registry)
 	s.table.Self = spread.Node{Name: e.Settings.Name, DataCentre: e.Settings.DataCentre}
 	s.table.Seed = uint64(e.now().UnixNano())
 	s.table.Set(nil)
@@ -154,6 +156,7 @@
 	var last time.Time
 	err := process.Every(ctx, gossipEvery, func(ctx context.Context) {
 		now := s.entry.now()
+		s.reach()
 		switch {
 		case s.watches():
 			last = now
@@ -171,6 +174,16 @@
 	return err
 }
 
+// reach notes whether the platform's service can be reached, for entries that
+// don't read it too: operators may give orders at any of them.
+func (s *spreading) reach() {
+	up := int64(0)
+	if s.entry.platform.Reachable() {
+		up = 1
+	}
+	s.reaches.Update(up)
+}
+
 func (s *spreading) note(err error) {
 	s.reader.Update(0)
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -101,14 +101,21 @@
 	})
 }
 
-// Reachable reports whether a connection to the service is up.
+// Reachable reports whether a connection to the service is up. It begins to
+// open those that were lost: a process that has no calls to make would else tell
+// operators after an outage that it can't reach the service, and learn nothing
+// better until its next call.
 func (c *Client) Reachable() bool {
+	up := false
 	for _, conn := range c.current() {
-		if conn.GetState() == connectivity.Ready {
-			return true
+		switch conn.GetState() {
+		case connectivity.Ready:
+			up = true
+		case connectivity.Idle:
+			conn.Connect()
 		}
 	}
-	return false
+	return up
 }
 
 func (c *Client) current() []*grpc.ClientConn {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -200,6 +200,28 @@
 	}
 }
 
+// The service was down while a process had no calls to make. Operators must see
+// that it reaches the service again, though it still has none.
+func TestReachableAgainWithoutCalls(t *testing.T) {
+	s := &kv.Server{}
+	c := start(t, s, time.Second)
+	wait := func(want bool) {
+		t.Helper()
+		for range 2000 {
+			if c.Reachable() == want {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("reachable is not %v", want)
+	}
+	wait(true)
+	s.SetDown(true)
+	wait(false)
+	s.SetDown(false)
+	wait(true)
+}
+
 // One member of the service accepts connections and answers nothing. Calls must
 // move to the next one instead of timing out one after the other.
 func TestSilentMemberIsAvoided(t *testing.T) {
