--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,7 +129,8 @@
 		TLS:         e.TLS.Callers,
 		BodyLimit:   l.BodyBytes,
 		MaxConns:    l.MaxConnections,
-		ReadTimeout: l.IdleTimeout,
+		ReadTimeout: l.RequestTimeout,
+		IdleTimeout: l.IdleTimeout,
 		Handler:     e,
 	}
 	if err := e.callers.Listen(); err != nil {
@@ -225,6 +226,7 @@
 		return
 	}
 	e.scheduler.configure(v, e.Settings.Limits.QueueLength, now)
+	e.shares.apply(v, now)
 	old := e.view.Swap(v)
 	if old == nil || old.generation != v.generation || old.preset.Name() != v.preset.Name() {
 		e.Log.WithFields(logrus.Fields{"generation": v.generation, "preset": v.preset.Name()}).Info("configuration in force")
