Agents start their part in a group of ranks

Cause: rank.Runner was whole, but no process started one. Ruled out: a second engine client; endpoint.Ranks is there already. Change: section [rank] of an agent with flags and checks; the agent registers and runs a Runner, and stops it before the clients that it calls through; its events go into the time line. rank gets Connect and EventStaged for this, inifile Empty.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/claim"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
@@ -53,6 +54,8 @@
 	claims       *claim.Batcher
 	attemptCount atomic.Uint64
 	peers        *peer.Server
+	ranks        *rank.Runner
+	rankConns    peer.Conns
 	stopWork     context.CancelFunc
 	// announced says that the agent has told that it leaves, and leaving that
 	// it takes no more work.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -69,6 +69,14 @@
 		Peer:  a.service(),
 		Agent: &server{Agent: a},
 	}
+	if a.Settings.Rank.Group != "" {
+		r, err := a.newRanks()
+		if err != nil {
+			return err
+		}
+		a.ranks = r
+		a.peers.Register = r.Register
+	}
 	if err := a.peers.Listen(); err != nil {
 		return err
 	}
@@ -115,6 +123,11 @@
 	if a.Settings.Kind == settings.Engine {
 		parts = append(parts, a.readLoad)
 	}
+	stopRanks := func() {}
+	if a.ranks != nil {
+		ranks, end := a.ranksPart()
+		parts, stopRanks = append(parts, ranks), end
+	}
 	if m := a.Settings.MetricsAddress; m.IsValid() {
 		parts = append(parts, func(ctx context.Context) error {
 			return process.ServeMetrics(ctx, m.String(), a.Registry)
@@ -133,6 +146,7 @@
 	}
 	a.leave()
 	a.stopWork()
+	stopRanks()
 	stop()
 	for range running {
 		failed = errors.Join(failed, <-done)
--- a/internal/inifile/section.go
+++ b/internal/inifile/section.go
@@ -56,6 +56,9 @@
 // Has reports whether the key is there with a value that is not empty.
 func (s *Section) Has(key string) bool { return s.values[key].text != "" }
 
+// Empty reports whether the section has no key.
+func (s *Section) Empty() bool { return len(s.values) == 0 }
+
 // Require reports an absent or empty key as a fault.
 func (s *Section) Require(keys ...string) {
 	for _, k := range keys {
--- a/internal/rank/loops.go
+++ b/internal/rank/loops.go
@@ -43,7 +43,11 @@
 func (r *Runner) orderEngine(ctx context.Context, o naming.EngineOrder, fencing uint64) error {
 	switch o := o.(type) {
 	case naming.EngineStage:
-		return r.Engine.Stage(ctx, o.Map, fencing)
+		err := r.Engine.Stage(ctx, o.Map, fencing)
+		if err == nil {
+			r.emit(Event{Kind: EventStaged, Number: o.Map.Version()})
+		}
+		return err
 	case naming.EngineActivate:
 		return r.Engine.Activate(ctx, o.Entry, o.Restart, fencing)
 	case naming.EngineAllow:
--- a/internal/rank/peers.go
+++ b/internal/rank/peers.go
@@ -15,16 +15,16 @@
 
 // dial sets up a connection to each peer. None is opened before the first call.
 func (r *Runner) dial() error {
-	creds := r.Credentials
-	if creds == nil {
-		creds = insecure.NewCredentials()
+	connect := r.Connect
+	if connect == nil {
+		connect = r.connect
 	}
 	r.conns = make([]*grpc.ClientConn, len(r.Peers))
 	for i, addr := range r.Peers {
 		if i == r.Index {
 			continue
 		}
-		c, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(creds))
+		c, err := connect(addr)
 		if err != nil {
 			r.hangUp()
 			return eris.Wrapf(err, "peer %s", addr)
@@ -34,6 +34,14 @@
 	return nil
 }
 
+func (r *Runner) connect(addr string) (*grpc.ClientConn, error) {
+	creds := r.Credentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(creds))
+}
+
 func (r *Runner) hangUp() {
 	for _, c := range r.conns {
 		if c != nil {
--- a/internal/rank/runner.go
+++ b/internal/rank/runner.go
@@ -35,6 +35,9 @@
 	EventDeposed = "rankDeposed"
 	// EventInForce says that a map got in force; Number is its version.
 	EventInForce = "rankMapInForce"
+	// EventStaged says that the engine took a map to keep ready; Number is its
+	// version.
+	EventStaged = "rankMapStaged"
 	// EventJoined says that the member has joined its group.
 	EventJoined = "rankJoined"
 	// EventLost says that the member lost its maps and waits.
@@ -87,6 +90,9 @@
 	Drain time.Duration
 	// Credentials is the TLS set-up towards peers; nil means plain text.
 	Credentials credentials.TransportCredentials
+	// Connect returns a connection to a peer, which the Runner closes at its
+	// end; nil means one over TCP with Credentials.
+	Connect func(addr string) (*grpc.ClientConn, error)
 	// Metrics receives the counters; nil means the default registry.
 	Metrics metrics.Registry
 	// Events receives changes of state; nil drops them. It must not block.
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -29,6 +29,8 @@
 	// FencingChecked says that the endpoint refuses orders with an old
 	// fencing token by itself.
 	FencingChecked bool
+	// Rank is the endpoint's part in a group of ranks.
+	Rank Rank
 }
 
 const (
@@ -44,7 +46,10 @@
 	}
 	a := &Agent{Process: readProcess(doc.Section("process"), doc.Section("tls"))}
 	a.readEndpoint(doc.Section("endpoint"))
-	errs := fromFaults(doc.Close("[process]", "[endpoint]", "[tls]"))
+	group := doc.Section("rank")
+	a.Rank = readRank(group)
+	a.checkRank(group)
+	errs := fromFaults(doc.Close("[process]", "[endpoint]", "[rank]", "[tls]"))
 	errs = append(errs, a.TLS.check()...)
 	if len(errs) > 0 {
 		return nil, errs
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -127,4 +127,21 @@
 		Kind    string `long:"kind" description:"engine or plain"`
 		Fencing string `long:"fencing" description:"checked when the endpoint refuses old fencing tokens, else ignored"`
 	} `group:"Endpoint" namespace:"endpoint"`
+
+	Rank struct {
+		Group       string `long:"group" description:"name of the group of ranks; none when absent"`
+		Peers       string `long:"peers" description:"IP:port list of the peer addresses of the group's agents, in the same order everywhere"`
+		Ranks       string `long:"ranks" description:"ranks of the whole group"`
+		Slots       string `long:"slots" description:"experts that a rank holds a layer"`
+		Experts     string `long:"experts" description:"experts of a layer"`
+		Layers      string `long:"layers" description:"layers with experts"`
+		ExpertBytes string `long:"expertBytes" description:"bytes of one expert's weights in one layer"`
+		StoreRate   string `long:"storeRate" description:"bytes a second that the weight store gives the group"`
+		StageTime   string `long:"stageTime" description:"longest time for loading the weights of one plan"`
+		PlanEvery   string `long:"planEvery" description:"time between two plans; 0 never rebalances"`
+		Lookahead   string `long:"lookahead" description:"steps that the ranks may run without asking"`
+		Tick        string `long:"tick" description:"time between two looks at the ranks"`
+		LeaseTime   string `long:"leaseTime" description:"how long the leader's lease lasts"`
+		SettleTime  string `long:"settleTime" description:"how long an order of an ended agent may still take effect"`
+	} `group:"Ranks" namespace:"rank"`
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestRankPlace: two endpoints would take the same part of the map if agents
+// counted their places differently.
+func TestRankPlace(t *testing.T) {
+	const group = "--rank.group=chat"
+	args := []string{
+		group, "--rank.peers=10.0.0.1:8100,10.0.0.2:8100", "--rank.ranks=4", "--rank.slots=2", "--rank.experts=8",
+		"--rank.layers=1", "--rank.expertBytes=1", "--rank.storeRate=1", "--rank.planEvery=0s",
+	}
+	for want, addr := range []string{"10.0.0.1:8100", "10.0.0.2:8100"} {
+		a, err := loadAgent(t, smallAgent, append(args, "--peerAddress="+addr)...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := a.RankIndex(); got != want {
+			t.Errorf("place %d, want %d", got, want)
+		}
+		if a.Rank.PlanEvery != 0 || a.Rank.LeaseTime != defaultLease {
+			t.Errorf("%+v", a.Rank)
+		}
+	}
+}
+
 func TestExamplesLoad(t *testing.T) {
 	if _, err := LoadEntry(parseFlags(t, EntryFlags(), "--settings=../../examples/entry.ini")); err != nil {
 		t.Error(err)
