A group of three engines end to end

Cause: no test started ranks through whole agents. Ruled out: the runner's own fleet test, which has no settings, no HTTP to the engine and no agent. Change: demo.System makes its engines one group; TestGroupOfRanks. The network lets a new host listen where a killed one did; at first the test failed in leader's VM dies because the network kept such an address dead.

--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -31,7 +31,9 @@
 type Host struct {
 	network *Network
 	place   string
-	dead    bool // guarded by the network's mu
+	// dead and cut, a place, are guarded by the network's mu.
+	dead bool
+	cut  string
 }
 
 // carried is a connection of the network.
@@ -67,6 +69,8 @@
 	return c.Conn.Close()
 }
 
+// at notes that a process listens at addr in a place, perhaps on a new host in
+// place of one that was killed.
 func (n *Network) at(addr, place string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -77,6 +81,7 @@
 		n.dead = map[string]bool{}
 	}
 	n.place[addr] = place
+	delete(n.dead, addr)
 }
 
 // Host returns a new host in the data centre.
@@ -113,6 +118,15 @@
 	n.breakConns(func(c *carried) bool { return c.host == h || slices.Contains(addrs, c.addr) })
 }
 
+// Cut cuts the host alone off from a place; "" ends that.
+func (h *Host) Cut(place string) {
+	n := h.network
+	n.mu.Lock()
+	h.cut = place
+	n.mu.Unlock()
+	n.breakConns(func(c *carried) bool { return place != "" && c.host == h && c.to == place })
+}
+
 func (n *Network) isCut(h *Host, addr string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -120,7 +134,7 @@
 }
 
 func (n *Network) cutLocked(h *Host, addr string) bool {
-	return h.dead || n.dead[addr] || n.cuts[pair(h.place, n.place[addr])]
+	return h.dead || n.dead[addr] || h.cut != "" && h.cut == n.place[addr] || n.cuts[pair(h.place, n.place[addr])]
 }
 
 // carry registers a connection, unless a cut came while it was opened.
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -23,6 +23,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/ranks"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/vmlist"
 )
@@ -42,6 +43,9 @@
 	EngineSettings engine.Settings
 	// Preset is put into force at the start.
 	Preset string
+	// Ranks, when set, makes all engines one group of ranks. Start fills in the
+	// peers.
+	Ranks *settings.Rank
 	// Drain bounds graceful stops; zero means ten seconds.
 	Drain time.Duration
 	// Log receives the processes' lines; nil drops them.
@@ -51,12 +55,16 @@
 	KV *kv.Server
 	// List is the stand-in of the platform's list of VMs.
 	List *vmlist.Server
+	// Group is the stand-in of the group of ranks.
+	Group ranks.Group
 	// Network carries the processes' connections.
 	Network Network
 
 	client *platform.Client
 	ctx    context.Context
 	parts  []*Part
+	// inGroup names the endpoints of the group in the order of its peers.
+	inGroup []string
 
 	mu       sync.Mutex
 	entries  []*Entry
@@ -132,6 +140,9 @@
 	if err := s.putPreset(); err != nil {
 		return err
 	}
+	if err := s.startRanks(); err != nil {
+		return err
+	}
 	for _, dc := range s.DataCentres {
 		if err := s.startDataCentre(dc); err != nil {
 			return err
@@ -176,7 +187,7 @@
 // StartEngine starts an engine and its agent.
 func (s *System) StartEngine(dc, name string) error {
 	e := engine.New(s.EngineSettings)
-	srv := &standin.Server{Listen: loopback.String(), Handler: e}
+	srv := &standin.Server{Listen: loopback.String(), Handler: s.handler(name, e)}
 	e.Drop = srv.Drop
 	s.parts = append(s.parts, s.run(srv.Run))
 	s.mu.Lock()
@@ -223,6 +234,7 @@
 		Log:  s.Log,
 		Dial: h.Dial,
 	}
+	s.joinGroup(p.Settings)
 	if err := p.Listen(); err != nil {
 		return nil, err
 	}
