--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -105,6 +105,9 @@
 	kv       string
 	control  string
 	list     string
+	tls      string // section [tls] of each process
+	way      string // how operators reach the entries
+	scheme   string // how callers reach them
 	entries  []*entryProc
 	agents   []*agentProc
 	services []string
@@ -182,8 +185,8 @@
 [operator]
 token = %s
 [tls]
-insecure = true
-`, e.callers, e.admin, testToken))
+%s
+`, e.callers, e.admin, testToken, f.tls))
 	e.proc = f.proc(name, roleProduct, "entry", "--settings", file)
 	e.start()
 	f.listed(name, "entry", dc, e.peer)
@@ -200,8 +203,8 @@
 kind = %s
 fencing = ignored
 [tls]
-insecure = true
-`, endpoint, address, kind))
+%s
+`, endpoint, address, kind, f.tls))
 	a.proc = f.proc(endpoint, roleProduct, "agent", "--settings", file)
 	a.start()
 	f.listed(endpoint, "agent", dc, a.peer)
@@ -291,7 +294,13 @@
 // services with their agents.
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir()}
+	f := &fleet{t: t, dir: t.TempDir(), tls: "insecure = true", way: "--plain", scheme: "http"}
+	f.start()
+	return f
+}
+
+func (f *fleet) start() {
+	f.t.Helper()
 	at := f.standin("kv")
 	f.kv, f.control = at[0], at[1]
 	f.list = f.standin("vmlist")[0]
@@ -307,13 +316,12 @@
 	sum := sha256.Sum256([]byte(testKey))
 	file := f.settings("ordinary", fmt.Sprintf(fleetPreset, hex.EncodeToString(sum[:])))
 	f.eventually("the first preset is put", func() bool {
-		_, code := f.run("--plain", "preset", "put", file)
+		_, code := f.run(f.way, "preset", "put", file)
 		return code == 0
 	})
 	for _, e := range f.entries {
 		f.eventually(e.name+" is ready", func() bool { return f.ready(e) })
 	}
-	return f
 }
 
 func (f *fleet) ready(e *entryProc) bool {
@@ -337,7 +345,7 @@
 }
 
 func (f *fleet) ask(e *entryProc, path, body string, header ...string) (int, string, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+path, strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, f.scheme+"://"+e.callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -55,7 +55,7 @@
 		Dial:            d,
 		Metrics:         r,
 	}
-	if tlsConfig != nil {
+	if tlsConfig != nil && !p.TLS.PlatformInsecure {
 		c.Credentials = credentials.NewTLS(tlsConfig)
 	}
 	return c
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -91,10 +91,13 @@
 	LogFormat         string `long:"logFormat" description:"text or json"`
 
 	TLS struct {
-		Cert           string `long:"cert" description:"file of the certificate (PEM)"`
-		Key            string `long:"key" description:"file of the certificate's key (PEM)"`
-		CA             string `long:"ca" description:"file of the certificates that peers are checked by (PEM)"`
-		Insecure       string `long:"insecure" description:"true to go without TLS"`
+		Cert     string `long:"cert" description:"file of the certificate (PEM)"`
+		Key      string `long:"key" description:"file of the certificate's key (PEM)"`
+		CA       string `long:"ca" description:"file of the certificates that peers are checked by (PEM)"`
+		Insecure string `long:"insecure" description:"true to go without TLS"`
+
+		PlatformInsecure string `long:"platformInsecure" description:"true to reach the platform without TLS"`
+
 		ReloadInterval string `long:"reloadInterval" description:"how often certificate files are looked at"`
 	} `group:"TLS" namespace:"tls"`
 }
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -45,6 +45,9 @@
 	CA   string
 	// Insecure turns TLS off; the files are empty then.
 	Insecure bool
+	// PlatformInsecure turns it off towards the platform alone, whose service
+	// may be reached by a network of its own.
+	PlatformInsecure bool
 	// ReloadInterval is how often the files are looked at.
 	ReloadInterval time.Duration
 }
@@ -83,10 +86,13 @@
 
 func readTLS(s *inifile.Section) TLS {
 	return TLS{
-		Cert:           s.Text("cert", ""),
-		Key:            s.Text("key", ""),
-		CA:             s.Text("ca", ""),
-		Insecure:       s.Bool("insecure", false),
+		Cert:     s.Text("cert", ""),
+		Key:      s.Text("key", ""),
+		CA:       s.Text("ca", ""),
+		Insecure: s.Bool("insecure", false),
+
+		PlatformInsecure: s.Bool("platformInsecure", false),
+
 		ReloadInterval: s.Duration("reloadInterval", defaultReload, minReload, maxReload),
 	}
 }
