The time line of a group, seen by an operator

Cause: no test looked that events of a group reach operators. Ruled out: nothing. Change: TestTimeLineOfAGroup. Conclusion: leaseTaken, mapStaged, mapNamed and peerLost are found by kind.

--- a/internal/demo/ranks_test.go
+++ b/internal/demo/ranks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,3 +156,20 @@
 		})
 	}
 }
+
+// TestTimeLineOfAGroup: an operator who looks for why steps got slower finds
+// who led and which maps came into force, each with its endpoint and group.
+func TestTimeLineOfAGroup(t *testing.T) {
+	s := startGroup(t)
+	assertSteps(t, s, 100)
+	assertNewMap(t, s, 4)
+	s.RestartRanks("a-engine-2")
+	for _, kind := range []string{"leaseTaken", "mapStaged", "mapNamed", "peerLost"} {
+		t.Run(kind, func(t *testing.T) {
+			eventually(t, kind, func() bool {
+				out := order(t, s, "timeline", "--kind="+kind)
+				return strings.Contains(out, "a-engine-") && strings.Contains(out, " chat")
+			})
+		})
+	}
+}
