Status shows groups of ranks

Cause: who leads a group and which map is in force could only be seen in metrics and the time line. Ruled out: reading the platform's lease for it; the agents know. Change: RankStatus in the agents' StatusReply, a table in status. Conclusion: TestStatusShowsTheGroup sees one leader and one map.

--- a/internal/agent/ranks.go
+++ b/internal/agent/ranks.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
@@ -71,6 +72,14 @@
 	return run, func() { cancel(); <-ended }
 }
 
+// rankStatus returns nil when the endpoint is in no group.
+func (a *Agent) rankStatus() *peerpb.RankStatus {
+	if a.ranks == nil {
+		return nil
+	}
+	return &peerpb.RankStatus{Group: a.ranks.Group, MapVersion: a.ranks.InForce(), Leads: a.ranks.Leads()}
+}
+
 // firstMap returns the map that a group begins with: experts in order, spread
 // evenly over the ranks.
 func firstMap(s *settings.Rank) (*expertmap.Map, error) {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -104,6 +104,7 @@
 		Leaving:           a.leaving.Load(),
 		PlatformReachable: a.platform.Reachable(),
 		Endpoints:         []*peerpb.LoadReport{a.report()},
+		Ranks:             a.rankStatus(),
 	}
 	if v := a.view.Load(); v != nil {
 		r.Preset = v.preset
--- a/internal/demo/ranks_test.go
+++ b/internal/demo/ranks_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// TestStatusShowsTheGroup: an operator sees who leads a group and whether all
+// its endpoints use one map.
+func TestStatusShowsTheGroup(t *testing.T) {
+	s := startGroup(t)
+	assertNewMap(t, s, 4)
+	eventually(t, "one leader and one map in the status", func() bool {
+		leaders, lines, maps := 0, 0, map[string]int{}
+		for _, line := range strings.Split(order(t, s, "status"), "\n") {
+			f := strings.Fields(line)
+			if len(f) < 4 || f[0] != "chat" {
+				continue
+			}
+			lines++
+			maps[f[2]]++
+			if f[3] == "yes" {
+				leaders++
+			}
+		}
+		return leaders == 1 && len(maps) == 1 && maps["0"] == 0 && lines == len(s.Agents())
+	})
+}
+
 // TestTimeLineOfAGroup: an operator who looks for why steps got slower finds
 // who led and which maps came into force, each with its endpoint and group.
 func TestTimeLineOfAGroup(t *testing.T) {
--- a/internal/operator/command/status.go
+++ b/internal/operator/command/status.go
@@ -28,6 +28,9 @@
 	if t := endpointText(s.Processes); t != "" {
 		parts = append(parts, t)
 	}
+	if t := rankText(s.Processes); t != "" {
+		parts = append(parts, t)
+	}
 	if len(s.Silent) > 0 {
 		parts = append(parts, "no answer from "+strings.Join(s.Silent, ", "))
 	}
@@ -59,6 +62,20 @@
 	return table(rows)
 }
 
+// rankText lists the agents of groups of ranks, or is empty without any.
+func rankText(list []operator.ProcessView) string {
+	rows := [][]string{{"GROUP OF RANKS", "PROCESS", "MAP", "LEADS"}}
+	for _, p := range list {
+		if k := p.Ranks; k != nil {
+			rows = append(rows, []string{k.Group, p.Process, strconv.FormatUint(k.MapVersion, 10), yes(k.Leads)})
+		}
+	}
+	if len(rows) == 1 {
+		return ""
+	}
+	return table(rows)
+}
+
 // endpointText lists what agents say of their own endpoints; what entries
 // think of them is only in the JSON.
 func endpointText(list []operator.ProcessView) string {
--- a/internal/operator/views.go
+++ b/internal/operator/views.go
@@ -128,6 +128,9 @@
 		Leaving:           p.GetLeaving(),
 		PlatformReachable: p.GetPlatformReachable(),
 	}
+	if k := p.GetRanks(); k != nil {
+		v.Ranks = &RankView{Group: k.GetGroup(), MapVersion: k.GetMapVersion(), Leads: k.GetLeads()}
+	}
 	for _, e := range p.GetEndpoints() {
 		v.Endpoints = append(v.Endpoints, endpointView(e))
 	}
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -119,6 +119,16 @@
 	PlatformReachable bool           `json:"platformReachable"`
 	Endpoints         []EndpointView `json:"endpoints,omitempty"`
 	Accounts          []AccountView  `json:"accounts,omitempty"`
+	// Ranks is absent when the process is no agent of a group of ranks.
+	Ranks *RankView `json:"ranks,omitempty"`
+}
+
+// RankView is an agent's part in a group of ranks.
+type RankView struct {
+	Group string `json:"group"`
+	// MapVersion is the map in force; 0 while the endpoint has none.
+	MapVersion uint64 `json:"mapVersion,string"`
+	Leads      bool   `json:"leads"`
 }
 
 // EndpointView is one endpoint as the process knows it.
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -59,6 +59,7 @@
 		HoldTime: r.HoldTime, Margin: r.Lookahead,
 	}
 	l.Extend(until)
+	r.leads.Store(true)
 	r.counts.leads.Inc(1)
 	r.emit(Event{Kind: EventLead, Number: token})
 	return &term{
@@ -89,6 +90,7 @@
 	for ; t.calls > 0; t.calls-- {
 		<-t.done
 	}
+	r.leads.Store(false)
 	r.counts.deposed.Inc(1)
 	r.emit(Event{Kind: EventDeposed, Number: t.leader.Token})
 }
--- a/internal/rank/runner.go
+++ b/internal/rank/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -102,6 +103,7 @@
 	Log logrus.FieldLogger
 
 	once   sync.Once
+	leads  atomic.Bool
 	conns  []*grpc.ClientConn
 	counts counts
 
@@ -176,6 +178,20 @@
 	return first
 }
 
+// Leads reports whether this agent leads the group.
+func (r *Runner) Leads() bool { return r.leads.Load() }
+
+// InForce returns the version of the newest map that the member was told to
+// use, or zero while it has not joined its group.
+func (r *Runner) InForce() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.joined {
+		return 0
+	}
+	return r.force.Map.Version
+}
+
 // pause waits and reports whether ctx still goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
