--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -116,9 +115,7 @@
 // leaves, refuses new work truly, and stops when what runs has ended or the
 // drain time is over. Listen must come first.
 func (a *Agent) Run(ctx context.Context) error {
-	inner, stop := context.WithCancel(context.Background())
-	defer stop()
-	parts := []func(context.Context) error{
+	parts := []process.Part{
 		a.platform.Run, a.client.Run, a.peers.Run, a.claims.Run, a.follow, a.keep,
 	}
 	if a.Settings.Kind == settings.Engine {
@@ -129,30 +126,13 @@
 		ranks, end := a.ranksPart()
 		parts, stopRanks = append(parts, ranks), end
 	}
-	if m := a.Settings.MetricsAddress; m.IsValid() {
-		parts = append(parts, func(ctx context.Context) error {
-			return process.ServeMetrics(ctx, m.String(), a.Registry)
-		})
-	}
-	done := make(chan error, len(parts))
-	for _, p := range parts {
-		go func() { done <- p(inner) }()
-	}
-	var failed error
-	running := len(parts)
-	select {
-	case <-ctx.Done():
-	case failed = <-done:
-		running--
-	}
-	a.leave()
-	a.stopWork()
-	stopRanks()
-	stop()
-	for range running {
-		failed = errors.Join(failed, <-done)
-	}
-	return failed
+	parts = append(parts, process.MetricsParts(a.Settings.MetricsAddress, a.Registry)...)
+	return process.RunParts(ctx, parts, func(error) error {
+		a.leave()
+		a.stopWork()
+		stopRanks()
+		return nil
+	})
 }
 
 // leave ends the agent's work without cutting any of it off.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,46 +10,27 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
 
-// part is what one goroutine of the entry does until ctx ends.
-type part func(ctx context.Context) error
-
 // Run serves until ctx ends, and then leaves gracefully: it announces that it
 // leaves, still takes requests for a moment, then refuses new ones truly, and
 // stops when all answers have been given or the drain time is over. Listen
 // must come first.
 func (e *Entry) Run(ctx context.Context) error {
-	inner, stop := context.WithCancel(context.Background())
-	defer stop()
 	callersCtx, stopCallers := context.WithCancel(context.Background())
 	defer stopCallers()
 	callersDone := make(chan error, 1)
 	go func() { callersDone <- e.callers.Run(callersCtx, e.Settings.DrainTimeout) }()
-	parts := e.parts()
-	done := make(chan error, len(parts))
-	for _, p := range parts {
-		go func() { done <- p(inner) }()
-	}
-	var failed error
-	running := len(parts)
-	select {
-	case <-ctx.Done():
-	case failed = <-done:
-		running--
-	}
-	e.leave(failed == nil)
-	stopCallers()
-	failed = errors.Join(failed, <-callersDone)
-	stop()
-	for range running {
-		failed = errors.Join(failed, <-done)
-	}
+	err := process.RunParts(ctx, e.parts(), func(failed error) error {
+		e.leave(failed == nil)
+		stopCallers()
+		return <-callersDone
+	})
 	e.members.stop()
 	e.conns.Close()
-	return failed
+	return err
 }
 
-func (e *Entry) parts() []part {
-	parts := []part{
+func (e *Entry) parts() []process.Part {
+	parts := []process.Part{
 		e.platform.Run,
 		e.spreading.read,
 		e.spreading.run,
@@ -63,12 +43,7 @@
 		e.directory.run,
 		e.shares.run,
 	}
-	if a := e.Settings.MetricsAddress; a.IsValid() {
-		parts = append(parts, func(ctx context.Context) error {
-			return process.ServeMetrics(ctx, a.String(), e.Registry)
-		})
-	}
-	return parts
+	return append(parts, process.MetricsParts(e.Settings.MetricsAddress, e.Registry)...)
 }
 
 // leave announces that the entry goes, and gives the platform's balancer time
