--- a/internal/demo/preset.go
+++ b/internal/demo/preset.go
@@ -35,7 +35,7 @@
 [service desk]
 endpoints = *-desk-*
 repeatable = false
-path = /
+path = /press
 coldStartConcurrency = 4
 concurrency = 16
 rampStep = 1
--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 func startSystem(t *testing.T, change ...func(*System)) *System {
@@ -75,6 +76,28 @@
 			}
 		})
 	}
+	t.Run("a service call goes to the service's path", func(t *testing.T) {
+		_, body := ask(t, s.EntriesOf("")[0], caller.PathServices+"desk/print", "{}", "Idempotency-Key", "path")
+		if !strings.Contains(body, `"/press/print"`) {
+			t.Error(body)
+		}
+	})
+	// A client names a plain service as its model, or asks for more tokens than
+	// the operators allow. Without the check the print desk would be sent a
+	// chat, and one request could hold an engine for an hour.
+	for name, c := range map[string]struct {
+		path, body string
+		want       result.Code
+	}{
+		"a chat with a service":   {caller.PathChat, `{"model":"desk","messages":[1]}`, result.UnknownRoute},
+		"too many tokens":         {caller.PathChat, `{"model":"small","max_tokens":1001,"messages":[1]}`, result.MalformedRequest},
+		"a service call to chats": {caller.PathServices + "small/x", "{}", result.UnknownRoute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, body := ask(t, s.EntriesOf("")[0], c.path, c.body, "Idempotency-Key", "fit")
+			assertCode(t, body, c.want)
+		})
+	}
 	t.Run("a key runs once whatever the entry", func(t *testing.T) {
 		var first string
 		for i, e := range s.EntriesOf("") {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,9 @@
 // errAgentSilent ends attempts at an agent that has sent nothing for a while.
 var errAgentSilent = eris.New("agent is silent")
 
+// defaultOutputTokens is assumed where a chat names no limit.
+const defaultOutputTokens = 256
+
 // task is one request and what has become of it so far.
 type task struct {
 	*job
@@ -28,6 +32,10 @@
 	account  string
 	route    preset.Route
 	priority int
+	// outputTokens is how many tokens the answer is expected to have at most.
+	outputTokens int
+	// path is the path at the endpoint.
+	path     string
 	runOnce  bool
 	deadline time.Time
 	began    time.Time
@@ -90,49 +98,92 @@
 	if !ok {
 		return nil, result.Newf(result.UnknownRoute, "%q", r.Route())
 	}
-	t := &task{request: r, account: a.Name(), route: route, runOnce: runsOnce(r, route)}
+	t := &task{request: r, account: a.Name(), route: route, runOnce: runsOnce(r, route), relay: &relay{w: w}}
 	if t.runOnce && r.IdempotencyKey() == "" {
 		return nil, result.New(result.KeyMissing, "")
 	}
-	worth := a.Worth()
-	if r.Priority() != "" {
-		p, ok := v.preset.Priority(r.Priority())
-		if !ok {
-			return nil, result.Newf(result.BadHeader, "the preset has no priority %q", r.Priority())
-		}
-		t.priority = p.Value()
-		worth *= p.Worth()
+	if err := t.fit(); err != nil {
+		return nil, err
+	}
+	worth, err := t.prioritise(v, a)
+	if err != nil {
+		return nil, err
 	}
 	budget := r.Budget()
 	if budget == 0 {
 		budget = route.DefaultDeadline()
 	}
 	t.deadline = now.Add(budget)
-	t.relay = &relay{w: w}
-	query := placement.Query{Route: route.Name(), Tokens: r.PromptTokens(), RunOnce: t.runOnce}
-	if c, ok := r.Kind().(caller.Chat); ok {
-		t.relay.stream = c.Stream()
-		query.Tokens += c.OutputTokens()
+	t.job = e.newJob(t, worth)
+	return t, nil
+}
+
+// fit checks that what is asked for is what the route gives. A chat must not
+// reach a plain service that happens to have the model's name.
+func (t *task) fit() *result.Error {
+	switch k := t.request.Kind().(type) {
+	case caller.Chat:
+		m, ok := t.route.(preset.Model)
+		if !ok {
+			return result.Newf(result.UnknownRoute, "%q is no model", t.route.Name())
+		}
+		if k.OutputTokens() > m.MaxOutputTokens() {
+			return result.Newf(result.MalformedRequest, "max_tokens: at most %d are allowed", m.MaxOutputTokens())
+		}
+		t.outputTokens = k.OutputTokens()
+		if t.outputTokens == 0 {
+			t.outputTokens = min(defaultOutputTokens, m.MaxOutputTokens())
+		}
+		t.relay.stream = k.Stream()
+		t.path = t.request.Path()
+	case caller.ServiceCall:
+		s, ok := t.route.(preset.Service)
+		if !ok {
+			return result.Newf(result.UnknownRoute, "%q is no service", t.route.Name())
+		}
+		t.path = strings.TrimSuffix(s.Path(), "/") + t.request.Path()
+	}
+	return nil
+}
+
+// prioritise reads the request's priority and returns its worth.
+func (t *task) prioritise(v *view, a preset.Account) (float64, *result.Error) {
+	name := t.request.Priority()
+	if name == "" {
+		return a.Worth(), nil
+	}
+	p, ok := v.preset.Priority(name)
+	if !ok {
+		return 0, result.Newf(result.BadHeader, "the preset has no priority %q", name)
+	}
+	t.priority = p.Value()
+	return a.Worth() * p.Worth(), nil
+}
+
+// newJob returns what the scheduler decides by.
+func (e *Entry) newJob(t *task, worth float64) *job {
+	query := placement.Query{Route: t.route.Name(), Tokens: t.request.PromptTokens(), RunOnce: t.runOnce}
+	if c, ok := t.request.Kind().(caller.Chat); ok {
+		query.Tokens += t.outputTokens
 		query.Prefix = c.PrefixHash()
 	}
-	id := r.ID() + "#" + strconv.FormatUint(e.sequence.Add(1), 36)
-	t.job = &job{
+	id := t.request.ID() + "#" + strconv.FormatUint(e.sequence.Add(1), 36)
+	return &job{
 		id:      id,
 		query:   query,
 		verdict: make(chan *result.Error, 1),
 		request: admission.Request{
 			ID:          id,
-			Account:     a.Name(),
-			Route:       route.Name(),
+			Account:     t.account,
+			Route:       t.route.Name(),
 			Worth:       worth,
 			Priority:    t.priority,
 			Deadline:    t.deadline,
-			ExpectedRun: e.pace.expected(route.Name(), query.Tokens),
+			ExpectedRun: e.pace.expected(t.route.Name(), query.Tokens),
 			RunOnce:     t.runOnce,
 			Tokens:      query.Tokens,
 		},
 	}
-	return t, nil
 }
 
 // runsOnce reports whether a request may not be repeated. Reading changes
@@ -270,7 +321,7 @@
 		Account:        t.account,
 		Route:          t.route.Name(),
 		Method:         r.Method(),
-		Path:           r.Path(),
+		Path:           t.path,
 		ContentType:    r.ContentType(),
 		Body:           r.Body(),
 		Priority:       int32(t.priority),
@@ -282,7 +333,7 @@
 	}
 	if c, ok := r.Kind().(caller.Chat); ok {
 		m.Stream = c.Stream()
-		m.OutputTokens = uint32(c.OutputTokens())
+		m.OutputTokens = uint32(t.outputTokens)
 		m.PrefixHash = c.PrefixHash()
 	}
 	return m
