A slow first request is cut after requestTimeout

Cause: TestFloodsDontStopOthers took 30 s in place of 2: nbhttp sets its own deadline after it has begun to read, and with idleTimeout there it replaced that of a request which had begun to arrive. Ruled out: a deadline that is not set. Change: a new connection begins with requestTimeout.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -96,10 +96,12 @@
 		MaxLoad:         s.MaxConns,
 		MaxHTTPBodySize: s.BodyLimit * oversize,
 		ReadLimit:       s.BodyLimit * oversize,
-		KeepaliveTime:   s.IdleTimeout,
-		RetainHTTPBody:  false,
-		Handler:         http.HandlerFunc(s.take),
-		Listen:          func(string, string) (net.Listener, error) { return ln, nil },
+		// nbhttp sets this deadline a moment after it begins to read, so a
+		// longer one would replace that of a request which has begun to arrive.
+		KeepaliveTime:  s.ReadTimeout,
+		RetainHTTPBody: false,
+		Handler:        http.HandlerFunc(s.take),
+		Listen:         func(string, string) (net.Listener, error) { return ln, nil },
 	}
 	if s.TLS == nil {
 		cfg.Addrs = []string{s.Addr}
