A slow sender's deadline is not overwritten

Cause: nbhttp sets a new connection's idle deadline after it has begun to read; when the first byte was faster, the idle time (30 s and more) replaced the request's. Ruled out: setting the deadline again at each byte; a sender that stops sends none.

--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -16,7 +16,7 @@
 func fuzzServer(t testing.TB, readTimeout time.Duration) *Server {
 	t.Helper()
 	s := &Server{
-		Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 256, ReadTimeout: readTimeout,
+		Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 256, ReadTimeout: readTimeout, IdleTimeout: time.Hour,
 		Handler: handlerFunc(func(_ context.Context, _ *Request, w *Reply) {
 			w.Whole(http.StatusOK, contentJSON, "", []byte(`{"served":true}`))
 		}),
@@ -122,7 +122,7 @@
 		}
 		assertServed(t, s)
 		for _, c := range slow {
-			_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+			_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
 			b, err := io.ReadAll(c)
 			if err != nil && strings.Contains(err.Error(), "timeout") {
 				t.Fatal("a slow sender holds its connection")
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -96,7 +96,7 @@
 		MaxLoad:         s.MaxConns,
 		MaxHTTPBodySize: s.BodyLimit * oversize,
 		ReadLimit:       s.BodyLimit * oversize,
-		KeepaliveTime:   s.IdleTimeout,
+		KeepaliveTime:   s.firstTimeout(),
 		RetainHTTPBody:  false,
 		Handler:         http.HandlerFunc(s.take),
 		Listen:          func(string, string) (net.Listener, error) { return ln, nil },
@@ -109,6 +109,15 @@
 	return cfg
 }
 
+// firstTimeout bounds the time until a new connection's first request has
+// arrived.
+//
+// Guard: nbhttp sets this deadline after it has begun to read, so that it can
+// come after the one that a first byte set. With the longer idle time, some of
+// the senders of a byte now and then would hold their connections for that
+// long.
+func (s *Server) firstTimeout() time.Duration { return min(s.ReadTimeout, s.IdleTimeout) }
+
 // Address returns the address listened on, as IP:port.
 func (s *Server) Address() string { return s.Addr }
 
