Slow senders and callers beyond the limit get their numbers

Cause: codes 1006 and 1010 were in the table and nobody said them: such callers lost their connections unheard. Ruled out: taking the codes out. Conclusion: each code has its speaker.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
@@ -36,6 +37,35 @@
 	last chan struct{}
 	// input counts the bytes that have come since the last whole request.
 	input atomic.Int64
+	// slow answers the request that is arriving when its time is over.
+	slow *time.Timer
+}
+
+// await calls late when the request that has begun to arrive is not whole
+// after d.
+func (c *conn) await(d time.Duration, late func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopWaiting()
+	if !c.gone {
+		c.slow = time.AfterFunc(d, late)
+	}
+}
+
+// whole notes that a request has arrived whole.
+func (c *conn) whole() {
+	c.input.Store(0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopWaiting()
+}
+
+// stopWaiting ends what await began. The lock must be held.
+func (c *conn) stopWaiting() {
+	if c.slow != nil {
+		c.slow.Stop()
+		c.slow = nil
+	}
 }
 
 func (c *conn) arrived(n int) int { return int(c.input.Add(int64(n))) }
@@ -85,6 +115,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gone = true
+	c.stopWaiting()
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -28,6 +28,12 @@
 	// defaultReadTimeout bounds the time in which a request must arrive, so
 	// that senders of one byte a second don't hold connections for ever.
 	defaultReadTimeout = 30 * time.Second
+	// cutAfter is how long after its time a request's connection is cut when
+	// the answer to it could not be given.
+	cutAfter = time.Second
+	// spareConns are the connections beyond the limit that are still met, to be
+	// told so; more are closed unheard.
+	spareConns = 64
 	// endBacklog lets a finished request go on without waiting for Run.
 	endBacklog = 64
 )
@@ -93,12 +99,12 @@
 func (s *Server) config(ln net.Listener) nbhttp.Config {
 	cfg := nbhttp.Config{
 		Network:         "tcp",
-		MaxLoad:         s.MaxConns,
+		MaxLoad:         s.MaxConns + spareConns,
 		MaxHTTPBodySize: s.BodyLimit * oversize,
 		ReadLimit:       s.BodyLimit * oversize,
 		// nbhttp sets this deadline a moment after it begins to read, so a
 		// longer one would replace that of a request which has begun to arrive.
-		KeepaliveTime:  s.ReadTimeout,
+		KeepaliveTime:  s.ReadTimeout + cutAfter,
 		RetainHTTPBody: false,
 		Handler:        http.HandlerFunc(s.take),
 		Listen:         func(string, string) (net.Listener, error) { return ln, nil },
@@ -180,11 +186,32 @@
 	total := v.(*conn).arrived(n)
 	if total == n {
 		// A sender of a byte now and then would hold its connection for ever.
-		_ = w.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+		_ = w.SetReadDeadline(time.Now().Add(s.ReadTimeout + cutAfter))
+		v.(*conn).await(s.ReadTimeout, func() { s.tooSlow(w, v.(*conn)) })
 	}
 	return total <= s.BodyLimit*oversize+headBytes
 }
 
+// tooSlow answers a request that has not arrived whole in time, unless an
+// earlier one of the connection still gets its answer.
+func (s *Server) tooSlow(w *nbio.Conn, c *conn) {
+	p, ok := w.Session().(*nbhttp.Parser)
+	if !ok {
+		return
+	}
+	before, mine := c.enqueue()
+	defer close(mine)
+	select {
+	case <-before:
+	default:
+		_ = w.Close()
+		return
+	}
+	reply := &Reply{w: p.Conn, conn: c, ctx: context.Background(), minor: 1, close: true}
+	reply.Fail(result.New(result.RequestTooSlow, ""))
+	reply.hangUp()
+}
+
 func (s *Server) written(w *nbio.Conn, _ []byte, n int) {
 	v, ok := s.conns.Load(w)
 	if ok {
@@ -212,7 +239,7 @@
 	c := v.(*conn)
 	reply := &Reply{w: nc, conn: c, close: hr.Close, minor: hr.ProtoMinor}
 	reply.before, reply.mine = c.enqueue()
-	c.input.Store(0)
+	c.whole()
 	s.running.Add(1)
 	go s.answer(r, rerr, reply)
 }
@@ -247,6 +274,11 @@
 		w.Fail(result.Of(rerr))
 		return
 	}
+	if s.Online() > s.MaxConns {
+		w.close = true
+		w.Fail(result.New(result.TooManyConnections, "").WithRetryAfter(time.Second))
+		return
+	}
 	switch r.Kind().(type) {
 	case Health:
 		w.Whole(http.StatusOK, "text/plain", "", []byte("ok\n"))
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -268,3 +268,24 @@
 		}
 	}
 }
+
+// More callers connect than an entry may hold. Those beyond the limit are told
+// so and when to come back, in place of a connection that closes unheard.
+func TestConnectionsBeyondTheLimitAreTold(t *testing.T) {
+	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 2, Handler: handlerFunc(func(_ context.Context, _ *Request, w *Reply) {
+		w.Whole(http.StatusOK, "text/plain", "", nil)
+	})}
+	run(t, s)
+	for range 2 {
+		c, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	for s.Online() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, body := post(t, s, PathServices+"o/", "", "Connection", "close")
+	assertCode(t, body, result.TooManyConnections)
+}
