A new agent counts what its endpoint still runs; false signs of coldness

Cause: an agent that replaces one whose VM died knew nothing of what the engine still ran, and added a cold bound of its own; a claim whose outcome was not known, or a 503, dropped a warm endpoint to its cold bound; rank orders stood twice in the endpoint client and its stand-in, once unused. Ruled out: waiting until the old work has ended, which stops an endpoint for a long answer. Change: the engine's first report is counted, later ones lower it; only lost connections count as coldness; the unused orders are gone with TestRankWaitsForItsMap, whose subject they were (TestRanksOverHTTP and TestGroupOfRanks stand for the ones in use). Conclusion: holds as far as the report's lag.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -240,6 +240,7 @@
 		return
 	}
 	a.allowance.Incarnation(l.Incarnation)
+	a.allowance.ReportedRunning(l.Running, a.allowance.State().Running(), a.now())
 	a.allowance.Reported(l.Cold, a.now().Add(-time.Duration(l.AgeMillis)*time.Millisecond))
 	if s := a.allowance.State(); s.Cold() && !was {
 		a.Log.WithFields(logrus.Fields{"cause": s.Cause().String()}).Warn("endpoint is cold")
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -59,7 +59,7 @@
 	a.allowance.Failed(t, now)
 	a.event(timeline.Failed, at.req, err.Detail(), uint64(err.Code()), now)
 	switch err.Code() {
-	case result.EndpointDown, result.AnswerIncomplete, result.OutcomeUnknown:
+	case result.EndpointDown, result.AnswerIncomplete:
 		a.restarted(allowance.ConnectionLost, now)
 	}
 }
--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -106,6 +106,7 @@
 	epoch       uint64
 	completions int
 	running     int
+	inherited   inherited
 	cause       Cause
 	incarnation string
 	// warmSince is when the bound last reached the full one.
@@ -155,7 +156,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	bound := a.bound()
-	if a.running < bound {
+	if a.running+a.inherited.count(now) < bound {
 		if a.running == 0 {
 			a.pace.busy(now)
 		}
@@ -181,7 +182,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	bound := a.bound()
-	if t.epoch == a.epoch || a.running <= bound {
+	if t.epoch == a.epoch || a.running+a.inherited.count(now) <= bound {
 		return Ticket{epoch: a.epoch, began: t.began}, nil
 	}
 	after := a.pace.retryAfter(bound, now)
@@ -261,6 +262,7 @@
 		return
 	}
 	if a.incarnation != "" {
+		a.inherited.n = 0
 		a.coldLocked(NewIncarnation)
 	}
 	a.incarnation = id
--- a/internal/endpoint/engine_test.go
+++ b/internal/endpoint/engine_test.go
@@ -81,31 +81,6 @@
 	}
 }
 
-// A rank is told from which step a map holds before it has the map: it waits
-// and never guesses.
-func TestRankWaitsForItsMap(t *testing.T) {
-	e := engine.New(engine.Settings{})
-	c := client(t, serve(t, e), nil)
-	ctx := testContext(t)
-	requireCode(t, c.ActivateMap(ctx, 1, endpoint.ActivateOrder{Version: 5, FromStep: 2}), result.OK)
-	if v, ok := e.Step(); !ok || v != 0 {
-		t.Fatalf("step 1: %d %v", v, ok)
-	}
-	if _, ok := e.Step(); ok {
-		t.Fatal("step 2 was made without its map")
-	}
-	s, err := c.RankState(ctx)
-	requireCode(t, err, result.OK)
-	if !s.Waiting || s.Step != 1 || s.NextVersion != 5 || s.Fencing != 1 {
-		t.Fatalf("state %+v", s)
-	}
-	requireCode(t, c.StageMap(ctx, 1, endpoint.StageOrder{Version: 5, Map: [][]int{{0}, {1}}}), result.OK)
-	if v, ok := e.Step(); !ok || v != 5 {
-		t.Fatalf("step 2: %d %v", v, ok)
-	}
-	requireCode(t, c.ActivateMap(ctx, 1, endpoint.ActivateOrder{Version: 6, FromStep: 2}), result.MalformedOrder)
-}
-
 // Cache events are kept only for a while: whoever asks too late has to be
 // told that some are missing.
 func TestCacheEventsReportGaps(t *testing.T) {
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -49,33 +49,6 @@
 	Role string `json:"role"`
 }
 
-// StageOrder gives a rank an expert map to keep ready.
-type StageOrder struct {
-	Version uint64 `json:"version"`
-	// Map names for each expert the ranks that hold it.
-	Map [][]int `json:"map"`
-}
-
-// ActivateOrder names the step from which a staged map holds.
-type ActivateOrder struct {
-	Version  uint64 `json:"version"`
-	FromStep uint64 `json:"fromStep"`
-}
-
-// RankState is what a rank says of itself.
-type RankState struct {
-	Step           uint64   `json:"step"`
-	ActiveVersion  uint64   `json:"activeVersion"`
-	StagedVersions []uint64 `json:"stagedVersions"`
-	// NextVersion holds from NextFromStep; both are zero when none is ordered.
-	NextVersion  uint64 `json:"nextVersion"`
-	NextFromStep uint64 `json:"nextFromStep"`
-	// Waiting says that the rank stands at a step whose map it lacks.
-	Waiting    bool   `json:"waiting"`
-	StepMicros int64  `json:"stepMicros"`
-	Fencing    uint64 `json:"fencingToken"`
-}
-
 // Load returns the engine's newest load report.
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var l Load
@@ -117,23 +90,6 @@
 	return c.callControl(ctx, http.MethodPost, "/v1/orders/changeRole", token, o, nil)
 }
 
-// StageMap gives the rank an expert map to keep ready.
-func (c *Client) StageMap(ctx context.Context, token uint64, o StageOrder) error {
-	return c.callControl(ctx, http.MethodPost, "/v1/rank/stageMap", token, o, nil)
-}
-
-// ActivateMap names the step from which a staged map holds.
-func (c *Client) ActivateMap(ctx context.Context, token uint64, o ActivateOrder) error {
-	return c.callControl(ctx, http.MethodPost, "/v1/rank/activateMap", token, o, nil)
-}
-
-// RankState returns what the rank says of itself.
-func (c *Client) RankState(ctx context.Context) (RankState, error) {
-	var s RankState
-	err := c.callControl(ctx, http.MethodGet, "/v1/rank/state", 0, nil, &s)
-	return s, err
-}
-
 // ExportKV returns the KV cache of a stream, to be imported elsewhere.
 func (c *Client) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
 	var raw bytes.Buffer
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -87,7 +87,6 @@
 	reports  []report
 	cache    cacheLog
 	fencing  uint64
-	rank     rank
 }
 
 // New returns an engine that begins cold. Zero settings get defaults.
@@ -128,10 +127,6 @@
 	e.mux.HandleFunc("GET /cacheEvents", e.cacheEvents)
 	e.mux.HandleFunc("POST /v1/orders/loadModel", e.loadModel)
 	e.mux.HandleFunc("POST /v1/orders/changeRole", e.changeRole)
-	e.mux.HandleFunc("POST /v1/rank/stageMap", e.stageMap)
-	e.mux.HandleFunc("POST /v1/rank/activateMap", e.activateMap)
-	e.mux.HandleFunc("GET /v1/rank/state", e.rankState)
-	e.mux.HandleFunc("POST /control/step", e.controlStep)
 	e.mux.HandleFunc("GET /control/counters", e.controlCounters)
 	e.mux.HandleFunc("POST /control/faults", e.controlFaults)
 	e.mux.HandleFunc("POST /control/cold", e.controlCold)
