The idle restart's proof gives one verdict on any machine

Cause: the burst raced the close of the engine's connections; on a busy machine it once came first (seen in a changed copy, 9 overruns). Ruled out: easing the check of overruns, which stays. Change: the engine's report lags by an hour, so that only the closed connections can tell, and the burst comes when the agent knows.

--- a/internal/demo/restart_test.go
+++ b/internal/demo/restart_test.go
@@ -31,7 +31,7 @@
 func TestIdleEngineRestartsBeforeABurst(t *testing.T) {
 	s := &System{
 		DataCentres: []string{"a"}, Entries: 1, Engines: 1, Services: 1,
-		EngineSettings: engine.Settings{Capacity: 16, ColdBound: 4, WarmAfter: 5, TokenMicros: 2000},
+		EngineSettings: engine.Settings{Capacity: 16, ColdBound: 4, WarmAfter: 5, TokenMicros: 2000, LoadLagMillis: 3600_000},
 		Preset:         Preset("ordinary", 1),
 	}
 	start(t, s)
@@ -43,6 +43,10 @@
 		burst(t, e, 8)
 	}
 	s.Engine("a-engine-0").Restart()
+	// The engine's report lags by an hour here, so only its closed connections
+	// can tell. They are on their way; what comes before them is sent under the
+	// old bound.
+	eventually(t, "the agent knows", func() bool { return s.agent("a-engine-0").Process.Allowance() == 4 })
 	burst(t, e, 16)
 	for name, n := range s.Breaches() {
 		t.Errorf("%s was overrun %d times", name, n)
