Operators' readings that fail get an operators' number

Cause: claims listed while the platform is down were answered 2011, whose text is about a caller's request that may run only once. Ruled out: another text for 2011, which is right for callers. Change: 4008 with what was found. Conclusion: TestFailedReadingsGetAnOperatorsNumber.

--- a/internal/operator/claims.go
+++ b/internal/operator/claims.go
@@ -65,10 +65,17 @@
 	return ChangeReply{ChangeID: o.ChangeID, Name: result.OK.String()}, nil
 }
 
-// numbered gives a reading that failed its number: nothing was changed.
+// numbered gives a reading that failed its number: nothing was changed. The
+// platform's client speaks of requests that may run only once, which an operator
+// did not send.
 func numbered(err error) error {
-	if result.Of(err) != nil {
+	e := result.Of(err)
+	if e != nil && e.Code() != result.PlatformDown {
 		return err
 	}
-	return result.New(result.PlatformRefused, err.Error())
+	detail := err.Error()
+	if e != nil {
+		detail = e.Detail()
+	}
+	return result.New(result.PlatformRefused, detail)
 }
