Addresses found free stay free until they are listened on

Cause: a whole run failed in TestMetricsPageIsComplete with 5006 addressInUse: an address was found free, given back and listened on later, and a connection of another test had taken its port meanwhile, because the kernel gives such ports to connections. Ruled out: two tests with one address (each was found anew). Change: standin.FreeAddress hands out ports below the kernel's range, none twice; used by the three places that looked for themselves.

--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/program"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
@@ -148,12 +148,11 @@
 // freeAddress returns an address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addr
 }
 
 func (f *fleet) settings(name, text string) string {
--- a/internal/demo/ranks.go
+++ b/internal/demo/ranks.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -10,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 )
 
@@ -18,25 +18,18 @@
 
 // startRanks makes the engines one group of ranks when Ranks is set. The agents'
 // addresses have to be known to all before the first of them starts, so free
-// ones are found here and given back.
+// ones are found here.
 func (s *System) startRanks() error {
 	if s.Ranks == nil {
 		return nil
 	}
 	n := len(s.DataCentres) * s.Engines
-	var listeners []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", loopback.String())
+		addr, err := standin.FreeAddress()
 		if err != nil {
 			return eris.Wrap(err, "address of an agent in a group")
 		}
-		listeners = append(listeners, l)
-		s.Ranks.Peers = append(s.Ranks.Peers, netip.MustParseAddrPort(l.Addr().String()))
-	}
-	for _, l := range listeners {
-		if err := l.Close(); err != nil {
-			return eris.Wrap(err, "address of an agent in a group")
-		}
+		s.Ranks.Peers = append(s.Ranks.Peers, netip.MustParseAddrPort(addr))
 	}
 	s.Group.Endpoints, s.Group.StepTime = n, stepTime
 	s.parts = append(s.parts, s.run(s.Group.Run))
--- a/internal/rank/runner_test.go
+++ b/internal/rank/runner_test.go
@@ -15,6 +15,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/kv"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/ranks"
 )
@@ -61,16 +62,13 @@
 	f.group.SetLoad(load(0))
 	background(t, f.group.Run)
 	for range f.group.Endpoints {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := standin.FreeAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.peers = append(f.peers, l.Addr().String())
+		f.peers = append(f.peers, addr)
 		f.stops = append(f.stops, nil)
 		f.metrics = append(f.metrics, nil)
-		if err := l.Close(); err != nil {
-			t.Fatal(err)
-		}
 	}
 	for i := range f.peers {
 		f.start(i)
