One count of running work, one loop over changes

Cause: the callers' server, the operators' listener and the agent each had the same counter with the same wait for a graceful stop; entry and agent the same loop over changes of the configuration; the entry put the name of a metric together anew for each request; four kinds of events and a field had no user. Ruled out: joining the agent's attempts with the callers' requests further, which end for different reasons. Change: internal/inflight, Store.EachChange, names made once; what had no user is gone. Behaviour and tests as before. Conclusion: one piece serves each.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
+	"github.com/hyssoprelay/hyssoprelay/internal/inflight"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
@@ -24,8 +25,6 @@
 const (
 	// expireEvery is how often kept answers are looked through.
 	expireEvery = time.Second
-	// endBacklog lets an attempt end without waiting for Run.
-	endBacklog = 64
 )
 
 // Agent runs beside one endpoint. Set the exported fields before Run.
@@ -64,9 +63,8 @@
 	leaving   atomic.Bool
 	tokens    atomic.Int64
 	version   atomic.Uint64
-	running   atomic.Int64
+	running   inflight.Count
 	askLoad   chan struct{}
-	ended     chan struct{}
 }
 
 func (a *Agent) now() time.Time { return time.Now() }
@@ -80,16 +78,12 @@
 
 // start runs an attempt in a goroutine that reports its end to Run.
 func (a *Agent) start(ctx context.Context, at *attempt, t allowance.Ticket) {
-	a.running.Add(1)
+	a.running.Begin()
 	a.changed()
 	go func() {
 		a.work(ctx, at, t)
 		at.cancel()
-		a.running.Add(-1)
-		select {
-		case a.ended <- struct{}{}:
-		default:
-		}
+		a.running.End()
 	}()
 }
 
@@ -117,17 +111,6 @@
 	a.changed()
 }
 
-// awaitIdle waits until no attempt runs or ctx ends.
-func (a *Agent) awaitIdle(ctx context.Context) {
-	for a.running.Load() > 0 {
-		select {
-		case <-a.ended:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Generation returns the generation of the configuration in force here.
 func (a *Agent) Generation() uint64 {
 	if v := a.view.Load(); v != nil {
@@ -146,4 +129,4 @@
 func (a *Agent) Allowance() int { return a.allowance.State().Bound() }
 
 // Running returns how many attempts have not ended.
-func (a *Agent) Running() int { return int(a.running.Load()) }
+func (a *Agent) Running() int { return a.running.Running() }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -43,7 +43,6 @@
 		a.Registry = metrics.NewRegistry()
 	}
 	a.workCtx = workCtx
-	a.ended = make(chan struct{}, endBacklog)
 	a.askLoad = make(chan struct{}, 1)
 	a.incarnation = uint64(a.now().UnixMicro())
 	a.ring = &timeline.Ring{Clock: &a.clock}
@@ -145,7 +144,7 @@
 	a.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.DrainTimeout)
 	defer cancel()
-	a.awaitIdle(ctx)
+	a.running.Wait(ctx)
 	a.flush()
 	// The last answers still have to reach the entries.
 	time.Sleep(announceTime)
@@ -162,16 +161,7 @@
 
 // follow applies each change of the configuration.
 func (a *Agent) follow(ctx context.Context) error {
-	c := a.store.Subscribe()
-	defer a.store.Unsubscribe(c)
-	for {
-		a.takeConfiguration()
-		select {
-		case <-c:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	return a.store.EachChange(ctx, func(context.Context) { a.takeConfiguration() })
 }
 
 func (a *Agent) takeConfiguration() {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
+	"github.com/hyssoprelay/hyssoprelay/internal/inflight"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -34,8 +35,6 @@
 	// spareConns are the connections beyond the limit that are still met, to be
 	// told so; more are closed unheard.
 	spareConns = 64
-	// endBacklog lets a finished request go on without waiting for Run.
-	endBacklog = 64
 )
 
 // Handler runs the requests that a Server has read. Serve must finish the
@@ -66,8 +65,7 @@
 
 	engine   *nbhttp.Engine
 	conns    sync.Map // *nbio.Conn to *conn
-	running  atomic.Int64
-	ended    chan struct{}
+	running  inflight.Count
 	refusing atomic.Bool
 	closing  atomic.Bool
 }
@@ -83,7 +81,6 @@
 	if s.IdleTimeout <= 0 {
 		s.IdleTimeout = defaultReadTimeout
 	}
-	s.ended = make(chan struct{}, endBacklog)
 	ln, err := net.Listen("tcp", s.Addr)
 	if err != nil {
 		return result.Newf(result.AddressInUse, "%s: %v", s.Addr, err)
@@ -121,7 +118,7 @@
 func (s *Server) Address() string { return s.Addr }
 
 // Running returns how many requests have not been answered to their end.
-func (s *Server) Running() int { return int(s.running.Load()) }
+func (s *Server) Running() int { return s.running.Running() }
 
 // Online returns how many callers are connected.
 func (s *Server) Online() int { return s.engine.Online() }
@@ -139,30 +136,15 @@
 // Run serves until ctx ends and then waits until no request runs, or until
 // drain has passed. It must follow Listen.
 func (s *Server) Run(ctx context.Context, drain time.Duration) error {
-	for ctx.Err() == nil {
-		select {
-		case <-s.ended:
-		case <-ctx.Done():
-		}
-	}
+	<-ctx.Done()
 	s.Refuse()
-	s.awaitIdle(drain)
+	patience, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	s.running.Wait(patience)
 	s.engine.Stop()
 	return nil
 }
 
-func (s *Server) awaitIdle(drain time.Duration) {
-	t := time.NewTimer(drain)
-	defer t.Stop()
-	for s.running.Load() > 0 {
-		select {
-		case <-s.ended:
-		case <-t.C:
-			return
-		}
-	}
-}
-
 func (s *Server) opened(w net.Conn) {
 	if c := underlying(w); c != nil {
 		s.conns.Store(c, newConn())
@@ -240,14 +222,14 @@
 	reply := &Reply{w: nc, conn: c, close: hr.Close, minor: hr.ProtoMinor}
 	reply.before, reply.mine = c.enqueue()
 	c.whole()
-	s.running.Add(1)
+	s.running.Begin()
 	go s.answer(r, rerr, reply)
 }
 
 // answer runs one request. Requests that a caller sends ahead on the same
 // connection wait for their turn, as HTTP/1.1 wants answers in order.
 func (s *Server) answer(r *Request, rerr error, w *Reply) {
-	defer s.finish()
+	defer s.running.End()
 	defer close(w.mine)
 	<-w.before
 	defer w.conn.end()
@@ -304,11 +286,3 @@
 	}
 	w.Whole(http.StatusOK, "text/plain", "", []byte("ready\n"))
 }
-
-func (s *Server) finish() {
-	s.running.Add(-1)
-	select {
-	case s.ended <- struct{}{}:
-	default:
-	}
-}
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -15,10 +15,18 @@
 	strays   metrics.Counter
 	fetches  metrics.Counter
 	pushes   metrics.Counter
+	// names holds the metric of each result code, which is counted for every
+	// request.
+	names map[result.Code]string
 }
 
 func newCounters(r metrics.Registry) counters {
+	names := map[result.Code]string{}
+	for _, code := range result.Codes() {
+		names[code] = nameOf(code)
+	}
 	return counters{
+		names:    names,
 		registry: r,
 		retries:  metrics.GetOrRegisterCounter("entry.retries", r),
 		strays:   metrics.GetOrRegisterCounter("entry.strayReplies", r),
@@ -29,6 +37,11 @@
 
 // result counts a final answer by its code.
 func (c counters) result(code result.Code) {
-	name := fmt.Sprintf("entry.results.%d.%s", code, code)
+	name, ok := c.names[code]
+	if !ok {
+		name = nameOf(code)
+	}
 	metrics.GetOrRegisterCounter(name, c.registry).Inc(1)
 }
+
+func nameOf(code result.Code) string { return fmt.Sprintf("entry.results.%d.%s", code, code) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,7 @@
 	e.scheduler.admission.MaxWaiting = e.Settings.Limits.QueueLength
 	e.members = members{
 		conns: &e.conns, store: &e.store, clock: &e.clock, ring: e.ring,
-		log: e.Log, name: e.Settings.Name, now: e.now,
+		name: e.Settings.Name, now: e.now,
 		report: e.scheduler.report, lost: e.lost, pushes: e.counters.pushes,
 		others: func() int { return len(e.directory.entries()) },
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
@@ -58,7 +57,6 @@
 	store *config.Store
 	clock *timeline.Clock
 	ring  *timeline.Ring
-	log   *logrus.Logger
 	name  string
 	now   func() time.Time
 	// report takes in what an agent said, and lost that it can't be reached.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -61,27 +61,13 @@
 
 // follow applies each change of the configuration.
 func (e *Entry) follow(ctx context.Context) error {
-	return e.eachChange(ctx, func(context.Context) { e.apply(e.now()) })
+	return e.store.EachChange(ctx, func(context.Context) { e.apply(e.now()) })
 }
 
 // handOn hands each change to the agents. It is apart from follow because an
 // agent that is frozen holds it up until a timeout.
 func (e *Entry) handOn(ctx context.Context) error {
-	return e.eachChange(ctx, e.members.pushAll)
-}
-
-// eachChange calls f now and after each change until ctx ends.
-func (e *Entry) eachChange(ctx context.Context, f func(context.Context)) error {
-	c := e.store.Subscribe()
-	defer e.store.Unsubscribe(c)
-	for {
-		f(ctx)
-		select {
-		case <-c:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	return e.store.EachChange(ctx, e.members.pushAll)
 }
 
 func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
+	"github.com/hyssoprelay/hyssoprelay/internal/inflight"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -51,8 +52,7 @@
 
 	engine  *nbhttp.Engine
 	address string
-	running atomic.Int64
-	ended   chan struct{}
+	running inflight.Count
 	// byConn and byAddr hold a *meter by the connection and by its remote
 	// address: data comes with the one, requests come with the other.
 	byConn sync.Map
@@ -73,7 +73,6 @@
 		return result.Newf(result.AddressInUse, "%s: %v", addr, err)
 	}
 	l.address = ln.Addr().String()
-	l.ended = make(chan struct{}, maxConns)
 	l.engine = nbhttp.NewEngine(l.config(ln))
 	eventloop.Order(l.engine, l.opened, l.arrived)
 	l.engine.OnClose(l.closed)
@@ -115,7 +114,7 @@
 	}
 	l.byAddr.Delete(c.RemoteAddr().String())
 	if v.(*meter).asked.Load() {
-		l.finish()
+		l.running.End()
 	}
 }
 
@@ -138,34 +137,19 @@
 // Whoever does not close runs into the listener's timeout.
 func (l *listener) serve(w http.ResponseWriter, r *http.Request) {
 	if v, ok := l.byAddr.Load(r.RemoteAddr); ok && !v.(*meter).asked.Swap(true) {
-		l.running.Add(1)
+		l.running.Begin()
 	}
 	r.Close = false
 	w.Header().Set("Connection", "close")
 	l.handler.ServeHTTP(w, r)
 }
 
-func (l *listener) finish() {
-	l.running.Add(-1)
-	select {
-	case l.ended <- struct{}{}:
-	default:
-	}
-}
-
 // run serves until ctx ends, then waits for the orders that are being carried
 // out, and stops.
 func (l *listener) run(ctx context.Context) {
 	<-ctx.Done()
-	t := time.NewTimer(drainTimeout)
-	defer t.Stop()
-	for l.running.Load() > 0 {
-		select {
-		case <-l.ended:
-		case <-t.C:
-			l.engine.Stop()
-			return
-		}
-	}
+	patience, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	l.running.Wait(patience)
 	l.engine.Stop()
 }
--- a/internal/platform/config/store.go
+++ b/internal/platform/config/store.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -126,6 +127,20 @@
 	return s.join(h, nil, parts)
 }
 
+// EachChange calls f now and after each change until ctx ends.
+func (s *Store) EachChange(ctx context.Context, f func(context.Context)) error {
+	c := s.Subscribe()
+	defer s.Unsubscribe(c)
+	for {
+		f(ctx)
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // hold adds a local hold.
 func (s *Store) hold(d Hold) { s.join(Head{}, []Hold{d}, nil) }
 
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -11,7 +11,6 @@
 // The kinds of events.
 const (
 	Admitted          Kind = "admitted"
-	Queued            Kind = "queued"
 	Placed            Kind = "placed"
 	Accepted          Kind = "accepted"
 	Claimed           Kind = "claimed"
@@ -25,17 +24,14 @@
 	CancelledByCaller Kind = "cancelled"
 	Fetched           Kind = "fetched"
 	EndpointCold      Kind = "endpointCold"
-	EndpointWarm      Kind = "endpointWarm"
 	LeaseTaken        Kind = "leaseTaken"
 	LeaseLost         Kind = "leaseLost"
 	MapStaged         Kind = "mapStaged"
 	MapNamed          Kind = "mapNamed"
 	GenerationApplied Kind = "generationApplied"
-	OrderAccepted     Kind = "orderAccepted"
 	PeerJoined        Kind = "peerJoined"
 	PeerLost          Kind = "peerLost"
 	Leaving           Kind = "leaving"
-	Stopped           Kind = "stopped"
 )
 
 // Event is one entry of a time line.
