--- a/cmd/hyssoprelay/roles.go
+++ b/cmd/hyssoprelay/roles.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/agent"
 	"github.com/hyssoprelay/hyssoprelay/internal/entry"
+	"github.com/hyssoprelay/hyssoprelay/internal/frontend"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 )
@@ -40,3 +41,19 @@
 	a.Log.WithField("endpoint", s.EndpointName).Info("agent serves")
 	return a.Run(ctx)
 }
+
+// Relay implements command.Roles.
+func (roles) Relay(ctx context.Context, s *settings.Relay) error {
+	process.QuietEventLoop()
+	f := &frontend.Frontend{Settings: s, Log: process.NewBoundedLog(s.Name, s.DataCentre)}
+	if err := f.Listen(); err != nil {
+		return err
+	}
+	return f.Run(ctx)
+}
+
+// Ranker implements command.Roles.
+func (roles) Ranker(ctx context.Context, s *settings.Ranker) error {
+	<-ctx.Done()
+	return nil
+}
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -94,6 +94,18 @@
 	return c.last == mine
 }
 
+// resting reports whether no request is being read or answered.
+func (c *conn) resting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.last:
+	default:
+		return false
+	}
+	return c.slow == nil && c.cancel == nil && c.input.Load() == 0 && c.pending == 0
+}
+
 // begin ties cancel to the connection's close.
 func (c *conn) begin(cancel context.CancelFunc) {
 	c.mu.Lock()
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -45,6 +46,8 @@
 	// before closes when the connection's earlier requests are answered, and
 	// mine is closed when this one is.
 	before, mine chan struct{}
+	// closing, when set, says that the server is about to stop.
+	closing *atomic.Bool
 }
 
 // Within ends the reply's writes when ctx ends, so that a caller who stops
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -45,6 +45,27 @@
 	Ready() error
 }
 
+// Passer runs requests that are passed on as they came. Pass must finish the
+// reply before it returns; ctx ends when the caller leaves. The header and the
+// body belong to Pass.
+type Passer interface {
+	Pass(ctx context.Context, r *Raw, w *Reply)
+}
+
+// Raw is a request as it came.
+type Raw struct {
+	Method string
+	// Host is in lower case.
+	Host string
+	// Target is the path with the query as the caller wrote it, and Path the
+	// part before the query.
+	Target, Path string
+	Header       http.Header
+	Body         []byte
+	// At is when the request had arrived whole.
+	At time.Time
+}
+
 // Server meets callers at one address. Set the exported fields before Run.
 type Server struct {
 	// Addr is where to listen, as IP:port.
@@ -62,6 +83,10 @@
 	IdleTimeout time.Duration
 	// Handler runs the requests.
 	Handler Handler
+	// Passer, when set, runs all requests in place of Handler.
+	Passer Passer
+	// Now is the clock of Raw.At; nil means the process's own.
+	Now func() time.Time
 
 	engine   *nbhttp.Engine
 	conns    sync.Map // *nbio.Conn to *conn
@@ -127,6 +152,17 @@
 // its connection. Requests are still taken.
 func (s *Server) Announce() { s.closing.Store(true) }
 
+// CloseIdle closes the connections on which no request is being read or
+// answered.
+func (s *Server) CloseIdle() {
+	s.conns.Range(func(key, value any) bool {
+		if value.(*conn).resting() {
+			_ = key.(*nbio.Conn).Close()
+		}
+		return true
+	})
+}
+
 // Refuse answers each further request with shuttingDown.
 func (s *Server) Refuse() {
 	s.closing.Store(true)
@@ -217,8 +253,12 @@
 		return
 	}
 	_ = nc.SetReadDeadline(time.Time{})
-	r, rerr := s.read(hr)
 	c := v.(*conn)
+	if s.Passer != nil {
+		s.takeRaw(hr, nc, c)
+		return
+	}
+	r, rerr := s.read(hr)
 	reply := &Reply{w: nc, conn: c, close: hr.Close, minor: hr.ProtoMinor}
 	reply.before, reply.mine = c.enqueue()
 	c.whole()
@@ -226,9 +266,18 @@
 	go s.answer(r, rerr, reply)
 }
 
-// answer runs one request. Requests that a caller sends ahead on the same
-// connection wait for their turn, as HTTP/1.1 wants answers in order.
-func (s *Server) answer(r *Request, rerr error, w *Reply) {
+// takeRaw lets a goroutine of its own pass the request on.
+func (s *Server) takeRaw(hr *http.Request, nc net.Conn, c *conn) {
+	raw, err := s.readRaw(hr)
+	reply := &Reply{w: nc, conn: c, close: hr.Close || err != nil, minor: hr.ProtoMinor}
+	reply.before, reply.mine = c.enqueue()
+	c.whole()
+	s.running.Begin()
+	go s.pass(raw, err, reply)
+}
+
+// pass runs one request that is passed on.
+func (s *Server) pass(raw *Raw, err error, w *Reply) {
 	defer s.running.End()
 	defer close(w.mine)
 	<-w.before
@@ -238,10 +287,17 @@
 	w.conn.begin(cancel)
 	w.ctx = ctx
 	w.close = w.close || s.closing.Load()
-	if r != nil {
-		w.requestID = r.ID()
+	w.closing = &s.closing
+	if err != nil {
+		w.Fail(result.Of(err))
+	} else {
+		s.Passer.Pass(ctx, raw, w)
 	}
-	s.dispatch(ctx, r, rerr, w)
+	s.finish(w)
+}
+
+// finish closes the connection if it must, or waits for its next request.
+func (s *Server) finish(w *Reply) {
 	if w.close || w.broken {
 		w.hangUp()
 		return
@@ -251,6 +307,25 @@
 	}
 }
 
+// answer runs one request. Requests that a caller sends ahead on the same
+// connection wait for their turn, as HTTP/1.1 wants answers in order.
+func (s *Server) answer(r *Request, rerr error, w *Reply) {
+	defer s.running.End()
+	defer close(w.mine)
+	<-w.before
+	defer w.conn.end()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.conn.begin(cancel)
+	w.ctx = ctx
+	w.close = w.close || s.closing.Load()
+	if r != nil {
+		w.requestID = r.ID()
+	}
+	s.dispatch(ctx, r, rerr, w)
+	s.finish(w)
+}
+
 func (s *Server) dispatch(ctx context.Context, r *Request, rerr error, w *Reply) {
 	if rerr != nil {
 		w.Fail(result.Of(rerr))
--- a/internal/eventloop/begin.go
+++ b/internal/eventloop/begin.go
@@ -2,9 +2,8 @@
 
 import (
 	"errors"
+	"io"
 	"net"
-	"os"
-	"syscall"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -41,22 +40,28 @@
 // waits until the poller has closed it as well. Which poller serves a
 // connection follows from its descriptor, so the other sides stay open until
 // all pollers have been met: they hold the lower descriptors, and each round
-// gets the next one.
+// gets the next one. The connections are TCP over loopback: a pair of Unix
+// sockets is not to be had on each platform.
 func awaitPollers(e *nbio.Engine) (err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
 	met := map[int]bool{}
-	var held []int
+	var held []net.Conn
 	defer func() {
-		for _, fd := range held {
-			err = errors.Join(err, syscall.Close(fd))
+		for _, c := range held {
+			err = errors.Join(err, c.Close())
 		}
+		err = errors.Join(err, ln.Close())
 	}()
 	for range roundsPerPoller * e.NPoller {
-		pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+		ours, theirs, err := pair(ln)
 		if err != nil {
 			return err
 		}
-		held = append(held, pair[0])
-		poller, err := meet(e, pair)
+		held = append(held, ours)
+		poller, err := meet(e, ours, theirs)
 		if err != nil {
 			return err
 		}
@@ -68,34 +73,32 @@
 	return errNoPoller
 }
 
-// meet returns the number of the poller that has closed its side of pair.
-func meet(e *nbio.Engine, pair [2]int) (int, error) {
-	f := os.NewFile(uintptr(pair[1]), "poller")
-	std, err := net.FileConn(f)
-	if err = errors.Join(err, f.Close()); err != nil {
-		return 0, err
+// pair returns the two ends of a connection.
+func pair(ln net.Listener) (ours *net.TCPConn, theirs net.Conn, err error) {
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		return nil, nil, err
+	}
+	theirs, err = ln.Accept()
+	if err != nil {
+		return nil, nil, errors.Join(err, c.Close())
 	}
-	nb, err := nbio.NBConn(std)
+	return c.(*net.TCPConn), theirs, nil
+}
+
+// meet returns the number of the poller that has closed its side of the pair.
+func meet(e *nbio.Engine, ours *net.TCPConn, theirs net.Conn) (int, error) {
+	nb, err := nbio.NBConn(theirs)
 	if err != nil {
-		return 0, errors.Join(err, std.Close())
+		return 0, errors.Join(err, theirs.Close())
 	}
 	poller := nb.Hash() % e.NPoller
-	if err := syscall.Shutdown(pair[0], syscall.SHUT_WR); err != nil {
+	if err := ours.CloseWrite(); err != nil {
 		return 0, errors.Join(err, nb.Close())
 	}
 	if _, err := e.AddConn(nb); err != nil {
 		return 0, err
 	}
-	return poller, awaitEnd(pair[0])
-}
-
-// awaitEnd waits until the other side has closed.
-func awaitEnd(fd int) error {
-	for {
-		n, err := syscall.Read(fd, make([]byte, 1))
-		if errors.Is(err, syscall.EINTR) || n > 0 {
-			continue
-		}
-		return err
-	}
+	_, err = io.Copy(io.Discard, ours)
+	return poller, err
 }
--- /dev/null
+++ b/internal/fleet/member.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// Prefix begins all keys of the product's own processes.
+const Prefix = "hyssoprelay/"
+
+// Kind is what a process does.
+type Kind string
+
+// The kinds of processes.
+const (
+	Entry Kind = "entry"
+	Agent Kind = "agent"
+)
+
+// Member is one process.
+type Member struct {
+	Kind       Kind   `json:"kind"`
+	Name       string `json:"name"`
+	DataCentre string `json:"dataCentre"`
+	// Address is the IP:port at which it meets the others.
+	Address string `json:"address"`
+	// Endpoint is the IP:port of an agent's endpoint, and Group its group of
+	// ranks.
+	Endpoint string `json:"endpoint,omitempty"`
+	Group    string `json:"group,omitempty"`
+}
+
+// Key returns the member's key in the store.
+func (m Member) Key() string { return Prefix + string(m.Kind) + "/" + m.Name }
+
+// Decode reads a member from its key and value. It reports false for keys that
+// are not a member's.
+func Decode(key string, value []byte) (Member, bool, error) {
+	kind, name, ok := split(key)
+	if !ok {
+		return Member{}, false, nil
+	}
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, true, result.Newf(result.DocumentUnreadable, "%s: %v", key, err)
+	}
+	m.Kind, m.Name = kind, name
+	return m, true, nil
+}
+
+// Removed reads which member a key that has vanished was of.
+func Removed(key string) (Kind, string, bool) { return split(key) }
+
+func split(key string) (Kind, string, bool) {
+	rest, ok := strings.CutPrefix(key, Prefix)
+	if !ok {
+		return "", "", false
+	}
+	kind, name, ok := strings.Cut(rest, "/")
+	if !ok || Kind(kind) != Entry && Kind(kind) != Agent {
+		return "", "", false
+	}
+	return Kind(kind), name, true
+}
+
+// Store is what a Registrar needs of the key-value service.
+type Store interface {
+	Txn(ctx context.Context, t platform.Txn) (platform.TxnReply, error)
+	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
+	KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error)
+	Revoke(ctx context.Context, id platform.LeaseID) error
+}
+
+const (
+	// LeaseTime is how long a process counts as there without a sign of life.
+	// The others lose little by a dead entry that still counts, so it is long
+	// and costs few calls.
+	LeaseTime = 9 * time.Second
+	// retryEvery is the pause after a failed call.
+	retryEvery = 500 * time.Millisecond
+)
+
+// Registrar keeps a member's key in the store. Set the exported fields before
+// Run.
+type Registrar struct {
+	Store  Store
+	Member Member
+	// Failed, when set, is told of each failed call.
+	Failed func(error)
+}
+
+// Run keeps the key until ctx ends, and then takes it back.
+func (r *Registrar) Run(ctx context.Context) error {
+	var lease platform.LeaseID
+	for ctx.Err() == nil {
+		pause := LeaseTime / 3
+		var err error
+		if lease == 0 {
+			lease, err = r.enter(ctx)
+		} else if _, err = r.Store.KeepAlive(ctx, lease); platform.IsLeaseMissing(err) {
+			lease, pause = 0, 0
+		}
+		if err != nil && ctx.Err() == nil {
+			r.fail(err)
+			pause = min(pause, retryEvery)
+		}
+		wait(ctx, pause)
+	}
+	if lease == 0 {
+		return nil
+	}
+	end, cancel := context.WithTimeout(context.Background(), retryEvery)
+	defer cancel()
+	if err := r.Store.Revoke(end, lease); err != nil {
+		r.fail(err)
+	}
+	return nil
+}
+
+func (r *Registrar) fail(err error) {
+	if r.Failed != nil {
+		r.Failed(err)
+	}
+}
+
+// enter writes the key. A key that an earlier process of this name left is
+// overwritten; its lease takes nothing along, because a key belongs to the lease
+// of its last write.
+func (r *Registrar) enter(ctx context.Context) (platform.LeaseID, error) {
+	lease, err := r.Store.Grant(ctx, LeaseTime)
+	if err != nil {
+		return 0, err
+	}
+	value, err := json.Marshal(r.Member)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.Store.Txn(ctx, platform.Txn{Then: []platform.Op{
+		platform.Put{Key: r.Member.Key(), Value: value, Lease: lease},
+	}})
+	if err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/frontend/apply.go
@@ -0,0 +1,139 @@
+package frontend
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+	"github.com/hyssoprelay/hyssoprelay/platform"
+)
+
+// storeFailed notes that the store did not answer a read.
+func (f *Frontend) storeFailed(err error) {
+	if f.away.Swap(true) {
+		return
+	}
+	f.Log.WithFields(logrus.Fields{
+		"dependency": "store", "cause": err.Error(), "knownAge": f.fresh.Age(boottime.Now()).Milliseconds(),
+	}).Warn("dependency lost")
+}
+
+// callFailed notes that another call to the store failed.
+func (f *Frontend) callFailed(err error) {
+	f.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
+}
+
+// apply takes in what the store told.
+func (f *Frontend) apply(u mirror.Update) {
+	now := boottime.Now()
+	if u.Returned {
+		f.belief.Change(func(d *directory.Directory) { d.Returned(now) })
+	}
+	if f.away.Swap(false) {
+		f.Log.WithFields(logrus.Fields{"dependency": "store", "revision": u.Revision}).Warn("dependency regained")
+	}
+	for _, item := range u.KVs {
+		f.put(item, now)
+	}
+	for _, key := range u.Deleted {
+		f.remove(key, now)
+	}
+	if u.Whole {
+		f.whole(u.KVs, now)
+	}
+	// Only now, when all that the answer told is in force, is it as fresh.
+	f.fresh.Learn(u.Asked)
+}
+
+func (f *Frontend) put(item kv.KeyValue, now time.Time) {
+	fact, err := platform.Translate(item)
+	if err != nil {
+		f.Log.WithFields(logrus.Fields{"key": item.Key(), "revision": item.Revision(), "cause": err.Error()}).Warn("entry not readable, ignored")
+		return
+	}
+	switch fact := fact.(type) {
+	case platform.TableFact:
+		if f.belief.SetTable(fact.Table) {
+			f.document.Store(&item)
+			f.Log.WithFields(logrus.Fields{
+				"version": fact.Table.Version(), "routes": fact.Table.Routes(), "revision": item.Revision(),
+			}).Info("configuration in force")
+		}
+	case platform.OutFact:
+		f.setOut(fact, now)
+	case platform.EndpointFact:
+		f.belief.Change(func(d *directory.Directory) { d.Put(fact.Entry, now) })
+		f.Log.WithFields(logrus.Fields{
+			"endpoint": fact.Entry.ID, "born": fact.Entry.Born, "service": fact.Entry.Service,
+			"address": fact.Entry.Address, "inDataCentre": fact.Entry.DataCentre, "draining": fact.Entry.Draining,
+			"cold": fact.Entry.Cold.Milliseconds(), "revision": item.Revision(),
+		}).Info("endpoint listed")
+	case platform.OwnFact:
+		f.putMember(item, now)
+	}
+}
+
+func (f *Frontend) setOut(fact platform.OutFact, now time.Time) {
+	f.belief.Change(func(d *directory.Directory) { d.SetOut(fact.DataCentre, !fact.Removed, now) })
+	f.Log.WithFields(logrus.Fields{"outDataCentre": fact.DataCentre, "out": !fact.Removed}).Info("data centre order in force")
+}
+
+func (f *Frontend) putMember(item kv.KeyValue, now time.Time) {
+	m, ok, err := fleet.Decode(item.Key(), item.Value())
+	if err != nil {
+		f.Log.WithField("cause", err.Error()).Warn("entry not readable, ignored")
+		return
+	}
+	if ok && m.Kind == fleet.Entry {
+		f.belief.SetEntry(m.Name, true, now)
+		f.others.set(m.Name, m.Address)
+	}
+}
+
+func (f *Frontend) remove(key string, now time.Time) {
+	switch fact := platform.TranslateRemoved(key).(type) {
+	case platform.OutFact:
+		f.setOut(fact, now)
+	case platform.EndpointFact:
+		f.belief.Change(func(d *directory.Directory) { d.Remove(fact.Entry.ID, now) })
+		f.Log.WithField("endpoint", fact.Entry.ID).Info("endpoint entry vanished")
+	case platform.OwnFact:
+		if kind, name, ok := fleet.Removed(key); ok && kind == fleet.Entry {
+			f.belief.SetEntry(name, false, now)
+			f.others.drop(name)
+		}
+	}
+}
+
+// whole takes in that nothing but kvs is in the store.
+func (f *Frontend) whole(kvs []kv.KeyValue, now time.Time) {
+	ids := map[string]bool{}
+	out := map[string]bool{}
+	for _, item := range kvs {
+		fact, err := platform.Translate(item)
+		if err != nil {
+			continue // put has logged it
+		}
+		switch fact := fact.(type) {
+		case platform.EndpointFact:
+			ids[fact.Entry.ID] = true
+		case platform.OutFact:
+			out[fact.DataCentre] = true
+		}
+	}
+	f.belief.Change(func(d *directory.Directory) {
+		d.Whole(ids, now)
+		for _, dc := range d.Outs() {
+			if !out[dc] {
+				d.SetOut(dc, false, now)
+			}
+		}
+	})
+	f.belief.Listed()
+	f.Log.WithFields(logrus.Fields{"endpoints": len(ids), "keys": len(kvs)}).Info("store read whole")
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,220 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/relay"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+	"github.com/hyssoprelay/hyssoprelay/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the store, which answers in milliseconds.
+	storeTimeout = 700 * time.Millisecond
+	// pollWait is how long a poll waits at the store. While nothing changes,
+	// knowledge is at most twice as old: it dates from when the last answer
+	// was asked for, and the next one is on its way. That leaves a third of
+	// the time in which a key must be refused for the store to be away.
+	pollWait = 1500 * time.Millisecond
+	// keyMargin is taken from the time in which a key must be refused: for the
+	// way of a request to its endpoint.
+	keyMargin = 300 * time.Millisecond
+	// callsPerSecond bounds this process's calls to the store. A fleet of 40
+	// stays below two thirds of the 2,000 reads a second that the store takes.
+	callsPerSecond = 30
+	// bodyLimit and connLimit bound what callers take up. The configuration
+	// allows bodies of 4 MB; a connection holds some 20 KB.
+	bodyLimit = 5 << 20
+	connLimit = 2500
+	// readTimeout bounds the arrival of a request; callers have three seconds
+	// for its head by the configuration.
+	readTimeout = 20 * time.Second
+	// idleTimeout is longer than any time that the configuration lets callers
+	// keep an unused connection: whoever closes first may cut a request.
+	idleTimeout = 2 * time.Minute
+)
+
+// Frontend is one entry. Set the exported fields, then Listen, then Run.
+type Frontend struct {
+	Settings *settings.Relay
+	Log      *process.BoundedLog
+	Registry metrics.Registry
+
+	store    *platform.Store
+	mirror   *mirror.Mirror
+	belief   *relay.Belief
+	fresh    relay.Freshness
+	relay    *relay.Relay
+	callers  *caller.Server
+	ready    *caller.Server
+	peers    *peer.Server
+	conns    *peer.Conns
+	stopping atomic.Bool
+	away     atomic.Bool
+	document atomic.Pointer[kv.KeyValue]
+	others   addresses
+}
+
+// Listen opens the process's addresses.
+func (f *Frontend) Listen() error {
+	s := f.Settings
+	f.build()
+	f.callers = &caller.Server{
+		Addr: s.CallerAddress.String(), BodyLimit: bodyLimit, MaxConns: connLimit,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Passer: f.relay, Now: boottime.Now,
+	}
+	f.ready = &caller.Server{
+		Addr: s.ReadyAddress.String(), BodyLimit: bodyLimit, MaxConns: connLimit,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Passer: readiness{f},
+	}
+	f.conns = &peer.Conns{}
+	f.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
+		fleetpb.RegisterEntryServer(g, &service{frontend: f})
+	}}
+	if err := f.callers.Listen(); err != nil {
+		return err
+	}
+	if err := f.ready.Listen(); err != nil {
+		return err
+	}
+	return f.peers.Listen()
+}
+
+func (f *Frontend) build() {
+	s := f.Settings
+	if f.Registry == nil {
+		f.Registry = metrics.NewRegistry()
+	}
+	now := boottime.Now()
+	f.store = &platform.Store{
+		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
+		Budget: kv.Budget{PerSecond: callsPerSecond}, Metrics: f.Registry,
+	}
+	f.store.Open()
+	f.belief = &relay.Belief{
+		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Fresh: &f.fresh,
+		Retry: relay.Budget{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+	}
+	f.belief.Begin(now)
+	f.mirror = &mirror.Mirror{
+		Reader: f.store, Wait: pollWait, Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
+	}
+	f.relay = &relay.Relay{
+		Belief: f.belief, Client: &direct.Client{}, Dialect: platform.Dialect{},
+		KeyAge: s.Bounds.KeyRevoke - keyMargin, Now: boottime.Now, Log: f.Log.Logger,
+		Metrics: relay.NewMetrics(f.Registry),
+	}
+}
+
+// Run serves until ctx ends and then leaves without cutting a request.
+func (f *Frontend) Run(ctx context.Context) error {
+	registrar := &fleet.Registrar{Store: f.store, Failed: f.callFailed, Member: fleet.Member{
+		Kind: fleet.Entry, Name: f.Settings.Name, DataCentre: f.Settings.DataCentre,
+		Address: f.Settings.PeerAddress.String(),
+	}}
+	parts := []process.Part{
+		f.mirror.Run, registrar.Run, f.peers.Run, f.relay.Sweep,
+		func(ctx context.Context) error { return f.Log.Run(ctx, os.Stdout) },
+		f.runServers,
+	}
+	parts = append(parts, process.MetricsParts(f.Settings.MetricsAddress, f.Registry)...)
+	f.Log.WithField("callers", f.callers.Address()).Info("relay serves")
+	return process.RunParts(ctx, parts, func(error) error {
+		f.leave()
+		return nil
+	})
+}
+
+// runServers ends the servers after the leave, when nothing runs any more.
+func (f *Frontend) runServers(ctx context.Context) error {
+	<-ctx.Done()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := f.callers.Run(ended, 0); err != nil {
+		return err
+	}
+	return f.ready.Run(ended, 0)
+}
+
+// readiness answers whether the process takes connections.
+type readiness struct{ frontend *Frontend }
+
+// Pass implements caller.Passer.
+func (r readiness) Pass(_ context.Context, raw *caller.Raw, w *caller.Reply) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case raw.Path != platform.ReadyPath:
+		status = http.StatusNotFound
+	case r.frontend.takesCallers(boottime.Now()):
+		status = http.StatusOK
+	}
+	if err := w.AnswerRaw(status, http.Header{}, nil); err != nil {
+		r.frontend.Log.WithField("cause", err.Error()).Debug("readiness answer not taken")
+	}
+}
+
+// takesCallers reports whether callers are served better here than elsewhere:
+// not by an entry that knows nothing yet, is about to stop, or would refuse all
+// keys because it is cut off from the store.
+func (f *Frontend) takesCallers(now time.Time) bool {
+	if f.stopping.Load() || !f.belief.Known() {
+		return false
+	}
+	return f.fresh.Age(now) <= f.relay.KeyAge
+}
+
+// service answers the other processes.
+type service struct {
+	fleetpb.UnimplementedEntryServer
+
+	frontend *Frontend
+}
+
+// Loads implements fleetpb.EntryServer.
+func (s *service) Loads(_ context.Context, r *fleetpb.LoadsRequest) (*fleetpb.LoadsReply, error) {
+	now := boottime.Now()
+	loads := make([]relay.Load, 0, len(r.GetLoads()))
+	for _, l := range r.GetLoads() {
+		loads = append(loads, relay.Load{
+			Address: l.GetAddress(), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
+			At: now.Add(-time.Duration(l.GetAgeMicros()) * time.Microsecond),
+		})
+	}
+	s.frontend.belief.SetLoads(loads, now)
+	return &fleetpb.LoadsReply{}, nil
+}
+
+// Proof implements fleetpb.EntryServer.
+func (s *service) Proof(_ context.Context, r *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
+	f := s.frontend
+	t := f.belief.Table()
+	if t == nil {
+		return nil, result.New(result.NoPreset, "")
+	}
+	reply := &fleetpb.ProofReply{
+		AgeMicros: uint64(max(0, f.fresh.Age(boottime.Now()).Microseconds())),
+		Version:   t.Version(),
+	}
+	if d := f.document.Load(); d != nil && r.GetVersion() < t.Version() {
+		reply.Document = d.Value()
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/frontend/leave.go
@@ -0,0 +1,78 @@
+package frontend
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// announceTime is how long a leaving entry still takes connections like any
+	// other: the platform's balancer asks once a second whether it is ready and
+	// sends new connections until two answers in a row said no.
+	announceTime = 2600 * time.Millisecond
+	// settleTime is how long it goes on after that until it closes connections
+	// that rest, and the least time without any request before it ends.
+	settleTime = 500 * time.Millisecond
+	// graceMargin is kept of the time that the platform gives before it kills.
+	graceMargin = 600 * time.Millisecond
+	leaveTick   = 50 * time.Millisecond
+)
+
+// leave runs the process down without cutting a request: it says that it is not
+// ready, asks callers to connect elsewhere with each answer, takes requests all
+// the while, and ends when none runs and no connection is left.
+func (f *Frontend) leave() {
+	began := time.Now()
+	f.stopping.Store(true)
+	f.callers.Announce()
+	f.Log.WithField("running", f.callers.Running()).Info("relay leaves")
+	end := began.Add(f.Settings.Bounds.Grace - graceMargin)
+	quiet := time.Time{}
+	for now := began; now.Before(end); now = time.Now() {
+		if f.callers.Running() > 0 {
+			quiet = time.Time{}
+		} else if quiet.IsZero() {
+			quiet = now
+		}
+		if now.Sub(began) > announceTime+settleTime {
+			f.callers.CloseIdle()
+			if !quiet.IsZero() && now.Sub(quiet) > settleTime {
+				break
+			}
+		}
+		time.Sleep(leaveTick)
+	}
+	f.Log.WithField("running", f.callers.Running()).Info("relay stops")
+}
+
+// addresses holds where the other entries are met, by name.
+type addresses struct {
+	mu     sync.Mutex
+	byName map[string]string
+}
+
+func (a *addresses) set(name, addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byName == nil {
+		a.byName = map[string]string{}
+	}
+	a.byName[name] = addr
+}
+
+func (a *addresses) drop(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.byName, name)
+}
+
+// all returns a copy.
+func (a *addresses) all() map[string]string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(map[string]string, len(a.byName))
+	for name, addr := range a.byName {
+		out[name] = addr
+	}
+	return out
+}
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -70,6 +70,16 @@
 	return result.New(result.AddressInUse, s.EndpointName)
 }
 
+func (r *recordedRoles) Relay(_ context.Context, s *settings.Relay) error {
+	r.ran = "relay " + s.Name
+	return nil
+}
+
+func (r *recordedRoles) Ranker(_ context.Context, s *settings.Ranker) error {
+	r.ran = "ranker " + s.Name
+	return nil
+}
+
 func TestRoles(t *testing.T) {
 	r := &recordedRoles{}
 	p := &Program{Stdout: os.Stdout, Stderr: os.Stderr, Roles: r}
--- a/internal/operator/command/main.go
+++ b/internal/operator/command/main.go
@@ -28,6 +28,10 @@
 	Entry(ctx context.Context, s *settings.Entry) error
 	// Agent runs an agent until ctx ends.
 	Agent(ctx context.Context, s *settings.Agent) error
+	// Relay runs an entry that speaks to endpoints directly until ctx ends.
+	Relay(ctx context.Context, s *settings.Relay) error
+	// Ranker runs an agent that leads expert maps until ctx ends.
+	Ranker(ctx context.Context, s *settings.Ranker) error
 }
 
 // Program is one run of the command line. Set the exported fields before Run.
@@ -46,6 +50,8 @@
 	options options
 	entry   *settings.Flags
 	agent   *settings.Flags
+	relay   *settings.Flags
+	ranker  *settings.Flags
 }
 
 // options are the flags of the commands that speak with entries.
@@ -94,10 +100,14 @@
 		}
 	}
 	p.entry, p.agent = settings.EntryFlags(), settings.AgentFlags()
-	if err := p.entry.AddTo(parser.Find("entry")); err != nil {
-		return nil, err
+	p.relay, p.ranker = settings.RelayFlags(), settings.RankerFlags()
+	roles := map[string]*settings.Flags{"entry": p.entry, "agent": p.agent, "relay": p.relay, "ranker": p.ranker}
+	for name, f := range roles {
+		if err := f.AddTo(parser.Find(name)); err != nil {
+			return nil, err
+		}
 	}
-	return parser, p.agent.AddTo(parser.Find("agent"))
+	return parser, nil
 }
 
 // command is one first word of the command line.
@@ -118,6 +128,8 @@
 		{"version", "show the version", &versionCommand{program: p}},
 		{"entry", "run an entry", &entryCommand{program: p}},
 		{"agent", "run the agent beside an endpoint", &agentCommand{program: p}},
+		{"relay", "run an entry that speaks to endpoints directly", &relayCommand{program: p}},
+		{"ranker", "run the agent that leads the expert maps of an engine's group", &rankerCommand{program: p}},
 	}
 }
 
--- a/internal/operator/command/roles.go
+++ b/internal/operator/command/roles.go
@@ -44,6 +44,42 @@
 	return p.Roles.Agent(p.ctx, s)
 }
 
+type relayCommand struct{ program *Program }
+
+// Execute implements flags.Commander.
+func (c *relayCommand) Execute(args []string) error {
+	p := c.program
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	s, err := settings.LoadRelay(p.relay)
+	if err != nil {
+		return err
+	}
+	if p.Roles == nil {
+		return errNoRoles
+	}
+	return p.Roles.Relay(p.ctx, s)
+}
+
+type rankerCommand struct{ program *Program }
+
+// Execute implements flags.Commander.
+func (c *rankerCommand) Execute(args []string) error {
+	p := c.program
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	s, err := settings.LoadRanker(p.ranker)
+	if err != nil {
+		return err
+	}
+	if p.Roles == nil {
+		return errNoRoles
+	}
+	return p.Roles.Ranker(p.ctx, s)
+}
+
 type versionCommand struct{ program *Program }
 
 // Execute implements flags.Commander.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,7 +23,7 @@
 	Addr string
 	// TLS asks each peer for a certificate; nil means plain TCP.
 	TLS *tls.Config
-	// Peer answers what every process answers.
+	// Peer answers what every process with presets answers; it may be nil.
 	Peer peerpb.PeerServer
 	// Agent is nil in processes that are not agents.
 	Agent peerpb.AgentServer
@@ -55,7 +55,9 @@
 		}
 	}
 	g := grpc.NewServer(s.options()...)
-	peerpb.RegisterPeerServer(g, s.Peer)
+	if s.Peer != nil {
+		peerpb.RegisterPeerServer(g, s.Peer)
+	}
 	if s.Agent != nil {
 		peerpb.RegisterAgentServer(g, s.Agent)
 	}
--- a/internal/platform/acquire.go
+++ b/internal/platform/acquire.go
@@ -41,7 +41,7 @@
 // a call is handed to the transport only over a connection that was up, so an
 // error before that is known to have had no effect, and each later error of a
 // write counts as an unknown outcome.
-func (c *Client) acquire(ctx context.Context, b *budget) (*grpc.ClientConn, error) {
+func (c *Client) acquire(ctx context.Context, b *Budget) (*grpc.ClientConn, error) {
 	c.init()
 	if err := c.turn(ctx, b); err != nil {
 		return nil, err
@@ -58,13 +58,13 @@
 	}
 }
 
-func (c *Client) turn(ctx context.Context, b *budget) error {
+func (c *Client) turn(ctx context.Context, b *Budget) error {
 	left := c.Timeout
 	now := time.Now()
 	if d, ok := ctx.Deadline(); ok {
 		left = d.Sub(now)
 	}
-	wait, ok := b.take(now, left)
+	wait, ok := b.Take(now, left)
 	if !ok {
 		c.counts.overRate.Inc(1)
 		return NotSent("this process's call budget is used up")
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -5,24 +5,25 @@
 	"time"
 )
 
-// budget is a token bucket over the calls of this process. Its load is a burst
+// Budget is a token bucket over the calls of this process. Its load is a burst
 // of claims or watches after an outage; without it the fleet's processes would
 // together exceed the few hundred writes and two thousand reads a second that
 // the service takes, and the service would answer nobody. The bucket holds one
 // second's calls, so a burst after idle time goes out at once and the mean
 // stays at the limit.
-type budget struct {
-	perSecond float64
+type Budget struct {
+	// PerSecond is the bound on calls a second; zero means none.
+	PerSecond float64
 
 	mu     sync.Mutex
 	tokens float64
 	last   time.Time
 }
 
-// take reserves one call at time now and returns how long it has to wait for
+// Take reserves one call at time now and returns how long it has to wait for
 // its turn, or false when the wait would exceed limit; then nothing is taken.
-func (b *budget) take(now time.Time, limit time.Duration) (time.Duration, bool) {
-	if b.perSecond <= 0 {
+func (b *Budget) Take(now time.Time, limit time.Duration) (time.Duration, bool) {
+	if b.PerSecond <= 0 {
 		return 0, true
 	}
 	b.mu.Lock()
@@ -30,7 +31,7 @@
 	b.refill(now)
 	wait := time.Duration(0)
 	if b.tokens < 1 {
-		wait = time.Duration((1 - b.tokens) / b.perSecond * float64(time.Second))
+		wait = time.Duration((1 - b.tokens) / b.PerSecond * float64(time.Second))
 	}
 	if wait > limit {
 		return 0, false
@@ -39,8 +40,8 @@
 	return wait, true
 }
 
-func (b *budget) refill(now time.Time) {
-	burst := max(b.perSecond, 1)
+func (b *Budget) refill(now time.Time) {
+	burst := max(b.PerSecond, 1)
 	if b.last.IsZero() {
 		b.tokens = burst
 		b.last = now
@@ -50,6 +51,6 @@
 	if d <= 0 {
 		return
 	}
-	b.tokens = min(burst, b.tokens+d.Seconds()*b.perSecond)
+	b.tokens = min(burst, b.tokens+d.Seconds()*b.PerSecond)
 	b.last = now
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -58,8 +58,8 @@
 
 	once   sync.Once
 	start  chan struct{}
-	writes budget
-	reads  budget
+	writes Budget
+	reads  Budget
 	counts counts
 
 	mu     sync.Mutex // guards all below
@@ -95,8 +95,8 @@
 func (c *Client) init() {
 	c.once.Do(func() {
 		c.start = make(chan struct{})
-		c.writes.perSecond = c.WritesPerSecond
-		c.reads.perSecond = c.ReadsPerSecond
+		c.writes.PerSecond = c.WritesPerSecond
+		c.reads.PerSecond = c.ReadsPerSecond
 		c.counts = newCounts(c.Metrics)
 	})
 }
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -38,6 +38,21 @@
 // made.
 func (e *RefusedError) Unwrap() error { return result.New(result.PlatformDown, e.text) }
 
+// Refused returns a RefusedError for a call that the service answered without
+// doing it. A missing lease has a code of its own, see IsLeaseMissing.
+func Refused(text string, leaseMissing bool) *RefusedError {
+	if leaseMissing {
+		return &RefusedError{code: codes.NotFound, text: text}
+	}
+	return &RefusedError{code: codes.FailedPrecondition, text: text}
+}
+
+// UnknownOutcome returns an UnknownOutcomeError.
+func UnknownOutcome(cause string) *UnknownOutcomeError { return &UnknownOutcomeError{cause: cause} }
+
+// ReadFailure returns a ReadError.
+func ReadFailure(cause string) *ReadError { return &ReadError{cause: cause} }
+
 // LeaseMissing reports whether the lease that the call named does not exist.
 func (e *RefusedError) LeaseMissing() bool { return e.code == codes.NotFound }
 
--- /dev/null
+++ b/internal/platform/mirror/mirror.go
@@ -0,0 +1,139 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+)
+
+// ErrCompacted says that the service no longer keeps the changes asked for.
+var ErrCompacted = errors.New("mirror: the history asked for is gone")
+
+// Reader is what a Mirror needs of the key-value service.
+type Reader interface {
+	// List reads a page of the keys with the prefix, from key after on.
+	List(ctx context.Context, prefix, after string, limit int) (platform.RangeReply, error)
+	// Poll returns what happened to the keys with the prefix after a revision,
+	// as soon as something did, or nothing after wait. It returns ErrCompacted
+	// when the service has dropped that history.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Changed, error)
+}
+
+const (
+	// pageLimit is the number of keys asked for at a time.
+	pageLimit = 500
+	// leastPause and mostPause bound the pause after a failed call: a service
+	// that is back is noticed within the second that configuration leaves for
+	// it, and an outage of 10 s costs each process some 25 calls.
+	leastPause = 100 * time.Millisecond
+	mostPause  = 450 * time.Millisecond
+)
+
+// Update is what one answer of the service told.
+type Update struct {
+	// Whole says that KVs is all that there is, and Deleted is empty.
+	Whole    bool
+	KVs      []platform.KeyValue
+	Deleted  []string
+	Revision int64
+	// Asked is when the answer was asked for: the process knows every change
+	// that was made before.
+	Asked time.Time
+	// Returned says that calls failed before this answer.
+	Returned bool
+}
+
+// Mirror follows one prefix. Set the exported fields before Run.
+type Mirror struct {
+	Reader Reader
+	Prefix string
+	// Wait is how long a poll may wait for a change. It bounds the age of what
+	// the process knows while nothing changes.
+	Wait time.Duration
+	// Now is the clock.
+	Now func() time.Time
+	// Apply takes in each update, in order, from one goroutine.
+	Apply func(Update)
+	// Failed, when set, is told of each failed call.
+	Failed func(error)
+}
+
+// Run follows the prefix until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	pause := leastPause
+	revision, known, failed := int64(0), false, false
+	for ctx.Err() == nil {
+		u, err := m.next(ctx, revision, known)
+		switch {
+		case err == nil:
+			u.Returned = failed
+			failed, pause = false, leastPause
+			revision, known = u.Revision, true
+			m.Apply(u)
+		case errors.Is(err, ErrCompacted):
+			known = false
+		default:
+			failed = true
+			m.fail(ctx, err)
+			sleep(ctx, pause)
+			pause = min(2*pause, mostPause)
+		}
+	}
+	return nil
+}
+
+func (m *Mirror) fail(ctx context.Context, err error) {
+	if m.Failed != nil && ctx.Err() == nil {
+		m.Failed(err)
+	}
+}
+
+func (m *Mirror) next(ctx context.Context, revision int64, known bool) (Update, error) {
+	asked := m.Now()
+	if !known {
+		u, err := m.list(ctx)
+		u.Asked = asked
+		return u, err
+	}
+	c, err := m.Reader.Poll(ctx, m.Prefix, revision, m.Wait)
+	if err != nil {
+		return Update{}, err
+	}
+	// Guard: an answer that was overtaken on its way tells an older revision.
+	// Going on from there would repeat changes, so the newest one stays.
+	return Update{KVs: c.KVs, Deleted: c.Deleted, Revision: max(c.Revision, revision), Asked: asked}, nil
+}
+
+// list reads all keys, page after page. Pages are no snapshot, so the changes
+// are asked for from the revision of the first page on: what a later page
+// already showed is told again, and what it missed is told then.
+func (m *Mirror) list(ctx context.Context) (Update, error) {
+	u := Update{Whole: true}
+	after := ""
+	for {
+		p, err := m.Reader.List(ctx, m.Prefix, after, pageLimit)
+		if err != nil {
+			return u, err
+		}
+		if u.Revision == 0 {
+			u.Revision = p.Revision()
+		}
+		kvs := p.KVs()
+		u.KVs = append(u.KVs, kvs...)
+		if !p.More() || len(kvs) == 0 {
+			return u, nil
+		}
+		after = kvs[len(kvs)-1].Key()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -114,3 +114,20 @@
 		lease:    LeaseID(p.GetLease()),
 	}
 }
+
+// NewKeyValue returns an item as a client of another protocol has read it.
+func NewKeyValue(key string, value []byte, revision int64, lease LeaseID) KeyValue {
+	return KeyValue{key: key, value: value, revision: revision, lease: lease}
+}
+
+// NewRangeReply returns a read's answer as a client of another protocol has
+// read it.
+func NewRangeReply(revision int64, kvs []KeyValue, more bool) RangeReply {
+	return RangeReply{revision: revision, kvs: kvs, more: more}
+}
+
+// NewTxnReply returns a transaction's answer as a client of another protocol has
+// read it.
+func NewTxnReply(revision int64, succeeded bool) TxnReply {
+	return TxnReply{revision: revision, succeeded: succeeded}
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -31,6 +31,28 @@
 	Revision int64
 }
 
+// Order adds what became of one key, newest last: a key that was deleted and
+// written again within one message ends up as written, and the other way round.
+func (c *Changed) Order(item KeyValue, deleted bool) {
+	for i := range c.KVs {
+		if c.KVs[i].key == item.key {
+			c.KVs = append(c.KVs[:i], c.KVs[i+1:]...)
+			break
+		}
+	}
+	for i := range c.Deleted {
+		if c.Deleted[i] == item.key {
+			c.Deleted = append(c.Deleted[:i], c.Deleted[i+1:]...)
+			break
+		}
+	}
+	if deleted {
+		c.Deleted = append(c.Deleted, item.key)
+		return
+	}
+	c.KVs = append(c.KVs, item)
+}
+
 // Gap says that changes may have been missed: the reader has to read the keys
 // again. It is sent only after the new stream is open, so a change after that
 // read is told by the stream.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -89,11 +89,16 @@
 	return out
 }
 
-// Log returns the process's logger. nbio's own lines are turned off: it writes
-// one for each piece that is sent to a caller who has gone.
-func Log(p *settings.Process) *logrus.Logger {
+// QuietEventLoop turns nbio's own lines off, because it writes one for each
+// piece that is sent to a caller who has gone, and bounds its tables.
+func QuietEventLoop() {
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, maxDescriptors)
+}
+
+// Log returns the process's logger.
+func Log(p *settings.Process) *logrus.Logger {
+	QuietEventLoop()
 	l := logrus.New()
 	l.SetOutput(os.Stderr)
 	l.AddHook(origin{name: p.Name, dataCentre: p.DataCentre})
--- /dev/null
+++ b/internal/relay/belief.go
@@ -0,0 +1,402 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const (
+	// lapseHold is how long entries of endpoints that vanished while the store
+	// was away hold after its return: living endpoints write theirs again
+	// within about two seconds.
+	lapseHold = 2 * time.Second
+	// plainSlots is what a plain service's endpoint bears if it doesn't say.
+	plainSlots = 4
+	// reportEvery is how often endpoints without load reports are told to the
+	// picture anew, well within the age at which it takes a load for unknown.
+	reportEvery = time.Second
+	// loadStale is the age from which a load report is no better than this
+	// entry's own count: by then half of what ran has ended.
+	loadStale = 1500 * time.Millisecond
+	// leastEntries is how many entries are assumed before the store has told
+	// of them: three more than either fleet of today, so that shares are too
+	// small rather than too large.
+	leastEntries = 12
+	// entriesMemory is how long entries count that are no longer listed. One
+	// that is cut off from the store lapses there and goes on serving.
+	entriesMemory = 20 * time.Second
+	// mostUse is how much of its slots an engine is given by entries that
+	// know its load. The rest is what the lag of the reports lets several
+	// entries take at once.
+	queueBeyond = 4
+)
+
+// Budget is the retry budget of the whole fleet.
+type Budget struct {
+	// Share of the requests may be sent once more, and Slack more in each
+	// Window.
+	Share, Slack float64
+	Window       time.Duration
+}
+
+// Load is what is known of one endpoint's work, from a process beside it.
+type Load struct {
+	// Address is the endpoint's IP:port.
+	Address         string
+	Running, Queued int
+	// At is when it was true, by this process's clock.
+	At time.Time
+}
+
+// Belief is what an entry believes of configuration, endpoints and load. Set
+// the exported fields before the first call. It is safe for concurrent use.
+type Belief struct {
+	DataCentre string
+	// Name is the entry's own name.
+	Name string
+	Seed uint64
+	// Retry is the fleet's retry budget; this entry takes its share.
+	Retry Budget
+	// Fresh is the age of what the process knows.
+	Fresh *Freshness
+
+	mu        sync.Mutex // guards all below
+	table     *routing.Table
+	dir       directory.Directory
+	picture   placement.Picture
+	cold      Cold
+	budgets   map[string]*admission.RetryBudget
+	entries   map[string]time.Time // last seen; zero: listed now
+	endpoints map[string]directory.Endpoint
+	addresses map[string]directory.Endpoint
+	loads     map[string]Load
+	own       map[string]int
+	fed       time.Time
+	dirty     bool
+	listed    bool
+	began     time.Time
+	draws     uint64
+}
+
+// Begin prepares the belief.
+func (b *Belief) Begin(now time.Time) {
+	b.dir.LapseHold = lapseHold
+	b.dir.ColdStart = b.coldStart
+	b.picture = placement.Picture{DataCentre: b.DataCentre, Seed: b.Seed, Entries: 1}
+	b.budgets = map[string]*admission.RetryBudget{}
+	b.entries = map[string]time.Time{}
+	b.endpoints = map[string]directory.Endpoint{}
+	b.loads = map[string]Load{}
+	b.own = map[string]int{}
+	b.began = now
+}
+
+// coldStart runs with mu held, from the directory.
+func (b *Belief) coldStart(service string) time.Duration {
+	if b.table == nil {
+		return 0
+	}
+	s := b.table.Service(service)
+	if s == nil || s.ColdRate <= 0 {
+		return 0
+	}
+	return s.ColdStart
+}
+
+// Table returns the configuration in force, or nil before there is one.
+func (b *Belief) Table() *routing.Table {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table
+}
+
+// SetTable takes in a configuration. It returns false for one that is not
+// newer.
+//
+// Guard: a repeated or overtaken answer of the store would put an older
+// configuration back into force, with routes and keys that operators have taken
+// away. Versions only grow, so the newer one stays.
+func (b *Belief) SetTable(t *routing.Table) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table != nil && t.Version() <= b.table.Version() {
+		return false
+	}
+	b.table = t
+	b.dirty = true
+	return true
+}
+
+// Change changes the directory.
+func (b *Belief) Change(f func(*directory.Directory)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(&b.dir)
+	b.dirty = true
+}
+
+// Listed notes that all endpoints have been read once.
+func (b *Belief) Listed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listed = true
+}
+
+// Known reports whether the process knows a configuration and the endpoints.
+func (b *Belief) Known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table != nil && b.listed
+}
+
+// SetEntry notes that another entry is listed, or no longer is.
+func (b *Belief) SetEntry(name string, listed bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if listed {
+		b.entries[name] = time.Time{}
+		return
+	}
+	if _, ok := b.entries[name]; ok {
+		b.entries[name] = now
+	}
+}
+
+// Entries returns how many entries share what endpoints bear.
+func (b *Belief) Entries(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.countEntries(now)
+}
+
+func (b *Belief) countEntries(now time.Time) int {
+	n := 0
+	for name, gone := range b.entries {
+		if !gone.IsZero() && now.Sub(gone) > entriesMemory {
+			delete(b.entries, name)
+			continue
+		}
+		n++
+	}
+	if _, ok := b.entries[b.Name]; !ok {
+		n++
+	}
+	if !b.listed || now.Sub(b.began) < entriesMemory {
+		return max(n, leastEntries)
+	}
+	return n
+}
+
+// SetLoads takes in load reports.
+func (b *Belief) SetLoads(loads []Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range loads {
+		ep, ok := b.addresses[l.Address]
+		if old, known := b.loads[ep.ID]; !ok || known && !l.At.After(old.At) {
+			continue
+		}
+		b.loads[ep.ID] = l
+		b.tell(ep, now)
+	}
+}
+
+// refresh brings the picture up to the directory.
+func (b *Belief) refresh(now time.Time) {
+	if !b.dirty && now.Sub(b.fed) < reportEvery {
+		return
+	}
+	b.dirty, b.fed = false, now
+	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
+	for _, ep := range b.dir.Endpoints(now) {
+		usable[ep.ID], addresses[ep.Address] = ep, ep
+		b.tell(ep, now)
+	}
+	for id := range b.endpoints {
+		if _, ok := usable[id]; !ok {
+			b.picture.Remove(id)
+			b.cold.Warm(id)
+			delete(b.loads, id)
+		}
+	}
+	b.endpoints, b.addresses = usable, addresses
+}
+
+// tell gives the picture a report of one endpoint: what a process beside it
+// last reported, or else this entry's own count.
+func (b *Belief) tell(ep directory.Endpoint, now time.Time) {
+	slots := ep.Slots
+	if slots <= 0 {
+		slots = plainSlots
+	}
+	r := placement.Report{
+		Endpoint: ep.ID, Incarnation: ep.Born, DataCentre: ep.DataCentre, Routes: []string{ep.Service},
+		Allowance: slots + queueBeyond, Capacity: slots, Running: b.own[ep.ID], At: now,
+	}
+	if l, ok := b.loads[ep.ID]; ok && now.Sub(l.At) < loadStale {
+		r.Running, r.At = l.Running+l.Queued, l.At
+	}
+	b.picture.Update(r, now)
+}
+
+// Place is an endpoint that a request has been given.
+type Place struct {
+	Endpoint directory.Endpoint
+	// Load is the age of the load report behind the choice, or negative when
+	// there was none.
+	LoadAge time.Duration
+	attempt *placement.Attempt
+}
+
+// Choose gives a request of a service an endpoint. Otherwise it returns why
+// there is none, and when it is worth asking again.
+func (b *Belief) Choose(service *routing.Service, q placement.Query, now time.Time) (Place, *result.Error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refresh(now)
+	q.Route = service.Name
+	wait := b.avoidCold(service, &q, now)
+	c, ok, why := b.picture.Choose(q, now)
+	if !ok {
+		if wait > 0 {
+			return Place{}, result.New(result.EndpointCold, "").WithRetryAfter(wait)
+		}
+		return Place{}, result.New(why, "").WithRetryAfter(retryAfterFor(why))
+	}
+	ep := b.endpoints[c.Endpoint]
+	if ep.ColdAt(now) && service.ColdRate > 0 {
+		b.cold.Take(ep.ID, service.ColdRate, b.countEntries(now), now)
+	}
+	p := Place{Endpoint: ep, LoadAge: -1, attempt: b.picture.Started(c, q, now)}
+	if l, ok := b.loads[ep.ID]; ok {
+		p.LoadAge = now.Sub(l.At)
+	}
+	b.own[ep.ID]++
+	return p, nil
+}
+
+// avoidCold keeps the request off cold endpoints of which this entry has used
+// up its share, and returns the least time until one may be asked.
+func (b *Belief) avoidCold(service *routing.Service, q *placement.Query, now time.Time) time.Duration {
+	if service.ColdRate <= 0 {
+		return 0
+	}
+	least := time.Duration(0)
+	n := b.countEntries(now)
+	for id, ep := range b.endpoints {
+		if ep.Service != service.Name || !ep.ColdAt(now) {
+			continue
+		}
+		if b.cold.Ready(id, service.ColdRate, n, now) {
+			continue
+		}
+		q.Tried = append(q.Tried, id)
+		if w := b.cold.Wait(id, service.ColdRate, n, now); least == 0 || w < least {
+			least = w
+		}
+	}
+	return least
+}
+
+// Heard notes that a part of the answer has come.
+func (b *Belief) Heard(p Place, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.picture.Piece(p.attempt, now)
+}
+
+// Ended takes a request off its endpoint.
+func (b *Belief) Ended(p Place, o Outcome, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := b.own[p.Endpoint.ID] - 1; n > 0 {
+		b.own[p.Endpoint.ID] = n
+	} else {
+		delete(b.own, p.Endpoint.ID)
+	}
+	switch o := o.(type) {
+	case NotRun:
+		if o.Sent {
+			b.picture.Refused(p.attempt, 0, now)
+			return
+		}
+		b.picture.Failed(p.attempt, now)
+	case Unknown, Broken, Failed:
+		b.picture.Failed(p.attempt, now)
+	default:
+		b.picture.Ended(p.attempt, now)
+	}
+}
+
+// Turned notes for how long an endpoint says that it is cold.
+func (b *Belief) Turned(id string, cold time.Duration, now time.Time) {
+	b.Change(func(d *directory.Directory) { d.Turned(id, cold, now) })
+}
+
+// First counts a request of a service towards the retry budget.
+func (b *Belief) First(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service, now).First(now)
+}
+
+// Spend takes one retry from the budget of a service, if there is one left.
+func (b *Belief) Spend(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service, now).Take(now)
+}
+
+// budgetUse is the part of the fleet's retry budget that entries use: they count
+// requests by their own clocks, and callers' requests are not spread evenly.
+const budgetUse = 0.7
+
+func (b *Belief) budget(service string, now time.Time) *admission.RetryBudget {
+	n := float64(b.countEntries(now))
+	r := b.budgets[service]
+	if r == nil {
+		r = &admission.RetryBudget{Percent: 100 * budgetUse * b.Retry.Share}
+		b.budgets[service] = r
+	}
+	window := max(1, b.Retry.Window.Seconds())
+	r.PerSecond = budgetUse * b.Retry.Slack / n / window / 2
+	r.Burst = max(2, budgetUse*b.Retry.Slack/n/2)
+	return r
+}
+
+// Draw returns a number in [0, 1) that differs from request to request.
+func (b *Belief) Draw(id uint64) float64 {
+	return float64(id>>11) / float64(1<<53)
+}
+
+// Usable reports whether an endpoint may be sent new work.
+func (b *Belief) Usable(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.dir.Usable(id, now)
+	return ok
+}
+
+// Retry-After by the reason of a refusal: how soon the reason usually passes.
+const (
+	// afterBusy is about the time in which a batch gives a place free: streams
+	// last about two seconds on 100 and more places.
+	afterBusy = 250 * time.Millisecond
+	// afterMissing is when endpoints that start or come back are listed.
+	afterMissing = 700 * time.Millisecond
+)
+
+func retryAfterFor(why result.Code) time.Duration {
+	switch why {
+	case result.EndpointBusy, result.EndpointCold:
+		return afterBusy
+	default:
+		return afterMissing
+	}
+}
--- /dev/null
+++ b/internal/relay/cold.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"math"
+	"time"
+)
+
+// Cold decides whether this entry may send a request to a cold endpoint now.
+//
+// The load is a data centre that returns, or endpoints that turn cold under
+// traffic: they look empty, all entries choose them in the same moment, and an
+// endpoint falls over well above the rate that it bears cold. No entry hears in
+// time what the others send, so each takes its part of that rate and saves up
+// no more than one request. Set the exported fields before the first call.
+type Cold struct {
+	buckets map[string]*bucket
+}
+
+// bucket holds the share that an entry has saved up at one endpoint.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// coldBurst is how many requests may be saved up. With one, the sum over all
+// entries in any second is at most the rate and one request an entry, which
+// the bounds for cold endpoints leave room for.
+const coldBurst = 1.0
+
+// Ready reports whether a request may go to the endpoint, which bears rate
+// requests a second from all of entries together.
+func (c *Cold) Ready(endpoint string, rate float64, entries int, now time.Time) bool {
+	return c.fill(endpoint, rate, entries, now).tokens >= 1
+}
+
+// Take spends what Ready found. It reports false when there was nothing.
+func (c *Cold) Take(endpoint string, rate float64, entries int, now time.Time) bool {
+	b := c.fill(endpoint, rate, entries, now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Wait returns how long until a request may go to the endpoint.
+func (c *Cold) Wait(endpoint string, rate float64, entries int, now time.Time) time.Duration {
+	b := c.fill(endpoint, rate, entries, now)
+	if b.tokens >= 1 || rate <= 0 {
+		return 0
+	}
+	s := (1 - b.tokens) * float64(max(1, entries)) / rate
+	return time.Duration(math.Min(s, 60) * float64(time.Second))
+}
+
+// Warm forgets an endpoint.
+func (c *Cold) Warm(endpoint string) { delete(c.buckets, endpoint) }
+
+// fill begins with an empty bucket: entries that all learn in one moment of a
+// cold endpoint would else send one request each at once.
+func (c *Cold) fill(endpoint string, rate float64, entries int, now time.Time) *bucket {
+	if c.buckets == nil {
+		c.buckets = map[string]*bucket{}
+	}
+	b := c.buckets[endpoint]
+	if b == nil {
+		b = &bucket{at: now}
+		c.buckets[endpoint] = b
+	}
+	dt := now.Sub(b.at).Seconds()
+	if dt > 0 {
+		b.at = now
+		b.tokens = math.Min(coldBurst, b.tokens+dt*rate/float64(max(1, entries)))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,296 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+const (
+	// afterStale is when a caller whose entry is cut off may come back: its
+	// next connection most likely meets another entry.
+	afterStale = 500 * time.Millisecond
+	// afterStart is the same for an entry that knows no configuration yet.
+	afterStart = 500 * time.Millisecond
+	// defaultTimeout bounds a request whose route and caller name no time.
+	defaultTimeout = time.Minute
+)
+
+// Relay passes requests on. It implements caller.Passer. Set the exported fields
+// before the first request.
+type Relay struct {
+	Belief  *Belief
+	Client  *direct.Client
+	Dialect Dialect
+	// KeyAge is the greatest age of what the process knows at which keys are
+	// still believed.
+	KeyAge time.Duration
+	// Now is a clock that goes on while the VM is suspended.
+	Now func() time.Time
+	// Log receives one line for each request.
+	Log logrus.FieldLogger
+	// Metrics counts the requests.
+	Metrics *Metrics
+}
+
+// job is one request under way.
+type job struct {
+	relay   *Relay
+	raw     *caller.Raw
+	reply   *caller.Reply
+	facts   Facts
+	table   *routing.Table
+	route   *routing.Route
+	service *routing.Service
+	account *routing.Account
+	// end is when the caller's time or the route's is over, and timeout
+	// whether it is the route's.
+	end    time.Time
+	header http.Header
+	tries  Tries
+	// tried are the endpoints that were asked.
+	tried []string
+	// failed is the last whole failure that an endpoint reported.
+	failed *Whole
+	// last is the number of the last event that the caller has.
+	last    int64
+	started bool
+	// firstPart is when the first part of the answer went to the caller.
+	firstPart time.Time
+}
+
+// Pass implements caller.Passer.
+func (r *Relay) Pass(ctx context.Context, raw *caller.Raw, w *caller.Reply) {
+	now := r.Now()
+	j := &job{relay: r, raw: raw, reply: w, facts: r.Dialect.ReadRequest(raw.Header)}
+	if e := j.open(now); e != nil {
+		j.refuse(e, now)
+		return
+	}
+	r.Metrics.begin()
+	r.Belief.First(j.service.Name, now)
+	ctx, cancel := context.WithTimeout(ctx, j.end.Sub(now))
+	defer cancel()
+	w.Within(ctx)
+	j.run(ctx)
+	r.Metrics.end()
+}
+
+// open finds out what the request is and whether it is allowed.
+func (j *job) open(now time.Time) *result.Error {
+	b := j.relay.Belief
+	j.table = b.Table()
+	if j.table == nil || !b.Known() {
+		return result.New(result.NoPreset, "").WithRetryAfter(afterStart)
+	}
+	j.route = j.table.Route(j.raw.Host, j.raw.Path)
+	if j.route == nil {
+		return result.New(result.UnknownRoute, "no route has this host and path")
+	}
+	if e := j.checkKey(now); e != nil {
+		return e
+	}
+	draw := b.Draw(xxhash.Sum64String(j.facts.ID + j.raw.Target))
+	j.service = j.table.Service(j.route.Pick(draw))
+	if j.service == nil {
+		return result.New(result.NoEndpoint, "the route has no service").WithRetryAfter(afterMissing)
+	}
+	j.end = j.raw.At.Add(j.timeout())
+	if !now.Before(j.end) {
+		return result.New(result.DeadlinePassed, "")
+	}
+	j.last, _ = strconv.ParseInt(j.facts.Resume, 10, 64)
+	return nil
+}
+
+func (j *job) timeout() time.Duration {
+	d := j.route.Timeout
+	if j.facts.TimeLeft > 0 && (d <= 0 || j.facts.TimeLeft < d) {
+		d = j.facts.TimeLeft
+	}
+	if d <= 0 {
+		d = defaultTimeout
+	}
+	return d
+}
+
+// checkKey finds the account of a request that needs one.
+//
+// Guard: operators take keys away, and none may be served some seconds later,
+// also by an entry that is cut off from the store or was suspended. Such an
+// entry can't hear of it; so it stops to believe any key when its knowledge is
+// too old.
+func (j *job) checkKey(now time.Time) *result.Error {
+	if !j.table.NeedsKeys() || j.route.Anonymous {
+		return nil
+	}
+	if e := j.checkAge(now); e != nil {
+		return e
+	}
+	j.account = j.table.Account(j.facts.Key)
+	if j.account == nil {
+		return result.New(result.BadAccountKey, "")
+	}
+	return nil
+}
+
+func (j *job) checkAge(now time.Time) *result.Error {
+	if j.relay.Belief.Fresh.Age(now) <= j.relay.KeyAge {
+		return nil
+	}
+	return result.New(result.PlatformDown, "keys can't be checked").WithRetryAfter(afterStale)
+}
+
+// run makes attempts until the request has its answer.
+func (j *job) run(ctx context.Context) {
+	for {
+		now := j.relay.Now()
+		place, e := j.place(now)
+		if e != nil {
+			j.finish(nil, e, now)
+			return
+		}
+		o := j.attempt(ctx, place)
+		now = j.relay.Now()
+		j.relay.Belief.Ended(place, o, now)
+		j.count(o)
+		left := j.end.Sub(now)
+		if ctx.Err() != nil {
+			left = 0
+		}
+		budget := func() bool { return j.relay.Belief.Spend(j.service.Name, now) }
+		if NextStep(j.route, j.tries, o, left, budget) == End {
+			j.finish(o, nil, now)
+			return
+		}
+		j.logAttempt(place, o, now)
+	}
+}
+
+// count notes what an attempt has used up.
+func (j *job) count(o Outcome) {
+	switch o := o.(type) {
+	case NotRun:
+		if o.Sent {
+			j.tries.Sent++
+		} else {
+			j.tries.Unsent++
+		}
+	case Failed:
+		j.failed = o.Answer
+		j.tries.Sent++
+		j.tries.MayHaveRun = true
+	default:
+		j.tries.Sent++
+		j.tries.MayHaveRun = true
+	}
+}
+
+// place chooses the endpoint of the next attempt. What the process knows may
+// have aged since the request came.
+func (j *job) place(now time.Time) (Place, *result.Error) {
+	if j.account != nil {
+		if e := j.checkAge(now); e != nil {
+			return Place{}, e
+		}
+	}
+	q := placement.Query{
+		Tokens:  j.facts.PromptTokens + j.facts.OutputTokens,
+		Tried:   append([]string(nil), j.tried...),
+		RunOnce: !j.route.MayRepeat(),
+	}
+	p, e := j.relay.Belief.Choose(j.service, q, now)
+	if e == nil {
+		j.tried = append(j.tried, p.Endpoint.ID)
+	}
+	return p, e
+}
+
+// finish gives the caller the final answer.
+func (j *job) finish(o Outcome, e *result.Error, now time.Time) {
+	switch o := o.(type) {
+	case Delivered:
+		j.log(result.OK, http.StatusOK, now, nil)
+		return
+	case Gone:
+		j.reply.Break()
+		j.log(result.Cancelled, 0, now, o.Cause)
+		return
+	case Broken:
+		j.reply.Break()
+		j.log(result.AnswerIncomplete, 0, now, o.Cause)
+		return
+	case Failed:
+		j.deliverFailure(o.Answer, now)
+		return
+	case NotRun:
+		e = result.New(o.Code, "").WithRetryAfter(retryAfterFor(o.Code))
+	case Unknown:
+		e = j.unknown(o, now)
+	}
+	if j.started {
+		j.reply.Break()
+		j.log(result.AnswerIncomplete, 0, now, e)
+		return
+	}
+	if j.failed != nil {
+		j.deliverFailure(j.failed, now)
+		return
+	}
+	j.refuse(j.truthful(e), now)
+}
+
+// unknown is the result of a request that may have run.
+func (j *job) unknown(o Unknown, now time.Time) *result.Error {
+	if !now.Before(j.end) {
+		return result.New(result.DeadlineExceeded, "")
+	}
+	return result.Newf(result.OutcomeUnknown, "%v", o.Cause)
+}
+
+// truthful keeps a refusal from saying "not run" of a request that an earlier
+// attempt may have run.
+func (j *job) truthful(e *result.Error) *result.Error {
+	if j.tries.MayHaveRun && e.Code().Effect() == result.NotRun {
+		return result.New(result.OutcomeUnknown, e.Error())
+	}
+	return e
+}
+
+// deliverFailure passes on a failure that an endpoint reported.
+func (j *job) deliverFailure(a *Whole, now time.Time) {
+	err := j.reply.AnswerRaw(a.Status, a.Header, a.Body)
+	j.log(result.EndpointFailed, a.Status, now, err)
+}
+
+// refuse answers with a result of this process.
+func (j *job) refuse(e *result.Error, now time.Time) {
+	status := statusOf(e)
+	h := http.Header{
+		"Content-Type":      {"text/plain; charset=utf-8"},
+		caller.HeaderResult: {strconv.Itoa(int(e.Code()))},
+	}
+	if d := e.RetryAfter(); d > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
+	}
+	err := j.reply.AnswerRaw(status, h, []byte(e.Error()+"\n"))
+	j.log(e.Code(), status, now, err)
+}
+
+func statusOf(e *result.Error) int {
+	info, _ := result.Lookup(e.Code())
+	if info.Status() == 0 {
+		return http.StatusInternalServerError
+	}
+	return info.Status()
+}
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -28,6 +28,12 @@
 // AgentFlags returns the flags of an agent.
 func AgentFlags() *Flags { return &Flags{data: &agentFlags{}} }
 
+// RelayFlags returns the flags of a relay.
+func RelayFlags() *Flags { return &Flags{data: &relayFlags{}} }
+
+// RankerFlags returns the flags of a ranker.
+func RankerFlags() *Flags { return &Flags{data: &rankerFlags{}} }
+
 // AddTo adds the flags to a command. Their values are there after the command
 // line has been parsed.
 func (f *Flags) AddTo(g Grouper) error {
@@ -80,7 +86,7 @@
 // commonFlags are the flags of every role. All are strings, because the same
 // code reads them as reads the file.
 type commonFlags struct {
-	File              string `long:"settings" description:"settings file (INI)" value-name:"FILE"`
+	File              string `long:"settings" env:"HYSSOPRELAY_CONFIG" description:"settings file (INI)" value-name:"FILE"`
 	Name              string `long:"name" description:"name of the process, unique in the system"`
 	DataCentre        string `long:"dataCentre" description:"data centre of the process"`
 	PeerAddress       string `long:"peerAddress" description:"IP:port for other processes of the system"`
@@ -148,3 +154,26 @@
 		SettleTime  string `long:"settleTime" description:"how long an order of an ended agent may still take effect"`
 	} `group:"Ranks" namespace:"rank"`
 }
+
+type relayFlags struct {
+	Common        commonFlags `group:"Process"`
+	CallerAddress string      `long:"callerAddress" description:"IP:port for callers"`
+	ReadyAddress  string      `long:"readyAddress" description:"IP:port for those who ask whether the process takes connections"`
+
+	Bounds struct {
+		KeyRevoke   string `long:"keyRevoke" description:"how soon a key that was taken away must be refused"`
+		RetryShare  string `long:"retryShare" description:"share of requests that the fleet may send once more"`
+		RetrySlack  string `long:"retrySlack" description:"requests beyond that in each window"`
+		RetryWindow string `long:"retryWindow" description:"window of the retry budget"`
+		Grace       string `long:"grace" description:"how long the process may take to stop"`
+	} `group:"Bounds" namespace:"bounds"`
+}
+
+type rankerFlags struct {
+	Common commonFlags `group:"Process"`
+
+	Endpoint struct {
+		Address string `long:"address" description:"IP:port of the model engine"`
+		Service string `long:"service" description:"name of the engine's service"`
+	} `group:"Endpoint" namespace:"endpoint"`
+}
--- /dev/null
+++ b/internal/settings/relay.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/inifile"
+)
+
+// Bounds holds what the platform's operators demand of every process.
+type Bounds struct {
+	// KeyRevoke is how soon a key that was taken away must be refused.
+	KeyRevoke time.Duration
+	// RetryShare of the requests, and RetrySlack more in each RetryWindow,
+	// may be sent once more by all entries together.
+	RetryShare, RetrySlack float64
+	RetryWindow            time.Duration
+	// Grace is how long a process may take to stop.
+	Grace time.Duration
+}
+
+// Relay holds the settings of an entry that speaks to endpoints directly.
+type Relay struct {
+	Process
+	Bounds Bounds
+	// CallerAddress is listened on for callers, and ReadyAddress for those who
+	// ask whether the process takes connections.
+	CallerAddress, ReadyAddress netip.AddrPort
+}
+
+// Ranker holds the settings of an agent that leads the expert maps of its
+// endpoint's group.
+type Ranker struct {
+	Process
+	// EndpointAddress is the IP:port of the model engine beside the agent, and
+	// Service the name of its service.
+	EndpointAddress netip.AddrPort
+	Service         string
+}
+
+// Defaults and bounds of these settings.
+const (
+	maxBound      = time.Hour
+	defaultRevoke = 5 * time.Second
+	defaultGrace  = 8 * time.Second
+	defaultWindow = 10 * time.Second
+	defaultSlack  = 50
+	defaultShare  = 0.1
+	mostSlack     = 1e6
+	mostShare     = 1
+)
+
+func readBounds(s *inifile.Section) Bounds {
+	return Bounds{
+		KeyRevoke:   s.Duration("keyRevoke", defaultRevoke, time.Second, maxBound),
+		RetryShare:  s.Float("retryShare", defaultShare, mostShare),
+		RetrySlack:  s.Float("retrySlack", defaultSlack, mostSlack),
+		RetryWindow: s.Duration("retryWindow", defaultWindow, time.Second, maxBound),
+		Grace:       s.Duration("grace", defaultGrace, time.Second, maxBound),
+	}
+}
+
+// LoadRelay returns the settings of a relay. The error is of type Errors.
+func LoadRelay(f *Flags) (*Relay, error) {
+	doc, err := f.document()
+	if err != nil {
+		return nil, err
+	}
+	s := doc.Section("process")
+	r := &Relay{Process: readProcess(s, doc.Section("tls")), Bounds: readBounds(doc.Section("bounds"))}
+	s.Require("callerAddress", "readyAddress")
+	r.CallerAddress = s.Address("callerAddress", true)
+	r.ReadyAddress = s.Address("readyAddress", true)
+	errs := fromFaults(doc.Close("[process]", "[bounds]", "[tls]"))
+	errs = append(errs, r.TLS.check()...)
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	return r, nil
+}
+
+// LoadRanker returns the settings of a ranker. The error is of type Errors.
+func LoadRanker(f *Flags) (*Ranker, error) {
+	doc, err := f.document()
+	if err != nil {
+		return nil, err
+	}
+	r := &Ranker{Process: readProcess(doc.Section("process"), doc.Section("tls"))}
+	s := doc.Section("endpoint")
+	s.Require("address", "service")
+	r.EndpointAddress = s.Address("address", false)
+	r.Service = s.Text("service", "")
+	errs := fromFaults(doc.Close("[process]", "[endpoint]", "[tls]"))
+	errs = append(errs, r.TLS.check()...)
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	return r, nil
+}
