--- a/cmd/hyssoprelay/roles.go
+++ b/cmd/hyssoprelay/roles.go
@@ -8,6 +8,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/entry"
 	"github.com/hyssoprelay/hyssoprelay/internal/frontend"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/ranker"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 )
 
@@ -54,6 +55,9 @@
 
 // Ranker implements command.Roles.
 func (roles) Ranker(ctx context.Context, s *settings.Ranker) error {
-	<-ctx.Done()
-	return nil
+	r := &ranker.Ranker{Settings: s, Log: process.NewBoundedLog(s.Name, s.DataCentre)}
+	if err := r.Listen(); err != nil {
+		return err
+	}
+	return r.Run(ctx)
 }
--- /dev/null
+++ b/internal/rank/evenmap/placement.go
@@ -0,0 +1,121 @@
+package evenmap
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrPlacement is returned for lists that are no placement.
+var ErrPlacement = eris.New("evenmap: the lists are no placement")
+
+// Shape holds the sizes of a set.
+type Shape struct {
+	// Ranks is the number of ranks, Slots how many experts one rank holds at
+	// most, Experts the number of experts.
+	Ranks, Slots, Experts int
+}
+
+// Placement says for one set of layers which ranks hold which experts.
+type Placement struct {
+	shape Shape
+	// ranks lists each rank's experts, holders each expert's ranks.
+	ranks, holders [][]int
+}
+
+// NewPlacement returns the placement in which rank r holds ranks[r]. It returns
+// ErrPlacement unless each expert is held, no rank holds one twice and none
+// holds more than its slots.
+func NewPlacement(shape Shape, ranks [][]int) (*Placement, error) {
+	if len(ranks) != shape.Ranks {
+		return nil, eris.Wrapf(ErrPlacement, "%d ranks of %d", len(ranks), shape.Ranks)
+	}
+	p := &Placement{shape: shape, ranks: make([][]int, shape.Ranks), holders: make([][]int, shape.Experts)}
+	for r, experts := range ranks {
+		if len(experts) > shape.Slots {
+			return nil, eris.Wrapf(ErrPlacement, "rank %d holds %d experts", r, len(experts))
+		}
+		for _, e := range experts {
+			if e < 0 || e >= shape.Experts || slices.Contains(p.ranks[r], e) {
+				return nil, eris.Wrapf(ErrPlacement, "rank %d, expert %d", r, e)
+			}
+			p.add(e, r)
+		}
+	}
+	for e, hs := range p.holders {
+		if len(hs) == 0 {
+			return nil, eris.Wrapf(ErrPlacement, "no rank holds expert %d", e)
+		}
+	}
+	return p, nil
+}
+
+// Ranks returns each rank's experts. The caller must not change them.
+func (p *Placement) Ranks() [][]int { return p.ranks }
+
+// Holds reports whether rank r holds expert e.
+func (p *Placement) Holds(r, e int) bool { return slices.Contains(p.ranks[r], e) }
+
+// Loads returns the load of each rank for the given load of each expert.
+func (p *Placement) Loads(load []float64) []float64 {
+	out := make([]float64, p.shape.Ranks)
+	for e, hs := range p.holders {
+		for _, r := range hs {
+			out[r] += load[e] / float64(len(hs))
+		}
+	}
+	return out
+}
+
+// Skew returns the load of the most loaded rank over the mean, or 1 without
+// load.
+func (p *Placement) Skew(load []float64) float64 {
+	top, sum := 0.0, 0.0
+	for _, v := range p.Loads(load) {
+		top = max(top, v)
+		sum += v
+	}
+	if sum == 0 {
+		return 1
+	}
+	return top * float64(p.shape.Ranks) / sum
+}
+
+// Copies returns how many experts each rank of p holds that it doesn't in from.
+func (p *Placement) Copies(from *Placement) []int {
+	out := make([]int, p.shape.Ranks)
+	for r, experts := range p.ranks {
+		for _, e := range experts {
+			if !from.Holds(r, e) {
+				out[r]++
+			}
+		}
+	}
+	return out
+}
+
+func (p *Placement) clone() *Placement {
+	q := &Placement{shape: p.shape, ranks: make([][]int, len(p.ranks)), holders: make([][]int, len(p.holders))}
+	for r := range p.ranks {
+		q.ranks[r] = slices.Clone(p.ranks[r])
+	}
+	for e := range p.holders {
+		q.holders[e] = slices.Clone(p.holders[e])
+	}
+	return q
+}
+
+func (p *Placement) add(e, r int) {
+	p.ranks[r] = append(p.ranks[r], e)
+	p.holders[e] = append(p.holders[e], r)
+}
+
+func (p *Placement) drop(e, r int) {
+	p.ranks[r] = without(p.ranks[r], e)
+	p.holders[e] = without(p.holders[e], r)
+}
+
+func without(s []int, v int) []int {
+	i := slices.Index(s, v)
+	return slices.Delete(s, i, i+1)
+}
--- /dev/null
+++ b/internal/rank/evenmap/plan.go
@@ -0,0 +1,361 @@
+package evenmap
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// norm is the power by which the loads of ranks are summed up. The largest
+	// load decides how long a step lasts, but a search for it alone stops where
+	// two ranks are equally loaded; a high power follows the largest and still
+	// sees the second.
+	norm = 12
+	// freeGain is the least fall of the objective, as a part of the mean load,
+	// for which a replica is dropped. Dropping costs nothing but the order.
+	freeGain = 1e-3
+	// topRanks is how many of the most loaded ranks are looked at for a change.
+	topRanks = 3
+	// maxChanges bounds the work of one plan.
+	maxChanges = 400
+)
+
+// Limits bounds what a plan may do.
+type Limits struct {
+	// PerRank is how many experts one rank may copy in all sets together: they
+	// load one after the other, so it is how long the plan takes.
+	PerRank int
+	// PerSet is how many experts one rank may copy of one set.
+	PerSet int
+	// MinGain is the fall of the skew of one set that a copy must bring.
+	MinGain float64
+}
+
+// Plan is a planned change of all sets.
+type Plan struct {
+	next          []*Placement
+	copies        int
+	before, after float64
+}
+
+// Next returns the planned placements.
+func (p *Plan) Next() []*Placement { return p.next }
+
+// Copies returns how many experts are copied.
+func (p *Plan) Copies() int { return p.copies }
+
+// Before returns the mean skew of the sets without the plan.
+func (p *Plan) Before() float64 { return p.before }
+
+// After returns the mean skew with it.
+func (p *Plan) After() float64 { return p.after }
+
+// change is one step of the search: an expert copied to a rank, in place of
+// another if evict is not negative, or dropped from it. With back, the evicted
+// expert moves to the rank that loses the copied one.
+type change struct {
+	set, expert, to, evict int
+	// from is the rank that drops the expert, or negative.
+	from int
+	back bool
+	gain float64
+	cost int
+}
+
+// planner is a search under way.
+type planner struct {
+	limits Limits
+	start  []*Placement
+	sets   []*set
+	// spent is how many experts each rank copies.
+	spent []int
+}
+
+// set is one set in the search.
+type set struct {
+	p     *Placement
+	load  []float64
+	ranks []float64
+	mean  float64
+	value float64
+	spent []int
+}
+
+// NewPlan plans the next placements for the given loads of experts by set. The
+// search takes the change that gains most for each copy, one after the other:
+// the load is a popularity that jumps every few seconds, so a good change now is
+// worth more than the best one after a second of copying.
+func NewPlan(current []*Placement, loads [][]float64, limits Limits) *Plan {
+	s := &planner{limits: limits, start: current, spent: make([]int, current[0].shape.Ranks)}
+	plan := &Plan{}
+	for i, p := range current {
+		s.sets = append(s.sets, newSet(p.clone(), loads[i]))
+		plan.before += p.Skew(loads[i]) / float64(len(current))
+	}
+	best := make([]change, len(s.sets))
+	for i := range s.sets {
+		best[i] = s.best(i)
+	}
+	for range maxChanges {
+		i := bestOf(best)
+		if best[i].gain <= 0 {
+			break
+		}
+		touched := s.apply(best[i])
+		best[i] = s.best(i)
+		if touched {
+			// A rank has used up its copies: what others wanted may not fit.
+			for k := range best {
+				best[k] = s.best(k)
+			}
+		}
+	}
+	for i := range s.sets {
+		plan.next = append(plan.next, s.sets[i].p)
+		plan.after += s.sets[i].p.Skew(loads[i]) / float64(len(s.sets))
+		for _, n := range s.sets[i].p.Copies(current[i]) {
+			plan.copies += n
+		}
+	}
+	return plan
+}
+
+func bestOf(changes []change) int {
+	best := 0
+	for i := range changes {
+		if changes[i].worth() > changes[best].worth() {
+			best = i
+		}
+	}
+	return best
+}
+
+// worth orders changes: gain for each copy, free ones first.
+func (c change) worth() float64 {
+	if c.cost == 0 {
+		return c.gain * 10
+	}
+	return c.gain / float64(c.cost)
+}
+
+func newSet(p *Placement, load []float64) *set {
+	s := &set{p: p, load: load, ranks: p.Loads(load), spent: make([]int, p.shape.Ranks)}
+	for _, v := range s.ranks {
+		s.mean += v / float64(len(s.ranks))
+	}
+	s.value = s.objective(s.ranks)
+	return s
+}
+
+// objective is the norm of the loads over their mean.
+func (s *set) objective(ranks []float64) float64 {
+	if s.mean <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range ranks {
+		x := v / s.mean
+		x2 := x * x
+		x4 := x2 * x2
+		sum += x4 * x4 * x4
+	}
+	return math.Pow(sum, 1.0/norm)
+}
+
+// apply makes a change and reports whether it made copies.
+func (s *planner) apply(c change) bool {
+	st := s.sets[c.set]
+	if c.to >= 0 {
+		if c.evict >= 0 {
+			st.p.drop(c.evict, c.to)
+		}
+		st.p.add(c.expert, c.to)
+		s.spend(c.set, c.expert, c.to)
+	}
+	if c.from >= 0 {
+		st.p.drop(c.expert, c.from)
+	}
+	if c.back {
+		st.p.add(c.evict, c.from)
+		s.spend(c.set, c.evict, c.from)
+	}
+	st.ranks = st.p.Loads(st.load)
+	st.value = st.objective(st.ranks)
+	return c.cost > 0
+}
+
+// spend counts a copy unless the rank held the expert at the start.
+func (s *planner) spend(set, e, r int) {
+	if !s.start[set].Holds(r, e) {
+		s.spent[r]++
+		s.sets[set].spent[r]++
+	}
+}
+
+// price returns how many copies it takes to have e on r, and whether r may.
+func (s *planner) price(set, e, r int) (int, bool) {
+	if s.start[set].Holds(r, e) {
+		return 0, true
+	}
+	return 1, s.spent[r] < s.limits.PerRank && s.sets[set].spent[r] < s.limits.PerSet
+}
+
+// best returns the change of a set that gains most.
+func (s *planner) best(i int) change {
+	st := s.sets[i]
+	top := change{set: i}
+	if st.mean <= 0 {
+		return top
+	}
+	for _, r := range st.mostLoaded() {
+		for _, e := range slices.Clone(st.p.ranks[r]) {
+			s.consider(&top, s.dropFrom(i, e, r))
+			for to := range st.ranks {
+				if to != r && !st.p.Holds(to, e) && st.ranks[to] < st.ranks[r] {
+					s.copies(&top, i, e, r, to)
+				}
+			}
+		}
+	}
+	return top
+}
+
+func (st *set) mostLoaded() []int {
+	order := make([]int, len(st.ranks))
+	for r := range order {
+		order[r] = r
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case st.ranks[a] > st.ranks[b]:
+			return -1
+		case st.ranks[a] < st.ranks[b]:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return order[:min(topRanks, len(order))]
+}
+
+func (s *planner) consider(top *change, c change) {
+	least := freeGain
+	if c.cost > 0 {
+		least = s.limits.MinGain * float64(c.cost)
+	}
+	if c.gain >= least && (top.gain <= 0 || c.worth() > top.worth()) {
+		*top = c
+	}
+}
+
+// dropFrom is the change that takes expert e off rank r.
+func (s *planner) dropFrom(i, e, r int) change {
+	st := s.sets[i]
+	c := change{set: i, expert: e, to: -1, evict: -1, from: r}
+	if len(st.p.holders[e]) < 2 {
+		return c
+	}
+	d := st.begin()
+	d.drop(e, r)
+	c.gain = d.gain()
+	return c
+}
+
+// copies considers all ways to have expert e of rank r on rank to as well, or
+// there alone.
+func (s *planner) copies(top *change, i, e, r, to int) {
+	cost, ok := s.price(i, e, to)
+	if !ok {
+		return
+	}
+	st := s.sets[i]
+	evicts := []int{-1}
+	if len(st.p.ranks[to]) >= st.p.shape.Slots {
+		evicts = st.p.ranks[to]
+	}
+	for _, f := range evicts {
+		if f >= 0 && len(st.p.holders[f]) < 2 {
+			s.swap(top, i, e, r, to, f, cost)
+			continue
+		}
+		c := change{set: i, expert: e, to: to, evict: f, from: -1, cost: cost}
+		d := st.begin()
+		if f >= 0 {
+			d.drop(f, to)
+		}
+		d.add(e, to)
+		c.gain = d.gain()
+		s.consider(top, c)
+		d.drop(e, r)
+		c.from, c.gain = r, d.gain()
+		s.consider(top, c)
+	}
+}
+
+// swap considers that e and f, which no other rank holds, change places.
+func (s *planner) swap(top *change, i, e, r, to, f, cost int) {
+	back, ok := s.price(i, f, r)
+	st := s.sets[i]
+	if !ok || st.p.Holds(r, f) {
+		return
+	}
+	d := st.begin()
+	d.drop(f, to)
+	d.add(e, to)
+	d.drop(e, r)
+	d.add(f, r)
+	s.consider(top, change{set: i, expert: e, to: to, evict: f, from: r, back: true, cost: cost + back, gain: d.gain()})
+}
+
+// trial follows how the loads of ranks change without changing the placement.
+type trial struct {
+	s     *set
+	ranks []float64
+	// holders holds the changed lists, of two experts at most.
+	experts [2]int
+	holders [2][]int
+	n       int
+}
+
+func (s *set) begin() *trial {
+	return &trial{s: s, ranks: slices.Clone(s.ranks)}
+}
+
+func (t *trial) gain() float64 { return t.s.value - t.s.objective(t.ranks) }
+
+// of returns the list of an expert's holders that the trial may change.
+func (t *trial) of(e int) *[]int {
+	for i := range t.n {
+		if t.experts[i] == e {
+			return &t.holders[i]
+		}
+	}
+	t.experts[t.n] = e
+	t.holders[t.n] = slices.Clone(t.s.p.holders[e])
+	t.n++
+	return &t.holders[t.n-1]
+}
+
+func (t *trial) spread(e int, hs []int, sign float64) {
+	if len(hs) == 0 {
+		return
+	}
+	part := sign * t.s.load[e] / float64(len(hs))
+	for _, r := range hs {
+		t.ranks[r] += part
+	}
+}
+
+func (t *trial) add(e, r int) {
+	hs := t.of(e)
+	t.spread(e, *hs, -1)
+	*hs = append(*hs, r)
+	t.spread(e, *hs, 1)
+}
+
+func (t *trial) drop(e, r int) {
+	hs := t.of(e)
+	t.spread(e, *hs, -1)
+	*hs = without(*hs, r)
+	t.spread(e, *hs, 1)
+}
--- a/internal/rank/kvlease.go
+++ b/internal/rank/kvlease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	Txn(ctx context.Context, t platform.Txn) (platform.TxnReply, error)
 	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
 	KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error)
+	Revoke(ctx context.Context, id platform.LeaseID) error
 }
 
 // KVLease is a Lease in the platform's key-value service. Set the fields before
@@ -24,6 +26,8 @@
 // each write to the service. The record is a second key without a lease.
 type KVLease struct {
 	KV KV
+	// Prefix begins the lease's keys; it may be "".
+	Prefix string
 	// Group is the group's name, Holder this agent's, unique to its run.
 	Group, Holder string
 	// TTL is how long the lease lasts without being renewed.
@@ -35,8 +39,22 @@
 	token    uint64
 }
 
-func (l *KVLease) leaseKey() string  { return "rank/" + l.Group + "/lease" }
-func (l *KVLease) recordKey() string { return "rank/" + l.Group + "/record" }
+const (
+	groupPrefix = "rank/"
+	leaseSuffix = "/lease"
+)
+
+func (l *KVLease) leaseKey() string  { return l.Prefix + groupPrefix + l.Group + leaseSuffix }
+func (l *KVLease) recordKey() string { return l.Prefix + groupPrefix + l.Group + "/record" }
+
+// LeaseGroup returns the group whose lease has the key, under a prefix.
+func LeaseGroup(prefix, key string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, prefix+groupPrefix)
+	if !ok {
+		return "", false
+	}
+	return strings.CutSuffix(rest, leaseSuffix)
+}
 
 // Acquire implements Lease. A write whose answer is lost is settled by reading
 // who holds the lease, by an id of this attempt alone.
@@ -110,6 +128,14 @@
 	return now.Add(ttl), nil
 }
 
+// Release ends the lease, so that another holder need not wait for its end.
+func (l *KVLease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	id := l.id
+	l.mu.Unlock()
+	return l.KV.Revoke(ctx, id)
+}
+
 // Read implements Lease.
 func (l *KVLease) Read(ctx context.Context) (naming.Record, int64, error) {
 	reply, err := l.KV.Get(ctx, l.recordKey())
--- /dev/null
+++ b/internal/rank/lockstep/leader.go
@@ -0,0 +1,354 @@
+package lockstep
+
+import (
+	"time"
+)
+
+const (
+	// armTime is how long a step may be held for ranks to be armed before the
+	// leader gives the change up. Arming takes a few milliseconds; each
+	// further one stalls all streams of the group, whose callers bear a pause
+	// of 120 ms.
+	armTime = 400 * time.Millisecond
+	// holdAhead is how long before its beginning a step should be held: the
+	// time for a hold, a look at all ranks and the arming.
+	holdAhead = 40 * time.Millisecond
+	// mostAhead bounds by how many steps a hold is ahead.
+	mostAhead = 12
+)
+
+// Goal is a map that shall come into force.
+type Goal struct {
+	Version uint64
+	Sets    [][][]int
+}
+
+// Leader decides the orders to one group. Set the exported fields before the
+// first call. It is not safe for concurrent use.
+type Leader struct {
+	// Holder is the rank that is given holds: the leader's own, which is
+	// reached without the network.
+	Holder int
+
+	goal *Goal
+	// undo says that the held step is given up.
+	undo bool
+	// own is the step that this leader ordered to hold, for its goal.
+	own uint64
+	// heldSince is when the held step was first seen.
+	heldSince time.Time
+	// flush is the harmless version that ranks take before a step which was
+	// given up is let go.
+	flush uint64
+	// newest is the largest version seen or used.
+	newest uint64
+	epoch  uint64
+	// stepTime is how long a step lasts, from the steps seen.
+	stepTime time.Duration
+	lastStep uint64
+	lastSeen time.Time
+	inForce  *Goal
+}
+
+// Propose sets the next map, if none is under way, and returns its version.
+func (l *Leader) Propose(sets [][][]int) (uint64, bool) {
+	if l.goal != nil {
+		return 0, false
+	}
+	l.newest++
+	l.goal = &Goal{Version: l.newest, Sets: sets}
+	return l.newest, true
+}
+
+// Busy reports whether a change is under way.
+func (l *Leader) Busy() bool { return l.goal != nil || !l.heldSince.IsZero() }
+
+// Current tells the leader the map that is in force, which it needs in order to
+// give a step up.
+func (l *Leader) Current(version uint64, sets [][][]int) {
+	l.inForce = &Goal{Version: version, Sets: sets}
+}
+
+// InForce returns the map in force, or nil when it isn't known.
+func (l *Leader) InForce() *Goal { return l.inForce }
+
+// Decide returns the orders to give now. Ranks holds the state of every rank by
+// its number; whole says that all were seen just now, after every earlier order
+// was answered or given up. Without that nothing is ordered: what can't be seen
+// may be armed.
+func (l *Leader) Decide(ranks []State, whole bool, now time.Time) []Directive {
+	if !whole || !l.agree(ranks) {
+		return nil
+	}
+	l.observe(ranks, now)
+	held, isHeld := l.held(ranks)
+	armed, same := armedOf(ranks)
+	if !isHeld {
+		l.heldSince, l.undo, l.flush = time.Time{}, false, 0
+		return l.advance(ranks, armed, now)
+	}
+	if l.heldSince.IsZero() {
+		l.heldSince = now
+	}
+	switch {
+	case armed == len(ranks) && same && !l.undo:
+		return release(ranks, held)
+	case l.undo || l.giveUp(ranks, armed, same, held, now):
+		l.undo = true
+		return l.takeBack(ranks, held)
+	default:
+		return l.arm(ranks, held)
+	}
+}
+
+// agree reports whether all ranks are of one open group.
+func (l *Leader) agree(ranks []State) bool {
+	for i, r := range ranks {
+		if !r.Open || r.Epoch != ranks[0].Epoch || r.Rank != i || r.Size != len(ranks) {
+			return false
+		}
+	}
+	return len(ranks) > 0
+}
+
+// observe follows epoch, versions and the length of steps.
+func (l *Leader) observe(ranks []State, now time.Time) {
+	if ranks[0].Epoch != l.epoch {
+		l.epoch = ranks[0].Epoch
+		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own = nil, false, time.Time{}, 0, nil, 0
+		l.lastSeen = time.Time{}
+	}
+	for _, r := range ranks {
+		l.newest = max(l.newest, r.Map, r.Prepared)
+		if r.Armed != nil {
+			l.newest = max(l.newest, r.Armed.Version)
+		}
+	}
+	if l.goal != nil && allUse(ranks, l.goal.Version) {
+		l.inForce, l.goal = l.goal, nil
+	}
+	l.followSteps(ranks[0].Step, now)
+}
+
+// followSteps measures how long a step lasts, over steps that were not held.
+func (l *Leader) followSteps(step uint64, now time.Time) {
+	if !l.lastSeen.IsZero() && step > l.lastStep && l.heldSince.IsZero() {
+		d := now.Sub(l.lastSeen) / time.Duration(step-l.lastStep)
+		if l.stepTime == 0 {
+			l.stepTime = d
+		} else {
+			l.stepTime += (d - l.stepTime) / 4
+		}
+	}
+	if step != l.lastStep || l.lastSeen.IsZero() {
+		l.lastStep, l.lastSeen = step, now
+	}
+}
+
+func allUse(ranks []State, version uint64) bool {
+	for _, r := range ranks {
+		if r.Map != version || r.Armed != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// holding is a held step and the rank that holds it.
+type holding struct {
+	rank int
+	step uint64
+}
+
+// held returns the lowest held step. A late hold may leave two; each is let go
+// in its turn.
+func (l *Leader) held(ranks []State) (holding, bool) {
+	out, found := holding{}, false
+	for i, r := range ranks {
+		if r.Held != nil && (!found || *r.Held < out.step) {
+			out, found = holding{rank: i, step: *r.Held}, true
+		}
+	}
+	return out, found
+}
+
+// armedOf returns how many ranks are armed and whether for one map and step.
+func armedOf(ranks []State) (n int, same bool) {
+	same = true
+	var first *Arming
+	for _, r := range ranks {
+		if r.Armed == nil {
+			continue
+		}
+		n++
+		if first == nil {
+			first = r.Armed
+		}
+		same = same && *r.Armed == *first
+	}
+	return n, same
+}
+
+// directive is an order for a rank as it was seen.
+func directive(ranks []State, i int, o Order) Directive {
+	return Directive{Rank: i, Epoch: ranks[i].Epoch, Sequence: ranks[i].Sequence, Order: o}
+}
+
+// advance works towards the goal while nothing is held.
+func (l *Leader) advance(ranks []State, armed int, now time.Time) []Directive {
+	if l.goal == nil || armed > 0 {
+		return nil
+	}
+	var out []Directive
+	ready := true
+	for i, r := range ranks {
+		if r.HasPrepared && r.Prepared == l.goal.Version {
+			continue
+		}
+		ready = false
+		if r.Map > l.goal.Version || r.HasPrepared && r.Prepared > l.goal.Version {
+			// Another leader's version has come between.
+			l.goal = nil
+			return nil
+		}
+		if !r.Busy {
+			out = append(out, directive(ranks, i, Prepare{Version: l.goal.Version, Sets: l.goal.Sets}))
+		}
+	}
+	if !ready {
+		return out
+	}
+	step := l.newestStep(ranks) + l.ahead()
+	l.own = step
+	return []Directive{directive(ranks, l.Holder, Hold{Step: step})}
+}
+
+func (l *Leader) newestStep(ranks []State) uint64 {
+	top := uint64(0)
+	for _, r := range ranks {
+		top = max(top, r.Step)
+	}
+	return top
+}
+
+// ahead returns by how many steps a hold has to come ahead.
+func (l *Leader) ahead() uint64 {
+	if l.stepTime <= 0 {
+		return 2
+	}
+	return uint64(min(2+holdAhead/l.stepTime, mostAhead))
+}
+
+// giveUp reports whether the held step can't become a change of maps.
+//
+// Guard: a leader that was frozen may have begun to take its own change back and
+// have disarms on their way. If its successor armed the rest and let go, one of
+// those could come in between, and the step would begin with two maps. So a
+// change that another leader began is finished only when all ranks are armed,
+// and else given up.
+func (l *Leader) giveUp(ranks []State, armed int, same bool, h holding, now time.Time) bool {
+	if !same || h.step != l.own || now.Sub(l.heldSince) > armTime {
+		return true
+	}
+	version, ok := l.target(ranks, armed)
+	if !ok {
+		return true
+	}
+	for _, r := range ranks {
+		if r.Armed != nil && r.Armed.Step != h.step {
+			return true
+		}
+		if !r.HasPrepared || r.Prepared != version {
+			return true
+		}
+	}
+	return false
+}
+
+// target is the version that the held step is for: that of the ranks which are
+// armed, or the goal.
+func (l *Leader) target(ranks []State, armed int) (uint64, bool) {
+	if armed > 0 {
+		for _, r := range ranks {
+			if r.Armed != nil {
+				return r.Armed.Version, true
+			}
+		}
+	}
+	if l.goal == nil {
+		return 0, false
+	}
+	return l.goal.Version, true
+}
+
+// arm arms the ranks that are not.
+func (l *Leader) arm(ranks []State, h holding) []Directive {
+	armed, _ := armedOf(ranks)
+	version, _ := l.target(ranks, armed)
+	var out []Directive
+	for i, r := range ranks {
+		if r.Armed == nil {
+			out = append(out, directive(ranks, i, Arm{Version: version, Step: h.step}))
+		}
+	}
+	return out
+}
+
+// release lets the held step begin, on which all ranks are armed.
+func release(ranks []State, h holding) []Directive {
+	return []Directive{directive(ranks, h.rank, Go{Step: h.step})}
+}
+
+// takeBack gives the held step up: disarm, make late arms unfit, let go.
+//
+// Guard: a go that this leader or the one before it sent may come late, while
+// some ranks are disarmed already; the step would begin with two maps. The
+// holding rank is disarmed first, alone: its order makes a late go unfit, and
+// only then are the others disarmed.
+func (l *Leader) takeBack(ranks []State, h holding) []Directive {
+	if a := ranks[h.rank].Armed; a != nil {
+		return []Directive{directive(ranks, h.rank, Disarm{Version: a.Version})}
+	}
+	var out []Directive
+	if l.flush != 0 && ranks[h.rank].Prepared != l.flush {
+		return l.flushRank(ranks, h.rank)
+	}
+	for i, r := range ranks {
+		if r.Armed != nil {
+			out = append(out, directive(ranks, i, Disarm{Version: r.Armed.Version}))
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return l.flushAll(ranks, h)
+}
+
+// flushAll has every rank take a harmless order, so that a late arm no longer
+// fits, and then lets the step go.
+func (l *Leader) flushAll(ranks []State, h holding) []Directive {
+	if l.inForce == nil || l.inForce.Version != ranks[h.rank].Map {
+		return nil
+	}
+	if l.flush == 0 {
+		l.newest++
+		l.flush, l.goal = l.newest, nil
+	}
+	var out []Directive
+	for i, r := range ranks {
+		if !r.HasPrepared || r.Prepared != l.flush {
+			out = append(out, l.flushRank(ranks, i)...)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return []Directive{directive(ranks, h.rank, Go{Step: h.step})}
+}
+
+func (l *Leader) flushRank(ranks []State, i int) []Directive {
+	if ranks[i].Busy {
+		return nil
+	}
+	return []Directive{directive(ranks, i, Prepare{Version: l.flush, Sets: l.inForce.Sets})}
+}
--- /dev/null
+++ b/internal/ranker/popularity.go
@@ -0,0 +1,139 @@
+package ranker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// forget is the time in which an observation's weight falls to 1/e. It is
+	// long against the noise of a quarter second's counts and short against
+	// the seconds for which a popularity lasts.
+	forget = 700 * time.Millisecond
+	// jumpBeyond is how many times the distance that chance alone explains a
+	// new observation must be from the estimate to count as a jump; then the
+	// estimate is given up for the observation.
+	jumpBeyond = 4.0
+	// leastCounts is how many choices of one set an observation needs to be
+	// told from noise: ten for each expert.
+	leastCounts = 10
+)
+
+// popularity estimates how often each expert of each set is chosen, from counts
+// that only grow.
+//
+// The load is demand that jumps every few seconds from some experts to others.
+// A mean over time alone would follow it a second late, in which each step
+// waits for ranks that nobody planned to be slow.
+type popularity struct {
+	experts int
+	// ranks holds the last counts of each rank.
+	ranks map[int]counted
+	sets  []estimate
+}
+
+// counted is what a rank had counted when it was looked at.
+type counted struct {
+	counts []uint64
+	epoch  uint64
+	born   uint64
+}
+
+// estimate is the popularity in one set, as a share of all choices.
+type estimate struct {
+	share []float64
+	// weight is how many choices are behind it.
+	weight float64
+	at     time.Time
+}
+
+func newPopularity(sets, experts int) *popularity {
+	p := &popularity{experts: experts, ranks: map[int]counted{}, sets: make([]estimate, sets)}
+	for i := range p.sets {
+		p.sets[i].share = make([]float64, experts)
+	}
+	return p
+}
+
+// observe takes in one look at all ranks and reports whether a jump was seen.
+func (p *popularity) observe(looks []look, now time.Time) bool {
+	fresh := make([]float64, len(p.sets)*p.experts)
+	for _, l := range looks {
+		p.add(fresh, l)
+	}
+	jumped := false
+	for i := range p.sets {
+		jumped = p.sets[i].take(fresh[i*p.experts:(i+1)*p.experts], now) || jumped
+	}
+	return jumped
+}
+
+// add adds what a rank has counted since its last look. The counts of an engine
+// that has started anew begin at zero, so there is nothing to compare with.
+func (p *popularity) add(fresh []float64, l look) {
+	if len(l.counts) != len(fresh) {
+		return
+	}
+	old, ok := p.ranks[l.state.Rank]
+	p.ranks[l.state.Rank] = counted{counts: l.counts, epoch: l.state.Epoch, born: l.state.Born}
+	if !ok || old.born != l.state.Born || len(old.counts) != len(l.counts) {
+		return
+	}
+	for i, n := range l.counts {
+		if n >= old.counts[i] {
+			fresh[i] += float64(n - old.counts[i])
+		}
+	}
+}
+
+// take joins an observation and reports whether it was a jump.
+func (e *estimate) take(counts []float64, now time.Time) bool {
+	n := 0.0
+	for _, c := range counts {
+		n += c
+	}
+	if n < leastCounts*float64(len(counts)) {
+		return false
+	}
+	jumped := e.weight > 0 && e.distance(counts, n) > jumpBeyond
+	keep := e.weight * math.Exp(-now.Sub(e.at).Seconds()/forget.Seconds())
+	if jumped {
+		keep = 0
+	}
+	for i, c := range counts {
+		e.share[i] = (e.share[i]*keep + c) / (keep + n)
+	}
+	e.weight, e.at = keep+n, now
+	return jumped
+}
+
+// distance returns how far the observation is from the estimate, in units of
+// what chance explains: the chi-squared statistic over its degrees of freedom.
+func (e *estimate) distance(counts []float64, n float64) float64 {
+	sum := 0.0
+	for i, c := range counts {
+		expect := e.share[i] * n
+		variance := expect + n*n*e.share[i]/e.weight + 1
+		sum += (c - expect) * (c - expect) / variance
+	}
+	return sum / float64(len(counts))
+}
+
+// known reports whether every set has been observed.
+func (p *popularity) known() bool {
+	for i := range p.sets {
+		if p.sets[i].weight == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// loads returns the shares of the experts by set.
+func (p *popularity) loads() [][]float64 {
+	out := make([][]float64, len(p.sets))
+	for i := range p.sets {
+		out[i] = p.sets[i].share
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ranker/ranker.go
@@ -0,0 +1,256 @@
+package ranker
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the store, which answers in milliseconds.
+	storeTimeout = 700 * time.Millisecond
+	// pollWait is how long a poll waits at the store. Nothing that an agent
+	// knows may grow too old, so it is long and costs few calls.
+	pollWait = 10 * time.Second
+	// callsPerSecond bounds this process's calls to the store; renewals of the
+	// lease are most of them.
+	callsPerSecond = 15
+	// leaseTime is how long a group's leader leads without renewing, near the
+	// shortest lease that the store grants: without a leader the maps grow old
+	// within seconds.
+	leaseTime = 1200 * time.Millisecond
+	// renewEvery leaves two further tries within the lease.
+	renewEvery = 350 * time.Millisecond
+	// engineTimeout bounds a call to the engine on the same VM.
+	engineTimeout = 150 * time.Millisecond
+	// ownEvery is how often an agent looks at its own engine to learn its
+	// group, and whether the group has a leader.
+	ownEvery = 250 * time.Millisecond
+	// turn is the pause by rank before an agent tries to lead, so that few do
+	// at once.
+	turn = 15 * time.Millisecond
+)
+
+// Ranker is one agent. Set the exported fields, then Listen, then Run.
+type Ranker struct {
+	Settings *settings.Ranker
+	Log      *process.BoundedLog
+	Registry metrics.Registry
+
+	store  *platform.Store
+	engine *platform.Engine
+	mirror *mirror.Mirror
+	peers  *peer.Server
+	conns  *peer.Conns
+	counts counters
+
+	mu      sync.Mutex // guards all below
+	agents  map[string]fleet.Member
+	entries map[string]fleet.Member
+	// leases holds the groups that have a leader.
+	leases map[string]bool
+	synced bool
+	group  string
+}
+
+// counters counts what the agent did.
+type counters struct {
+	orders, unanswered, unfit, changes, copies, leads metrics.Counter
+}
+
+// Listen opens the process's addresses.
+func (r *Ranker) Listen() error {
+	s := r.Settings
+	if r.Registry == nil {
+		r.Registry = metrics.NewRegistry()
+	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("rank."+name, r.Registry) }
+	r.counts = counters{
+		orders: counter("orders"), unanswered: counter("ordersUnanswered"), unfit: counter("ordersUnfit"),
+		changes: counter("mapChanges"), copies: counter("expertCopies"), leads: counter("terms"),
+	}
+	r.agents, r.entries, r.leases = map[string]fleet.Member{}, map[string]fleet.Member{}, map[string]bool{}
+	r.store = &platform.Store{
+		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
+		Budget: kv.Budget{PerSecond: callsPerSecond}, Metrics: r.Registry,
+	}
+	r.store.Open()
+	r.engine = &platform.Engine{Addr: s.EndpointAddress.String(), Timeout: engineTimeout}
+	r.engine.Open()
+	r.mirror = &mirror.Mirror{
+		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Now: boottime.Now,
+		Apply: r.apply, Failed: r.storeFailed,
+	}
+	r.conns = &peer.Conns{}
+	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
+		fleetpb.RegisterAgentServer(g, &service{ranker: r})
+	}}
+	return r.peers.Listen()
+}
+
+// Run works until ctx ends.
+func (r *Ranker) Run(ctx context.Context) error {
+	parts := []process.Part{
+		r.mirror.Run, r.peers.Run, r.register, r.follow,
+		func(ctx context.Context) error { return r.Log.Run(ctx, os.Stdout) },
+	}
+	parts = append(parts, process.MetricsParts(r.Settings.MetricsAddress, r.Registry)...)
+	r.Log.WithField("endpoint", r.Settings.EndpointAddress.String()).Info("ranker serves")
+	return process.RunParts(ctx, parts, func(error) error {
+		r.Log.Info("ranker stops")
+		return nil
+	})
+}
+
+func (r *Ranker) storeFailed(err error) {
+	r.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
+}
+
+// apply takes in what the store told of the product's processes.
+func (r *Ranker) apply(u mirror.Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.synced = true
+	if u.Whole {
+		clear(r.agents)
+		clear(r.entries)
+		clear(r.leases)
+	}
+	for _, item := range u.KVs {
+		r.put(item)
+	}
+	for _, key := range u.Deleted {
+		r.remove(key)
+	}
+}
+
+func (r *Ranker) put(item kv.KeyValue) {
+	if group, ok := rank.LeaseGroup(fleet.Prefix, item.Key()); ok {
+		r.leases[group] = true
+		return
+	}
+	m, ok, err := fleet.Decode(item.Key(), item.Value())
+	switch {
+	case err != nil:
+		r.Log.WithField("cause", err.Error()).Warn("entry not readable, ignored")
+	case ok && m.Kind == fleet.Agent:
+		r.agents[m.Name] = m
+	case ok:
+		r.entries[m.Name] = m
+	}
+}
+
+func (r *Ranker) remove(key string) {
+	if group, ok := rank.LeaseGroup(fleet.Prefix, key); ok {
+		delete(r.leases, group)
+		return
+	}
+	switch kind, name, _ := fleet.Removed(key); kind {
+	case fleet.Agent:
+		delete(r.agents, name)
+	case fleet.Entry:
+		delete(r.entries, name)
+	}
+}
+
+// register keeps the agent's own key, once its group is known.
+func (r *Ranker) register(ctx context.Context) error {
+	group := r.awaitGroup(ctx)
+	if group == "" {
+		return nil
+	}
+	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Member: fleet.Member{
+		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
+		Address: r.Settings.PeerAddress.String(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
+	}}
+	return registrar.Run(ctx)
+}
+
+// awaitGroup returns the group of the agent's engine, or "" when ctx ends.
+func (r *Ranker) awaitGroup(ctx context.Context) string {
+	group := ""
+	for group == "" && ctx.Err() == nil {
+		sleep(ctx, ownEvery)
+		r.mu.Lock()
+		group = r.group
+		r.mu.Unlock()
+	}
+	return group
+}
+
+// follow looks at the own engine, and leads its group when nobody else does.
+func (r *Ranker) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, ownEvery)
+		s, err := r.engine.State(ctx)
+		if err != nil || s.Group == "" {
+			continue // an engine that starts has no group yet
+		}
+		r.mu.Lock()
+		r.group = s.Group
+		free := r.synced && !r.leases[s.Group]
+		r.mu.Unlock()
+		if free {
+			sleep(ctx, time.Duration(s.Rank)*turn)
+			r.tryLead(ctx, s)
+		}
+	}
+	return nil
+}
+
+// tryLead takes the group's lease, if it is free, and leads until it is lost.
+func (r *Ranker) tryLead(ctx context.Context, s lockstep.State) {
+	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: r.Settings.Name, TTL: leaseTime}
+	now := boottime.Now()
+	token, until, err := lease.Acquire(ctx, now)
+	if err != nil {
+		r.Log.WithFields(logrus.Fields{"group": s.Group, "cause": err.Error()}).Info("group not led from here")
+		return
+	}
+	r.counts.leads.Inc(1)
+	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token, "epoch": s.Epoch}).Info("group led from here")
+	t := newTerm(r, lease, s, token, until)
+	t.run(ctx)
+	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token}).Info("group no longer led from here")
+}
+
+// members returns the agents of a group and the entries.
+func (r *Ranker) members(group string) (agents, entries []fleet.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.agents {
+		if m.Group == group {
+			agents = append(agents, m)
+		}
+	}
+	for _, m := range r.entries {
+		entries = append(entries, m)
+	}
+	return agents, entries
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/ranker/term.go
@@ -0,0 +1,395 @@
+package ranker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+	"github.com/hyssoprelay/hyssoprelay/platform"
+)
+
+const (
+	// lookEvery is how often the leader looks at all ranks while no change is
+	// under way. Popularity jumps every few seconds; a quarter second is a
+	// small part of that, and its counts are enough to tell a jump by.
+	lookEvery = 150 * time.Millisecond
+	// workEvery is the pause while ranks copy experts, 100 ms each.
+	workEvery = 25 * time.Millisecond
+	// callTimeout bounds a call to an agent. It is some forty times the delay
+	// between data centres; while a step is held, a slow call stalls streams.
+	callTimeout = 200 * time.Millisecond
+	// loadsEvery is how often entries are told of the engines' work. A request
+	// lasts a second or two.
+	loadsEvery = 100 * time.Millisecond
+)
+
+// term is the time for which this agent leads a group.
+type term struct {
+	ranker *Ranker
+	lease  *rank.KVLease
+	group  string
+	size   int
+	token  uint64
+	until  time.Time
+
+	leader  lockstep.Leader
+	engine  *routing.Engine
+	pop     *popularity
+	planner planner
+	direct  map[string]*platform.Engine
+	told    time.Time
+	renew   chan renewal
+	renewAt time.Time
+	renews  bool
+}
+
+// renewal is the end of a call that renews the lease.
+type renewal struct {
+	until time.Time
+	err   error
+}
+
+func newTerm(r *Ranker, lease *rank.KVLease, s lockstep.State, token uint64, until time.Time) *term {
+	return &term{
+		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
+		leader: lockstep.Leader{Holder: s.Rank}, renew: make(chan renewal, 1), direct: map[string]*platform.Engine{},
+	}
+}
+
+// run leads until the lease has lapsed or ctx ends.
+func (t *term) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := boottime.Now()
+		t.keepLease(ctx, now)
+		if !now.Before(t.until) {
+			break
+		}
+		if t.engine == nil {
+			t.readShape(ctx)
+		}
+		sleep(ctx, t.round(ctx))
+	}
+	if t.renews {
+		<-t.renew
+	}
+	if ctx.Err() != nil {
+		t.giveBack()
+	}
+}
+
+// giveBack ends the lease of a leader that stops, so that another leads at once.
+func (t *term) giveBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := t.lease.Release(ctx); err != nil {
+		t.ranker.storeFailed(err)
+	}
+}
+
+// keepLease renews the lease beside the rounds, so that a slow store does not
+// stall the group.
+func (t *term) keepLease(ctx context.Context, now time.Time) {
+	select {
+	case end := <-t.renew:
+		t.renews = false
+		if end.err == nil {
+			t.until = end.until
+		} else {
+			t.ranker.storeFailed(end.err)
+			if end.err == rank.ErrLeaseLost {
+				t.until = time.Time{}
+			}
+		}
+	default:
+	}
+	if t.renews || now.Before(t.renewAt) {
+		return
+	}
+	t.renews, t.renewAt = true, now.Add(renewEvery)
+	go func() {
+		until, err := t.lease.Renew(ctx, now)
+		t.renew <- renewal{until: until, err: err}
+	}()
+}
+
+// readShape reads from the configuration what the group's engines are like.
+func (t *term) readShape(ctx context.Context) {
+	table, err := t.ranker.store.Table(ctx)
+	if err != nil {
+		t.ranker.storeFailed(err)
+		return
+	}
+	s := table.Service(t.ranker.Settings.Service)
+	if s == nil || s.Engine == nil || s.Engine.Experts.Sets == 0 {
+		return
+	}
+	t.engine = s.Engine
+	t.pop = newPopularity(s.Engine.Experts.Sets, s.Engine.Experts.Count)
+	t.planner = planner{engine: s.Engine, ranks: t.size}
+}
+
+// round looks at all ranks, gives the orders that follow, and returns how long
+// to wait for the next round.
+func (t *term) round(ctx context.Context) time.Duration {
+	agents, entries := t.ranker.members(t.group)
+	want := wanted{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil}
+	looks := t.lookAll(ctx, agents, want)
+	now := boottime.Now()
+	t.tellEntries(ctx, entries, looks, now)
+	ranks, byRank, whole := t.arrange(looks)
+	if t.engine == nil || !whole {
+		return lookEvery
+	}
+	t.learnMap(byRank)
+	if want.counts {
+		t.plan(byRank, now)
+	}
+	directives := t.leader.Decide(ranks, whole, now)
+	if len(directives) > 0 {
+		t.giveAll(ctx, directives, byRank)
+		return 0
+	}
+	if t.leader.Busy() {
+		return workEvery
+	}
+	return lookEvery
+}
+
+// wanted says what a look asks for besides the state.
+type wanted struct{ counts, lists bool }
+
+// found is a look at one engine and the agent beside it, which is nil when the
+// engine was asked without it.
+type found struct {
+	look
+	agent *fleet.Member
+}
+
+// lookAll looks at the engines of all agents.
+func (t *term) lookAll(ctx context.Context, agents []fleet.Member, want wanted) []found {
+	var mu sync.Mutex
+	var out []found
+	var wg sync.WaitGroup
+	for i := range agents {
+		wg.Add(1)
+		go func(m *fleet.Member) {
+			defer wg.Done()
+			f, err := t.lookAt(ctx, m, want)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, f)
+		}(&agents[i])
+	}
+	wg.Wait()
+	return out
+}
+
+// lookAt looks at one engine through its agent. While a change is under way an
+// agent that does not answer is passed over: its engine may be armed or hold
+// the group, whether the agent lives or not.
+func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r := t.ranker
+	if m.Name == r.Settings.Name {
+		l, err := r.lookOwn(ctx, want.counts, want.lists)
+		return found{look: l, agent: m}, err
+	}
+	conn, err := r.conns.Get(m.Address)
+	if err != nil {
+		return found{}, err
+	}
+	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{Counts: want.counts, Lists: want.lists})
+	if err == nil {
+		return found{look: lookFrom(p, m.Endpoint), agent: m}, nil
+	}
+	if !t.leader.Busy() {
+		return found{}, err
+	}
+	s, err := t.engineAt(m.Endpoint).State(context.WithoutCancel(ctx))
+	return found{look: look{state: s, address: m.Endpoint}}, err
+}
+
+func (t *term) engineAt(addr string) *platform.Engine {
+	t.ranker.mu.Lock()
+	defer t.ranker.mu.Unlock()
+	e := t.direct[addr]
+	if e == nil {
+		e = &platform.Engine{Addr: addr, Timeout: engineTimeout}
+		e.Open()
+		t.direct[addr] = e
+	}
+	return e
+}
+
+// arrange orders looks by rank and reports whether every rank was seen.
+func (t *term) arrange(looks []found) ([]lockstep.State, []found, bool) {
+	ranks := make([]lockstep.State, t.size)
+	byRank := make([]found, t.size)
+	seen := make([]bool, t.size)
+	n := 0
+	for _, l := range looks {
+		i := l.state.Rank
+		if l.state.Group != t.group || i < 0 || i >= t.size || seen[i] {
+			continue
+		}
+		seen[i] = true
+		n++
+		ranks[i], byRank[i] = l.state, l
+	}
+	return ranks, byRank, n == t.size
+}
+
+// learnMap learns the map in force from the ranks' lists, if all are of one.
+func (t *term) learnMap(byRank []found) {
+	if t.leader.InForce() != nil {
+		return
+	}
+	x := t.engine.Experts
+	sets := make([][][]int, x.Sets)
+	for _, l := range byRank {
+		if l.lists == nil || len(l.lists) != x.Sets || l.state.Map != byRank[0].state.Map {
+			return
+		}
+		for s := range sets {
+			sets[s] = append(sets[s], l.lists[s])
+		}
+	}
+	t.leader.Current(byRank[0].state.Map, sets)
+}
+
+// plan follows popularity and proposes the next map if it is worth it.
+func (t *term) plan(byRank []found, now time.Time) {
+	looks := make([]look, 0, len(byRank))
+	for _, f := range byRank {
+		looks = append(looks, f.look)
+	}
+	jumped := t.pop.observe(looks, now)
+	current := t.leader.InForce()
+	if current == nil || !t.pop.known() {
+		return
+	}
+	p, err := t.planner.plan(current.Sets, t.pop.loads(), jumped, now)
+	if err != nil {
+		t.ranker.Log.WithField("cause", err.Error()).Error("no map can be planned")
+		return
+	}
+	if p == nil {
+		return
+	}
+	version, ok := t.leader.Propose(p.sets)
+	if !ok {
+		return
+	}
+	t.ranker.counts.changes.Inc(1)
+	t.ranker.counts.copies.Inc(int64(p.copies))
+	t.ranker.Log.WithFields(logrus.Fields{
+		"group": t.group, "map": version, "copies": p.copies, "skew": p.before, "skewPlanned": p.after, "jump": jumped,
+	}).Info("expert map proposed")
+}
+
+// giveAll hands orders to their ranks.
+func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) {
+	var wg sync.WaitGroup
+	for _, d := range directives {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			t.give(ctx, d, byRank[d.Rank])
+		}()
+	}
+	wg.Wait()
+}
+
+func (t *term) give(ctx context.Context, d lockstep.Directive, to found) {
+	// A leader that was frozen may have decided this before another took over.
+	if !boottime.Now().Before(t.until) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := t.send(ctx, d, to)
+	f := logrus.Fields{"group": t.group, "rank": d.Rank, "epoch": d.Epoch, "sequence": d.Sequence, "outcome": o.String()}
+	describe(f, d.Order)
+	if err != nil {
+		f["cause"] = err.Error()
+	}
+	if _, ok := d.Order.(lockstep.Prepare); ok && o == lockstep.Begun {
+		return // one line tells of the map as a whole
+	}
+	t.ranker.Log.WithFields(f).Info("order given")
+}
+
+func (t *term) send(ctx context.Context, d lockstep.Directive, to found) (lockstep.Outcome, error) {
+	r := t.ranker
+	switch {
+	case to.agent == nil:
+		return t.engineAt(to.address).Give(ctx, t.token, d)
+	case to.agent.Name == r.Settings.Name:
+		return r.giveOwn(ctx, t.token, d)
+	}
+	conn, err := r.conns.Get(to.agent.Address)
+	if err != nil {
+		return lockstep.Unknown, err
+	}
+	p, err := fleetpb.NewAgentClient(conn).Give(ctx, giveProto(t.token, d))
+	if err != nil {
+		return lockstep.Unknown, err
+	}
+	return lockstep.Outcome(p.GetStatus()), nil
+}
+
+// describe adds what an order says.
+func describe(f logrus.Fields, o lockstep.Order) {
+	switch o := o.(type) {
+	case lockstep.Prepare:
+		f["order"], f["map"] = "prepare", o.Version
+	case lockstep.Arm:
+		f["order"], f["map"], f["step"] = "arm", o.Version, o.Step
+	case lockstep.Disarm:
+		f["order"], f["map"] = "disarm", o.Version
+	case lockstep.Hold:
+		f["order"], f["step"] = "hold", o.Step
+	case lockstep.Go:
+		f["order"], f["step"] = "go", o.Step
+	}
+}
+
+// tellEntries tells entries how much work the engines have.
+func (t *term) tellEntries(ctx context.Context, entries []fleet.Member, looks []found, now time.Time) {
+	if now.Sub(t.told) < loadsEvery {
+		return
+	}
+	t.told = now
+	q := &fleetpb.LoadsRequest{}
+	for _, l := range looks {
+		q.Loads = append(q.Loads, &fleetpb.Load{
+			Address: l.address, Running: uint32(l.state.Running), Queued: uint32(l.state.Queued),
+			Pace: uint32(100 * l.state.Pace),
+		})
+	}
+	for _, m := range entries {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			conn, err := t.ranker.conns.Get(m.Address)
+			if err != nil {
+				return
+			}
+			if _, err := fleetpb.NewEntryClient(conn).Loads(ctx, q); err != nil {
+				t.ranker.Log.WithFields(logrus.Fields{"entry": m.Name, "cause": err.Error()}).Debug("loads not told")
+			}
+		}()
+	}
+}
