--- a/internal/frontend/leave.go
+++ b/internal/frontend/leave.go
@@ -6,12 +6,14 @@
 )
 
 const (
-	// announceTime is how long a leaving entry still takes connections like any
+	// refuseTime is how long a leaving entry still takes requests like any
 	// other: the platform's balancer asks once a second whether it is ready and
-	// sends new connections until two answers in a row said no.
-	announceTime = 2600 * time.Millisecond
-	// settleTime is how long it goes on after that until it closes connections
-	// that rest, and the least time without any request before it ends.
+	// sends new connections until two answers in a row said no. When most
+	// entries of a data centre leave at once it goes on sending; a stream that
+	// began after this time would outlast the time until the kill, and its
+	// caller is served by another entry at once.
+	refuseTime = 2800 * time.Millisecond
+	// settleTime is the least time without any request before it ends.
 	settleTime = 500 * time.Millisecond
 	// graceMargin is kept of the time that the platform gives before it kills.
 	graceMargin = 600 * time.Millisecond
@@ -19,8 +21,8 @@
 )
 
 // leave runs the process down without cutting a request: it says that it is not
-// ready, asks callers to connect elsewhere with each answer, takes requests all
-// the while, and ends when none runs and no connection is left.
+// ready, asks callers to connect elsewhere with each answer, takes requests until
+// the balancer has heard of it, and ends when none runs any more.
 func (f *Frontend) leave() {
 	began := time.Now()
 	f.stopping.Store(true)
@@ -34,7 +36,8 @@
 		} else if quiet.IsZero() {
 			quiet = now
 		}
-		if now.Sub(began) > announceTime+settleTime {
+		if now.Sub(began) > refuseTime {
+			f.relay.Refuse()
 			f.callers.CloseIdle()
 			if !quiet.IsZero() && now.Sub(quiet) > settleTime {
 				break
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,9 @@
 	afterStale = 500 * time.Millisecond
 	// afterStart is the same for an entry that knows no configuration yet.
 	afterStart = 500 * time.Millisecond
+	// afterStop is the same for an entry that stops: others take the caller at
+	// once.
+	afterStop = 50 * time.Millisecond
 	// defaultTimeout bounds a request whose route and caller name no time.
 	defaultTimeout = time.Minute
 )
@@ -41,8 +45,14 @@
 	Log logrus.FieldLogger
 	// Metrics counts the requests.
 	Metrics *Metrics
+
+	refusing atomic.Bool
 }
 
+// Refuse answers each further request as not run, because the process is about
+// to end: it could not see the answer through.
+func (r *Relay) Refuse() { r.refusing.Store(true) }
+
 // job is one request under way.
 type job struct {
 	relay   *Relay
@@ -90,6 +100,9 @@
 func (j *job) open(now time.Time) *result.Error {
 	b := j.relay.Belief
 	j.table = b.Table()
+	if j.relay.refusing.Load() {
+		return result.New(result.ShuttingDown, "").WithRetryAfter(afterStop)
+	}
 	if j.table == nil || !b.Known() {
 		return result.New(result.NoPreset, "").WithRetryAfter(afterStart)
 	}
