Late orders of the lockstep leader do no harm; model test

Cause: the engines' count of orders does not grow with map orders, so the expected count does not stop a late one; a frozen leader's disarm or a late arm could come in between its successor's orders (seen in the model, not in a run). Change: a new leader shows its token to all ranks first; a step that is given up is let go only after every rank has prepared a further version; go and giving up exclude each other. Before: the model test fails without the fence and without the flush.

--- a/internal/rank/lockstep/doc.go
+++ b/internal/rank/lockstep/doc.go
@@ -7,12 +7,24 @@
 // that no pass begins with two: it holds a step ahead, arms every rank for that
 // step, and lets go only when it has seen every rank armed, or none.
 //
-// An order that got no answer may be carried out seconds later. So each one
-// carries the number of orders that its rank had taken when it was decided: once
-// the rank has taken another one, a late order no longer fits and is refused by
-// itself. Before the leader lets a step go that it has given up, it makes every
-// rank take a harmless order for that reason.
+// An order that got no answer may be carried out seconds later, after newer
+// ones. What keeps each kind from doing harm then:
 //
-// Decide looks at what is seen now, and not at what was sent: a successor goes
-// on from what the ranks report.
+//   - Orders of an earlier leader: a new leader first shows its token to every
+//     rank (Fence), and a rank refuses a lower one.
+//   - A late prepare is refused once the rank has had that version or a higher.
+//   - A late arm is refused once its step has begun, or once another version is
+//     prepared. A step that is given up may not begin for long, if the group is
+//     idle; so before it is let go every rank prepares a further version that
+//     holds what is in force (a flush), and copies nothing for it.
+//   - A late disarm meets a version that is never armed again: a change that
+//     was given up is not taken up again.
+//   - A late go meets a step that has begun: the leader does not give a step up
+//     for which it has ordered go, and does not order go for one that it gives
+//     up before the flush.
+//   - A late hold stops the group at a step that nobody wants; it is given up
+//     like any other.
+//
+// Beside that, Decide goes by what is seen now and not by what was sent: a
+// successor goes on from what the ranks report.
 package lockstep
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -47,7 +47,14 @@
 	stepTime time.Duration
 	lastStep uint64
 	lastSeen time.Time
-	inForce  *Goal
+	// went is the step for which go was ordered with all ranks armed.
+	went    uint64
+	inForce *Goal
+	// fenced holds which ranks have seen the leader's token, and steady that
+	// the ranks were looked at after all had.
+	fenced  []bool
+	steady  bool
+	deposed bool
 }
 
 // Propose sets the next map, if none is under way, and returns its version.
@@ -72,15 +79,32 @@
 // InForce returns the map in force, or nil when it isn't known.
 func (l *Leader) InForce() *Goal { return l.inForce }
 
+// Answered tells what became of an order. A rank that has seen a newer leader
+// deposes this one.
+func (l *Leader) Answered(d Directive, o Outcome) {
+	if o == Fenced {
+		l.deposed = true
+	}
+	if o != Unknown && d.Epoch == l.epoch && d.Rank < len(l.fenced) {
+		l.fenced[d.Rank] = true
+	}
+}
+
+// Deposed reports whether a rank has seen a newer leader.
+func (l *Leader) Deposed() bool { return l.deposed }
+
 // Decide returns the orders to give now. Ranks holds the state of every rank by
 // its number; whole says that all were seen just now, after every earlier order
 // was answered or given up. Without that nothing is ordered: what can't be seen
 // may be armed.
 func (l *Leader) Decide(ranks []State, whole bool, now time.Time) []Directive {
-	if !whole || !l.agree(ranks) {
+	if l.deposed || !whole || !l.agree(ranks) {
 		return nil
 	}
 	l.observe(ranks, now)
+	if out := l.fence(ranks); len(out) > 0 || !l.steady {
+		return out
+	}
 	held, isHeld := l.held(ranks)
 	armed, same := armedOf(ranks)
 	if !isHeld {
@@ -91,7 +115,8 @@
 		l.heldSince = now
 	}
 	switch {
-	case armed == len(ranks) && same && !l.undo:
+	case armed == len(ranks) && same && !l.undo, l.went == held.step && l.went != 0:
+		l.went = held.step
 		return release(ranks, held)
 	case l.undo || l.giveUp(ranks, armed, same, held, now):
 		l.undo = true
@@ -101,6 +126,19 @@
 	}
 }
 
+// fence shows the leader's token to the ranks that have not seen it. The look
+// that the next decision rests on has to come after the last of them.
+func (l *Leader) fence(ranks []State) []Directive {
+	var out []Directive
+	for i := range ranks {
+		if !l.fenced[i] {
+			out = append(out, directive(ranks, i, Fence{}))
+		}
+	}
+	l.steady = len(out) == 0
+	return out
+}
+
 // agree reports whether all ranks are of one open group.
 func (l *Leader) agree(ranks []State) bool {
 	for i, r := range ranks {
@@ -115,9 +153,13 @@
 func (l *Leader) observe(ranks []State, now time.Time) {
 	if ranks[0].Epoch != l.epoch {
 		l.epoch = ranks[0].Epoch
-		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own = nil, false, time.Time{}, 0, nil, 0
+		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own, l.went = nil, false, time.Time{}, 0, nil, 0, 0
+		l.fenced, l.steady = nil, false
 		l.lastSeen = time.Time{}
 	}
+	if l.fenced == nil {
+		l.fenced = make([]bool, len(ranks))
+	}
 	for _, r := range ranks {
 		l.newest = max(l.newest, r.Map, r.Prepared)
 		if r.Armed != nil {
@@ -239,13 +281,9 @@
 	return uint64(min(2+holdAhead/l.stepTime, mostAhead))
 }
 
-// giveUp reports whether the held step can't become a change of maps.
-//
-// Guard: a leader that was frozen may have begun to take its own change back and
-// have disarms on their way. If its successor armed the rest and let go, one of
-// those could come in between, and the step would begin with two maps. So a
-// change that another leader began is finished only when all ranks are armed,
-// and else given up.
+// giveUp reports whether the held step can't become a change of maps. A change
+// that another leader began is finished only when all ranks are armed, because
+// the version may be unknown to this one.
 func (l *Leader) giveUp(ranks []State, armed int, same bool, h holding, now time.Time) bool {
 	if !same || h.step != l.own || now.Sub(l.heldSince) > armTime {
 		return true
@@ -299,20 +337,9 @@
 	return []Directive{directive(ranks, h.rank, Go{Step: h.step})}
 }
 
-// takeBack gives the held step up: disarm, make late arms unfit, let go.
-//
-// Guard: a go that this leader or the one before it sent may come late, while
-// some ranks are disarmed already; the step would begin with two maps. The
-// holding rank is disarmed first, alone: its order makes a late go unfit, and
-// only then are the others disarmed.
+// takeBack gives the held step up: disarm, flush, let go.
 func (l *Leader) takeBack(ranks []State, h holding) []Directive {
-	if a := ranks[h.rank].Armed; a != nil {
-		return []Directive{directive(ranks, h.rank, Disarm{Version: a.Version})}
-	}
 	var out []Directive
-	if l.flush != 0 && ranks[h.rank].Prepared != l.flush {
-		return l.flushRank(ranks, h.rank)
-	}
 	for i, r := range ranks {
 		if r.Armed != nil {
 			out = append(out, directive(ranks, i, Disarm{Version: r.Armed.Version}))
@@ -321,20 +348,13 @@
 	if len(out) > 0 {
 		return out
 	}
-	return l.flushAll(ranks, h)
-}
-
-// flushAll has every rank take a harmless order, so that a late arm no longer
-// fits, and then lets the step go.
-func (l *Leader) flushAll(ranks []State, h holding) []Directive {
 	if l.inForce == nil || l.inForce.Version != ranks[h.rank].Map {
-		return nil
+		return nil // the map has to be learnt first, see Current
 	}
 	if l.flush == 0 {
 		l.newest++
 		l.flush, l.goal = l.newest, nil
 	}
-	var out []Directive
 	for i, r := range ranks {
 		if !r.HasPrepared || r.Prepared != l.flush {
 			out = append(out, l.flushRank(ranks, i)...)
@@ -343,7 +363,19 @@
 	if len(out) > 0 {
 		return out
 	}
-	return []Directive{directive(ranks, h.rank, Go{Step: h.step})}
+	if !flushed(ranks, l.flush) {
+		return nil
+	}
+	return release(ranks, h)
+}
+
+func flushed(ranks []State, version uint64) bool {
+	for _, r := range ranks {
+		if !r.HasPrepared || r.Prepared != version {
+			return false
+		}
+	}
+	return true
 }
 
 func (l *Leader) flushRank(ranks []State, i int) []Directive {
--- a/internal/rank/lockstep/state.go
+++ b/internal/rank/lockstep/state.go
@@ -37,9 +37,13 @@
 	Pace float64
 }
 
-// Order is an order to one rank: Prepare, Arm, Disarm, Hold or Go.
+// Order is an order to one rank: Fence, Prepare, Arm, Disarm, Hold or Go.
 type Order interface{ isOrder() }
 
+// Fence changes nothing and shows the rank the leader's token, so that orders of
+// earlier leaders are refused from then on, also those that come late.
+type Fence struct{}
+
 // Prepare has the rank copy what is new to it of a map: by set and rank the
 // experts.
 type Prepare struct {
@@ -59,6 +63,7 @@
 // Go lets a held step begin.
 type Go struct{ Step uint64 }
 
+func (Fence) isOrder()   {}
 func (Prepare) isOrder() {}
 func (Arm) isOrder()     {}
 func (Disarm) isOrder()  {}
--- /dev/null
+++ b/internal/rank/lockstep/world_test.go
@@ -0,0 +1,268 @@
+package lockstep
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// engineRank is one rank as the orders' rules describe it.
+type engineRank struct {
+	state State
+	had   uint64
+	token uint64
+}
+
+// lateOrder is an order that is carried out some ticks after it was given.
+type lateOrder struct {
+	at    int
+	token uint64
+	d     Directive
+}
+
+// world is a group of ranks whose orders may be lost, unanswered or late.
+type world struct {
+	t     *testing.T
+	rng   *rand.Rand
+	ranks []engineRank
+	late  []lateOrder
+	tick  int
+	now   time.Time
+	// faults is the chance that an order meets one.
+	faults float64
+	passes int
+}
+
+func newWorld(t *testing.T, seed uint64, n int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), ranks: make([]engineRank, n), now: time.Unix(1000, 0)}
+	for i := range w.ranks {
+		w.ranks[i].state = State{Group: "g", Epoch: 1, Rank: i, Size: n, Open: true}
+	}
+	return w
+}
+
+func (w *world) look() []State {
+	out := make([]State, len(w.ranks))
+	for i := range w.ranks {
+		out[i] = w.ranks[i].state
+	}
+	return out
+}
+
+// execute carries an order out by the engines' rules.
+func (w *world) execute(token uint64, d Directive) Outcome {
+	r := &w.ranks[d.Rank]
+	if token < r.token {
+		return Fenced
+	}
+	r.token = token
+	if d.Epoch != r.state.Epoch {
+		return Unfit
+	}
+	switch o := d.Order.(type) {
+	case Fence:
+		return Unfit
+	case Prepare:
+		if o.Version <= r.had || r.state.Armed != nil {
+			return Unfit
+		}
+		r.had = o.Version
+		r.state.Prepared, r.state.HasPrepared = o.Version, true
+	case Arm:
+		if !r.state.HasPrepared || r.state.Prepared != o.Version || o.Step <= r.state.Step {
+			return Unfit
+		}
+		r.state.Armed = &Arming{Step: o.Step, Version: o.Version}
+	case Disarm:
+		if o.Version == r.state.Map {
+			return Unfit
+		}
+		if r.state.Armed == nil || r.state.Armed.Version != o.Version {
+			return Already
+		}
+		r.state.Armed = nil
+	case Hold:
+		if r.state.Held != nil && *r.state.Held != o.Step || o.Step <= r.state.Step {
+			return Unfit
+		}
+		step := o.Step
+		r.state.Held = &step
+	case Go:
+		if r.state.Held == nil || *r.state.Held != o.Step {
+			return Unfit
+		}
+		r.state.Held = nil
+	}
+	return Begun
+}
+
+// give hands an order over, or loses it, its answer, or its time.
+func (w *world) give(token uint64, d Directive) Outcome {
+	if w.rng.Float64() >= w.faults {
+		return w.execute(token, d)
+	}
+	switch w.rng.IntN(3) {
+	case 0:
+		return Unknown
+	case 1:
+		w.execute(token, d)
+		return Unknown
+	default:
+		w.late = append(w.late, lateOrder{at: w.tick + 1 + w.rng.IntN(120), token: token, d: d})
+		return Unknown
+	}
+}
+
+// advance lets time pass: late orders, and a pass unless one is held.
+func (w *world) advance(active bool) {
+	w.tick++
+	w.now = w.now.Add(10 * time.Millisecond)
+	rest := w.late[:0]
+	for _, o := range w.late {
+		if o.at > w.tick {
+			rest = append(rest, o)
+			continue
+		}
+		w.execute(o.token, o.d)
+	}
+	w.late = rest
+	if active {
+		w.pass()
+	}
+}
+
+// pass begins the next step on all ranks at once and checks that they have one
+// map.
+func (w *world) pass() {
+	next := w.ranks[0].state.Step + 1
+	for i := range w.ranks {
+		if h := w.ranks[i].state.Held; h != nil && *h == next {
+			return
+		}
+	}
+	for i := range w.ranks {
+		s := &w.ranks[i].state
+		s.Step = next
+		if s.Armed != nil && s.Armed.Step == next {
+			s.Map, s.Armed = s.Armed.Version, nil
+			s.Prepared, s.HasPrepared = 0, false
+		}
+	}
+	w.passes++
+	for i := range w.ranks {
+		if w.ranks[i].state.Map != w.ranks[0].state.Map {
+			w.t.Fatalf("step %d begins with map %d on rank 0 and %d on rank %d", next, w.ranks[0].state.Map, w.ranks[i].state.Map, i)
+		}
+	}
+}
+
+// driver runs one leader in the world.
+type driver struct {
+	w     *world
+	l     *Leader
+	token uint64
+}
+
+func newDriver(w *world, token uint64) *driver {
+	return &driver{w: w, l: &Leader{Holder: int(token) % len(w.ranks)}, token: token}
+}
+
+// round is one look and the orders that follow; a frozen leader goes on with a
+// look from before it froze.
+func (d *driver) round(looked []State) {
+	if d.l.InForce() == nil || d.l.InForce().Version != looked[0].Map {
+		d.l.Current(looked[0].Map, [][][]int{})
+	}
+	if !d.l.Busy() && d.w.rng.IntN(3) == 0 {
+		d.l.Propose([][][]int{})
+	}
+	for _, o := range d.l.Decide(looked, true, d.w.now) {
+		d.l.Answered(o, d.w.give(d.token, o))
+	}
+}
+
+// Callers see answers of nonsense: a step ran with two expert maps, because an
+// order of a frozen or killed leader, or one that was lost and carried out
+// seconds later, came in between the orders of its successor.
+func TestNoStepBeginsWithTwoMaps(t *testing.T) {
+	for seed := range uint64(400) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed, 4)
+			w.faults = 0.3
+			leaders := []*driver{newDriver(w, 1)}
+			var stale [][]State
+			for range 600 {
+				w.advance(w.rng.IntN(4) > 0)
+				if w.rng.IntN(80) == 0 {
+					// The leader freezes with its look, and another takes over.
+					stale = append(stale, w.look())
+					leaders = append(leaders, newDriver(w, uint64(len(leaders))+1))
+				}
+				if len(stale) > 0 && w.rng.IntN(20) == 0 {
+					i := w.rng.IntN(len(stale))
+					leaders[i].round(stale[i])
+				}
+				leaders[len(leaders)-1].round(w.look())
+			}
+			settles(t, w, leaders[len(leaders)-1])
+		})
+	}
+}
+
+// settles checks that nothing stays held once faults have ended.
+func settles(t *testing.T, w *world, d *driver) {
+	t.Helper()
+	w.faults = 0
+	free := 0
+	for range 400 {
+		w.advance(true)
+		d.round(w.look())
+		if !anyHeld(w) {
+			free++
+		}
+	}
+	changed := w.ranks[0].state.Map
+	if free < 200 {
+		t.Fatalf("the group was free for %d of 400 ticks after the faults", free)
+	}
+	if changed == 0 {
+		t.Fatal("no map came into force")
+	}
+}
+
+func anyHeld(w *world) bool {
+	for i := range w.ranks {
+		if w.ranks[i].state.Held != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// A rank refuses to be armed in time, because its order is lost again and again.
+// The leader gives the held step up, and a change after it comes into force.
+func TestGivenUpStepIsLetGo(t *testing.T) {
+	w := newWorld(t, 7, 4)
+	d := newDriver(w, 1)
+	for range 300 {
+		w.advance(true)
+		looked := w.look()
+		if d.l.InForce() == nil || d.l.InForce().Version != looked[0].Map {
+			d.l.Current(looked[0].Map, [][][]int{})
+		}
+		if !d.l.Busy() {
+			d.l.Propose([][][]int{})
+		}
+		for _, o := range d.l.Decide(looked, true, w.now) {
+			if _, arm := o.Order.(Arm); arm && o.Rank == 2 && w.tick < 100 {
+				d.l.Answered(o, Unknown)
+				continue
+			}
+			d.l.Answered(o, w.give(d.token, o))
+		}
+	}
+	if w.ranks[0].state.Map == 0 || w.passes < 150 {
+		t.Fatalf("map %d in force after %d passes", w.ranks[0].state.Map, w.passes)
+	}
+}
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -137,6 +137,8 @@
 func giveProto(token uint64, d lockstep.Directive) *fleetpb.GiveRequest {
 	p := &fleetpb.GiveRequest{Token: token, Epoch: d.Epoch, Sequence: d.Sequence}
 	switch o := d.Order.(type) {
+	case lockstep.Fence:
+		p.Order = &fleetpb.GiveRequest_Fence{Fence: &fleetpb.Fence{}}
 	case lockstep.Prepare:
 		m := &fleetpb.Prepare{Version: o.Version}
 		for _, ranks := range o.Sets {
@@ -162,6 +164,8 @@
 func directiveFrom(p *fleetpb.GiveRequest) (lockstep.Directive, error) {
 	d := lockstep.Directive{Epoch: p.GetEpoch(), Sequence: p.GetSequence()}
 	switch o := p.GetOrder().(type) {
+	case *fleetpb.GiveRequest_Fence:
+		d.Order = lockstep.Fence{}
 	case *fleetpb.GiveRequest_Prepare:
 		order := lockstep.Prepare{Version: o.Prepare.GetVersion()}
 		for _, set := range o.Prepare.GetSets() {
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -69,7 +69,7 @@
 	for ctx.Err() == nil {
 		now := boottime.Now()
 		t.keepLease(ctx, now)
-		if !now.Before(t.until) {
+		if !now.Before(t.until) || t.leader.Deposed() {
 			break
 		}
 		if t.engine == nil {
@@ -301,21 +301,25 @@
 
 // giveAll hands orders to their ranks.
 func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) {
+	outcomes := make([]lockstep.Outcome, len(directives))
 	var wg sync.WaitGroup
-	for _, d := range directives {
+	for i, d := range directives {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			t.give(ctx, d, byRank[d.Rank])
+			outcomes[i] = t.give(ctx, d, byRank[d.Rank])
 		}()
 	}
 	wg.Wait()
+	for i, d := range directives {
+		t.leader.Answered(d, outcomes[i])
+	}
 }
 
-func (t *term) give(ctx context.Context, d lockstep.Directive, to found) {
+func (t *term) give(ctx context.Context, d lockstep.Directive, to found) lockstep.Outcome {
 	// A leader that was frozen may have decided this before another took over.
 	if !boottime.Now().Before(t.until) {
-		return
+		return lockstep.Unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -326,9 +330,10 @@
 		f["cause"] = err.Error()
 	}
 	if _, ok := d.Order.(lockstep.Prepare); ok && o == lockstep.Begun {
-		return // one line tells of the map as a whole
+		return o // one line tells of the map as a whole
 	}
 	t.ranker.Log.WithFields(f).Info("order given")
+	return o
 }
 
 func (t *term) send(ctx context.Context, d lockstep.Directive, to found) (lockstep.Outcome, error) {
@@ -353,6 +358,8 @@
 // describe adds what an order says.
 func describe(f logrus.Fields, o lockstep.Order) {
 	switch o := o.(type) {
+	case lockstep.Fence:
+		f["order"] = "fence"
 	case lockstep.Prepare:
 		f["order"], f["map"] = "prepare", o.Version
 	case lockstep.Arm:
