The next change of a map follows at once

Cause: after a map came into force the leader rested 150 ms before it looked at the counts that had gathered meanwhile. Change: a round that ends a change is followed by the next without a pause; the distance that counts as a jump grows for short observations.

--- a/internal/ranker/popularity.go
+++ b/internal/ranker/popularity.go
@@ -16,6 +16,10 @@
 	// estimate is given up for the observation. Without a jump 0.09 to 0.25
 	// were seen, with one 0.4 to 1.
 	jumpBeyond = 0.3
+	// jumpWindow is the time over which those were counted. Chance differences
+	// grow as the time shrinks, by its square root; jumpMost bounds that.
+	jumpWindow = 450 * time.Millisecond
+	jumpMost   = 0.8
 	// leastCounts is how many choices of one set an observation needs to be
 	// told from noise: ten for each expert.
 	leastCounts = 10
@@ -97,7 +101,7 @@
 	if n < leastCounts*float64(len(counts)) {
 		return false
 	}
-	jumped := e.weight > 0 && e.distance(counts, n) > jumpBeyond
+	jumped := e.weight > 0 && e.distance(counts, n) > threshold(now.Sub(e.at))
 	keep := e.weight * math.Exp(-now.Sub(e.at).Seconds()/forget.Seconds())
 	if jumped {
 		keep = 0
@@ -109,6 +113,15 @@
 	return jumped
 }
 
+// threshold returns the distance beyond which an observation over d is a jump.
+func threshold(d time.Duration) float64 {
+	if d <= 0 {
+		return jumpMost
+	}
+	x := jumpBeyond * math.Sqrt(jumpWindow.Seconds()/d.Seconds())
+	return min(max(x, jumpBeyond), jumpMost)
+}
+
 // distance returns the sum of the differences of all shares; 2 is the most.
 func (e *estimate) distance(counts []float64, n float64) float64 {
 	sum := 0.0
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -152,7 +152,11 @@
 	if want.counts {
 		t.plan(byRank, now)
 	}
+	was := t.leader.Busy()
 	directives := t.leader.Decide(ranks, whole, now)
+	if was && !t.leader.Busy() {
+		return 0 // what was counted meanwhile may ask for the next change
+	}
 	if len(directives) > 0 {
 		t.giveAll(ctx, directives, byRank)
 		return 0
