--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -58,7 +58,7 @@
 	}
 	switch fact := fact.(type) {
 	case platform.TableFact:
-		if f.belief.SetTable(fact.Table) {
+		if f.belief.SetTable(fact.Table, now) {
 			f.document.Store(&item)
 			f.Log.WithFields(logrus.Fields{
 				"version": fact.Table.Version(), "routes": fact.Table.Routes(), "revision": item.Revision(),
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -71,6 +71,7 @@
 	away     atomic.Bool
 	document atomic.Pointer[kv.KeyValue]
 	others   addresses
+	work     *teller
 }
 
 // Listen opens the process's addresses.
@@ -113,6 +114,8 @@
 		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Fresh: &f.fresh,
 		Retry: relay.Budget{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
+	f.work = newTeller(f)
+	f.belief.Changed = f.work.wake
 	f.belief.Begin(now)
 	f.mirror = &mirror.Mirror{
 		Reader: f.store, Wait: pollWait, Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
@@ -131,7 +134,7 @@
 		Address: f.Settings.PeerAddress.String(),
 	}}
 	parts := []process.Part{
-		f.mirror.Run, registrar.Run, f.peers.Run, f.relay.Sweep,
+		f.mirror.Run, registrar.Run, f.work.run, f.peers.Run, f.relay.Sweep,
 		func(ctx context.Context) error { return f.Log.Run(ctx, os.Stdout) },
 		f.runServers,
 	}
@@ -202,6 +205,17 @@
 	return &fleetpb.LoadsReply{}, nil
 }
 
+// Work implements fleetpb.EntryServer.
+func (s *service) Work(_ context.Context, r *fleetpb.WorkRequest) (*fleetpb.WorkReply, error) {
+	now := boottime.Now()
+	w := relay.Work{Entry: r.GetName(), Born: r.GetBorn(), Number: r.GetNumber(), At: now, Running: map[string]int{}}
+	for _, one := range r.GetWorks() {
+		w.Running[one.GetEndpoint()] = int(one.GetRunning())
+	}
+	s.frontend.belief.SetWork(w, now)
+	return &fleetpb.WorkReply{}, nil
+}
+
 // Proof implements fleetpb.EntryServer.
 func (s *service) Proof(_ context.Context, r *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
 	f := s.frontend
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -211,6 +211,10 @@
 func (j *job) pass(p Place, a *direct.Answer, ev direct.Event) error {
 	now := j.relay.Now()
 	j.relay.Belief.Heard(p, now)
+	if j.started {
+		j.longestPause = max(j.longestPause, now.Sub(j.lastPart))
+	}
+	j.lastPart = now
 	if !j.started {
 		j.started, j.firstPart = true, now
 		if err := j.reply.BeginRaw(a.Status, caller.EndToEnd(a.Header)); err != nil {
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -24,6 +27,9 @@
 	// loadStale is the age from which a load report is no better than this
 	// entry's own count: by then half of what ran has ended.
 	loadStale = 1500 * time.Millisecond
+	// workStale is the age from which what another entry told of its work
+	// counts no more. Entries tell of it at least once a second.
+	workStale = 2500 * time.Millisecond
 	// leastEntries is how many entries are assumed before the store has told
 	// of them: three more than either fleet of today, so that shares are too
 	// small rather than too large.
@@ -31,9 +37,9 @@
 	// entriesMemory is how long entries count that are no longer listed. One
 	// that is cut off from the store lapses there and goes on serving.
 	entriesMemory = 20 * time.Second
-	// mostUse is how much of its slots an engine is given by entries that
-	// know its load. The rest is what the lag of the reports lets several
-	// entries take at once.
+	// queueBeyond is how many requests beyond its slots a plain service's
+	// endpoint is given. Its work takes a fifth of the target, so a short queue
+	// there ends in time and keeps it busy.
 	queueBeyond = 4
 )
 
@@ -54,6 +60,17 @@
 	At time.Time
 }
 
+// Work is what another entry has given to endpoints.
+type Work struct {
+	// Entry is the entry's name; Born and Number order its messages.
+	Entry        string
+	Born, Number uint64
+	// Running holds the requests under way by endpoint id.
+	Running map[string]int
+	// At is when the message came.
+	At time.Time
+}
+
 // Belief is what an entry believes of configuration, endpoints and load. Set
 // the exported fields before the first call. It is safe for concurrent use.
 type Belief struct {
@@ -65,6 +82,9 @@
 	Retry Budget
 	// Fresh is the age of what the process knows.
 	Fresh *Freshness
+	// Changed, when set, is called when this entry's own work has changed. It
+	// must not block.
+	Changed func()
 
 	mu        sync.Mutex // guards all below
 	table     *routing.Table
@@ -76,6 +96,11 @@
 	endpoints map[string]directory.Endpoint
 	addresses map[string]directory.Endpoint
 	loads     map[string]Load
+	works     map[string]Work
+	queue     admission.Controller
+	waiters   map[string]*waiter
+	gaps      map[string]time.Duration
+	longest   map[string]time.Duration
 	own       map[string]int
 	fed       time.Time
 	dirty     bool
@@ -93,6 +118,10 @@
 	b.entries = map[string]time.Time{}
 	b.endpoints = map[string]directory.Endpoint{}
 	b.loads = map[string]Load{}
+	b.works = map[string]Work{}
+	b.waiters = map[string]*waiter{}
+	b.longest = map[string]time.Duration{}
+	b.queue.MaxWaiting = mostWaiting
 	b.own = map[string]int{}
 	b.began = now
 }
@@ -122,7 +151,7 @@
 // Guard: a repeated or overtaken answer of the store would put an older
 // configuration back into force, with routes and keys that operators have taken
 // away. Versions only grow, so the newer one stays.
-func (b *Belief) SetTable(t *routing.Table) bool {
+func (b *Belief) SetTable(t *routing.Table, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.table != nil && t.Version() <= b.table.Version() {
@@ -130,9 +159,28 @@
 	}
 	b.table = t
 	b.dirty = true
+	b.gaps = t.Gaps()
+	if err := b.queue.Configure(limitsOf(t), now); err != nil {
+		// The names of accounts are all that is configured, and they differ.
+		panic(err)
+	}
 	return true
 }
 
+// limitsOf lists the accounts, which have no limits of their own, and the one of
+// requests without an account.
+func limitsOf(t *routing.Table) []admission.Limits {
+	limits := []admission.Limits{{Account: anonymous}}
+	for _, name := range t.Accounts() {
+		limits = append(limits, admission.Limits{Account: name})
+	}
+	return limits
+}
+
+// anonymous names the account of requests that have none. No account's name has
+// a space in it.
+const anonymous = "no account"
+
 // Change changes the directory.
 func (b *Belief) Change(f func(*directory.Directory)) {
 	b.mu.Lock()
@@ -205,6 +253,61 @@
 		b.loads[ep.ID] = l
 		b.tell(ep, now)
 	}
+	b.pump(now)
+}
+
+// SetWork takes in what another entry has given to endpoints.
+func (b *Belief) SetWork(w Work, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, ok := b.works[w.Entry]
+	if ok && (w.Born < old.Born || w.Born == old.Born && w.Number <= old.Number) {
+		return
+	}
+	b.works[w.Entry] = w
+	for _, ep := range b.endpoints {
+		if old.Running[ep.ID] != w.Running[ep.ID] {
+			b.tell(ep, now)
+		}
+	}
+	b.pump(now)
+}
+
+// LongestLeft returns the most time that a caller of the route has had left,
+// with the one given now.
+func (b *Belief) LongestLeft(route string, left time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.longest[route] = max(b.longest[route], left)
+	return b.longest[route]
+}
+
+// Own returns the requests that this entry has under way by endpoint id.
+func (b *Belief) Own() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.own)
+}
+
+// running returns how many requests an endpoint has from all entries: what they
+// told of each other, or what a process beside the endpoint reported if that is
+// more, as it may know of entries that are cut off from this one.
+func (b *Belief) running(ep directory.Endpoint, now time.Time) (int, time.Time) {
+	n, heard := b.own[ep.ID], 0
+	for _, w := range b.works {
+		if now.Sub(w.At) < workStale {
+			n += w.Running[ep.ID]
+			heard++
+		}
+	}
+	l, ok := b.loads[ep.ID]
+	if !ok || now.Sub(l.At) >= loadStale || heard+1 >= len(b.entries) && heard > 0 {
+		return n, now
+	}
+	if reported := l.Running + l.Queued; heard == 0 || reported > n {
+		return reported, l.At
+	}
+	return n, now
 }
 
 // refresh brings the picture up to the directory.
@@ -231,18 +334,29 @@
 // tell gives the picture a report of one endpoint: what a process beside it
 // last reported, or else this entry's own count.
 func (b *Belief) tell(ep directory.Endpoint, now time.Time) {
+	r := placement.Report{
+		Endpoint: ep.ID, Incarnation: ep.Born, DataCentre: ep.DataCentre, Routes: []string{ep.Service},
+	}
+	r.Allowance, r.Capacity = b.bears(ep)
+	r.Running, r.At = b.running(ep, now)
+	b.picture.Update(r, now)
+}
+
+// bears returns how many requests an endpoint is given at once, and by how many
+// its load is measured.
+func (b *Belief) bears(ep directory.Endpoint) (allowance, capacity int) {
 	slots := ep.Slots
 	if slots <= 0 {
 		slots = plainSlots
 	}
-	r := placement.Report{
-		Endpoint: ep.ID, Incarnation: ep.Born, DataCentre: ep.DataCentre, Routes: []string{ep.Service},
-		Allowance: slots + queueBeyond, Capacity: slots, Running: b.own[ep.ID], At: now,
+	if b.table == nil {
+		return slots, slots
 	}
-	if l, ok := b.loads[ep.ID]; ok && now.Sub(l.At) < loadStale {
-		r.Running, r.At = l.Running+l.Queued, l.At
+	if s := b.table.Service(ep.Service); s != nil && s.Engine != nil {
+		n := min(slots, batch.MostWriters(s.Engine, b.gaps[ep.Service]))
+		return n, n
 	}
-	b.picture.Update(r, now)
+	return slots + queueBeyond, slots
 }
 
 // Place is an endpoint that a request has been given.
@@ -252,15 +366,22 @@
 	// there was none.
 	LoadAge time.Duration
 	attempt *placement.Attempt
+	// id names the request in the queue, or is "" for one that never was.
+	id string
 }
 
-// Choose gives a request of a service an endpoint. Otherwise it returns why
-// there is none, and when it is worth asking again.
+// Choose gives a further attempt of a request an endpoint at once. Otherwise it
+// returns why there is none, and when it is worth asking again.
 func (b *Belief) Choose(service *routing.Service, q placement.Query, now time.Time) (Place, *result.Error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refresh(now)
+	return b.choose(service, q, now)
+}
+
+func (b *Belief) choose(service *routing.Service, q placement.Query, now time.Time) (Place, *result.Error) {
 	q.Route = service.Name
+	q.Tried = slices.Clone(q.Tried)
 	wait := b.avoidCold(service, &q, now)
 	c, ok, why := b.picture.Choose(q, now)
 	if !ok {
@@ -278,9 +399,16 @@
 		p.LoadAge = now.Sub(l.At)
 	}
 	b.own[ep.ID]++
+	b.changed()
 	return p, nil
 }
 
+func (b *Belief) changed() {
+	if b.Changed != nil {
+		b.Changed()
+	}
+}
+
 // avoidCold keeps the request off cold endpoints of which this entry has used
 // up its share, and returns the least time until one may be asked.
 func (b *Belief) avoidCold(service *routing.Service, q *placement.Query, now time.Time) time.Duration {
@@ -309,6 +437,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.picture.Piece(p.attempt, now)
+	b.begun(p, now)
+}
+
+// begun ends a request's time in the queue's books: what the queue estimates is
+// the time until an answer begins.
+func (b *Belief) begun(p Place, now time.Time) {
+	if p.id != "" && b.waiters[p.id] != nil {
+		b.queue.Done(p.id, now)
+		delete(b.waiters, p.id)
+	}
 }
 
 // Ended takes a request off its endpoint.
@@ -320,6 +458,9 @@
 	} else {
 		delete(b.own, p.Endpoint.ID)
 	}
+	b.changed()
+	b.begun(p, now)
+	defer b.pump(now)
 	switch o := o.(type) {
 	case NotRun:
 		if o.Sent {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -66,6 +66,12 @@
 	if !j.firstPart.IsZero() {
 		f["firstPart"] = j.firstPart.Sub(j.raw.At).Milliseconds()
 	}
+	if j.longestPause > 0 {
+		f["longestPause"] = j.longestPause.Milliseconds()
+	}
+	if j.waited > 0 {
+		f["waited"] = j.waited.Milliseconds()
+	}
 	if j.last > 0 {
 		f["lastEvent"] = j.last
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,8 +75,14 @@
 	// last is the number of the last event that the caller has.
 	last    int64
 	started bool
+	// waited is how long the request waited for its place.
+	waited time.Duration
 	// firstPart is when the first part of the answer went to the caller.
 	firstPart time.Time
+	// lastPart is when the last part went, and longestPause the longest time
+	// between two.
+	lastPart     time.Time
+	longestPause time.Duration
 }
 
 // Pass implements caller.Passer.
@@ -168,7 +174,7 @@
 func (j *job) run(ctx context.Context) {
 	for {
 		now := j.relay.Now()
-		place, e := j.place(now)
+		place, e := j.place(ctx, now)
 		if e != nil {
 			j.finish(nil, e, now)
 			return
@@ -211,24 +217,63 @@
 
 // place chooses the endpoint of the next attempt. What the process knows may
 // have aged since the request came.
-func (j *job) place(now time.Time) (Place, *result.Error) {
+func (j *job) place(ctx context.Context, now time.Time) (Place, *result.Error) {
+	q := placement.Query{
+		Tokens:  j.facts.PromptTokens + j.facts.OutputTokens,
+		Tried:   append([]string(nil), j.tried...),
+		RunOnce: !j.route.MayRepeat(),
+	}
+	p, e := j.ask(ctx, q, now)
+	if e != nil {
+		return p, e
+	}
+	now = j.relay.Now()
 	if j.account != nil {
 		if e := j.checkAge(now); e != nil {
+			j.relay.Belief.Ended(p, Delivered{}, now)
 			return Place{}, e
 		}
 	}
-	q := placement.Query{
-		Tokens:  j.facts.PromptTokens + j.facts.OutputTokens,
-		Tried:   append([]string(nil), j.tried...),
-		RunOnce: !j.route.MayRepeat(),
+	j.tried = append(j.tried, p.Endpoint.ID)
+	return p, nil
+}
+
+// ask gets the first attempt a place by way of the queue. Further ones are not
+// held up: the request has waited already.
+func (j *job) ask(ctx context.Context, q placement.Query, now time.Time) (Place, *result.Error) {
+	b := j.relay.Belief
+	if len(j.tried) > 0 {
+		return b.Choose(j.service, q, now)
+	}
+	a := Ask{
+		Service: j.service, Query: q, ID: j.facts.ID, Account: anonymous,
+		Target: j.target(), End: j.end, Priority: j.urgency(),
+	}
+	if j.account != nil {
+		a.Account = j.account.Name
 	}
-	p, e := j.relay.Belief.Choose(j.service, q, now)
-	if e == nil {
-		j.tried = append(j.tried, p.Endpoint.ID)
+	p, e := b.Admit(ctx, a, j.relay.Now)
+	if waited := j.relay.Now().Sub(now); waited > 0 {
+		j.waited = waited
 	}
 	return p, e
 }
 
+// target is when the first part of the answer has to be there to be on time. A
+// caller that has less time left than callers of its route begin with has used
+// up some before, in an attempt that was refused or failed.
+func (j *job) target() time.Time {
+	target := j.route.Target
+	if target <= 0 {
+		return j.end
+	}
+	if j.facts.TimeLeft <= 0 {
+		return j.raw.At.Add(target)
+	}
+	used := j.relay.Belief.LongestLeft(j.route.Name, j.facts.TimeLeft) - j.facts.TimeLeft
+	return j.raw.At.Add(target - used)
+}
+
 // finish gives the caller the final answer.
 func (j *job) finish(o Outcome, e *result.Error, now time.Time) {
 	switch o := o.(type) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -222,6 +222,34 @@
 	return out
 }
 
+// Accounts returns the names of all accounts in no particular order.
+func (t *Table) Accounts() []string {
+	out := make([]string, 0, len(t.accounts))
+	for name := range t.accounts {
+		out = append(out, name)
+	}
+	return out
+}
+
+// Gaps returns for each service with streams the shortest of the longest pauses
+// between events that its routes allow.
+func (t *Table) Gaps() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Gap <= 0 {
+				continue
+			}
+			for _, s := range r.Splits {
+				if g, ok := out[s.Service]; !ok || r.Gap < g {
+					out[s.Service] = r.Gap
+				}
+			}
+		}
+	}
+	return out
+}
+
 // NeedsKeys reports whether requests need an account's key at all.
 func (t *Table) NeedsKeys() bool { return t.keys != nil }
 
