--- a/internal/endpoint/batch/batch.go
+++ b/internal/endpoint/batch/batch.go
@@ -13,7 +13,7 @@
 	// must bear. When the popularity of experts jumps, 2.4 to 3 were seen
 	// until the next map is in force half a second later; a planned map has
 	// 1.2 to 1.4.
-	JumpSkew = 2.5
+	JumpSkew = 1.7
 	// wayMargin is kept of the pause between events for their way to the
 	// caller and for the reading of other prompts.
 	wayMargin = 10 * time.Millisecond
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -275,10 +275,7 @@
 
 // ahead returns by how many steps a hold has to come ahead.
 func (l *Leader) ahead() uint64 {
-	if l.stepTime <= 0 {
-		return 2
-	}
-	return uint64(min(2+holdAhead/l.stepTime, mostAhead))
+	return uint64(min(1+holdAhead/max(l.stepTime, time.Millisecond), mostAhead))
 }
 
 // giveUp reports whether the held step can't become a change of maps. A change
--- a/internal/rank/lockstep/state.go
+++ b/internal/rank/lockstep/state.go
@@ -98,3 +98,18 @@
 	Epoch, Sequence uint64
 	Order           Order
 }
+
+// Apply changes a state as an order does that was answered as done. It reports
+// false for orders whose effect takes time or isn't known.
+func Apply(s *State, o Order) bool {
+	switch o := o.(type) {
+	case Arm:
+		s.Armed = &Arming{Step: o.Step, Version: o.Version}
+	case Hold:
+		step := o.Step
+		s.Held = &step
+	default:
+		return false
+	}
+	return true
+}
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
@@ -18,6 +19,11 @@
 	address string
 }
 
+// orderTimeout bounds an order to the engine on the same VM, which answers in a
+// millisecond or not at all. While a step is held every stream of the group
+// waits for the order to be given again.
+const orderTimeout = 25 * time.Millisecond
+
 // service answers the leader of the group.
 type service struct {
 	fleetpb.UnimplementedAgentServer
@@ -67,6 +73,8 @@
 
 // giveOwn hands an order to the agent's own engine.
 func (r *Ranker) giveOwn(ctx context.Context, token uint64, d lockstep.Directive) (lockstep.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	o, err := r.engine.Give(ctx, token, d)
 	r.counts.orders.Inc(1)
 	switch o {
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -20,7 +20,7 @@
 	// lookEvery is how often the leader looks at all ranks while no change is
 	// under way. Popularity jumps every few seconds; a quarter second is a
 	// small part of that, and its counts are enough to tell a jump by.
-	lookEvery = 150 * time.Millisecond
+	lookEvery = 100 * time.Millisecond
 	// workEvery is the pause while ranks copy experts, 100 ms each.
 	workEvery = 25 * time.Millisecond
 	// callTimeout bounds a call to an agent. It is some forty times the delay
@@ -158,7 +158,7 @@
 		return 0 // what was counted meanwhile may ask for the next change
 	}
 	if len(directives) > 0 {
-		t.giveAll(ctx, directives, byRank)
+		t.giveAndFollow(ctx, directives, ranks, byRank)
 		return 0
 	}
 	if t.leader.Busy() {
@@ -303,8 +303,30 @@
 	}).Info("expert map proposed")
 }
 
+// mostFollows bounds how many orders follow one another without a look: hold,
+// arm, go.
+const mostFollows = 3
+
+// giveAndFollow hands orders to their ranks, and the next ones as long as each
+// was answered as done: then the ranks' state is known without another look,
+// and a held step goes on some milliseconds sooner.
+func (t *term) giveAndFollow(ctx context.Context, directives []lockstep.Directive, ranks []lockstep.State, byRank []found) {
+	for range mostFollows {
+		outcomes := t.giveAll(ctx, directives, byRank)
+		for i, d := range directives {
+			if outcomes[i] != lockstep.Already || !lockstep.Apply(&ranks[d.Rank], d.Order) {
+				return
+			}
+		}
+		directives = t.leader.Decide(ranks, true, boottime.Now())
+		if len(directives) == 0 {
+			return
+		}
+	}
+}
+
 // giveAll hands orders to their ranks.
-func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) {
+func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) []lockstep.Outcome {
 	outcomes := make([]lockstep.Outcome, len(directives))
 	var wg sync.WaitGroup
 	for i, d := range directives {
@@ -318,6 +340,7 @@
 	for i, d := range directives {
 		t.leader.Answered(d, outcomes[i])
 	}
+	return outcomes
 }
 
 func (t *term) give(ctx context.Context, d lockstep.Directive, to found) lockstep.Outcome {
