Slow ranks are given fewer experts and requests

Cause: ranks run in lock-step; one that turns slow holds up all, and latencies don't tell which it is. Its report does. Ruled out: latency-based avoidance (all endpoints look alike). Change: plans weigh each rank's load by its reported pace; entries scale the allowance of an engine by the square of its pace against the others'.

--- a/internal/rank/evenmap/plan.go
+++ b/internal/rank/evenmap/plan.go
@@ -27,6 +27,10 @@
 	PerRank int
 	// PerSet is how many experts one rank may copy of one set.
 	PerSet int
+	// Slow is how many times slower than usual each rank is; nil means that
+	// none is. All ranks wait for the one that takes longest, so a slow one is
+	// given less.
+	Slow []float64
 	// MinGain is the fall of the skew of one set that a copy must bring.
 	MinGain float64
 }
@@ -76,6 +80,8 @@
 	p     *Placement
 	load  []float64
 	ranks []float64
+	// slow multiplies the loads of ranks.
+	slow  []float64
 	mean  float64
 	value float64
 	spent []int
@@ -89,8 +95,9 @@
 	s := &planner{limits: limits, start: current, spent: make([]int, current[0].shape.Ranks)}
 	plan := &Plan{}
 	for i, p := range current {
-		s.sets = append(s.sets, newSet(p.clone(), loads[i]))
-		plan.before += p.Skew(loads[i]) / float64(len(current))
+		st := newSet(p.clone(), loads[i], limits.Slow)
+		s.sets = append(s.sets, st)
+		plan.before += st.skew() / float64(len(current))
 	}
 	best := make([]change, len(s.sets))
 	for i := range s.sets {
@@ -112,7 +119,7 @@
 	}
 	for i := range s.sets {
 		plan.next = append(plan.next, s.sets[i].p)
-		plan.after += s.sets[i].p.Skew(loads[i]) / float64(len(s.sets))
+		plan.after += s.sets[i].skew() / float64(len(s.sets))
 		for _, n := range s.sets[i].p.Copies(current[i]) {
 			plan.copies += n
 		}
@@ -138,15 +145,35 @@
 	return c.gain / float64(c.cost)
 }
 
-func newSet(p *Placement, load []float64) *set {
-	s := &set{p: p, load: load, ranks: p.Loads(load), spent: make([]int, p.shape.Ranks)}
-	for _, v := range s.ranks {
-		s.mean += v / float64(len(s.ranks))
+func newSet(p *Placement, load, slow []float64) *set {
+	s := &set{p: p, load: load, slow: slow, spent: make([]int, p.shape.Ranks)}
+	if slow == nil {
+		s.slow = slices.Repeat([]float64{1}, p.shape.Ranks)
 	}
-	s.value = s.objective(s.ranks)
+	for _, v := range p.Loads(load) {
+		s.mean += v / float64(p.shape.Ranks)
+	}
+	s.measure()
 	return s
 }
 
+// measure takes the ranks' loads anew from the placement.
+func (s *set) measure() {
+	s.ranks = s.p.Loads(s.load)
+	for r := range s.ranks {
+		s.ranks[r] *= s.slow[r]
+	}
+	s.value = s.objective(s.ranks)
+}
+
+// skew returns the time of the slowest rank over the mean load.
+func (s *set) skew() float64 {
+	if s.mean <= 0 {
+		return 1
+	}
+	return slices.Max(s.ranks) / s.mean
+}
+
 // objective is the norm of the loads over their mean.
 func (s *set) objective(ranks []float64) float64 {
 	if s.mean <= 0 {
@@ -179,8 +206,7 @@
 		st.p.add(c.evict, c.from)
 		s.spend(c.set, c.evict, c.from)
 	}
-	st.ranks = st.p.Loads(st.load)
-	st.value = st.objective(st.ranks)
+	st.measure()
 	return c.cost > 0
 }
 
@@ -342,7 +368,7 @@
 	}
 	part := sign * t.s.load[e] / float64(len(hs))
 	for _, r := range hs {
-		t.ranks[r] += part
+		t.ranks[r] += part * t.s.slow[r]
 	}
 }
 
--- a/internal/ranker/planner.go
+++ b/internal/ranker/planner.go
@@ -1,8 +1,6 @@
 package ranker
 
 import (
-	"time"
-
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/evenmap"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
@@ -32,7 +30,7 @@
 }
 
 // plan returns the next map, or nil when none is worth it.
-func (p *planner) plan(current [][][]int, loads [][]float64, _ bool, _ time.Time) (*planned, error) {
+func (p *planner) plan(current [][][]int, loads [][]float64, slow []float64) (*planned, error) {
 	x := p.engine.Experts
 	shape := evenmap.Shape{Ranks: p.ranks, Slots: x.Slots, Experts: x.Count}
 	sets := make([]*evenmap.Placement, 0, len(current))
@@ -43,7 +41,7 @@
 		}
 		sets = append(sets, s)
 	}
-	plan := evenmap.NewPlan(sets, loads, evenmap.Limits{PerRank: copiesPerRank, PerSet: x.Spare, MinGain: copyGain})
+	plan := evenmap.NewPlan(sets, loads, evenmap.Limits{PerRank: copiesPerRank, PerSet: x.Spare, Slow: slow, MinGain: copyGain})
 	if plan.Before()-plan.After() < leastGain {
 		return nil, nil
 	}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -284,7 +284,7 @@
 	if current == nil || !t.pop.known() {
 		return
 	}
-	p, err := t.planner.plan(current.Sets, t.pop.loads(), jumped, now)
+	p, err := t.planner.plan(current.Sets, t.pop.loads(), paces(byRank))
 	if err != nil {
 		t.ranker.Log.WithField("cause", err.Error()).Error("no map can be planned")
 		return
@@ -325,6 +325,22 @@
 	}
 }
 
+// slowFrom is the pace from which a rank counts as slow. Engines report their
+// pace rounded, and a map changes for nothing if it follows each tenth.
+const slowFrom = 1.2
+
+// paces returns how many times slower than usual each rank is.
+func paces(byRank []found) []float64 {
+	out := make([]float64, len(byRank))
+	for i, f := range byRank {
+		out[i] = 1
+		if f.state.Pace >= slowFrom {
+			out[i] = f.state.Pace
+		}
+	}
+	return out
+}
+
 // giveAll hands orders to their ranks.
 func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) []lockstep.Outcome {
 	outcomes := make([]lockstep.Outcome, len(directives))
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -30,6 +30,8 @@
 	// workStale is the age from which what another entry told of its work
 	// counts no more. Entries tell of it at least once a second.
 	workStale = 2500 * time.Millisecond
+	// slowFrom is the pace from which an engine counts as slow.
+	slowFrom = 1.2
 	// leastEntries is how many entries are assumed before the store has told
 	// of them: three more than either fleet of today, so that shares are too
 	// small rather than too large.
@@ -56,6 +58,9 @@
 	// Address is the endpoint's IP:port.
 	Address         string
 	Running, Queued int
+	// Pace is how many times slower than usual the endpoint works; zero means
+	// unknown.
+	Pace float64
 	// At is when it was true, by this process's clock.
 	At time.Time
 }
@@ -354,11 +359,35 @@
 	}
 	if s := b.table.Service(ep.Service); s != nil && s.Engine != nil {
 		n := min(slots, batch.MostWriters(s.Engine, b.gaps[ep.Service]))
-		return n, n
+		return b.slowed(ep, n), n
 	}
 	return slots + queueBeyond, slots
 }
 
+// slowed returns how many of n requests an endpoint is given that works slower
+// than the others of its service.
+//
+// The load is a group of ranks that run in lock-step, one of which turns slow:
+// every pass waits for it, so the streams of all ranks are late, and nothing
+// that an entry measures tells which one it is. Without requests of its own the
+// slow rank holds up the others least.
+func (b *Belief) slowed(ep directory.Endpoint, n int) int {
+	pace := b.loads[ep.ID].Pace
+	if pace < slowFrom {
+		return n
+	}
+	least := pace
+	for _, other := range b.endpoints {
+		if other.Service == ep.Service {
+			least = min(least, max(1, b.loads[other.ID].Pace))
+		}
+	}
+	if pace/least < slowFrom {
+		return n
+	}
+	return int(float64(n) * (least / pace) * (least / pace))
+}
+
 // Place is an endpoint that a request has been given.
 type Place struct {
 	Endpoint directory.Endpoint
