Entries share out free places while requests wait at several

Cause: an engine that was slow and no longer is was seen with 23 requests queued while the others had none: all entries filled its free places at once. Ruled out: stale loads (entries tell of their work within 20 ms). Change: entries tell for which services requests wait; each takes its part of an endpoint's free places within a turn.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -209,7 +209,7 @@
 // Work implements fleetpb.EntryServer.
 func (s *service) Work(_ context.Context, r *fleetpb.WorkRequest) (*fleetpb.WorkReply, error) {
 	now := boottime.Now()
-	w := relay.Work{Entry: r.GetName(), Born: r.GetBorn(), Number: r.GetNumber(), At: now, Running: map[string]int{}}
+	w := relay.Work{Entry: r.GetName(), Born: r.GetBorn(), Number: r.GetNumber(), At: now, Running: map[string]int{}, Waiting: r.GetWaiting()}
 	for _, one := range r.GetWorks() {
 		w.Running[one.GetEndpoint()] = int(one.GetRunning())
 	}
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -80,7 +80,7 @@
 	own := f.belief.Own()
 	t.mu.Lock()
 	t.number++
-	q := &fleetpb.WorkRequest{Name: f.Settings.Name, Born: t.born, Number: t.number}
+	q := &fleetpb.WorkRequest{Name: f.Settings.Name, Born: t.born, Number: t.number, Waiting: f.belief.Waiting()}
 	t.mu.Unlock()
 	for id, n := range own {
 		q.Works = append(q.Works, &fleetpb.Work{Endpoint: id, Running: uint32(n)})
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -32,7 +32,8 @@
 	// verdict gets one value when a waiting request has a place or never will.
 	verdict chan *result.Error
 
-	// Belief.mu guards the rest.
+	// Belief.mu guards the rest. waits says that the request is in the queue.
+	waits bool
 	place Place
 	why   *result.Error
 }
@@ -105,6 +106,8 @@
 	case admission.Wait:
 		b.tellRefused(d.Displaced)
 		if passes(w.why) {
+			w.waits = true
+			b.changed()
 			return true, nil
 		}
 		// Nothing that waiting could change is missing.
@@ -158,6 +161,7 @@
 	b.refresh(now)
 	started, refused := b.queue.Next(now, b.placer(now))
 	for _, r := range started {
+		b.waiters[r.ID].waits = false
 		b.waiters[r.ID].verdict <- nil
 	}
 	b.tellRefused(refused)
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -72,6 +72,8 @@
 	Born, Number uint64
 	// Running holds the requests under way by endpoint id.
 	Running map[string]int
+	// Waiting names the services for which requests wait.
+	Waiting []string
 	// At is when the message came.
 	At time.Time
 }
@@ -106,6 +108,7 @@
 	waiters   map[string]*waiter
 	gaps      map[string]time.Duration
 	longest   map[string]time.Duration
+	turns     turns
 	own       map[string]int
 	fed       time.Time
 	dirty     bool
@@ -287,6 +290,26 @@
 	return b.longest[route]
 }
 
+// Waiting returns the services for which requests wait here.
+func (b *Belief) Waiting() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waiting()
+}
+
+func (b *Belief) waiting() []string {
+	var out []string
+	if b.queue.Waiting() == 0 {
+		return out
+	}
+	for _, w := range b.waiters {
+		if w.waits && !slices.Contains(out, w.service.Name) {
+			out = append(out, w.service.Name)
+		}
+	}
+	return out
+}
+
 // Own returns the requests that this entry has under way by endpoint id.
 func (b *Belief) Own() map[string]int {
 	b.mu.Lock()
@@ -411,6 +434,7 @@
 func (b *Belief) choose(service *routing.Service, q placement.Query, now time.Time) (Place, *result.Error) {
 	q.Route = service.Name
 	q.Tried = slices.Clone(q.Tried)
+	b.leaveToOthers(service, &q, now)
 	wait := b.avoidCold(service, &q, now)
 	c, ok, why := b.picture.Choose(q, now)
 	if !ok {
@@ -428,6 +452,7 @@
 		p.LoadAge = now.Sub(l.At)
 	}
 	b.own[ep.ID]++
+	b.turns.took(ep.ID, now)
 	b.changed()
 	return p, nil
 }
