Entries that the store turns away prove keys by others' knowledge

Ruled out: longer belief in keys (the bound for keys taken away holds everywhere). Change: when an entry's knowledge is over 3.3 s old it asks others for theirs, with its age, and for the configuration if its own is older.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -59,7 +59,8 @@
 	switch fact := fact.(type) {
 	case platform.TableFact:
 		if f.belief.SetTable(fact.Table, now) {
-			f.document.Store(&item)
+			document := item.Value()
+			f.document.Store(&document)
 			f.Log.WithFields(logrus.Fields{
 				"version": fact.Table.Version(), "routes": fact.Table.Routes(), "revision": item.Revision(),
 			}).Info("configuration in force")
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -69,7 +69,8 @@
 	conns    *peer.Conns
 	stopping atomic.Bool
 	away     atomic.Bool
-	document atomic.Pointer[kv.KeyValue]
+	// document is the configuration in force as the store holds it.
+	document atomic.Pointer[[]byte]
 	others   addresses
 	work     *teller
 }
@@ -134,7 +135,7 @@
 		Address: f.Settings.PeerAddress.String(),
 	}}
 	parts := []process.Part{
-		f.mirror.Run, registrar.Run, f.work.run, f.peers.Run, f.relay.Sweep,
+		f.mirror.Run, registrar.Run, f.work.run, f.prove, f.peers.Run, f.relay.Sweep,
 		func(ctx context.Context) error { return f.Log.Run(ctx, os.Stdout) },
 		f.runServers,
 	}
@@ -229,7 +230,7 @@
 		Version:   t.Version(),
 	}
 	if d := f.document.Load(); d != nil && r.GetVersion() < t.Version() {
-		reply.Document = d.Value()
+		reply.Document = *d
 	}
 	return reply, nil
 }
