The queue's books end with the first part of an answer

Cause: the queue learnt from whole streams that requests take seconds and refused some 2 in 100 at once although places were free (took 0 ms, deadlineUnmeetable). Change: what is learnt ends with the first part; streams are taken out unlearnt.

--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -491,14 +491,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.picture.Piece(p.attempt, now)
-	b.begun(p, now)
+	b.begun(p)
 }
 
-// begun ends a request's time in the queue's books: what the queue estimates is
-// the time until an answer begins.
-func (b *Belief) begun(p Place, now time.Time) {
+// begun takes a request out of the queue's books. They end with the first part
+// of its answer, as the wait that is bounded does; how long the rest takes must
+// not be learnt from, or the queue would take every target for out of reach.
+func (b *Belief) begun(p Place) {
 	if p.id != "" && b.waiters[p.id] != nil {
-		b.queue.Done(p.id, now)
+		b.queue.Cancel(p.id)
 		delete(b.waiters, p.id)
 	}
 }
@@ -513,7 +514,7 @@
 		delete(b.own, p.Endpoint.ID)
 	}
 	b.changed()
-	b.begun(p, now)
+	b.begun(p)
 	defer b.pump(now)
 	switch o := o.(type) {
 	case NotRun:
