--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,17 @@
 	endpoint Endpoint
 	// lapsed is until when a vanished entry still holds; zero if it is there.
 	lapsed time.Time
+	// ended says that the endpoint is known to be there no more, whatever its
+	// entry says.
+	ended bool
+}
+
+// usable reports whether the endpoint may be sent new work.
+func (d *Directory) usable(k *known, now time.Time) bool {
+	if k.ended || k.endpoint.Draining || d.out[k.endpoint.DataCentre] {
+		return false
+	}
+	return k.lapsed.IsZero() || now.Before(k.lapsed)
 }
 
 // Directory holds the endpoints. Set the exported fields before the first call.
@@ -79,6 +90,35 @@
 	}
 	k.endpoint.Entry = e
 	k.endpoint.ColdUntil = latest(k.endpoint.ColdUntil, until)
+	d.supersede(k)
+}
+
+// supersede marks endpoints as ended at whose address another one has started
+// since.
+//
+// Guard: an endpoint that starts again often does so under another id, and the
+// entry of the one before stays until it lapses, some seconds. Requests sent
+// there are answered as misdirected, and use up the attempts that their route
+// allows.
+func (d *Directory) supersede(k *known) {
+	for _, other := range d.entries {
+		if other == k || other.endpoint.Address != k.endpoint.Address {
+			continue
+		}
+		if other.endpoint.Born < k.endpoint.Born {
+			other.ended = true
+		} else if other.endpoint.Born > k.endpoint.Born {
+			k.ended = true
+		}
+	}
+}
+
+// Misdirected notes that the address of an endpoint was answered by another one:
+// the endpoint that started at born is there no more.
+func (d *Directory) Misdirected(id string, born uint64) {
+	if k := d.entries[id]; k != nil && k.endpoint.Born == born {
+		k.ended = true
+	}
 }
 
 // Remove takes in that an entry has vanished.
@@ -161,7 +201,7 @@
 			delete(d.entries, id)
 			continue
 		}
-		if k.endpoint.Draining || d.out[k.endpoint.DataCentre] {
+		if !d.usable(k, now) {
 			continue
 		}
 		out = append(out, k.endpoint)
@@ -172,10 +212,7 @@
 // Usable returns the endpoint with the id if it may be sent new work.
 func (d *Directory) Usable(id string, now time.Time) (Endpoint, bool) {
 	k := d.entries[id]
-	if k == nil || k.endpoint.Draining || d.out[k.endpoint.DataCentre] {
-		return Endpoint{}, false
-	}
-	if !k.lapsed.IsZero() && !now.Before(k.lapsed) {
+	if k == nil || !d.usable(k, now) {
 		return Endpoint{}, false
 	}
 	return k.endpoint, true
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,6 +44,9 @@
 	if told.Cold > 0 {
 		r.Belief.Turned(p.Endpoint.ID, told.Cold, r.Now())
 	}
+	if told.Wrong {
+		r.Belief.Misdirected(p)
+	}
 	if told.NotRun {
 		_, _ = io.Copy(io.Discard, a)
 		return NotRun{Sent: true, Code: refusedCode(told, a.Status)}
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -109,6 +109,7 @@
 	gaps      map[string]time.Duration
 	longest   map[string]time.Duration
 	turns     turns
+	outages   outages
 	own       map[string]int
 	fed       time.Time
 	dirty     bool
@@ -441,7 +442,7 @@
 		if wait > 0 {
 			return Place{}, result.New(result.EndpointCold, "").WithRetryAfter(wait)
 		}
-		return Place{}, result.New(why, "").WithRetryAfter(retryAfterFor(why))
+		return Place{}, result.New(why, "").WithRetryAfter(b.outages.comeBack(service.Name, retryAfterFor(why), now))
 	}
 	ep := b.endpoints[c.Endpoint]
 	if ep.ColdAt(now) && service.ColdRate > 0 {
@@ -492,6 +493,7 @@
 	defer b.mu.Unlock()
 	b.picture.Piece(p.attempt, now)
 	b.begun(p)
+	b.outages.served(p.Endpoint.Service, now)
 }
 
 // begun takes a request out of the queue's books. They end with the first part
@@ -516,6 +518,7 @@
 	b.changed()
 	b.begun(p)
 	defer b.pump(now)
+	b.outages.ended(p.Endpoint.Service, o, now)
 	switch o := o.(type) {
 	case NotRun:
 		if o.Sent {
@@ -535,6 +538,11 @@
 	b.Change(func(d *directory.Directory) { d.Turned(id, cold, now) })
 }
 
+// Misdirected notes that another endpoint answered at the address of a place.
+func (b *Belief) Misdirected(p Place) {
+	b.Change(func(d *directory.Directory) { d.Misdirected(p.Endpoint.ID, p.Endpoint.Born) })
+}
+
 // First counts a request of a service towards the retry budget.
 func (b *Belief) First(service string, now time.Time) {
 	b.mu.Lock()
@@ -579,20 +587,9 @@
 	return ok
 }
 
-// Retry-After by the reason of a refusal: how soon the reason usually passes.
-const (
-	// afterBusy is about the time in which a batch gives a place free: streams
-	// last about two seconds on 100 and more places.
-	afterBusy = 250 * time.Millisecond
-	// afterMissing is when endpoints that start or come back are listed.
-	afterMissing = 700 * time.Millisecond
-)
-
-func retryAfterFor(why result.Code) time.Duration {
-	switch why {
-	case result.EndpointBusy, result.EndpointCold:
-		return afterBusy
-	default:
-		return afterMissing
-	}
+// ComeBack returns when a caller whose request was not run may come back.
+func (b *Belief) ComeBack(service string, why result.Code, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.outages.comeBack(service, retryAfterFor(why), now)
 }
--- /dev/null
+++ b/internal/relay/outage.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// Retry-After by the reason of a refusal: how soon the reason usually passes.
+const (
+	// afterBusy is about the time in which a batch gives a place free: streams
+	// last about two seconds on 100 and more places.
+	afterBusy = 250 * time.Millisecond
+	// afterMissing is when endpoints that start or come back are listed.
+	afterMissing = 700 * time.Millisecond
+	// outageFrom is how long a service must have answered nothing to count as
+	// down: several times the usual time between two answers.
+	outageFrom = 700 * time.Millisecond
+	// mostComeBack bounds what a caller is asked to wait in an outage. Callers
+	// have 8 s and wait for a third of what is left at most.
+	mostComeBack = 2500 * time.Millisecond
+)
+
+func retryAfterFor(why result.Code) time.Duration {
+	switch why {
+	case result.EndpointBusy, result.EndpointCold:
+		return afterBusy
+	default:
+		return afterMissing
+	}
+}
+
+// outages follows since when services have answered nothing.
+//
+// The load is a group of engines that is down as a whole, because one of its
+// ranks or the way to a data centre is lost. Callers who come back at once are
+// refused again and have used up their one retry. How much longer an outage
+// lasts is best guessed by how long it has lasted, so that is when they are
+// asked to come back.
+type outages struct {
+	since map[string]time.Time
+}
+
+// served notes that a part of an answer came.
+func (o *outages) served(service string, _ time.Time) { delete(o.since, service) }
+
+// ended notes how an attempt ended.
+func (o *outages) ended(service string, how Outcome, now time.Time) {
+	switch how.(type) {
+	case NotRun, Unknown, Broken:
+	default:
+		return
+	}
+	if o.since == nil {
+		o.since = map[string]time.Time{}
+	}
+	if _, ok := o.since[service]; !ok {
+		o.since[service] = now
+	}
+}
+
+// comeBack returns when a caller may come back who would usually be asked to do
+// so after usual.
+func (o *outages) comeBack(service string, usual time.Duration, now time.Time) time.Duration {
+	since, ok := o.since[service]
+	if !ok {
+		return usual
+	}
+	lasted := now.Sub(since)
+	if lasted < outageFrom {
+		return usual
+	}
+	return max(usual, min(lasted, mostComeBack))
+}
