--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -34,6 +34,9 @@
 	// was asked for, and the next one is on its way. That leaves a third of
 	// the time in which a key must be refused for the store to be away.
 	pollWait = 1500 * time.Millisecond
+	// pollSettle is how long changes are let gather after some came. It is a
+	// tenth of the time in which configuration has to be in force.
+	pollSettle = 200 * time.Millisecond
 	// keyMargin is taken from the time in which a key must be refused: for the
 	// way of a request to its endpoint.
 	keyMargin = 300 * time.Millisecond
@@ -119,7 +122,7 @@
 	f.belief.Changed = f.work.wake
 	f.belief.Begin(now)
 	f.mirror = &mirror.Mirror{
-		Reader: f.store, Wait: pollWait, Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
+		Reader: f.store, Wait: pollWait, Settle: pollSettle, Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
 	f.relay = &relay.Relay{
 		Belief: f.belief, Client: &direct.Client{}, Dialect: platform.Dialect{},
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -52,6 +52,10 @@
 	// Wait is how long a poll may wait for a change. It bounds the age of what
 	// the process knows while nothing changes.
 	Wait time.Duration
+	// Settle is the pause after an answer that told changes. Changes come in
+	// bursts (a fleet starts, a data centre returns), and each call is priced:
+	// without the pause each change of a burst costs each process a call.
+	Settle time.Duration
 	// Now is the clock.
 	Now func() time.Time
 	// Apply takes in each update, in order, from one goroutine.
@@ -72,6 +76,9 @@
 			failed, pause = false, leastPause
 			revision, known = u.Revision, true
 			m.Apply(u)
+			if len(u.KVs)+len(u.Deleted) > 0 {
+				sleep(ctx, m.Settle)
+			}
 		case errors.Is(err, ErrCompacted):
 			known = false
 		default:
@@ -130,6 +137,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/ranker/planner.go
+++ b/internal/ranker/planner.go
@@ -1,6 +1,9 @@
 package ranker
 
 import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/evenmap"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
@@ -14,12 +17,19 @@
 	// leastGain is the fall of the mean skew that a change has to bring: each
 	// holds the group for some milliseconds.
 	leastGain = 0.01
+	// easyPass is the part of the longest pause between events below which
+	// passes count as easy: nobody waits for the last hundredths of skew then,
+	// and copies are made only for easyTimes the usual gain.
+	easyPass  = 0.5
+	easyTimes = 3
 )
 
 // planner decides whether a group gets another expert map.
 type planner struct {
 	engine *routing.Engine
 	ranks  int
+	// gap is the longest pause between events that callers bear.
+	gap time.Duration
 }
 
 // planned is a map to propose.
@@ -30,7 +40,12 @@
 }
 
 // plan returns the next map, or nil when none is worth it.
-func (p *planner) plan(current [][][]int, loads [][]float64, slow []float64) (*planned, error) {
+//
+// Load: a calm group, whose passes are short whatever the skew, and one near its
+// limit, where each hundredth of skew makes streams late. Harm prevented: copies
+// that buy nothing, which are priced and lengthen passes while they last. Writers
+// is the largest number of requests that a rank runs.
+func (p *planner) plan(current [][][]int, loads [][]float64, slow []float64, writers int) (*planned, error) {
 	x := p.engine.Experts
 	shape := evenmap.Shape{Ranks: p.ranks, Slots: x.Slots, Experts: x.Count}
 	sets := make([]*evenmap.Placement, 0, len(current))
@@ -41,8 +56,14 @@
 		}
 		sets = append(sets, s)
 	}
-	plan := evenmap.NewPlan(sets, loads, evenmap.Limits{PerRank: copiesPerRank, PerSet: x.Spare, Slow: slow, MinGain: copyGain})
-	if plan.Before()-plan.After() < leastGain {
+	limits := evenmap.Limits{PerRank: copiesPerRank, PerSet: x.Spare, Slow: slow, MinGain: copyGain}
+	least := leastGain
+	if p.easy(sets, loads, writers) {
+		limits.MinGain *= easyTimes
+		least *= easyTimes
+	}
+	plan := evenmap.NewPlan(sets, loads, limits)
+	if plan.Before()-plan.After() < least {
 		return nil, nil
 	}
 	out := &planned{copies: plan.Copies(), before: plan.Before(), after: plan.After()}
@@ -51,3 +72,15 @@
 	}
 	return out, nil
 }
+
+// easy reports whether passes are short with the present map.
+func (p *planner) easy(sets []*evenmap.Placement, loads [][]float64, writers int) bool {
+	if p.gap <= 0 {
+		return false
+	}
+	skew := 0.0
+	for i, s := range sets {
+		skew += s.Skew(loads[i]) / float64(len(sets))
+	}
+	return float64(batch.Pass(p.engine, writers, skew)) < easyPass*float64(p.gap)
+}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -29,6 +29,9 @@
 	// pollWait is how long a poll waits at the store. Nothing that an agent
 	// knows may grow too old, so it is long and costs few calls.
 	pollWait = 10 * time.Second
+	// pollSettle is how long changes are let gather after some came. Only the
+	// loss of a leader is urgent, and seldom follows another change at once.
+	pollSettle = 400 * time.Millisecond
 	// callsPerSecond bounds this process's calls to the store; renewals of the
 	// lease are most of them.
 	callsPerSecond = 15
@@ -95,7 +98,7 @@
 	r.engine = &platform.Engine{Addr: s.EndpointAddress.String(), Timeout: engineTimeout}
 	r.engine.Open()
 	r.mirror = &mirror.Mirror{
-		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Now: boottime.Now,
+		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Settle: pollSettle, Now: boottime.Now,
 		Apply: r.apply, Failed: r.storeFailed,
 	}
 	r.conns = &peer.Conns{}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -133,7 +133,7 @@
 	}
 	t.engine = s.Engine
 	t.pop = newPopularity(s.Engine.Experts.Sets, s.Engine.Experts.Count)
-	t.planner = planner{engine: s.Engine, ranks: t.size}
+	t.planner = planner{engine: s.Engine, ranks: t.size, gap: table.Gaps()[s.Name]}
 }
 
 // round looks at all ranks, gives the orders that follow, and returns how long
@@ -284,7 +284,7 @@
 	if current == nil || !t.pop.known() {
 		return
 	}
-	p, err := t.planner.plan(current.Sets, t.pop.loads(), paces(byRank))
+	p, err := t.planner.plan(current.Sets, t.pop.loads(), paces(byRank), mostRunning(byRank))
 	if err != nil {
 		t.ranker.Log.WithField("cause", err.Error()).Error("no map can be planned")
 		return
@@ -341,6 +341,15 @@
 	return out
 }
 
+// mostRunning returns the largest number of requests that a rank runs.
+func mostRunning(byRank []found) int {
+	n := 0
+	for _, f := range byRank {
+		n = max(n, f.state.Running)
+	}
+	return n
+}
+
 // giveAll hands orders to their ranks.
 func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) []lockstep.Outcome {
 	outcomes := make([]lockstep.Outcome, len(directives))
