--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"testing"
+	"time"
+)
+
+func table() *Table {
+	routes := []*Route{
+		{Name: "all", Host: "h", Prefix: "/", Splits: []Split{{Service: "s", Weight: 1}}},
+		{Name: "deep", Host: "h", Prefix: "/a/b/", Gap: 200 * time.Millisecond, Splits: []Split{{"s", 90}, {"u", 10}}},
+		{Name: "mid", Host: "h", Prefix: "/a/", Gap: 120 * time.Millisecond, Splits: []Split{{Service: "s", Weight: 1}}},
+	}
+	accounts := []Keyed{{Account: Account{Name: "x", Priority: -1}, Keys: []string{"k1", "k2"}}}
+	return NewTable(7, routes, []*Service{{Name: "s"}, {Name: "u"}}, accounts, Limits{})
+}
+
+func TestRouteIsTheLongestPrefix(t *testing.T) {
+	for path, want := range map[string]string{"/a/b/c": "deep", "/a/bc": "mid", "/z": "all", "/a/": "mid"} {
+		if r := table().Route("h", path); r == nil || r.Name != want {
+			t.Errorf("%s: %v, want %s", path, r, want)
+		}
+	}
+	if r := table().Route("other", "/a/"); r != nil {
+		t.Errorf("route %s of another host", r.Name)
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	n := map[string]int{}
+	r := table().Route("h", "/a/b/")
+	for i := range 1000 {
+		n[r.Pick(float64(i)/1000)]++
+	}
+	if n["s"] != 900 || n["u"] != 100 {
+		t.Fatalf("%v", n)
+	}
+	if got := (&Route{}).Pick(0.5); got != "" {
+		t.Fatalf("a route without services gave %q", got)
+	}
+}
+
+func TestAccountsAndGaps(t *testing.T) {
+	tb := table()
+	if a := tb.Account("k2"); a == nil || a.Name != "x" {
+		t.Fatalf("%v", a)
+	}
+	if tb.Account("k3") != nil || !tb.NeedsKeys() {
+		t.Fatal("keys")
+	}
+	if g := tb.Gaps(); g["s"] != 120*time.Millisecond || g["u"] != 200*time.Millisecond {
+		t.Fatalf("%v", g)
+	}
+	if NewTable(1, nil, nil, nil, Limits{}).NeedsKeys() {
+		t.Fatal("a table without accounts needs keys")
+	}
+}
+
+func TestMayRepeat(t *testing.T) {
+	for r, want := range map[*Route]bool{
+		{Repeat: RunOnce}:                  false,
+		{Repeat: RunOnce, Resumable: true}: false,
+		{Repeat: Idempotent}:               true,
+		{Repeat: Stream}:                   false,
+		{Repeat: Stream, Resumable: true}:  true,
+	} {
+		if r.MayRepeat() != want {
+			t.Errorf("%+v", r)
+		}
+	}
+}
