--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -60,6 +61,8 @@
 	Settings *settings.Relay
 	Log      *process.BoundedLog
 	Registry metrics.Registry
+	// Output receives the log lines; nil means standard output.
+	Output io.Writer
 
 	store    *platform.Store
 	mirror   *mirror.Mirror
@@ -103,11 +106,20 @@
 	return f.peers.Listen()
 }
 
+// CallerAddress returns where callers are met, as IP:port.
+func (f *Frontend) CallerAddress() string { return f.callers.Address() }
+
+// ReadyAddress returns where readiness is asked, as IP:port.
+func (f *Frontend) ReadyAddress() string { return f.ready.Address() }
+
 func (f *Frontend) build() {
 	s := f.Settings
 	if f.Registry == nil {
 		f.Registry = metrics.NewRegistry()
 	}
+	if f.Output == nil {
+		f.Output = os.Stdout
+	}
 	now := boottime.Now()
 	f.store = &platform.Store{
 		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
@@ -135,11 +147,11 @@
 func (f *Frontend) Run(ctx context.Context) error {
 	registrar := &fleet.Registrar{Store: f.store, Failed: f.callFailed, Member: fleet.Member{
 		Kind: fleet.Entry, Name: f.Settings.Name, DataCentre: f.Settings.DataCentre,
-		Address: f.Settings.PeerAddress.String(),
+		Address: f.peers.Address(),
 	}}
 	parts := []process.Part{
 		f.mirror.Run, registrar.Run, f.work.run, f.prove, f.peers.Run, f.relay.Sweep,
-		func(ctx context.Context) error { return f.Log.Run(ctx, os.Stdout) },
+		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		f.runServers,
 	}
 	parts = append(parts, process.MetricsParts(f.Settings.MetricsAddress, f.Registry)...)
