--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -70,6 +70,9 @@
 // Busy reports whether a change is under way.
 func (l *Leader) Busy() bool { return l.goal != nil || !l.heldSince.IsZero() }
 
+// Holding reports whether a step was held when the ranks were last seen whole.
+func (l *Leader) Holding() bool { return !l.heldSince.IsZero() }
+
 // Current tells the leader the map that is in force, which it needs in order to
 // give a step up.
 func (l *Leader) Current(version uint64, sets [][][]int) {
@@ -96,8 +99,9 @@
 // Decide returns the orders to give now. Ranks holds the state of every rank by
 // its number; whole says that all were seen just now, after every earlier order
 // was answered or given up. Without that nothing is ordered: what can't be seen
-// may be armed.
-func (l *Leader) Decide(ranks []State, whole bool, now time.Time) []Directive {
+// may be armed. Without begin only what is held or armed is brought to its end:
+// a leader that is about to stop must not leave the group held.
+func (l *Leader) Decide(ranks []State, whole, begin bool, now time.Time) []Directive {
 	if l.deposed || !whole || !l.agree(ranks) {
 		return nil
 	}
@@ -109,7 +113,10 @@
 	armed, same := armedOf(ranks)
 	if !isHeld {
 		l.heldSince, l.undo, l.flush = time.Time{}, false, 0
-		return l.advance(ranks, armed, now)
+		if !begin {
+			return nil
+		}
+		return l.advance(ranks, armed)
 	}
 	if l.heldSince.IsZero() {
 		l.heldSince = now
@@ -237,7 +244,7 @@
 }
 
 // advance works towards the goal while nothing is held.
-func (l *Leader) advance(ranks []State, armed int, now time.Time) []Directive {
+func (l *Leader) advance(ranks []State, armed int) []Directive {
 	if l.goal == nil || armed > 0 {
 		return nil
 	}
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -186,7 +186,7 @@
 	if !d.l.Busy() && d.w.rng.IntN(d.w.proposeOneIn) == 0 {
 		d.l.Propose([][][]int{})
 	}
-	for _, o := range d.l.Decide(looked, true, d.w.now) {
+	for _, o := range d.l.Decide(looked, true, true, d.w.now) {
 		d.l.Answered(o, d.w.give(d.token, o))
 	}
 }
@@ -268,7 +268,7 @@
 		if !d.l.Busy() {
 			d.l.Propose([][][]int{})
 		}
-		for _, o := range d.l.Decide(looked, true, w.now) {
+		for _, o := range d.l.Decide(looked, true, true, w.now) {
 			if _, arm := o.Order.(Arm); arm && o.Rank == 2 && w.tick < 100 {
 				d.l.Answered(o, Unknown)
 				continue
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -46,6 +47,9 @@
 	// ownEvery is how often an agent looks at its own engine to learn its
 	// group, and whether the group has a leader.
 	ownEvery = 250 * time.Millisecond
+	// leaveTime bounds the end of a lead: a change of maps that is under way.
+	leaveTime = 2 * time.Second
+	leaveTick = 10 * time.Millisecond
 	// turn is the pause by rank before an agent tries to lead, so that few do
 	// at once.
 	turn = 15 * time.Millisecond
@@ -63,6 +67,12 @@
 	peers  *peer.Server
 	conns  *peer.Conns
 	counts counters
+	// leaving says that the process is about to end, and led that it leads no
+	// group.
+	leaving atomic.Bool
+	leads   atomic.Bool
+	// free holds a token when a group's lease has ended.
+	free chan struct{}
 
 	mu      sync.Mutex // guards all below
 	agents  map[string]fleet.Member
@@ -101,6 +111,7 @@
 		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Settle: pollSettle, Now: boottime.Now,
 		Apply: r.apply, Failed: r.storeFailed,
 	}
+	r.free = make(chan struct{}, 1)
 	r.conns = &peer.Conns{}
 	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
 		fleetpb.RegisterAgentServer(g, &service{ranker: r})
@@ -117,11 +128,22 @@
 	parts = append(parts, process.MetricsParts(r.Settings.MetricsAddress, r.Registry)...)
 	r.Log.WithField("endpoint", r.Settings.EndpointAddress.String()).Info("ranker serves")
 	return process.RunParts(ctx, parts, func(error) error {
-		r.Log.Info("ranker stops")
+		r.leave()
 		return nil
 	})
 }
 
+// leave ends the lead of a group before the process ends, so that nothing stays
+// held and another agent leads at once.
+func (r *Ranker) leave() {
+	r.leaving.Store(true)
+	end := time.Now().Add(leaveTime)
+	for r.leads.Load() && time.Now().Before(end) {
+		time.Sleep(leaveTick)
+	}
+	r.Log.Info("ranker stops")
+}
+
 func (r *Ranker) storeFailed(err error) {
 	r.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
 }
@@ -163,6 +185,10 @@
 func (r *Ranker) remove(key string) {
 	if group, ok := rank.LeaseGroup(fleet.Prefix, key); ok {
 		delete(r.leases, group)
+		select {
+		case r.free <- struct{}{}:
+		default:
+		}
 		return
 	}
 	switch kind, name, _ := fleet.Removed(key); kind {
@@ -201,14 +227,14 @@
 // follow looks at the own engine, and leads its group when nobody else does.
 func (r *Ranker) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, ownEvery)
+		r.awaitLook(ctx)
 		s, err := r.engine.State(ctx)
 		if err != nil || s.Group == "" {
 			continue // an engine that starts has no group yet
 		}
 		r.mu.Lock()
 		r.group = s.Group
-		free := r.synced && !r.leases[s.Group]
+		free := r.synced && !r.leases[s.Group] && !r.leaving.Load()
 		r.mu.Unlock()
 		if free {
 			sleep(ctx, time.Duration(s.Rank)*turn)
@@ -218,6 +244,17 @@
 	return nil
 }
 
+// awaitLook waits until it is time to look, or a group's leader is gone.
+func (r *Ranker) awaitLook(ctx context.Context) {
+	t := time.NewTimer(ownEvery)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.free:
+	case <-ctx.Done():
+	}
+}
+
 // tryLead takes the group's lease, if it is free, and leads until it is lost.
 func (r *Ranker) tryLead(ctx context.Context, s lockstep.State) {
 	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: r.Settings.Name, TTL: leaseTime}
@@ -229,6 +266,8 @@
 	}
 	r.counts.leads.Inc(1)
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token, "epoch": s.Epoch}).Info("group led from here")
+	r.leads.Store(true)
+	defer r.leads.Store(false)
 	t := newTerm(r, lease, s, token, until)
 	t.run(ctx)
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token}).Info("group no longer led from here")
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -26,6 +27,12 @@
 	// callTimeout bounds a call to an agent. It is some forty times the delay
 	// between data centres; while a step is held, a slow call stalls streams.
 	callTimeout = 200 * time.Millisecond
+	// changeTime is what a change takes from its hold to its end, given up or
+	// not, with room.
+	changeTime = 600 * time.Millisecond
+	// passOver is how long an agent that did not answer is passed over, so
+	// that each look does not wait for it again.
+	passOver = time.Second
 	// loadsEvery is how often entries are told of the engines' work. A request
 	// lasts a second or two.
 	loadsEvery = 100 * time.Millisecond
@@ -39,12 +46,16 @@
 	size   int
 	token  uint64
 	until  time.Time
+	// lost says that the store has ended the lease.
+	lost bool
 
 	leader  lockstep.Leader
 	engine  *routing.Engine
 	pop     *popularity
 	planner planner
+	mu      sync.Mutex // guards direct and silent
 	direct  map[string]*platform.Engine
+	silent  map[string]time.Time
 	told    time.Time
 	renew   chan renewal
 	renewAt time.Time
@@ -61,15 +72,22 @@
 	return &term{
 		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
 		leader: lockstep.Leader{Holder: s.Rank}, renew: make(chan renewal, 1), direct: map[string]*platform.Engine{},
+		silent: map[string]time.Time{},
 	}
 }
 
-// run leads until the lease has lapsed or ctx ends.
+// run leads until another agent does, or the process leaves and nothing is held.
+//
+// A lease that can't be renewed because the store is away does not end the term
+// where engines check fencing tokens: no other agent can take the lease then,
+// and one that takes it later shows its token to every rank before it does
+// anything else, from when on this leader's orders are refused. Without that the
+// group would stay held, or on an old map, for as long as the store is away.
 func (t *term) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := boottime.Now()
 		t.keepLease(ctx, now)
-		if !now.Before(t.until) || t.leader.Deposed() {
+		if t.over(now) {
 			break
 		}
 		if t.engine == nil {
@@ -80,11 +98,32 @@
 	if t.renews {
 		<-t.renew
 	}
-	if ctx.Err() != nil {
+	if t.ranker.leaving.Load() {
 		t.giveBack()
 	}
 }
 
+// over reports whether the term has ended.
+func (t *term) over(now time.Time) bool {
+	switch {
+	case t.lost || t.leader.Deposed():
+		return true
+	case t.ranker.leaving.Load():
+		return !t.leader.Holding()
+	default:
+		return !now.Before(t.until) && !t.ranker.Settings.FencingChecked
+	}
+}
+
+// mayBegin reports whether a change may be begun. One that is begun must come to
+// its end before the lease does, where engines do not check tokens.
+func (t *term) mayBegin(now time.Time) bool {
+	if t.ranker.leaving.Load() {
+		return false
+	}
+	return t.ranker.Settings.FencingChecked || now.Before(t.until.Add(-changeTime))
+}
+
 // giveBack ends the lease of a leader that stops, so that another leads at once.
 func (t *term) giveBack() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -104,9 +143,7 @@
 			t.until = end.until
 		} else {
 			t.ranker.storeFailed(end.err)
-			if end.err == rank.ErrLeaseLost {
-				t.until = time.Time{}
-			}
+			t.lost = t.lost || errors.Is(end.err, rank.ErrLeaseLost)
 		}
 	default:
 	}
@@ -153,7 +190,7 @@
 		t.plan(byRank, now)
 	}
 	was := t.leader.Busy()
-	directives := t.leader.Decide(ranks, whole, now)
+	directives := t.leader.Decide(ranks, whole, t.mayBegin(now), now)
 	if was && !t.leader.Busy() {
 		return 0 // what was counted meanwhile may ask for the next change
 	}
@@ -188,6 +225,7 @@
 			defer wg.Done()
 			f, err := t.lookAt(ctx, m, want)
 			if err != nil {
+				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
 				return
 			}
 			mu.Lock()
@@ -199,35 +237,65 @@
 	return out
 }
 
-// lookAt looks at one engine through its agent. While a change is under way an
-// agent that does not answer is passed over: its engine may be armed or hold
-// the group, whether the agent lives or not.
+// lookAt looks at one engine through its agent, or else directly: the agent's VM
+// may be frozen or its process gone while the engine runs, is armed, or holds
+// the group. Looks and orders from elsewhere are priced, so they are the second
+// choice.
 func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	r := t.ranker
 	if m.Name == r.Settings.Name {
 		l, err := r.lookOwn(ctx, want.counts, want.lists)
 		return found{look: l, agent: m}, err
 	}
-	conn, err := r.conns.Get(m.Address)
+	if !t.passedOver(m.Name) {
+		f, err := t.askAgent(ctx, m, want)
+		if err == nil {
+			return f, nil
+		}
+		t.passOver(m, err)
+	}
+	l := look{address: m.Endpoint}
+	var err error
+	if want.lists {
+		if l.lists, err = t.engineAt(m.Endpoint).Lists(ctx); err != nil {
+			return found{}, err
+		}
+	}
+	l.state, err = t.engineAt(m.Endpoint).State(ctx)
+	return found{look: l}, err
+}
+
+func (t *term) askAgent(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := t.ranker.conns.Get(m.Address)
 	if err != nil {
 		return found{}, err
 	}
 	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{Counts: want.counts, Lists: want.lists})
-	if err == nil {
-		return found{look: lookFrom(p, m.Endpoint), agent: m}, nil
-	}
-	if !t.leader.Busy() {
+	if err != nil {
 		return found{}, err
 	}
-	s, err := t.engineAt(m.Endpoint).State(context.WithoutCancel(ctx))
-	return found{look: look{state: s, address: m.Endpoint}}, err
+	return found{look: lookFrom(p, m.Endpoint), agent: m}, nil
+}
+
+// passedOver reports whether an agent has not answered a moment ago.
+func (t *term) passedOver(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return boottime.Now().Before(t.silent[name])
+}
+
+func (t *term) passOver(m *fleet.Member, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[m.Name] = boottime.Now().Add(passOver)
+	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("agent does not answer, its engine is asked directly")
 }
 
 func (t *term) engineAt(addr string) *platform.Engine {
-	t.ranker.mu.Lock()
-	defer t.ranker.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	e := t.direct[addr]
 	if e == nil {
 		e = &platform.Engine{Addr: addr, Timeout: engineTimeout}
@@ -318,7 +386,8 @@
 				return
 			}
 		}
-		directives = t.leader.Decide(ranks, true, boottime.Now())
+		now := boottime.Now()
+		directives = t.leader.Decide(ranks, true, t.mayBegin(now), now)
 		if len(directives) == 0 {
 			return
 		}
@@ -370,7 +439,7 @@
 
 func (t *term) give(ctx context.Context, d lockstep.Directive, to found) lockstep.Outcome {
 	// A leader that was frozen may have decided this before another took over.
-	if !boottime.Now().Before(t.until) {
+	if !t.ranker.Settings.FencingChecked && !boottime.Now().Before(t.until) {
 		return lockstep.Unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -175,5 +175,6 @@
 	Endpoint struct {
 		Address string `long:"address" description:"IP:port of the model engine"`
 		Service string `long:"service" description:"name of the engine's service"`
+		Fencing string `long:"fencing" description:"checked when engines refuse old fencing tokens, else ignored"`
 	} `group:"Endpoint" namespace:"endpoint"`
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -36,6 +36,9 @@
 	// Service the name of its service.
 	EndpointAddress netip.AddrPort
 	Service         string
+	// FencingChecked says that the engines refuse orders with a fencing token
+	// lower than one that they have seen.
+	FencingChecked bool
 }
 
 // Defaults and bounds of these settings.
@@ -90,6 +93,7 @@
 	s.Require("address", "service")
 	r.EndpointAddress = s.Address("address", false)
 	r.Service = s.Text("service", "")
+	r.FencingChecked = s.Choice("fencing", fencingIgnored, fencingChecked, fencingIgnored) == fencingChecked
 	errs := fromFaults(doc.Close("[process]", "[endpoint]", "[tls]"))
 	errs = append(errs, r.TLS.check()...)
 	if len(errs) > 0 {
