Aborted requests are reset

An ordinary close delivers what is queued. Change: a request that is given up closes its connection with a reset.

--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -99,6 +99,19 @@
 	used  bool
 }
 
+// abort closes the connection with a reset.
+//
+// Guard: an endpoint whose VM is frozen or cut off takes bytes into its queue.
+// Closed in the ordinary way, a connection still delivers them when the VM is
+// back, and the endpoint works on a request whose caller has long left. A reset
+// discards what has not arrived.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that is closed already needs none
+	}
+	_ = c.Conn.Close()
+}
+
 // Answer is an answer whose head has arrived. Close must be called.
 type Answer struct {
 	Status int
@@ -122,7 +135,7 @@
 		return nil, &NotSentError{cause: err}
 	}
 	a := &Answer{client: c, conn: cn}
-	a.stop = context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	a.stop = context.AfterFunc(ctx, cn.abort)
 	if err := a.exchange(r); err != nil {
 		a.Close()
 		if ctx.Err() != nil && !IsNotSent(err) {
@@ -215,7 +228,11 @@
 // later. It must get the rest of that body and nothing else there, so the
 // connection closes only when the writer is done.
 func (a *Answer) finishWriting(running bool) {
-	if !running || !a.whole || a.writer == nil || a.writer.isDone() {
+	if !running || !a.whole {
+		a.conn.abort()
+		return
+	}
+	if a.writer.isDone() {
 		_ = a.conn.Conn.Close()
 		return
 	}
