--- a/cmd/hyssoprelay/roles.go
+++ b/cmd/hyssoprelay/roles.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/agent"
@@ -44,9 +47,14 @@
 }
 
 // Relay implements command.Roles.
-func (roles) Relay(ctx context.Context, s *settings.Relay) error {
+func (roles) Relay(ctx context.Context, s *settings.Relay, reload func() (*settings.Relay, error)) error {
 	process.QuietEventLoop()
-	f := &frontend.Frontend{Settings: s, Log: process.NewBoundedLog(s.Name, s.DataCentre)}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	f := &frontend.Frontend{
+		Settings: s, Log: process.NewBoundedLog(s.Name, s.DataCentre), Reload: reload, Hangup: hangup,
+	}
 	if err := f.Listen(); err != nil {
 		return err
 	}
@@ -55,6 +63,10 @@
 
 // Ranker implements command.Roles.
 func (roles) Ranker(ctx context.Context, s *settings.Ranker) error {
+	process.QuietEventLoop()
+	// All that a ranker reads from its settings is where things are; the signal
+	// that they have changed must not end it.
+	signal.Ignore(syscall.SIGHUP)
 	r := &ranker.Ranker{Settings: s, Log: process.NewBoundedLog(s.Name, s.DataCentre)}
 	if err := r.Listen(); err != nil {
 		return err
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -63,6 +63,10 @@
 	Registry metrics.Registry
 	// Output receives the log lines; nil means standard output.
 	Output io.Writer
+	// Reload reads the settings anew; nil means that they never change.
+	Reload func() (*settings.Relay, error)
+	// Hangup gets a value when the settings may have changed.
+	Hangup <-chan os.Signal
 
 	store    *platform.Store
 	mirror   *mirror.Mirror
@@ -74,6 +78,7 @@
 	peers    *peer.Server
 	conns    *peer.Conns
 	stopping atomic.Bool
+	bounds   atomic.Pointer[settings.Bounds]
 	away     atomic.Bool
 	// document is the configuration in force as the store holds it.
 	document atomic.Pointer[[]byte]
@@ -128,7 +133,6 @@
 	f.store.Open()
 	f.belief = &relay.Belief{
 		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Fresh: &f.fresh,
-		Retry: relay.Budget{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 	f.work = newTeller(f)
 	f.belief.Changed = f.work.wake
@@ -138,9 +142,10 @@
 	}
 	f.relay = &relay.Relay{
 		Belief: f.belief, Client: &direct.Client{}, Dialect: platform.Dialect{},
-		KeyAge: s.Bounds.KeyRevoke - keyMargin, Now: boottime.Now, Log: f.Log.Logger,
+		Now: boottime.Now, Log: f.Log.Logger,
 		Metrics: relay.NewMetrics(f.Registry),
 	}
+	f.use(s.Bounds)
 }
 
 // Run serves until ctx ends and then leaves without cutting a request.
@@ -150,7 +155,7 @@
 		Address: f.peers.Address(),
 	}}
 	parts := []process.Part{
-		f.mirror.Run, registrar.Run, f.work.run, f.prove, f.peers.Run, f.relay.Sweep,
+		f.mirror.Run, registrar.Run, f.work.run, f.prove, f.followSettings, f.peers.Run, f.relay.Sweep,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		f.runServers,
 	}
@@ -197,7 +202,7 @@
 	if f.stopping.Load() || !f.belief.Known() {
 		return false
 	}
-	return f.fresh.Age(now) <= f.relay.KeyAge
+	return f.fresh.Age(now) <= f.relay.KeyAge()
 }
 
 // service answers the other processes.
--- a/internal/frontend/leave.go
+++ b/internal/frontend/leave.go
@@ -28,7 +28,7 @@
 	f.stopping.Store(true)
 	f.callers.Announce()
 	f.Log.WithField("running", f.callers.Running()).Info("relay leaves")
-	end := began.Add(f.Settings.Bounds.Grace - graceMargin)
+	end := began.Add(f.bounds.Load().Grace - graceMargin)
 	quiet := time.Time{}
 	for now := began; now.Before(end); now = time.Now() {
 		if f.callers.Running() > 0 {
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -70,7 +70,7 @@
 	return result.New(result.AddressInUse, s.EndpointName)
 }
 
-func (r *recordedRoles) Relay(_ context.Context, s *settings.Relay) error {
+func (r *recordedRoles) Relay(_ context.Context, s *settings.Relay, _ func() (*settings.Relay, error)) error {
 	r.ran = "relay " + s.Name
 	return nil
 }
--- a/internal/operator/command/main.go
+++ b/internal/operator/command/main.go
@@ -29,7 +29,8 @@
 	// Agent runs an agent until ctx ends.
 	Agent(ctx context.Context, s *settings.Agent) error
 	// Relay runs an entry that speaks to endpoints directly until ctx ends.
-	Relay(ctx context.Context, s *settings.Relay) error
+	// Reload reads its settings anew.
+	Relay(ctx context.Context, s *settings.Relay, reload func() (*settings.Relay, error)) error
 	// Ranker runs an agent that leads expert maps until ctx ends.
 	Ranker(ctx context.Context, s *settings.Ranker) error
 }
--- a/internal/operator/command/roles.go
+++ b/internal/operator/command/roles.go
@@ -52,14 +52,15 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	s, err := settings.LoadRelay(p.relay)
+	load := func() (*settings.Relay, error) { return settings.LoadRelay(p.relay) }
+	s, err := load()
 	if err != nil {
 		return err
 	}
 	if p.Roles == nil {
 		return errNoRoles
 	}
-	return p.Roles.Relay(p.ctx, s)
+	return p.Roles.Relay(p.ctx, s, load)
 }
 
 type rankerCommand struct{ program *Program }
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -85,8 +85,6 @@
 	// Name is the entry's own name.
 	Name string
 	Seed uint64
-	// Retry is the fleet's retry budget; this entry takes its share.
-	Retry Budget
 	// Fresh is the age of what the process knows.
 	Fresh *Freshness
 	// Changed, when set, is called when this entry's own work has changed. It
@@ -94,6 +92,7 @@
 	Changed func()
 
 	mu        sync.Mutex // guards all below
+	retry     Budget
 	table     *routing.Table
 	dir       directory.Directory
 	picture   placement.Picture
@@ -135,6 +134,13 @@
 	b.began = now
 }
 
+// SetRetry sets the fleet's retry budget; this entry takes its share.
+func (b *Belief) SetRetry(r Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retry = r
+}
+
 // coldStart runs with mu held, from the directory.
 func (b *Belief) coldStart(service string) time.Duration {
 	if b.table == nil {
@@ -565,12 +571,13 @@
 	n := float64(b.countEntries(now))
 	r := b.budgets[service]
 	if r == nil {
-		r = &admission.RetryBudget{Percent: 100 * budgetUse * b.Retry.Share}
+		r = &admission.RetryBudget{}
 		b.budgets[service] = r
 	}
-	window := max(1, b.Retry.Window.Seconds())
-	r.PerSecond = budgetUse * b.Retry.Slack / n / window / 2
-	r.Burst = max(2, budgetUse*b.Retry.Slack/n/2)
+	r.Percent = 100 * budgetUse * b.retry.Share
+	window := max(1, b.retry.Window.Seconds())
+	r.PerSecond = budgetUse * b.retry.Slack / n / window / 2
+	r.Burst = max(2, budgetUse*b.retry.Slack/n/2)
 	return r
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,9 +36,6 @@
 	Belief  *Belief
 	Client  *direct.Client
 	Dialect Dialect
-	// KeyAge is the greatest age of what the process knows at which keys are
-	// still believed.
-	KeyAge time.Duration
 	// Now is a clock that goes on while the VM is suspended.
 	Now func() time.Time
 	// Log receives one line for each request.
@@ -47,8 +44,16 @@
 	Metrics *Metrics
 
 	refusing atomic.Bool
+	keyAge   atomic.Int64
 }
 
+// SetKeyAge sets the greatest age of what the process knows at which keys are
+// still believed. Before that none is.
+func (r *Relay) SetKeyAge(d time.Duration) { r.keyAge.Store(int64(d)) }
+
+// KeyAge returns what SetKeyAge has set.
+func (r *Relay) KeyAge() time.Duration { return time.Duration(r.keyAge.Load()) }
+
 // Refuse answers each further request as not run, because the process is about
 // to end: it could not see the answer through.
 func (r *Relay) Refuse() { r.refusing.Store(true) }
@@ -164,7 +169,7 @@
 }
 
 func (j *job) checkAge(now time.Time) *result.Error {
-	if j.relay.Belief.Fresh.Age(now) <= j.relay.KeyAge {
+	if j.relay.Belief.Fresh.Age(now) <= j.relay.KeyAge() {
 		return nil
 	}
 	return result.New(result.PlatformDown, "keys can't be checked").WithRetryAfter(afterStale)
