--- a/internal/endpoint/direct/client_test.go
+++ b/internal/endpoint/direct/client_test.go
@@ -255,7 +255,7 @@
 // for nobody.
 func TestCancelledRequestClosesItsConnection(t *testing.T) {
 	closed := make(chan struct{})
-	addr := serve(t, func(t *testing.T, c net.Conn, br *bufio.Reader) {
+	addr := serve(t, func(t *testing.T, _ net.Conn, br *bufio.Reader) {
 		readRequest(t, br)
 		_, err := br.ReadByte()
 		if err == nil {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -279,14 +279,14 @@
 			t.Fatalf("%d runs, %v", s.runs("o1"), a.header)
 		}
 	})
-	t.Run("a stream", func(t *testing.T) { s.wantWholeStream(e.ask(ctx, "/stream/1", "s1", "k1"), 5) })
+	t.Run("a stream", func(_ *testing.T) { s.wantWholeStream(e.ask(ctx, "/stream/1", "s1", "k1"), 5) })
 	t.Run("an unknown key", func(t *testing.T) {
 		s.want(e.ask(ctx, "/order/2", "o2", "wrong"), http.StatusUnauthorized)
 		if s.runs("o2") != 0 {
 			t.Fatal("it ran")
 		}
 	})
-	t.Run("an unknown route", func(t *testing.T) { s.want(e.ask(ctx, "/nowhere", "o3", "k1"), http.StatusNotFound) })
+	t.Run("an unknown route", func(_ *testing.T) { s.want(e.ask(ctx, "/nowhere", "o3", "k1"), http.StatusNotFound) })
 	t.Run("the account is told and the key is not", func(t *testing.T) {
 		s.want(e.ask(ctx, "/look/1", "l1", "k1"), http.StatusOK)
 		if s.endpoints[0].Account("l1")+s.endpoints[1].Account("l1") != "t1" {
@@ -411,9 +411,8 @@
 	s.store.Put("op/evacuate/b", []byte("{}"))
 	s.eventually("the order is in force", func() bool { return e.log.has("data centre order in force") })
 	before := far.Runs("x")
-	for i := range 20 {
+	for range 20 {
 		s.want(e.ask(context.Background(), "/look/1", "x", "k1"), http.StatusOK)
-		_ = i
 	}
 	if far.Runs("x") != before {
 		t.Fatal("an endpoint of a data centre that is out got work")
--- a/internal/rank/evenmap/plan.go
+++ b/internal/rank/evenmap/plan.go
@@ -81,10 +81,15 @@
 	load  []float64
 	ranks []float64
 	// slow multiplies the loads of ranks.
-	slow  []float64
-	mean  float64
-	value float64
-	spent []int
+	slow []float64
+	mean float64
+	// powers is the sum of the powers of the ranks' loads, and value the
+	// objective that follows from it.
+	powers float64
+	value  float64
+	spent  []int
+	// scratch serves one trial at a time.
+	scratch trial
 }
 
 // NewPlan plans the next placements for the given loads of experts by set. The
@@ -110,9 +115,9 @@
 		}
 		touched := s.apply(best[i])
 		best[i] = s.best(i)
-		if touched {
-			// A rank has used up its copies: what others wanted may not fit.
-			for k := range best {
+		for k := range best {
+			// A rank may have used up its copies: what others wanted may not fit.
+			if touched && !s.fits(best[k]) {
 				best[k] = s.best(k)
 			}
 		}
@@ -160,10 +165,15 @@
 // measure takes the ranks' loads anew from the placement.
 func (s *set) measure() {
 	s.ranks = s.p.Loads(s.load)
+	s.powers = 0
+	if s.mean <= 0 {
+		return
+	}
 	for r := range s.ranks {
 		s.ranks[r] *= s.slow[r]
+		s.powers += s.power(s.ranks[r])
 	}
-	s.value = s.objective(s.ranks)
+	s.value = objective(s.powers)
 }
 
 // skew returns the time of the slowest rank over the mean load.
@@ -174,21 +184,17 @@
 	return slices.Max(s.ranks) / s.mean
 }
 
-// objective is the norm of the loads over their mean.
-func (s *set) objective(ranks []float64) float64 {
-	if s.mean <= 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, v := range ranks {
-		x := v / s.mean
-		x2 := x * x
-		x4 := x2 * x2
-		sum += x4 * x4 * x4
-	}
-	return math.Pow(sum, 1.0/norm)
+// power is one rank's part of the objective.
+func (s *set) power(load float64) float64 {
+	x := load / s.mean
+	x2 := x * x
+	x4 := x2 * x2
+	return x4 * x4 * x4
 }
 
+// objective is the norm of the loads over their mean, from the sum of powers.
+func objective(powers float64) float64 { return math.Pow(max(0, powers), 1.0/norm) }
+
 // apply makes a change and reports whether it made copies.
 func (s *planner) apply(c change) bool {
 	st := s.sets[c.set]
@@ -210,6 +216,19 @@
 	return c.cost > 0
 }
 
+// fits reports whether a change found before may still be made.
+func (s *planner) fits(c change) bool {
+	if c.cost == 0 {
+		return true
+	}
+	_, ok := s.price(c.set, c.expert, c.to)
+	if c.back {
+		_, back := s.price(c.set, c.evict, c.from)
+		ok = ok && back
+	}
+	return ok
+}
+
 // spend counts a copy unless the rank held the expert at the start.
 func (s *planner) spend(set, e, r int) {
 	if !s.start[set].Holds(r, e) {
@@ -246,16 +265,16 @@
 	return top
 }
 
-func (st *set) mostLoaded() []int {
-	order := make([]int, len(st.ranks))
+func (s *set) mostLoaded() []int {
+	order := make([]int, len(s.ranks))
 	for r := range order {
 		order[r] = r
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		switch {
-		case st.ranks[a] > st.ranks[b]:
+		case s.ranks[a] > s.ranks[b]:
 			return -1
-		case st.ranks[a] < st.ranks[b]:
+		case s.ranks[a] < s.ranks[b]:
 			return 1
 		default:
 			return 0
@@ -284,6 +303,7 @@
 	d := st.begin()
 	d.drop(e, r)
 	c.gain = d.gain()
+	d.back()
 	return c
 }
 
@@ -314,6 +334,7 @@
 		s.consider(top, c)
 		d.drop(e, r)
 		c.from, c.gain = r, d.gain()
+		d.back()
 		s.consider(top, c)
 	}
 }
@@ -330,24 +351,41 @@
 	d.add(e, to)
 	d.drop(e, r)
 	d.add(f, r)
-	s.consider(top, change{set: i, expert: e, to: to, evict: f, from: r, back: true, cost: cost + back, gain: d.gain()})
+	gain := d.gain()
+	d.back()
+	s.consider(top, change{set: i, expert: e, to: to, evict: f, from: r, back: true, cost: cost + back, gain: gain})
 }
 
-// trial follows how the loads of ranks change without changing the placement.
+// trial follows how the objective changes without changing the placement. It
+// works on the set's loads in place and puts them back, because it runs some
+// hundred thousand times a plan.
 type trial struct {
-	s     *set
-	ranks []float64
-	// holders holds the changed lists, of two experts at most.
+	s      *set
+	powers float64
+	// experts and holders are the changed lists, of two experts at most.
 	experts [2]int
 	holders [2][]int
 	n       int
+	// ranks and loads are what to put back, newest last.
+	ranks []int
+	loads []float64
 }
 
+// begin starts a trial; back ends it.
 func (s *set) begin() *trial {
-	return &trial{s: s, ranks: slices.Clone(s.ranks)}
+	t := &s.scratch
+	t.s, t.powers, t.n = s, s.powers, 0
+	t.ranks, t.loads = t.ranks[:0], t.loads[:0]
+	return t
+}
+
+func (t *trial) back() {
+	for i := len(t.ranks) - 1; i >= 0; i-- {
+		t.s.ranks[t.ranks[i]] = t.loads[i]
+	}
 }
 
-func (t *trial) gain() float64 { return t.s.value - t.s.objective(t.ranks) }
+func (t *trial) gain() float64 { return t.s.value - objective(t.powers) }
 
 // of returns the list of an expert's holders that the trial may change.
 func (t *trial) of(e int) *[]int {
@@ -357,7 +395,7 @@
 		}
 	}
 	t.experts[t.n] = e
-	t.holders[t.n] = slices.Clone(t.s.p.holders[e])
+	t.holders[t.n] = append(t.holders[t.n][:0], t.s.p.holders[e]...)
 	t.n++
 	return &t.holders[t.n-1]
 }
@@ -368,7 +406,10 @@
 	}
 	part := sign * t.s.load[e] / float64(len(hs))
 	for _, r := range hs {
-		t.ranks[r] += part * t.s.slow[r]
+		old := t.s.ranks[r]
+		t.ranks, t.loads = append(t.ranks, r), append(t.loads, old)
+		t.s.ranks[r] = old + part*t.s.slow[r]
+		t.powers += t.s.power(t.s.ranks[r]) - t.s.power(old)
 	}
 }
 
--- /dev/null
+++ b/internal/rank/evenmap/plan_test.go
@@ -0,0 +1,197 @@
+package evenmap
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// shapes are today's deployment, the next one and the target.
+var shapes = []Shape{
+	{Ranks: 12, Slots: 8, Experts: 72},
+	{Ranks: 63, Slots: 5, Experts: 252},
+	{Ranks: 128, Slots: 2, Experts: 128},
+}
+
+// inTurn is the placement that engines begin with: experts in turn.
+func inTurn(t testing.TB, s Shape) *Placement {
+	t.Helper()
+	ranks := make([][]int, s.Ranks)
+	for e := range s.Experts {
+		ranks[e%s.Ranks] = append(ranks[e%s.Ranks], e)
+	}
+	p, err := NewPlacement(s, ranks)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// popularity draws loads whose largest are many times the mean, as a power law
+// of exponent 1.3 over some of the experts gives.
+func popularity(rng *rand.Rand, experts int) []float64 {
+	load := make([]float64, experts)
+	for i, e := range rng.Perm(experts) {
+		load[e] = 100 / math.Pow(float64(i+1), 0.9)
+	}
+	return load
+}
+
+func limits(perRank int) Limits {
+	return Limits{PerRank: perRank, PerSet: 3, MinGain: 0.02}
+}
+
+// checkPlan checks that a plan keeps to its limits.
+func checkPlan(t *testing.T, from []*Placement, p *Plan, l Limits) {
+	t.Helper()
+	perRank := make([]int, from[0].shape.Ranks)
+	copies := 0
+	for i, next := range p.Next() {
+		if _, err := NewPlacement(next.shape, next.Ranks()); err != nil {
+			t.Fatal(err)
+		}
+		for r, n := range next.Copies(from[i]) {
+			if n > l.PerSet {
+				t.Fatalf("rank %d copies %d experts of set %d", r, n, i)
+			}
+			perRank[r] += n
+			copies += n
+		}
+	}
+	if top := slices.Max(perRank); top > l.PerRank {
+		t.Fatalf("a rank copies %d experts, %d are allowed", top, l.PerRank)
+	}
+	if copies != p.Copies() || p.After() > p.Before()+1e-9 {
+		t.Fatalf("%d copies said, %d made; skew %.3f to %.3f", p.Copies(), copies, p.Before(), p.After())
+	}
+}
+
+// Popularity jumps. Steps wait for the most loaded rank, three times the mean,
+// until the first change of one copy a rank halves the excess and the next ones
+// bring it near the bound.
+func TestPlansLevelAJump(t *testing.T) {
+	for _, s := range shapes {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, uint64(s.Ranks)))
+			sets := []*Placement{inTurn(t, s), inTurn(t, s)}
+			loads := [][]float64{popularity(rng, s.Experts), popularity(rng, s.Experts)}
+			first, skew := 0.0, 0.0
+			for round := range 8 {
+				l := limits(1)
+				p := NewPlan(sets, loads, l)
+				checkPlan(t, sets, p, l)
+				if round == 0 {
+					first = p.Before()
+				}
+				sets, skew = p.Next(), p.After()
+			}
+			if skew-1 > 0.4*(first-1) {
+				t.Fatalf("skew %.2f after eight changes, %.2f before", skew, first)
+			}
+		})
+	}
+}
+
+// A calm popularity must cost nothing: the second plan for the same loads finds
+// little left that is worth a copy.
+func TestLevelPlacementStays(t *testing.T) {
+	s := shapes[0]
+	rng := rand.New(rand.NewPCG(2, 2))
+	sets, loads := []*Placement{inTurn(t, s)}, [][]float64{popularity(rng, s.Experts)}
+	for range 12 {
+		sets = NewPlan(sets, loads, limits(3)).Next()
+	}
+	if p := NewPlan(sets, loads, limits(3)); p.Copies() > 0 {
+		t.Fatalf("%d copies for a placement that is level (skew %.3f)", p.Copies(), p.Before())
+	}
+}
+
+// One rank turns six times slower. The others take its experts over.
+func TestSlowRankIsRelieved(t *testing.T) {
+	s := shapes[0]
+	rng := rand.New(rand.NewPCG(3, 3))
+	sets, loads := []*Placement{inTurn(t, s)}, [][]float64{popularity(rng, s.Experts)}
+	l := limits(1)
+	l.Slow = slices.Repeat([]float64{1}, s.Ranks)
+	l.Slow[4] = 6.3
+	before := sets[0].Loads(loads[0])[4]
+	for range 8 {
+		sets = NewPlan(sets, loads, l).Next()
+	}
+	if after := sets[0].Loads(loads[0])[4]; after > before/3 {
+		t.Fatalf("the slow rank bears %.1f, %.1f before", after, before)
+	}
+}
+
+// naive replicates the most loaded expert on the least loaded rank with a free
+// slot, as a first relay did: the baseline.
+func naive(p *Placement, load []float64, copies int) *Placement {
+	q := p.clone()
+	for range copies {
+		best, top := -1, 0.0
+		for e, hs := range q.holders {
+			if v := load[e] / float64(len(hs)); v > top {
+				best, top = e, v
+			}
+		}
+		ranks := q.Loads(load)
+		to := -1
+		for r := range ranks {
+			free := len(q.ranks[r]) < q.shape.Slots && !q.Holds(r, best)
+			if free && (to < 0 || ranks[r] < ranks[to]) {
+				to = r
+			}
+		}
+		if to < 0 {
+			return q
+		}
+		q.add(best, to)
+	}
+	return q
+}
+
+// The search is compared with the naive choice at as many copies.
+func TestPlanBeatsNaiveChoice(t *testing.T) {
+	s := shapes[0]
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		from, load := inTurn(t, s), popularity(rng, s.Experts)
+		p := NewPlan([]*Placement{from}, [][]float64{load}, limits(1))
+		if n := naive(from, load, p.Copies()).Skew(load); p.After() > n+1e-9 {
+			t.Errorf("seed %d: skew %.3f with %d copies, the naive choice has %.3f", seed, p.After(), p.Copies(), n)
+		}
+	}
+}
+
+func TestNewPlacementRefuses(t *testing.T) {
+	s := Shape{Ranks: 2, Slots: 2, Experts: 2}
+	for name, ranks := range map[string][][]int{
+		"an expert that nobody holds": {{0}, {0}},
+		"a rank that holds one twice": {{0, 0}, {1}},
+		"too many experts":            {{0, 1, 1}, {1}},
+		"an unknown expert":           {{0, 2}, {1}},
+		"too few ranks":               {{0, 1}},
+	} {
+		if _, err := NewPlacement(s, ranks); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+}
+
+func BenchmarkNewPlan(b *testing.B) {
+	for _, s := range shapes {
+		b.Run(fmt.Sprintf("%dx%d", s.Ranks, s.Experts), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			sets := []*Placement{inTurn(b, s), inTurn(b, s), inTurn(b, s), inTurn(b, s)}
+			var loads [][]float64
+			for range sets {
+				loads = append(loads, popularity(rng, s.Experts))
+			}
+			for b.Loop() {
+				NewPlan(sets, loads, limits(1))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/ranker/popularity_test.go
@@ -0,0 +1,107 @@
+package ranker
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+)
+
+var start = time.Unix(1000, 0)
+
+// group counts choices on one rank as engines do: each request is about one of
+// few subjects, which chooses its own experts, so counts vary more than chance
+// alone explains.
+type group struct {
+	rng    *rand.Rand
+	share  []float64
+	counts []uint64
+}
+
+func newGroup(seed uint64, experts int) *group {
+	g := &group{rng: rand.New(rand.NewPCG(seed, 5)), counts: make([]uint64, experts), share: make([]float64, experts)}
+	g.jump()
+	return g
+}
+
+func (g *group) jump() {
+	sum := 0.0
+	for i, e := range g.rng.Perm(len(g.share)) {
+		g.share[e] = 1 / math.Pow(float64(i+1), 0.9)
+		sum += g.share[e]
+	}
+	for e := range g.share {
+		g.share[e] /= sum
+	}
+}
+
+// run adds a time's choices with 15 in 100 of spread on each expert.
+func (g *group) run(choices float64) {
+	for e, s := range g.share {
+		g.counts[e] += uint64(choices * s * math.Exp(0.15*g.rng.NormFloat64()))
+	}
+}
+
+func (g *group) look() []look {
+	counts := append([]uint64(nil), g.counts...)
+	return []look{{counts: counts, state: lockstep.State{Born: 1}}}
+}
+
+// error is the sum of the differences between estimate and truth.
+func (g *group) error(p *popularity) float64 {
+	sum := 0.0
+	for e, s := range p.loads()[0] {
+		sum += math.Abs(s - g.share[e])
+	}
+	return sum
+}
+
+// Popularity jumps every few seconds. The estimate follows within half a second,
+// and noise between the jumps is not taken for one.
+func TestPopularityFollowsJumpsAndNotNoise(t *testing.T) {
+	for seed := range uint64(20) {
+		g := newGroup(seed, 72)
+		p := newPopularity(1, 72)
+		now := start
+		p.observe(g.look(), now)
+		step := func() bool {
+			now = now.Add(250 * time.Millisecond)
+			g.run(100_000)
+			return p.observe(g.look(), now)
+		}
+		step()
+		for i := range 12 {
+			if step() {
+				t.Fatalf("seed %d: noise was taken for a jump at look %d", seed, i)
+			}
+		}
+		g.jump()
+		if !step() && !step() {
+			t.Fatalf("seed %d: the jump was not seen within two looks", seed)
+		}
+		step()
+		if e := g.error(p); e > 0.25 {
+			t.Fatalf("seed %d: the estimate is %.2f off half a second after a jump", seed, e)
+		}
+	}
+}
+
+// An engine starts anew and counts from zero; the difference is no popularity.
+func TestCountsOfARestartedEngineAreLeftOut(t *testing.T) {
+	g := newGroup(1, 72)
+	p := newPopularity(1, 72)
+	p.observe(g.look(), start)
+	g.run(100_000)
+	p.observe(g.look(), start.Add(time.Second))
+	before := g.error(p)
+	restarted := []look{{counts: make([]uint64, 72), state: lockstep.State{Born: 2}}}
+	if p.observe(restarted, start.Add(2*time.Second)) || g.error(p) != before {
+		t.Fatal("a restart changed the estimate")
+	}
+	short := []look{{counts: []uint64{1}, state: lockstep.State{Born: 2}}}
+	if p.observe(short, start.Add(3*time.Second)) {
+		t.Fatal("an answer of another size was taken")
+	}
+}
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -114,7 +114,6 @@
 	dirty     bool
 	listed    bool
 	began     time.Time
-	draws     uint64
 }
 
 // Begin prepares the belief.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,9 +70,8 @@
 	account *routing.Account
 	// end is when the caller's time or the route's is over, and timeout
 	// whether it is the route's.
-	end    time.Time
-	header http.Header
-	tries  Tries
+	end   time.Time
+	tries Tries
 	// tried are the endpoints that were asked.
 	tried []string
 	// failed is the last whole failure that an endpoint reported.
