--- a/internal/operator/command/main.go
+++ b/internal/operator/command/main.go
@@ -126,6 +126,7 @@
 		{"claims", "list and release claims of requests that may run only once", newClaimCommands(p)},
 		{"status", "show the state of all processes", &statusCommand{program: p}},
 		{"timeline", "show events of all processes in causal order", &timelineCommand{program: p}},
+		{"explain", "tell a request's story from saved logs", &explainCommand{program: p}},
 		{"version", "show the version", &versionCommand{program: p}},
 		{"entry", "run an entry", &entryCommand{program: p}},
 		{"agent", "run the agent beside an endpoint", &agentCommand{program: p}},
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -30,6 +32,9 @@
 	// workStale is the age from which what another entry told of its work
 	// counts no more. Entries tell of it at least once a second.
 	workStale = 2500 * time.Millisecond
+	// failuresInARow is from which reported failure on an endpoint is left
+	// alone for a while.
+	failuresInARow = 2
 	// slowFrom is the pace from which an engine counts as slow.
 	slowFrom = 1.2
 	// leastEntries is how many entries are assumed before the store has told
@@ -108,12 +113,14 @@
 	gaps      map[string]time.Duration
 	longest   map[string]time.Duration
 	turns     turns
-	outages   outages
-	own       map[string]int
-	fed       time.Time
-	dirty     bool
-	listed    bool
-	began     time.Time
+	// failures counts the failures in a row that an endpoint reported.
+	failures map[string]int
+	outages  outages
+	own      map[string]int
+	fed      time.Time
+	dirty    bool
+	listed   bool
+	began    time.Time
 }
 
 // Begin prepares the belief.
@@ -130,6 +137,7 @@
 	b.longest = map[string]time.Duration{}
 	b.queue.MaxWaiting = mostWaiting
 	b.own = map[string]int{}
+	b.failures = map[string]int{}
 	b.began = now
 }
 
@@ -531,11 +539,34 @@
 			return
 		}
 		b.picture.Failed(p.attempt, now)
-	case Unknown, Broken, Failed:
+	case Unknown:
+		if errors.Is(o.Cause, context.DeadlineExceeded) {
+			b.failed(p, now)
+			return
+		}
 		b.picture.Failed(p.attempt, now)
+	case Broken:
+		b.picture.Failed(p.attempt, now)
+	case Failed:
+		b.failed(p, now)
 	default:
+		delete(b.failures, p.Endpoint.ID)
+		b.picture.Ended(p.attempt, now)
+	}
+}
+
+// failed takes a request off an endpoint that reported a failure in a whole
+// answer, or did not answer in the time that the request had. Requests fail for
+// their own reasons, up to one in seven of some kinds, and an endpoint that is left alone for each of them is missed: the last one of
+// a service was, and callers were refused while it rested. So only the second
+// failure in a row counts as the endpoint's.
+func (b *Belief) failed(p Place, now time.Time) {
+	b.failures[p.Endpoint.ID]++
+	if b.failures[p.Endpoint.ID] < failuresInARow {
 		b.picture.Ended(p.attempt, now)
+		return
 	}
+	b.picture.Failed(p.attempt, now)
 }
 
 // Turned notes for how long an endpoint says that it is cold.
--- a/internal/relay/belief_test.go
+++ b/internal/relay/belief_test.go
@@ -273,3 +273,39 @@
 		t.Fatal("no endpoint")
 	}
 }
+
+// All but one endpoint of a service have been taken away. One in seven look-ups
+// fails for its own reasons; after each the last endpoint was left alone, and
+// callers were refused though it had places.
+func TestLastEndpointIsNotLeftAloneForOneFailure(t *testing.T) {
+	b := newBelief("me", &routing.Service{Name: "orders"})
+	list(b, 1, "orders")
+	s := b.Table().Service("orders")
+	now := start
+	for i := range 50 {
+		now = now.Add(20 * time.Millisecond)
+		p, e := b.Choose(s, placement.Query{}, now)
+		if e != nil {
+			t.Fatalf("request %d: %v", i, e)
+		}
+		if i%7 == 0 {
+			b.Ended(p, Failed{Answer: &Whole{Status: 500}}, now)
+			continue
+		}
+		b.Ended(p, Delivered{}, now)
+	}
+	t.Run("one that fails again and again is", func(t *testing.T) {
+		p, _ := b.Choose(s, placement.Query{}, now)
+		b.Ended(p, Delivered{}, now)
+		for range failuresInARow {
+			p, e := b.Choose(s, placement.Query{}, now)
+			if e != nil {
+				t.Fatal(e)
+			}
+			b.Ended(p, Failed{Answer: &Whole{Status: 500}}, now)
+		}
+		if _, e := b.Choose(s, placement.Query{}, now); e == nil {
+			t.Fatal("it is asked on at once")
+		}
+	})
+}
