--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -145,6 +145,7 @@
 		Now: boottime.Now, Log: f.Log.Logger,
 		Metrics: relay.NewMetrics(f.Registry),
 	}
+	f.relay.Metrics.Watch(f.belief, boottime.Now)
 	f.use(s.Bounds)
 }
 
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -579,6 +579,30 @@
 	b.Change(func(d *directory.Directory) { d.Misdirected(p.Endpoint.ID, p.Endpoint.Born) })
 }
 
+// Endpoints returns how many endpoints may be sent new work.
+func (b *Belief) Endpoints(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.dir.Endpoints(now))
+}
+
+// LoadAge returns the age of the newest load report of an endpoint, or zero when
+// there is none.
+func (b *Belief) LoadAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var newest time.Time
+	for _, l := range b.loads {
+		if l.At.After(newest) {
+			newest = l.At
+		}
+	}
+	if newest.IsZero() {
+		return 0
+	}
+	return now.Sub(newest)
+}
+
 // First counts a request of a service towards the retry budget.
 func (b *Belief) First(service string, now time.Time) {
 	b.mu.Lock()
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -10,7 +10,7 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// Metrics counts requests.
+// Metrics counts requests and attempts, and shows the age of what is believed.
 type Metrics struct {
 	registry metrics.Registry
 	running  metrics.Counter
@@ -21,17 +21,59 @@
 	return &Metrics{registry: r, running: metrics.GetOrRegisterCounter("relay.running", r)}
 }
 
+// Watch shows what b believes.
+func (m *Metrics) Watch(b *Belief, now func() time.Time) {
+	gauge := func(name string, f func() int64) { metrics.NewRegisteredFunctionalGauge(name, m.registry, f) }
+	gauge("relay.knownAge", func() int64 { return b.Fresh.Age(now()).Milliseconds() })
+	gauge("relay.configuration", func() int64 {
+		t := b.Table()
+		if t == nil {
+			return 0
+		}
+		return int64(t.Version())
+	})
+	gauge("relay.endpoints", func() int64 { return int64(b.Endpoints(now())) })
+	gauge("relay.entries", func() int64 { return int64(b.Entries(now())) })
+	gauge("relay.loadAge", func() int64 { return b.LoadAge(now()).Milliseconds() })
+	gauge("relay.waiting", func() int64 { return int64(len(b.Waiting())) })
+}
+
 func (m *Metrics) begin() { m.running.Inc(1) }
 func (m *Metrics) end()   { m.running.Dec(1) }
 
-// ended counts a request by its result and its times by service.
-func (m *Metrics) ended(code result.Code, service string, first, whole time.Duration) {
-	metrics.GetOrRegisterCounter("relay.result."+code.String(), m.registry).Inc(1)
+// attempted counts an attempt by its outcome.
+func (m *Metrics) attempted(o Outcome) {
+	metrics.GetOrRegisterCounter("relay.attempts."+outcomeName(o), m.registry).Inc(1)
+}
+
+func outcomeName(o Outcome) string {
+	switch o.(type) {
+	case Delivered:
+		return "delivered"
+	case NotRun:
+		return "notRun"
+	case Failed:
+		return "failed"
+	case Unknown:
+		return "unknown"
+	case Broken:
+		return "broken"
+	default:
+		return "gone"
+	}
+}
+
+// ended counts a request by its result, and its times by service and by whether
+// it may be repeated.
+func (m *Metrics) ended(code result.Code, kind, service string, first, whole time.Duration) {
+	metrics.GetOrRegisterCounter("relay.results."+code.String(), m.registry).Inc(1)
 	if service == "" || code != result.OK {
 		return
 	}
-	m.timer("relay."+service+".firstPart", first)
-	m.timer("relay."+service+".whole", whole)
+	for _, name := range []string{"relay.service." + service, "relay.kind." + kind} {
+		m.timer(name+".firstPart", first)
+		m.timer(name+".whole", whole)
+	}
 }
 
 func (m *Metrics) timer(name string, d time.Duration) {
@@ -44,11 +86,11 @@
 
 // log writes the line of a request that has ended.
 func (j *job) log(code result.Code, status int, now time.Time, cause error) {
-	service := ""
+	service, kind := "", ""
 	if j.service != nil {
-		service = j.service.Name
+		service, kind = j.service.Name, j.route.Repeat.String()
 	}
-	j.relay.Metrics.ended(code, service, sinceOrZero(j.firstPart, j.raw.At), now.Sub(j.raw.At))
+	j.relay.Metrics.ended(code, kind, service, sinceOrZero(j.firstPart, j.raw.At), now.Sub(j.raw.At))
 	f := logrus.Fields{
 		"request": j.facts.ID, "code": int(code), "result": code.String(), "status": status,
 		"effect": code.Effect().String(), "took": now.Sub(j.raw.At).Milliseconds(),
@@ -87,17 +129,17 @@
 		"request": j.facts.ID, "endpoint": p.Endpoint.ID, "loadAge": p.LoadAge.Milliseconds(),
 		"sent": j.tries.Sent, "unsent": j.tries.Unsent, "left": j.end.Sub(now).Milliseconds(),
 	}
+	f["outcome"] = outcomeName(o)
 	switch o := o.(type) {
 	case NotRun:
-		f["outcome"], f["result"] = "notRun", o.Code.String()
+		f["result"] = o.Code.String()
 		addCause(f, o.Cause)
 	case Failed:
-		f["outcome"], f["status"] = "failed", o.Answer.Status
+		f["status"] = o.Answer.Status
 	case Unknown:
-		f["outcome"] = "unknown"
 		addCause(f, o.Cause)
 	case Broken:
-		f["outcome"], f["lastEvent"] = "broken", j.last
+		f["lastEvent"] = j.last
 		addCause(f, o.Cause)
 	}
 	j.relay.Log.WithFields(f).Info("another attempt follows")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -186,6 +186,7 @@
 		o := j.attempt(ctx, place)
 		now = j.relay.Now()
 		j.relay.Belief.Ended(place, o, now)
+		j.relay.Metrics.attempted(o)
 		j.count(o)
 		left := j.end.Sub(now)
 		if ctx.Err() != nil {
@@ -345,8 +346,11 @@
 	if d := e.RetryAfter(); d > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
 	}
-	err := j.reply.AnswerRaw(status, h, []byte(e.Error()+"\n"))
-	j.log(e.Code(), status, now, err)
+	cause := j.reply.AnswerRaw(status, h, []byte(e.Error()+"\n"))
+	if cause == nil && e.Detail() != "" {
+		cause = e
+	}
+	j.log(e.Code(), status, now, cause)
 }
 
 func statusOf(e *result.Error) int {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,6 +20,11 @@
 	Stream
 )
 
+// String returns the kind's camel-case name.
+func (r Repeat) String() string {
+	return [...]string{"runOnce", "idempotent", "stream"}[r]
+}
+
 // Split is one target of a route with its share of the traffic.
 type Split struct {
 	Service string
