--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -343,6 +343,22 @@
 	}
 }
 
+// A look-up may have run at an endpoint that broke off, and the next one refuses
+// it. The caller must not hear that it did not run.
+func TestRefusalAfterAnUnknownOutcomeIsNotSaid(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	e := s.start("entry1", s.store.Addr())
+	s.endpoints[0].Behave(standin.Resets)
+	s.endpoints[1].Behave(standin.Refuses)
+	for i := range 3 {
+		a := e.ask(context.Background(), "/look/1", fmt.Sprint("l", i), "k1")
+		if s.runs(fmt.Sprint("l", i)) > 0 && a.status == http.StatusServiceUnavailable {
+			t.Fatal("a request that ran is said not to have run")
+		}
+	}
+}
+
 // An engine crashes in the middle of an event. The caller's stream goes on at
 // another engine, with each event once and the seal of the first.
 func TestTornStreamGoesOnElsewhere(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -150,6 +150,12 @@
 	if _, err := LoadEntry(parseFlags(t, EntryFlags(), "--settings=../../examples/entry.ini")); err != nil {
 		t.Error(err)
 	}
+	if _, err := LoadRelay(parseFlags(t, RelayFlags(), "--settings=../../examples/relay.ini")); err != nil {
+		t.Error(err)
+	}
+	if _, err := LoadRanker(parseFlags(t, RankerFlags(), "--settings=../../examples/ranker.ini")); err != nil {
+		t.Error(err)
+	}
 	if _, err := LoadAgent(parseFlags(t, AgentFlags(), "--settings=../../examples/agent.ini")); err != nil {
 		t.Error(err)
 	}
@@ -161,8 +167,11 @@
 	load := map[string]func(*Flags) error{
 		"entry": func(f *Flags) error { _, err := LoadEntry(f); return err },
 		"agent": func(f *Flags) error { _, err := LoadAgent(f); return err },
+
+		"relay":  func(f *Flags) error { _, err := LoadRelay(f); return err },
+		"ranker": func(f *Flags) error { _, err := LoadRanker(f); return err },
 	}
-	for role, f := range map[string]*Flags{"entry": EntryFlags(), "agent": AgentFlags()} {
+	for role, f := range map[string]*Flags{"entry": EntryFlags(), "agent": AgentFlags(), "relay": RelayFlags(), "ranker": RankerFlags()} {
 		t.Run(role, func(t *testing.T) {
 			var args []string
 			for name := range names(parseFlags(t, f).group) {
