--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -278,6 +278,19 @@
 
 // pass runs one request that is passed on.
 func (s *Server) pass(raw *Raw, err error, w *Reply) {
+	s.inTurn(w, func(ctx context.Context) {
+		w.closing = &s.closing
+		if err != nil {
+			w.Fail(result.Of(err))
+			return
+		}
+		s.Passer.Pass(ctx, raw, w)
+	})
+}
+
+// inTurn lets f answer when the connection's earlier requests have been, as
+// HTTP/1.1 wants answers in order. The context of f ends when the caller leaves.
+func (s *Server) inTurn(w *Reply, f func(ctx context.Context)) {
 	defer s.running.End()
 	defer close(w.mine)
 	<-w.before
@@ -287,12 +300,7 @@
 	w.conn.begin(cancel)
 	w.ctx = ctx
 	w.close = w.close || s.closing.Load()
-	w.closing = &s.closing
-	if err != nil {
-		w.Fail(result.Of(err))
-	} else {
-		s.Passer.Pass(ctx, raw, w)
-	}
+	f(ctx)
 	s.finish(w)
 }
 
@@ -308,22 +316,14 @@
 }
 
 // answer runs one request. Requests that a caller sends ahead on the same
-// connection wait for their turn, as HTTP/1.1 wants answers in order.
+// connection wait for their turn.
 func (s *Server) answer(r *Request, rerr error, w *Reply) {
-	defer s.running.End()
-	defer close(w.mine)
-	<-w.before
-	defer w.conn.end()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	w.conn.begin(cancel)
-	w.ctx = ctx
-	w.close = w.close || s.closing.Load()
-	if r != nil {
-		w.requestID = r.ID()
-	}
-	s.dispatch(ctx, r, rerr, w)
-	s.finish(w)
+	s.inTurn(w, func(ctx context.Context) {
+		if r != nil {
+			w.requestID = r.ID()
+		}
+		s.dispatch(ctx, r, rerr, w)
+	})
 }
 
 func (s *Server) dispatch(ctx context.Context, r *Request, rerr error, w *Reply) {
--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/demo"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
@@ -131,7 +133,7 @@
 			done <- err
 		}()
 	}
-	pause(ctx, 2*time.Second)
+	pause.For(ctx, 2*time.Second)
 	used := heap() - before
 	leave()
 	for range n {
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/demo"
 	"github.com/hyssoprelay/hyssoprelay/internal/measure"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
@@ -52,25 +54,13 @@
 		return 0, 0, fmt.Errorf("%d entries: %w", n, err)
 	}
 	defer s.Stop()
-	if !pause(ctx, restTime) {
+	if !pause.For(ctx, restTime) {
 		return 0, 0, errors.New("cancelled")
 	}
 	before := s.KV.Counts()
-	pause(ctx, restTime)
+	pause.For(ctx, restTime)
 	after := s.KV.Counts()
 	reads = float64(after.Reads()-before.Reads()) / restTime.Seconds()
 	writes = float64(after.Writes()-before.Writes()) / restTime.Seconds()
 	return reads, writes, nil
 }
-
-// pause returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/capacity/pushes.go
+++ b/internal/capacity/pushes.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/demo"
@@ -55,7 +57,7 @@
 		return 0, 0, err
 	}
 	defer s.Stop()
-	pause(ctx, 2*pushPause)
+	pause.For(ctx, 2*pushPause)
 	before := pushCount(s)
 	for i := range pushChanges {
 		want := i%2 == 0
@@ -64,10 +66,10 @@
 		if _, err := s.Order(ctx, "datacentre", verb, "a"); err != nil {
 			return 0, 0, fmt.Errorf("datacentre %s: %w", verb, err)
 		}
-		for !everywhere(s, want) && pause(ctx, time.Millisecond) {
+		for !everywhere(s, want) && pause.For(ctx, time.Millisecond) {
 		}
 		slowest = max(slowest, time.Since(begun))
-		pause(ctx, pushPause)
+		pause.For(ctx, pushPause)
 	}
 	return float64(pushCount(s)-before) / pushAgents / pushChanges, slowest, nil
 }
--- a/internal/capacity/reports.go
+++ b/internal/capacity/reports.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/demo"
 	"github.com/hyssoprelay/hyssoprelay/internal/measure"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
@@ -80,9 +82,9 @@
 		return systemCost{}, err
 	}
 	defer s.Stop()
-	pause(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	bytes, used := s.Network.Bytes("a", "a"), processorTime()
-	if !pause(ctx, reportTime) {
+	if !pause.For(ctx, reportTime) {
 		return systemCost{}, errors.New("cancelled")
 	}
 	return systemCost{
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -98,18 +100,18 @@
 func (r *Registrar) Run(ctx context.Context) error {
 	var lease platform.LeaseID
 	for ctx.Err() == nil {
-		pause := LeaseTime / 3
+		rest := LeaseTime / 3
 		var err error
 		if lease == 0 {
 			lease, err = r.enter(ctx)
 		} else if _, err = r.Store.KeepAlive(ctx, lease); platform.IsLeaseMissing(err) {
-			lease, pause = 0, 0
+			lease, rest = 0, 0
 		}
 		if err != nil && ctx.Err() == nil {
 			r.fail(err)
-			pause = min(pause, retryEvery)
+			rest = min(rest, retryEvery)
 		}
-		wait(ctx, pause)
+		pause.For(ctx, rest)
 	}
 	if lease == 0 {
 		return nil
@@ -148,12 +150,3 @@
 	}
 	return lease, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
@@ -65,12 +67,7 @@
 		}
 		t.tellAll(ctx)
 		timer.Reset(tellAlways)
-		pause := time.NewTimer(tellEvery)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-		}
+		pause.For(ctx, tellEvery)
 	}
 	return nil
 }
--- a/internal/platform/claim/loop.go
+++ b/internal/platform/claim/loop.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -43,11 +45,11 @@
 		}
 		if b.send(ctx, batch) {
 			backoff = 0
-			pause(ctx, b.Interval)
+			pause.For(ctx, b.Interval)
 			continue
 		}
 		backoff = min(max(2*backoff, minBackoff), maxBackoff)
-		pause(ctx, backoff)
+		pause.For(ctx, backoff)
 	}
 	b.stop()
 	return nil
@@ -68,18 +70,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // take picks the next batch, or says how long the next outcome may linger.
 //
 // Its load is more claims and outcomes than the service takes writes: they
--- a/internal/platform/claim/registry.go
+++ b/internal/platform/claim/registry.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -171,7 +173,7 @@
 		case !unknown:
 			return result.New(result.PlatformRefused, err.Error())
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		if ctx.Err() == nil {
 			continue
 		}
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
@@ -66,26 +68,26 @@
 
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
-	pause := leastPause
+	rest := leastPause
 	revision, known, failed := int64(0), false, false
 	for ctx.Err() == nil {
 		u, err := m.next(ctx, revision, known)
 		switch {
 		case err == nil:
 			u.Returned = failed
-			failed, pause = false, leastPause
+			failed, rest = false, leastPause
 			revision, known = u.Revision, true
 			m.Apply(u)
 			if len(u.KVs)+len(u.Deleted) > 0 {
-				sleep(ctx, m.Settle)
+				pause.For(ctx, m.Settle)
 			}
 		case errors.Is(err, ErrCompacted):
 			known = false
 		default:
 			failed = true
 			m.fail(ctx, err)
-			sleep(ctx, pause)
-			pause = min(2*pause, mostPause)
+			pause.For(ctx, rest)
+			rest = min(2*rest, mostPause)
 		}
 	}
 	return nil
@@ -135,15 +137,3 @@
 		after = kvs[len(kvs)-1].Key()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 
 	"google.golang.org/grpc"
 
@@ -70,7 +71,7 @@
 	for ctx.Err() == nil {
 		w.stream(ctx)
 		w.next = 0
-		pause(ctx, minReconnect)
+		pause.For(ctx, minReconnect)
 	}
 	return nil
 }
@@ -167,12 +168,3 @@
 	}
 	return e
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
 )
 
@@ -27,7 +29,7 @@
 	r.mu.Lock()
 	r.heard = time.Now()
 	r.mu.Unlock()
-	for pause(ctx, r.Resend) {
+	for pause.For(ctx, r.Resend) {
 		r.mu.Lock()
 		quiet := time.Since(r.heard)
 		r.mu.Unlock()
--- a/internal/rank/loops.go
+++ b/internal/rank/loops.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/naming"
 )
 
@@ -12,7 +14,7 @@
 	for {
 		r.tickEngine(ctx)
 		r.observe()
-		if !pause(ctx, r.Tick) {
+		if !pause.For(ctx, r.Tick) {
 			return nil
 		}
 	}
@@ -67,7 +69,7 @@
 			r.askPeers(ctx, j)
 			r.observe()
 		}
-		if !pause(ctx, r.Resend) {
+		if !pause.For(ctx, r.Resend) {
 			return nil
 		}
 	}
--- a/internal/rank/runner.go
+++ b/internal/rank/runner.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -161,7 +163,7 @@
 		return err
 	}
 	defer r.hangUp()
-	if !pause(ctx, r.Drain) {
+	if !pause.For(ctx, r.Drain) {
 		return nil
 	}
 	loops := []func(context.Context) error{r.runEngine, r.runJoin, r.runLeader}
@@ -192,18 +194,6 @@
 	return r.force.Map.Version
 }
 
-// pause waits and reports whether ctx still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // emit tells the log and the time line of a change of state.
 func (r *Runner) emit(e Event) {
 	r.Log.WithFields(logrus.Fields{"group": r.Group, "number": e.Number}).Info(e.Kind + " " + e.Detail)
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -216,7 +218,7 @@
 func (r *Ranker) awaitGroup(ctx context.Context) string {
 	group := ""
 	for group == "" && ctx.Err() == nil {
-		sleep(ctx, ownEvery)
+		pause.For(ctx, ownEvery)
 		r.mu.Lock()
 		group = r.group
 		r.mu.Unlock()
@@ -237,7 +239,7 @@
 		free := r.synced && !r.leases[s.Group] && !r.leaving.Load()
 		r.mu.Unlock()
 		if free {
-			sleep(ctx, time.Duration(s.Rank)*turn)
+			pause.For(ctx, time.Duration(s.Rank)*turn)
 			r.tryLead(ctx, s)
 		}
 	}
@@ -287,12 +289,3 @@
 	}
 	return agents, entries
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
@@ -93,7 +95,7 @@
 		if t.engine == nil {
 			t.readShape(ctx)
 		}
-		sleep(ctx, t.round(ctx))
+		pause.For(ctx, t.round(ctx))
 	}
 	if t.renews {
 		<-t.renew
--- /dev/null
+++ b/internal/relay/budget.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
+)
+
+// First counts a request of a service towards the retry budget.
+func (b *Belief) First(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service, now).First(now)
+}
+
+// Spend takes one retry from the budget of a service, if there is one left.
+func (b *Belief) Spend(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service, now).Take(now)
+}
+
+// budgetUse is the part of the fleet's retry budget that entries use: they count
+// requests by their own clocks, and callers' requests are not spread evenly.
+const budgetUse = 0.7
+
+func (b *Belief) budget(service string, now time.Time) *admission.RetryBudget {
+	n := float64(b.countEntries(now))
+	r := b.budgets[service]
+	if r == nil {
+		r = &admission.RetryBudget{}
+		b.budgets[service] = r
+	}
+	r.Percent = 100 * budgetUse * b.retry.Share
+	window := max(1, b.retry.Window.Seconds())
+	r.PerSecond = budgetUse * b.retry.Slack / n / window / 2
+	r.Burst = max(2, budgetUse*b.retry.Slack/n/2)
+	return r
+}
--- /dev/null
+++ b/internal/relay/load.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+)
+
+// SetLoads takes in load reports.
+func (b *Belief) SetLoads(loads []Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range loads {
+		ep, ok := b.addresses[l.Address]
+		if old, known := b.loads[ep.ID]; !ok || known && !l.At.After(old.At) {
+			continue
+		}
+		b.loads[ep.ID] = l
+		b.tell(ep, now)
+	}
+	b.pump(now)
+}
+
+// SetWork takes in what another entry has given to endpoints.
+func (b *Belief) SetWork(w Work, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, ok := b.works[w.Entry]
+	if ok && (w.Born < old.Born || w.Born == old.Born && w.Number <= old.Number) {
+		return
+	}
+	b.works[w.Entry] = w
+	for _, ep := range b.endpoints {
+		if old.Running[ep.ID] != w.Running[ep.ID] {
+			b.tell(ep, now)
+		}
+	}
+	b.pump(now)
+}
+
+// bears returns how many requests an endpoint is given at once, and by how many
+// its load is measured.
+func (b *Belief) bears(ep directory.Endpoint) (allowance, capacity int) {
+	slots := ep.Slots
+	if slots <= 0 {
+		slots = plainSlots
+	}
+	if b.table == nil {
+		return slots, slots
+	}
+	if s := b.table.Service(ep.Service); s != nil && s.Engine != nil {
+		n := min(slots, batch.MostWriters(s.Engine, b.gaps[ep.Service]))
+		return b.slowed(ep, n), n
+	}
+	return slots + queueBeyond, slots
+}
+
+// slowed returns how many of n requests an endpoint is given that works slower
+// than the others of its service.
+//
+// The load is a group of ranks that run in lock-step, one of which turns slow:
+// every pass waits for it, so the streams of all ranks are late, and nothing
+// that an entry measures tells which one it is. Without requests of its own the
+// slow rank holds up the others least.
+func (b *Belief) slowed(ep directory.Endpoint, n int) int {
+	pace := b.loads[ep.ID].Pace
+	if pace < slowFrom {
+		return n
+	}
+	least := pace
+	for _, other := range b.endpoints {
+		if other.Service == ep.Service {
+			least = min(least, max(1, b.loads[other.ID].Pace))
+		}
+	}
+	if pace/least < slowFrom {
+		return n
+	}
+	return int(float64(n) * (least / pace) * (least / pace))
+}
+
+// running returns how many requests an endpoint has from all entries: what they
+// told of each other, or what a process beside the endpoint reported if that is
+// more, as it may know of entries that are cut off from this one.
+func (b *Belief) running(ep directory.Endpoint, now time.Time) (int, time.Time) {
+	n, heard := b.own[ep.ID], 0
+	for _, w := range b.works {
+		if now.Sub(w.At) < workStale {
+			n += w.Running[ep.ID]
+			heard++
+		}
+	}
+	l, ok := b.loads[ep.ID]
+	if !ok || now.Sub(l.At) >= loadStale || heard+1 >= len(b.entries) && heard > 0 {
+		return n, now
+	}
+	if reported := l.Running + l.Queued; heard == 0 || reported > n {
+		return reported, l.At
+	}
+	return n, now
+}
+
+// refresh brings the picture up to the directory.
+func (b *Belief) refresh(now time.Time) {
+	if !b.dirty && now.Sub(b.fed) < reportEvery {
+		return
+	}
+	b.dirty, b.fed = false, now
+	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
+	for _, ep := range b.dir.Endpoints(now) {
+		usable[ep.ID], addresses[ep.Address] = ep, ep
+		b.tell(ep, now)
+	}
+	for id := range b.endpoints {
+		if _, ok := usable[id]; !ok {
+			b.picture.Remove(id)
+			b.cold.Warm(id)
+			delete(b.loads, id)
+		}
+	}
+	b.endpoints, b.addresses = usable, addresses
+}
+
+// tell gives the picture a report of one endpoint: what a process beside it
+// last reported, or else this entry's own count.
+func (b *Belief) tell(ep directory.Endpoint, now time.Time) {
+	r := placement.Report{
+		Endpoint: ep.ID, Incarnation: ep.Born, DataCentre: ep.DataCentre, Routes: []string{ep.Service},
+	}
+	r.Allowance, r.Capacity = b.bears(ep)
+	r.Running, r.At = b.running(ep, now)
+	b.picture.Update(r, now)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,8 +123,7 @@
 	if e := j.checkKey(now); e != nil {
 		return e
 	}
-	draw := b.Draw(xxhash.Sum64String(j.facts.ID + j.raw.Target))
-	j.service = j.table.Service(j.route.Pick(draw))
+	j.service = j.table.Service(j.route.Pick(drawFor(j.facts.ID + j.raw.Target)))
 	if j.service == nil {
 		return result.New(result.NoEndpoint, "the route has no service").WithRetryAfter(afterMissing)
 	}
@@ -136,6 +135,13 @@
 	return nil
 }
 
+// drawFor returns a number in [0, 1) that follows from the text alone, so that
+// it needs no state.
+func drawFor(text string) float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(text)>>(64-bits)) / float64(uint64(1)<<bits)
+}
+
 func (j *job) timeout() time.Duration {
 	d := j.route.Timeout
 	if j.facts.TimeLeft > 0 && (d <= 0 || j.facts.TimeLeft < d) {
