--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,8 @@
 	Settings *settings.Ranker
 	Log      *process.BoundedLog
 	Registry metrics.Registry
+	// Output receives the log lines; nil means standard output.
+	Output io.Writer
 
 	store  *platform.Store
 	engine *platform.Engine
@@ -96,6 +99,9 @@
 	if r.Registry == nil {
 		r.Registry = metrics.NewRegistry()
 	}
+	if r.Output == nil {
+		r.Output = os.Stdout
+	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("rank."+name, r.Registry) }
 	r.counts = counters{
 		orders: counter("orders"), unanswered: counter("ordersUnanswered"), unfit: counter("ordersUnfit"),
@@ -125,7 +131,7 @@
 func (r *Ranker) Run(ctx context.Context) error {
 	parts := []process.Part{
 		r.mirror.Run, r.peers.Run, r.register, r.follow,
-		func(ctx context.Context) error { return r.Log.Run(ctx, os.Stdout) },
+		func(ctx context.Context) error { return r.Log.Run(ctx, r.Output) },
 	}
 	parts = append(parts, process.MetricsParts(r.Settings.MetricsAddress, r.Registry)...)
 	r.Log.WithField("endpoint", r.Settings.EndpointAddress.String()).Info("ranker serves")
@@ -209,7 +215,7 @@
 	}
 	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Member: fleet.Member{
 		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
-		Address: r.Settings.PeerAddress.String(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
+		Address: r.peers.Address(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
 	}}
 	return registrar.Run(ctx)
 }
--- /dev/null
+++ b/internal/ranker/ranker_test.go
@@ -0,0 +1,178 @@
+package ranker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+func TestMain(m *testing.M) {
+	process.QuietEventLoop()
+	os.Exit(m.Run())
+}
+
+// configuration describes groups of 3 ranks with 2 sets of 9 experts.
+const configuration = `{"version":1,"routes":[{"name":"r","hostname":"h","prefix":"/","kind":"streaming","service":"s","gapTargetMs":10}],
+	"services":[{"name":"s","engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"sets":2,"experts":9,"placements":4,"spare":3,
+	"expertMb":1,"linkMbps":1000,"expertShare":0.85}}],"limits":{}}`
+
+// output gathers a process's log.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) has(text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Contains(o.b.String(), text)
+}
+
+// agents is a group of engines with an agent beside each.
+type agents struct {
+	t     *testing.T
+	store *standin.Store
+	group *standin.Group
+	logs  []*output
+	stops []func()
+}
+
+func startAgents(t *testing.T) *agents {
+	t.Helper()
+	a := &agents{t: t, store: standin.NewStore(), group: standin.StartGroup(3, 2, 9, 4)}
+	t.Cleanup(a.store.Close)
+	t.Cleanup(a.group.Close)
+	a.store.Put("op/config", []byte(configuration))
+	for i := range 3 {
+		a.start(i)
+	}
+	return a
+}
+
+func (a *agents) start(i int) {
+	a.t.Helper()
+	name := fmt.Sprint("agent", i)
+	log := &output{}
+	r := &Ranker{
+		Settings: &settings.Ranker{
+			Process: settings.Process{
+				Name: name, DataCentre: "a", PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+				PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort(a.store.Addr())},
+			},
+			EndpointAddress: netip.MustParseAddrPort(a.group.Addr(i)), Service: "s", FencingChecked: true,
+		},
+		Log: process.NewBoundedLog(name, "a"), Output: log,
+	}
+	if err := r.Listen(); err != nil {
+		a.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	var once sync.Once
+	stop := func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				a.t.Errorf("%s: %v", name, err)
+			}
+		})
+	}
+	a.t.Cleanup(stop)
+	a.logs, a.stops = append(a.logs, log), append(a.stops, stop)
+}
+
+// eventually waits for something that must come to be; the time bounds a test
+// that hangs and measures nothing.
+func (a *agents) eventually(what string, is func() bool) {
+	a.t.Helper()
+	end := time.Now().Add(30 * time.Second)
+	for !is() {
+		if time.Now().After(end) {
+			a.t.Fatalf("not: %s (map %d, step %d)", what, a.group.Version(), a.group.Step())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if n := a.group.Mixed(); n != 0 {
+		a.t.Fatalf("%d passes began with two maps", n)
+	}
+}
+
+func (a *agents) leader() int {
+	for i, l := range a.logs {
+		if l.has("group led from here") {
+			return i
+		}
+	}
+	return -1
+}
+
+// runsOn waits for some further passes: nothing is held for good.
+func (a *agents) runsOn() {
+	a.t.Helper()
+	step := a.group.Step()
+	a.eventually("the group runs on", func() bool { return a.group.Step() > step+5 })
+}
+
+// Every stream waits for the one rank that holds both popular experts. The group
+// gets a map with more replicas of them, though orders are lost.
+func TestPopularExpertsAreSpread(t *testing.T) {
+	t.Parallel()
+	a := startAgents(t)
+	a.eventually("a leader is there", func() bool { return a.leader() >= 0 })
+	a.group.LoseOrders(20)
+	a.eventually("a map is in force", func() bool { return a.group.Version() > 0 })
+	a.eventually("the popular expert has replicas", func() bool { return a.group.Holds(0) != "[1 1]" })
+	a.runsOn()
+}
+
+// The leader stops. Another one leads at once and nothing stays held.
+func TestAnotherLeadsWhenTheLeaderStops(t *testing.T) {
+	t.Parallel()
+	a := startAgents(t)
+	a.eventually("a map is in force", func() bool { return a.group.Version() > 0 })
+	old := a.leader()
+	a.stops[old]()
+	a.eventually("another leads", func() bool {
+		for i, l := range a.logs {
+			if i != old && l.has("group led from here") {
+				return true
+			}
+		}
+		return false
+	})
+	a.runsOn()
+}
+
+// The store is away for longer than the leader's lease. The group must not stay
+// held, and its leader goes on until another one has shown its token.
+func TestLeadOutlastsAnOutageOfTheStore(t *testing.T) {
+	t.Parallel()
+	a := startAgents(t)
+	a.eventually("a map is in force", func() bool { return a.group.Version() > 0 })
+	a.store.SetFault(standin.Busy)
+	time.Sleep(2 * leaseTime)
+	a.runsOn()
+	if a.logs[a.leader()].has("group no longer led from here") {
+		t.Fatal("the lead ended with the outage")
+	}
+	a.store.SetFault(standin.Well)
+	a.runsOn()
+}
