--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -106,7 +106,7 @@
 	case platform.OwnFact:
 		if kind, name, ok := fleet.Removed(key); ok && kind == fleet.Entry {
 			f.belief.SetEntry(name, false, now)
-			f.others.drop(name)
+			f.conns.Drop(f.others.drop(name))
 		}
 	}
 }
--- a/internal/frontend/leave.go
+++ b/internal/frontend/leave.go
@@ -63,10 +63,13 @@
 	a.byName[name] = addr
 }
 
-func (a *addresses) drop(name string) {
+// drop forgets an entry and returns where it was met.
+func (a *addresses) drop(name string) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	addr := a.byName[name]
 	delete(a.byName, name)
+	return addr
 }
 
 // all returns a copy.
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -8,6 +8,8 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
@@ -117,7 +119,12 @@
 	if err == nil {
 		_, err = fleetpb.NewEntryClient(conn).Work(ctx, q)
 	}
-	if err != nil && ctx.Err() == nil {
-		f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Debug("work not told")
+	if err == nil {
+		return
+	}
+	f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Debug("work not told")
+	if status.Code(err) == codes.DeadlineExceeded {
+		// A connection may have gone silent for good while a new one works.
+		f.conns.Drop(addr)
 	}
 }
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -292,6 +292,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.silent[m.Name] = boottime.Now().Add(passOver)
+	// The connection may have gone silent for good while a new one works.
+	t.ranker.conns.Drop(m.Address)
 	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("agent does not answer, its engine is asked directly")
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -24,7 +24,7 @@
 }
 
 var (
-	errUnsealed = errors.New("relay: a success without the endpoint's receipt")
+	errUnsigned = errors.New("relay: a success without the endpoint's signature")
 	errEncoded  = errors.New("relay: the body is encoded, which nobody asked for")
 	errUnnamed  = errors.New("relay: a success that doesn't name its request")
 	errTooLong  = errors.New("relay: the answer is too long")
@@ -137,8 +137,8 @@
 		return errEncoded
 	case a.Status/100 != 2:
 		return nil
-	case !t.Sealed:
-		return errUnsealed
+	case !t.Signed:
+		return errUnsigned
 	case t.ID != j.facts.ID:
 		return errUnnamed
 	}
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -232,6 +232,7 @@
 	}
 	if _, ok := b.entries[name]; ok {
 		b.entries[name] = now
+		delete(b.works, name)
 	}
 }
 
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -50,8 +50,8 @@
 type Told struct {
 	// ID is the attempt that is answered, or "" if the endpoint doesn't say.
 	ID string
-	// Sealed says that the answer bears the endpoint's receipt.
-	Sealed bool
+	// Signed says that the answer bears the endpoint's signature.
+	Signed bool
 	// NotRun says that the endpoint did not run the request, and Wrong that it
 	// is not the endpoint that was asked for.
 	NotRun, Wrong bool
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -118,6 +118,8 @@
 			b.picture.Remove(id)
 			b.cold.Warm(id)
 			delete(b.loads, id)
+			delete(b.failures, id)
+			delete(b.turns.starts, id)
 		}
 	}
 	b.endpoints, b.addresses = usable, addresses
