Versions of expert maps begin with the leader's token

A rank that was still copying a map of the leader before did not report its version, its successor counted on from what was reported and gave the number to another map; the rank refused it and later reported the number as prepared. Ruled out: late orders (the fence and the flush hold in the model). Change: a version begins with the token of its leader, which no other leader has.

--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -29,6 +29,8 @@
 	// Holder is the rank that is given holds: the leader's own, which is
 	// reached without the network.
 	Holder int
+	// Token is the leader's fencing token, which grows with each leader.
+	Token uint64
 
 	goal *Goal
 	// undo says that the held step is given up.
@@ -57,14 +59,28 @@
 	deposed bool
 }
 
+// versionBits is how many bits of a version count the maps of one leader.
+const versionBits = 20
+
+// nextVersion returns a version that no leader has used.
+//
+// Guard: a rank that is still copying a map of an earlier leader does not report
+// its version yet. Counted on from the versions that are reported, the next one
+// would be the same number for another map: the rank refuses it, reports the
+// number as prepared when its copy is complete, and is armed with a map that the
+// others don't have. So versions begin with the leader's token.
+func (l *Leader) nextVersion() uint64 {
+	l.newest = max(l.newest, l.Token<<versionBits) + 1
+	return l.newest
+}
+
 // Propose sets the next map, if none is under way, and returns its version.
 func (l *Leader) Propose(sets [][][]int) (uint64, bool) {
 	if l.goal != nil {
 		return 0, false
 	}
-	l.newest++
-	l.goal = &Goal{Version: l.newest, Sets: sets}
-	return l.newest, true
+	l.goal = &Goal{Version: l.nextVersion(), Sets: sets}
+	return l.goal.Version, true
 }
 
 // Busy reports whether a change is under way.
@@ -356,8 +372,7 @@
 		return nil // the map has to be learnt first, see Current
 	}
 	if l.flush == 0 {
-		l.newest++
-		l.flush, l.goal = l.newest, nil
+		l.flush, l.goal = l.nextVersion(), nil
 	}
 	for i, r := range ranks {
 		if !r.HasPrepared || r.Prepared != l.flush {
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -11,6 +11,11 @@
 	state State
 	had   uint64
 	token uint64
+	// content names the map in force and ready the one that is prepared, which
+	// is reported only at the tick readyAt: copying takes time.
+	content, ready int
+	copying        uint64
+	readyAt        int
 }
 
 // lateOrder is an order that is carried out some ticks after it was given.
@@ -36,6 +41,8 @@
 	proposeOneIn int
 	// deaf is a rank whose orders all come late until deafUntil.
 	deaf, deafUntil int
+	// contents counts the maps that were proposed.
+	contents int
 }
 
 func newWorld(t *testing.T, seed uint64, n int) *world {
@@ -71,8 +78,9 @@
 		if o.Version <= r.had || r.state.Armed != nil {
 			return Unfit
 		}
-		r.had = o.Version
-		r.state.Prepared, r.state.HasPrepared = o.Version, true
+		r.had, r.copying, r.ready = o.Version, o.Version, o.Sets[0][0][0]
+		r.readyAt = w.tick + w.rng.IntN(12)
+		r.state.HasPrepared = false
 	case Arm:
 		if !r.state.HasPrepared || r.state.Prepared != o.Version || o.Step <= r.state.Step {
 			return Unfit
@@ -136,6 +144,11 @@
 		w.execute(o.token, o.d)
 	}
 	w.late = rest
+	for i := range w.ranks {
+		if r := &w.ranks[i]; r.copying != 0 && w.tick >= r.readyAt {
+			r.state.Prepared, r.state.HasPrepared, r.copying = r.copying, true, 0
+		}
+	}
 	if active {
 		w.pass()
 	}
@@ -155,13 +168,15 @@
 		s.Step = next
 		if s.Armed != nil && s.Armed.Step == next {
 			s.Map, s.Armed = s.Armed.Version, nil
+			w.ranks[i].content = w.ranks[i].ready
 			s.Prepared, s.HasPrepared = 0, false
 		}
 	}
 	w.passes++
 	for i := range w.ranks {
-		if w.ranks[i].state.Map != w.ranks[0].state.Map {
-			w.t.Fatalf("seed %d: step %d begins with map %d on rank 0 and %d on rank %d", w.seed, next, w.ranks[0].state.Map, w.ranks[i].state.Map, i)
+		if w.ranks[i].state.Map != w.ranks[0].state.Map || w.ranks[i].content != w.ranks[0].content {
+			w.t.Fatalf("seed %d: step %d begins with map %d (%d) on rank 0 and %d (%d) on rank %d", w.seed, next,
+				w.ranks[0].state.Map, w.ranks[0].content, w.ranks[i].state.Map, w.ranks[i].content, i)
 		}
 	}
 }
@@ -174,17 +189,25 @@
 }
 
 func newDriver(w *world, token uint64) *driver {
-	return &driver{w: w, l: &Leader{Holder: int(token) % len(w.ranks)}, token: token}
+	return &driver{w: w, l: &Leader{Holder: int(token) % len(w.ranks), Token: token}, token: token}
+}
+
+// content is a map that is told from others by a number.
+func content(n int) [][][]int { return [][][]int{{{n}}} }
+
+func (w *world) newContent() int {
+	w.contents++
+	return w.contents
 }
 
 // round is one look and the orders that follow; a frozen leader goes on with a
 // look from before it froze.
 func (d *driver) round(looked []State) {
 	if d.l.InForce() == nil || d.l.InForce().Version != looked[0].Map {
-		d.l.Current(looked[0].Map, [][][]int{})
+		d.l.Current(looked[0].Map, content(d.w.ranks[0].content))
 	}
 	if !d.l.Busy() && d.w.rng.IntN(d.w.proposeOneIn) == 0 {
-		d.l.Propose([][][]int{})
+		d.l.Propose(content(d.w.newContent()))
 	}
 	for _, o := range d.l.Decide(looked, true, true, d.w.now) {
 		d.l.Answered(o, d.w.give(d.token, o))
@@ -263,10 +286,10 @@
 		w.advance(true)
 		looked := w.look()
 		if d.l.InForce() == nil || d.l.InForce().Version != looked[0].Map {
-			d.l.Current(looked[0].Map, [][][]int{})
+			d.l.Current(looked[0].Map, content(d.w.ranks[0].content))
 		}
 		if !d.l.Busy() {
-			d.l.Propose([][][]int{})
+			d.l.Propose(content(d.w.newContent()))
 		}
 		for _, o := range d.l.Decide(looked, true, true, w.now) {
 			if _, arm := o.Order.(Arm); arm && o.Rank == 2 && w.tick < 100 {
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -73,7 +73,7 @@
 func newTerm(r *Ranker, lease *rank.KVLease, s lockstep.State, token uint64, until time.Time) *term {
 	return &term{
 		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
-		leader: lockstep.Leader{Holder: s.Rank}, renew: make(chan renewal, 1), direct: map[string]*platform.Engine{},
+		leader: lockstep.Leader{Holder: s.Rank, Token: token}, renew: make(chan renewal, 1), direct: map[string]*platform.Engine{},
 		silent: map[string]time.Time{},
 	}
 }
