--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -314,8 +314,15 @@
 	}
 	sum := sha256.Sum256([]byte(testKey))
 	file := f.settings("ordinary", fmt.Sprintf(fleetPreset, hex.EncodeToString(sum[:])))
+	said := ""
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.t.Logf("the last answer to the first preset: %s", said)
+		}
+	})
 	f.eventually("the first preset is put", func() bool {
-		_, code := f.run(f.way, "preset", "put", file)
+		out, code := f.run(f.way, "preset", "put", file)
+		said = out
 		return code == 0
 	})
 	for _, e := range f.entries {
