Read once more: one look at an engine, one reading of each item, one constant

A stream that breaks off and an answer that does ended by two copies of one function; agents' own and direct looks were written twice; a whole read of the store decoded every item twice, the configuration among them; the pace from which an engine counts as slow stood in two packages; tried endpoints were copied twice. Behaviour stays as it is, but for the log field of a whole read (facts in place of keys).

--- a/internal/endpoint/batch/batch.go
+++ b/internal/endpoint/batch/batch.go
@@ -14,6 +14,10 @@
 	// until the next map is in force half a second later; a planned map has
 	// 1.2 to 1.4.
 	JumpSkew = 1.7
+	// SlowFrom is the pace from which an engine counts as slow. Engines report
+	// their pace rounded, and maps and allowances would change for nothing if
+	// they followed each tenth.
+	SlowFrom = 1.2
 	// wayMargin is kept of the pause between events for their way to the
 	// caller and for the reading of other prompts.
 	wayMargin = 10 * time.Millisecond
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -37,24 +37,28 @@
 	if f.away.Swap(false) {
 		f.Log.WithFields(logrus.Fields{"dependency": "store", "revision": u.Revision}).Warn("dependency regained")
 	}
+	facts := make([]platform.Fact, 0, len(u.KVs))
 	for _, item := range u.KVs {
-		f.put(item, now)
+		if fact := f.put(item, now); fact != nil {
+			facts = append(facts, fact)
+		}
 	}
 	for _, key := range u.Deleted {
 		f.remove(key, now)
 	}
 	if u.Whole {
-		f.whole(u.KVs, now)
+		f.whole(facts, now)
 	}
 	// Only now, when all that the answer told is in force, is it as fresh.
 	f.fresh.Learn(u.Asked)
 }
 
-func (f *Frontend) put(item kv.KeyValue, now time.Time) {
+// put takes in one item and returns what it says, or nil if it can't be read.
+func (f *Frontend) put(item kv.KeyValue, now time.Time) platform.Fact {
 	fact, err := platform.Translate(item)
 	if err != nil {
 		f.Log.WithFields(logrus.Fields{"key": item.Key(), "revision": item.Revision(), "cause": err.Error()}).Warn("entry not readable, ignored")
-		return
+		return nil
 	}
 	switch fact := fact.(type) {
 	case platform.TableFact:
@@ -77,6 +81,7 @@
 	case platform.OwnFact:
 		f.putMember(item, now)
 	}
+	return fact
 }
 
 func (f *Frontend) setOut(fact platform.OutFact, now time.Time) {
@@ -111,15 +116,11 @@
 	}
 }
 
-// whole takes in that nothing but kvs is in the store.
-func (f *Frontend) whole(kvs []kv.KeyValue, now time.Time) {
+// whole takes in that the store says nothing but facts.
+func (f *Frontend) whole(facts []platform.Fact, now time.Time) {
 	ids := map[string]bool{}
 	out := map[string]bool{}
-	for _, item := range kvs {
-		fact, err := platform.Translate(item)
-		if err != nil {
-			continue // put has logged it
-		}
+	for _, fact := range facts {
 		switch fact := fact.(type) {
 		case platform.EndpointFact:
 			ids[fact.Entry.ID] = true
@@ -136,5 +137,5 @@
 		}
 	})
 	f.belief.Listed()
-	f.Log.WithFields(logrus.Fields{"endpoints": len(ids), "keys": len(kvs)}).Info("store read whole")
+	f.Log.WithFields(logrus.Fields{"endpoints": len(ids), "facts": len(facts)}).Info("store read whole")
 }
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -60,28 +60,28 @@
 
 // Look implements fleetpb.AgentServer.
 func (s *service) Look(ctx context.Context, q *fleetpb.LookRequest) (*fleetpb.LookReply, error) {
-	l, err := s.ranker.lookOwn(ctx, q.GetCounts(), q.GetLists())
+	l, err := lookEngine(ctx, s.ranker.engine, wanted{counts: q.GetCounts(), lists: q.GetLists()})
 	if err != nil {
 		return nil, err
 	}
 	return replyFrom(l), nil
 }
 
-// lookOwn looks at the agent's own engine.
-func (r *Ranker) lookOwn(ctx context.Context, counts, lists bool) (look, error) {
-	l := look{address: r.engine.Addr}
+// lookEngine looks at one engine.
+func lookEngine(ctx context.Context, e *platform.Engine, want wanted) (look, error) {
+	l := look{address: e.Addr}
 	var err error
-	if counts {
-		if l.counts, err = r.engine.Counts(ctx); err != nil {
+	if want.counts {
+		if l.counts, err = e.Counts(ctx); err != nil {
 			return l, err
 		}
 	}
-	if lists {
-		if l.lists, err = r.engine.Lists(ctx); err != nil {
+	if want.lists {
+		if l.lists, err = e.Lists(ctx); err != nil {
 			return l, err
 		}
 	}
-	l.state, err = r.engine.State(ctx)
+	l.state, err = e.State(ctx)
 	return l, err
 }
 
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 
 	"github.com/sirupsen/logrus"
@@ -246,7 +247,7 @@
 func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
 	r := t.ranker
 	if m.Name == r.Settings.Name {
-		l, err := r.lookOwn(ctx, want.counts, want.lists)
+		l, err := lookEngine(ctx, r.engine, want)
 		return found{look: l, agent: m}, err
 	}
 	if !t.passedOver(m.Name) {
@@ -256,14 +257,7 @@
 		}
 		t.passOver(m, err)
 	}
-	l := look{address: m.Endpoint}
-	var err error
-	if want.lists {
-		if l.lists, err = t.engineAt(m.Endpoint).Lists(ctx); err != nil {
-			return found{}, err
-		}
-	}
-	l.state, err = t.engineAt(m.Endpoint).State(ctx)
+	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: want.lists})
 	return found{look: l}, err
 }
 
@@ -398,16 +392,12 @@
 	}
 }
 
-// slowFrom is the pace from which a rank counts as slow. Engines report their
-// pace rounded, and a map changes for nothing if it follows each tenth.
-const slowFrom = 1.2
-
 // paces returns how many times slower than usual each rank is.
 func paces(byRank []found) []float64 {
 	out := make([]float64, len(byRank))
 	for i, f := range byRank {
 		out[i] = 1
-		if f.state.Pace >= slowFrom {
+		if f.state.Pace >= batch.SlowFrom {
 			out[i] = f.state.Pace
 		}
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -186,13 +186,13 @@
 			return j.endStream(a)
 		}
 		if err != nil {
-			return j.broke(ctx, err)
+			return j.lostCtx(ctx, err)
 		}
 		if ev.HasID && ev.ID <= j.last {
 			continue
 		}
 		if ev.HasID && ev.ID != j.last+1 {
-			return j.broke(ctx, errOrder)
+			return j.lostCtx(ctx, errOrder)
 		}
 		if err := j.pass(p, a, ev); err != nil {
 			return Gone{Cause: err}
@@ -200,17 +200,6 @@
 	}
 }
 
-// broke is the outcome of a stream that broke off.
-func (j *job) broke(ctx context.Context, err error) Outcome {
-	if ctx.Err() != nil {
-		err = errors.Join(ctx.Err(), err)
-	}
-	if j.started {
-		return j.cut(err)
-	}
-	return j.lost(err)
-}
-
 func (j *job) pass(p Place, a *direct.Answer, ev direct.Event) error {
 	now := j.relay.Now()
 	j.relay.Belief.Heard(p, now)
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -32,8 +32,6 @@
 	// failuresInARow is from which reported failure on an endpoint is left
 	// alone for a while.
 	failuresInARow = 2
-	// slowFrom is the pace from which an engine counts as slow.
-	slowFrom = 1.2
 	// leastEntries is how many entries are assumed before the store has told
 	// of them: three more than either fleet of today, so that shares are too
 	// small rather than too large.
@@ -274,10 +272,6 @@
 func (b *Belief) Waiting() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.waiting()
-}
-
-func (b *Belief) waiting() []string {
 	var out []string
 	if b.queue.Waiting() == 0 {
 		return out
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -66,7 +66,7 @@
 // slow rank holds up the others least.
 func (b *Belief) slowed(ep directory.Endpoint, n int) int {
 	pace := b.loads[ep.ID].Pace
-	if pace < slowFrom {
+	if pace < batch.SlowFrom {
 		return n
 	}
 	least := pace
@@ -75,7 +75,7 @@
 			least = min(least, max(1, b.loads[other.ID].Pace))
 		}
 	}
-	if pace/least < slowFrom {
+	if pace/least < batch.SlowFrom {
 		return n
 	}
 	return int(float64(n) * (least / pace) * (least / pace))
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -15,7 +15,7 @@
 // Place is an endpoint that a request has been given.
 type Place struct {
 	Endpoint directory.Endpoint
-	// Load is the age of the load report behind the choice, or negative when
+	// LoadAge is the age of the load report behind the choice, or negative when
 	// there was none.
 	LoadAge time.Duration
 	attempt *placement.Attempt
@@ -144,7 +144,8 @@
 
 // failed takes a request off an endpoint that reported a failure in a whole
 // answer, or did not answer in the time that the request had. Requests fail for
-// their own reasons, up to one in seven of some kinds, and an endpoint that is left alone for each of them is missed: the last one of
+// their own reasons, up to one in seven of some kinds, and an endpoint that is
+// left alone for each of them is missed: the last one of
 // a service was, and callers were refused while it rested. So only the second
 // failure in a row counts as the endpoint's.
 func (b *Belief) failed(p Place, now time.Time) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,8 +68,7 @@
 	route   *routing.Route
 	service *routing.Service
 	account *routing.Account
-	// end is when the caller's time or the route's is over, and timeout
-	// whether it is the route's.
+	// end is when the caller's time or the route's is over.
 	end   time.Time
 	tries Tries
 	// tried are the endpoints that were asked.
@@ -231,7 +230,7 @@
 func (j *job) place(ctx context.Context, now time.Time) (Place, *result.Error) {
 	q := placement.Query{
 		Tokens:  j.facts.PromptTokens + j.facts.OutputTokens,
-		Tried:   append([]string(nil), j.tried...),
+		Tried:   j.tried,
 		RunOnce: !j.route.MayRepeat(),
 	}
 	p, e := j.ask(ctx, q, now)
