A successor lets go of the step that a frozen leader left held

Callers leave, and their requests stay at work.

Ruled out: arming without a hold (a leader that stops between two arms leaves two maps), an intent in the store (a call for each change, nothing during outages), leaders beside no rank (an agent's VM that freezes in mid-order leaves the same).

Change: holds and gos go to another rank's engine, straight from the leader; the ranks are armed in three parts, the holder second to last, the leader's own last; a step is taken back from the own rank first. So while another rank is not armed, the leader's own is not either, and lockstep.Leader.Rescue may disarm the seen ranks and let go, after they have seen the new token. The lease names the rank of its holder. Looks don't wait for the VM that went silent.

Leaders look anew after orders, so Rescue is given a new look there; Decide still bears the old one.

--- /dev/null
+++ b/cmd/hyssoprelay/ranker_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+const rankerSettings = `[process]
+name = %s
+dataCentre = a
+peerAddress = 127.0.0.1:0
+platformAddresses = %s
+logFormat = json
+
+[endpoint]
+address = %s
+service = s
+fencing = checked
+
+[tls]
+insecure = true
+`
+
+// rankedConfiguration describes groups of 3 ranks with 2 sets of 9 experts.
+const rankedConfiguration = `{"version":1,"routes":[{"name":"r","hostname":"h","prefix":"/","kind":"streaming","service":"s","gapTargetMs":10}],
+	"services":[{"name":"s","engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"sets":2,"experts":9,"placements":4,"spare":3,
+	"expertMb":1,"linkMbps":1000,"expertShare":0.85}}],"limits":{}}`
+
+// lines gathers what a process logs.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) follow(r *bufio.Reader) {
+	for {
+		line, err := r.ReadString('\n')
+		l.mu.Lock()
+		l.b.WriteString(line)
+		l.mu.Unlock()
+		if err != nil {
+			return // the process has ended
+		}
+	}
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (l *lines) has(text string) bool { return strings.Contains(l.text(), text) }
+
+// rankers is a group of engines with a ranker process beside each.
+type rankers struct {
+	*fleet
+	group *standin.Group
+	procs []*proc
+	logs  []*lines
+}
+
+func newRankers(t *testing.T) *rankers {
+	t.Helper()
+	const n = 3
+	store, group := standin.NewStore(), standin.StartGroup(n, 2, 9, 4)
+	t.Cleanup(store.Close)
+	t.Cleanup(group.Close)
+	store.Put("op/config", []byte(rankedConfiguration))
+	r := &rankers{fleet: &fleet{t: t, dir: t.TempDir()}, group: group}
+	for i := range n {
+		name := fmt.Sprint("ranker", i)
+		file := r.settings(name, fmt.Sprintf(rankerSettings, name, store.Addr(), group.Addr(i)))
+		p, log := r.proc(name, roleProduct, "ranker", "--settings", file), &lines{}
+		out := p.start()
+		go log.follow(out)
+		r.procs, r.logs = append(r.procs, p), append(r.logs, log)
+		t.Cleanup(func() {
+			if t.Failed() {
+				t.Logf("%s: %s", name, log.text())
+			}
+		})
+	}
+	return r
+}
+
+// leader returns the process that leads the group, or -1.
+func (r *rankers) leader() int {
+	for i, l := range r.logs {
+		if l.has("group led from here") {
+			return i
+		}
+	}
+	return -1
+}
+
+func (r *rankers) runsOn() {
+	r.t.Helper()
+	step := r.group.Step()
+	r.eventually("the group runs on", func() bool { return r.group.Step() > step+5 })
+	if n := r.group.Mixed(); n != 0 {
+		r.t.Fatalf("%d passes began with two maps", n)
+	}
+}
+
+// The VM of a group's leader freezes just after a step was held, and nobody
+// reaches the engine beside it, which goes on with its group. All callers of the
+// group waited until the VM was back; now its successor lets the step go, and
+// the frozen leader does no harm when it goes on.
+func TestLeaderFreezesWhileAStepIsHeld(t *testing.T) {
+	r := newRankers(t)
+	frozen := make(chan int, 1)
+	r.group.OnHold(func() {
+		i := r.leader()
+		r.procs[i].signal(syscall.SIGSTOP)
+		frozen <- i
+	})
+	var old int
+	select {
+	case old = <-frozen:
+	case <-time.After(patience):
+		t.Fatal("no step was held")
+	}
+	lighten := r.group.Darken(old)
+	t.Cleanup(lighten)
+	r.runsOn()
+	lighten()
+	r.procs[old].signal(syscall.SIGCONT)
+	r.eventually("a map is in force", func() bool { return r.group.Version() > 0 })
+	r.runsOn()
+}
--- a/internal/rank/kvlease.go
+++ b/internal/rank/kvlease.go
@@ -42,6 +42,8 @@
 const (
 	groupPrefix = "rank/"
 	leaseSuffix = "/lease"
+	// attemptMark stands between a holder and the number of its attempt.
+	attemptMark = "/"
 )
 
 func (l *KVLease) leaseKey() string  { return l.Prefix + groupPrefix + l.Group + leaseSuffix }
@@ -106,11 +108,19 @@
 	return uint64(kv.Revision()), nil
 }
 
+// attempt returns the value of the lease's key: the holder, and the number of
+// its attempt to take the lease.
 func (l *KVLease) attempt() []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.attempts++
-	return fmt.Appendf(nil, "%s/%d", l.Holder, l.attempts)
+	return fmt.Appendf(nil, "%s%s%d", l.Holder, attemptMark, l.attempts)
+}
+
+// LeaseHolder returns the holder that the value of a lease's key names.
+func LeaseHolder(value []byte) string {
+	s := string(value)
+	return s[:max(0, strings.LastIndex(s, attemptMark))]
 }
 
 // Renew implements Lease.
--- a/internal/rank/lockstep/doc.go
+++ b/internal/rank/lockstep/doc.go
@@ -25,6 +25,9 @@
 //   - A late hold stops the group at a step that nobody wants; it is given up
 //     like any other.
 //
+// A leader that is frozen or cut off leaves a step held and the rank beside it
+// unseen; Rescue tells what its successor may do then.
+//
 // Beside that, Decide goes by what is seen now and not by what was sent: a
 // successor goes on from what the ranks report.
 package lockstep
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -26,9 +26,11 @@
 // Leader decides the orders to one group. Set the exported fields before the
 // first call. It is not safe for concurrent use.
 type Leader struct {
-	// Holder is the rank that is given holds: the leader's own, which is
-	// reached without the network.
-	Holder int
+	// Own is the rank beside the leader, and Holder the one that is given holds.
+	// They differ in a group of more than one rank, see Rescue.
+	Own, Holder int
+	// Before is the leader before this one, or nil when it isn't known.
+	Before *Predecessor
 	// Token is the leader's fencing token, which grows with each leader.
 	Token uint64
 
@@ -52,10 +54,8 @@
 	// went is the step for which go was ordered with all ranks armed.
 	went    uint64
 	inForce *Goal
-	// fenced holds which ranks have seen the leader's token, and steady that
-	// the ranks were looked at after all had.
+	// fenced holds which ranks have seen the leader's token.
 	fenced  []bool
-	steady  bool
 	deposed bool
 }
 
@@ -122,7 +122,7 @@
 		return nil
 	}
 	l.observe(ranks, now)
-	if out := l.fence(ranks); len(out) > 0 || !l.steady {
+	if out := l.fence(ranks, nil); len(out) > 0 {
 		return out
 	}
 	held, isHeld := l.held(ranks)
@@ -149,16 +149,16 @@
 	}
 }
 
-// fence shows the leader's token to the ranks that have not seen it. The look
-// that the next decision rests on has to come after the last of them.
-func (l *Leader) fence(ranks []State) []Directive {
+// fence shows the leader's token to the ranks that have not seen it, all or
+// those of which seen is true. A decision rests on a look that comes after the
+// last of them, so nothing else is ordered along with it.
+func (l *Leader) fence(ranks []State, seen []bool) []Directive {
 	var out []Directive
 	for i := range ranks {
-		if !l.fenced[i] {
+		if !l.fenced[i] && (seen == nil || seen[i]) {
 			out = append(out, directive(ranks, i, Fence{}))
 		}
 	}
-	l.steady = len(out) == 0
 	return out
 }
 
@@ -174,15 +174,7 @@
 
 // observe follows epoch, versions and the length of steps.
 func (l *Leader) observe(ranks []State, now time.Time) {
-	if ranks[0].Epoch != l.epoch {
-		l.epoch = ranks[0].Epoch
-		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own, l.went = nil, false, time.Time{}, 0, nil, 0, 0
-		l.fenced, l.steady = nil, false
-		l.lastSeen = time.Time{}
-	}
-	if l.fenced == nil {
-		l.fenced = make([]bool, len(ranks))
-	}
+	l.enter(ranks[0].Epoch, len(ranks))
 	for _, r := range ranks {
 		l.newest = max(l.newest, r.Map, r.Prepared)
 		if r.Armed != nil {
@@ -195,6 +187,19 @@
 	l.followSteps(ranks[0].Step, now)
 }
 
+// enter begins an epoch of n ranks, unless it is the present one.
+func (l *Leader) enter(epoch uint64, n int) {
+	if epoch != l.epoch {
+		l.epoch = epoch
+		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own, l.went = nil, false, time.Time{}, 0, nil, 0, 0
+		l.fenced = nil
+		l.lastSeen = time.Time{}
+	}
+	if l.fenced == nil {
+		l.fenced = make([]bool, n)
+	}
+}
+
 // followSteps measures how long a step lasts, over steps that were not held.
 func (l *Leader) followSteps(step uint64, now time.Time) {
 	if !l.lastSeen.IsZero() && step > l.lastStep && l.heldSince.IsZero() {
@@ -339,17 +344,29 @@
 	return l.goal.Version, true
 }
 
-// arm arms the ranks that are not.
+// arm arms the ranks that are not: first those that are neither the leader's own
+// nor the holder, then the holder, and the leader's own last. Rescue rests on the
+// last part. The one before it serves a leader that is lost in the moment of its
+// hold, with its first arms on the way: the holder's isn't among them, so its
+// successor finds a rank that is not armed. It costs some milliseconds a change.
 func (l *Leader) arm(ranks []State, h holding) []Directive {
 	armed, _ := armedOf(ranks)
 	version, _ := l.target(ranks, armed)
+	arm := func(i int) Directive { return directive(ranks, i, Arm{Version: version, Step: h.step}) }
 	var out []Directive
 	for i, r := range ranks {
-		if r.Armed == nil {
-			out = append(out, directive(ranks, i, Arm{Version: version, Step: h.step}))
+		if r.Armed == nil && i != l.Own && i != l.Holder {
+			out = append(out, arm(i))
 		}
 	}
-	return out
+	switch {
+	case len(out) > 0:
+		return out
+	case ranks[l.Holder].Armed == nil && l.Holder != l.Own:
+		return []Directive{arm(l.Holder)}
+	default:
+		return []Directive{arm(l.Own)}
+	}
 }
 
 // release lets the held step begin, on which all ranks are armed.
@@ -357,35 +374,39 @@
 	return []Directive{directive(ranks, h.rank, Go{Step: h.step})}
 }
 
-// takeBack gives the held step up: disarm, flush, let go.
+// takeBack gives the held step up: disarm, flush, let go. The leader's own rank
+// is disarmed and flushed before the others, see Rescue.
 func (l *Leader) takeBack(ranks []State, h holding) []Directive {
-	var out []Directive
-	for i, r := range ranks {
-		if r.Armed != nil {
-			out = append(out, directive(ranks, i, Disarm{Version: r.Armed.Version}))
-		}
-	}
-	if len(out) > 0 {
-		return out
-	}
 	if l.inForce == nil || l.inForce.Version != ranks[h.rank].Map {
 		return nil // the map has to be learnt first, see Current
 	}
 	if l.flush == 0 {
 		l.flush, l.goal = l.nextVersion(), nil
 	}
-	for i, r := range ranks {
-		if !r.HasPrepared || r.Prepared != l.flush {
-			out = append(out, l.flushRank(ranks, i)...)
-		}
+	if out := l.takeBackRank(ranks, l.Own); len(out) > 0 {
+		return out
+	}
+	var out []Directive
+	for i := range ranks {
+		out = append(out, l.takeBackRank(ranks, i)...)
 	}
-	if len(out) > 0 {
+	if len(out) > 0 || !flushed(ranks, l.flush) {
 		return out
 	}
-	if !flushed(ranks, l.flush) {
+	return release(ranks, h)
+}
+
+// takeBackRank disarms a rank, or flushes it when it isn't armed.
+func (l *Leader) takeBackRank(ranks []State, i int) []Directive {
+	r := &ranks[i]
+	switch {
+	case r.Armed != nil:
+		return []Directive{directive(ranks, i, Disarm{Version: r.Armed.Version})}
+	case r.Busy, r.HasPrepared && r.Prepared == l.flush:
 		return nil
+	default:
+		return []Directive{directive(ranks, i, Prepare{Version: l.flush, Sets: l.inForce.Sets})}
 	}
-	return release(ranks, h)
 }
 
 func flushed(ranks []State, version uint64) bool {
@@ -396,10 +417,3 @@
 	}
 	return true
 }
-
-func (l *Leader) flushRank(ranks []State, i int) []Directive {
-	if ranks[i].Busy {
-		return nil
-	}
-	return []Directive{directive(ranks, i, Prepare{Version: l.flush, Sets: l.inForce.Sets})}
-}
--- a/internal/rank/lockstep/state.go
+++ b/internal/rank/lockstep/state.go
@@ -105,6 +105,8 @@
 	switch o := o.(type) {
 	case Arm:
 		s.Armed = &Arming{Step: o.Step, Version: o.Version}
+	case Disarm:
+		s.Armed = nil
 	case Hold:
 		step := o.Step
 		s.Held = &step
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -41,6 +41,9 @@
 	proposeOneIn int
 	// deaf is a rank whose orders all come late until deafUntil.
 	deaf, deafUntil int
+	// dark is a rank that nobody sees until darkUntil: the VM of the leader
+	// beside it is frozen.
+	dark, darkUntil int
 	// contents counts the maps that were proposed.
 	contents int
 }
@@ -53,14 +56,27 @@
 	return w
 }
 
-func (w *world) look() []State {
-	out := make([]State, len(w.ranks))
+func (w *world) look() looked {
+	out := looked{ranks: make([]State, len(w.ranks)), seen: make([]bool, len(w.ranks)), whole: true}
 	for i := range w.ranks {
-		out[i] = w.ranks[i].state
+		if w.isDark(i) {
+			out.whole = false
+			continue
+		}
+		out.ranks[i], out.seen[i] = w.ranks[i].state, true
 	}
 	return out
 }
 
+func (w *world) isDark(rank int) bool { return w.tick < w.darkUntil && rank == w.dark }
+
+// looked is what a leader saw of the ranks.
+type looked struct {
+	ranks []State
+	seen  []bool
+	whole bool
+}
+
 // execute carries an order out by the engines' rules.
 func (w *world) execute(token uint64, d Directive) Outcome {
 	r := &w.ranks[d.Rank]
@@ -111,6 +127,10 @@
 
 // give hands an order over, or loses it, its answer, or its time.
 func (w *world) give(token uint64, d Directive) Outcome {
+	if w.isDark(d.Rank) {
+		w.late = append(w.late, lateOrder{at: w.darkUntil + w.rng.IntN(100), token: token, d: d})
+		return Unknown
+	}
 	deaf := w.tick < w.deafUntil && d.Rank == w.deaf
 	if !deaf && w.rng.Float64() >= w.faults {
 		return w.execute(token, d)
@@ -189,7 +209,19 @@
 }
 
 func newDriver(w *world, token uint64) *driver {
-	return &driver{w: w, l: &Leader{Holder: int(token) % len(w.ranks), Token: token}, token: token}
+	own := int(token) % len(w.ranks)
+	return &driver{w: w, l: &Leader{Own: own, Holder: (own + 1) % len(w.ranks), Token: token}, token: token}
+}
+
+// successor returns the leader that follows d, beside a rank that is seen.
+func (d *driver) successor() *driver {
+	next := newDriver(d.w, d.token+1)
+	for d.w.isDark(next.l.Own) {
+		next.l.Own = (next.l.Own + 1) % len(d.w.ranks)
+		next.l.Holder = (next.l.Own + 1) % len(d.w.ranks)
+	}
+	next.l.Before = &Predecessor{Token: d.token, Rank: d.l.Own}
+	return next
 }
 
 // content is a map that is told from others by a number.
@@ -202,14 +234,20 @@
 
 // round is one look and the orders that follow; a frozen leader goes on with a
 // look from before it froze.
-func (d *driver) round(looked []State) {
-	if d.l.InForce() == nil || d.l.InForce().Version != looked[0].Map {
-		d.l.Current(looked[0].Map, content(d.w.ranks[0].content))
+func (d *driver) round(l looked) {
+	if !l.whole {
+		for _, o := range d.l.Rescue(l.ranks, l.seen) {
+			d.l.Answered(o, d.w.give(d.token, o))
+		}
+		return
+	}
+	if d.l.InForce() == nil || d.l.InForce().Version != l.ranks[0].Map {
+		d.l.Current(l.ranks[0].Map, content(d.w.ranks[0].content))
 	}
 	if !d.l.Busy() && d.w.rng.IntN(d.w.proposeOneIn) == 0 {
 		d.l.Propose(content(d.w.newContent()))
 	}
-	for _, o := range d.l.Decide(looked, true, true, d.w.now) {
+	for _, o := range d.l.Decide(l.ranks, true, true, d.w.now) {
 		d.l.Answered(o, d.w.give(d.token, o))
 	}
 }
@@ -226,20 +264,35 @@
 		activity := w.rng.Float64() * w.rng.Float64()
 		w.proposeOneIn = 1 + w.rng.IntN(60)
 		leaders := []*driver{newDriver(w, 1)}
-		stale := [][]State{nil}
+		stale := []*looked{nil}
 		for range 400 {
 			w.advance(w.rng.Float64() < activity)
 			if w.rng.IntN(100) == 0 || anyHeld(w) && w.rng.IntN(12) == 0 {
 				// The leader freezes with its look, and another takes over.
-				stale[len(stale)-1] = w.look()
+				last := leaders[len(leaders)-1]
+				look := w.look()
+				stale[len(stale)-1] = &look
 				stale = append(stale, nil)
-				leaders = append(leaders, newDriver(w, uint64(len(leaders))+1))
+				if w.tick >= w.darkUntil && w.rng.IntN(2) == 0 {
+					// Its VM can't be reached meanwhile, or another.
+					w.dark, w.darkUntil = last.l.Own, w.tick+w.rng.IntN(150)
+					if w.rng.IntN(4) == 0 {
+						w.dark = w.rng.IntN(len(w.ranks))
+					}
+				}
+				leaders = append(leaders, last.successor())
 			}
 			if anyHeld(w) && w.tick > w.deafUntil+100 && w.rng.IntN(6) == 0 {
 				w.deaf, w.deafUntil = w.rng.IntN(len(w.ranks)), w.tick+70
 			}
-			if i := w.rng.IntN(len(leaders)); stale[i] != nil && w.rng.IntN(4) == 0 {
-				leaders[i].round(stale[i])
+			i := w.rng.IntN(len(leaders))
+			if stale[i] != nil && !w.isDark(leaders[i].l.Own) && w.rng.IntN(4) == 0 {
+				leaders[i].round(*stale[i])
+				// Leaders look anew after their orders, which Rescue rests on;
+				// Decide bears a look that is used again.
+				if !stale[i].whole || w.rng.IntN(2) == 0 {
+					*stale[i] = w.look()
+				}
 			}
 			leaders[len(leaders)-1].round(w.look())
 		}
@@ -250,7 +303,9 @@
 // settles checks that nothing stays held once faults have ended.
 func settles(t *testing.T, w *world, d *driver) {
 	t.Helper()
-	w.faults, w.deafUntil = 0, 0
+	w.faults, w.deafUntil, w.darkUntil = 0, 0, 0
+	// With one map in 60 rounds, there are seeds without any in 400.
+	w.proposeOneIn = min(w.proposeOneIn, 3)
 	free := 0
 	for range 400 {
 		w.advance(true)
@@ -284,7 +339,7 @@
 	d := newDriver(w, 1)
 	for range 300 {
 		w.advance(true)
-		looked := w.look()
+		looked := w.look().ranks
 		if d.l.InForce() == nil || d.l.InForce().Version != looked[0].Map {
 			d.l.Current(looked[0].Map, content(d.w.ranks[0].content))
 		}
@@ -303,3 +358,75 @@
 		t.Fatalf("map %d in force after %d passes", w.ranks[0].state.Map, w.passes)
 	}
 }
+
+// The leader's VM freezes just after it has had a step held, and the engine
+// beside it can't be reached. All callers of the group would wait for as long;
+// its successor sees that another rank is not armed and lets the step go.
+func TestSuccessorLetsGoOfAFrozenLeadersStep(t *testing.T) {
+	for armed := range 4 {
+		w := newWorld(t, 7, 4)
+		first := newDriver(w, 1)
+		for !anyHeld(w) {
+			w.advance(true)
+			first.round(w.look())
+		}
+		for range armed {
+			// The first of the arms that are due is given.
+			o := first.l.Decide(w.look().ranks, true, true, w.now)[0]
+			first.l.Answered(o, w.give(first.token, o))
+		}
+		w.dark, w.darkUntil = first.l.Own, w.tick+1000
+		next := first.successor()
+		for range 5 {
+			w.advance(true)
+			next.round(w.look())
+		}
+		if all := armed == 3; anyHeld(w) != all {
+			t.Errorf("%d of 3 other ranks armed: held is %v", armed, anyHeld(w))
+		}
+		w.darkUntil = 0
+		first.round(w.look())
+		settles(t, w, next)
+	}
+}
+
+// The order that arms the leader's own rank is late, and the leader gives the
+// step up. Were the others disarmed before its own rank can't be armed any more,
+// and its VM froze in between, then its successor would let go a step for which
+// that rank alone is armed.
+func TestOwnRankIsTakenBackFirst(t *testing.T) {
+	w := newWorld(t, 7, 4)
+	d := newDriver(w, 1)
+	var late Directive
+	for late.Order == nil {
+		w.advance(true)
+		l := w.look()
+		if d.l.InForce() == nil {
+			d.l.Current(0, content(0))
+			d.l.Propose(content(1))
+		}
+		for _, o := range d.l.Decide(l.ranks, true, true, w.now) {
+			if _, arm := o.Order.(Arm); arm && o.Rank == d.l.Own {
+				late = o
+				d.l.Answered(o, Unknown)
+				continue
+			}
+			d.l.Answered(o, w.give(d.token, o))
+		}
+	}
+	w.now = w.now.Add(2 * armTime)
+	for range 20 {
+		for _, o := range d.l.Decide(w.look().ranks, true, true, w.now) {
+			if _, disarm := o.Order.(Disarm); disarm {
+				if w.execute(d.token, late) != Unfit {
+					t.Fatalf("rank %d is disarmed while the leader's own may still be armed", o.Rank)
+				}
+			}
+			d.l.Answered(o, w.give(d.token, o))
+		}
+		w.advance(true)
+	}
+	if anyHeld(w) || w.ranks[0].state.Map != 0 {
+		t.Fatalf("held %v, map %d", anyHeld(w), w.ranks[0].state.Map)
+	}
+}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -82,10 +82,12 @@
 	mu      sync.Mutex // guards all below
 	agents  map[string]fleet.Member
 	entries map[string]fleet.Member
-	// leases holds the groups that have a leader.
-	leases map[string]bool
-	synced bool
-	group  string
+	// leases holds the groups that have a leader, and leaders who led each
+	// group last.
+	leases  map[string]bool
+	leaders map[string]predecessor
+	synced  bool
+	group   string
 }
 
 // counters counts what the agent did.
@@ -107,7 +109,8 @@
 		orders: counter("orders"), unanswered: counter("ordersUnanswered"), unfit: counter("ordersUnfit"),
 		changes: counter("mapChanges"), copies: counter("expertCopies"), leads: counter("terms"),
 	}
-	r.agents, r.entries, r.leases = map[string]fleet.Member{}, map[string]fleet.Member{}, map[string]bool{}
+	r.agents, r.entries = map[string]fleet.Member{}, map[string]fleet.Member{}
+	r.leases, r.leaders = map[string]bool{}, map[string]predecessor{}
 	r.store = &platform.Store{
 		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
 		Budget: kv.Budget{PerSecond: callsPerSecond}, Metrics: r.Registry,
@@ -177,6 +180,7 @@
 func (r *Ranker) put(item kv.KeyValue) {
 	if group, ok := rank.LeaseGroup(fleet.Prefix, item.Key()); ok {
 		r.leases[group] = true
+		r.noteLeader(group, item)
 		return
 	}
 	m, ok, err := fleet.Decode(item.Key(), item.Value())
@@ -265,7 +269,8 @@
 
 // tryLead takes the group's lease, if it is free, and leads until it is lost.
 func (r *Ranker) tryLead(ctx context.Context, s lockstep.State) {
-	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: r.Settings.Name, TTL: leaseTime}
+	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: holderName(r.Settings.Name, s.Rank), TTL: leaseTime}
+	before, known := r.lastLeader(s.Group)
 	now := boottime.Now()
 	token, until, err := lease.Acquire(ctx, now)
 	if err != nil {
@@ -277,6 +282,10 @@
 	r.leads.Store(true)
 	defer r.leads.Store(false)
 	t := newTerm(r, lease, s, token, until)
+	if known && before.name != r.Settings.Name {
+		t.leader.Before = &before.Predecessor
+		t.expectDark(before.name, now)
+	}
 	t.run(ctx)
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token}).Info("group no longer led from here")
 }
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,10 @@
 	// passOver is how long an agent that did not answer is passed over, so
 	// that each look does not wait for it again.
 	passOver = time.Second
+	// darkTimeout bounds a look at an engine that did not answer a moment ago
+	// either. Engines answer in some ten milliseconds, also over a new
+	// connection; while a step is held each look stalls all streams.
+	darkTimeout = 60 * time.Millisecond
 	// loadsEvery is how often entries are told of the engines' work. A request
 	// lasts a second or two.
 	loadsEvery = 100 * time.Millisecond
@@ -58,13 +63,21 @@
 	planner planner
 	mu      sync.Mutex // guards direct and silent
 	direct  map[string]*platform.Engine
-	silent  map[string]time.Time
+	silent  map[string]silence
 	told    time.Time
 	renew   chan renewal
 	renewAt time.Time
 	renews  bool
 }
 
+// silence is that of an agent which did not answer.
+type silence struct {
+	// until is when it is asked again.
+	until time.Time
+	// dark says that its engine didn't answer either.
+	dark bool
+}
+
 // renewal is the end of a call that renews the lease.
 type renewal struct {
 	until time.Time
@@ -74,8 +87,9 @@
 func newTerm(r *Ranker, lease *rank.KVLease, s lockstep.State, token uint64, until time.Time) *term {
 	return &term{
 		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
-		leader: lockstep.Leader{Holder: s.Rank, Token: token}, renew: make(chan renewal, 1), direct: map[string]*platform.Engine{},
-		silent: map[string]time.Time{},
+		leader: lockstep.Leader{Own: s.Rank, Holder: (s.Rank + 1) % s.Size, Token: token},
+		renew:  make(chan renewal, 1), direct: map[string]*platform.Engine{},
+		silent: map[string]silence{},
 	}
 }
 
@@ -184,8 +198,11 @@
 	looks := t.lookAll(ctx, agents, want)
 	now := boottime.Now()
 	t.tellEntries(ctx, entries, looks, now)
-	ranks, byRank, whole := t.arrange(looks)
-	if t.engine == nil || !whole {
+	ranks, byRank, seen := t.arrange(looks)
+	if slices.Contains(seen, false) {
+		return t.rescue(ctx, ranks, byRank, seen)
+	}
+	if t.engine == nil {
 		return lookEvery
 	}
 	t.learnMap(byRank)
@@ -193,12 +210,14 @@
 		t.plan(byRank, now)
 	}
 	was := t.leader.Busy()
-	directives := t.leader.Decide(ranks, whole, t.mayBegin(now), now)
+	directives := t.leader.Decide(ranks, true, t.mayBegin(now), now)
 	if was && !t.leader.Busy() {
 		return 0 // what was counted meanwhile may ask for the next change
 	}
 	if len(directives) > 0 {
-		t.giveAndFollow(ctx, directives, ranks, byRank)
+		t.giveAndFollow(ctx, directives, ranks, byRank, func(now time.Time) []lockstep.Directive {
+			return t.leader.Decide(ranks, true, t.mayBegin(now), now)
+		})
 		return 0
 	}
 	if t.leader.Busy() {
@@ -207,6 +226,17 @@
 	return lookEvery
 }
 
+// rescue lets a step go that the last leader left held, if its own rank alone
+// isn't seen, and returns how long to wait for the next round.
+func (t *term) rescue(ctx context.Context, ranks []lockstep.State, byRank []found, seen []bool) time.Duration {
+	directives := t.leader.Rescue(ranks, seen)
+	if len(directives) == 0 {
+		return lookEvery
+	}
+	t.giveAndFollow(ctx, directives, ranks, byRank, func(time.Time) []lockstep.Directive { return t.leader.Rescue(ranks, seen) })
+	return 0
+}
+
 // wanted says what a look asks for besides the state.
 type wanted struct{ counts, lists bool }
 
@@ -250,14 +280,22 @@
 		l, err := lookEngine(ctx, r.engine, want)
 		return found{look: l, agent: m}, err
 	}
-	if !t.passedOver(m.Name) {
+	silent := t.silenceOf(m.Name)
+	if boottime.Now().After(silent.until) {
 		f, err := t.askAgent(ctx, m, want)
 		if err == nil {
 			return f, nil
 		}
 		t.passOver(m, err)
+		silent.dark = false
+	}
+	if silent.dark {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, darkTimeout)
+		defer cancel()
 	}
 	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: want.lists})
+	t.noteDark(m.Name, err != nil)
 	return found{look: l}, err
 }
 
@@ -275,17 +313,33 @@
 	return found{look: lookFrom(p, m.Endpoint), agent: m}, nil
 }
 
-// passedOver reports whether an agent has not answered a moment ago.
-func (t *term) passedOver(name string) bool {
+func (t *term) silenceOf(agent string) silence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent[agent]
+}
+
+// noteDark notes whether the engine of a silent agent didn't answer either.
+func (t *term) noteDark(agent string, dark bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return boottime.Now().Before(t.silent[name])
+	s := t.silent[agent]
+	s.dark = dark
+	t.silent[agent] = s
+}
+
+// expectDark begins a term after a leader that did not give its lease back: its
+// VM has most likely gone silent, so the first looks don't wait for it.
+func (t *term) expectDark(agent string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[agent] = silence{until: now.Add(passOver), dark: true}
 }
 
 func (t *term) passOver(m *fleet.Member, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.silent[m.Name] = boottime.Now().Add(passOver)
+	t.silent[m.Name] = silence{until: boottime.Now().Add(passOver)}
 	// The connection may have gone silent for good while a new one works.
 	t.ranker.conns.Drop(m.Address)
 	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("agent does not answer, its engine is asked directly")
@@ -303,22 +357,20 @@
 	return e
 }
 
-// arrange orders looks by rank and reports whether every rank was seen.
-func (t *term) arrange(looks []found) ([]lockstep.State, []found, bool) {
-	ranks := make([]lockstep.State, t.size)
-	byRank := make([]found, t.size)
-	seen := make([]bool, t.size)
-	n := 0
+// arrange orders looks by rank and reports which ranks were seen.
+func (t *term) arrange(looks []found) (ranks []lockstep.State, byRank []found, seen []bool) {
+	ranks = make([]lockstep.State, t.size)
+	byRank = make([]found, t.size)
+	seen = make([]bool, t.size)
 	for _, l := range looks {
 		i := l.state.Rank
 		if l.state.Group != t.group || i < 0 || i >= t.size || seen[i] {
 			continue
 		}
 		seen[i] = true
-		n++
 		ranks[i], byRank[i] = l.state, l
 	}
-	return ranks, byRank, n == t.size
+	return ranks, byRank, seen
 }
 
 // learnMap learns the map in force from the ranks' lists, if all are of one.
@@ -370,13 +422,16 @@
 }
 
 // mostFollows bounds how many orders follow one another without a look: hold,
-// arm, go.
-const mostFollows = 3
-
-// giveAndFollow hands orders to their ranks, and the next ones as long as each
-// was answered as done: then the ranks' state is known without another look,
-// and a held step goes on some milliseconds sooner.
-func (t *term) giveAndFollow(ctx context.Context, directives []lockstep.Directive, ranks []lockstep.State, byRank []found) {
+// arms in three parts, go.
+const mostFollows = 5
+
+// giveAndFollow hands orders to their ranks, and those that next decides as long
+// as each was answered as done: then the ranks' state is known without another
+// look, and a held step goes on some milliseconds sooner.
+func (t *term) giveAndFollow(
+	ctx context.Context, directives []lockstep.Directive, ranks []lockstep.State, byRank []found,
+	next func(now time.Time) []lockstep.Directive,
+) {
 	for range mostFollows {
 		outcomes := t.giveAll(ctx, directives, byRank)
 		for i, d := range directives {
@@ -384,8 +439,7 @@
 				return
 			}
 		}
-		now := boottime.Now()
-		directives = t.leader.Decide(ranks, true, t.mayBegin(now), now)
+		directives = next(boottime.Now())
 		if len(directives) == 0 {
 			return
 		}
@@ -454,7 +508,7 @@
 func (t *term) send(ctx context.Context, d lockstep.Directive, to found) (lockstep.Outcome, error) {
 	r := t.ranker
 	switch {
-	case to.agent == nil:
+	case to.agent == nil || stepOrder(d.Order):
 		return t.engineAt(to.address).Give(ctx, t.token, d)
 	case to.agent.Name == r.Settings.Name:
 		return r.giveOwn(ctx, t.token, d)
@@ -470,6 +524,18 @@
 	return lockstep.Outcome(p.GetStatus()), nil
 }
 
+// stepOrder reports whether an order holds a step or lets it go. These go to the
+// engine directly: the agent on the way may be the one whose VM freezes, and
+// then nobody would reach the rank that holds the group.
+func stepOrder(o lockstep.Order) bool {
+	switch o.(type) {
+	case lockstep.Hold, lockstep.Go:
+		return true
+	default:
+		return false
+	}
+}
+
 // describe adds what an order says.
 func describe(f logrus.Fields, o lockstep.Order) {
 	switch o := o.(type) {
