--- /dev/null
+++ b/internal/ranker/looks.go
@@ -0,0 +1,169 @@
+package ranker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+	"github.com/hyssoprelay/hyssoprelay/platform"
+)
+
+const (
+	// passOver is how long an agent that did not answer is passed over, so
+	// that each look does not wait for it again.
+	passOver = time.Second
+	// darkTimeout bounds a look at an engine that did not answer a moment ago
+	// either. Engines answer in some ten milliseconds, also over a new
+	// connection; while a step is held each look stalls all streams.
+	darkTimeout = 60 * time.Millisecond
+)
+
+// silence is that of an agent which did not answer.
+type silence struct {
+	// until is when it is asked again.
+	until time.Time
+	// dark says that its engine didn't answer either.
+	dark bool
+}
+
+// wanted says what a look asks for besides the state.
+type wanted struct{ counts, lists bool }
+
+// found is a look at one engine and the agent beside it, which is nil when the
+// engine was asked without it.
+type found struct {
+	look
+	agent *fleet.Member
+}
+
+// lookAll looks at the engines of all agents.
+func (t *term) lookAll(ctx context.Context, agents []fleet.Member, want wanted) []found {
+	var mu sync.Mutex
+	var out []found
+	var wg sync.WaitGroup
+	for i := range agents {
+		wg.Add(1)
+		go func(m *fleet.Member) {
+			defer wg.Done()
+			f, err := t.lookAt(ctx, m, want)
+			if err != nil {
+				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, f)
+		}(&agents[i])
+	}
+	wg.Wait()
+	return out
+}
+
+// lookAt looks at one engine through its agent, or else directly: the agent's VM
+// may be frozen or its process gone while the engine runs, is armed, or holds
+// the group. Looks and orders from elsewhere are priced, so they are the second
+// choice.
+func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
+	r := t.ranker
+	if m.Name == r.Settings.Name {
+		l, err := lookEngine(ctx, r.engine, want)
+		return found{look: l, agent: m}, err
+	}
+	silent := t.silenceOf(m.Name)
+	if boottime.Now().After(silent.until) {
+		f, err := t.askAgent(ctx, m, want)
+		if err == nil {
+			return f, nil
+		}
+		t.passOver(m, err)
+		silent.dark = false
+	}
+	if silent.dark {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, darkTimeout)
+		defer cancel()
+	}
+	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: want.lists})
+	t.noteDark(m.Name, err != nil)
+	return found{look: l}, err
+}
+
+func (t *term) askAgent(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := t.ranker.conns.Get(m.Address)
+	if err != nil {
+		return found{}, err
+	}
+	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{Counts: want.counts, Lists: want.lists})
+	if err != nil {
+		return found{}, err
+	}
+	return found{look: lookFrom(p, m.Endpoint), agent: m}, nil
+}
+
+func (t *term) silenceOf(agent string) silence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent[agent]
+}
+
+// noteDark notes whether the engine of a silent agent didn't answer either.
+func (t *term) noteDark(agent string, dark bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.silent[agent]
+	s.dark = dark
+	t.silent[agent] = s
+}
+
+// expectDark begins a term after a leader that did not give its lease back: its
+// VM has most likely gone silent, so the first looks don't wait for it.
+func (t *term) expectDark(agent string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[agent] = silence{until: now.Add(passOver), dark: true}
+}
+
+func (t *term) passOver(m *fleet.Member, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[m.Name] = silence{until: boottime.Now().Add(passOver)}
+	// The connection may have gone silent for good while a new one works.
+	t.ranker.conns.Drop(m.Address)
+	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("agent does not answer, its engine is asked directly")
+}
+
+func (t *term) engineAt(addr string) *platform.Engine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.direct[addr]
+	if e == nil {
+		e = &platform.Engine{Addr: addr, Timeout: engineTimeout}
+		e.Open()
+		t.direct[addr] = e
+	}
+	return e
+}
+
+// arrange orders looks by rank and reports which ranks were seen.
+func (t *term) arrange(looks []found) (ranks []lockstep.State, byRank []found, seen []bool) {
+	ranks = make([]lockstep.State, t.size)
+	byRank = make([]found, t.size)
+	seen = make([]bool, t.size)
+	for _, l := range looks {
+		i := l.state.Rank
+		if l.state.Group != t.group || i < 0 || i >= t.size || seen[i] {
+			continue
+		}
+		seen[i] = true
+		ranks[i], byRank[i] = l.state, l
+	}
+	return ranks, byRank, seen
+}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/pause"
-
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -17,6 +15,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -7,14 +7,13 @@
 	"sync"
 	"time"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
-	"github.com/hyssoprelay/hyssoprelay/internal/pause"
-
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
@@ -34,13 +33,6 @@
 	// changeTime is what a change takes from its hold to its end, given up or
 	// not, with room.
 	changeTime = 600 * time.Millisecond
-	// passOver is how long an agent that did not answer is passed over, so
-	// that each look does not wait for it again.
-	passOver = time.Second
-	// darkTimeout bounds a look at an engine that did not answer a moment ago
-	// either. Engines answer in some ten milliseconds, also over a new
-	// connection; while a step is held each look stalls all streams.
-	darkTimeout = 60 * time.Millisecond
 	// loadsEvery is how often entries are told of the engines' work. A request
 	// lasts a second or two.
 	loadsEvery = 100 * time.Millisecond
@@ -70,14 +62,6 @@
 	renews  bool
 }
 
-// silence is that of an agent which did not answer.
-type silence struct {
-	// until is when it is asked again.
-	until time.Time
-	// dark says that its engine didn't answer either.
-	dark bool
-}
-
 // renewal is the end of a call that renews the lease.
 type renewal struct {
 	until time.Time
@@ -237,142 +221,6 @@
 	return 0
 }
 
-// wanted says what a look asks for besides the state.
-type wanted struct{ counts, lists bool }
-
-// found is a look at one engine and the agent beside it, which is nil when the
-// engine was asked without it.
-type found struct {
-	look
-	agent *fleet.Member
-}
-
-// lookAll looks at the engines of all agents.
-func (t *term) lookAll(ctx context.Context, agents []fleet.Member, want wanted) []found {
-	var mu sync.Mutex
-	var out []found
-	var wg sync.WaitGroup
-	for i := range agents {
-		wg.Add(1)
-		go func(m *fleet.Member) {
-			defer wg.Done()
-			f, err := t.lookAt(ctx, m, want)
-			if err != nil {
-				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			out = append(out, f)
-		}(&agents[i])
-	}
-	wg.Wait()
-	return out
-}
-
-// lookAt looks at one engine through its agent, or else directly: the agent's VM
-// may be frozen or its process gone while the engine runs, is armed, or holds
-// the group. Looks and orders from elsewhere are priced, so they are the second
-// choice.
-func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
-	r := t.ranker
-	if m.Name == r.Settings.Name {
-		l, err := lookEngine(ctx, r.engine, want)
-		return found{look: l, agent: m}, err
-	}
-	silent := t.silenceOf(m.Name)
-	if boottime.Now().After(silent.until) {
-		f, err := t.askAgent(ctx, m, want)
-		if err == nil {
-			return f, nil
-		}
-		t.passOver(m, err)
-		silent.dark = false
-	}
-	if silent.dark {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, darkTimeout)
-		defer cancel()
-	}
-	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: want.lists})
-	t.noteDark(m.Name, err != nil)
-	return found{look: l}, err
-}
-
-func (t *term) askAgent(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	conn, err := t.ranker.conns.Get(m.Address)
-	if err != nil {
-		return found{}, err
-	}
-	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{Counts: want.counts, Lists: want.lists})
-	if err != nil {
-		return found{}, err
-	}
-	return found{look: lookFrom(p, m.Endpoint), agent: m}, nil
-}
-
-func (t *term) silenceOf(agent string) silence {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.silent[agent]
-}
-
-// noteDark notes whether the engine of a silent agent didn't answer either.
-func (t *term) noteDark(agent string, dark bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.silent[agent]
-	s.dark = dark
-	t.silent[agent] = s
-}
-
-// expectDark begins a term after a leader that did not give its lease back: its
-// VM has most likely gone silent, so the first looks don't wait for it.
-func (t *term) expectDark(agent string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.silent[agent] = silence{until: now.Add(passOver), dark: true}
-}
-
-func (t *term) passOver(m *fleet.Member, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.silent[m.Name] = silence{until: boottime.Now().Add(passOver)}
-	// The connection may have gone silent for good while a new one works.
-	t.ranker.conns.Drop(m.Address)
-	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("agent does not answer, its engine is asked directly")
-}
-
-func (t *term) engineAt(addr string) *platform.Engine {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.direct[addr]
-	if e == nil {
-		e = &platform.Engine{Addr: addr, Timeout: engineTimeout}
-		e.Open()
-		t.direct[addr] = e
-	}
-	return e
-}
-
-// arrange orders looks by rank and reports which ranks were seen.
-func (t *term) arrange(looks []found) (ranks []lockstep.State, byRank []found, seen []bool) {
-	ranks = make([]lockstep.State, t.size)
-	byRank = make([]found, t.size)
-	seen = make([]bool, t.size)
-	for _, l := range looks {
-		i := l.state.Rank
-		if l.state.Group != t.group || i < 0 || i >= t.size || seen[i] {
-			continue
-		}
-		seen[i] = true
-		ranks[i], byRank[i] = l.state, l
-	}
-	return ranks, byRank, seen
-}
-
 // learnMap learns the map in force from the ranks' lists, if all are of one.
 func (t *term) learnMap(byRank []found) {
 	if t.leader.InForce() != nil {
@@ -421,31 +269,6 @@
 	}).Info("expert map proposed")
 }
 
-// mostFollows bounds how many orders follow one another without a look: hold,
-// arms in three parts, go.
-const mostFollows = 5
-
-// giveAndFollow hands orders to their ranks, and those that next decides as long
-// as each was answered as done: then the ranks' state is known without another
-// look, and a held step goes on some milliseconds sooner.
-func (t *term) giveAndFollow(
-	ctx context.Context, directives []lockstep.Directive, ranks []lockstep.State, byRank []found,
-	next func(now time.Time) []lockstep.Directive,
-) {
-	for range mostFollows {
-		outcomes := t.giveAll(ctx, directives, byRank)
-		for i, d := range directives {
-			if outcomes[i] != lockstep.Already || !lockstep.Apply(&ranks[d.Rank], d.Order) {
-				return
-			}
-		}
-		directives = next(boottime.Now())
-		if len(directives) == 0 {
-			return
-		}
-	}
-}
-
 // paces returns how many times slower than usual each rank is.
 func paces(byRank []found) []float64 {
 	out := make([]float64, len(byRank))
@@ -467,93 +290,6 @@
 	return n
 }
 
-// giveAll hands orders to their ranks.
-func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) []lockstep.Outcome {
-	outcomes := make([]lockstep.Outcome, len(directives))
-	var wg sync.WaitGroup
-	for i, d := range directives {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			outcomes[i] = t.give(ctx, d, byRank[d.Rank])
-		}()
-	}
-	wg.Wait()
-	for i, d := range directives {
-		t.leader.Answered(d, outcomes[i])
-	}
-	return outcomes
-}
-
-func (t *term) give(ctx context.Context, d lockstep.Directive, to found) lockstep.Outcome {
-	// A leader that was frozen may have decided this before another took over.
-	if !t.ranker.Settings.FencingChecked && !boottime.Now().Before(t.until) {
-		return lockstep.Unknown
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	o, err := t.send(ctx, d, to)
-	f := logrus.Fields{"group": t.group, "rank": d.Rank, "epoch": d.Epoch, "sequence": d.Sequence, "outcome": o.String()}
-	describe(f, d.Order)
-	if err != nil {
-		f["cause"] = err.Error()
-	}
-	if _, ok := d.Order.(lockstep.Prepare); ok && o == lockstep.Begun {
-		return o // one line tells of the map as a whole
-	}
-	t.ranker.Log.WithFields(f).Info("order given")
-	return o
-}
-
-func (t *term) send(ctx context.Context, d lockstep.Directive, to found) (lockstep.Outcome, error) {
-	r := t.ranker
-	switch {
-	case to.agent == nil || stepOrder(d.Order):
-		return t.engineAt(to.address).Give(ctx, t.token, d)
-	case to.agent.Name == r.Settings.Name:
-		return r.giveOwn(ctx, t.token, d)
-	}
-	conn, err := r.conns.Get(to.agent.Address)
-	if err != nil {
-		return lockstep.Unknown, err
-	}
-	p, err := fleetpb.NewAgentClient(conn).Give(ctx, giveProto(t.token, d))
-	if err != nil {
-		return lockstep.Unknown, err
-	}
-	return lockstep.Outcome(p.GetStatus()), nil
-}
-
-// stepOrder reports whether an order holds a step or lets it go. These go to the
-// engine directly: the agent on the way may be the one whose VM freezes, and
-// then nobody would reach the rank that holds the group.
-func stepOrder(o lockstep.Order) bool {
-	switch o.(type) {
-	case lockstep.Hold, lockstep.Go:
-		return true
-	default:
-		return false
-	}
-}
-
-// describe adds what an order says.
-func describe(f logrus.Fields, o lockstep.Order) {
-	switch o := o.(type) {
-	case lockstep.Fence:
-		f["order"] = "fence"
-	case lockstep.Prepare:
-		f["order"], f["map"] = "prepare", o.Version
-	case lockstep.Arm:
-		f["order"], f["map"], f["step"] = "arm", o.Version, o.Step
-	case lockstep.Disarm:
-		f["order"], f["map"] = "disarm", o.Version
-	case lockstep.Hold:
-		f["order"], f["step"] = "hold", o.Step
-	case lockstep.Go:
-		f["order"], f["step"] = "go", o.Step
-	}
-}
-
 // tellEntries tells entries how much work the engines have.
 func (t *term) tellEntries(ctx context.Context, entries []fleet.Member, looks []found, now time.Time) {
 	if now.Sub(t.told) < loadsEvery {
