How level groups stay whose popularity jumps, against four baselines

Cause: the plans of evenmap had tests and benchmarks, but no table that compares them at each size, so nobody could say what binds.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/measure"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/evenmap/jumptable"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/expertmap/skewtable"
 )
 
@@ -26,6 +27,20 @@
 	measure.Placing(),
 	measure.Affinity(),
 	{Name: "skew", Write: writeSkew},
+	{Name: "jumps", Write: writeJumps},
+}
+
+// writeJumps writes how level groups stay whose popularity jumps, which has its
+// own seeds.
+func writeJumps(w io.Writer, _ uint64) error {
+	if _, err := fmt.Fprintf(w, "## Step-time skew while popularity jumps\n\n"); err != nil {
+		return err
+	}
+	rows, err := jumptable.Measure()
+	if err != nil {
+		return err
+	}
+	return jumptable.Write(w, rows)
 }
 
 // writeSkew writes the step-time skew of expert maps, which has its own seeds.
