A randomized fault soak of the real relays and rankers

Cause: faults were injected by tests of one story each; nothing drew series of them that overlap, and no test looked at the promises from callers and endpoints while real processes are frozen, killed, stopped and started again.

Change: TestSoak runs 4 relays and 3 rankers as processes against the stand-ins. A seed draws lines (to the store and to endpoints) that are slow, broken, mute up, down or both ways, store faults, endpoints that refuse, reset, tear, fail, hang, leave and return, keys that are taken away (in half of all cases while no relay reaches the store), SIGSTOP, SIGKILL, SIGTERM with and without a kill after it. Twelve callers keep their connections.

Also: the test of a frozen leader passed by itself in 1 s when the step was held twelve ahead; it waits for 20 passes now.

--- /dev/null
+++ b/cmd/hyssoprelay/daemon_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// lines gathers what a process writes.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (l *lines) has(text string) bool { return strings.Contains(l.text(), text) }
+
+// daemon is a process of the product that may be started again and again.
+type daemon struct {
+	t    *testing.T
+	name string
+	args []string
+	log  lines
+
+	cmd *exec.Cmd
+	// exited gets the end of the process that was started last.
+	exited chan error
+}
+
+func newDaemon(t *testing.T, name string, args ...string) *daemon {
+	t.Helper()
+	d := &daemon{t: t, name: name, args: args}
+	t.Cleanup(func() {
+		d.kill()
+		if t.Failed() {
+			t.Logf("%s: %s", name, d.log.text())
+		}
+	})
+	d.start()
+	return d
+}
+
+func (d *daemon) start() {
+	d.t.Helper()
+	d.cmd = roleCommand(context.Background(), roleProduct, d.args...)
+	d.cmd.Stdout, d.cmd.Stderr = &d.log, &d.log
+	if err := d.cmd.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	d.exited = make(chan error, 1)
+	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(d.cmd, d.exited)
+}
+
+// signal sends a signal; one to a process that has ended says nothing.
+func (d *daemon) signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
+
+// kill ends the process at once, if it runs.
+func (d *daemon) kill() {
+	if d.exited == nil {
+		return
+	}
+	d.signal(syscall.SIGKILL)
+	_, _ = fmt.Fprintln(&d.log, "killed:", <-d.exited)
+	d.exited = nil
+}
+
+// await waits for the end of a process that was told to end and reports whether
+// it came and was a good one.
+func (d *daemon) await(atMost time.Duration) bool {
+	select {
+	case err := <-d.exited:
+		d.exited = nil
+		return err == nil
+	case <-time.After(atMost):
+		return false
+	}
+}
+
+// ended reports whether the process has ended by itself.
+func (d *daemon) ended() bool {
+	select {
+	case err := <-d.exited:
+		d.exited <- err
+		return true
+	default:
+		return false
+	}
+}
--- a/cmd/hyssoprelay/ranker_test.go
+++ b/cmd/hyssoprelay/ranker_test.go
@@ -1,11 +1,7 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
-	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -34,78 +30,41 @@
 	"services":[{"name":"s","engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"sets":2,"experts":9,"placements":4,"spare":3,
 	"expertMb":1,"linkMbps":1000,"expertShare":0.85}}],"limits":{}}`
 
-// lines gathers what a process logs.
-type lines struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lines) follow(r *bufio.Reader) {
-	for {
-		line, err := r.ReadString('\n')
-		l.mu.Lock()
-		l.b.WriteString(line)
-		l.mu.Unlock()
-		if err != nil {
-			return // the process has ended
-		}
-	}
-}
-
-func (l *lines) text() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
-func (l *lines) has(text string) bool { return strings.Contains(l.text(), text) }
-
 // rankers is a group of engines with a ranker process beside each.
 type rankers struct {
 	*fleet
 	group *standin.Group
-	procs []*proc
-	logs  []*lines
+	procs []*daemon
 }
 
-func newRankers(t *testing.T) *rankers {
+// newRankers starts a group whose rankers reach the store at an address each.
+func newRankers(t *testing.T, group *standin.Group, stores []string) *rankers {
 	t.Helper()
-	const n = 3
-	store, group := standin.NewStore(), standin.StartGroup(n, 2, 9, 4)
-	t.Cleanup(store.Close)
-	t.Cleanup(group.Close)
-	store.Put("op/config", []byte(rankedConfiguration))
 	r := &rankers{fleet: &fleet{t: t, dir: t.TempDir()}, group: group}
-	for i := range n {
+	for i, store := range stores {
 		name := fmt.Sprint("ranker", i)
-		file := r.settings(name, fmt.Sprintf(rankerSettings, name, store.Addr(), group.Addr(i)))
-		p, log := r.proc(name, roleProduct, "ranker", "--settings", file), &lines{}
-		out := p.start()
-		go log.follow(out)
-		r.procs, r.logs = append(r.procs, p), append(r.logs, log)
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Logf("%s: %s", name, log.text())
-			}
-		})
+		file := r.settings(name, fmt.Sprintf(rankerSettings, name, store, group.Addr(i)))
+		r.procs = append(r.procs, newDaemon(t, name, "ranker", "--settings", file))
 	}
 	return r
 }
 
 // leader returns the process that leads the group, or -1.
 func (r *rankers) leader() int {
-	for i, l := range r.logs {
-		if l.has("group led from here") {
+	for i, p := range r.procs {
+		if p.log.has("group led from here") {
 			return i
 		}
 	}
 	return -1
 }
 
+// runsOn waits for more passes than a step is held ahead.
 func (r *rankers) runsOn() {
 	r.t.Helper()
+	const ahead = 20
 	step := r.group.Step()
-	r.eventually("the group runs on", func() bool { return r.group.Step() > step+5 })
+	r.eventually("the group runs on", func() bool { return r.group.Step() > step+ahead })
 	if n := r.group.Mixed(); n != 0 {
 		r.t.Fatalf("%d passes began with two maps", n)
 	}
@@ -116,7 +75,11 @@
 // group waited until the VM was back; now its successor lets the step go, and
 // the frozen leader does no harm when it goes on.
 func TestLeaderFreezesWhileAStepIsHeld(t *testing.T) {
-	r := newRankers(t)
+	store, group := standin.NewStore(), standin.StartGroup(3, 2, 9, 4)
+	t.Cleanup(store.Close)
+	t.Cleanup(group.Close)
+	store.Put("op/config", []byte(rankedConfiguration))
+	r := newRankers(t, group, []string{store.Addr(), store.Addr(), store.Addr()})
 	frozen := make(chan int, 1)
 	r.group.OnHold(func() {
 		i := r.leader()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +15,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -38,61 +38,24 @@
 	"limits":{"maxBodyBytes":4194304},"tenants":[{"name":"t1","apiKeys":[%s]}]}`, version, keys)
 }
 
-// line forwards connections to an address and can be cut.
-type line struct {
-	ln net.Listener
-	to string
-
-	mu    sync.Mutex
-	cut   bool
-	conns []net.Conn
-}
-
-func newLine(t *testing.T, to string) *line {
+// newLine returns a line to an address, and where it is entered.
+func newLine(t *testing.T, to string) (*line.Faulty, string) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	l := &line.Faulty{To: to}
+	addr, err := l.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &line{ln: ln, to: to}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
 	t.Cleanup(func() {
-		_ = ln.Close()
-		l.setCut(true)
-	})
-	go l.run()
-	return l
-}
-
-func (l *line) run() {
-	for {
-		c, err := l.ln.Accept()
-		if err != nil {
-			return
-		}
-		l.mu.Lock()
-		far, err := net.Dial("tcp", l.to)
-		if l.cut || err != nil {
-			_ = c.Close()
-			l.mu.Unlock()
-			continue
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
 		}
-		l.conns = append(l.conns, c, far)
-		l.mu.Unlock()
-		go func() { _, _ = io.Copy(far, c); _ = far.Close() }()
-		go func() { _, _ = io.Copy(c, far); _ = c.Close() }()
-	}
-}
-
-func (l *line) setCut(cut bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cut = cut
-	if cut {
-		for _, c := range l.conns {
-			_ = c.Close()
-		}
-		l.conns = nil
-	}
+	})
+	return l, addr
 }
 
 // log gathers what a process writes.
@@ -465,9 +428,9 @@
 	t.Parallel()
 	t.Run("alone, it refuses", func(t *testing.T) {
 		s := newSystem(t, 1)
-		way := newLine(t, s.store.Addr())
-		e := s.start("entry1", way.ln.Addr().String())
-		way.setCut(true)
+		way, addr := newLine(t, s.store.Addr())
+		e := s.start("entry1", addr)
+		way.Set(line.Broken)
 		s.store.Put("op/config", config(2, `"k1"`))
 		taken := time.Now()
 		s.eventually("keys are refused", func() bool {
@@ -484,11 +447,11 @@
 	})
 	t.Run("with a peer, it learns", func(t *testing.T) {
 		s := newSystem(t, 1)
-		way := newLine(t, s.store.Addr())
+		way, addr := newLine(t, s.store.Addr())
 		s.start("entry2", s.store.Addr())
-		e := s.start("entry1", way.ln.Addr().String())
+		e := s.start("entry1", addr)
 		s.eventually("the entries know each other", func() bool { return len(e.others.all()) == 2 })
-		way.setCut(true)
+		way.Set(line.Broken)
 		s.store.Put("op/config", config(2, `"k1"`))
 		s.eventually("the key is refused for good", func() bool {
 			return e.ask(context.Background(), "/order/1", "o2", "k2").status == http.StatusUnauthorized
--- a/internal/standin/line/line.go
+++ b/internal/standin/line/line.go
@@ -1,6 +1,7 @@
-// Package line is a stand-in for a bad line to a server: it takes requests at
-// an address of its own and loses their answers. It passes on one request of
-// at most a megabyte for each connection and one at a time.
+// Package line is a stand-in for a bad line to a server. A Lossy one takes
+// requests at an address of its own and loses their answers; it passes on one
+// request of at most a megabyte for each connection and one at a time. A Faulty
+// one passes connections on and slows, breaks or silences them when told to.
 package line
 
 import (
