Entries of a large fleet tell each other of their work less often

Change: the time between two messages to one entry is 20 ms up to ten entries and grows with the fleet from there, 84 ms for 42. Nothing changes on deployments of today's size.

--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -19,6 +19,10 @@
 	// tellEvery is the least time between two messages to one entry. A request
 	// lasts a second; in this time the whole fleet places one or two.
 	tellEvery = 20 * time.Millisecond
+	// fewEntries is up to how many entries that time holds. Messages grow with
+	// the square of the fleet, so in a larger one they come as much more seldom
+	// as it is larger; each entry's part of the work is as much smaller.
+	fewEntries = 10
 	// tellAlways is the longest time between them: a message that was lost is
 	// made good, and the others see that this entry is there.
 	tellAlways = time.Second
@@ -69,11 +73,16 @@
 		}
 		t.tellAll(ctx)
 		timer.Reset(tellAlways)
-		pause.For(ctx, tellEvery)
+		pause.For(ctx, tellPause(len(t.frontend.others.all())))
 	}
 	return nil
 }
 
+// tellPause returns the time between two messages in a fleet of so many entries.
+func tellPause(entries int) time.Duration {
+	return tellEvery * time.Duration(max(entries, fewEntries)) / fewEntries
+}
+
 func (t *teller) tellAll(ctx context.Context) {
 	f := t.frontend
 	own := f.belief.Own()
