--- a/cmd/hyssoprelay/daemon_test.go
+++ b/cmd/hyssoprelay/daemon_test.go
@@ -1,44 +1,22 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"os/exec"
-	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
-)
-
-// lines gathers what a process writes.
-type lines struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lines) text() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
 
-func (l *lines) has(text string) bool { return strings.Contains(l.text(), text) }
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
+)
 
 // daemon is a process of the product that may be started again and again.
 type daemon struct {
 	t    *testing.T
 	name string
 	args []string
-	log  lines
+	log  standin.Log
 
 	cmd *exec.Cmd
 	// exited gets the end of the process that was started last.
@@ -51,7 +29,7 @@
 	t.Cleanup(func() {
 		d.kill()
 		if t.Failed() {
-			t.Logf("%s: %s", name, d.log.text())
+			t.Logf("%s: %s", name, d.log.Text())
 		}
 	})
 	d.start()
--- a/cmd/hyssoprelay/ranker_test.go
+++ b/cmd/hyssoprelay/ranker_test.go
@@ -25,11 +25,6 @@
 insecure = true
 `
 
-// rankedConfiguration describes groups of 3 ranks with 2 sets of 9 experts.
-const rankedConfiguration = `{"version":1,"routes":[{"name":"r","hostname":"h","prefix":"/","kind":"streaming","service":"s","gapTargetMs":10}],
-	"services":[{"name":"s","engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"sets":2,"experts":9,"placements":4,"spare":3,
-	"expertMb":1,"linkMbps":1000,"expertShare":0.85}}],"limits":{}}`
-
 // rankers is a group of engines with a ranker process beside each.
 type rankers struct {
 	*fleet
@@ -52,7 +47,7 @@
 // leader returns the process that leads the group, or -1.
 func (r *rankers) leader() int {
 	for i, p := range r.procs {
-		if p.log.has("group led from here") {
+		if p.log.Has("group led from here") {
 			return i
 		}
 	}
@@ -78,7 +73,7 @@
 	store, group := standin.NewStore(), standin.StartGroup(3, 2, 9, 4)
 	t.Cleanup(store.Close)
 	t.Cleanup(group.Close)
-	store.Put("op/config", []byte(rankedConfiguration))
+	store.Put("op/config", []byte(standin.GroupConfiguration))
 	r := newRankers(t, group, []string{store.Addr(), store.Addr(), store.Addr()})
 	frozen := make(chan int, 1)
 	r.group.OnHold(func() {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	logs "github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
@@ -58,31 +58,6 @@
 	return l, addr
 }
 
-// log gathers what a process writes.
-type log struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *log) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *log) has(text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.b.String(), text)
-}
-
-func (l *log) text() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // system is a store, endpoints and entries.
 type system struct {
 	t         *testing.T
@@ -112,7 +87,7 @@
 // entry is a running entry.
 type entry struct {
 	*Frontend
-	log  *log
+	log  *logs.Log
 	stop func()
 }
 
@@ -132,7 +107,7 @@
 		},
 		Log: process.NewBoundedLog(name, "a"),
 	}
-	out := &log{}
+	out := &logs.Log{}
 	f.Output = out
 	if err := f.Listen(); err != nil {
 		s.t.Fatal(err)
@@ -152,7 +127,7 @@
 	s.t.Cleanup(func() {
 		stop()
 		if s.t.Failed() {
-			s.t.Logf("log of %s:\n%s", name, out.text())
+			s.t.Logf("log of %s:\n%s", name, out.Text())
 		}
 	})
 	e := &entry{Frontend: f, log: out, stop: stop}
@@ -399,7 +374,7 @@
 	}
 	far.Behave(standin.Answers)
 	s.store.Put("op/evacuate/b", []byte("{}"))
-	s.eventually("the order is in force", func() bool { return e.log.has("data centre order in force") })
+	s.eventually("the order is in force", func() bool { return e.log.Has("data centre order in force") })
 	before := far.Runs("x")
 	for range 20 {
 		s.want(e.ask(context.Background(), "/look/1", "x", "k1"), http.StatusOK)
@@ -415,10 +390,10 @@
 	s := newSystem(t, 2)
 	e := s.start("entry1", s.store.Addr())
 	s.store.SetFault(standin.Busy)
-	s.eventually("the outage is noticed", func() bool { return e.log.has("dependency lost") })
+	s.eventually("the outage is noticed", func() bool { return e.log.Has("dependency lost") })
 	s.want(e.ask(context.Background(), "/order/1", "o1", "k1"), http.StatusOK)
 	s.store.SetFault(standin.Well)
-	s.eventually("its end is noticed", func() bool { return e.log.has("dependency regained") })
+	s.eventually("its end is noticed", func() bool { return e.log.Has("dependency regained") })
 }
 
 // A former caller orders on another's account: its key was taken away while the
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -1,7 +1,6 @@
 package ranker
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
@@ -13,6 +12,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	logs "github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -21,36 +21,12 @@
 	os.Exit(m.Run())
 }
 
-// configuration describes groups of 3 ranks with 2 sets of 9 experts.
-const configuration = `{"version":1,"routes":[{"name":"r","hostname":"h","prefix":"/","kind":"streaming","service":"s","gapTargetMs":10}],
-	"services":[{"name":"s","engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"sets":2,"experts":9,"placements":4,"spare":3,
-	"expertMb":1,"linkMbps":1000,"expertShare":0.85}}],"limits":{}}`
-
-// output gathers a process's log.
-type output struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (o *output) Write(p []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.b.Write(p)
-}
-
-func (o *output) has(text string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return strings.Contains(o.b.String(), text)
-}
-
 // agents is a group of engines with an agent beside each.
 type agents struct {
 	t     *testing.T
 	store *standin.Store
 	group *standin.Group
-	logs  []*output
+	logs  []*logs.Log
 	stops []func()
 }
 
@@ -59,7 +35,7 @@
 	a := &agents{t: t, store: standin.NewStore(), group: standin.StartGroup(3, 2, 9, 4)}
 	t.Cleanup(a.store.Close)
 	t.Cleanup(a.group.Close)
-	a.store.Put("op/config", []byte(configuration))
+	a.store.Put("op/config", []byte(standin.GroupConfiguration))
 	for i := range 3 {
 		a.start(i)
 	}
@@ -69,7 +45,7 @@
 func (a *agents) start(i int) {
 	a.t.Helper()
 	name := fmt.Sprint("agent", i)
-	log := &output{}
+	log := &logs.Log{}
 	r := &Ranker{
 		Settings: &settings.Ranker{
 			Process: settings.Process{
@@ -117,7 +93,7 @@
 
 func (a *agents) leader() int {
 	for i, l := range a.logs {
-		if l.has("group led from here") {
+		if l.Has("group led from here") {
 			return i
 		}
 	}
@@ -152,7 +128,7 @@
 	a.stops[old]()
 	a.eventually("another leads", func() bool {
 		for i, l := range a.logs {
-			if i != old && l.has("group led from here") {
+			if i != old && l.Has("group led from here") {
 				return true
 			}
 		}
@@ -170,7 +146,7 @@
 	a.store.SetFault(standin.Busy)
 	time.Sleep(2 * leaseTime)
 	a.runsOn()
-	if a.logs[a.leader()].has("group no longer led from here") {
+	if a.logs[a.leader()].Has("group no longer led from here") {
 		t.Fatal("the lead ended with the outage")
 	}
 	a.store.SetFault(standin.Well)
