A map that a rank takes and copies late is given up for a further version

From 21.5 s to 33 s no map came into force, drafts were refused with 2005 and 2004, and the leader's log shows 652 times "prepare, unfit" for rank 1 and one version. The engine had taken the version, not answered, and carries the order out up to 12 s later: until then it neither copies nor takes that version again, and the leader knew no other way.

Ruled out: a copy that takes long (100 ms), a list that differs from the leader's (no map was mixed), another leader (the lease was held throughout).

Change: a rank that refuses for 300 ms has the leader take a further version. So flushes take a further version as well.

What was missing in the logs: nothing for this cause; the line "order given" of a refused prepare tells rank and version.

--- a/internal/rank/lockstep/doc.go
+++ b/internal/rank/lockstep/doc.go
@@ -13,6 +13,8 @@
 //   - Orders of an earlier leader: a new leader first shows its token to every
 //     rank (Fence), and a rank refuses a lower one.
 //   - A late prepare is refused once the rank has had that version or a higher.
+//     A rank may also take its version at once and copy later; then the leader
+//     takes a further version, which the rank takes at once.
 //   - A late arm is refused once its step has begun, or once another version is
 //     prepared. A step that is given up may not begin for long, if the group is
 //     idle; so before it is let go every rank prepares a further version that
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -13,6 +13,10 @@
 	// holdAhead is how long before its beginning a step should be held: the
 	// time for a hold, a look at all ranks and the arming.
 	holdAhead = 40 * time.Millisecond
+	// refusedTime is how long a rank may refuse to prepare a map, or a flush,
+	// before the leader takes another version. A copy takes 100 ms, in which a
+	// repeated order is refused as well.
+	refusedTime = 300 * time.Millisecond
 	// mostAhead bounds by how many steps a hold is ahead.
 	mostAhead = 12
 )
@@ -35,6 +39,10 @@
 	Token uint64
 
 	goal *Goal
+	// refused says that a rank has refused to prepare the goal or the flush,
+	// and refusedSince when that was first seen.
+	refused      bool
+	refusedSince time.Time
 	// undo says that the held step is given up.
 	undo bool
 	// own is the step that this leader ordered to hold, for its goal.
@@ -70,6 +78,7 @@
 // number as prepared when its copy is complete, and is armed with a map that the
 // others don't have. So versions begin with the leader's token.
 func (l *Leader) nextVersion() uint64 {
+	l.refused, l.refusedSince = false, time.Time{}
 	l.newest = max(l.newest, l.Token<<versionBits) + 1
 	return l.newest
 }
@@ -104,6 +113,9 @@
 	if o == Fenced {
 		l.deposed = true
 	}
+	if p, ok := d.Order.(Prepare); ok && o == Unfit && p.Version == l.newest {
+		l.refused = true
+	}
 	if o != Unknown && d.Epoch == l.epoch && d.Rank < len(l.fenced) {
 		l.fenced[d.Rank] = true
 	}
@@ -132,7 +144,7 @@
 		if !begin {
 			return nil
 		}
-		return l.advance(ranks, armed)
+		return l.advance(ranks, armed, now)
 	}
 	if l.heldSince.IsZero() {
 		l.heldSince = now
@@ -143,7 +155,7 @@
 		return release(ranks, held)
 	case l.undo || l.giveUp(ranks, armed, same, held, now):
 		l.undo = true
-		return l.takeBack(ranks, held)
+		return l.takeBack(ranks, held, now)
 	default:
 		return l.arm(ranks, held)
 	}
@@ -264,11 +276,31 @@
 	return Directive{Rank: i, Epoch: ranks[i].Epoch, Sequence: ranks[i].Sequence, Order: o}
 }
 
+// stuck reports whether a rank goes on refusing to prepare the newest version.
+//
+// Guard: a rank takes a prepare and does not answer, and carries it out seconds
+// later. Until then it neither copies nor takes that version again; the group
+// would keep a map that popularity has left, for 11 s in one case. A further
+// version is taken at once, and the late order is refused then.
+func (l *Leader) stuck(now time.Time) bool {
+	if !l.refused {
+		return false
+	}
+	if l.refusedSince.IsZero() {
+		l.refusedSince = now
+	}
+	return now.Sub(l.refusedSince) > refusedTime
+}
+
 // advance works towards the goal while nothing is held.
-func (l *Leader) advance(ranks []State, armed int) []Directive {
+func (l *Leader) advance(ranks []State, armed int, now time.Time) []Directive {
 	if l.goal == nil || armed > 0 {
 		return nil
 	}
+	if l.stuck(now) {
+		l.goal = nil
+		return nil
+	}
 	var out []Directive
 	ready := true
 	for i, r := range ranks {
@@ -376,11 +408,11 @@
 
 // takeBack gives the held step up: disarm, flush, let go. The leader's own rank
 // is disarmed and flushed before the others, see Rescue.
-func (l *Leader) takeBack(ranks []State, h holding) []Directive {
+func (l *Leader) takeBack(ranks []State, h holding, now time.Time) []Directive {
 	if l.inForce == nil || l.inForce.Version != ranks[h.rank].Map {
 		return nil // the map has to be learnt first, see Current
 	}
-	if l.flush == 0 {
+	if l.flush == 0 || l.stuck(now) {
 		l.flush, l.goal = l.nextVersion(), nil
 	}
 	if out := l.takeBackRank(ranks, l.Own); len(out) > 0 {
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -23,6 +23,8 @@
 	at    int
 	token uint64
 	d     Directive
+	// taken says that the rank has taken its version at once.
+	taken bool
 }
 
 // world is a group of ranks whose orders may be lost, unanswered or late.
@@ -44,6 +46,8 @@
 	// dark is a rank that nobody sees until darkUntil: the VM of the leader
 	// beside it is frozen.
 	dark, darkUntil int
+	// taking says that an order is carried out whose version was taken before.
+	taking bool
 	// contents counts the maps that were proposed.
 	contents int
 }
@@ -91,7 +95,10 @@
 	case Fence:
 		return Unfit
 	case Prepare:
-		if o.Version <= r.had || r.state.Armed != nil {
+		if o.Version <= r.had && !w.taking || r.state.Armed != nil {
+			return Unfit
+		}
+		if w.taking && o.Version < r.had {
 			return Unfit
 		}
 		r.had, r.copying, r.ready = o.Version, o.Version, o.Sets[0][0][0]
@@ -146,11 +153,25 @@
 		w.execute(token, d)
 		return Unknown
 	default:
-		w.late = append(w.late, lateOrder{at: w.tick + 1 + w.rng.IntN(200), token: token, d: d})
+		late := lateOrder{at: w.tick + 1 + w.rng.IntN(200), token: token, d: d}
+		late.taken = w.rng.IntN(2) == 0 && w.takes(token, d)
+		w.late = append(w.late, late)
 		return Unknown
 	}
 }
 
+// takes has a rank take the version of a prepare that it carries out later, and
+// reports whether it did.
+func (w *world) takes(token uint64, d Directive) bool {
+	r := &w.ranks[d.Rank]
+	p, ok := d.Order.(Prepare)
+	if !ok || token < r.token || p.Version <= r.had || r.state.Armed != nil || d.Epoch != r.state.Epoch {
+		return false
+	}
+	r.token, r.had = token, p.Version
+	return true
+}
+
 // advance lets time pass: late orders, and a pass unless one is held.
 func (w *world) advance(active bool) {
 	w.tick++
@@ -161,7 +182,9 @@
 			rest = append(rest, o)
 			continue
 		}
+		w.taking = o.taken
 		w.execute(o.token, o.d)
+		w.taking = false
 	}
 	w.late = rest
 	for i := range w.ranks {
@@ -430,3 +453,33 @@
 		t.Fatalf("held %v, map %d", anyHeld(w), w.ranks[0].state.Map)
 	}
 }
+
+// Popularity has jumped, and a rank takes the next map's version, does not answer
+// and begins to copy 12 s later. The group must not keep its old map until then.
+func TestPrepareThatIsTakenLateIsGivenUp(t *testing.T) {
+	w := newWorld(t, 7, 4)
+	d := newDriver(w, 1)
+	taken := false
+	for range 100 {
+		w.advance(true)
+		l := w.look().ranks
+		if d.l.InForce() == nil || d.l.InForce().Version != l[0].Map {
+			d.l.Current(l[0].Map, content(w.ranks[0].content))
+		}
+		if !d.l.Busy() {
+			d.l.Propose(content(w.newContent()))
+		}
+		for _, o := range d.l.Decide(l, true, true, w.now) {
+			if _, prepare := o.Order.(Prepare); prepare && o.Rank == 2 && !taken {
+				taken = w.takes(d.token, o)
+				w.late = append(w.late, lateOrder{at: w.tick + 1200, token: d.token, d: o, taken: true})
+				d.l.Answered(o, Unknown)
+				continue
+			}
+			d.l.Answered(o, w.give(d.token, o))
+		}
+	}
+	if !taken || w.ranks[0].state.Map == 0 {
+		t.Fatalf("map %d in force a second after a rank took a version late", w.ranks[0].state.Map)
+	}
+}
