Read once more: a flag that was always true, a copy for a length, an own compare

Decide's whole was always true since looks that miss a rank go to Rescue: the parameter is gone. The number of entries is counted without copying their map. jumptable uses cmp.Compare. Behaviour stays; the jump table prints the same.

Race tests of lockstep and ranker passed beside that.

--- a/internal/frontend/leave.go
+++ b/internal/frontend/leave.go
@@ -72,6 +72,13 @@
 	return addr
 }
 
+// count returns how many entries there are.
+func (a *addresses) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.byName)
+}
+
 // all returns a copy.
 func (a *addresses) all() map[string]string {
 	a.mu.Lock()
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -73,7 +73,7 @@
 		}
 		t.tellAll(ctx)
 		timer.Reset(tellAlways)
-		pause.For(ctx, tellPause(len(t.frontend.others.all())))
+		pause.For(ctx, tellPause(t.frontend.others.count()))
 	}
 	return nil
 }
--- a/internal/rank/evenmap/jumptable/run.go
+++ b/internal/rank/evenmap/jumptable/run.go
@@ -1,6 +1,7 @@
 package jumptable
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -141,14 +142,14 @@
 		order[r] = r
 	}
 	loads := p.Loads(load)
-	slices.SortStableFunc(order, func(a, b int) int { return compare(loads[b], loads[a]) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(loads[b], loads[a]) })
 	ranks := make([][]int, s.Ranks)
 	for r, experts := range p.Ranks() {
 		ranks[r] = slices.Clone(experts)
 	}
 	for i := range s.Ranks / 2 {
 		hot, cold := order[i], order[s.Ranks-1-i]
-		byLoad := func(a, b int) int { return compare(load[a], load[b]) }
+		byLoad := func(a, b int) int { return cmp.Compare(load[a], load[b]) }
 		h, k := slices.MaxFunc(ranks[hot], byLoad), slices.MinFunc(ranks[cold], byLoad)
 		gain := load[h] - load[k]
 		if gain <= 0 || gain >= loads[hot]-loads[cold] || slices.Contains(ranks[cold], h) || slices.Contains(ranks[hot], k) {
@@ -181,7 +182,7 @@
 	for e := range order {
 		order[e] = e
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return compare(each(b), each(a)) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(each(b), each(a)) })
 	ranks, loads := make([][]int, s.Ranks), make([]float64, s.Ranks)
 	// First one replica of each, so that all have a place.
 	for round := range 2 {
@@ -212,14 +213,3 @@
 		loads[to] += load
 	}
 }
-
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -125,12 +125,11 @@
 func (l *Leader) Deposed() bool { return l.deposed }
 
 // Decide returns the orders to give now. Ranks holds the state of every rank by
-// its number; whole says that all were seen just now, after every earlier order
-// was answered or given up. Without that nothing is ordered: what can't be seen
-// may be armed. Without begin only what is held or armed is brought to its end:
+// its number, all seen just now, after every earlier order was answered or given
+// up: what can't be seen may be armed, see Rescue. Without begin only what is held or armed is brought to its end:
 // a leader that is about to stop must not leave the group held.
-func (l *Leader) Decide(ranks []State, whole, begin bool, now time.Time) []Directive {
-	if l.deposed || !whole || !l.agree(ranks) {
+func (l *Leader) Decide(ranks []State, begin bool, now time.Time) []Directive {
+	if l.deposed || !l.agree(ranks) {
 		return nil
 	}
 	l.observe(ranks, now)
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -270,7 +270,7 @@
 	if !d.l.Busy() && d.w.rng.IntN(d.w.proposeOneIn) == 0 {
 		d.l.Propose(content(d.w.newContent()))
 	}
-	for _, o := range d.l.Decide(l.ranks, true, true, d.w.now) {
+	for _, o := range d.l.Decide(l.ranks, true, d.w.now) {
 		d.l.Answered(o, d.w.give(d.token, o))
 	}
 }
@@ -369,7 +369,7 @@
 		if !d.l.Busy() {
 			d.l.Propose(content(d.w.newContent()))
 		}
-		for _, o := range d.l.Decide(looked, true, true, w.now) {
+		for _, o := range d.l.Decide(looked, true, w.now) {
 			if _, arm := o.Order.(Arm); arm && o.Rank == 2 && w.tick < 100 {
 				d.l.Answered(o, Unknown)
 				continue
@@ -395,7 +395,7 @@
 		}
 		for range armed {
 			// The first of the arms that are due is given.
-			o := first.l.Decide(w.look().ranks, true, true, w.now)[0]
+			o := first.l.Decide(w.look().ranks, true, w.now)[0]
 			first.l.Answered(o, w.give(first.token, o))
 		}
 		w.dark, w.darkUntil = first.l.Own, w.tick+1000
@@ -428,7 +428,7 @@
 			d.l.Current(0, content(0))
 			d.l.Propose(content(1))
 		}
-		for _, o := range d.l.Decide(l.ranks, true, true, w.now) {
+		for _, o := range d.l.Decide(l.ranks, true, w.now) {
 			if _, arm := o.Order.(Arm); arm && o.Rank == d.l.Own {
 				late = o
 				d.l.Answered(o, Unknown)
@@ -439,7 +439,7 @@
 	}
 	w.now = w.now.Add(2 * armTime)
 	for range 20 {
-		for _, o := range d.l.Decide(w.look().ranks, true, true, w.now) {
+		for _, o := range d.l.Decide(w.look().ranks, true, w.now) {
 			if _, disarm := o.Order.(Disarm); disarm {
 				if w.execute(d.token, late) != Unfit {
 					t.Fatalf("rank %d is disarmed while the leader's own may still be armed", o.Rank)
@@ -469,7 +469,7 @@
 		if !d.l.Busy() {
 			d.l.Propose(content(w.newContent()))
 		}
-		for _, o := range d.l.Decide(l, true, true, w.now) {
+		for _, o := range d.l.Decide(l, true, w.now) {
 			if _, prepare := o.Order.(Prepare); prepare && o.Rank == 2 && !taken {
 				taken = w.takes(d.token, o)
 				w.late = append(w.late, lateOrder{at: w.tick + 1200, token: d.token, d: o, taken: true})
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -194,13 +194,13 @@
 		t.plan(byRank, now)
 	}
 	was := t.leader.Busy()
-	directives := t.leader.Decide(ranks, true, t.mayBegin(now), now)
+	directives := t.leader.Decide(ranks, t.mayBegin(now), now)
 	if was && !t.leader.Busy() {
 		return 0 // what was counted meanwhile may ask for the next change
 	}
 	if len(directives) > 0 {
 		t.giveAndFollow(ctx, directives, ranks, byRank, func(now time.Time) []lockstep.Directive {
-			return t.leader.Decide(ranks, true, t.mayBegin(now), now)
+			return t.leader.Decide(ranks, t.mayBegin(now), now)
 		})
 		return 0
 	}
