An order to an engine elsewhere is given again within its round

Callers leave after 2 s without an event and an engine whose group is held does not notice that they left.

--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -79,7 +79,7 @@
 	r := t.ranker
 	switch {
 	case to.agent == nil || stepOrder(d.Order):
-		return t.engineAt(to.address).Give(ctx, t.token, d)
+		return giveAgain(ctx, t.engineAt(to.address), t.token, d, directTries)
 	case to.agent.Name == r.Settings.Name:
 		return r.giveOwn(ctx, t.token, d)
 	}
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
@@ -20,37 +19,6 @@
 	address string
 }
 
-const (
-	// orderTimeout bounds an order to the engine on the same VM, which answers
-	// in a millisecond or not at all. While a step is held every stream of the
-	// group waits for the order to be given again.
-	orderTimeout = 8 * time.Millisecond
-	// orderTries is how often an order is given that gets no answer. Engines
-	// may lose four in ten orders for some seconds; with twelve ranks to arm a
-	// step would be held for several rounds of single tries.
-	orderTries = 4
-)
-
-// giveAgain gives an order until it is answered, a few times. Orders say what the
-// state shall be, so that one which is carried out twice does no more than once.
-func giveAgain(ctx context.Context, e *platform.Engine, token uint64, d lockstep.Directive) (lockstep.Outcome, error) {
-	var err error
-	for range orderTries {
-		o := lockstep.Unknown
-		o, err = giveOnce(ctx, e, token, d)
-		if o != lockstep.Unknown {
-			return o, err
-		}
-	}
-	return lockstep.Unknown, err
-}
-
-func giveOnce(ctx context.Context, e *platform.Engine, token uint64, d lockstep.Directive) (lockstep.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	return e.Give(ctx, token, d)
-}
-
 // service answers the leader of the group.
 type service struct {
 	fleetpb.UnimplementedAgentServer
@@ -100,7 +68,7 @@
 
 // giveOwn hands an order to the agent's own engine.
 func (r *Ranker) giveOwn(ctx context.Context, token uint64, d lockstep.Directive) (lockstep.Outcome, error) {
-	o, err := giveAgain(ctx, r.engine, token, d)
+	o, err := giveAgain(ctx, r.engine, token, d, ownTries)
 	r.counts.orders.Inc(1)
 	switch o {
 	case lockstep.Unknown:
