A rank is seen without its agent's key, and a key that vanishes is written again

The store let all leases lapse, and agents were restarted in turn, 0.8 s apart. A leader looked only at engines whose agents have a key, so one rank was always missing, and without it nothing is decided. Each agent noticed the lapse at its next renewal, up to 3 s later.

Ruled out by a log line that is kept (a step stays held, with what each rank lacks): ranks that refuse, are busy, or stay armed. It named no rank: the leader had not come to decide for 4 s.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/pause"
-
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -94,9 +92,15 @@
 	Member Member
 	// Failed, when set, is told of each failed call.
 	Failed func(error)
+	// Vanished, when set, gets a value when the member's key was seen to be gone.
+	Vanished <-chan struct{}
 }
 
 // Run keeps the key until ctx ends, and then takes it back.
+//
+// Guard: the store lets all leases lapse in an outage. Until a process renews its
+// lease again it doesn't notice, and the others don't see it for up to a third of
+// the lease. A process that sees its own key vanish writes it again at once.
 func (r *Registrar) Run(ctx context.Context) error {
 	var lease platform.LeaseID
 	for ctx.Err() == nil {
@@ -111,7 +115,9 @@
 			r.fail(err)
 			rest = min(rest, retryEvery)
 		}
-		pause.For(ctx, rest)
+		if r.rest(ctx, rest) {
+			lease = 0
+		}
 	}
 	if lease == 0 {
 		return nil
@@ -124,6 +130,19 @@
 	return nil
 }
 
+// rest waits for d, or less if the key vanishes, and reports whether it has.
+func (r *Registrar) rest(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.Vanished:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (r *Registrar) fail(err error) {
 	if r.Failed != nil {
 		r.Failed(err)
--- /dev/null
+++ b/internal/fleet/member_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+)
+
+// keys is a store that counts how often a member's key was written.
+type keys struct{ written atomic.Int64 }
+
+func (k *keys) Txn(context.Context, platform.Txn) (platform.TxnReply, error) {
+	k.written.Add(1)
+	return platform.NewTxnReply(1, true), nil
+}
+
+func (k *keys) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	return platform.LeaseID(1), nil
+}
+
+func (k *keys) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
+	return LeaseTime, nil
+}
+
+func (k *keys) Revoke(context.Context, platform.LeaseID) error { return nil }
+
+// The store lets all leases lapse in an outage and is back. The leader of a group
+// of ranks did not see several ranks for three seconds, because their agents had
+// not renewed their leases since; a held step stayed held for as long.
+func TestVanishedKeyIsWrittenAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	store, vanished := &keys{}, make(chan struct{}, 1)
+	r := &Registrar{Store: store, Member: Member{Kind: Agent, Name: "a"}, Vanished: vanished}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	eventually(t, func() bool { return store.written.Load() == 1 })
+	vanished <- struct{}{}
+	eventually(t, func() bool { return store.written.Load() == 2 })
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// eventually bounds a test that hangs; a third of a lease is what the process
+// would wait for by itself.
+func eventually(t *testing.T, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(LeaseTime / 3); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the key was not written in time")
+		}
+	}
+}
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -104,6 +104,27 @@
 	l.inForce = &Goal{Version: version, Sets: sets}
 }
 
+// HeldFor returns for how long a step has been held, or 0 if none of the ranks
+// holds one.
+func (l *Leader) HeldFor(ranks []State, now time.Time) time.Duration {
+	if _, held := l.held(ranks); !held || !l.Holding() {
+		return 0
+	}
+	return now.Sub(l.heldSince)
+}
+
+// Awaited returns the ranks that keep a held step from being let go: those that
+// are armed, or lack the version that is to be prepared on all.
+func (l *Leader) Awaited(ranks []State) []int {
+	var out []int
+	for i, r := range ranks {
+		if r.Armed != nil || !r.HasPrepared || r.Prepared != l.flush {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // InForce returns the map in force, or nil when it isn't known.
 func (l *Leader) InForce() *Goal { return l.inForce }
 
--- a/internal/rank/lockstep/state.go
+++ b/internal/rank/lockstep/state.go
@@ -1,5 +1,7 @@
 package lockstep
 
+import "fmt"
+
 // Arming is a map that a rank switches to as a step begins.
 type Arming struct {
 	Step, Version uint64
@@ -37,6 +39,24 @@
 	Pace float64
 }
 
+// String describes what maps the rank has, for log lines.
+func (s State) String() string {
+	text := fmt.Sprintf("map %d", s.Map)
+	if s.HasPrepared {
+		text += fmt.Sprintf(", prepared %d", s.Prepared)
+	}
+	if s.Armed != nil {
+		text += fmt.Sprintf(", armed %d at %d", s.Armed.Version, s.Armed.Step)
+	}
+	if s.Held != nil {
+		text += fmt.Sprintf(", holds %d", *s.Held)
+	}
+	if s.Busy {
+		text += ", busy"
+	}
+	return text
+}
+
 // Order is an order to one rank: Fence, Prepare, Arm, Disarm, Hold or Go.
 type Order interface{ isOrder() }
 
--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -64,10 +64,25 @@
 }
 
 // lookAll looks at the engines of all agents. Counts are asked for from the
-// first ones by name, so that they are always the same.
+// first ones by name, so that they are always the same. When that shows fewer
+// ranks than there are, the engines of agents that have lapsed are asked too.
 func (t *term) lookAll(ctx context.Context, agents []fleet.Member, want wanted) []found {
 	slices.SortFunc(agents, func(a, b fleet.Member) int { return strings.Compare(a.Name, b.Name) })
 	most := t.counted(len(agents))
+	out := t.lookEach(agents, func(i int, m *fleet.Member) (found, error) {
+		return t.lookAt(ctx, m, wanted{counts: want.counts && i < most, lists: want.lists})
+	})
+	if len(out) >= t.size {
+		return out
+	}
+	lapsed := t.ranker.lapsedMembers(t.group, boottime.Now())
+	return append(out, t.lookEach(lapsed, func(_ int, m *fleet.Member) (found, error) {
+		return t.lookDirectly(ctx, m, want.lists, darkTimeout)
+	})...)
+}
+
+// lookEach looks at the engines of some agents at once.
+func (t *term) lookEach(agents []fleet.Member, lookAt func(int, *fleet.Member) (found, error)) []found {
 	var mu sync.Mutex
 	var out []found
 	var wg sync.WaitGroup
@@ -75,7 +90,7 @@
 		wg.Add(1)
 		go func(m *fleet.Member) {
 			defer wg.Done()
-			f, err := t.lookAt(ctx, m, wanted{counts: want.counts && i < most, lists: want.lists})
+			f, err := lookAt(i, m)
 			if err != nil {
 				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
 				return
@@ -108,13 +123,20 @@
 		t.passOver(m, err)
 		silent.dark = false
 	}
+	timeout := engineTimeout
 	if silent.dark {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, darkTimeout)
-		defer cancel()
+		timeout = darkTimeout
 	}
-	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: want.lists})
+	f, err := t.lookDirectly(ctx, m, want.lists, timeout)
 	t.noteDark(m.Name, err != nil)
+	return f, err
+}
+
+// lookDirectly looks at an engine without the agent beside it.
+func (t *term) lookDirectly(ctx context.Context, m *fleet.Member, lists bool, timeout time.Duration) (found, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: lists})
 	return found{look: l}, err
 }
 
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -75,12 +75,16 @@
 	// group.
 	leaving atomic.Bool
 	leads   atomic.Bool
-	// free holds a token when a group's lease has ended.
-	free chan struct{}
+	// free holds a token when a group's lease has ended, and vanished one when
+	// the process's own key has.
+	free     chan struct{}
+	vanished chan struct{}
 
 	mu      sync.Mutex // guards all below
 	agents  map[string]fleet.Member
 	entries map[string]fleet.Member
+	// lapsed holds the agents whose keys have vanished.
+	lapsed map[string]lapse
 	// leases holds the groups that have a leader, and leaders who led each
 	// group last.
 	leases  map[string]bool
@@ -109,6 +113,7 @@
 		changes: counter("mapChanges"), copies: counter("expertCopies"), leads: counter("terms"),
 	}
 	r.agents, r.entries = map[string]fleet.Member{}, map[string]fleet.Member{}
+	r.lapsed = map[string]lapse{}
 	r.leases, r.leaders = map[string]bool{}, map[string]predecessor{}
 	r.store = &platform.Store{
 		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
@@ -121,7 +126,7 @@
 		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Settle: pollSettle, Now: boottime.Now,
 		Apply: r.apply, Failed: r.storeFailed,
 	}
-	r.free = make(chan struct{}, 1)
+	r.free, r.vanished = make(chan struct{}, 1), make(chan struct{}, 1)
 	r.conns = &peer.Conns{}
 	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
 		fleetpb.RegisterAgentServer(g, &service{ranker: r})
@@ -160,10 +165,14 @@
 
 // apply takes in what the store told of the product's processes.
 func (r *Ranker) apply(u mirror.Update) {
+	now := boottime.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.synced = true
 	if u.Whole {
+		for name := range r.agents {
+			r.lapse(name, now)
+		}
 		clear(r.agents)
 		clear(r.entries)
 		clear(r.leases)
@@ -172,8 +181,9 @@
 		r.put(item)
 	}
 	for _, key := range u.Deleted {
-		r.remove(key)
+		r.remove(key, now)
 	}
+	r.noteVanished()
 }
 
 func (r *Ranker) put(item kv.KeyValue) {
@@ -188,35 +198,42 @@
 		r.Log.WithField("cause", err.Error()).Warn("entry not readable, ignored")
 	case ok && m.Kind == fleet.Agent:
 		r.agents[m.Name] = m
+		delete(r.lapsed, m.Name)
 	case ok:
 		r.entries[m.Name] = m
 	}
 }
 
-func (r *Ranker) remove(key string) {
+func (r *Ranker) remove(key string, now time.Time) {
 	if group, ok := rank.LeaseGroup(fleet.Prefix, key); ok {
 		delete(r.leases, group)
-		select {
-		case r.free <- struct{}{}:
-		default:
-		}
+		signal(r.free)
 		return
 	}
 	switch kind, name, _ := fleet.Removed(key); kind {
 	case fleet.Agent:
+		r.lapse(name, now)
 		delete(r.agents, name)
 	case fleet.Entry:
 		delete(r.entries, name)
 	}
 }
 
+// signal puts a token into ch, unless one is there.
+func signal(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
 // register keeps the agent's own key, once its group is known.
 func (r *Ranker) register(ctx context.Context) error {
 	group := r.awaitGroup(ctx)
 	if group == "" {
 		return nil
 	}
-	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Member: fleet.Member{
+	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Vanished: r.vanished, Member: fleet.Member{
 		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
 		Address: r.peers.Address(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
 	}}
@@ -288,18 +305,3 @@
 	t.run(ctx)
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token}).Info("group no longer led from here")
 }
-
-// members returns the agents of a group and the entries.
-func (r *Ranker) members(group string) (agents, entries []fleet.Member) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, m := range r.agents {
-		if m.Group == group {
-			agents = append(agents, m)
-		}
-	}
-	for _, m := range r.entries {
-		entries = append(entries, m)
-	}
-	return agents, entries
-}
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -137,6 +137,32 @@
 	a.runsOn()
 }
 
+// An agent is restarted in the moment in which a step is held, and its key
+// vanishes with it. Its engine is still there: the leader brings the change to its
+// end. Without a look at that engine it would see a rank too few, and the group
+// would stay held until the agent is back.
+func TestAgentLeavesWhileAStepIsHeld(t *testing.T) {
+	t.Parallel()
+	a := startAgents(t)
+	a.eventually("a map is in force", func() bool { return a.group.Version() > 0 })
+	other := (a.leader() + 1) % 3
+	left := make(chan struct{})
+	a.group.LoseOrders(2)
+	a.group.OnHold(func() {
+		go func() {
+			defer close(left)
+			a.stops[other]()
+		}()
+	})
+	a.group.Prefer(1)
+	<-left
+	a.runsOn()
+	a.group.Prefer(5)
+	before := a.group.Version()
+	a.eventually("another map is in force", func() bool { return a.group.Version() > before })
+	a.runsOn()
+}
+
 // The store is away for longer than the leader's lease. The group must not stay
 // held, and its leader goes on until another one has shown its token.
 func TestLeadOutlastsAnOutageOfTheStore(t *testing.T) {
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -57,9 +58,11 @@
 	direct  map[string]*platform.Engine
 	silent  map[string]silence
 	told    time.Time
-	renew   chan renewal
-	renewAt time.Time
-	renews  bool
+	// heldLogged is when a step that stays held was last told of.
+	heldLogged time.Time
+	renew      chan renewal
+	renewAt    time.Time
+	renews     bool
 }
 
 // renewal is the end of a call that renews the lease.
@@ -195,6 +198,7 @@
 	}
 	was := t.leader.Busy()
 	directives := t.leader.Decide(ranks, t.mayBegin(now), now)
+	t.logHeld(ranks, now)
 	if was && !t.leader.Busy() {
 		return 0 // what was counted meanwhile may ask for the next change
 	}
@@ -210,6 +214,21 @@
 	return lookEvery
 }
 
+// logHeld tells of a step that is held for longer than any change takes, and which
+// ranks keep it from being let go.
+func (t *term) logHeld(ranks []lockstep.State, now time.Time) {
+	held := t.leader.HeldFor(ranks, now)
+	if held < changeTime || now.Sub(t.heldLogged) < changeTime {
+		return
+	}
+	t.heldLogged = now
+	f := logrus.Fields{"group": t.group, "epoch": ranks[0].Epoch, "held": held.Milliseconds()}
+	for _, i := range t.leader.Awaited(ranks) {
+		f[fmt.Sprint("rank", i)] = ranks[i].String()
+	}
+	t.ranker.Log.WithFields(f).Warn("a step stays held")
+}
+
 // rescue lets a step go that the last leader left held, if its own rank alone
 // isn't seen, and returns how long to wait for the next round.
 func (t *term) rescue(ctx context.Context, ranks []lockstep.State, byRank []found, seen []bool) time.Duration {
