A report from afar counts only if it is of after the leader's fence

Cause: found while the held steps were traced. An engine that is asked from another VM reports what it was some 200 ms ago (a disarm was answered as done seven times over 250 ms while the report still showed the rank armed). Decide rests on looks of after the fence; such a look can be of before it, and show an arming that the last leader took back or made in between. Then a step is let go with two maps.

Ruled out: other decisions on old reports; what a report can miss after the fence is this leader's own orders, and those are given again and answered as done.

Change: each state tells of which moment it is at least (AsOf), and a leader decides nothing before all states are of after its token was seen. Where an agent is away that takes 0.3 s more in the first moment of a term.

--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -62,8 +62,9 @@
 	// went is the step for which go was ordered with all ranks armed.
 	went    uint64
 	inForce *Goal
-	// fenced holds which ranks have seen the leader's token.
-	fenced  []bool
+	// fenced holds when each rank was first known to have seen the leader's
+	// token; zero means not yet.
+	fenced  []time.Time
 	deposed bool
 }
 
@@ -130,15 +131,15 @@
 
 // Answered tells what became of an order. A rank that has seen a newer leader
 // deposes this one.
-func (l *Leader) Answered(d Directive, o Outcome) {
+func (l *Leader) Answered(d Directive, o Outcome, now time.Time) {
 	if o == Fenced {
 		l.deposed = true
 	}
 	if p, ok := d.Order.(Prepare); ok && o == Unfit && p.Version == l.newest {
 		l.refused = true
 	}
-	if o != Unknown && d.Epoch == l.epoch && d.Rank < len(l.fenced) {
-		l.fenced[d.Rank] = true
+	if o != Unknown && d.Epoch == l.epoch && d.Rank < len(l.fenced) && l.fenced[d.Rank].IsZero() {
+		l.fenced[d.Rank] = now
 	}
 }
 
@@ -157,6 +158,9 @@
 	if out := l.fence(ranks, nil); len(out) > 0 {
 		return out
 	}
+	if !l.settled(ranks, nil) {
+		return nil
+	}
 	held, isHeld := l.held(ranks)
 	armed, same := armedOf(ranks)
 	if !isHeld {
@@ -187,13 +191,30 @@
 func (l *Leader) fence(ranks []State, seen []bool) []Directive {
 	var out []Directive
 	for i := range ranks {
-		if !l.fenced[i] && (seen == nil || seen[i]) {
+		if l.fenced[i].IsZero() && (seen == nil || seen[i]) {
 			out = append(out, directive(ranks, i, Fence{}))
 		}
 	}
 	return out
 }
 
+// settled reports whether all looks, or those of which seen is true, show the
+// ranks as they were after they had seen the leader's token.
+//
+// Guard: an engine that is asked from another VM reports what it was some hundred
+// milliseconds ago. In that time its last leader may have disarmed it, or armed
+// it, before it was fenced; a successor that goes by the old report would let a
+// step go for which not all ranks are armed alike. Once the report is of after the
+// fence, only this leader's orders can have changed the rank since.
+func (l *Leader) settled(ranks []State, seen []bool) bool {
+	for i, r := range ranks {
+		if (seen == nil || seen[i]) && !r.AsOf.After(l.fenced[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // agree reports whether all ranks are of one open group.
 func (l *Leader) agree(ranks []State) bool {
 	for i, r := range ranks {
@@ -228,7 +249,7 @@
 		l.lastSeen = time.Time{}
 	}
 	if l.fenced == nil {
-		l.fenced = make([]bool, n)
+		l.fenced = make([]time.Time, n)
 	}
 }
 
--- a/internal/rank/lockstep/rescue.go
+++ b/internal/rank/lockstep/rescue.go
@@ -31,7 +31,7 @@
 	}
 	held, isHeld := l.held(ranks)
 	armed, _ := armedOf(ranks)
-	if !isHeld || armed >= len(ranks)-1 {
+	if !l.settled(ranks, seen) || !isHeld || armed >= len(ranks)-1 {
 		return nil
 	}
 	if armed == 0 {
--- a/internal/rank/lockstep/state.go
+++ b/internal/rank/lockstep/state.go
@@ -1,6 +1,9 @@
 package lockstep
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Arming is a map that a rank switches to as a step begins.
 type Arming struct {
@@ -37,6 +40,10 @@
 	Born uint64
 	// Pace is how many times slower than usual the engine works.
 	Pace float64
+	// AsOf is a moment on the leader's clock; the report is of then or later. A
+	// report through the agent is of after it was asked for; engines report only
+	// to their own VM what they are now.
+	AsOf time.Time
 }
 
 // String describes what maps the rank has, for log lines.
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// tickTime is how long a tick of the world takes.
+const tickTime = 10 * time.Millisecond
+
 // engineRank is one rank as the orders' rules describe it.
 type engineRank struct {
 	state State
@@ -46,6 +49,10 @@
 	// dark is a rank that nobody sees until darkUntil: the VM of the leader
 	// beside it is frozen.
 	dark, darkUntil int
+	// far holds the ranks whose reports are lagTicks old, as those of engines
+	// without an agent are, and history what all ranks were at each tick.
+	far     []bool
+	history [][]State
 	// taking says that an order is carried out whose version was taken before.
 	taking bool
 	// contents counts the maps that were proposed.
@@ -53,7 +60,9 @@
 }
 
 func newWorld(t *testing.T, seed uint64, n int) *world {
-	w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), ranks: make([]engineRank, n), now: time.Unix(1000, 0), proposeOneIn: 3}
+	w := &world{
+		t: t, seed: seed, far: make([]bool, n),
+		rng: rand.New(rand.NewPCG(seed, 1)), ranks: make([]engineRank, n), now: time.Unix(1000, 0), proposeOneIn: 3}
 	for i := range w.ranks {
 		w.ranks[i].state = State{Group: "g", Epoch: 1, Rank: i, Size: n, Open: true}
 	}
@@ -67,11 +76,26 @@
 			out.whole = false
 			continue
 		}
-		out.ranks[i], out.seen[i] = w.ranks[i].state, true
+		out.ranks[i], out.seen[i] = w.report(i), true
 	}
 	return out
 }
 
+// lagTicks is how old the report of a far rank is.
+const lagTicks = 8
+
+// report returns what a rank reports: as it is, or as it was before the orders
+// that were given lagTicks ago, if it is far.
+func (w *world) report(rank int) State {
+	s, asOf := w.ranks[rank].state, w.now
+	if w.far[rank] && len(w.history) > lagTicks {
+		s = w.history[len(w.history)-1-lagTicks][rank]
+		asOf = w.now.Add(-lagTicks * tickTime)
+	}
+	s.AsOf = asOf
+	return s
+}
+
 func (w *world) isDark(rank int) bool { return w.tick < w.darkUntil && rank == w.dark }
 
 // looked is what a leader saw of the ranks.
@@ -175,7 +199,8 @@
 // advance lets time pass: late orders, and a pass unless one is held.
 func (w *world) advance(active bool) {
 	w.tick++
-	w.now = w.now.Add(10 * time.Millisecond)
+	w.now = w.now.Add(tickTime)
+	defer w.remember()
 	rest := w.late[:0]
 	for _, o := range w.late {
 		if o.at > w.tick {
@@ -197,6 +222,15 @@
 	}
 }
 
+// remember keeps what all ranks are, for far ranks' reports.
+func (w *world) remember() {
+	states := make([]State, len(w.ranks))
+	for i := range w.ranks {
+		states[i] = w.ranks[i].state
+	}
+	w.history = append(w.history, states)
+}
+
 // pass begins the next step on all ranks at once and checks that they have one
 // map.
 func (w *world) pass() {
@@ -260,7 +294,7 @@
 func (d *driver) round(l looked) {
 	if !l.whole {
 		for _, o := range d.l.Rescue(l.ranks, l.seen) {
-			d.l.Answered(o, d.w.give(d.token, o))
+			d.l.Answered(o, d.w.give(d.token, o), d.w.now)
 		}
 		return
 	}
@@ -271,7 +305,7 @@
 		d.l.Propose(content(d.w.newContent()))
 	}
 	for _, o := range d.l.Decide(l.ranks, true, d.w.now) {
-		d.l.Answered(o, d.w.give(d.token, o))
+		d.l.Answered(o, d.w.give(d.token, o), d.w.now)
 	}
 }
 
@@ -305,6 +339,11 @@
 				}
 				leaders = append(leaders, last.successor())
 			}
+			if w.rng.IntN(20) == 0 {
+				// An agent ends or is back. The first rank's never does: the
+				// test learns the map in force from it.
+				w.far[1+w.rng.IntN(len(w.ranks)-1)] = w.rng.IntN(2) == 0
+			}
 			if anyHeld(w) && w.tick > w.deafUntil+100 && w.rng.IntN(6) == 0 {
 				w.deaf, w.deafUntil = w.rng.IntN(len(w.ranks)), w.tick+70
 			}
@@ -327,6 +366,7 @@
 func settles(t *testing.T, w *world, d *driver) {
 	t.Helper()
 	w.faults, w.deafUntil, w.darkUntil = 0, 0, 0
+	clear(w.far)
 	// With one map in 60 rounds, there are seeds without any in 400.
 	w.proposeOneIn = min(w.proposeOneIn, 3)
 	free := 0
@@ -371,10 +411,10 @@
 		}
 		for _, o := range d.l.Decide(looked, true, w.now) {
 			if _, arm := o.Order.(Arm); arm && o.Rank == 2 && w.tick < 100 {
-				d.l.Answered(o, Unknown)
+				d.l.Answered(o, Unknown, w.now)
 				continue
 			}
-			d.l.Answered(o, w.give(d.token, o))
+			d.l.Answered(o, w.give(d.token, o), w.now)
 		}
 	}
 	if w.ranks[0].state.Map == 0 || w.passes < 150 {
@@ -396,7 +436,7 @@
 		for range armed {
 			// The first of the arms that are due is given.
 			o := first.l.Decide(w.look().ranks, true, w.now)[0]
-			first.l.Answered(o, w.give(first.token, o))
+			first.l.Answered(o, w.give(first.token, o), w.now)
 		}
 		w.dark, w.darkUntil = first.l.Own, w.tick+1000
 		next := first.successor()
@@ -431,10 +471,10 @@
 		for _, o := range d.l.Decide(l.ranks, true, w.now) {
 			if _, arm := o.Order.(Arm); arm && o.Rank == d.l.Own {
 				late = o
-				d.l.Answered(o, Unknown)
+				d.l.Answered(o, Unknown, w.now)
 				continue
 			}
-			d.l.Answered(o, w.give(d.token, o))
+			d.l.Answered(o, w.give(d.token, o), w.now)
 		}
 	}
 	w.now = w.now.Add(2 * armTime)
@@ -445,7 +485,7 @@
 					t.Fatalf("rank %d is disarmed while the leader's own may still be armed", o.Rank)
 				}
 			}
-			d.l.Answered(o, w.give(d.token, o))
+			d.l.Answered(o, w.give(d.token, o), w.now)
 		}
 		w.advance(true)
 	}
@@ -473,10 +513,10 @@
 			if _, prepare := o.Order.(Prepare); prepare && o.Rank == 2 && !taken {
 				taken = w.takes(d.token, o)
 				w.late = append(w.late, lateOrder{at: w.tick + 1200, token: d.token, d: o, taken: true})
-				d.l.Answered(o, Unknown)
+				d.l.Answered(o, Unknown, w.now)
 				continue
 			}
-			d.l.Answered(o, w.give(d.token, o))
+			d.l.Answered(o, w.give(d.token, o), w.now)
 		}
 	}
 	if !taken || w.ranks[0].state.Map == 0 {
--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -24,6 +24,11 @@
 	// either. Engines answer in some ten milliseconds, also over a new
 	// connection; while a step is held each look stalls all streams.
 	darkTimeout = 60 * time.Millisecond
+	// usualLag is how old a report to another VM may be where the configuration
+	// doesn't say, and lagMargin what is added to what it says: reports are of
+	// some hundred milliseconds ago.
+	usualLag  = 300 * time.Millisecond
+	lagMargin = 100 * time.Millisecond
 	// countsPerLook bounds how many counts are asked for in one look, as they
 	// come over the leader's own line, the narrowest of all: some 30 kB, ten
 	// times a second, are a third of 8 Mbit/s. A count takes three bytes.
@@ -110,13 +115,16 @@
 // choice.
 func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
 	r := t.ranker
+	asked := boottime.Now()
 	if m.Name == r.Settings.Name {
 		l, err := lookEngine(ctx, r.engine, want)
+		l.state.AsOf = asked
 		return found{look: l, agent: m}, err
 	}
 	silent := t.silenceOf(m.Name)
-	if boottime.Now().After(silent.until) {
+	if asked.After(silent.until) {
 		f, err := t.askAgent(ctx, m, want)
+		f.state.AsOf = asked
 		if err == nil {
 			return f, nil
 		}
@@ -136,10 +144,20 @@
 func (t *term) lookDirectly(ctx context.Context, m *fleet.Member, lists bool, timeout time.Duration) (found, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	asOf := boottime.Now().Add(-t.reportLag())
 	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: lists})
+	l.state.AsOf = asOf
 	return found{look: l}, err
 }
 
+// reportLag returns how old a report to another VM may be.
+func (t *term) reportLag() time.Duration {
+	if t.engine == nil || t.engine.ReportLag <= 0 {
+		return usualLag + lagMargin
+	}
+	return t.engine.ReportLag + lagMargin
+}
+
 func (t *term) askAgent(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -49,8 +49,9 @@
 		}()
 	}
 	wg.Wait()
+	now := boottime.Now()
 	for i, d := range directives {
-		t.leader.Answered(d, outcomes[i])
+		t.leader.Answered(d, outcomes[i], now)
 	}
 	return outcomes
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -113,7 +113,9 @@
 	Chunk    int
 	// MeanPrompt and MeanOutput are the usual tokens of a request.
 	MeanPrompt, MeanOutput int
-	Experts                Experts
+	// ReportLag is how old a report is that an engine gives to another VM.
+	ReportLag time.Duration
+	Experts   Experts
 }
 
 // Experts describes how experts are placed on the ranks of a group.
