Entries that vanished unseen are forgotten; one signal type in place of three

Cause: found by reading. A relay that reads the store whole, after the store dropped its history, kept entries that had vanished meanwhile: it went on telling them of its work and counted them for cold shares for good. Its own key that lapsed was written again at the next renewal only, up to 3 s later, in which others neither proved keys to it nor told it of work.

Change: what a whole reading doesn't list is removed as a vanished key is, and a relay whose own key vanishes renews its lease at once, as rankers do. internal/wake takes the place of three channels of one token.

Test that fails without it: TestEntryThatVanishedUnseenIsForgotten.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -41,7 +42,7 @@
 // Decode reads a member from its key and value. It reports false for keys that
 // are not a member's.
 func Decode(key string, value []byte) (Member, bool, error) {
-	kind, name, ok := split(key)
+	kind, name, ok := KeyOf(key)
 	if !ok {
 		return Member{}, false, nil
 	}
@@ -53,10 +54,8 @@
 	return m, true, nil
 }
 
-// Removed reads which member a key that has vanished was of.
-func Removed(key string) (Kind, string, bool) { return split(key) }
-
-func split(key string) (Kind, string, bool) {
+// KeyOf reads which member a key is of. It reports false for other keys.
+func KeyOf(key string) (Kind, string, bool) {
 	rest, ok := strings.CutPrefix(key, Prefix)
 	if !ok {
 		return "", "", false
@@ -92,8 +91,8 @@
 	Member Member
 	// Failed, when set, is told of each failed call.
 	Failed func(error)
-	// Doubt, when set, gets a value when leases may have lapsed.
-	Doubt <-chan struct{}
+	// Doubt is raised when leases may have lapsed.
+	Doubt *wake.Signal
 }
 
 // Run keeps the key until ctx ends, and then takes it back.
@@ -134,7 +133,7 @@
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-r.Doubt:
+	case <-r.Doubt.Raised():
 	case <-t.C:
 	case <-ctx.Done():
 	}
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 )
 
 // keys is a store that counts how often a member's key was written, and whose
@@ -40,14 +41,14 @@
 // not renewed their leases since; a held step stayed held for as long.
 func TestLapsedKeyIsWrittenAgainAtOnce(t *testing.T) {
 	t.Parallel()
-	store, doubt := &keys{}, make(chan struct{}, 1)
+	store, doubt := &keys{}, &wake.Signal{}
 	r := &Registrar{Store: store, Member: Member{Kind: Agent, Name: "a"}, Doubt: doubt}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
 	eventually(t, func() bool { return store.written.Load() == 1 })
 	store.lapsed.Store(true)
-	doubt <- struct{}{}
+	doubt.Raise()
 	eventually(t, func() bool { return store.written.Load() == 2 })
 	cancel()
 	if err := <-done; err != nil {
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -109,23 +109,40 @@
 		f.belief.Change(func(d *directory.Directory) { d.Remove(fact.Entry.ID, now) })
 		f.Log.WithField("endpoint", fact.Entry.ID).Info("endpoint entry vanished")
 	case platform.OwnFact:
-		if kind, name, ok := fleet.Removed(key); ok && kind == fleet.Entry {
-			f.belief.SetEntry(name, false, now)
-			f.conns.Drop(f.others.drop(name))
+		if kind, name, ok := fleet.KeyOf(key); ok && kind == fleet.Entry {
+			f.removeMember(name, now)
 		}
 	}
 }
 
+func (f *Frontend) removeMember(name string, now time.Time) {
+	f.belief.SetEntry(name, false, now)
+	f.conns.Drop(f.others.drop(name))
+	if name == f.Settings.Name {
+		f.doubt.Raise()
+	}
+}
+
 // whole takes in that the store says nothing but facts.
 func (f *Frontend) whole(facts []platform.Fact, now time.Time) {
 	ids := map[string]bool{}
 	out := map[string]bool{}
+	members := map[string]bool{}
 	for _, fact := range facts {
 		switch fact := fact.(type) {
 		case platform.EndpointFact:
 			ids[fact.Entry.ID] = true
 		case platform.OutFact:
 			out[fact.DataCentre] = true
+		case platform.OwnFact:
+			if kind, name, ok := fleet.KeyOf(fact.Key); ok && kind == fleet.Entry {
+				members[name] = true
+			}
+		}
+	}
+	for name := range f.others.all() {
+		if !members[name] {
+			f.removeMember(name, now)
 		}
 	}
 	f.belief.Change(func(d *directory.Directory) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/relay"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 	"github.com/hyssoprelay/hyssoprelay/platform"
 )
@@ -90,6 +91,8 @@
 	document atomic.Pointer[[]byte]
 	others   others
 	work     *teller
+	// doubt is raised when leases in the store may have lapsed.
+	doubt wake.Signal
 }
 
 // Listen opens the process's addresses.
@@ -141,7 +144,7 @@
 		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Fresh: &f.fresh,
 	}
 	f.work = newTeller(f)
-	f.belief.Changed = f.work.wake
+	f.belief.Changed = f.work.woken.Raise
 	f.belief.Begin(now)
 	f.mirror = &mirror.Mirror{
 		Reader: f.store, Wait: pollWait, Settle: pollSettle, MostSettle: mostSettle,
@@ -158,7 +161,7 @@
 
 // Run serves until ctx ends and then leaves without cutting a request.
 func (f *Frontend) Run(ctx context.Context) error {
-	registrar := &fleet.Registrar{Store: f.store, Failed: f.callFailed, Member: fleet.Member{
+	registrar := &fleet.Registrar{Store: f.store, Failed: f.callFailed, Doubt: &f.doubt, Member: fleet.Member{
 		Kind: fleet.Entry, Name: f.Settings.Name, DataCentre: f.Settings.DataCentre,
 		Address: f.peers.Address(),
 	}}
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 )
 
 const (
@@ -41,7 +42,7 @@
 type teller struct {
 	frontend *Frontend
 	born     uint64
-	woken    chan struct{}
+	woken    wake.Signal
 
 	mu     sync.Mutex
 	number uint64
@@ -56,15 +57,7 @@
 func newTeller(f *Frontend) *teller {
 	return &teller{
 		frontend: f, born: uint64(boottime.Now().UnixNano()),
-		woken: make(chan struct{}, 1), busy: map[string]bool{},
-	}
-}
-
-// wake has the others told soon. It never waits.
-func (t *teller) wake() {
-	select {
-	case t.woken <- struct{}{}:
-	default:
+		busy: map[string]bool{},
 	}
 }
 
@@ -75,7 +68,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.woken:
+		case <-t.woken.Raised():
 		case <-timer.C:
 		}
 		now := boottime.Now()
@@ -148,7 +141,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.busy[name] {
-		t.wake()
+		t.woken.Raise()
 		return false
 	}
 	t.busy[name] = true
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"fmt"
+	"io"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 )
 
 // Each entry tells all others of its work: with 42 of them, as on a deployment of
@@ -56,3 +63,32 @@
 		t.Error("in a small fleet others are told more seldom")
 	}
 }
+
+// An entry's VM is replaced while the store drops the history in which its key
+// vanished. The others read the store whole; before, they went on telling the dead
+// entry of their work, and counted it when they shared out what cold endpoints
+// bear, for as long as they ran.
+func TestEntryThatVanishedUnseenIsForgotten(t *testing.T) {
+	f := &Frontend{
+		Settings: &settings.Relay{Process: settings.Process{
+			Name: "a", PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+		}},
+		Log: process.NewBoundedLog("a", "x"), Output: io.Discard,
+	}
+	f.conns = &peer.Conns{}
+	f.build()
+	key := func(name string) kv.KeyValue {
+		m := fleet.Member{Kind: fleet.Entry, Name: name}
+		return kv.NewKeyValue(m.Key(), []byte(`{"address":"127.0.0.1:2"}`), 1, 0)
+	}
+	f.apply(mirror.Update{Whole: true, KVs: []kv.KeyValue{key("a"), key("b"), key("c")}})
+	f.apply(mirror.Update{Whole: true, KVs: []kv.KeyValue{key("b")}})
+	if _, ok := f.others.all()["c"]; ok || f.others.count() != 1 {
+		t.Errorf("the entries known are %v", f.others.all())
+	}
+	select {
+	case <-f.doubt.Raised():
+	default:
+		t.Error("the process does not doubt its own lease")
+	}
+}
--- a/internal/ranker/members.go
+++ b/internal/ranker/members.go
@@ -58,12 +58,12 @@
 	for _, key := range u.Deleted {
 		if group, ok := rank.LeaseGroup(fleet.Prefix, key); ok {
 			delete(r.leases, group)
-			signal(r.free)
-			signal(r.doubt)
+			r.free.Raise()
+			r.doubt.Raise()
 		}
 	}
 	if u.Returned {
-		signal(r.doubt)
+		r.doubt.Raise()
 	}
 }
 
@@ -119,7 +119,7 @@
 	}
 	if _, lapsed := r.lapsed[r.Settings.Name]; lapsed {
 		delete(r.lapsed, r.Settings.Name)
-		signal(r.doubt)
+		r.doubt.Raise()
 	}
 }
 
@@ -137,7 +137,7 @@
 }
 
 func (r *Ranker) remove(key string, now time.Time) {
-	switch kind, name, _ := fleet.Removed(key); kind {
+	switch kind, name, _ := fleet.KeyOf(key); kind {
 	case fleet.Agent:
 		r.lapse(name, now)
 		delete(r.agents, name)
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -23,6 +23,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 	"github.com/hyssoprelay/hyssoprelay/platform"
 )
 
@@ -84,10 +85,9 @@
 	// group.
 	leaving atomic.Bool
 	leads   atomic.Bool
-	// free holds a token when a group's lease has ended, and doubt one when
-	// all leases may have lapsed.
-	free  chan struct{}
-	doubt chan struct{}
+	// free is raised when a group's lease has ended, and doubt when all leases
+	// may have lapsed.
+	free, doubt wake.Signal
 	// grouped is closed when the group of the own engine is known.
 	grouped     chan struct{}
 	groupedOnce sync.Once
@@ -139,7 +139,7 @@
 		Apply: r.applyLeases, Failed: r.storeFailed,
 	}
 	r.told = newCountLog(boottime.Now())
-	r.free, r.doubt, r.grouped = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
+	r.grouped = make(chan struct{})
 	r.conns = &peer.Conns{}
 	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
 		fleetpb.RegisterAgentServer(g, &service{ranker: r})
@@ -176,21 +176,13 @@
 	r.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
 }
 
-// signal puts a token into ch, unless one is there.
-func signal(ch chan<- struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
-}
-
 // register keeps the agent's own key, once its group is known.
 func (r *Ranker) register(ctx context.Context) error {
 	group := r.awaitGroup(ctx)
 	if group == "" {
 		return nil
 	}
-	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Doubt: r.doubt, Member: fleet.Member{
+	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Doubt: &r.doubt, Member: fleet.Member{
 		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
 		Address: r.peers.Address(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
 	}}
@@ -236,7 +228,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-r.free:
+	case <-r.free.Raised():
 	case <-ctx.Done():
 	}
 }
