--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -25,7 +25,7 @@
 	// lookEvery is how often the leader looks at all ranks while no change is
 	// under way. Popularity jumps every few seconds; a quarter second is a
 	// small part of that, and its counts are enough to tell a jump by.
-	lookEvery = 50 * time.Millisecond
+	lookEvery = 100 * time.Millisecond
 	// workEvery is the pause while ranks copy experts, 100 ms each.
 	workEvery = 25 * time.Millisecond
 	// callTimeout bounds a call to an agent. It is some forty times the delay
