Streams are moved off an engine that holds up its group

Change: a relay moves streams that may be resumed off an engine that is twice as slow as the fastest and has more of them than keep the pause that callers bear: each is given a place first, within the retry budget and its attempts.

--- a/internal/caller/admission/retry.go
+++ b/internal/caller/admission/retry.go
@@ -54,11 +54,16 @@
 	b.fill(now, b.Percent/100)
 }
 
+// May reports whether a retry may be made.
+func (b *RetryBudget) May(now time.Time) bool {
+	b.fill(now, 0)
+	return b.tokens >= 1 && b.Percent > 0
+}
+
 // Take reports whether a retry may be made, and spends one if so. When it may
 // not, the request is answered with result.RetryBudget.
 func (b *RetryBudget) Take(now time.Time) bool {
-	b.fill(now, 0)
-	if b.tokens < 1 || b.Percent <= 0 {
+	if !b.May(now) {
 		return false
 	}
 	b.tokens--
--- a/internal/endpoint/batch/batch.go
+++ b/internal/endpoint/batch/batch.go
@@ -14,6 +14,8 @@
 	// until the next map is in force half a second later; a planned map has
 	// 1.2 to 1.4.
 	JumpSkew = 1.7
+	// calmSkew is the skew of a planned map.
+	calmSkew = 1.3
 	// SlowFrom is the pace from which an engine counts as slow. Engines report
 	// their pace rounded, and maps and allowances would change for nothing if
 	// they followed each tenth.
@@ -51,3 +53,17 @@
 	}
 	return n
 }
+
+// MostAtPace returns how many requests an engine may write that is pace times
+// slower than usual, so that its passes keep within gap with a planned map. It may
+// be none. A gap of zero means no bound.
+func MostAtPace(e *routing.Engine, gap time.Duration, pace float64) int {
+	if gap <= 0 {
+		return e.Slots
+	}
+	n := 0
+	for n < e.Slots && float64(Pass(e, n+1, calmSkew))*pace <= float64(gap-wayMargin) {
+		n++
+	}
+	return n
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	logs "github.com/hyssoprelay/hyssoprelay/internal/standin"
@@ -332,6 +334,40 @@
 	}
 }
 
+// One of two engines turns twelve times slower in the middle of a stream, and holds
+// up its whole group for as long as it writes. The stream goes on at the other one;
+// its caller sees each event once and no second beginning.
+func TestStreamIsMovedOffASlowEngine(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	s.store.Put("op/config", bytes.Replace(config(2, `"k1"`), []byte(`"maxConnections":100`),
+		[]byte(`"maxConnections":100,"engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"expertShare":0.85}`), 1))
+	for _, ep := range s.endpoints {
+		ep.Pause = 200 * time.Millisecond
+	}
+	e := s.start("entry1", s.store.Addr())
+	answers := make(chan answer, 1)
+	go func() { answers <- e.ask(context.Background(), "/stream/1", "s1", "k1") }()
+	s.eventually("an engine writes", func() bool { return s.runs("s1") == 1 })
+	q := &fleetpb.LoadsRequest{}
+	for _, ep := range s.endpoints {
+		l := &fleetpb.Load{Address: ep.Addr(), Pace: 100}
+		if ep.Runs("s1") > 0 {
+			l.Pace, l.Running = 1200, 1
+		}
+		q.Loads = append(q.Loads, l)
+	}
+	svc := &service{frontend: e.Frontend}
+	s.eventually("the other engine writes", func() bool {
+		if _, err := svc.Loads(context.Background(), q); err != nil {
+			t.Error(err)
+		}
+		return s.endpoints[0].Runs("s1") == 1 && s.endpoints[1].Runs("s1") == 1
+	})
+	s.wantWholeStream(<-answers, 5)
+	s.eventually("the move is told of", func() bool { return e.log.Has(`"outcome":"moved"`) })
+}
+
 // A caller leaves. Its engine must not write on for nobody.
 func TestCallerWhoLeavesFreesItsEndpoint(t *testing.T) {
 	t.Parallel()
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -111,6 +111,10 @@
 	// failures counts the failures in a row that an endpoint reported.
 	failures map[string]int
 	outages  outages
+	// movables holds the attempts that may be moved, by endpoint, and attempts
+	// how many there were.
+	movables map[string]map[*attemptRun]bool
+	attempts uint64
 	own      map[string]int
 	fed      time.Time
 	dirty    bool
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -20,6 +20,8 @@
 		b.loads[ep.ID] = l
 		b.tell(ep, now)
 	}
+	b.refresh(now)
+	b.moveAway(now)
 	b.pump(now)
 }
 
@@ -69,12 +71,7 @@
 	if pace < batch.SlowFrom {
 		return n
 	}
-	least := pace
-	for _, other := range b.endpoints {
-		if other.Service == ep.Service {
-			least = min(least, max(1, b.loads[other.ID].Pace))
-		}
-	}
+	least := b.leastPace(ep)
 	if pace/least < batch.SlowFrom {
 		return n
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -58,6 +58,8 @@
 		return "unknown"
 	case Broken:
 		return "broken"
+	case Moved:
+		return "moved"
 	default:
 		return "gone"
 	}
@@ -141,6 +143,9 @@
 	case Broken:
 		f["lastEvent"] = j.last
 		addCause(f, o.Cause)
+	case Moved:
+		f["lastEvent"] = j.last
+		addCause(f, errMoved)
 	}
 	j.relay.Log.WithFields(f).Info("another attempt follows")
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -181,14 +181,16 @@
 
 // run makes attempts until the request has its answer.
 func (j *job) run(ctx context.Context) {
+	next := Place{}
 	for {
 		now := j.relay.Now()
-		place, e := j.place(ctx, now)
+		place, e := j.placeOrNext(ctx, next, now)
 		if e != nil {
 			j.finish(nil, e, now)
 			return
 		}
-		o := j.attempt(ctx, place)
+		var o Outcome
+		o, next = j.attemptMovable(ctx, place)
 		now = j.relay.Now()
 		j.relay.Belief.Ended(place, o, now)
 		j.relay.Metrics.attempted(o)
@@ -197,6 +199,10 @@
 		if ctx.Err() != nil {
 			left = 0
 		}
+		if _, moved := o.(Moved); moved {
+			j.logAttempt(place, o, now)
+			continue
+		}
 		budget := func() bool { return j.relay.Belief.Spend(j.service.Name, now) }
 		if NextStep(j.route, j.tries, o, left, budget) == End {
 			j.finish(o, nil, now)
@@ -225,24 +231,50 @@
 	}
 }
 
-// place chooses the endpoint of the next attempt. What the process knows may
-// have aged since the request came.
-func (j *job) place(ctx context.Context, now time.Time) (Place, *result.Error) {
-	q := placement.Query{
+// placeOrNext returns the place that a moved request was given, or chooses one.
+func (j *job) placeOrNext(ctx context.Context, next Place, now time.Time) (Place, *result.Error) {
+	if next.attempt == nil {
+		return j.place(ctx, now)
+	}
+	if e := j.usable(next); e != nil {
+		return Place{}, e
+	}
+	j.tried = append(j.tried, next.Endpoint.ID)
+	return next, nil
+}
+
+// query asks for a place of this request.
+func (j *job) query() placement.Query {
+	return placement.Query{
 		Tokens:  j.facts.PromptTokens + j.facts.OutputTokens,
 		Tried:   j.tried,
 		RunOnce: !j.route.MayRepeat(),
 	}
-	p, e := j.ask(ctx, q, now)
+}
+
+// usable gives a place back if what the process knows of keys has grown too old
+// since the request came.
+func (j *job) usable(p Place) *result.Error {
+	if j.account == nil {
+		return nil
+	}
+	now := j.relay.Now()
+	e := j.checkAge(now)
+	if e != nil {
+		j.relay.Belief.Ended(p, Delivered{}, now)
+	}
+	return e
+}
+
+// place chooses the endpoint of the next attempt. What the process knows may
+// have aged since the request came.
+func (j *job) place(ctx context.Context, now time.Time) (Place, *result.Error) {
+	p, e := j.ask(ctx, j.query(), now)
 	if e != nil {
 		return p, e
 	}
-	now = j.relay.Now()
-	if j.account != nil {
-		if e := j.checkAge(now); e != nil {
-			j.relay.Belief.Ended(p, Delivered{}, now)
-			return Place{}, e
-		}
+	if e := j.usable(p); e != nil {
+		return Place{}, e
 	}
 	j.tried = append(j.tried, p.Endpoint.ID)
 	return p, nil
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -8,7 +8,7 @@
 )
 
 // Outcome is how one attempt at an endpoint ended: Delivered, NotRun, Failed,
-// Unknown, Broken or Gone.
+// Unknown, Broken, Moved or Gone.
 type Outcome interface{ outcome() }
 
 // Delivered says that the caller has the whole answer.
@@ -33,6 +33,10 @@
 // come.
 type Broken struct{ Cause error }
 
+// Moved says that the request goes on at an endpoint that it has been given
+// already, because this one holds up others.
+type Moved struct{}
+
 // Gone says that the caller left or stopped reading.
 type Gone struct{ Cause error }
 
@@ -41,6 +45,7 @@
 func (Failed) outcome()    {}
 func (Unknown) outcome()   {}
 func (Broken) outcome()    {}
+func (Moved) outcome()     {}
 func (Gone) outcome()      {}
 
 // Step is what follows an attempt: Again or End.
