A poll that hangs since an outage is asked anew

From 36.1 s, when the store was back after a silent outage in which leases lapsed, to 41.1 s nobody led the group: a poll that was under way when the store fell silent was never answered, and under the leases' prefix nothing else changes that would have it answered. Its own time-out is 10.5 s.

Change: a process whose renewals are answered again has its poll asked anew.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -91,6 +91,8 @@
 	Member Member
 	// Failed, when set, is told of each failed call.
 	Failed func(error)
+	// Returned, when set, is called when a call succeeds after others failed.
+	Returned func()
 	// Doubt is raised when leases may have lapsed.
 	Doubt *wake.Signal
 }
@@ -103,6 +105,7 @@
 // once, and finds out.
 func (r *Registrar) Run(ctx context.Context) error {
 	var lease platform.LeaseID
+	failed := false
 	for ctx.Err() == nil {
 		rest := LeaseTime / 3
 		var err error
@@ -115,6 +118,10 @@
 			r.fail(err)
 			rest = min(rest, retryEvery)
 		}
+		if failed && err == nil && r.Returned != nil {
+			r.Returned()
+		}
+		failed = err != nil
 		r.rest(ctx, rest)
 	}
 	if lease == 0 {
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -15,6 +15,7 @@
 type keys struct {
 	written atomic.Int64
 	lapsed  atomic.Bool
+	away    atomic.Bool
 }
 
 func (k *keys) Txn(context.Context, platform.Txn) (platform.TxnReply, error) {
@@ -24,6 +25,9 @@
 }
 
 func (k *keys) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	if k.away.Load() {
+		return 0, platform.NotSent("away")
+	}
 	return platform.LeaseID(1), nil
 }
 
@@ -56,6 +60,26 @@
 	}
 }
 
+// The store is away and back. The process says so, as its polls may hang for long.
+func TestReturnOfTheStoreIsTold(t *testing.T) {
+	t.Parallel()
+	store, returned := &keys{}, make(chan struct{}, 1)
+	store.lapsed.Store(true)
+	store.away.Store(true)
+	r := &Registrar{
+		Store: store, Member: Member{Kind: Agent, Name: "a"}, Doubt: &wake.Signal{},
+		Returned: func() { returned <- struct{}{} }, Failed: func(error) { store.away.Store(false) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	<-returned
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // eventually bounds a test that hangs; a third of a lease is what the process
 // would wait for by itself.
 func eventually(t *testing.T, is func() bool) {
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -8,6 +8,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 )
 
 // ErrCompacted says that the service no longer keeps the changes asked for.
@@ -62,6 +63,14 @@
 	// other tells changes, in the first StartTime of Run; 0 means that it stays
 	// the same.
 	MostSettle, StartTime time.Duration
+	// Doubt, when set and raised, has a poll that waits be asked anew at once.
+	//
+	// Guard: a poll that was under way when the service fell silent may never be
+	// answered. Where few keys change under the prefix, nothing shows that before
+	// its wait is over: a group of ranks had no leader for 5 s after an outage of
+	// 6 s, since nobody saw that the last one's lease had lapsed in it. Whoever
+	// sees by other calls that the service is back raises this.
+	Doubt *wake.Signal
 	// MostPause bounds the pause between failed calls; 0 means mostPause.
 	MostPause time.Duration
 	// Now is the clock.
@@ -95,6 +104,8 @@
 			}
 		case errors.Is(err, ErrCompacted):
 			known = false
+		case errors.Is(err, errDoubted):
+			failed = true
 		default:
 			failed = true
 			m.fail(ctx, err)
@@ -125,7 +136,7 @@
 		u.Asked = asked
 		return u, err
 	}
-	c, err := m.Reader.Poll(ctx, m.Prefix, revision, m.Wait)
+	c, err := m.poll(ctx, revision)
 	if err != nil {
 		return Update{}, err
 	}
@@ -134,6 +145,33 @@
 	return Update{KVs: c.KVs, Deleted: c.Deleted, Revision: max(c.Revision, revision), Asked: asked}, nil
 }
 
+// errDoubted says that a poll was given up to be asked anew.
+var errDoubted = errors.New("mirror: the poll was given up")
+
+// poll asks for changes, until it is answered or doubted.
+func (m *Mirror) poll(ctx context.Context, revision int64) (platform.Changed, error) {
+	if m.Doubt == nil {
+		return m.Reader.Poll(ctx, m.Prefix, revision, m.Wait)
+	}
+	asked, cancel := context.WithCancelCause(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		select {
+		case <-m.Doubt.Raised():
+			cancel(errDoubted)
+		case <-asked.Done():
+		}
+	}()
+	c, err := m.Reader.Poll(asked, m.Prefix, revision, m.Wait)
+	cancel(nil)
+	<-watched
+	if err != nil && errors.Is(context.Cause(asked), errDoubted) {
+		err = errDoubted
+	}
+	return c, err
+}
+
 // list reads all keys, page after page. Pages are no snapshot, so the changes
 // are asked for from the revision of the first page on: what a later page
 // already showed is told again, and what it missed is told then.
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -86,8 +86,8 @@
 	leaving atomic.Bool
 	leads   atomic.Bool
 	// free is raised when a group's lease has ended, and doubt when all leases
-	// may have lapsed.
-	free, doubt wake.Signal
+	// may have lapsed; returned is raised when the store answers again.
+	free, doubt, returned wake.Signal
 	// grouped is closed when the group of the own engine is known.
 	grouped     chan struct{}
 	groupedOnce sync.Once
@@ -135,7 +135,7 @@
 	r.engine = &platform.Engine{Addr: s.EndpointAddress.String(), Timeout: engineTimeout}
 	r.engine.Open()
 	r.leaseMirror = &mirror.Mirror{
-		Reader: r.store, Prefix: rank.LeasePrefix(fleet.Prefix), Wait: pollWait, MostPause: outagePause, Now: boottime.Now,
+		Reader: r.store, Prefix: rank.LeasePrefix(fleet.Prefix), Wait: pollWait, MostPause: outagePause, Doubt: &r.returned, Now: boottime.Now,
 		Apply: r.applyLeases, Failed: r.storeFailed,
 	}
 	r.told = newCountLog(boottime.Now())
@@ -182,7 +182,7 @@
 	if group == "" {
 		return nil
 	}
-	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Doubt: &r.doubt, Member: fleet.Member{
+	registrar := &fleet.Registrar{Store: r.store, Failed: r.storeFailed, Doubt: &r.doubt, Returned: r.returned.Raise, Member: fleet.Member{
 		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
 		Address: r.peers.Address(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
 	}}
