--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -62,7 +62,8 @@
 func newWorld(t *testing.T, seed uint64, n int) *world {
 	w := &world{
 		t: t, seed: seed, far: make([]bool, n),
-		rng: rand.New(rand.NewPCG(seed, 1)), ranks: make([]engineRank, n), now: time.Unix(1000, 0), proposeOneIn: 3}
+		rng: rand.New(rand.NewPCG(seed, 1)), ranks: make([]engineRank, n), now: time.Unix(1000, 0), proposeOneIn: 3,
+	}
 	for i := range w.ranks {
 		w.ranks[i].state = State{Group: "g", Epoch: 1, Rank: i, Size: n, Open: true}
 	}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -64,6 +64,8 @@
 	told     time.Time
 	// jumped says that popularity has jumped since a map was last proposed.
 	jumped bool
+	// paces is how much slower than usual each rank was at the last look.
+	paces []float64
 	// heldLogged is when a step that stays held was last told of.
 	heldLogged time.Time
 	renew      chan renewal
@@ -199,6 +201,7 @@
 		return lookEvery
 	}
 	t.learnMap(byRank)
+	t.notePaces(paces(byRank))
 	if want.counts {
 		t.plan(byRank, now)
 	}
@@ -295,6 +298,21 @@
 	t.jumped = false
 }
 
+// notePaces tells of each rank that has begun to work slower than usual, or as
+// usual again: all others wait for it, and nothing else names it.
+func (t *term) notePaces(now []float64) {
+	for i, pace := range now {
+		was := 1.0
+		if i < len(t.paces) {
+			was = t.paces[i]
+		}
+		if (pace > 1) != (was > 1) {
+			t.ranker.Log.WithFields(logrus.Fields{"group": t.group, "rank": i, "pace": pace, "before": was}).Warn("rank changes its pace")
+		}
+	}
+	t.paces = now
+}
+
 // paces returns how many times slower than usual each rank is.
 func paces(byRank []found) []float64 {
 	out := make([]float64, len(byRank))
