--- /dev/null
+++ b/internal/frontend/streams_test.go
@@ -0,0 +1,97 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+// wantWholeStream checks that every event came once.
+func (s *system) wantWholeStream(a answer, events int) {
+	s.t.Helper()
+	s.want(a, http.StatusOK)
+	for i := 1; i <= events; i++ {
+		if n := strings.Count(a.body, fmt.Sprintf("id: %d\n", i)); n != 1 {
+			s.t.Fatalf("event %d came %d times:\n%s", i, n, a.body)
+		}
+	}
+}
+
+// An engine crashes in the middle of an event. The caller's stream goes on at
+// another engine, with each event once and the seal of the first.
+func TestTornStreamGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	e := s.start("entry1", s.store.Addr())
+	s.endpoints[0].Behave(standin.Tears)
+	torn := 0
+	for i := range 6 {
+		id := fmt.Sprint("s", i)
+		a := e.ask(context.Background(), "/stream/1", id, "k1")
+		s.wantWholeStream(a, 5)
+		if s.endpoints[0].Runs(id) > 0 {
+			torn++
+			if seal := a.header.Get("X-Hyssoprelay-Replica-Seal"); seal != "seal-i-0" {
+				t.Fatalf("seal %q", seal)
+			}
+		}
+	}
+	if torn == 0 {
+		t.Fatal("no stream met the engine that crashes")
+	}
+}
+
+// One of two engines turns twelve times slower in the middle of a stream, and holds
+// up its whole group for as long as it writes. The stream goes on at the other one;
+// its caller sees each event once and no second beginning.
+func TestStreamIsMovedOffASlowEngine(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	s.store.Put("op/config", bytes.Replace(config(2, `"k1"`), []byte(`"maxConnections":100`),
+		[]byte(`"maxConnections":100,"engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"expertShare":0.85}`), 1))
+	for _, ep := range s.endpoints {
+		ep.Pause = 200 * time.Millisecond
+	}
+	e := s.start("entry1", s.store.Addr())
+	answers := make(chan answer, 1)
+	go func() { answers <- e.ask(context.Background(), "/stream/1", "s1", "k1") }()
+	s.eventually("an engine writes", func() bool { return s.runs("s1") == 1 })
+	q := &fleetpb.LoadsRequest{}
+	for _, ep := range s.endpoints {
+		l := &fleetpb.Load{Address: ep.Addr(), Pace: 100}
+		if ep.Runs("s1") > 0 {
+			l.Pace, l.Running = 1200, 1
+		}
+		q.Loads = append(q.Loads, l)
+	}
+	svc := &service{frontend: e.Frontend}
+	s.eventually("the other engine writes", func() bool {
+		if _, err := svc.Loads(context.Background(), q); err != nil {
+			t.Error(err)
+		}
+		return s.endpoints[0].Runs("s1") == 1 && s.endpoints[1].Runs("s1") == 1
+	})
+	s.wantWholeStream(<-answers, 5)
+	s.eventually("the move is told of", func() bool { return e.log.Has(`"outcome":"moved"`) })
+}
+
+// A caller leaves. Its engine must not write on for nobody.
+func TestCallerWhoLeavesFreesItsEndpoint(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	e := s.start("entry1", s.store.Addr())
+	s.endpoints[0].Behave(standin.Hangs)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	if a := e.ask(ctx, "/stream/1", "s1", "k1"); a.err == nil {
+		t.Fatalf("status %d", a.status)
+	}
+	s.eventually("the endpoint saw its caller leave", func() bool { return s.endpoints[0].Left() == 1 })
+}
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -218,141 +218,11 @@
 	return out
 }
 
-// settled reports whether all looks, or those of which seen is true, show the
-// ranks as they were after they had seen the leader's token.
-//
-// Guard: an engine that is asked from another VM reports what it was some hundred
-// milliseconds ago. In that time its last leader may have disarmed it, or armed
-// it, before it was fenced; a successor that goes by the old report would let a
-// step go for which not all ranks are armed alike. Once the report is of after the
-// fence, only this leader's orders can have changed the rank since.
-func (l *Leader) settled(ranks []State, seen []bool) bool {
-	for i, r := range ranks {
-		if (seen == nil || seen[i]) && !r.AsOf.After(l.fenced[i]) {
-			return false
-		}
-	}
-	return true
-}
-
-// agree reports whether all ranks are of one open group.
-func (l *Leader) agree(ranks []State) bool {
-	for i, r := range ranks {
-		if !r.Open || r.Epoch != ranks[0].Epoch || r.Rank != i || r.Size != len(ranks) {
-			return false
-		}
-	}
-	return len(ranks) > 0
-}
-
-// observe follows epoch, versions and the length of steps.
-func (l *Leader) observe(ranks []State, now time.Time) {
-	l.enter(ranks[0].Epoch, len(ranks))
-	for _, r := range ranks {
-		l.newest = max(l.newest, r.Map, r.Prepared)
-		if r.Armed != nil {
-			l.newest = max(l.newest, r.Armed.Version)
-		}
-	}
-	if l.goal != nil && allUse(ranks, l.goal.Version) {
-		l.inForce, l.goal = l.goal, nil
-	}
-	l.followSteps(ranks[0].Step, now)
-}
-
-// enter begins an epoch of n ranks, unless it is the present one.
-func (l *Leader) enter(epoch uint64, n int) {
-	if epoch != l.epoch {
-		l.epoch = epoch
-		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own, l.went = nil, false, time.Time{}, 0, nil, 0, 0
-		l.fenced = nil
-		l.lastSeen = time.Time{}
-	}
-	if l.fenced == nil {
-		l.fenced = make([]time.Time, n)
-	}
-}
-
-// followSteps measures how long a step lasts, over steps that were not held.
-func (l *Leader) followSteps(step uint64, now time.Time) {
-	if !l.lastSeen.IsZero() && step > l.lastStep && l.heldSince.IsZero() {
-		d := now.Sub(l.lastSeen) / time.Duration(step-l.lastStep)
-		if l.stepTime == 0 {
-			l.stepTime = d
-		} else {
-			l.stepTime += (d - l.stepTime) / 4
-		}
-	}
-	if step != l.lastStep || l.lastSeen.IsZero() {
-		l.lastStep, l.lastSeen = step, now
-	}
-}
-
-func allUse(ranks []State, version uint64) bool {
-	for _, r := range ranks {
-		if r.Map != version || r.Armed != nil {
-			return false
-		}
-	}
-	return true
-}
-
-// holding is a held step and the rank that holds it.
-type holding struct {
-	rank int
-	step uint64
-}
-
-// held returns the lowest held step. A late hold may leave two; each is let go
-// in its turn.
-func (l *Leader) held(ranks []State) (holding, bool) {
-	out, found := holding{}, false
-	for i, r := range ranks {
-		if r.Held != nil && (!found || *r.Held < out.step) {
-			out, found = holding{rank: i, step: *r.Held}, true
-		}
-	}
-	return out, found
-}
-
-// armedOf returns how many ranks are armed and whether for one map and step.
-func armedOf(ranks []State) (n int, same bool) {
-	same = true
-	var first *Arming
-	for _, r := range ranks {
-		if r.Armed == nil {
-			continue
-		}
-		n++
-		if first == nil {
-			first = r.Armed
-		}
-		same = same && *r.Armed == *first
-	}
-	return n, same
-}
-
 // directive is an order for a rank as it was seen.
 func directive(ranks []State, i int, o Order) Directive {
 	return Directive{Rank: i, Epoch: ranks[i].Epoch, Sequence: ranks[i].Sequence, Order: o}
 }
 
-// stuck reports whether a rank goes on refusing to prepare the newest version.
-//
-// Guard: a rank takes a prepare and does not answer, and carries it out seconds
-// later. Until then it neither copies nor takes that version again; the group
-// would keep a map that popularity has left, for 11 s in one case. A further
-// version is taken at once, and the late order is refused then.
-func (l *Leader) stuck(now time.Time) bool {
-	if !l.refused {
-		return false
-	}
-	if l.refusedSince.IsZero() {
-		l.refusedSince = now
-	}
-	return now.Sub(l.refusedSince) > refusedTime
-}
-
 // advance works towards the goal while nothing is held.
 func (l *Leader) advance(ranks []State, armed int, now time.Time) []Directive {
 	if l.goal == nil || armed > 0 {
@@ -386,41 +256,11 @@
 	return []Directive{directive(ranks, l.Holder, Hold{Step: step})}
 }
 
-func (l *Leader) newestStep(ranks []State) uint64 {
-	top := uint64(0)
-	for _, r := range ranks {
-		top = max(top, r.Step)
-	}
-	return top
-}
-
 // ahead returns by how many steps a hold has to come ahead.
 func (l *Leader) ahead() uint64 {
 	return l.late + uint64(min(1+holdAhead/max(l.stepTime, time.Millisecond), mostAhead))
 }
 
-// giveUp reports whether the held step can't become a change of maps. A change
-// that another leader began is finished only when all ranks are armed, because
-// the version may be unknown to this one.
-func (l *Leader) giveUp(ranks []State, armed int, same bool, h holding, now time.Time) bool {
-	if !same || h.step != l.own || now.Sub(l.heldSince) > armTime {
-		return true
-	}
-	version, ok := l.target(ranks, armed)
-	if !ok {
-		return true
-	}
-	for _, r := range ranks {
-		if r.Armed != nil && r.Armed.Step != h.step {
-			return true
-		}
-		if !r.HasPrepared || r.Prepared != version {
-			return true
-		}
-	}
-	return false
-}
-
 // target is the version that the held step is for: that of the ranks which are
 // armed, or the goal.
 func (l *Leader) target(ranks []State, armed int) (uint64, bool) {
@@ -461,52 +301,3 @@
 		return []Directive{arm(l.Own)}
 	}
 }
-
-// release lets the held step begin, on which all ranks are armed.
-func release(ranks []State, h holding) []Directive {
-	return []Directive{directive(ranks, h.rank, Go{Step: h.step})}
-}
-
-// takeBack gives the held step up: disarm, flush, let go. The leader's own rank
-// is disarmed and flushed before the others, see Rescue.
-func (l *Leader) takeBack(ranks []State, h holding, now time.Time) []Directive {
-	if l.inForce == nil || l.inForce.Version != ranks[h.rank].Map {
-		return nil // the map has to be learnt first, see Current
-	}
-	if l.flush == 0 || l.stuck(now) {
-		l.flush, l.goal = l.nextVersion(), nil
-	}
-	if out := l.takeBackRank(ranks, l.Own); len(out) > 0 {
-		return out
-	}
-	var out []Directive
-	for i := range ranks {
-		out = append(out, l.takeBackRank(ranks, i)...)
-	}
-	if len(out) > 0 || !flushed(ranks, l.flush) {
-		return out
-	}
-	return release(ranks, h)
-}
-
-// takeBackRank disarms a rank, or flushes it when it isn't armed.
-func (l *Leader) takeBackRank(ranks []State, i int) []Directive {
-	r := &ranks[i]
-	switch {
-	case r.Armed != nil:
-		return []Directive{directive(ranks, i, Disarm{Version: r.Armed.Version})}
-	case r.Busy, r.HasPrepared && r.Prepared == l.flush:
-		return nil
-	default:
-		return []Directive{directive(ranks, i, Prepare{Version: l.flush, Sets: l.inForce.Sets})}
-	}
-}
-
-func flushed(ranks []State, version uint64) bool {
-	for _, r := range ranks {
-		if !r.HasPrepared || r.Prepared != version {
-			return false
-		}
-	}
-	return true
-}
