Paces of engines are compared in one place, and only for slow ones

Found on reading: with each report, ten times a second, every engine with streams had all engines of its service gone through before its own pace was looked at, and the comparison stood in two places.

--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -67,17 +67,30 @@
 // that an entry measures tells which one it is. Without requests of its own the
 // slow rank holds up the others least.
 func (b *Belief) slowed(ep directory.Endpoint, n int) int {
-	pace := b.loads[ep.ID].Pace
-	if pace < batch.SlowFrom {
-		return n
-	}
-	least := b.leastPace(ep)
+	pace, least := b.paces(ep)
 	if pace/least < batch.SlowFrom {
 		return n
 	}
 	return int(float64(n) * (least / pace) * (least / pace))
 }
 
+// paces returns how many times slower than usual an endpoint works, and the fastest
+// of its service. Both are 1 for one that is not slow, which is nearly always, so
+// that the others need not be looked at with each report.
+func (b *Belief) paces(ep directory.Endpoint) (pace, least float64) {
+	pace = b.loads[ep.ID].Pace
+	if pace < batch.SlowFrom {
+		return 1, 1
+	}
+	least = pace
+	for _, other := range b.endpoints {
+		if other.Service == ep.Service {
+			least = min(least, max(1, b.loads[other.ID].Pace))
+		}
+	}
+	return pace, least
+}
+
 // running returns how many requests an endpoint has from all entries: what they
 // told of each other, or what a process beside the endpoint reported if that is
 // more, as it may know of entries that are cut off from this one.
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -100,17 +100,18 @@
 // than lets it keep up with its group.
 func (b *Belief) excess(ep directory.Endpoint, now time.Time) int {
 	s := b.table.Service(ep.Service)
-	pace := b.loads[ep.ID].Pace / b.leastPace(ep)
+	own, least := b.paces(ep)
+	pace := own / least
 	if s == nil || s.Engine == nil || pace < moveFrom || now.Sub(b.loads[ep.ID].At) >= loadStale {
 		return 0
 	}
 	bears := batch.MostAtPace(s.Engine, b.gaps[ep.Service], pace)
 	running, _ := b.running(ep, now)
-	own := b.own[ep.ID]
 	if running <= bears || running <= 0 {
 		return 0
 	}
-	return own - own*bears/running
+	mine := b.own[ep.ID]
+	return mine - mine*bears/running
 }
 
 // newest returns the n attempts that began last: they have most left to write.
@@ -147,17 +148,6 @@
 	return true
 }
 
-// leastPace returns the pace of the fastest engine of a service, at least 1.
-func (b *Belief) leastPace(ep directory.Endpoint) float64 {
-	least := max(1, b.loads[ep.ID].Pace)
-	for _, other := range b.endpoints {
-		if other.Service == ep.Service {
-			least = min(least, max(1, b.loads[other.ID].Pace))
-		}
-	}
-	return least
-}
-
 // attemptMovable makes an attempt that may be moved while it runs, and returns the
 // place at which the request goes on if it was.
 func (j *job) attemptMovable(ctx context.Context, p Place) (Outcome, Place) {
