A step is held as far ahead as arming the group takes, and the first map is told by changes

And step times were measured while the group rested (787 ms), so that the hold still came two steps ahead.

Change: the lead is a high quantile of what the last ten changes took from hold to go, 2 ms a rank before any; rounded up, and the present step does not count. Step times fall at once and rise slowly. The map that a group begins with is told by its shape, checked by the digest that guards all changes.

--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -10,9 +10,6 @@
 	// further one stalls all streams of the group, whose callers bear a pause
 	// of 120 ms.
 	armTime = 400 * time.Millisecond
-	// holdAhead is how long before its beginning a step should be held: the
-	// time for a hold, a look at all ranks and the arming.
-	holdAhead = 40 * time.Millisecond
 	// refusedTime is how long a rank may refuse to prepare a map, or a flush,
 	// before the leader takes another version. A copy takes 100 ms, in which a
 	// repeated order is refused as well.
@@ -58,6 +55,8 @@
 	// newest is the largest version seen or used.
 	newest uint64
 	epoch  uint64
+	// lead says how long before its beginning a step is held.
+	lead lead
 	// stepTime is how long a step lasts, from the steps seen.
 	stepTime time.Duration
 	lastStep uint64
@@ -141,8 +140,11 @@
 	if p, ok := d.Order.(Prepare); ok && o == Unfit && p.Version == l.newest {
 		l.refused = true
 	}
-	if _, ok := d.Order.(Hold); ok {
+	switch d.Order.(type) {
+	case Hold:
 		l.noteHold(o)
+	case Go:
+		l.noteGo(o, now)
 	}
 	if o != Unknown && d.Epoch == l.epoch && d.Rank < len(l.fenced) && l.fenced[d.Rank].IsZero() {
 		l.fenced[d.Rank] = now
@@ -163,6 +165,24 @@
 	}
 }
 
+// noteGo learns how long a change took from its hold.
+func (l *Leader) noteGo(o Outcome, now time.Time) {
+	if o == Begun || o == Already {
+		l.lead.end(now)
+	}
+}
+
+// Changed returns how the last change went, once for each that was let go with
+// all ranks armed.
+func (l *Leader) Changed() (Change, bool) {
+	c := l.lead.change
+	if !l.lead.heldAt.IsZero() || c.Took == 0 {
+		return Change{}, false
+	}
+	l.lead.change = Change{}
+	return c, true
+}
+
 // Deposed reports whether a rank has seen a newer leader.
 func (l *Leader) Deposed() bool { return l.deposed }
 
@@ -199,6 +219,7 @@
 		return release(ranks, held)
 	case l.undo || l.giveUp(ranks, armed, same, held, now):
 		l.undo = true
+		l.lead.cancel()
 		return l.takeBack(ranks, held, now)
 	default:
 		return l.arm(ranks, held)
@@ -251,16 +272,13 @@
 	if !ready {
 		return out
 	}
-	step := l.newestStep(ranks) + l.ahead()
+	ahead := l.late + l.lead.steps(len(ranks), l.stepTime)
+	step := l.newestStep(ranks) + ahead
 	l.own = step
+	l.lead.begin(Change{Step: step, Ahead: ahead, Expected: l.lead.time(len(ranks)), StepTime: l.stepTime}, now)
 	return []Directive{directive(ranks, l.Holder, Hold{Step: step})}
 }
 
-// ahead returns by how many steps a hold has to come ahead.
-func (l *Leader) ahead() uint64 {
-	return l.late + uint64(min(1+holdAhead/max(l.stepTime, time.Millisecond), mostAhead))
-}
-
 // target is the version that the held step is for: that of the ranks which are
 // armed, or the goal.
 func (l *Leader) target(ranks []State, armed int) (uint64, bool) {
--- a/internal/rank/lockstep/observe.go
+++ b/internal/rank/lockstep/observe.go
@@ -51,20 +51,27 @@
 		l.goal, l.undo, l.heldSince, l.flush, l.inForce, l.own, l.went = nil, false, time.Time{}, 0, nil, 0, 0
 		l.fenced = nil
 		l.lastSeen = time.Time{}
+		l.lead.cancel()
 	}
 	if l.fenced == nil {
 		l.fenced = make([]time.Time, n)
 	}
 }
 
-// followSteps measures how long a step lasts, over steps that were not held.
+// slowerPart is the part of a step that lasted longer than the estimate which
+// joins it.
+const slowerPart = 8
+
+// followSteps measures how long a step lasts, over steps that were not held. The
+// estimate falls at once and rises slowly: a group without work makes no steps, and
+// a hold that counts on such long ones comes too late when work is there.
 func (l *Leader) followSteps(step uint64, now time.Time) {
 	if !l.lastSeen.IsZero() && step > l.lastStep && l.heldSince.IsZero() {
 		d := now.Sub(l.lastSeen) / time.Duration(step-l.lastStep)
-		if l.stepTime == 0 {
+		if l.stepTime == 0 || d < l.stepTime {
 			l.stepTime = d
 		} else {
-			l.stepTime += (d - l.stepTime) / 4
+			l.stepTime += (d - l.stepTime) / slowerPart
 		}
 	}
 	if step != l.lastStep || l.lastSeen.IsZero() {
--- a/internal/ranker/maps.go
+++ b/internal/ranker/maps.go
@@ -43,21 +43,30 @@
 // group would run a step with two maps. So what is read by changes counts only if
 // its digest is that of the leader's map.
 func (l *mapLog) read(p *fleetpb.Prepare) ([][][]int, bool) {
-	if p.GetBase() == 0 {
+	if p.GetBase() == 0 && p.GetInTurn() == nil {
 		return setsFrom(p.GetSets()), true
 	}
-	out, ok := l.apply(p)
+	base, ok := l.base(p)
+	if !ok {
+		return nil, false
+	}
+	out, ok := apply(base, p)
 	return out, ok && digest(out) == p.GetDigest()
 }
 
-// apply returns the base of a message with its changes.
-func (l *mapLog) apply(p *fleetpb.Prepare) ([][][]int, bool) {
+// base returns the map of which a message tells changes.
+func (l *mapLog) base(p *fleetpb.Prepare) ([][][]int, bool) {
+	if t := p.GetInTurn(); t != nil {
+		return inTurn(t)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	base, ok := l.sets[p.GetBase()]
-	if !ok {
-		return nil, false
-	}
+	return base, ok
+}
+
+// apply returns a map with the changes of a message.
+func apply(base [][][]int, p *fleetpb.Prepare) ([][][]int, bool) {
 	out := make([][][]int, len(base))
 	for s := range base {
 		out[s] = slices.Clone(base[s])
@@ -72,28 +81,81 @@
 	return out, true
 }
 
+// mostExperts bounds the experts of a map that is told by its shape alone, so that
+// a garbled message takes no memory.
+const mostExperts = 1 << 20
+
+// inTurn returns the map of a shape in which each expert is on one rank, the first
+// on the first rank and so on in turn. It reports false for a shape that is none.
+func inTurn(t *fleetpb.InTurn) ([][][]int, bool) {
+	sets, ranks, experts := int(t.GetSets()), int(t.GetRanks()), int(t.GetExperts())
+	if ranks == 0 || experts == 0 || sets == 0 || experts > mostExperts/sets || ranks > experts {
+		return nil, false
+	}
+	out := make([][][]int, sets)
+	for s := range out {
+		out[s] = make([][]int, ranks)
+		for e := range experts {
+			out[s][e%ranks] = append(out[s][e%ranks], e)
+		}
+	}
+	return out, true
+}
+
+// shapeInTurn returns the shape of a map in which experts are in turn, or nil for
+// any other.
+func shapeInTurn(sets [][][]int) *fleetpb.InTurn {
+	if len(sets) == 0 {
+		return nil
+	}
+	experts := 0
+	for _, rank := range sets[0] {
+		experts += len(rank)
+	}
+	t := &fleetpb.InTurn{Sets: uint32(len(sets)), Ranks: uint32(len(sets[0])), Experts: uint32(experts)}
+	plain, ok := inTurn(t)
+	if !ok || digest(plain) != digest(sets) {
+		return nil
+	}
+	return t
+}
+
 // prepareProto is the message that has an agent prepare a map: by what differs
-// from the map in force, or whole where that is not known or map 0, of which
-// nobody was told.
+// from the map in force, or whole where that is not known. Nobody was told of the
+// map with which a group begins, but it follows from its shape.
 //
-// Load: 63 ranks with 8 sets of 252 experts behind a line of 8 Mbit/s. Whole, a
-// map for all takes 250 kB, a quarter second in which the group waits for it; the
-// changes of one copy a rank take a tenth of that.
+// Load: 63 to 72 ranks behind a line of 8 Mbit/s. Whole, a map for all takes 250 to
+// 500 kB, a quarter to half a second in which the group waits for it; the changes
+// of one copy a rank take a tenth of that. Harm prevented: while whole maps filled
+// the leader's line after a group had formed, agents did not answer in time and
+// were passed over, and the first change held the group for over a second.
 func prepareProto(o lockstep.Prepare, inForce *lockstep.Goal) *fleetpb.Prepare {
 	p := &fleetpb.Prepare{Version: o.Version, Digest: digest(o.Sets)}
-	if inForce == nil || inForce.Version == 0 || !sameShape(inForce.Sets, o.Sets) {
+	if inForce != nil && sameShape(inForce.Sets, o.Sets) {
+		p.Base = inForce.Version
+		if p.Base == 0 {
+			p.InTurn = shapeInTurn(inForce.Sets)
+		}
+	}
+	if p.Base == 0 && p.InTurn == nil {
 		p.Sets = setsProto(o.Sets)
 		return p
 	}
-	p.Base = inForce.Version
-	for s, ranks := range o.Sets {
+	p.Changes = changesProto(inForce.Sets, o.Sets)
+	return p
+}
+
+// changesProto tells in what a map differs from another of the same shape.
+func changesProto(before, after [][][]int) []*fleetpb.Change {
+	var out []*fleetpb.Change
+	for s, ranks := range after {
 		for r, experts := range ranks {
-			if !slices.Equal(experts, inForce.Sets[s][r]) {
-				p.Changes = append(p.Changes, &fleetpb.Change{Set: uint32(s), Rank: uint32(r), Experts: uints(experts)})
+			if !slices.Equal(experts, before[s][r]) {
+				out = append(out, &fleetpb.Change{Set: uint32(s), Rank: uint32(r), Experts: uints(experts)})
 			}
 		}
 	}
-	return p
+	return out
 }
 
 // digest returns a hash of a map, of its sizes and the order of experts too.
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -215,6 +215,7 @@
 		t.giveAndFollow(ctx, directives, ranks, byRank, func(now time.Time) []lockstep.Directive {
 			return t.leader.Decide(ranks, t.mayBegin(now), now)
 		})
+		t.logChange()
 		return 0
 	}
 	if t.leader.Busy() {
@@ -238,6 +239,19 @@
 	t.ranker.Log.WithFields(f).Warn("a step stays held")
 }
 
+// logChange tells how a change of maps went: one that took longer than expected may
+// have kept the group waiting.
+func (t *term) logChange() {
+	c, ok := t.leader.Changed()
+	if !ok {
+		return
+	}
+	t.ranker.Log.WithFields(logrus.Fields{
+		"group": t.group, "step": c.Step, "ahead": c.Ahead, "took": c.Took.Milliseconds(),
+		"expected": c.Expected.Milliseconds(), "stepTime": c.StepTime.Milliseconds(),
+	}).Info("expert map let go")
+}
+
 // rescue lets a step go that the last leader left held, if its own rank alone
 // isn't seen, and returns how long to wait for the next round.
 func (t *term) rescue(ctx context.Context, ranks []lockstep.State, byRank []found, seen []bool) time.Duration {
--- a/internal/ranker/told_test.go
+++ b/internal/ranker/told_test.go
@@ -105,6 +105,44 @@
 	}
 }
 
+// A group of 72 ranks has formed anew behind lines of 8 Mbit/s, and its first map is
+// due. Nobody was told of the one that it begins with; told whole to each agent, the
+// next one fills the leader's line for half a second, agents are taken for silent,
+// and the first change holds every stream for over a second.
+func TestFirstMapIsToldByChanges(t *testing.T) {
+	begin, ok := inTurn(&fleetpb.InTurn{Sets: 12, Ranks: 72, Experts: 144})
+	if !ok {
+		t.Fatal("no map of 12 sets with 144 experts on 72 ranks")
+	}
+	next := lockstep.Prepare{Version: 8}
+	for _, ranks := range begin {
+		next.Sets = append(next.Sets, slices.Clone(ranks))
+	}
+	for r := range 72 {
+		next.Sets[r%12][r] = append(slices.Clone(next.Sets[r%12][r]), (r+7)%72)
+	}
+	p := prepareProto(next, &lockstep.Goal{Sets: begin})
+	if a, b := proto.Size(prepareProto(next, nil)), proto.Size(p); 5*b > a {
+		t.Errorf("whole %d bytes, by changes %d", a, b)
+	}
+	got, ok := (&mapLog{}).read(p)
+	if !ok || !sameMap(got, next.Sets) {
+		t.Errorf("read %v: another map than was told", ok)
+	}
+	p.InTurn.Ranks = 71
+	if _, ok := (&mapLog{}).read(p); ok {
+		t.Error("changes of another shape were taken")
+	}
+	p.InTurn.Sets = 1 << 31
+	if _, ok := (&mapLog{}).read(p); ok {
+		t.Error("a shape without bound was taken")
+	}
+	other := prepareProto(next, &lockstep.Goal{Sets: bigMap(1)[:1]})
+	if other.GetInTurn() != nil || len(other.GetSets()) == 0 {
+		t.Error("a map that isn't in turn was told by its shape")
+	}
+}
+
 func sameMap(a, b [][][]int) bool {
 	return sameShape(a, b) && slices.EqualFunc(a, b, func(a, b [][]int) bool { return slices.EqualFunc(a, b, slices.Equal) })
 }
