Late requests wait behind those on time; closed groups are known and waited for while they form

Hypothesis: after an outage callers with 8 s left are refused for a target of 0.4 s that is missed anyway, come back once into the same outage and are lost.

Change: what can't be on time waits in a queue of its own, in a room that leaves half of what punctual arrivals need; until the caller leaves less twice the usual first part. The leader tells entries that its group is closed, and whether it forms; requests wait while it forms, or while an outage has lasted shorter than they can wait, else they are refused at once (2019 groupClosed) and asked back after as long as it has lasted, a third of their time at most. A request that was not run waits again in place of being refused. Times to the first part and to the end are observed (HDR histograms) in place of 160 ms and 1 s: the ledger's 150 ms target counted as late from the start. Callers of a route have 6.8 to 8 s when they first ask, so 'less time than others' took nearly all for late; now only under 0.8 of the longest. The time in a closed group is no drain time. A process that starts holds callers up to 1 s until it knows a configuration. Also: 'took' and 'knownAge' of a refused request were told of when it came, so the age was negative.

--- a/internal/caller/admission/controller.go
+++ b/internal/caller/admission/controller.go
@@ -234,6 +234,13 @@
 	}
 }
 
+// Rest brings a route to now without counting the time as spent with requests
+// waiting: nothing could have been started in it, however fast the endpoints are.
+func (c *Controller) Rest(name string, now time.Time) {
+	c.init()
+	c.routeOf(name).drain.advance(now, false)
+}
+
 // Done records that a running request has ended at its endpoint, whole or not,
 // or that a waiting one is given up. Unknown ids are ignored, so that ending
 // twice does no harm.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -231,8 +231,8 @@
 	for _, l := range r.GetLoads() {
 		loads = append(loads, relay.Load{
 			Address: l.GetAddress(), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
-			Pace: float64(l.GetPace()) / 100,
-			At:   now.Add(-time.Duration(l.GetAgeMicros()) * time.Microsecond),
+			Pace: float64(l.GetPace()) / 100, Closed: l.GetClosed(), Forming: l.GetForming(),
+			At: now.Add(-time.Duration(l.GetAgeMicros()) * time.Microsecond),
 		})
 	}
 	s.frontend.belief.SetLoads(loads, now)
--- /dev/null
+++ b/internal/frontend/waiting_test.go
@@ -0,0 +1,45 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+// An engine is full and a request waits for it, in vain. On call, its log line has to
+// say how long it took and how old the process's knowledge was when it ended: told of
+// when it came, the age was negative, as the store had answered meanwhile.
+func TestLogOfARequestThatWaited(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	e := s.start("entry1", s.store.Addr())
+	s.endpoints[0].Behave(standin.Refuses)
+	for range 3 {
+		s.want(e.ask(context.Background(), "/order/1", "waits", "k1"), http.StatusServiceUnavailable)
+	}
+	type ended struct {
+		Msg, Request           string
+		Took, Waited, KnownAge int
+	}
+	lines := 0
+	s.eventually("log lines of the requests", func() bool {
+		lines = 0
+		in := bufio.NewScanner(strings.NewReader(e.log.Text()))
+		for in.Scan() {
+			l := ended{}
+			if json.Unmarshal(in.Bytes(), &l) != nil || l.Msg != "request ended" || l.Request != "waits" {
+				continue
+			}
+			lines++
+			if l.Took < l.Waited || l.KnownAge < 0 {
+				t.Fatalf("%+v", l)
+			}
+		}
+		return lines > 0
+	})
+}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -61,7 +61,10 @@
 	mu       sync.Mutex // guards direct and silent
 	direct   map[string]*platform.Engine
 	silent   map[string]silence
-	told     time.Time
+	// told is when entries were last told of the engines, and toldClosed whether
+	// their group was closed.
+	told       time.Time
+	toldClosed bool
 	// jumped says that popularity has jumped since a map was last proposed.
 	jumped bool
 	// paces is how much slower than usual each rank was at the last look.
@@ -192,8 +195,8 @@
 	want := wanted{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil}
 	looks := t.lookAll(ctx, agents, want)
 	now := boottime.Now()
-	t.tellEntries(ctx, entries, looks, now)
 	ranks, byRank, seen := t.arrange(looks)
+	t.tellEntries(ctx, entries, looks, !slices.Contains(seen, false), now)
 	if slices.Contains(seen, false) {
 		return t.rescue(ctx, ranks, byRank, seen)
 	}
@@ -348,17 +351,20 @@
 	return n
 }
 
-// tellEntries tells entries how much work the engines have.
-func (t *term) tellEntries(ctx context.Context, entries []fleet.Member, looks []found, now time.Time) {
-	if now.Sub(t.told) < loadsEvery {
+// tellEntries tells entries how much work the engines have, and whether their group
+// takes requests. That it opens or closes is told at once: requests wait for it.
+// Whole says that no rank is missing.
+func (t *term) tellEntries(ctx context.Context, entries []fleet.Member, looks []found, whole bool, now time.Time) {
+	closed := slices.ContainsFunc(looks, func(f found) bool { return !f.state.Open })
+	if now.Sub(t.told) < loadsEvery && closed == t.toldClosed {
 		return
 	}
-	t.told = now
+	t.told, t.toldClosed = now, closed
 	q := &fleetpb.LoadsRequest{}
 	for _, l := range looks {
 		q.Loads = append(q.Loads, &fleetpb.Load{
 			Address: l.address, Running: uint32(l.state.Running), Queued: uint32(l.state.Queued),
-			Pace: uint32(100 * l.state.Pace),
+			Pace: uint32(100 * l.state.Pace), Closed: closed, Forming: closed && whole,
 		})
 	}
 	for _, m := range entries {
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -18,6 +19,9 @@
 	// was away hold after its return: living endpoints write theirs again
 	// within about two seconds.
 	lapseHold = 2 * time.Second
+	// startHold is how long after its start a process holds requests until it
+	// knows a configuration.
+	startHold = time.Second
 	// plainSlots is what a plain service's endpoint bears if it doesn't say.
 	plainSlots = 4
 	// reportEvery is how often endpoints without load reports are told to the
@@ -61,6 +65,9 @@
 	// Pace is how many times slower than usual the endpoint works; zero means
 	// unknown.
 	Pace float64
+	// Closed says that the endpoint's group takes no requests, and Forming that
+	// it is about to.
+	Closed, Forming bool
 	// At is when it was true, by this process's clock.
 	At time.Time
 }
@@ -111,6 +118,14 @@
 	// failures counts the failures in a row that an endpoint reported.
 	failures map[string]int
 	outages  outages
+	times    answerTimes
+	// probed is when a request last found out whether the group of a service is
+	// open.
+	probed map[string]time.Time
+	// arrivals measures the requests that come anew by service, and lateRunning
+	// counts those under way that could not be on time any more.
+	arrivals    map[string]*arrivals
+	lateRunning map[string]int
 	// movables holds the attempts that may be moved, by endpoint, and attempts
 	// how many there were.
 	movables map[string]map[*attemptRun]bool
@@ -119,7 +134,9 @@
 	fed      time.Time
 	dirty    bool
 	listed   bool
-	began    time.Time
+	// known is closed when a configuration and the endpoints are known.
+	known chan struct{}
+	began time.Time
 }
 
 // Begin prepares the belief.
@@ -137,6 +154,10 @@
 	b.queue.MaxWaiting = mostWaiting
 	b.own = map[string]int{}
 	b.failures = map[string]int{}
+	b.probed = map[string]time.Time{}
+	b.arrivals = map[string]*arrivals{}
+	b.lateRunning = map[string]int{}
+	b.known = make(chan struct{})
 	b.began = now
 }
 
@@ -179,6 +200,7 @@
 		return false
 	}
 	b.table = t
+	b.noteKnown()
 	b.dirty = true
 	b.gaps = t.Gaps()
 	if err := b.queue.Configure(limitsOf(t), now); err != nil {
@@ -215,6 +237,40 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listed = true
+	b.noteKnown()
+}
+
+// noteKnown closes known once there is all that a request needs, with mu held.
+func (b *Belief) noteKnown() {
+	if b.table == nil || !b.listed {
+		return
+	}
+	select {
+	case <-b.known:
+	default:
+		close(b.known)
+	}
+}
+
+// AwaitKnown waits until a configuration and the endpoints are known, if the
+// process has begun less than startHold ago, or until ctx ends.
+//
+// Load: all processes of a fleet start anew, and callers come before the store has
+// told what is in force, within a few tenths of a second. Harm prevented: they are
+// refused, and most have asked for the last time. A process that still knows
+// nothing after that refuses at once: the store may be away for long.
+func (b *Belief) AwaitKnown(ctx context.Context, now time.Time) {
+	left := startHold - now.Sub(b.began)
+	if left <= 0 {
+		return
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-b.known:
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // Known reports whether the process knows a configuration and the endpoints.
@@ -272,7 +328,8 @@
 	return b.longest[route]
 }
 
-// Waiting returns the services for which requests wait here.
+// Waiting returns the services for which requests wait here that can be on time.
+// The others lay no claim to a part of the places.
 func (b *Belief) Waiting() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -281,8 +338,8 @@
 		return out
 	}
 	for _, w := range b.waiters {
-		if w.waits && !slices.Contains(out, w.service.Name) {
-			out = append(out, w.service.Name)
+		if w.waits && !w.late && !slices.Contains(out, w.ask.Service.Name) {
+			out = append(out, w.ask.Service.Name)
 		}
 	}
 	return out
--- a/internal/relay/belief_test.go
+++ b/internal/relay/belief_test.go
@@ -186,7 +186,7 @@
 func clockAt(now time.Time) func() time.Time { return func() time.Time { return now } }
 
 func askFor(id string, s *routing.Service, now time.Time) Ask {
-	return Ask{Service: s, ID: id, Account: anonymous, Target: now.Add(500 * time.Millisecond), End: now.Add(8 * time.Second)}
+	return Ask{Service: s, ID: id, Account: anonymous, TargetTime: 500 * time.Millisecond, Target: now.Add(500 * time.Millisecond), End: now.Add(8 * time.Second)}
 }
 
 // fill gives every place of a service away.
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -20,6 +20,13 @@
 	return b.budget(service, now).Take(now)
 }
 
+// MaySpend reports whether Spend would take one.
+func (b *Belief) MaySpend(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service, now).May(now)
+}
+
 // budgetUse is the part of the fleet's retry budget that entries use: they count
 // requests by their own clocks, and callers' requests are not spread evenly.
 const budgetUse = 0.7
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -18,6 +18,9 @@
 			continue
 		}
 		b.loads[ep.ID] = l
+		if l.Closed {
+			b.outages.began(ep.Service, now)
+		}
 		b.tell(ep, now)
 	}
 	b.refresh(now)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -172,7 +172,7 @@
 			return Moved{}, next
 		}
 	}
-	b.Ended(next, Delivered{}, j.relay.Now())
+	b.Ended(next, Unused{}, j.relay.Now())
 	return o, Place{}
 }
 
--- a/internal/relay/outage.go
+++ b/internal/relay/outage.go
@@ -16,9 +16,11 @@
 	// outageFrom is how long a service must have answered nothing to count as
 	// down: several times the usual time between two answers.
 	outageFrom = 700 * time.Millisecond
-	// mostComeBack bounds what a caller is asked to wait in an outage. Callers
-	// have 8 s and wait for a third of what is left at most.
-	mostComeBack = 2500 * time.Millisecond
+	// mostComeBack bounds what a caller is asked to wait in an outage.
+	mostComeBack = 5 * time.Second
+	// comeBackPart is the part of its time after which a caller is asked back at
+	// the latest. Callers wait no longer, and what is left has to do for an answer.
+	comeBackPart = 3
 )
 
 func retryAfterFor(why result.Code) time.Duration {
@@ -44,13 +46,8 @@
 // served notes that a part of an answer came.
 func (o *outages) served(service string, _ time.Time) { delete(o.since, service) }
 
-// ended notes how an attempt ended.
-func (o *outages) ended(service string, how Outcome, now time.Time) {
-	switch how.(type) {
-	case NotRun, Unknown, Broken:
-	default:
-		return
-	}
+// began notes that a service is known to answer nothing from now on.
+func (o *outages) began(service string, now time.Time) {
 	if o.since == nil {
 		o.since = map[string]time.Time{}
 	}
@@ -59,6 +56,15 @@
 	}
 }
 
+// ended notes how an attempt ended.
+func (o *outages) ended(service string, how Outcome, now time.Time) {
+	switch how.(type) {
+	case NotRun, Unknown, Broken:
+		o.began(service, now)
+	default:
+	}
+}
+
 // comeBack returns when a caller may come back who would usually be asked to do
 // so after usual.
 func (o *outages) comeBack(service string, usual time.Duration, now time.Time) time.Duration {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -19,6 +19,9 @@
 	// there was none.
 	LoadAge time.Duration
 	attempt *placement.Attempt
+	// given is when the request got it, and late that it could not be on time then.
+	given time.Time
+	late  bool
 	// id names the request in the queue, or is "" for one that never was.
 	id string
 }
@@ -32,9 +35,14 @@
 	return b.choose(service, q, now)
 }
 
+// choose gives a request a place, with mu held.
 func (b *Belief) choose(service *routing.Service, q placement.Query, now time.Time) (Place, *result.Error) {
+	if c, closed := b.closure(service, now); closed && !b.mayProbe(service, c, len(q.Tried) > 0, now) {
+		return Place{}, result.New(result.GroupClosed, "").WithRetryAfter(b.outages.comeBack(service.Name, afterMissing, now))
+	}
 	q.Route = service.Name
 	q.Tried = slices.Clone(q.Tried)
+	b.avoidClosed(service, &q, now)
 	b.leaveToOthers(service, &q, now)
 	wait := b.avoidCold(service, &q, now)
 	c, ok, why := b.picture.Choose(q, now)
@@ -48,7 +56,7 @@
 	if ep.ColdAt(now) && service.ColdRate > 0 {
 		b.cold.Take(ep.ID, service.ColdRate, b.countEntries(now), now)
 	}
-	p := Place{Endpoint: ep, LoadAge: -1, attempt: b.picture.Started(c, q, now)}
+	p := Place{Endpoint: ep, LoadAge: -1, given: now, attempt: b.picture.Started(c, q, now)}
 	if l, ok := b.loads[ep.ID]; ok {
 		p.LoadAge = now.Sub(l.At)
 	}
@@ -92,18 +100,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.picture.Piece(p.attempt, now)
-	b.begun(p)
+	if b.begun(p) {
+		b.times.noteFirst(p.Endpoint.Service, now.Sub(p.given), now)
+	}
 	b.outages.served(p.Endpoint.Service, now)
+	if l := b.loads[p.Endpoint.ID]; l.Closed {
+		l.Closed = false
+		b.loads[p.Endpoint.ID] = l
+	}
 }
 
-// begun takes a request out of the queue's books. They end with the first part
-// of its answer, as the wait that is bounded does; how long the rest takes must
-// not be learnt from, or the queue would take every target for out of reach.
-func (b *Belief) begun(p Place) {
-	if p.id != "" && b.waiters[p.id] != nil {
-		b.queue.Cancel(p.id)
-		delete(b.waiters, p.id)
+// begun takes a request out of the queue's books, and reports whether it was in
+// them. They end with the first part of its answer, as the wait that is bounded
+// does; how long the rest takes must not be learnt from, or the queue would take
+// every target for out of reach.
+func (b *Belief) begun(p Place) bool {
+	if p.id == "" || b.waiters[p.id] == nil {
+		return false
 	}
+	b.queue.Cancel(p.id)
+	delete(b.waiters, p.id)
+	return true
 }
 
 // Ended takes a request off its endpoint.
@@ -115,11 +132,18 @@
 	} else {
 		delete(b.own, p.Endpoint.ID)
 	}
+	if p.late {
+		b.lateRunning[p.Endpoint.Service]--
+	}
 	b.changed()
 	b.begun(p)
 	defer b.pump(now)
 	b.outages.ended(p.Endpoint.Service, o, now)
 	switch o := o.(type) {
+	case Delivered:
+		b.times.noteWhole(p.Endpoint.Service, now.Sub(p.given), now)
+		delete(b.failures, p.Endpoint.ID)
+		b.picture.Ended(p.attempt, now)
 	case NotRun:
 		if o.Sent {
 			b.picture.Refused(p.attempt, 0, now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,7 @@
 
 // Pass implements caller.Passer.
 func (r *Relay) Pass(ctx context.Context, raw *caller.Raw, w *caller.Reply) {
+	r.Belief.AwaitKnown(ctx, r.Now())
 	now := r.Now()
 	j := &job{relay: r, raw: raw, reply: w, facts: r.Dialect.ReadRequest(raw.Header)}
 	if e := j.open(now); e != nil {
@@ -186,7 +187,7 @@
 		now := j.relay.Now()
 		place, e := j.placeOrNext(ctx, next, now)
 		if e != nil {
-			j.finish(nil, e, now)
+			j.finish(nil, e, j.relay.Now())
 			return
 		}
 		var o Outcome
@@ -203,7 +204,7 @@
 			j.logAttempt(place, o, now)
 			continue
 		}
-		budget := func() bool { return j.relay.Belief.Spend(j.service.Name, now) }
+		budget := func() bool { return j.maySpend(o, now) }
 		if NextStep(j.route, j.tries, o, left, budget) == End {
 			j.finish(o, nil, now)
 			return
@@ -212,6 +213,15 @@
 	}
 }
 
+// maySpend reports whether the retry budget has one more attempt. A request that
+// was not run waits for its place first and pays when it has one.
+func (j *job) maySpend(o Outcome, now time.Time) bool {
+	if _, notRun := o.(NotRun); notRun {
+		return j.relay.Belief.MaySpend(j.service.Name, now)
+	}
+	return j.relay.Belief.Spend(j.service.Name, now)
+}
+
 // count notes what an attempt has used up.
 func (j *job) count(o Outcome) {
 	switch o := o.(type) {
@@ -261,7 +271,7 @@
 	now := j.relay.Now()
 	e := j.checkAge(now)
 	if e != nil {
-		j.relay.Belief.Ended(p, Delivered{}, now)
+		j.relay.Belief.Ended(p, Unused{}, now)
 	}
 	return e
 }
@@ -280,40 +290,72 @@
 	return p, nil
 }
 
-// ask gets the first attempt a place by way of the queue. Further ones are not
-// held up: the request has waited already.
+// ask gets an attempt a place by way of the queue. One that follows an attempt which
+// may have run is not held up: its request has waited already.
 func (j *job) ask(ctx context.Context, q placement.Query, now time.Time) (Place, *result.Error) {
 	b := j.relay.Belief
-	if len(j.tried) > 0 {
+	if j.tries.MayHaveRun {
 		return b.Choose(j.service, q, now)
 	}
 	a := Ask{
 		Service: j.service, Query: q, ID: j.facts.ID, Account: anonymous,
 		Target: j.target(), End: j.end, Priority: j.urgency(),
+		TargetTime: j.route.Target, New: len(j.tried) == 0 && !j.cameBack(), Leaves: j.leaves(),
 	}
 	if j.account != nil {
 		a.Account = j.account.Name
 	}
 	p, e := b.Admit(ctx, a, j.relay.Now)
-	if waited := j.relay.Now().Sub(now); waited > 0 {
-		j.waited = waited
+	then := j.relay.Now()
+	if waited := then.Sub(now); waited > 0 {
+		j.waited += waited
+	}
+	if e == nil && j.tries.Sent > 0 && !b.Spend(j.service.Name, then) {
+		b.Ended(p, Unused{}, then)
+		return Place{}, result.New(result.EndpointBusy, "").WithRetryAfter(b.ComeBack(j.service.Name, result.EndpointBusy, then))
 	}
 	return p, e
 }
 
-// target is when the first part of the answer has to be there to be on time. A
-// caller that has less time left than callers of its route begin with has used
-// up some before, in an attempt that was refused or failed.
+// leaves is when the caller leaves if no part of the answer has come; zero means when
+// its time is over.
+func (j *job) leaves() time.Time {
+	if j.route.Patience <= 0 {
+		return time.Time{}
+	}
+	return j.raw.At.Add(j.route.Patience)
+}
+
+// freshPart is the part of the longest time of their route's callers that one has
+// left at least who asks for the first time. Callers differ in how long they would
+// wait, by a sixth; one that was asked to stay away has used up more.
+const freshPart = 0.8
+
+// cameBack reports whether the caller has asked before.
+func (j *job) cameBack() bool { return j.used() > 0 }
+
+// used is how much of its time the caller had used up before it asked, in an attempt
+// that was refused or failed, or zero if that can't be told from a caller of less
+// patience.
+func (j *job) used() time.Duration {
+	if j.facts.TimeLeft <= 0 {
+		return 0
+	}
+	longest := j.relay.Belief.LongestLeft(j.route.Name, j.facts.TimeLeft)
+	if j.facts.TimeLeft >= time.Duration(freshPart*float64(longest)) {
+		return 0
+	}
+	return longest - j.facts.TimeLeft
+}
+
+// target is when the first part of the answer has to be there to be on time, counted
+// from when the caller first asked.
 func (j *job) target() time.Time {
 	target := j.route.Target
 	if target <= 0 {
 		return j.end
 	}
-	if j.facts.TimeLeft <= 0 {
-		return j.raw.At.Add(target)
-	}
-	used := j.relay.Belief.LongestLeft(j.route.Name, j.facts.TimeLeft) - j.facts.TimeLeft
-	return j.raw.At.Add(target - used)
+	return j.raw.At.Add(target - j.used())
 }
 
 // finish gives the caller the final answer.
@@ -380,7 +422,7 @@
 		"Content-Type":      {"text/plain; charset=utf-8"},
 		caller.HeaderResult: {strconv.Itoa(int(e.Code()))},
 	}
-	if d := e.RetryAfter(); d > 0 {
+	if d := j.retryAfter(e, now); d > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
 	}
 	cause := j.reply.AnswerRaw(status, h, []byte(e.Error()+"\n"))
@@ -390,6 +432,16 @@
 	j.log(e.Code(), status, now, cause)
 }
 
+// retryAfter is when the caller is asked to come back, while it has time for an
+// answer.
+func (j *job) retryAfter(e *result.Error, now time.Time) time.Duration {
+	d := e.RetryAfter()
+	if j.end.IsZero() {
+		return d
+	}
+	return min(d, max(0, j.end.Sub(now))/comeBackPart)
+}
+
 func statusOf(e *result.Error) int {
 	info, _ := result.Lookup(e.Code())
 	if info.Status() == 0 {
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -8,7 +8,8 @@
 )
 
 // Outcome is how one attempt at an endpoint ended: Delivered, NotRun, Failed,
-// Unknown, Broken, Moved or Gone.
+// Unknown, Broken, Moved, Gone or
+// Unused.
 type Outcome interface{ outcome() }
 
 // Delivered says that the caller has the whole answer.
@@ -40,6 +41,9 @@
 // Gone says that the caller left or stopped reading.
 type Gone struct{ Cause error }
 
+// Unused says that the place was given back before anything was sent to it.
+type Unused struct{}
+
 func (Delivered) outcome() {}
 func (NotRun) outcome()    {}
 func (Failed) outcome()    {}
@@ -47,6 +51,7 @@
 func (Broken) outcome()    {}
 func (Moved) outcome()     {}
 func (Gone) outcome()      {}
+func (Unused) outcome()    {}
 
 // Step is what follows an attempt: Again or End.
 type Step int
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -43,6 +43,9 @@
 	// Target is the time to the (first part of the) answer in which it has its
 	// full worth, and Gap the longest pause between events.
 	Target, Gap time.Duration
+	// Patience is after how long without a part of the answer a caller leaves;
+	// zero means not before its time is over.
+	Patience time.Duration
 	// Priority is the rank of the requests; 0 is the highest.
 	Priority int
 	// MaxAttempts is how many endpoints one attempt of a caller may be sent to.
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -68,6 +68,7 @@
 	RetryBudget        Code = 2016
 	EndpointDown       Code = 2017
 	Displaced          Code = 2018
+	GroupClosed        Code = 2019
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -162,6 +163,7 @@
 	RetryBudget:        {"retryBudget", Unknown, http.StatusServiceUnavailable, "an attempt failed and the retry budget is used up"},
 	EndpointDown:       {"endpointDown", NotRun, http.StatusServiceUnavailable, "the endpoint does not accept connections"},
 	Displaced:          {"displaced", NotRun, http.StatusServiceUnavailable, "work that is worth more took the place in the queue"},
+	GroupClosed:        {"groupClosed", NotRun, http.StatusServiceUnavailable, "the engines' group takes no requests now"},
 
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
