--- /dev/null
+++ b/internal/relay/finish.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// finish gives the caller the final answer.
+func (j *job) finish(o Outcome, e *result.Error, now time.Time) {
+	switch o := o.(type) {
+	case Delivered:
+		j.log(result.OK, http.StatusOK, now, nil)
+		return
+	case Gone:
+		j.reply.Break()
+		j.log(result.Cancelled, 0, now, o.Cause)
+		return
+	case Broken:
+		j.reply.Break()
+		j.log(result.AnswerIncomplete, 0, now, o.Cause)
+		return
+	case Failed:
+		j.deliverFailure(o.Answer, now)
+		return
+	case NotRun:
+		e = result.New(o.Code, "").WithRetryAfter(j.relay.Belief.ComeBack(j.service.Name, o.Code, now))
+	case Unknown:
+		e = j.unknown(o, now)
+	}
+	if j.started {
+		j.reply.Break()
+		j.log(result.AnswerIncomplete, 0, now, e)
+		return
+	}
+	if j.failed != nil {
+		j.deliverFailure(j.failed, now)
+		return
+	}
+	j.refuse(j.truthful(e), now)
+}
+
+// unknown is the result of a request that may have run.
+func (j *job) unknown(o Unknown, now time.Time) *result.Error {
+	if !now.Before(j.end) {
+		return result.New(result.DeadlineExceeded, "")
+	}
+	return result.Newf(result.OutcomeUnknown, "%v", o.Cause)
+}
+
+// truthful keeps a refusal from saying "not run" of a request that an earlier
+// attempt may have run.
+func (j *job) truthful(e *result.Error) *result.Error {
+	if j.tries.MayHaveRun && e.Code().Effect() == result.NotRun {
+		return result.New(result.OutcomeUnknown, e.Error())
+	}
+	return e
+}
+
+// deliverFailure passes on a failure that an endpoint reported.
+func (j *job) deliverFailure(a *Whole, now time.Time) {
+	err := j.reply.AnswerRaw(a.Status, a.Header, a.Body)
+	j.log(result.EndpointFailed, a.Status, now, err)
+}
+
+// refuse answers with a result of this process.
+func (j *job) refuse(e *result.Error, now time.Time) {
+	status := statusOf(e)
+	h := http.Header{
+		"Content-Type":      {"text/plain; charset=utf-8"},
+		caller.HeaderResult: {strconv.Itoa(int(e.Code()))},
+	}
+	if d := j.retryAfter(e, now); d > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
+	}
+	cause := j.reply.AnswerRaw(status, h, []byte(e.Error()+"\n"))
+	if cause == nil && e.Detail() != "" {
+		cause = e
+	}
+	j.log(e.Code(), status, now, cause)
+}
+
+// retryAfter is when the caller is asked to come back, while it has time for an
+// answer.
+func (j *job) retryAfter(e *result.Error, now time.Time) time.Duration {
+	d := e.RetryAfter()
+	if j.end.IsZero() {
+		return d
+	}
+	return min(d, max(0, j.end.Sub(now))/comeBackPart)
+}
+
+func statusOf(e *result.Error) int {
+	info, _ := result.Lookup(e.Code())
+	if info.Status() == 0 {
+		return http.StatusInternalServerError
+	}
+	return info.Status()
+}
