--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -275,9 +275,15 @@
 // restClosed keeps the time in which groups are closed out of what the queue learns
 // of how fast it is drained: it would refuse callers for seconds after they open.
 func (b *Belief) restClosed(now time.Time) {
+	looked := map[string]bool{}
 	for _, w := range b.waiters {
-		if _, closed := b.closure(w.ask.Service, now); w.waits && closed {
-			b.rest(w.ask.Service, now)
+		s := w.ask.Service
+		if !w.waits || looked[s.Name] {
+			continue
+		}
+		looked[s.Name] = true
+		if _, closed := b.closure(s, now); closed {
+			b.rest(s, now)
 		}
 	}
 }
