--- a/internal/endpoint/batch/batch.go
+++ b/internal/endpoint/batch/batch.go
@@ -14,8 +14,8 @@
 	// until the next map is in force half a second later; a planned map has
 	// 1.2 to 1.4.
 	JumpSkew = 1.7
-	// calmSkew is the skew of a planned map.
-	calmSkew = 1.3
+	// CalmSkew is the skew of a planned map.
+	CalmSkew = 1.3
 	// SlowFrom is the pace from which an engine counts as slow. Engines report
 	// their pace rounded, and maps and allowances would change for nothing if
 	// they followed each tenth.
@@ -62,7 +62,7 @@
 		return e.Slots
 	}
 	n := 0
-	for n < e.Slots && float64(Pass(e, n+1, calmSkew))*pace <= float64(gap-wayMargin) {
+	for n < e.Slots && float64(Pass(e, n+1, CalmSkew))*pace <= float64(gap-wayMargin) {
 		n++
 	}
 	return n
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -11,9 +11,6 @@
 const (
 	// arrivalsMemory is the time over which the rate of arrivals is measured.
 	arrivalsMemory = 3 * time.Second
-	// calmSkew is the skew of a group with a planned map, by which the length of
-	// answers is guessed before any was seen.
-	calmSkew = 1.3
 	// keptForOthers is the part of what requests that can be on time need which is
 	// kept from late ones: they do not come all at once. With all of it kept, late
 	// callers are refused beside free places; with none, the others become late.
@@ -94,12 +91,13 @@
 	return max(1, n)
 }
 
-// usualWhole returns how long a request usually has its place.
+// usualWhole returns how long a request usually has its place; before any was seen,
+// as long as full engines with a planned map take for one of the usual size.
 func (b *Belief) usualWhole(s *routing.Service, now time.Time) time.Duration {
 	guess := time.Duration(0)
 	if e := s.Engine; e != nil && e.Stride > 0 {
 		passes := float64(e.MeanOutput) / float64(e.Stride)
-		guess = time.Duration(passes * float64(batch.Pass(e, e.Slots, calmSkew)))
+		guess = time.Duration(passes * float64(batch.Pass(e, e.Slots, batch.CalmSkew)))
 	}
 	return quantile(b.times.of(s.Name, now).whole, usualWhole, guess)
 }
