--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -11,6 +11,8 @@
 const (
 	// arrivalsMemory is the time over which the rate of arrivals is measured.
 	arrivalsMemory = 3 * time.Second
+	// leastMeasured is the least time that is taken to have been measured.
+	leastMeasured = 100 * time.Millisecond
 	// keptForOthers is the part of what requests that can be on time need which is
 	// kept from late ones: they do not come all at once. With all of it kept, late
 	// callers are refused beside free places; with none, the others become late.
@@ -49,7 +51,7 @@
 	}
 	a.decay(now)
 	memory := arrivalsMemory.Seconds()
-	seen := 1 - math.Exp(-max(0.1, now.Sub(a.began).Seconds())/memory)
+	seen := 1 - math.Exp(-max(leastMeasured.Seconds(), now.Sub(a.began).Seconds())/memory)
 	return a.count / (memory * seen)
 }
 
@@ -59,10 +61,9 @@
 //
 // Load: a group of engines opens after an outage of seconds, and all who came
 // meanwhile wait for it, late already. Harm prevented: they fill all places at once;
-// passes are slow until the first maps are in force; and all who come in the next
-// four seconds wait behind them and become late in turn (1,000 requests for the sake
-// of some 100). In its room an entry serves the late ones over the next two seconds,
-// and the others as if nothing had been.
+// passes are slow until the first maps are in force; and most who come in the next
+// seconds wait behind them and become late in turn. In its room an entry serves late
+// ones over the next two seconds, and the others as if nothing had been.
 func (b *Belief) lateRoom(s *routing.Service, now time.Time) int {
 	places := 0
 	for _, ep := range b.endpoints {
@@ -76,7 +77,7 @@
 	if a == nil {
 		return max(leastLateRoom, int(part))
 	}
-	needed := a.rate(now) * b.usualWhole(s, now).Seconds()
+	needed := a.rate(now) * b.placeTime(s, now).Seconds()
 	return max(leastLateRoom, int(part-keptForOthers*needed))
 }
 
@@ -91,9 +92,9 @@
 	return max(1, n)
 }
 
-// usualWhole returns how long a request usually has its place; before any was seen,
+// placeTime returns how long a request usually has its place; before any was seen,
 // as long as full engines with a planned map take for one of the usual size.
-func (b *Belief) usualWhole(s *routing.Service, now time.Time) time.Duration {
+func (b *Belief) placeTime(s *routing.Service, now time.Time) time.Duration {
 	guess := time.Duration(0)
 	if e := s.Engine; e != nil && e.Stride > 0 {
 		passes := float64(e.MeanOutput) / float64(e.Stride)
