A member's loss is noted together with what brings it about

Cause: an engine's restart marks the member's loss in tickEngine, but the loss was looked for only after the orders to the engine; on a busy machine the member joined again from its peers in between, and the loss was never told. Shown on a copy: a pause after the loss, before the look, makes the test fail in the same words; with this change and the same pause it passes.

--- a/internal/rank/loops.go
+++ b/internal/rank/loops.go
@@ -31,7 +31,9 @@
 	r.mu.Lock()
 	orders := r.member.Tick(e)
 	s := r.member.State()
+	tell := r.changes()
 	r.mu.Unlock()
+	tell()
 	r.counts.begun.Update(int64(s.Begun))
 	r.counts.granted.Update(int64(s.Granted))
 	for _, o := range orders {
--- a/internal/rank/runner.go
+++ b/internal/rank/runner.go
@@ -205,6 +205,19 @@
 // observe tells of changes of the member's state. mu must not be held.
 func (r *Runner) observe() {
 	r.mu.Lock()
+	tell := r.changes()
+	r.mu.Unlock()
+	tell()
+}
+
+// changes notes what has changed of the member's state since the last call, and
+// returns what tells of it, to be called without mu. It is called with mu held.
+//
+// Guard: what changes the member's state and what looks at it must not be apart. An
+// engine that restarts loses its maps; were the loss looked for only after the
+// engine's next orders, the member may have joined again from its peers by then, and
+// neither log, counter nor time line would tell of the loss.
+func (r *Runner) changes() func() {
 	s := r.member.State()
 	joined, force := r.joined, r.force
 	r.joined = s.Joined
@@ -212,7 +225,11 @@
 		r.force = s.Schedule[n-1]
 	}
 	now := r.force
-	r.mu.Unlock()
+	return func() { r.tell(s, joined, force, now) }
+}
+
+// tell tells of a member's state that was joined and at force before, and is at now.
+func (r *Runner) tell(s naming.State, joined bool, force, now naming.Entry) {
 	if s.Joined && !joined {
 		r.counts.joins.Inc(1)
 		r.emit(Event{Kind: EventJoined, Number: now.Map.Version})
