The proof that a lost go is given again rests on no time of the machine

Cause: the stand-in loses the next four orders and five tries of 20 ms are made; on a slow machine a try was over before its order reached the engine, so that the last one met a loss. Shown on a copy: with tries of 50 µs it fails each time in the same words. Now as many orders are lost and as many tries made, bounded by a minute each; that the product makes them in the time of one call is checked by itself.

--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -91,7 +91,7 @@
 	r := t.ranker
 	switch {
 	case to.agent == nil || stepOrder(d.Order):
-		return giveAgain(ctx, t.engineAt(to.address), t.token, d, directTries)
+		return giveAgain(ctx, t.engineAt(to.address), t.token, d, t.tries)
 	case to.agent.Name == r.Settings.Name:
 		return r.giveOwn(ctx, t.token, d)
 	}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -61,6 +61,8 @@
 	mu       sync.Mutex // guards direct and silent
 	direct   map[string]*platform.Engine
 	silent   map[string]silence
+	// tries is how often orders are given to engines elsewhere.
+	tries tries
 	// told is when entries were last told of the engines, and toldClosed whether
 	// their group was closed.
 	told       time.Time
@@ -87,7 +89,7 @@
 		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
 		leader: lockstep.Leader{Own: s.Rank, Holder: (s.Rank + 1) % s.Size, Token: token},
 		renew:  make(chan renewal, 1), direct: map[string]*platform.Engine{},
-		silent: map[string]silence{},
+		silent: map[string]silence{}, tries: directTries,
 	}
 }
 
--- a/internal/ranker/tries_test.go
+++ b/internal/ranker/tries_test.go
@@ -17,6 +17,11 @@
 	g := standin.StartGroup(3, 2, 9, 4)
 	t.Cleanup(g.Close)
 	term := newTerm(&Ranker{}, nil, lockstep.State{Group: "g", Size: 3}, 1, time.Time{})
+	if term.tries != directTries || time.Duration(directTries.most-1)*directTries.each+directTries.last > engineTimeout {
+		t.Fatalf("%+v in place of %+v, within %v", term.tries, directTries, engineTimeout)
+	}
+	// Here a try ends when its order is lost, never because the machine is slow.
+	term.tries.each, term.tries.last = time.Minute, time.Minute
 	const ahead = 1_000_000
 	for _, o := range []lockstep.Order{lockstep.Hold{Step: ahead}, lockstep.Go{Step: ahead}} {
 		g.LoseOrders(directTries.most - 1)
