--- a/internal/rank/lockstep/lead.go
+++ b/internal/rank/lockstep/lead.go
@@ -72,10 +72,11 @@
 	return sorted[max(0, len(sorted)-1-leadRank)]
 }
 
-// steps returns by how many steps a hold has to come ahead of the newest step
-// that was seen. That one may be about to end, so it does not count.
-func (l *lead) steps(ranks int, stepTime time.Duration) uint64 {
+// stepsAhead returns by how many steps a hold has to come ahead of the newest step
+// that was seen, if the change takes as long as expected. That one may be about to
+// end, so it does not count.
+func stepsAhead(expected, stepTime time.Duration) uint64 {
 	stepTime = max(stepTime, time.Millisecond)
-	n := 1 + (l.time(ranks)+stepTime-1)/stepTime
+	n := 1 + (expected+stepTime-1)/stepTime
 	return uint64(min(n, mostAhead))
 }
--- a/internal/rank/lockstep/lead_test.go
+++ b/internal/rank/lockstep/lead_test.go
@@ -179,6 +179,6 @@
 		l.end(time.Unix(int64(i), int64(i)*1e6))
 	}
 	for b.Loop() {
-		l.steps(128, 60*time.Millisecond)
+		stepsAhead(l.time(128), 60*time.Millisecond)
 	}
 }
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -272,10 +272,11 @@
 	if !ready {
 		return out
 	}
-	ahead := l.late + l.lead.steps(len(ranks), l.stepTime)
+	expected := l.lead.time(len(ranks))
+	ahead := l.late + stepsAhead(expected, l.stepTime)
 	step := l.newestStep(ranks) + ahead
 	l.own = step
-	l.lead.begin(Change{Step: step, Ahead: ahead, Expected: l.lead.time(len(ranks)), StepTime: l.stepTime}, now)
+	l.lead.begin(Change{Step: step, Ahead: ahead, Expected: expected, StepTime: l.stepTime}, now)
 	return []Directive{directive(ranks, l.Holder, Hold{Step: step})}
 }
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -49,9 +49,8 @@
 	// its target.
 	Target, End time.Time
 	TargetTime  time.Duration
-	// New says that the caller asks for the first time, and CameBack that it was
-	// asked to come back and has.
-	New, CameBack bool
+	// CameBack says that the caller was asked to come back and has.
+	CameBack bool
 	// Leaves is when the caller leaves if no part of the answer has come; zero
 	// means at End.
 	Leaves   time.Time
@@ -135,7 +134,7 @@
 			return false
 		case admission.Refuse:
 			if !w.turnLate(d.Code) {
-				w.refused = b.refusal(w, d, now)
+				w.refused = b.queueRefusal(w, d, now)
 				return false
 			}
 		}
@@ -160,7 +159,7 @@
 
 // noteArrival counts the requests that come anew and can be on time.
 func (b *Belief) noteArrival(w *waiter, now time.Time) {
-	if !w.ask.New || w.late {
+	if w.ask.CameBack || len(w.ask.Query.Tried) > 0 || w.late {
 		return
 	}
 	name := w.ask.Service.Name
@@ -257,11 +256,11 @@
 	b.tellRefused(refused, now)
 }
 
-// refusal tells a caller that is refused in the queue when to come back. While the
-// group is closed, how fast the queue was drained before says nothing of that.
-func (b *Belief) refusal(w *waiter, r admission.Refuse, now time.Time) *result.Error {
+// queueRefusal tells a caller that is refused in the queue when to come back. While
+// the group is closed, how fast the queue was drained before says nothing of that.
+func (b *Belief) queueRefusal(w *waiter, r admission.Refuse, now time.Time) *result.Error {
 	if _, closed := b.closure(w.ask.Service, now); closed {
-		return result.New(result.GroupClosed, "").WithRetryAfter(b.outages.comeBack(w.ask.Service.Name, afterMissing, now))
+		return b.refusal(w.ask.Service.Name, result.GroupClosed, now)
 	}
 	return result.New(r.Code, "").WithRetryAfter(r.RetryAfter)
 }
@@ -297,7 +296,7 @@
 			continue
 		}
 		if !w.turnLate(r.Code) {
-			w.refused = b.refusal(w, r.Refuse, now)
+			w.refused = b.queueRefusal(w, r.Refuse, now)
 		} else if b.queueUp(w, now) {
 			w.waits = false
 			w.verdict <- nil
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -55,7 +55,7 @@
 	a := Ask{
 		Service: j.service, Query: q, ID: j.facts.ID, Account: anonymous,
 		Target: j.target(), End: j.end, Priority: j.urgency(),
-		TargetTime: j.route.Target, New: len(j.tried) == 0 && !j.cameBack(), CameBack: j.cameBack(), Leaves: j.leaves(),
+		TargetTime: j.route.Target, CameBack: j.cameBack(), Leaves: j.leaves(),
 	}
 	if j.account != nil {
 		a.Account = j.account.Name
@@ -67,7 +67,7 @@
 	}
 	if e == nil && j.tries.Sent > 0 && !b.Spend(j.service.Name, then) {
 		b.Ended(p, Unused{}, then)
-		return Place{}, result.New(result.EndpointBusy, "").WithRetryAfter(b.ComeBack(j.service.Name, result.EndpointBusy, then))
+		return Place{}, b.Refusal(j.service.Name, result.EndpointBusy, then)
 	}
 	return p, e
 }
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -242,12 +242,7 @@
 
 // noteKnown closes known once there is all that a request needs, with mu held.
 func (b *Belief) noteKnown() {
-	if b.table == nil || !b.listed {
-		return
-	}
-	select {
-	case <-b.known:
-	default:
+	if b.table != nil && b.listed && !b.Known() {
 		close(b.known)
 	}
 }
@@ -275,9 +270,12 @@
 
 // Known reports whether the process knows a configuration and the endpoints.
 func (b *Belief) Known() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.table != nil && b.listed
+	select {
+	case <-b.known:
+		return true
+	default:
+		return false
+	}
 }
 
 // SetEntry notes that another entry is listed, or no longer is.
@@ -386,9 +384,14 @@
 	return now.Sub(newest)
 }
 
-// ComeBack returns when a caller whose request was not run may come back.
-func (b *Belief) ComeBack(service string, why result.Code, now time.Time) time.Duration {
+// Refusal returns a refusal of a request for a service, with when to come back.
+func (b *Belief) Refusal(service string, why result.Code, now time.Time) *result.Error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.outages.comeBack(service, retryAfterFor(why), now)
+	return b.refusal(service, why, now)
+}
+
+// refusal is Refusal with mu held.
+func (b *Belief) refusal(service string, why result.Code, now time.Time) *result.Error {
+	return result.New(why, "").WithRetryAfter(b.outages.comeBack(service, retryAfterFor(why), now))
 }
--- a/internal/relay/closed.go
+++ b/internal/relay/closed.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -28,6 +27,9 @@
 	forming bool
 	// told says that its leader said so; else it was concluded from failures.
 	told bool
+	// engines are those of closed groups, as far as leaders told of them, also while
+	// others are open.
+	engines []string
 }
 
 // closure returns whether the service's groups of engines take no requests, with mu
@@ -41,7 +43,7 @@
 	if failing {
 		c.lasted = now.Sub(since)
 	}
-	open, closed := 0, 0
+	open := 0
 	for id, ep := range b.endpoints {
 		l := b.loads[id]
 		if ep.Service != s.Name || now.Sub(l.At) >= wordStale {
@@ -51,10 +53,10 @@
 			open++
 			continue
 		}
-		closed++
+		c.engines = append(c.engines, id)
 		c.forming = c.forming || l.Forming
 	}
-	c.told = open+closed > 0
+	c.told = open+len(c.engines) > 0
 	if c.told {
 		return c, open == 0
 	}
@@ -64,18 +66,6 @@
 // lockstep reports whether the engines of a service work in groups.
 func lockstep(s *routing.Service) bool { return s.Engine != nil && s.Engine.Experts.Sets > 0 }
 
-// avoidClosed keeps a request off the engines of closed groups while others are open.
-func (b *Belief) avoidClosed(s *routing.Service, q *placement.Query, now time.Time) {
-	if !lockstep(s) {
-		return
-	}
-	for id, l := range b.loads {
-		if l.Closed && now.Sub(l.At) < wordStale && b.endpoints[id].Service == s.Name {
-			q.Tried = append(q.Tried, id)
-		}
-	}
-}
-
 // mayProbe reports whether a request may be sent to a group that is taken for
 // closed, to find out whether it still is. Only one that was not sent before is:
 // a second sending costs the fleet's retry budget.
@@ -110,5 +100,5 @@
 	if a.CameBack && room > 0 && (c.forming || c.lasted <= room) {
 		return nil
 	}
-	return result.New(result.GroupClosed, "").WithRetryAfter(b.outages.comeBack(a.Service.Name, afterMissing, now))
+	return b.refusal(a.Service.Name, result.GroupClosed, now)
 }
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -27,7 +27,7 @@
 		j.deliverFailure(o.Answer, now)
 		return
 	case NotRun:
-		e = result.New(o.Code, "").WithRetryAfter(j.relay.Belief.ComeBack(j.service.Name, o.Code, now))
+		e = j.relay.Belief.Refusal(j.service.Name, o.Code, now)
 	case Unknown:
 		e = j.unknown(o, now)
 	}
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -175,7 +175,7 @@
 	b, s := groupOf(n)
 	now := start.Add(time.Minute)
 	for i := range 30 { // 10 a second, for 3 s
-		b.noteArrival(&waiter{ask: Ask{Service: s, New: true}}, now.Add(time.Duration(i-30)*100*time.Millisecond))
+		b.noteArrival(&waiter{ask: Ask{Service: s}}, now.Add(time.Duration(i-30)*100*time.Millisecond))
 	}
 	b.mu.Lock()
 	b.refresh(now)
--- a/internal/relay/outage.go
+++ b/internal/relay/outage.go
@@ -65,7 +65,6 @@
 	switch how.(type) {
 	case NotRun, Unknown, Broken:
 		o.began(service, now)
-	default:
 	}
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -37,12 +37,12 @@
 
 // choose gives a request a place, with mu held.
 func (b *Belief) choose(service *routing.Service, q placement.Query, now time.Time) (Place, *result.Error) {
-	if c, closed := b.closure(service, now); closed && !b.mayProbe(service, c, len(q.Tried) > 0, now) {
-		return Place{}, result.New(result.GroupClosed, "").WithRetryAfter(b.outages.comeBack(service.Name, afterMissing, now))
+	group, closed := b.closure(service, now)
+	if closed && !b.mayProbe(service, group, len(q.Tried) > 0, now) {
+		return Place{}, b.refusal(service.Name, result.GroupClosed, now)
 	}
 	q.Route = service.Name
-	q.Tried = slices.Clone(q.Tried)
-	b.avoidClosed(service, &q, now)
+	q.Tried = slices.Concat(q.Tried, group.engines)
 	b.leaveToOthers(service, &q, now)
 	wait := b.avoidCold(service, &q, now)
 	c, ok, why := b.picture.Choose(q, now)
@@ -50,7 +50,7 @@
 		if wait > 0 {
 			return Place{}, result.New(result.EndpointCold, "").WithRetryAfter(wait)
 		}
-		return Place{}, result.New(why, "").WithRetryAfter(b.outages.comeBack(service.Name, retryAfterFor(why), now))
+		return Place{}, b.refusal(service.Name, why, now)
 	}
 	ep := b.endpoints[c.Endpoint]
 	if ep.ColdAt(now) && service.ColdRate > 0 {
@@ -139,11 +139,10 @@
 	b.begun(p)
 	defer b.pump(now)
 	b.outages.ended(p.Endpoint.Service, o, now)
-	switch o := o.(type) {
-	case Delivered:
+	if _, whole := o.(Delivered); whole {
 		b.times.noteWhole(p.Endpoint.Service, now.Sub(p.given), now)
-		delete(b.failures, p.Endpoint.ID)
-		b.picture.Ended(p.attempt, now)
+	}
+	switch o := o.(type) {
 	case NotRun:
 		if o.Sent {
 			b.picture.Refused(p.attempt, 0, now)
--- a/internal/relay/times.go
+++ b/internal/relay/times.go
@@ -98,17 +98,23 @@
 // on, all its requests would be late from the start, and nothing would show that it
 // is as fast as before again.
 func (a *answerTimes) quick(service string, target time.Duration, now time.Time) time.Duration {
-	return quantile(a.of(service, now).first, quickFirst, time.Duration(firstOfTarget*float64(target)))
+	return a.of(service, now).firstPart(quickFirst, target)
 }
 
 // usual returns how long a service usually takes to the first part of an answer
 // whose target is given, and to its end.
 func (a *answerTimes) usual(service string, target time.Duration, now time.Time) (first, whole time.Duration) {
 	s := a.of(service, now)
-	first = quantile(s.first, usualFirst, time.Duration(firstOfTarget*float64(target)))
+	first = s.firstPart(usualFirst, target)
 	return first, max(first, quantile(s.whole, usualWhole, first))
 }
 
+// firstPart returns within which time so many answers in a hundred have their first
+// part, or a part of the target before enough were seen.
+func (s *serviceTimes) firstPart(percent float64, target time.Duration) time.Duration {
+	return quantile(s.first, percent, time.Duration(firstOfTarget*float64(target)))
+}
+
 func quantile(h *hdrhistogram.WindowedHistogram, percent float64, unknown time.Duration) time.Duration {
 	m := h.Merge()
 	if m.TotalCount() < timesLeast {
