The leader of a large group reaches its ranks and the entries through delegates

The loads of 129 engines, with an address each, were told to each of 150 entries ten times a second: 3.5 kB x 150 x 10 = 42 Mbit/s by themselves. Beside them went 128 looks and the counts of 7 ranks. Calls ended at their timeouts, also while connections were being set up, and each dropped its connection.

Now: at most 16 agents are asked each by the leader; more are split into bunches of 13 at most within a data centre (internal/fleet/fanout), and one agent of each looks and hands orders on for the others. It keeps nothing, so a look is never of before the leader asked, and what lockstep rests on holds as with one agent. A delegate that fails comes last in its bunch and another is asked in the same look. Counts are summed up by the delegates, a byte each, so all ranks of a bunch count where seven did. Loads go to one entry of a data centre, which tells the others; targets are named by a digest and told once. A connection that is still being opened is no longer dropped.

--- /dev/null
+++ b/internal/fleet/fanout/tree_test.go
@@ -0,0 +1,79 @@
+package fanout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet returns processes that are spread over data centres in turn.
+func fleet(n, dataCentres int) []Process {
+	out := make([]Process, 0, n)
+	for i := range n {
+		out = append(out, Process{Name: fmt.Sprintf("p%03d", i), DataCentre: fmt.Sprint("dc", i%dataCentres)})
+	}
+	return out
+}
+
+func checkBunches(t *testing.T, processes []Process, bunches []Bunch, most int) {
+	t.Helper()
+	home := map[string]string{}
+	for _, p := range processes {
+		home[p.Name] = p.DataCentre
+	}
+	seen := map[string]bool{}
+	for _, b := range bunches {
+		if len(b) == 0 || len(b) > most {
+			t.Errorf("a bunch of %d, at most %d are allowed", len(b), most)
+		}
+		for _, name := range b {
+			if seen[name] || home[name] != home[b[0]] {
+				t.Errorf("%s of %s is in the bunch %v, before: %v", name, home[name], b, seen[name])
+			}
+			seen[name] = true
+		}
+	}
+	if len(seen) != len(processes) {
+		t.Errorf("%d of %d processes are in a bunch", len(seen), len(processes))
+	}
+}
+
+// Guards against a process that nobody reaches, or that two delegates answer for,
+// at any size of a group.
+func TestEachProcessIsInOneBunch(t *testing.T) {
+	tree := &Tree{Direct: 16, Most: 13}
+	for _, c := range []struct{ processes, dataCentres, most, bunches int }{
+		{0, 1, 0, 0}, {1, 1, 1, 1}, {11, 3, 1, 11}, {16, 2, 1, 16}, {17, 1, 13, 2},
+		{71, 3, 13, 6}, {128, 5, 13, 10}, {260, 5, 13, 20}, {40, 40, 1, 40},
+	} {
+		t.Run(fmt.Sprintf("%d in %d", c.processes, c.dataCentres), func(t *testing.T) {
+			ps := fleet(c.processes, c.dataCentres)
+			bunches := tree.Bunches(ps)
+			checkBunches(t, ps, bunches, c.most)
+			if len(bunches) != c.bunches {
+				t.Errorf("%d bunches, want %d", len(bunches), c.bunches)
+			}
+			slices.Reverse(ps)
+			if again := tree.Bunches(ps); fmt.Sprint(again) != fmt.Sprint(bunches) {
+				t.Error("the bunches depend on the order of the processes")
+			}
+		})
+	}
+}
+
+// Guards against a bunch that isn't seen again and again, because a frozen delegate
+// is tried anew.
+func TestFailedDelegateComesLast(t *testing.T) {
+	tree := &Tree{Direct: 1, Most: 3}
+	b := tree.Bunches(fleet(3, 1))[0]
+	want := []string{"p000", "p001", "p002", "p000", "p001"}
+	for i, name := range want {
+		if d := tree.Delegate(b); d != name {
+			t.Fatalf("after %d failures %s is asked, want %s", i, d, name)
+		}
+		tree.Failed(tree.Delegate(b), start.Add(time.Duration(i)*time.Second))
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -92,6 +92,8 @@
 	document atomic.Pointer[[]byte]
 	others   others
 	work     *teller
+	// engines are those of which loads are told.
+	engines fleet.Lists
 	// doubt is raised when leases in the store may have lapsed.
 	doubt wake.Signal
 }
@@ -224,21 +226,6 @@
 	frontend *Frontend
 }
 
-// Loads implements fleetpb.EntryServer.
-func (s *service) Loads(_ context.Context, r *fleetpb.LoadsRequest) (*fleetpb.LoadsReply, error) {
-	now := boottime.Now()
-	loads := make([]relay.Load, 0, len(r.GetLoads()))
-	for _, l := range r.GetLoads() {
-		loads = append(loads, relay.Load{
-			Address: l.GetAddress(), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
-			Pace: float64(l.GetPace()) / 100, Closed: l.GetClosed(), Forming: l.GetForming(),
-			At: now.Add(-time.Duration(l.GetAgeMicros()) * time.Microsecond),
-		})
-	}
-	s.frontend.belief.SetLoads(loads, now)
-	return &fleetpb.LoadsReply{}, nil
-}
-
 // Work implements fleetpb.EntryServer.
 func (s *service) Work(_ context.Context, r *fleetpb.WorkRequest) (*fleetpb.WorkReply, error) {
 	now := boottime.Now()
--- a/internal/frontend/streams_test.go
+++ b/internal/frontend/streams_test.go
@@ -63,13 +63,14 @@
 	answers := make(chan answer, 1)
 	go func() { answers <- e.ask(context.Background(), "/stream/1", "s1", "k1") }()
 	s.eventually("an engine writes", func() bool { return s.runs("s1") == 1 })
-	q := &fleetpb.LoadsRequest{}
+	q := &fleetpb.LoadsRequest{List: 1}
 	for _, ep := range s.endpoints {
-		l := &fleetpb.Load{Address: ep.Addr(), Pace: 100}
+		pace, running := uint32(100), uint32(0)
 		if ep.Runs("s1") > 0 {
-			l.Pace, l.Running = 1200, 1
+			pace, running = 1200, 1
 		}
-		q.Loads = append(q.Loads, l)
+		q.Targets = append(q.Targets, &fleetpb.Target{Endpoint: ep.Addr()})
+		q.Pace, q.Running = append(q.Pace, pace), append(q.Running, running)
 	}
 	svc := &service{frontend: e.Frontend}
 	s.eventually("the other engine writes", func() bool {
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -102,6 +103,22 @@
 	}
 }
 
+// DropSilent closes the connection to a peer that did not answer in time, if there
+// is one: it may have gone silent for good while a new one works. One that is still
+// being opened stays.
+//
+// Load: a hundred agents that start at once and connect to each other over lines of
+// some Mbit/s. Harm prevented: each call that ends while its connection is set up
+// has the next one begin anew, and none is ever set up.
+func (c *Conns) DropSilent(addr string) {
+	c.mu.Lock()
+	cc := c.conns[addr]
+	c.mu.Unlock()
+	if cc != nil && cc.GetState() == connectivity.Ready {
+		c.Drop(addr)
+	}
+}
+
 // Close closes all connections. Get fails from then on.
 func (c *Conns) Close() {
 	c.mu.Lock()
--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -11,49 +9,30 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
-	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
-	"github.com/hyssoprelay/hyssoprelay/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
 
 const (
-	// passOver is how long an agent that did not answer is passed over, so
-	// that each look does not wait for it again.
-	passOver = time.Second
-	// darkTimeout bounds a look at an engine that did not answer a moment ago
-	// either. Engines answer in some ten milliseconds, also over a new
-	// connection; while a step is held each look stalls all streams.
-	darkTimeout = 60 * time.Millisecond
-	// usualLag is how old a report to another VM may be where the configuration
-	// doesn't say, and lagMargin what is added to what it says: reports are of
-	// some hundred milliseconds ago.
-	usualLag  = 300 * time.Millisecond
-	lagMargin = 100 * time.Millisecond
 	// countsPerLook bounds how many counts are asked for in one look, as they
 	// come over the leader's own line, the narrowest of all: some 30 kB, ten
 	// times a second, are a third of 8 Mbit/s. A count since the last look takes
 	// a byte.
 	countsPerLook = 30_000
+	// sumsPerLook and sumsPerSecond bound the same where delegates tell sums, of a
+	// byte a count: a tenth of a line of 6 Mbit/s.
+	sumsPerLook   = 21_000
+	sumsPerSecond = 75_000
+	// directAgents is up to how many agents the leader asks each by itself, and
+	// bunchAgents how many a delegate answers for: with a hundred ranks leader
+	// and delegates have about as much to do.
+	directAgents = 16
+	bunchAgents  = 13
+	// delegatesTried is how many delegates of a bunch are asked in one look.
+	delegatesTried = 2
 )
 
-// silence is that of an agent which did not answer.
-type silence struct {
-	// until is when it is asked again.
-	until time.Time
-	// dark says that its engine didn't answer either.
-	dark bool
-}
-
-// wanted says what a look asks for besides the state.
-type wanted struct{ counts, lists bool }
-
-// found is a look at one engine and the agent beside it, which is nil when the
-// engine was asked without it.
-type found struct {
-	look
-	agent *fleet.Member
-}
-
 // mostCounted returns of how many agents the counts are asked for.
 //
 // Load: a group of 63 ranks with 8 sets of 252 experts behind lines of 8 Mbit/s.
@@ -69,88 +48,106 @@
 	return min(agents, max(1, countsPerLook/each))
 }
 
-// lookAll looks at the engines of all agents. Counts are asked for from the
-// first ones by name, so that they are always the same. When that shows fewer
-// ranks than there are, the engines of agents that have lapsed are asked too.
+// mostSummed returns of how many bunches the sums of counts are asked for, always
+// the first ones, and how long after one look the next may ask for them.
+func mostSummed(x routing.Experts, bunches int) (n int, pause time.Duration) {
+	each := max(1, x.Sets*x.Count)
+	n = min(bunches, max(1, sumsPerLook/each))
+	return n, time.Duration(float64(n*each) / sumsPerSecond * float64(time.Second))
+}
+
+// lookAll looks at the engines of all agents. When that shows fewer ranks than
+// there are, the engines of agents that have lapsed are asked too.
 func (t *term) lookAll(ctx context.Context, agents []fleet.Member, want wanted) []found {
-	slices.SortFunc(agents, func(a, b fleet.Member) int { return strings.Compare(a.Name, b.Name) })
+	now := boottime.Now()
+	byName := map[string]*fleet.Member{}
+	var others []fanout.Process
+	for i := range agents {
+		byName[agents[i].Name] = &agents[i]
+		if agents[i].Name != t.ranker.Settings.Name {
+			others = append(others, fanout.Process{Name: agents[i].Name, DataCentre: agents[i].DataCentre})
+		}
+	}
+	bunches := t.tree.Bunches(others)
+	parts := make([]func() []found, 0, len(bunches)+1)
+	if own := byName[t.ranker.Settings.Name]; own != nil {
+		parts = append(parts, func() []found { return t.lookOne(ctx, own, want) })
+	}
 	most := t.mostCounted(len(agents))
-	out := t.lookEach(agents, func(i int, m *fleet.Member) (found, error) {
-		return t.lookAt(ctx, m, wanted{counts: want.counts && i < most, lists: want.lists})
-	})
+	if want.counts && len(bunches) < len(others) {
+		n, pause := mostSummed(t.engine.Experts, len(bunches))
+		most, want.counts = n, now.Sub(t.summed) >= pause
+	}
+	for i, b := range bunches {
+		part := wanted{counts: want.counts && i < most, lists: want.lists}
+		parts = append(parts, func() []found { return t.lookBunch(ctx, b, byName, part) })
+	}
+	out := together(parts)
+	if want.counts {
+		t.counted, t.summed = true, now
+	}
 	if len(out) >= t.size {
 		return out
 	}
-	lapsed := t.ranker.lapsedMembers(t.group, boottime.Now())
-	return append(out, t.lookEach(lapsed, func(_ int, m *fleet.Member) (found, error) {
-		return t.lookDirectly(ctx, m, want.lists, darkTimeout)
-	})...)
+	return append(out, t.lookLapsed(ctx, now, want.lists)...)
+}
+
+// lookLapsed looks at the engines of agents that have lapsed.
+func (t *term) lookLapsed(ctx context.Context, now time.Time, lists bool) []found {
+	lapsed := t.ranker.lapsedMembers(t.group, now)
+	parts := make([]func() []found, 0, len(lapsed))
+	for i := range lapsed {
+		parts = append(parts, func() []found {
+			f, err := t.looker.lookDirectly(ctx, &lapsed[i], lists, darkTimeout)
+			return t.seen(&lapsed[i], f, err)
+		})
+	}
+	return together(parts)
+}
+
+// lookOne looks at the engine of one agent.
+func (t *term) lookOne(ctx context.Context, m *fleet.Member, want wanted) []found {
+	f, err := t.looker.lookAt(ctx, m, want)
+	return t.seen(m, f, err)
+}
+
+// seen returns a look that came about.
+func (t *term) seen(m *fleet.Member, f found, err error) []found {
+	if err != nil {
+		t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
+		return nil
+	}
+	return []found{t.dated(f)}
+}
+
+// dated returns a look with the time that it is of. Engines report to other VMs
+// what they were some time ago.
+func (t *term) dated(f found) found {
+	if f.agent == nil {
+		f.state.AsOf = f.state.AsOf.Add(-t.reportLag())
+	}
+	return f
 }
 
-// lookEach looks at the engines of some agents at once.
-func (t *term) lookEach(agents []fleet.Member, lookAt func(int, *fleet.Member) (found, error)) []found {
+// together runs all parts at once and returns what they found.
+func together(parts []func() []found) []found {
 	var mu sync.Mutex
 	var out []found
 	var wg sync.WaitGroup
-	for i := range agents {
+	for _, part := range parts {
 		wg.Add(1)
-		go func(m *fleet.Member) {
+		go func() {
 			defer wg.Done()
-			f, err := lookAt(i, m)
-			if err != nil {
-				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
-				return
-			}
+			f := part()
 			mu.Lock()
 			defer mu.Unlock()
-			out = append(out, f)
-		}(&agents[i])
+			out = append(out, f...)
+		}()
 	}
 	wg.Wait()
 	return out
 }
 
-// lookAt looks at one engine through its agent, or else directly: the agent's VM
-// may be frozen or its process gone while the engine runs, is armed, or holds
-// the group. Looks and orders from elsewhere are priced, so they are the second
-// choice.
-func (t *term) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
-	r := t.ranker
-	asked := boottime.Now()
-	if m.Name == r.Settings.Name {
-		l, err := lookEngine(ctx, r.engine, want)
-		l.state.AsOf = asked
-		return found{look: l, agent: m}, err
-	}
-	silent := t.silenceOf(m.Name)
-	if asked.After(silent.until) {
-		f, err := t.askAgent(ctx, m, want)
-		f.state.AsOf = asked
-		if err == nil {
-			return f, nil
-		}
-		t.passOver(m, err)
-		silent.dark = false
-	}
-	timeout := engineTimeout
-	if silent.dark {
-		timeout = darkTimeout
-	}
-	f, err := t.lookDirectly(ctx, m, want.lists, timeout)
-	t.noteDark(m.Name, err != nil)
-	return f, err
-}
-
-// lookDirectly looks at an engine without the agent beside it.
-func (t *term) lookDirectly(ctx context.Context, m *fleet.Member, lists bool, timeout time.Duration) (found, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	asOf := boottime.Now().Add(-t.reportLag())
-	l, err := lookEngine(ctx, t.engineAt(m.Endpoint), wanted{lists: lists})
-	l.state.AsOf = asOf
-	return found{look: l}, err
-}
-
 // reportLag returns how old a report to another VM may be.
 func (t *term) reportLag() time.Duration {
 	if t.engine == nil || t.engine.ReportLag <= 0 {
@@ -159,68 +156,6 @@
 	return t.engine.ReportLag + lagMargin
 }
 
-func (t *term) askAgent(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	conn, err := t.ranker.conns.Get(m.Address)
-	if err != nil {
-		return found{}, err
-	}
-	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{
-		Counts: want.counts, Lists: want.lists, Counted: t.heard.id(m.Name),
-	})
-	if err != nil {
-		return found{}, err
-	}
-	l := lookFrom(p, m.Endpoint)
-	l.counts = t.heard.join(m.Name, p)
-	return found{look: l, agent: m}, nil
-}
-
-func (t *term) silenceOf(agent string) silence {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.silent[agent]
-}
-
-// noteDark notes whether the engine of a silent agent didn't answer either.
-func (t *term) noteDark(agent string, dark bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.silent[agent]
-	s.dark = dark
-	t.silent[agent] = s
-}
-
-// expectDark begins a term after a leader that did not give its lease back: its
-// VM has most likely gone silent, so the first looks don't wait for it.
-func (t *term) expectDark(agent string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.silent[agent] = silence{until: now.Add(passOver), dark: true}
-}
-
-func (t *term) passOver(m *fleet.Member, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.silent[m.Name] = silence{until: boottime.Now().Add(passOver)}
-	// The connection may have gone silent for good while a new one works.
-	t.ranker.conns.Drop(m.Address)
-	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("agent does not answer, its engine is asked directly")
-}
-
-func (t *term) engineAt(addr string) *platform.Engine {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.direct[addr]
-	if e == nil {
-		e = &platform.Engine{Addr: addr, Timeout: engineTimeout}
-		e.Open()
-		t.direct[addr] = e
-	}
-	return e
-}
-
 // arrange orders looks by rank and reports which ranks were seen.
 func (t *term) arrange(looks []found) (ranks []lockstep.State, byRank []found, seen []bool) {
 	ranks = make([]lockstep.State, t.size)
--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -8,8 +8,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 // mostFollows bounds how many orders follow one another without a look: hold,
@@ -37,16 +39,30 @@
 	}
 }
 
-// giveAll hands orders to their ranks.
+// giveAll hands orders to their ranks: those that were seen through a delegate
+// through that one, and the others one by one.
 func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) []lockstep.Outcome {
 	t.tellMap(directives)
 	outcomes := make([]lockstep.Outcome, len(directives))
+	bunches := map[string][]int{}
 	var wg sync.WaitGroup
 	for i, d := range directives {
+		to := byRank[d.Rank]
+		if to.via != nil && to.agent != nil && !stepOrder(d.Order) {
+			bunches[to.via.Name] = append(bunches[to.via.Name], i)
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			outcomes[i] = t.give(ctx, d, byRank[d.Rank])
+			outcomes[i] = t.give(ctx, d, to)
+		}()
+	}
+	for _, bunch := range bunches {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			t.giveBunch(ctx, bunch, directives, byRank, outcomes)
 		}()
 	}
 	wg.Wait()
@@ -57,6 +73,57 @@
 	return outcomes
 }
 
+// giveBunch hands the directives of some indices to their ranks through the
+// delegate that they were seen through, and notes the outcomes.
+func (t *term) giveBunch(
+	ctx context.Context, bunch []int, directives []lockstep.Directive, byRank []found, outcomes []lockstep.Outcome,
+) {
+	if !t.mayGive(boottime.Now()) {
+		return
+	}
+	via := byRank[directives[bunch[0]].Rank].via
+	q := &fleetpb.SpreadRequest{Token: t.token}
+	for _, i := range bunch {
+		d := directives[i]
+		if _, ok := d.Order.(lockstep.Prepare); ok {
+			q.Prepare = t.prepare
+		}
+		q.Orders = append(q.Orders, &fleetpb.Addressed{Target: targetOf(byRank[d.Rank].agent), Order: giveProto(0, d, &fleetpb.Prepare{})})
+	}
+	replies, err := t.spread(ctx, via, q)
+	if err != nil {
+		t.delegateFailed(via, err)
+		return
+	}
+	for n, i := range bunch {
+		d, to := directives[i], byRank[directives[i].Rank]
+		if replies[n].GetUnknownBase() {
+			outcomes[i] = t.give(ctx, d, to)
+			continue
+		}
+		outcomes[i] = lockstep.Outcome(replies[n].GetStatus())
+		t.logGiven(d, outcomes[i], nil)
+	}
+}
+
+// spread has a delegate hand orders on. It returns a reply for each.
+func (t *term) spread(ctx context.Context, via *fleet.Member, q *fleetpb.SpreadRequest) ([]*fleetpb.GiveReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := t.ranker.conns.Get(via.Address)
+	if err != nil {
+		return nil, err
+	}
+	p, err := fleetpb.NewAgentClient(conn).Spread(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if len(p.GetReplies()) != len(q.GetOrders()) {
+		return nil, result.Newf(result.MalformedMsg, "%d replies to %d orders", len(p.GetReplies()), len(q.GetOrders()))
+	}
+	return p.GetReplies(), nil
+}
+
 // tellMap makes the message of the map that ranks are to prepare, the same for all.
 func (t *term) tellMap(directives []lockstep.Directive) {
 	for _, d := range directives {
@@ -68,30 +135,40 @@
 }
 
 func (t *term) give(ctx context.Context, d lockstep.Directive, to found) lockstep.Outcome {
-	// A leader that was frozen may have decided this before another took over.
-	if !t.ranker.Settings.FencingChecked && !boottime.Now().Before(t.until) {
+	if !t.mayGive(boottime.Now()) {
 		return lockstep.Unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := t.send(ctx, d, to)
+	t.logGiven(d, o, err)
+	return o
+}
+
+// mayGive reports whether orders may still be given. A leader that was frozen may
+// have decided them before another took over.
+func (t *term) mayGive(now time.Time) bool {
+	return t.ranker.Settings.FencingChecked || now.Before(t.until)
+}
+
+// logGiven tells what became of an order. One line tells of a map as a whole.
+func (t *term) logGiven(d lockstep.Directive, o lockstep.Outcome, err error) {
+	if _, ok := d.Order.(lockstep.Prepare); ok && o == lockstep.Begun {
+		return
+	}
 	f := logrus.Fields{"group": t.group, "rank": d.Rank, "epoch": d.Epoch, "sequence": d.Sequence, "outcome": o.String()}
 	describe(f, d.Order)
 	if err != nil {
 		f["cause"] = err.Error()
 	}
-	if _, ok := d.Order.(lockstep.Prepare); ok && o == lockstep.Begun {
-		return o // one line tells of the map as a whole
-	}
 	t.ranker.Log.WithFields(f).Info("order given")
-	return o
 }
 
 func (t *term) send(ctx context.Context, d lockstep.Directive, to found) (lockstep.Outcome, error) {
 	r := t.ranker
 	switch {
 	case to.agent == nil || stepOrder(d.Order):
-		return giveAgain(ctx, t.engineAt(to.address), t.token, d, t.tries)
+		return giveAgain(ctx, t.looker.engineAt(to.address), t.token, d, t.tries)
 	case to.agent.Name == r.Settings.Name:
 		return r.giveOwn(ctx, t.token, d)
 	}
--- a/internal/ranker/popularity.go
+++ b/internal/ranker/popularity.go
@@ -34,16 +34,8 @@
 // waits for ranks that nobody planned to be slow.
 type popularity struct {
 	experts int
-	// ranks holds the last counts of each rank.
-	ranks map[int]counted
-	sets  []estimate
-}
-
-// counted is what a rank had counted when it was looked at.
-type counted struct {
-	counts []uint64
-	epoch  uint64
-	born   uint64
+	since   differences
+	sets    []estimate
 }
 
 // estimate is the popularity in one set, as a share of all choices.
@@ -62,18 +54,27 @@
 }
 
 func newPopularity(sets, experts int) *popularity {
-	p := &popularity{experts: experts, ranks: map[int]counted{}, sets: make([]estimate, sets)}
+	p := &popularity{experts: experts, sets: make([]estimate, sets)}
 	for i := range p.sets {
 		p.sets[i].share, p.sets[i].pending = make([]float64, experts), make([]float64, experts)
 	}
 	return p
 }
 
-// observe takes in one look at all ranks and reports whether a jump was seen.
-func (p *popularity) observe(looks []look, now time.Time) bool {
+// observe takes in one look at all ranks, and what delegates have counted since the
+// last one, and reports whether a jump was seen.
+func (p *popularity) observe(looks []look, sums [][]float64, now time.Time) bool {
 	fresh := make([]float64, len(p.sets)*p.experts)
 	for _, l := range looks {
-		p.add(fresh, l)
+		p.since.add(fresh, l)
+	}
+	for _, sum := range sums {
+		if len(sum) != len(fresh) {
+			continue
+		}
+		for i, n := range sum {
+			fresh[i] += n
+		}
 	}
 	jumped := false
 	for i := range p.sets {
@@ -82,24 +83,6 @@
 	return jumped
 }
 
-// add adds what a rank has counted since its last look. The counts of an engine
-// that has started anew begin at zero, so there is nothing to compare with.
-func (p *popularity) add(fresh []float64, l look) {
-	if len(l.counts) != len(fresh) {
-		return
-	}
-	old, ok := p.ranks[l.state.Rank]
-	p.ranks[l.state.Rank] = counted{counts: l.counts, epoch: l.state.Epoch, born: l.state.Born}
-	if !ok || old.born != l.state.Born || len(old.counts) != len(l.counts) {
-		return
-	}
-	for i, n := range l.counts {
-		if n >= old.counts[i] {
-			fresh[i] += float64(n - old.counts[i])
-		}
-	}
-}
-
 // take joins an observation and reports whether it was a jump. One of too few
 // counts waits for the next.
 //
--- a/internal/ranker/popularity_test.go
+++ b/internal/ranker/popularity_test.go
@@ -66,11 +66,11 @@
 		g := newGroup(seed, 72)
 		p := newPopularity(1, 72)
 		now := start
-		p.observe(g.look(), now)
+		p.observe(g.look(), nil, now)
 		step := func() bool {
 			now = now.Add(250 * time.Millisecond)
 			g.run(100_000)
-			return p.observe(g.look(), now)
+			return p.observe(g.look(), nil, now)
 		}
 		step()
 		for i := range 12 {
@@ -111,13 +111,13 @@
 		g := newGroup(seed, experts)
 		p := newPopularity(1, experts)
 		now := start
-		p.observe(g.look(), now)
+		p.observe(g.look(), nil, now)
 		jumps := 0
 		run := func(looks int) {
 			for range looks {
 				now = now.Add(look)
 				g.choose(choices)
-				if p.observe(g.look(), now) {
+				if p.observe(g.look(), nil, now) {
 					jumps++
 				}
 			}
@@ -143,7 +143,7 @@
 		g := newGroup(seed, experts)
 		p := newPopularity(1, experts)
 		now := start
-		p.observe(g.look(), now)
+		p.observe(g.look(), nil, now)
 		run := func(before, after int) bool {
 			now = now.Add(look)
 			g.choose(before)
@@ -151,7 +151,7 @@
 				g.jump()
 				g.choose(after)
 			}
-			return p.observe(g.look(), now)
+			return p.observe(g.look(), nil, now)
 		}
 		for range 10 {
 			run(choices, 0)
@@ -190,16 +190,16 @@
 func TestCountsOfARestartedEngineAreLeftOut(t *testing.T) {
 	g := newGroup(1, 72)
 	p := newPopularity(1, 72)
-	p.observe(g.look(), start)
+	p.observe(g.look(), nil, start)
 	g.run(100_000)
-	p.observe(g.look(), start.Add(time.Second))
+	p.observe(g.look(), nil, start.Add(time.Second))
 	before := g.error(p)
 	restarted := []look{{counts: make([]uint64, 72), state: lockstep.State{Born: 2}}}
-	if p.observe(restarted, start.Add(2*time.Second)) || g.error(p) != before {
+	if p.observe(restarted, nil, start.Add(2*time.Second)) || g.error(p) != before {
 		t.Fatal("a restart changed the estimate")
 	}
 	short := []look{{counts: []uint64{1}, state: lockstep.State{Born: 2}}}
-	if p.observe(short, start.Add(3*time.Second)) {
+	if p.observe(short, nil, start.Add(3*time.Second)) {
 		t.Fatal("an answer of another size was taken")
 	}
 }
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -81,6 +81,8 @@
 	// told and maps are what was told to and by leaders.
 	told *countLog
 	maps mapLog
+	// delegate serves leaders that reach other agents through this one.
+	delegate *delegate
 	// leaving says that the process is about to end, and led that it leads no
 	// group.
 	leaving atomic.Bool
@@ -139,6 +141,7 @@
 		Apply: r.applyLeases, Failed: r.storeFailed,
 	}
 	r.told = newCountLog(boottime.Now())
+	r.delegate = newDelegate(r)
 	r.grouped = make(chan struct{})
 	r.conns = &peer.Conns{}
 	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
@@ -250,7 +253,8 @@
 	t := newTerm(r, lease, s, token, until)
 	if known && before.name != r.Settings.Name {
 		t.leader.Before = &before.Predecessor
-		t.expectDark(before.name, now)
+		t.looker.expectDark(before.name, now)
+		t.tree.Failed(before.name, now)
 	}
 	endMembers := r.followMembers(ctx)
 	t.run(ctx)
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -33,11 +33,18 @@
 
 func startAgents(t *testing.T) *agents {
 	t.Helper()
-	a := &agents{t: t, store: standin.NewStore(), group: standin.StartGroup(3, 2, 9, 4)}
+	return startGroup(t, 3, standin.StartGroup(3, 2, 9, 4))
+}
+
+// startGroup starts an agent beside each of n engines.
+func startGroup(t *testing.T, n int, group *standin.Group) *agents {
+	t.Helper()
+	a := &agents{t: t, store: standin.NewStore(), group: group}
 	t.Cleanup(a.store.Close)
 	t.Cleanup(a.group.Close)
-	a.store.Put("op/config", []byte(standin.GroupConfiguration))
-	for i := range 3 {
+	experts := fmt.Sprintf(`"experts":%d`, group.Experts)
+	a.store.Put("op/config", []byte(strings.Replace(standin.GroupConfiguration, `"experts":9`, experts, 1)))
+	for i := range n {
 		a.start(i)
 	}
 	return a
@@ -120,6 +127,29 @@
 	a.runsOn()
 }
 
+// A group of 20 ranks is led through delegates, which stop one after the other.
+// Guards against a bunch that nobody sees or gives orders to, so that the group
+// keeps the map that popularity has left.
+func TestGroupIsLedThroughDelegates(t *testing.T) {
+	t.Parallel()
+	const ranks, slots = 20, 4
+	a := startGroup(t, ranks, standin.StartGroup(ranks, 2, 2*ranks, slots))
+	a.eventually("a map is in force", func() bool { return a.group.Version() > 0 })
+	a.group.LoseOrders(ranks)
+	leader := a.leader()
+	for i, stopped := 0, 0; stopped < 3; i++ {
+		if i == leader {
+			continue
+		}
+		stopped++
+		a.stops[i]()
+		before := a.group.Version()
+		a.group.Prefer(7 * stopped)
+		a.eventually("another map is in force", func() bool { return a.group.Version() > before })
+		a.runsOn()
+	}
+}
+
 // The leader stops. Another one leads at once and nothing stays held.
 func TestAnotherLeadsWhenTheLeaderStops(t *testing.T) {
 	t.Parallel()
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -13,12 +13,12 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
-	"github.com/hyssoprelay/hyssoprelay/platform"
 )
 
 const (
@@ -34,9 +34,6 @@
 	// changeTime is what a change takes from its hold to its end, given up or
 	// not, with room.
 	changeTime = 600 * time.Millisecond
-	// loadsEvery is how often entries are told of the engines' work. A request
-	// lasts a second or two.
-	loadsEvery = 100 * time.Millisecond
 )
 
 // term is the time for which this agent leads a group.
@@ -54,19 +51,24 @@
 	engine  *routing.Engine
 	pop     *popularity
 	planner planner
-	heard   heardCounts
+	looker  looker
+	// tree says which agents are reached through which delegates.
+	tree fanout.Tree
+	// known is which bunches delegates have been told of.
+	known fleet.Told
+	// summed is when delegates were last asked for the sums of counts, and counted
+	// that the last look asked for counts.
+	summed  time.Time
+	counted bool
 	// prepare tells agents the map that they prepare now, which is prepared.
 	prepare  *fleetpb.Prepare
 	prepared [][][]int
-	mu       sync.Mutex // guards direct and silent
-	direct   map[string]*platform.Engine
-	silent   map[string]silence
+	mu       sync.Mutex // guards sums
+	// sums holds what delegates have counted since it was last planned by.
+	sums [][]float64
 	// tries is how often orders are given to engines elsewhere.
 	tries tries
-	// told is when entries were last told of the engines, and toldClosed whether
-	// their group was closed.
-	told       time.Time
-	toldClosed bool
+	loads loadTeller
 	// jumped says that popularity has jumped since a map was last proposed.
 	jumped bool
 	// paces is how much slower than usual each rank was at the last look.
@@ -88,8 +90,10 @@
 	return &term{
 		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
 		leader: lockstep.Leader{Own: s.Rank, Holder: (s.Rank + 1) % s.Size, Token: token},
-		renew:  make(chan renewal, 1), direct: map[string]*platform.Engine{},
-		silent: map[string]silence{}, tries: directTries,
+		looker: newLooker(r, callTimeout, engineTimeout),
+		tree:   fanout.Tree{Direct: directAgents, Most: bunchAgents},
+		loads:  newLoadTeller(),
+		renew:  make(chan renewal, 1), tries: directTries,
 	}
 }
 
@@ -195,6 +199,7 @@
 func (t *term) round(ctx context.Context) time.Duration {
 	agents, entries := t.ranker.members(t.group)
 	want := wanted{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil}
+	t.counted = false
 	looks := t.lookAll(ctx, agents, want)
 	now := boottime.Now()
 	ranks, byRank, seen := t.arrange(looks)
@@ -207,7 +212,7 @@
 	}
 	t.learnMap(byRank)
 	t.notePaces(paces(byRank))
-	if want.counts {
+	if t.counted {
 		t.plan(byRank, now)
 	}
 	was := t.leader.Busy()
@@ -292,7 +297,7 @@
 	for _, f := range byRank {
 		looks = append(looks, f.look)
 	}
-	t.jumped = t.pop.observe(looks, now) || t.jumped
+	t.jumped = t.pop.observe(looks, t.takenSums(), now) || t.jumped
 	current := t.leader.InForce()
 	if current == nil || !t.pop.known() {
 		return
@@ -352,34 +357,3 @@
 	}
 	return n
 }
-
-// tellEntries tells entries how much work the engines have, and whether their group
-// takes requests. That it opens or closes is told at once: requests wait for it.
-// Whole says that no rank is missing.
-func (t *term) tellEntries(ctx context.Context, entries []fleet.Member, looks []found, whole bool, now time.Time) {
-	closed := slices.ContainsFunc(looks, func(f found) bool { return !f.state.Open })
-	if now.Sub(t.told) < loadsEvery && closed == t.toldClosed {
-		return
-	}
-	t.told, t.toldClosed = now, closed
-	q := &fleetpb.LoadsRequest{}
-	for _, l := range looks {
-		q.Loads = append(q.Loads, &fleetpb.Load{
-			Address: l.address, Running: uint32(l.state.Running), Queued: uint32(l.state.Queued),
-			Pace: uint32(100 * l.state.Pace), Closed: closed, Forming: closed && whole,
-		})
-	}
-	for _, m := range entries {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			conn, err := t.ranker.conns.Get(m.Address)
-			if err != nil {
-				return
-			}
-			if _, err := fleetpb.NewEntryClient(conn).Loads(ctx, q); err != nil {
-				t.ranker.Log.WithFields(logrus.Fields{"entry": m.Name, "cause": err.Error()}).Debug("loads not told")
-			}
-		}()
-	}
-}
