One entry of each data centre follows the store and tells the others

Now: the entries of a data centre have an order that follows from their names (internal/fleet/readers). The first asks the store; the others hear from it within milliseconds what it heard, with the time at which the store was asked (mirror.Copy and the call Follow). One that doesn't answer for 0.75 s, or doesn't reach the store, is passed over for the next; at most three of a data centre go on asking while the store answers none, and the others try by themselves each 2.5 s. A first one that is turned away hears from the next. Who begins to ask with old knowledge asks with a short wait, so that keys count again at once.

Two readers a data centre: a frozen one would cost half of the entries 0.75 s in place of all, for twice the calls.

--- /dev/null
+++ b/internal/fleet/readers/choice.go
@@ -0,0 +1,114 @@
+package readers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// standing is how many processes of a data centre may ask the store while it
+	// answers none of them: enough that a store which turns away one in three
+	// VMs is reached by one of them.
+	standing = 3
+	// passOver is how long a process that did not answer, or doesn't reach the
+	// store, is passed over.
+	passOver = time.Second
+	// aloneEvery is the pause between two tries of the store by a process that
+	// hears from others which don't reach it. Keys are believed for twice as long.
+	aloneEvery = 2500 * time.Millisecond
+)
+
+// Answer is what came of asking a process.
+type Answer int
+
+// The answers.
+const (
+	// Silent means that no answer came in time.
+	Silent Answer = iota
+	// Away means that the process doesn't reach the store.
+	Away
+	// Fresh means that it told what the store tells.
+	Fresh
+)
+
+// Choice chooses whom one process asks. Set the exported fields before the first
+// call. It is not safe for concurrent use.
+type Choice struct {
+	// Own is the name of the process.
+	Own string
+
+	heard map[string]heard
+	// alone is when the store was last tried though others were asked, and failed
+	// when it last did not answer this process.
+	alone, failed time.Time
+}
+
+// heard is what last came of asking a process.
+type heard struct {
+	answer Answer
+	at     time.Time
+}
+
+// Source returns the name of the process to ask, or "" for the store. Others are
+// the names of all processes of the data centre; the own one may be among them.
+func (c *Choice) Source(others []string, now time.Time) string {
+	order := c.order(others)
+	own := slices.Index(order, c.Own)
+	first := order[:min(own, standing)]
+	if own < standing && now.Sub(c.failed) < passOver {
+		// Those after this one may reach the store.
+		first = slices.Delete(order[:min(standing+1, len(order))], own, own+1)
+	}
+	for _, name := range first {
+		if h, ok := c.heard[name]; !ok || h.answer == Fresh || now.Sub(h.at) >= passOver {
+			return name
+		}
+	}
+	if own < standing {
+		return ""
+	}
+	if now.Sub(c.alone) >= aloneEvery {
+		c.alone = now
+		return ""
+	}
+	for _, name := range first {
+		if c.heard[name].answer == Away {
+			return name
+		}
+	}
+	return ""
+}
+
+// order returns all processes in the order in which they ask the store.
+func (c *Choice) order(others []string) []string {
+	all := append(slices.Clone(others), c.Own)
+	slices.SortFunc(all, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return slices.Compact(all)
+}
+
+// NoteStore notes whether the store answered this process.
+func (c *Choice) NoteStore(answered bool, now time.Time) {
+	c.failed = time.Time{}
+	if !answered {
+		c.failed = now
+	}
+}
+
+// Note notes what came of asking a process.
+func (c *Choice) Note(name string, a Answer, now time.Time) {
+	if c.heard == nil {
+		c.heard = map[string]heard{}
+	}
+	// Guard: processes come and go by new names for as long as this one runs.
+	for old, h := range c.heard {
+		if now.Sub(h.at) > time.Minute {
+			delete(c.heard, old)
+		}
+	}
+	c.heard[name] = heard{answer: a, at: now}
+}
--- /dev/null
+++ b/internal/fleet/readers/choice_test.go
@@ -0,0 +1,149 @@
+package readers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// world is a data centre whose processes ask the store or each other, each every
+// tenth of a second.
+type world struct {
+	names   []string
+	choices map[string]*Choice
+	// dead don't run, and turnedAway aren't answered by the store.
+	dead, turnedAway map[string]bool
+	// fresh is the time of which each knows all.
+	fresh map[string]time.Time
+	now   time.Time
+	calls int
+}
+
+const tick = 100 * time.Millisecond
+
+func newWorld(n int) *world {
+	w := &world{
+		choices: map[string]*Choice{}, dead: map[string]bool{}, turnedAway: map[string]bool{},
+		fresh: map[string]time.Time{}, now: start,
+	}
+	for i := range n {
+		name := fmt.Sprint("entry", i)
+		w.names = append(w.names, name)
+		w.choices[name] = &Choice{Own: name}
+		w.fresh[name] = start
+	}
+	return w
+}
+
+// run lets a time pass and returns how many calls the store got in it.
+func (w *world) run(d time.Duration) int {
+	w.calls = 0
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(tick) {
+		for _, name := range w.names {
+			if !w.dead[name] {
+				w.ask(name)
+			}
+		}
+	}
+	return w.calls
+}
+
+func (w *world) ask(name string) {
+	c := w.choices[name]
+	source := c.Source(w.names, w.now)
+	if source == "" {
+		w.calls++
+		c.NoteStore(!w.turnedAway[name], w.now)
+		if !w.turnedAway[name] {
+			w.fresh[name] = w.now
+		}
+		return
+	}
+	switch {
+	case w.dead[source]:
+		c.Note(source, Silent, w.now)
+	case w.now.Sub(w.fresh[source]) > 5*tick:
+		c.Note(source, Away, w.now)
+	default:
+		c.Note(source, Fresh, w.now)
+		w.fresh[name] = w.fresh[source]
+	}
+}
+
+// checkFresh checks that all processes that run know what the store told of late.
+func (w *world) checkFresh(t *testing.T, within time.Duration) {
+	t.Helper()
+	for _, name := range w.names {
+		if age := w.now.Sub(w.fresh[name]); !w.dead[name] && age > within {
+			t.Errorf("%s knows what was %v ago", name, age)
+		}
+	}
+}
+
+// Guards against calls that grow with the fleet: one process asks, whatever the size,
+// also where there is only one.
+func TestOneProcessAsksTheStore(t *testing.T) {
+	for _, n := range []int{1, 3, 31} {
+		w := newWorld(n)
+		w.run(time.Second)
+		if calls := w.run(10 * time.Second); calls != int(10*time.Second/tick) {
+			t.Errorf("%d processes make %d calls", n, calls)
+		}
+		w.checkFresh(t, 4*tick)
+	}
+}
+
+// Guards against a data centre that goes blind with the one process that asks, as
+// well as with the one that asks in its place.
+func TestNextAsksWhenTheFirstIsLost(t *testing.T) {
+	for _, lose := range []func(w *world, name string){
+		func(w *world, name string) { w.dead[name] = true },
+		func(w *world, name string) { w.turnedAway[name] = true },
+	} {
+		w := newWorld(31)
+		w.run(time.Second)
+		order := w.choices["entry0"].order(w.names)
+		for _, name := range order[:2] {
+			lose(w, name)
+			w.run(3 * time.Second)
+			w.checkFresh(t, 2*time.Second)
+		}
+	}
+}
+
+// The store turns away the three processes that ask first. Guards against a data
+// centre that hears nothing though the store answers all others.
+func TestOthersTryWhenNoneOfTheFirstIsAnswered(t *testing.T) {
+	w := newWorld(31)
+	w.run(time.Second)
+	for _, name := range w.choices["entry0"].order(w.names)[:standing] {
+		w.turnedAway[name] = true
+	}
+	w.run(10 * time.Second)
+	for _, name := range w.names {
+		if age := w.now.Sub(w.fresh[name]); age > aloneEvery+2*passOver {
+			t.Errorf("%s knows what was %v ago", name, age)
+		}
+	}
+}
+
+// The store answers nobody for eight seconds. Guards against an outage in which all
+// processes ask again and again.
+func TestOutageCostsFewCalls(t *testing.T) {
+	w := newWorld(31)
+	w.run(time.Second)
+	for _, name := range w.names {
+		w.turnedAway[name] = true
+	}
+	const outage = 8 * time.Second
+	calls := w.run(outage)
+	all := 31 * int(outage/tick)
+	if most := all / 4; calls > most {
+		t.Errorf("%d calls of %d, want at most %d", calls, all, most)
+	}
+	clear(w.turnedAway)
+	w.run(4 * time.Second)
+	w.checkFresh(t, 5*tick)
+}
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -15,6 +15,7 @@
 
 // storeFailed notes that the store did not answer a read.
 func (f *Frontend) storeFailed(err error) {
+	f.choice.NoteStore(false, boottime.Now())
 	if f.away.Swap(true) {
 		return
 	}
@@ -34,6 +35,9 @@
 	if u.Returned {
 		f.belief.Change(func(d *directory.Directory) { d.Returned(now) })
 	}
+	if !u.Neighbour {
+		f.choice.NoteStore(true, now)
+	}
 	if f.away.Swap(false) {
 		f.Log.WithFields(logrus.Fields{"dependency": "store", "revision": u.Revision}).Warn("dependency regained")
 	}
@@ -51,6 +55,7 @@
 	}
 	// Only now, when all that the answer told is in force, is it as fresh.
 	f.fresh.Learn(u.Asked)
+	f.copy.Take(u, now)
 }
 
 // put takes in one item and returns what it says, or nil if it can't be read.
--- /dev/null
+++ b/internal/frontend/follow.go
@@ -0,0 +1,152 @@
+package frontend
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+)
+
+const (
+	// followWait is how long another entry is asked to wait for something new. A
+	// frozen one is noticed a little later, well within the time in which
+	// configuration has to be in force.
+	followWait = 500 * time.Millisecond
+	// followSlack is added to it before the other one counts as silent.
+	followSlack = 250 * time.Millisecond
+	// awayAge is the age of what an entry knows from which it has nothing to tell:
+	// more than its polls leave while the store answers it.
+	awayAge = 2*pollWait + 400*time.Millisecond
+)
+
+// hearNeighbour asks another entry of the data centre what the store tells, in place
+// of the store. It reports false when the store is to be asked.
+func (f *Frontend) hearNeighbour(ctx context.Context, revision int64, known bool) (mirror.Update, bool) {
+	for ctx.Err() == nil {
+		near := f.others.near(f.Settings.DataCentre)
+		name := f.choice.Source(names(near), boottime.Now())
+		f.noteSource(name)
+		if name == "" {
+			return mirror.Update{}, false
+		}
+		u, answer, err := f.hear(ctx, near[name].Address, revision, known)
+		f.choice.Note(name, answer, boottime.Now())
+		switch {
+		case answer == readers.Fresh:
+			return u, true
+		case err != nil:
+			f.conns.DropSilent(near[name].Address)
+			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("entry does not tell what the store tells")
+		default:
+			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry does not reach the store")
+		}
+	}
+	return mirror.Update{}, false
+}
+
+// noteSource tells from whom what the store tells is heard from now on, if that
+// changes.
+func (f *Frontend) noteSource(name string) {
+	if f.source == name && f.sourced {
+		return
+	}
+	f.source, f.sourced = name, true
+	from := name
+	if name == "" {
+		from = "store"
+	}
+	f.Log.WithFields(logrus.Fields{"from": from, "knownAge": f.fresh.Age(boottime.Now()).Milliseconds()}).Info("store followed")
+}
+
+// hear asks one entry.
+func (f *Frontend) hear(ctx context.Context, addr string, revision int64, known bool) (mirror.Update, readers.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	conn, err := f.conns.Get(addr)
+	if err != nil {
+		return mirror.Update{}, readers.Silent, err
+	}
+	asked := boottime.Now()
+	p, err := fleetpb.NewEntryClient(conn).Follow(ctx, &fleetpb.FollowRequest{
+		After: revision, Known: known, WaitMicros: uint64(followWait.Microseconds()),
+	})
+	if err != nil {
+		return mirror.Update{}, readers.Silent, err
+	}
+	if p.GetAway() {
+		return mirror.Update{}, readers.Away, nil
+	}
+	// The other one counts from the arrival of the request, which is after asked.
+	u := mirror.Update{
+		Whole: p.GetWhole(), Deleted: p.GetRemoved(), Revision: p.GetRevision(),
+		Asked: asked.Add(time.Duration(p.GetAskedMicros()) * time.Microsecond),
+	}
+	for _, i := range p.GetItems() {
+		u.KVs = append(u.KVs, kv.NewKeyValue(i.GetKey(), i.GetValue(), i.GetRevision(), 0))
+	}
+	if ago := p.GetReturnedMicros(); ago > 0 {
+		u.Returned = f.newReturn(boottime.Now().Add(-time.Duration(ago) * time.Microsecond))
+	}
+	return u, readers.Fresh, nil
+}
+
+// newReturn reports whether a return of the store, which another entry has told, is
+// one that this entry hasn't heard of.
+func (f *Frontend) newReturn(at time.Time) bool {
+	if !at.After(f.returned.Add(time.Second)) {
+		return false
+	}
+	f.returned = at
+	return boottime.Now().Sub(at) < returnMemory
+}
+
+// returnMemory is for how long a return of the store matters to those who hear of
+// it: for as long as entries of endpoints that vanished meanwhile hold.
+const returnMemory = 2 * time.Second
+
+// Follow implements fleetpb.EntryServer.
+func (s *service) Follow(ctx context.Context, q *fleetpb.FollowRequest) (*fleetpb.FollowReply, error) {
+	f := s.frontend
+	arrived := boottime.Now()
+	t := time.NewTimer(time.Duration(q.GetWaitMicros()) * time.Microsecond)
+	defer t.Stop()
+	taken := f.copy.Taken()
+	u, ok := f.copy.Since(q.GetAfter(), q.GetKnown())
+	if ok && !f.away.Load() && !news(u) {
+		select {
+		case <-taken:
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		u, ok = f.copy.Since(q.GetAfter(), q.GetKnown())
+	}
+	now := boottime.Now()
+	if !ok || f.stopping.Load() || f.away.Load() || now.Sub(u.Asked) > awayAge {
+		return &fleetpb.FollowReply{Away: true}, nil
+	}
+	return followReply(u, f.copy.Returned(), arrived, now), nil
+}
+
+// news reports whether an update tells more than the time that it is of.
+func news(u mirror.Update) bool { return u.Whole || len(u.KVs)+len(u.Deleted) > 0 }
+
+// followReply tells an update to an entry whose request came at arrived.
+func followReply(u mirror.Update, returned, arrived, now time.Time) *fleetpb.FollowReply {
+	p := &fleetpb.FollowReply{
+		Whole: u.Whole, Removed: u.Deleted, Revision: u.Revision, AskedMicros: u.Asked.Sub(arrived).Microseconds(),
+	}
+	for _, item := range u.KVs {
+		p.Items = append(p.Items, &fleetpb.Item{Key: item.Key(), Value: item.Value(), Revision: item.Revision()})
+	}
+	if !returned.IsZero() {
+		p.ReturnedMicros = uint64(max(1, now.Sub(returned).Microseconds()))
+	}
+	return p
+}
--- /dev/null
+++ b/internal/frontend/follow_test.go
@@ -0,0 +1,110 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+// serves reports whether an entry has a configuration version in force.
+func (e *entry) serves(version uint64) bool {
+	t := e.belief.Table()
+	return t != nil && t.Version() == version
+}
+
+// entries starts some entries of one data centre and waits until all know each other.
+func (s *system) entries(n int) []*entry {
+	s.t.Helper()
+	out := make([]*entry, 0, n)
+	for i := range n {
+		out = append(out, s.start(fmt.Sprint("entry", i), s.store.Addr()))
+	}
+	for _, e := range out {
+		s.eventually("the entries know each other", func() bool { return e.others.count() == n })
+	}
+	return out
+}
+
+// Five entries of a data centre hear of a configuration. Guards against calls to the
+// store that grow with the fleet: one of them asks.
+func TestOneEntryOfADataCentreFollowsTheStore(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	entries := s.entries(5)
+	s.eventually("four of five hear it from another", func() bool {
+		n := 0
+		for _, e := range entries {
+			if e.log.Has(`"from":"entry`) {
+				n++
+			}
+		}
+		return n == 4
+	})
+	for i := range 3 {
+		s.store.Put("op/config", config(2+i, `"k1"`))
+	}
+	for _, e := range entries {
+		s.eventually("the configuration is in force", func() bool { return e.serves(4) })
+	}
+	if n := s.store.Told("op/config"); n > 5+3 {
+		t.Errorf("the store told the configuration %d times", n)
+	}
+}
+
+// The entry that follows the store stops, and the store turns all away for a while.
+// Guards against a data centre that goes on with what it knew: an operator's change
+// comes into force everywhere, and an endpoint that came back is known.
+func TestEntriesFollowOnWithoutTheirReader(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	entries := s.entries(4)
+	first := (&readers.Choice{Own: "entry0"}).Source(names(entries[0].others.all()), boottime.Now())
+	left := make([]*entry, 0, len(entries))
+	for i, e := range entries {
+		if name := fmt.Sprint("entry", i); name == first || first == "" && i == 0 {
+			e.stop()
+			continue
+		}
+		left = append(left, e)
+	}
+	s.store.Put("op/config", config(2, `"k1"`))
+	for _, e := range left {
+		s.eventually("the change is in force", func() bool { return e.serves(2) })
+	}
+	s.store.SetFault(standin.Busy)
+	s.eventually("an entry has noticed", func() bool {
+		for _, e := range left {
+			if e.away.Load() {
+				return true
+			}
+		}
+		return false
+	})
+	s.store.SetFault(standin.Well)
+	s.store.Put("op/config", config(3, `"k1"`))
+	for _, e := range left {
+		s.eventually("the next change is in force", func() bool { return e.serves(3) })
+		s.eventually("keys are believed", func() bool { return e.fresh.Age(boottime.Now()) < e.relay.KeyAge() })
+	}
+}
+
+// A key is taken away while no entry reaches the store. Guards against entries that
+// prove to each other, in a circle, that old knowledge is new.
+func TestEntriesDoNotFreshenEachOther(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	entries := s.entries(4)
+	s.store.SetFault(standin.Busy)
+	s.store.Put("op/config", config(2, `"k2"`))
+	time.Sleep(entries[0].relay.KeyAge() + 500*time.Millisecond)
+	for i, e := range entries {
+		if a := e.ask(context.Background(), "/look/1", fmt.Sprint("late", i), "k1"); a.status == 200 {
+			t.Errorf("entry %d serves a key that was taken away", i)
+		}
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
@@ -92,6 +93,15 @@
 	document atomic.Pointer[[]byte]
 	others   others
 	work     *teller
+	// copy is what was heard from the store, to be told to others, and choice says
+	// who is asked for it. Only the mirror's goroutine uses choice, source, which
+	// is who was asked last, once sourced is set, and returned, which is when the
+	// store last came back by what others told.
+	copy     mirror.Copy
+	choice   readers.Choice
+	source   string
+	sourced  bool
+	returned time.Time
 	// engines are those of which loads are told.
 	engines fleet.Lists
 	// doubt is raised when leases in the store may have lapsed.
@@ -153,6 +163,8 @@
 		Reader: f.store, Wait: pollWait, Settle: pollSettle, MostSettle: mostSettle, StartTime: startTime,
 		Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
+	f.choice.Own = s.Name
+	f.mirror.Neighbour = f.hearNeighbour
 	f.relay = &relay.Relay{
 		Belief: f.belief, Client: &direct.Client{}, Dialect: platform.Dialect{},
 		Now: boottime.Now, Log: f.Log.Logger,
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -53,8 +53,8 @@
 // forwardLoads tells the other entries of the own data centre.
 func (f *Frontend) forwardLoads(ctx context.Context, q *fleetpb.LoadsRequest, targets []*fleetpb.Target) {
 	received := boottime.Now()
-	for name, m := range f.others.all() {
-		if name != f.Settings.Name && m.DataCentre == f.Settings.DataCentre {
+	for name, m := range f.others.near(f.Settings.DataCentre) {
+		if name != f.Settings.Name {
 			go f.forwardLoad(ctx, m, q, targets, received)
 		}
 	}
--- a/internal/frontend/others.go
+++ b/internal/frontend/others.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
@@ -44,3 +45,21 @@
 	defer o.mu.Unlock()
 	return maps.Clone(o.byName)
 }
+
+// near returns those of one data centre.
+func (o *others) near(dataCentre string) map[string]fleet.Member {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string]fleet.Member{}
+	for name, m := range o.byName {
+		if m.DataCentre == dataCentre {
+			out[name] = m
+		}
+	}
+	return out
+}
+
+// names returns the names of members.
+func names(members map[string]fleet.Member) []string {
+	return slices.Collect(maps.Keys(members))
+}
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -46,6 +46,8 @@
 	Asked time.Time
 	// Returned says that calls failed before this answer.
 	Returned bool
+	// Neighbour says that another process has told this, in place of the service.
+	Neighbour bool
 }
 
 // Mirror follows one prefix. Set the exported fields before Run.
@@ -71,6 +73,10 @@
 	// 6 s, since nobody saw that the last one's lease had lapsed in it. Whoever
 	// sees by other calls that the service is back raises this.
 	Doubt *wake.Signal
+	// Neighbour, when set, is asked before the service: it returns what another
+	// process has heard from it, or false to ask the service. It says itself in
+	// the update whether the service has returned.
+	Neighbour func(ctx context.Context, revision int64, known bool) (Update, bool)
 	// MostPause bounds the pause between failed calls; 0 means mostPause.
 	MostPause time.Duration
 	// Now is the clock.
@@ -85,15 +91,25 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	rest, settle := leastPause, m.Settle
 	revision, known, failed := int64(0), false, false
+	asked := time.Time{}
 	started := m.Now().Add(m.StartTime)
 	for ctx.Err() == nil {
-		u, err := m.next(ctx, revision, known)
+		u, err := m.next(ctx, revision, known, m.waitFor(m.Now().Sub(asked)))
 		switch {
 		case err == nil:
-			u.Returned = failed
+			if !u.Neighbour {
+				u.Returned = failed
+			}
 			failed, rest = false, leastPause
 			revision, known = u.Revision, true
+			if u.Asked.After(asked) {
+				asked = u.Asked
+			}
 			m.Apply(u)
+			if u.Neighbour {
+				settle = m.Settle
+				continue // changes have gathered at the neighbour
+			}
 			if len(u.KVs)+len(u.Deleted) == 0 {
 				settle = m.Settle
 				continue
@@ -116,6 +132,21 @@
 	return nil
 }
 
+// agedWait is how long a poll waits when what is known has grown old.
+const agedWait = 50 * time.Millisecond
+
+// waitFor returns how long a poll waits when knowledge is of so long ago.
+//
+// Guard: after an outage, or when this process begins to ask in place of another,
+// an answer that waits for a change as usual would leave what is known as old as it
+// is for as long again, and it would count for nothing.
+func (m *Mirror) waitFor(age time.Duration) time.Duration {
+	if age > 2*m.Wait {
+		return min(agedWait, m.Wait)
+	}
+	return m.Wait
+}
+
 func (m *Mirror) mostPause() time.Duration {
 	if m.MostPause > 0 {
 		return m.MostPause
@@ -129,14 +160,20 @@
 	}
 }
 
-func (m *Mirror) next(ctx context.Context, revision int64, known bool) (Update, error) {
+func (m *Mirror) next(ctx context.Context, revision int64, known bool, wait time.Duration) (Update, error) {
+	if m.Neighbour != nil {
+		if u, ok := m.Neighbour(ctx, revision, known); ok {
+			u.Neighbour, u.Revision = true, max(u.Revision, revision)
+			return u, nil
+		}
+	}
 	asked := m.Now()
 	if !known {
 		u, err := m.list(ctx)
 		u.Asked = asked
 		return u, err
 	}
-	c, err := m.poll(ctx, revision)
+	c, err := m.poll(ctx, revision, wait)
 	if err != nil {
 		return Update{}, err
 	}
@@ -149,9 +186,9 @@
 var errDoubted = errors.New("mirror: the poll was given up")
 
 // poll asks for changes, until it is answered or doubted.
-func (m *Mirror) poll(ctx context.Context, revision int64) (platform.Changed, error) {
+func (m *Mirror) poll(ctx context.Context, revision int64, wait time.Duration) (platform.Changed, error) {
 	if m.Doubt == nil {
-		return m.Reader.Poll(ctx, m.Prefix, revision, m.Wait)
+		return m.Reader.Poll(ctx, m.Prefix, revision, wait)
 	}
 	asked, cancel := context.WithCancelCause(ctx)
 	watched := make(chan struct{})
@@ -163,7 +200,7 @@
 		case <-asked.Done():
 		}
 	}()
-	c, err := m.Reader.Poll(asked, m.Prefix, revision, m.Wait)
+	c, err := m.Reader.Poll(asked, m.Prefix, revision, wait)
 	cancel(nil)
 	<-watched
 	if err != nil && errors.Is(context.Cause(asked), errDoubted) {
