Agents learn of their group's leader by its looks

A leader looks at each rank ten times a second anyway, and now says who it is. An agent that isn't looked at for 0.6 s asks the store; six successors in the order of ranks do so at first, the others after 2.5 s. A leader that stops tells the first successors. The poll for the members, the leader's own, is asked anew when the store returns, as the polls for leases were.

Ruled out: taking over before the lease ends; where engines check tokens that would be safe, but needs its proof first.

--- a/internal/rank/kvlease.go
+++ b/internal/rank/kvlease.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -61,15 +62,21 @@
 	return strings.CutSuffix(rest, leaseSuffix)
 }
 
+// Held reads the lease's key, if somebody holds the lease.
+func (l *KVLease) Held(ctx context.Context) (platform.KeyValue, bool, error) {
+	reply, err := l.KV.Get(ctx, l.leaseKey())
+	if err != nil {
+		return platform.KeyValue{}, false, err
+	}
+	kv, ok := reply.First()
+	return kv, ok, nil
+}
+
 // Acquire implements Lease. A write whose answer is lost is settled by reading
 // who holds the lease, by an id of this attempt alone.
 func (l *KVLease) Acquire(ctx context.Context, now time.Time) (uint64, time.Time, error) {
-	held, err := l.KV.Get(ctx, l.leaseKey())
-	if err != nil {
-		return 0, time.Time{}, err
-	}
-	if _, ok := held.First(); ok {
-		return 0, time.Time{}, ErrLeaseHeld
+	if _, held, err := l.Held(ctx); held || err != nil {
+		return 0, time.Time{}, cmp.Or(err, ErrLeaseHeld)
 	}
 	id, err := l.KV.Grant(ctx, l.TTL)
 	if err != nil {
--- a/internal/ranker/delegate.go
+++ b/internal/ranker/delegate.go
@@ -41,7 +41,8 @@
 // Gather implements fleetpb.AgentServer.
 func (s *service) Gather(ctx context.Context, q *fleetpb.GatherRequest) (*fleetpb.GatherReply, error) {
 	d := s.ranker.delegate
-	want := wanted{counts: q.GetExperts() > 0, lists: q.GetLists()}
+	want := wanted{counts: q.GetExperts() > 0, lists: q.GetLists(), leader: q.GetLeader()}
+	s.ranker.heardOf(q.GetLeader(), boottime.Now())
 	targets := d.bunches.Learn(q.GetList(), q.GetTargets())
 	if targets == nil {
 		return &fleetpb.GatherReply{UnknownList: true}, nil
--- a/internal/ranker/gather.go
+++ b/internal/ranker/gather.go
@@ -49,7 +49,7 @@
 		return nil, err
 	}
 	q := gatherRequest(targets)
-	q.Lists = want.lists
+	q.Lists, q.Leader = want.lists, want.leader
 	if want.counts {
 		q.Experts = uint32(t.engine.Experts.Count)
 	}
--- a/internal/ranker/looker.go
+++ b/internal/ranker/looker.go
@@ -37,7 +37,11 @@
 }
 
 // wanted says what a look asks for besides the state.
-type wanted struct{ counts, lists bool }
+type wanted struct {
+	counts, lists bool
+	// leader is for whom the look is.
+	leader *fleetpb.Leader
+}
 
 // found is a look at one engine.
 type found struct {
@@ -120,7 +124,7 @@
 		return found{}, err
 	}
 	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{
-		Counts: want.counts, Lists: want.lists, Counted: k.heard.id(m.Name),
+		Counts: want.counts, Lists: want.lists, Counted: k.heard.id(m.Name), Leader: want.leader,
 	})
 	if err != nil {
 		return found{}, err
--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -79,7 +79,7 @@
 		most, want.counts = n, now.Sub(t.summed) >= pause
 	}
 	for i, b := range bunches {
-		part := wanted{counts: want.counts && i < most, lists: want.lists}
+		part := wanted{counts: want.counts && i < most, lists: want.lists, leader: want.leader}
 		parts = append(parts, func() []found { return t.lookBunch(ctx, b, byName, part) })
 	}
 	out := together(parts)
@@ -168,6 +168,9 @@
 		}
 		seen[i] = true
 		ranks[i], byRank[i] = l.state, l
+		if l.agent != nil {
+			t.rankOf[l.agent.Name] = i
+		}
 	}
 	return ranks, byRank, seen
 }
--- a/internal/ranker/members.go
+++ b/internal/ranker/members.go
@@ -9,7 +9,6 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
-	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 )
 
 // lapsedTime is how long the engine of an agent whose key has vanished is still
@@ -36,37 +35,6 @@
 	}
 }
 
-// applyLeases takes in what the store told of the groups' leases.
-//
-// Load: a fleet of a hundred processes that are restarted, replaced and cut off.
-// Harm prevented: an agent that followed all members asked the store again after
-// each of those changes, most of the calls of all agents together. Only a leader
-// needs to know the members; the others need to know whether there is a leader.
-func (r *Ranker) applyLeases(u mirror.Update) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.synced = true
-	if u.Whole {
-		clear(r.leases)
-	}
-	for _, item := range u.KVs {
-		if group, ok := rank.LeaseGroup(fleet.Prefix, item.Key()); ok {
-			r.leases[group] = true
-			r.noteLeader(group, item)
-		}
-	}
-	for _, key := range u.Deleted {
-		if group, ok := rank.LeaseGroup(fleet.Prefix, key); ok {
-			delete(r.leases, group)
-			r.free.Raise()
-			r.doubt.Raise()
-		}
-	}
-	if u.Returned {
-		r.doubt.Raise()
-	}
-}
-
 // followMembers follows the product's processes while this one leads a group, and
 // returns when it knows them once, or the store does not tell. The returned
 // function ends it.
@@ -75,7 +43,7 @@
 	known := make(chan struct{})
 	var once sync.Once
 	m := &mirror.Mirror{
-		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Settle: pollSettle, Now: boottime.Now,
+		Reader: r.store, Prefix: fleet.Prefix, Wait: pollWait, Settle: pollSettle, Doubt: &r.returned, Now: boottime.Now,
 		Apply: func(u mirror.Update) {
 			r.applyMembers(u)
 			once.Do(func() { close(known) })
--- a/internal/ranker/predecessor.go
+++ b/internal/ranker/predecessor.go
@@ -24,22 +24,13 @@
 	name string
 }
 
-// noteLeader remembers who leads a group, with mu held.
-func (r *Ranker) noteLeader(group string, lease kv.KeyValue) {
+// holderOf reads who holds a group's lease. It reports false for a lease that does
+// not tell its holder's rank.
+func holderOf(lease kv.KeyValue) (predecessor, bool) {
 	name, own, _ := strings.Cut(rank.LeaseHolder(lease.Value()), rankMark)
 	n, err := strconv.Atoi(own)
 	if err != nil {
-		delete(r.leaders, group)
-		r.Log.WithField("cause", err.Error()).Warn("the lease does not tell its holder's rank")
-		return
+		return predecessor{}, false
 	}
-	r.leaders[group] = predecessor{name: name, Predecessor: lockstep.Predecessor{Token: uint64(lease.Revision()), Rank: n}}
-}
-
-// lastLeader returns who led the group last, and whether that is known.
-func (r *Ranker) lastLeader(group string) (predecessor, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p, ok := r.leaders[group]
-	return p, ok
+	return predecessor{name: name, Predecessor: lockstep.Predecessor{Token: uint64(lease.Revision()), Rank: n}}, true
 }
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -15,10 +15,8 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
-	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
-	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
@@ -30,17 +28,12 @@
 const (
 	// storeTimeout bounds a call to the store, which answers in milliseconds.
 	storeTimeout = 700 * time.Millisecond
-	// pollWait is how long a poll waits at the store. Nothing that an agent
-	// knows may grow too old, so it is long and costs few calls. It is also for
-	// how long a connection that has gone silent hides the loss of a leader.
+	// pollWait is how long a leader's poll for the members waits at the store. What
+	// it knows of them may be old, as it sees itself which agents answer.
 	pollWait = 10 * time.Second
 	// pollSettle is how long changes of the members are let gather after some
 	// came, by the leader.
 	pollSettle = 200 * time.Millisecond
-	// outagePause is the longest pause between an agent's polls while the store
-	// is away. It delays the next leader, if there is none, by as much; with 450
-	// ms, as entries have, an outage of 8 s cost 63 agents 1,000 calls.
-	outagePause = time.Second
 	// callsPerSecond bounds this process's calls to the store; renewals of the
 	// lease are most of them.
 	callsPerSecond = 15
@@ -58,9 +51,6 @@
 	// leaveTime bounds the end of a lead: a change of maps that is under way.
 	leaveTime = 2 * time.Second
 	leaveTick = 10 * time.Millisecond
-	// turn is the pause by rank before an agent tries to lead, so that few do
-	// at once.
-	turn = 15 * time.Millisecond
 )
 
 // Ranker is one agent. Set the exported fields, then Listen, then Run.
@@ -73,11 +63,11 @@
 
 	store  *platform.Store
 	engine *platform.Engine
-	// leaseMirror follows who leads groups.
-	leaseMirror *mirror.Mirror
-	peers       *peer.Server
-	conns       *peer.Conns
-	counts      counters
+	peers  *peer.Server
+	conns  *peer.Conns
+	counts counters
+	// led is what is known of the group's leader.
+	led led
 	// told and maps are what was told to and by leaders.
 	told *countLog
 	maps mapLog
@@ -87,8 +77,8 @@
 	// group.
 	leaving atomic.Bool
 	leads   atomic.Bool
-	// free is raised when a group's lease has ended, and doubt when all leases
-	// may have lapsed; returned is raised when the store answers again.
+	// free is raised when the group's leader has ended, doubt when the own lease
+	// may have lapsed, and returned when the store answers again.
 	free, doubt, returned wake.Signal
 	// grouped is closed when the group of the own engine is known.
 	grouped     chan struct{}
@@ -99,12 +89,7 @@
 	entries map[string]fleet.Member
 	// lapsed holds the agents whose keys have vanished.
 	lapsed map[string]lapse
-	// leases holds the groups that have a leader, and leaders who led each
-	// group last.
-	leases  map[string]bool
-	leaders map[string]predecessor
-	synced  bool
-	group   string
+	group  string
 }
 
 // counters counts what the agent did.
@@ -128,7 +113,6 @@
 	}
 	r.agents, r.entries = map[string]fleet.Member{}, map[string]fleet.Member{}
 	r.lapsed = map[string]lapse{}
-	r.leases, r.leaders = map[string]bool{}, map[string]predecessor{}
 	r.store = &platform.Store{
 		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
 		Budget: kv.Budget{PerSecond: callsPerSecond}, Metrics: r.Registry,
@@ -136,10 +120,6 @@
 	r.store.Open()
 	r.engine = &platform.Engine{Addr: s.EndpointAddress.String(), Timeout: engineTimeout}
 	r.engine.Open()
-	r.leaseMirror = &mirror.Mirror{
-		Reader: r.store, Prefix: rank.LeasePrefix(fleet.Prefix), Wait: pollWait, MostPause: outagePause, Doubt: &r.returned, Now: boottime.Now,
-		Apply: r.applyLeases, Failed: r.storeFailed,
-	}
 	r.told = newCountLog(boottime.Now())
 	r.delegate = newDelegate(r)
 	r.grouped = make(chan struct{})
@@ -153,7 +133,7 @@
 // Run works until ctx ends.
 func (r *Ranker) Run(ctx context.Context) error {
 	parts := []process.Part{
-		r.leaseMirror.Run, r.peers.Run, r.register, r.follow,
+		r.peers.Run, r.register, r.follow,
 		func(ctx context.Context) error { return r.Log.Run(ctx, r.Output) },
 	}
 	parts = append(parts, process.MetricsParts(r.Settings.MetricsAddress, r.Registry)...)
@@ -214,11 +194,11 @@
 		}
 		r.mu.Lock()
 		r.group = s.Group
-		free := r.synced && !r.leases[s.Group] && !r.leaving.Load()
 		r.mu.Unlock()
 		r.groupedOnce.Do(func() { close(r.grouped) })
-		if free {
-			pause.For(ctx, time.Duration(s.Rank)*turn)
+		if !r.leaving.Load() && r.led.ask(s.Rank, s.Size, boottime.Now()) {
+			// Whoever doesn't look here may not see this agent's key any more.
+			r.doubt.Raise()
 			r.tryLead(ctx, s)
 		}
 	}
@@ -239,13 +219,19 @@
 // tryLead takes the group's lease, if it is free, and leads until it is lost.
 func (r *Ranker) tryLead(ctx context.Context, s lockstep.State) {
 	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: holderName(r.Settings.Name, s.Rank), TTL: leaseTime}
-	before, known := r.lastLeader(s.Group)
 	now := boottime.Now()
+	if !r.isFree(ctx, lease, now) {
+		return
+	}
+	before, known := r.led.last()
 	token, until, err := lease.Acquire(ctx, now)
 	if err != nil {
 		r.Log.WithFields(logrus.Fields{"group": s.Group, "cause": err.Error()}).Info("group not led from here")
 		return
 	}
+	own := predecessor{name: r.Settings.Name, Predecessor: lockstep.Predecessor{Token: token, Rank: s.Rank}}
+	r.led.leads(own, now)
+	defer func() { r.led.leads(own, boottime.Now()) }()
 	r.counts.leads.Inc(1)
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token, "epoch": s.Epoch}).Info("group led from here")
 	r.leads.Store(true)
@@ -261,3 +247,21 @@
 	endMembers()
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token}).Info("group no longer led from here")
 }
+
+// isFree reports whether nobody holds the group's lease, and notes who does.
+func (r *Ranker) isFree(ctx context.Context, lease *rank.KVLease, now time.Time) bool {
+	held, ok, err := lease.Held(ctx)
+	if err != nil {
+		r.storeFailed(err)
+		return false
+	}
+	if !ok {
+		return true
+	}
+	if by, ok := holderOf(held); ok {
+		r.led.holds(by)
+	} else {
+		r.Log.WithField("group", lease.Group).Warn("the lease does not tell its holder's rank")
+	}
+	return false
+}
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -28,6 +29,7 @@
 
 // Look implements fleetpb.AgentServer.
 func (s *service) Look(ctx context.Context, q *fleetpb.LookRequest) (*fleetpb.LookReply, error) {
+	s.ranker.heardOf(q.GetLeader(), boottime.Now())
 	l, err := lookEngine(ctx, s.ranker.engine, wanted{counts: q.GetCounts(), lists: q.GetLists()})
 	if err != nil {
 		return nil, err
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -71,6 +71,8 @@
 	loads loadTeller
 	// jumped says that popularity has jumped since a map was last proposed.
 	jumped bool
+	// rankOf is the rank beside each agent, as last seen.
+	rankOf map[string]int
 	// paces is how much slower than usual each rank was at the last look.
 	paces []float64
 	// heldLogged is when a step that stays held was last told of.
@@ -92,8 +94,8 @@
 		leader: lockstep.Leader{Own: s.Rank, Holder: (s.Rank + 1) % s.Size, Token: token},
 		looker: newLooker(r, callTimeout, engineTimeout),
 		tree:   fanout.Tree{Direct: directAgents, Most: bunchAgents},
-		loads:  newLoadTeller(),
-		renew:  make(chan renewal, 1), tries: directTries,
+		loads:  newLoadTeller(), rankOf: map[string]int{},
+		renew: make(chan renewal, 1), tries: directTries,
 	}
 }
 
@@ -151,7 +153,33 @@
 	defer cancel()
 	if err := t.lease.Release(ctx); err != nil {
 		t.ranker.storeFailed(err)
+		return
 	}
+	t.tellEnd(ctx)
+}
+
+// tellEnd tells the first successors that this agent leads no longer.
+func (t *term) tellEnd(ctx context.Context) {
+	agents, _ := t.ranker.members(t.group)
+	var wg sync.WaitGroup
+	for _, m := range agents {
+		if place := (t.rankOf[m.Name] - t.leader.Own - 1 + t.size) % t.size; place >= successors {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := t.looker.askAgent(ctx, &m, wanted{leader: t.self(true)}); err != nil {
+				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Info("end of the lead not told")
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// self tells who leads, or that this agent no longer does.
+func (t *term) self(ended bool) *fleetpb.Leader {
+	return &fleetpb.Leader{Agent: t.ranker.Settings.Name, Token: t.token, Rank: uint32(t.leader.Own), Ended: ended}
 }
 
 // keepLease renews the lease beside the rounds, so that a slow store does not
@@ -198,7 +226,7 @@
 // to wait for the next round.
 func (t *term) round(ctx context.Context) time.Duration {
 	agents, entries := t.ranker.members(t.group)
-	want := wanted{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil}
+	want := wanted{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil, leader: t.self(false)}
 	t.counted = false
 	looks := t.lookAll(ctx, agents, want)
 	now := boottime.Now()
