Entries tell each other of their work through one of each data centre

Now: in a fleet of more than ten, an entry tells the first of its data centre, which passes the newest of each on to the others there (at most 200 messages a second, whatever their number) and, four times as seldom, to one of each other data centre. Whoever is told to pass on does, so two that take each other's place only send more. The works of all others are summed up once in place of with each placement.

The test of the pauses between messages to all is replaced: messages of a hub are bounded by a count a second, and what it passes on is the newest, once, with its age.

--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -56,6 +56,32 @@
 	}
 }
 
+// Twelve entries tell each other of their work through one of them, which stops.
+// Guards against entries that know only of their own work from then on, and fill
+// engines that others have filled.
+func TestWorkIsKnownThroughAHub(t *testing.T) {
+	t.Parallel()
+	const n = 12
+	s := newSystem(t, 1)
+	entries := s.entries(n)
+	hub := entries[0].work.hub()
+	left := make([]*entry, 0, n)
+	for _, e := range entries {
+		s.eventually("each entry hears of all others", func() bool { return e.belief.Informers() == n-1 })
+		if e.Settings.Name != hub {
+			left = append(left, e)
+		}
+	}
+	for _, e := range entries {
+		if e.Settings.Name == hub {
+			e.stop()
+		}
+	}
+	for _, e := range left {
+		s.eventually("the others are heard of without it", func() bool { return e.belief.Informers() == n-2 })
+	}
+}
+
 // The entry that follows the store stops, and the store turns all away for a while.
 // Guards against a data centre that goes on with what it knew: an operator's change
 // comes into force everywhere, and an endpoint that came back is known.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -93,6 +93,7 @@
 	document atomic.Pointer[[]byte]
 	others   others
 	work     *teller
+	hub      hub
 	// copy is what was heard from the store, to be told to others, and choice says
 	// who is asked for it. Only the mirror's goroutine uses choice, source, which
 	// is who was asked last, once sourced is set, and returned, which is when the
@@ -181,7 +182,7 @@
 		Address: f.peers.Address(),
 	}}
 	parts := []process.Part{
-		f.mirror.Run, registrar.Run, f.work.run, f.prove, f.followSettings, f.peers.Run, f.relay.Sweep,
+		f.mirror.Run, registrar.Run, f.work.run, f.passOn, f.prove, f.followSettings, f.peers.Run, f.relay.Sweep,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		f.runServers,
 	}
@@ -238,17 +239,6 @@
 	frontend *Frontend
 }
 
-// Work implements fleetpb.EntryServer.
-func (s *service) Work(_ context.Context, r *fleetpb.WorkRequest) (*fleetpb.WorkReply, error) {
-	now := boottime.Now()
-	w := relay.Work{Entry: r.GetName(), Born: r.GetBorn(), Number: r.GetNumber(), At: now, Running: map[string]int{}, Waiting: r.GetWaiting()}
-	for _, one := range r.GetWorks() {
-		w.Running[one.GetEndpoint()] = int(one.GetRunning())
-	}
-	s.frontend.belief.SetWork(w, now)
-	return &fleetpb.WorkReply{}, nil
-}
-
 // Proof implements fleetpb.EntryServer.
 func (s *service) Proof(_ context.Context, r *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
 	f := s.frontend
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -12,6 +12,8 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 )
@@ -20,13 +22,8 @@
 	// tellEvery is the least time between two messages to one entry. A request
 	// lasts a second; in this time the whole fleet places one or two.
 	tellEvery = 20 * time.Millisecond
-	// fewEntries is up to how many entries that time holds. Messages grow with
-	// the square of the fleet, so in a larger one they come as much more seldom
-	// as it is larger; each entry's part of the work is as much smaller.
+	// fewEntries is up to how many entries tell each other directly.
 	fewEntries = 10
-	// farTimes is how many times more seldom entries of other data centres are
-	// told in a fleet of more than fewEntries.
-	farTimes = 4
 	// tellAlways is the longest time between them: a message that was lost is
 	// made good, and the others see that this entry is there.
 	tellAlways = time.Second
@@ -39,17 +36,19 @@
 // The load is a group of engines that run in lock-step, so that the fullest one
 // slows all of them. Each entry sees a ninth of the requests; without knowing of
 // the others' it would fill some engines while others rest.
+//
+// In a fleet of more than fewEntries each message to all others would make them grow
+// with its square, so one entry of each data centre is told and passes it on, see
+// hub.
 type teller struct {
 	frontend *Frontend
 	born     uint64
 	woken    wake.Signal
+	number   uint64
+	// tree says which entry of the data centre is told.
+	tree fanout.Tree
 
-	mu     sync.Mutex
-	number uint64
-	// toldFar is when entries of other data centres were last told, and farWaits
-	// that something has changed since. Only run uses them.
-	toldFar  time.Time
-	farWaits bool
+	mu sync.Mutex // guards busy
 	// busy holds the entries to which a message is on its way.
 	busy map[string]bool
 }
@@ -57,7 +56,7 @@
 func newTeller(f *Frontend) *teller {
 	return &teller{
 		frontend: f, born: uint64(boottime.Now().UnixNano()),
-		busy: map[string]bool{},
+		tree: fanout.Tree{Direct: 1, Most: bunchEntries}, busy: map[string]bool{},
 	}
 }
 
@@ -71,67 +70,54 @@
 		case <-t.woken.Raised():
 		case <-timer.C:
 		}
-		now := boottime.Now()
-		t.tellAll(ctx, now)
-		timer.Reset(t.rest(now))
-		pause.For(ctx, tellPause(t.frontend.others.count()))
+		t.tellAll(ctx, boottime.Now())
+		timer.Reset(tellAlways)
+		pause.For(ctx, tellEvery)
 	}
 	return nil
 }
 
-// tellPause returns the time between two messages in a fleet of so many entries.
-func tellPause(entries int) time.Duration {
-	return tellEvery * time.Duration(max(entries, fewEntries)) / fewEntries
-}
-
-// farPause returns the same for entries of other data centres, or 0 where they are
-// told as often as those of the own one.
-//
-// Load: 42 entries in three data centres, of which each tells 28 in others some
-// twelve times a second. Harm prevented: most of the bytes that go between data
-// centres, which are dear, were such messages. What is heard later is made up for
-// by the reports of engines, and each entry still knows its own third at once.
-func farPause(entries int) time.Duration {
-	if entries <= fewEntries {
-		return 0
+// own describes the work of this entry. Only run calls it.
+func (t *teller) own() *fleetpb.EntryWork {
+	f := t.frontend
+	t.number++
+	w := &fleetpb.EntryWork{Name: f.Settings.Name, Born: t.born, Number: t.number, Waiting: f.belief.Waiting()}
+	for id, n := range f.belief.Own() {
+		w.Works = append(w.Works, &fleetpb.Work{Endpoint: id, Running: uint32(n)})
 	}
-	return farTimes * tellPause(entries)
+	return w
 }
 
-// rest returns how long until somebody has to be told though nothing changes.
-func (t *teller) rest(now time.Time) time.Duration {
-	if !t.farWaits {
-		return tellAlways
+func (t *teller) tellAll(ctx context.Context, now time.Time) {
+	f := t.frontend
+	own := t.own()
+	all := f.others.all()
+	if len(all) <= fewEntries {
+		for name, m := range all {
+			t.send(ctx, name, m.Address, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}})
+		}
+		return
 	}
-	return min(tellAlways, max(0, t.toldFar.Add(farPause(t.frontend.others.count())).Sub(now)))
-}
-
-// farDue reports whether entries of other data centres are told now.
-func (t *teller) farDue(now time.Time) bool {
-	due := now.Sub(t.toldFar) >= farPause(t.frontend.others.count())
-	if due {
-		t.toldFar = now
+	name := t.hub()
+	if name == f.Settings.Name {
+		f.hub.add(own, fleetpb.Passing_ALL, now)
+		return
 	}
-	t.farWaits = !due
-	return due
+	t.send(ctx, name, all[name].Address, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}, To: fleetpb.Passing_ALL})
 }
 
-func (t *teller) tellAll(ctx context.Context, now time.Time) {
+// hub returns the entry of this one's data centre that passes messages on.
+func (t *teller) hub() string {
 	f := t.frontend
-	own := f.belief.Own()
-	t.mu.Lock()
-	t.number++
-	q := &fleetpb.WorkRequest{Name: f.Settings.Name, Born: t.born, Number: t.number, Waiting: f.belief.Waiting()}
-	t.mu.Unlock()
-	for id, n := range own {
-		q.Works = append(q.Works, &fleetpb.Work{Endpoint: id, Running: uint32(n)})
-	}
-	far := t.farDue(now)
-	for name, m := range f.others.all() {
-		near := m.DataCentre == f.Settings.DataCentre
-		if name != f.Settings.Name && (near || far) && t.begin(name) {
-			go t.tell(ctx, name, m.Address, q)
-		}
+	near := f.others.near(f.Settings.DataCentre)
+	near[f.Settings.Name] = fleet.Member{Name: f.Settings.Name, DataCentre: f.Settings.DataCentre}
+	return t.tree.Delegate(t.tree.Bunches(processes(near))[0])
+}
+
+// send tells one entry, unless a message to it is on its way.
+func (t *teller) send(ctx context.Context, name, addr string, q *fleetpb.WorkRequest) {
+	if name != t.frontend.Settings.Name && t.begin(name) {
+		go t.tell(ctx, name, addr, q)
 	}
 }
 
@@ -167,8 +153,8 @@
 		return
 	}
 	f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Debug("work not told")
+	t.tree.Failed(name, boottime.Now())
 	if status.Code(err) == codes.DeadlineExceeded {
-		// A connection may have gone silent for good while a new one works.
-		f.conns.Drop(addr)
+		f.conns.DropSilent(addr)
 	}
 }
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -1,13 +1,13 @@
 package frontend
 
 import (
-	"fmt"
 	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
@@ -15,52 +15,60 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 )
 
-// Each entry tells all others of its work: with 42 of them, as on a deployment of
-// a hundred VMs, 1,700 messages every 20 ms would fill the lines between data
-// centres. The time between them grows with the fleet, so that an entry sends and
-// hears no more than in a fleet of ten.
+// 150 entries in five data centres tell each other of their work. Guards against
+// messages that grow with the square of the fleet, and fill the lines between data
+// centres: a hub sends some 200 a second to its own, whatever their number, and four
+// times as seldom one to each other data centre.
 func TestTellingDoesNotGrowWithTheFleet(t *testing.T) {
-	for entries, want := range map[int]time.Duration{
-		0: tellEvery, 9: tellEvery, fewEntries: tellEvery, 40: 4 * tellEvery, 640: 64 * tellEvery,
-	} {
-		if d := tellPause(entries); d != want {
-			t.Errorf("%v between messages of %d entries, want %v", d, entries, want)
+	for near, want := range map[int]float64{0: 0, 2: 100, 9: 200, 29: 200, 63: 200} {
+		if perSecond := float64(near) / passPause(near).Seconds(); perSecond > want+1 {
+			t.Errorf("a hub sends %.0f messages a second to %d entries, want at most %.0f", perSecond, near, want)
 		}
 	}
-	if tellPause(640) > 2*time.Second {
+	if passPause(bunchEntries) > tellAlways {
 		t.Error("others would take this entry for gone")
 	}
 }
 
-// 42 entries in three data centres tell each other of their work. Those of other
-// data centres hear of it more seldom, as bytes on the way there are dear; but what
-// changed last reaches them too, though nothing changes after it.
-func TestOtherDataCentresAreToldMoreSeldom(t *testing.T) {
-	f := &Frontend{}
-	x := &teller{frontend: f}
-	for i := range 42 {
-		f.others.set(fleet.Member{Name: fmt.Sprint(i)})
+// workOf is what an entry told, with a number that grows.
+func workOf(name string, number uint64) *fleetpb.EntryWork {
+	return &fleetpb.EntryWork{Name: name, Born: 1, Number: number}
+}
+
+func checkPassed(t *testing.T, step string, got []*fleetpb.EntryWork, want ...uint64) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("%s: %d messages are passed on, want %d", step, len(got), len(want))
 	}
-	now := time.Unix(1000, 0)
-	near, far := 0, 0
-	for range 40 {
-		near++
-		if x.farDue(now) {
-			far++
+	for i, w := range got {
+		if w.GetNumber() != want[i] {
+			t.Errorf("%s: message %d of %s is passed on, want %d", step, w.GetNumber(), w.GetName(), want[i])
 		}
-		now = now.Add(tellPause(42))
-	}
-	if far < 9 || far > 11 {
-		t.Errorf("others told %d times of %d", far, near)
 	}
-	for x.farDue(now) {
-		now = now.Add(time.Millisecond)
+}
+
+// Guards against work that is passed on twice, in the wrong order, back to the data
+// centre from which it came, or as newer than it is.
+func TestHubPassesOnTheNewest(t *testing.T) {
+	h, now := &hub{}, time.Unix(1000, 0)
+	h.add(workOf("a", 2), fleetpb.Passing_ALL, now)
+	h.add(workOf("a", 1), fleetpb.Passing_ALL, now)
+	h.add(workOf("b", 5), fleetpb.Passing_DATA_CENTRE, now)
+	h.add(workOf("c", 9), fleetpb.Passing_NOBODY, now)
+	now = now.Add(30 * time.Millisecond)
+	checkPassed(t, "near", h.takeNear(now), 2, 5)
+	checkPassed(t, "near again", h.takeNear(now))
+	if !h.waits() {
+		t.Error("the last change doesn't reach other data centres")
 	}
-	if d := x.rest(now); d <= 0 || d > farPause(42) {
-		t.Errorf("the last change waits for %v", d)
+	far := h.takeFar(now)
+	checkPassed(t, "far", far, 2)
+	if far[0].GetAgeMicros() != 30_000 || h.waits() {
+		t.Errorf("passed on as %d µs old, more waits: %v", far[0].GetAgeMicros(), h.waits())
 	}
-	if farPause(fewEntries) != 0 {
-		t.Error("in a small fleet others are told more seldom")
+	h.add(far[0], fleetpb.Passing_DATA_CENTRE, now)
+	if age := h.takeNear(now.Add(time.Millisecond))[0].GetAgeMicros(); age != 31_000 {
+		t.Errorf("passed on twice as %d µs old", age)
 	}
 }
 
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -110,11 +110,13 @@
 	addresses map[string]directory.Endpoint
 	loads     map[string]Load
 	works     map[string]Work
-	queue     admission.Controller
-	waiters   map[string]*waiter
-	gaps      map[string]time.Duration
-	longest   map[string]time.Duration
-	turns     turns
+	// given is what all of works together have given, by endpoint.
+	given   map[string]int
+	queue   admission.Controller
+	waiters map[string]*waiter
+	gaps    map[string]time.Duration
+	longest map[string]time.Duration
+	turns   turns
 	// failures counts the failures in a row that an endpoint reported.
 	failures map[string]int
 	outages  outages
@@ -149,6 +151,7 @@
 	b.endpoints = map[string]directory.Endpoint{}
 	b.loads = map[string]Load{}
 	b.works = map[string]Work{}
+	b.given = map[string]int{}
 	b.waiters = map[string]*waiter{}
 	b.longest = map[string]time.Duration{}
 	b.queue.MaxWaiting = mostWaiting
@@ -288,7 +291,7 @@
 	}
 	if _, ok := b.entries[name]; ok {
 		b.entries[name] = now
-		delete(b.works, name)
+		b.dropWork(name)
 	}
 }
 
--- a/internal/relay/belief_test.go
+++ b/internal/relay/belief_test.go
@@ -140,7 +140,7 @@
 	for _, from := range w.fleet {
 		for _, to := range w.fleet {
 			if from != to {
-				to.SetWork(Work{Entry: from.Name, Born: 1, Number: w.number, Running: from.Own(), At: now}, now)
+				to.SetWorks([]Work{{Entry: from.Name, Born: 1, Number: w.number, Running: from.Own(), At: now}}, now)
 			}
 		}
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -28,23 +28,71 @@
 	b.pump(now)
 }
 
-// SetWork takes in what another entry has given to endpoints.
-func (b *Belief) SetWork(w Work, now time.Time) {
+// SetWorks takes in what other entries have given to endpoints. What is older than
+// is known of an entry is left out.
+func (b *Belief) SetWorks(works []Work, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old, ok := b.works[w.Entry]
-	if ok && (w.Born < old.Born || w.Born == old.Born && w.Number <= old.Number) {
-		return
-	}
-	b.works[w.Entry] = w
-	for _, ep := range b.endpoints {
-		if old.Running[ep.ID] != w.Running[ep.ID] {
+	changed := map[string]bool{}
+	for _, w := range works {
+		old, ok := b.works[w.Entry]
+		if ok && (w.Born < old.Born || w.Born == old.Born && w.Number <= old.Number) {
+			continue
+		}
+		b.works[w.Entry] = w
+		b.addWork(old, -1)
+		b.addWork(w, 1)
+		noteChanges(changed, old.Running, w.Running)
+		noteChanges(changed, w.Running, old.Running)
+	}
+	for id := range changed {
+		if ep, ok := b.endpoints[id]; ok {
 			b.tell(ep, now)
 		}
 	}
 	b.pump(now)
 }
 
+// Informers returns of how many other entries it is known what work they have given.
+func (b *Belief) Informers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.works)
+}
+
+// addWork adds an entry's work to what all others have, or takes it off.
+func (b *Belief) addWork(w Work, sign int) {
+	for id, n := range w.Running {
+		if b.given[id] += sign * n; b.given[id] == 0 {
+			delete(b.given, id)
+		}
+	}
+}
+
+// dropWork forgets the work of an entry.
+func (b *Belief) dropWork(entry string) {
+	b.addWork(b.works[entry], -1)
+	delete(b.works, entry)
+}
+
+// dropStaleWorks forgets the work of entries that have not told of it for long.
+func (b *Belief) dropStaleWorks(now time.Time) {
+	for name, w := range b.works {
+		if now.Sub(w.At) >= workStale {
+			b.dropWork(name)
+		}
+	}
+}
+
+// noteChanges notes the endpoints of one count that have another in the other.
+func noteChanges(changed map[string]bool, counts, other map[string]int) {
+	for id, n := range counts {
+		if other[id] != n {
+			changed[id] = true
+		}
+	}
+}
+
 // bears returns how many requests an endpoint is given at once, and by how many
 // its load is measured.
 func (b *Belief) bears(ep directory.Endpoint) (allowance, capacity int) {
@@ -98,13 +146,7 @@
 // told of each other, or what a process beside the endpoint reported if that is
 // more, as it may know of entries that are cut off from this one.
 func (b *Belief) running(ep directory.Endpoint, now time.Time) (int, time.Time) {
-	n, heard := b.own[ep.ID], 0
-	for _, w := range b.works {
-		if now.Sub(w.At) < workStale {
-			n += w.Running[ep.ID]
-			heard++
-		}
-	}
+	n, heard := b.own[ep.ID]+b.given[ep.ID], len(b.works)
 	l, ok := b.loads[ep.ID]
 	if !ok || now.Sub(l.At) >= loadStale || heard+1 >= len(b.entries) && heard > 0 {
 		return n, now
@@ -121,6 +163,7 @@
 		return
 	}
 	b.dirty, b.fed = false, now
+	b.dropStaleWorks(now)
 	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
 	for _, ep := range b.dir.Endpoints(now) {
 		usable[ep.ID], addresses[ep.Address] = ep, ep
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -34,6 +34,7 @@
 	})
 	gauge("relay.endpoints", func() int64 { return int64(b.Endpoints(now())) })
 	gauge("relay.entries", func() int64 { return int64(b.Entries(now())) })
+	gauge("relay.entriesHeard", func() int64 { return int64(b.Informers()) })
 	gauge("relay.loadAge", func() int64 { return b.LoadAge(now()).Milliseconds() })
 	gauge("relay.waiting", func() int64 { return int64(len(b.Waiting())) })
 }
