Maps and counts that a delegate's line bears; nothing follows from most being silent

What began it: twelve agents told their delegate 5 kB of counts each at once, 80 ms of its line, with 90 ms to answer; and maps told by changes of 14 bytes a place.

Now: an agent tells what its engine has counted since the last time, half a byte a count by the square root (2 kB); a delegate tells the sum, a byte a count. Changes of maps are packed (7 bytes a place). Orders for an engine whose agent is silent go through the delegate too. An order to prepare has 0.6 s, as it holds nothing up.

--- a/internal/ranker/delegate.go
+++ b/internal/ranker/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +30,6 @@
 	looker looker
 	// bunches are those that leaders have told of.
 	bunches fleet.Lists
-
-	mu     sync.Mutex // guards summer
-	summer summer
 }
 
 func newDelegate(r *Ranker) *delegate {
@@ -41,53 +39,30 @@
 // Gather implements fleetpb.AgentServer.
 func (s *service) Gather(ctx context.Context, q *fleetpb.GatherRequest) (*fleetpb.GatherReply, error) {
 	d := s.ranker.delegate
-	want := wanted{counts: q.GetExperts() > 0, lists: q.GetLists(), leader: q.GetLeader()}
 	s.ranker.heardOf(q.GetLeader(), boottime.Now())
 	targets := d.bunches.Learn(q.GetList(), q.GetTargets())
 	if targets == nil {
 		return &fleetpb.GatherReply{UnknownList: true}, nil
 	}
-	replies := make([]*fleetpb.Gathered, len(targets))
-	looks := make([]look, len(replies))
-	var wg sync.WaitGroup
-	for i, target := range targets {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f, err := d.looker.lookAt(ctx, memberOf(target), want)
-			if err != nil {
-				s.ranker.Log.WithFields(logrus.Fields{"agent": target.GetAgent(), "cause": err.Error()}).Warn("rank not seen")
-				return
-			}
-			looks[i] = f.look
-			replies[i] = &fleetpb.Gathered{Target: uint32(i), Look: replyFrom(f.look), Direct: f.agent == nil}
-		}()
+	want := wanted{experts: int(q.GetExperts()), lists: q.GetLists(), leader: q.GetLeader()}
+	agents := make([]*fleet.Member, 0, len(targets))
+	for _, target := range targets {
+		agents = append(agents, memberOf(target))
 	}
-	wg.Wait()
 	p := &fleetpb.GatherReply{}
-	for _, one := range replies {
-		if one != nil {
-			p.Gathered = append(p.Gathered, one)
+	var sum []float64
+	for i, one := range d.looker.lookAt(ctx, agents, slices.Repeat([]wanted{want}, len(agents))) {
+		if one.err != nil {
+			s.ranker.Log.WithFields(logrus.Fields{"agent": agents[i].Name, "cause": one.err.Error()}).Warn("rank not seen")
+			continue
 		}
-	}
-	if want.counts {
-		p.Sums = d.sums(looks, int(q.GetExperts()), boottime.Now())
-	}
-	return p, nil
-}
-
-// sums returns what all ranks have counted since the last call, of so many experts
-// a set.
-func (d *delegate) sums(looks []look, experts int, now time.Time) []*fleetpb.CountSum {
-	counting := make([]look, 0, len(looks))
-	for _, l := range looks {
-		if len(l.counts) > 0 {
-			counting = append(counting, l)
+		p.Gathered = append(p.Gathered, &fleetpb.Gathered{Target: uint32(i), Look: replyFrom(one.look), Direct: one.agent == nil})
+		if counts, ok := countsFrom(one.sums, want.experts, rankBits); ok && len(counts) > 0 {
+			sum = addUp(sum, counts)
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return sumsProto(d.summer.sum(counting, now), experts)
+	p.Sums = sumsProto(sum, want.experts, sumBits)
+	return p, nil
 }
 
 // Spread implements fleetpb.AgentServer.
@@ -107,14 +82,18 @@
 
 // handOn gives one order of the leader's to the agent that it is for.
 func (s *service) handOn(ctx context.Context, q *fleetpb.SpreadRequest, o *fleetpb.Addressed) *fleetpb.GiveReply {
-	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout(q.GetPrepare() != nil)/2)
 	defer cancel()
 	order := o.GetOrder()
 	order.Token = q.GetToken()
 	if order.GetPrepare() != nil {
 		order.Order = &fleetpb.GiveRequest_Prepare{Prepare: q.GetPrepare()}
 	}
-	p, err := s.giveTo(ctx, memberOf(o.GetTarget()), order)
+	m := memberOf(o.GetTarget())
+	if o.GetDirect() {
+		return s.giveDirectly(ctx, m.Endpoint, order)
+	}
+	p, err := s.giveTo(ctx, m, order)
 	if err != nil {
 		s.ranker.Log.WithFields(logrus.Fields{"agent": o.GetTarget().GetAgent(), "cause": err.Error()}).Warn("order not handed on")
 		return &fleetpb.GiveReply{Status: uint32(lockstep.Unknown)}
@@ -122,6 +101,20 @@
 	return p
 }
 
+// giveDirectly gives an order to an engine whose agent does not answer.
+func (s *service) giveDirectly(ctx context.Context, endpoint string, q *fleetpb.GiveRequest) *fleetpb.GiveReply {
+	d, known, err := s.read(q)
+	if err != nil || !known {
+		return &fleetpb.GiveReply{UnknownBase: !known}
+	}
+	o, err := giveAgain(ctx, s.ranker.delegate.looker.engineAt(endpoint), q.GetToken(), d, directTries)
+	if err != nil {
+		s.ranker.Log.WithFields(logrus.Fields{"endpoint": endpoint, "cause": err.Error()}).Warn("order not given to the engine")
+	}
+	return &fleetpb.GiveReply{Status: uint32(o)}
+}
+
+// giveTo hands an order to an agent, this one or another.
 func (s *service) giveTo(ctx context.Context, m *fleet.Member, order *fleetpb.GiveRequest) (*fleetpb.GiveReply, error) {
 	if m.Name == s.ranker.Settings.Name {
 		return s.Give(ctx, order)
--- a/internal/ranker/gather.go
+++ b/internal/ranker/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,32 +13,40 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 )
 
-// lookBunch looks at the engines of a bunch of agents through its delegate, and
-// through another one when that does not answer.
-func (t *term) lookBunch(ctx context.Context, b fanout.Bunch, byName map[string]*fleet.Member, want wanted) []found {
-	if len(b) == 1 {
-		return t.lookOne(ctx, byName[b[0]], want)
+// lookBunches looks at the engines of bunches of agents through their delegates, and
+// through other ones where these do not answer.
+//
+// Guard: when most delegates are silent at once, it is the leader's own way that is
+// full or cut. Others would not be reached either, and each has its connections to
+// open first; so nothing is concluded from that.
+func (t *term) lookBunches(ctx context.Context, bunches []fanout.Bunch, byName map[string]*fleet.Member, wants []wanted) []found {
+	looks := make([][]found, len(bunches))
+	failed := make([]error, len(bunches))
+	asked := make([]*fleet.Member, len(bunches))
+	look := func(i int) {
+		targets := make([]*fleet.Member, 0, len(bunches[i]))
+		for _, name := range bunches[i] {
+			targets = append(targets, byName[name])
+		}
+		asked[i] = byName[t.tree.Delegate(bunches[i])]
+		looks[i], failed[i] = t.gather(ctx, asked[i], targets, wants[i])
 	}
-	targets := make([]*fleet.Member, 0, len(b))
-	for _, name := range b {
-		targets = append(targets, byName[name])
+	together(len(bunches), look)
+	again := make([]int, 0, len(bunches))
+	for i, err := range failed {
+		if err != nil {
+			again = append(again, i)
+			t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": asked[i].Name, "cause": err.Error()}).Warn("delegate does not answer")
+		}
 	}
-	for range delegatesTried {
-		delegate := byName[t.tree.Delegate(b)]
-		out, err := t.gather(ctx, delegate, targets, want)
-		if err == nil {
-			return out
+	if 2*len(again) <= len(bunches) {
+		for _, i := range again {
+			t.tree.Failed(asked[i].Name, boottime.Now())
+			t.ranker.conns.DropSilent(asked[i].Address)
 		}
-		t.delegateFailed(delegate, err)
+		together(len(again), func(n int) { look(again[n]) })
 	}
-	return nil
-}
-
-// delegateFailed notes that a delegate did not answer.
-func (t *term) delegateFailed(m *fleet.Member, err error) {
-	t.tree.Failed(m.Name, boottime.Now())
-	t.ranker.conns.DropSilent(m.Address)
-	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": m.Name, "cause": err.Error()}).Warn("delegate does not answer")
+	return slices.Concat(looks...)
 }
 
 // gather has a delegate look at the engines of some agents.
@@ -50,9 +59,7 @@
 	}
 	q := gatherRequest(targets)
 	q.Lists, q.Leader = want.lists, want.leader
-	if want.counts {
-		q.Experts = uint32(t.engine.Experts.Count)
-	}
+	q.Experts = uint32(want.experts)
 	told := q.Targets
 	if t.known.Knows(delegate.Name, q.List) {
 		q.Targets = nil
@@ -112,7 +119,7 @@
 	if t.engine == nil || len(sums) == 0 {
 		return
 	}
-	counts, ok := countsFrom(sums, t.engine.Experts.Count)
+	counts, ok := countsFrom(sums, t.engine.Experts.Count, sumBits)
 	if !ok {
 		return
 	}
--- a/internal/ranker/looker.go
+++ b/internal/ranker/looker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 // wanted says what a look asks for besides the state.
 type wanted struct {
 	counts, lists bool
+	// experts asks for sums of counts, of so many experts a set, unless it is 0.
+	experts int
 	// leader is for whom the look is.
 	leader *fleetpb.Leader
 }
@@ -62,9 +65,11 @@
 	AgentTimeout, EngineTimeout time.Duration
 
 	heard  heardCounts
-	mu     sync.Mutex // guards direct and silent
+	mu     sync.Mutex // guards all below
 	direct map[string]*platform.Engine
 	silent map[string]silence
+	// mostSilent says that most agents were silent at the last look.
+	mostSilent bool
 }
 
 func newLooker(r *Ranker, agentTimeout, engineTimeout time.Duration) looker {
@@ -74,35 +79,106 @@
 	}
 }
 
-// lookAt looks at one engine through its agent, or else directly: the agent's VM
-// may be frozen or its process gone while the engine runs, is armed, or holds
-// the group. Looks and orders from elsewhere are priced, so they are the second
-// choice.
-func (k *looker) lookAt(ctx context.Context, m *fleet.Member, want wanted) (found, error) {
-	r := k.Ranker
+// seen is what came of a look at one engine.
+type seen struct {
+	found
+	err error
+}
+
+// lookAt looks at the engines of agents through these, or else directly: an agent's
+// VM may be frozen or its process gone while the engine runs, is armed, or holds the
+// group. Looks and orders from elsewhere are priced, so they are the second choice.
+// Wants says for each agent what is asked for.
+//
+// Guard: when most agents are silent at once, it is the way to them that is full or
+// cut. Were all their engines asked then, by new connections, it would be fuller
+// still, and no look would ever see all ranks. So nothing is concluded from the
+// first such look.
+func (k *looker) lookAt(ctx context.Context, agents []*fleet.Member, wants []wanted) []seen {
 	asked := boottime.Now()
-	if m.Name == r.Settings.Name {
-		l, err := lookEngine(ctx, r.engine, want)
+	out := make([]seen, len(agents))
+	silent := make([]bool, len(agents))
+	together(len(agents), func(i int) {
+		out[i], silent[i] = k.askOne(ctx, agents[i], wants[i], asked)
+	})
+	if k.tooManySilent(agents, silent) {
+		return out
+	}
+	together(len(agents), func(i int) {
+		if out[i].err != nil && agents[i].Name != k.Ranker.Settings.Name {
+			out[i] = k.lookPast(ctx, agents[i], wants[i], out[i].err, silent[i])
+		}
+	})
+	return out
+}
+
+// together runs a function for each of n numbers at once.
+func together(n int, f func(i int)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(i)
+		}()
+	}
+	wg.Wait()
+}
+
+// errPassedOver says that an agent was not asked, as it was silent a moment ago.
+var errPassedOver = errors.New("the agent was silent a moment ago")
+
+// askOne looks at one engine through its agent, and reports whether that was asked
+// and is silent.
+func (k *looker) askOne(ctx context.Context, m *fleet.Member, want wanted, asked time.Time) (seen, bool) {
+	if m.Name == k.Ranker.Settings.Name {
+		l, err := lookEngine(ctx, k.Ranker.engine, want)
+		if want.experts > 0 && err == nil {
+			l.sums = k.Ranker.ownSums(l, want.experts, asked)
+		}
 		l.state.AsOf = asked
-		return found{look: l, agent: m}, err
+		return seen{found: found{look: l, agent: m}, err: err}, false
+	}
+	if !asked.After(k.silenceOf(m.Name).until) {
+		return seen{err: errPassedOver}, false
 	}
-	silent := k.silenceOf(m.Name)
-	if asked.After(silent.until) {
-		f, err := k.askAgent(ctx, m, want)
-		f.state.AsOf = asked
-		if err == nil {
-			return f, nil
+	f, err := k.askAgent(ctx, m, want)
+	f.state.AsOf = asked
+	return seen{found: f, err: err}, err != nil
+}
+
+// tooManySilent reports whether most of the agents that were asked are silent, for
+// the first time in a row.
+func (k *looker) tooManySilent(agents []*fleet.Member, silent []bool) bool {
+	n := 0
+	for _, is := range silent {
+		if is {
+			n++
 		}
-		k.passOver(m, err)
-		silent.dark = false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if 2*n <= len(agents) {
+		k.mostSilent = false
+		return false
+	}
+	first := !k.mostSilent
+	k.mostSilent = true
+	return first
+}
+
+// lookPast looks at an engine without its agent.
+func (k *looker) lookPast(ctx context.Context, m *fleet.Member, want wanted, cause error, silent bool) seen {
+	if silent {
+		k.passOver(m, cause)
 	}
 	timeout := k.EngineTimeout
-	if silent.dark {
+	if k.silenceOf(m.Name).dark {
 		timeout = darkTimeout
 	}
 	f, err := k.lookDirectly(ctx, m, want.lists, timeout)
 	k.noteDark(m.Name, err != nil)
-	return f, err
+	return seen{found: f, err: err}
 }
 
 // lookDirectly looks at an engine without the agent beside it. What it reports to
@@ -124,7 +200,7 @@
 		return found{}, err
 	}
 	p, err := fleetpb.NewAgentClient(conn).Look(ctx, &fleetpb.LookRequest{
-		Counts: want.counts, Lists: want.lists, Counted: k.heard.id(m.Name), Leader: want.leader,
+		Counts: want.counts, Lists: want.lists, Experts: uint32(want.experts), Counted: k.heard.id(m.Name), Leader: want.leader,
 	})
 	if err != nil {
 		return found{}, err
--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,8 +21,8 @@
 	// times a second, are a third of 8 Mbit/s. A count since the last look takes
 	// a byte.
 	countsPerLook = 30_000
-	// sumsPerLook and sumsPerSecond bound the same where delegates tell sums, of a
-	// byte a count: a tenth of a line of 6 Mbit/s.
+	// sumsPerLook and sumsPerSecond bound the same where delegates tell sums, of
+	// a byte a count: a tenth of a line of 6 Mbit/s.
 	sumsPerLook   = 21_000
 	sumsPerSecond = 75_000
 	// directAgents is up to how many agents the leader asks each by itself, and
@@ -29,8 +30,6 @@
 	// and delegates have about as much to do.
 	directAgents = 16
 	bunchAgents  = 13
-	// delegatesTried is how many delegates of a bunch are asked in one look.
-	delegatesTried = 2
 )
 
 // mostCounted returns of how many agents the counts are asked for.
@@ -69,55 +68,91 @@
 		}
 	}
 	bunches := t.tree.Bunches(others)
-	parts := make([]func() []found, 0, len(bunches)+1)
-	if own := byName[t.ranker.Settings.Name]; own != nil {
-		parts = append(parts, func() []found { return t.lookOne(ctx, own, want) })
+	var out []found
+	if len(bunches) == len(others) {
+		out = t.lookSingly(ctx, agents, want)
+	} else {
+		out = t.lookThrough(ctx, bunches, byName, want, now)
 	}
+	if len(out) >= t.size {
+		return out
+	}
+	return append(out, t.lookLapsed(ctx, now, want.lists)...)
+}
+
+// lookSingly looks at the engines of agents, each by its own. Counts are asked for
+// from the first ones by name, so that they are always the same.
+func (t *term) lookSingly(ctx context.Context, agents []fleet.Member, want wanted) []found {
+	slices.SortFunc(agents, func(a, b fleet.Member) int { return strings.Compare(a.Name, b.Name) })
 	most := t.mostCounted(len(agents))
-	if want.counts && len(bunches) < len(others) {
-		n, pause := mostSummed(t.engine.Experts, len(bunches))
-		most, want.counts = n, now.Sub(t.summed) >= pause
+	members := make([]*fleet.Member, 0, len(agents))
+	wants := make([]wanted, 0, len(agents))
+	for i := range agents {
+		members = append(members, &agents[i])
+		wants = append(wants, wanted{counts: want.counts && i < most, lists: want.lists, leader: want.leader})
 	}
-	for i, b := range bunches {
-		part := wanted{counts: want.counts && i < most, lists: want.lists, leader: want.leader}
-		parts = append(parts, func() []found { return t.lookBunch(ctx, b, byName, part) })
+	t.counted = want.counts
+	return t.found(members, t.looker.lookAt(ctx, members, wants))
+}
+
+// found returns the looks that came about, and logs the others.
+func (t *term) found(members []*fleet.Member, looks []seen) []found {
+	out := make([]found, 0, len(looks))
+	for i, l := range looks {
+		if l.err != nil {
+			t.ranker.Log.WithFields(logrus.Fields{"agent": members[i].Name, "cause": l.err.Error()}).Warn("rank not seen")
+			continue
+		}
+		out = append(out, t.dated(l.found))
 	}
-	out := together(parts)
+	return out
+}
+
+// lookThrough looks at the engines of bunches of agents through their delegates,
+// and at the own one.
+func (t *term) lookThrough(ctx context.Context, bunches []fanout.Bunch, byName map[string]*fleet.Member, want wanted, now time.Time) []found {
+	experts, most := 0, 0
 	if want.counts {
-		t.counted, t.summed = true, now
+		n, pause := mostSummed(t.engine.Experts, len(bunches))
+		if now.Sub(t.summed) >= pause {
+			experts, most = t.engine.Experts.Count, n
+			t.counted, t.summed = true, now
+		}
 	}
-	if len(out) >= t.size {
-		return out
+	wants := make([]wanted, len(bunches))
+	for i := range wants {
+		wants[i] = wanted{lists: want.lists, leader: want.leader}
+		if i < most {
+			wants[i].experts = experts
+		}
 	}
-	return append(out, t.lookLapsed(ctx, now, want.lists)...)
+	var own []found
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if m := byName[t.ranker.Settings.Name]; m != nil {
+			mine := wanted{counts: experts > 0, lists: want.lists}
+			own = t.found([]*fleet.Member{m}, t.looker.lookAt(ctx, []*fleet.Member{m}, []wanted{mine}))
+		}
+	}()
+	out := t.lookBunches(ctx, bunches, byName, wants)
+	<-done
+	return append(out, own...)
 }
 
 // lookLapsed looks at the engines of agents that have lapsed.
 func (t *term) lookLapsed(ctx context.Context, now time.Time, lists bool) []found {
 	lapsed := t.ranker.lapsedMembers(t.group, now)
-	parts := make([]func() []found, 0, len(lapsed))
+	members := make([]*fleet.Member, 0, len(lapsed))
 	for i := range lapsed {
-		parts = append(parts, func() []found {
-			f, err := t.looker.lookDirectly(ctx, &lapsed[i], lists, darkTimeout)
-			return t.seen(&lapsed[i], f, err)
-		})
-	}
-	return together(parts)
-}
-
-// lookOne looks at the engine of one agent.
-func (t *term) lookOne(ctx context.Context, m *fleet.Member, want wanted) []found {
-	f, err := t.looker.lookAt(ctx, m, want)
-	return t.seen(m, f, err)
-}
-
-// seen returns a look that came about.
-func (t *term) seen(m *fleet.Member, f found, err error) []found {
-	if err != nil {
-		t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Warn("rank not seen")
-		return nil
+		members = append(members, &lapsed[i])
 	}
-	return []found{t.dated(f)}
+	looks := make([]seen, len(lapsed))
+	together(len(lapsed), func(i int) {
+		f, err := t.looker.lookDirectly(ctx, members[i], lists, darkTimeout)
+		looks[i] = seen{found: f, err: err}
+	})
+	return t.found(members, looks)
 }
 
 // dated returns a look with the time that it is of. Engines report to other VMs
@@ -129,25 +164,6 @@
 	return f
 }
 
-// together runs all parts at once and returns what they found.
-func together(parts []func() []found) []found {
-	var mu sync.Mutex
-	var out []found
-	var wg sync.WaitGroup
-	for _, part := range parts {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f := part()
-			mu.Lock()
-			defer mu.Unlock()
-			out = append(out, f...)
-		}()
-	}
-	wg.Wait()
-	return out
-}
-
 // reportLag returns how old a report to another VM may be.
 func (t *term) reportLag() time.Duration {
 	if t.engine == nil || t.engine.ReportLag <= 0 {
--- a/internal/ranker/maps.go
+++ b/internal/ranker/maps.go
@@ -71,14 +71,27 @@
 	for s := range base {
 		out[s] = slices.Clone(base[s])
 	}
-	for _, c := range p.GetChanges() {
-		s, r := int(c.GetSet()), int(c.GetRank())
-		if s >= len(out) || r >= len(out[s]) {
-			return nil, false
+	return out, changePlaces(out, p.GetChanges())
+}
+
+// changePlaces puts the experts of changes into a map. It reports false for changes
+// that don't fit it.
+func changePlaces(sets [][][]int, c *fleetpb.Changes) bool {
+	counts, experts := c.GetCounts(), c.GetExperts()
+	if len(sets) == 0 || len(counts) != len(c.GetPlaces()) {
+		return false
+	}
+	ranks, place := len(sets[0]), 0
+	for i, d := range c.GetPlaces() {
+		place += int(d)
+		n := int(counts[i])
+		if place >= len(sets)*ranks || n > len(experts) {
+			return false
 		}
-		out[s][r] = ints(c.GetExperts())
+		sets[place/ranks][place%ranks] = ints(experts[:n])
+		experts = experts[n:]
 	}
-	return out, true
+	return len(experts) == 0
 }
 
 // mostExperts bounds the experts of a map that is told by its shape alone, so that
@@ -146,16 +159,22 @@
 }
 
 // changesProto tells in what a map differs from another of the same shape.
-func changesProto(before, after [][][]int) []*fleetpb.Change {
-	var out []*fleetpb.Change
+func changesProto(before, after [][][]int) *fleetpb.Changes {
+	c := &fleetpb.Changes{}
+	last := 0
 	for s, ranks := range after {
 		for r, experts := range ranks {
-			if !slices.Equal(experts, before[s][r]) {
-				out = append(out, &fleetpb.Change{Set: uint32(s), Rank: uint32(r), Experts: uints(experts)})
+			if slices.Equal(experts, before[s][r]) {
+				continue
 			}
+			place := s*len(ranks) + r
+			c.Places = append(c.Places, uint32(place-last))
+			c.Counts = append(c.Counts, uint32(len(experts)))
+			c.Experts = append(c.Experts, uints(experts)...)
+			last = place
 		}
 	}
-	return out
+	return c
 }
 
 // digest returns a hash of a map, of its sizes and the order of experts too.
--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -18,6 +18,9 @@
 // arms in three parts, go.
 const mostFollows = 5
 
+// prepareTimeout bounds a call that hands a map on.
+const prepareTimeout = 600 * time.Millisecond
+
 // giveAndFollow hands orders to their ranks, and those that next decides as long
 // as each was answered as done: then the ranks' state is known without another
 // look, and a held step goes on some milliseconds sooner.
@@ -48,7 +51,7 @@
 	var wg sync.WaitGroup
 	for i, d := range directives {
 		to := byRank[d.Rank]
-		if to.via != nil && to.agent != nil && !stepOrder(d.Order) {
+		if to.via != nil && !stepOrder(d.Order) {
 			bunches[to.via.Name] = append(bunches[to.via.Name], i)
 			continue
 		}
@@ -88,11 +91,12 @@
 		if _, ok := d.Order.(lockstep.Prepare); ok {
 			q.Prepare = t.prepare
 		}
-		q.Orders = append(q.Orders, &fleetpb.Addressed{Target: targetOf(byRank[d.Rank].agent), Order: giveProto(0, d, &fleetpb.Prepare{})})
+		q.Orders = append(q.Orders, addressed(d, byRank[d.Rank]))
 	}
 	replies, err := t.spread(ctx, via, q)
 	if err != nil {
-		t.delegateFailed(via, err)
+		t.tree.Failed(via.Name, boottime.Now())
+		t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": via.Name, "cause": err.Error()}).Warn("delegate does not answer")
 		return
 	}
 	for n, i := range bunch {
@@ -106,9 +110,29 @@
 	}
 }
 
+// addressed is an order for a rank that was seen through a delegate.
+func addressed(d lockstep.Directive, to found) *fleetpb.Addressed {
+	a := &fleetpb.Addressed{Order: giveProto(0, d, &fleetpb.Prepare{}), Direct: to.agent == nil}
+	if a.Direct {
+		a.Target = &fleetpb.Target{Endpoint: to.address}
+	} else {
+		a.Target = targetOf(to.agent)
+	}
+	return a
+}
+
+// orderTimeout bounds a call that hands orders on. One to prepare a map is larger
+// than others and holds nothing up.
+func orderTimeout(prepare bool) time.Duration {
+	if prepare {
+		return prepareTimeout
+	}
+	return callTimeout
+}
+
 // spread has a delegate hand orders on. It returns a reply for each.
 func (t *term) spread(ctx context.Context, via *fleet.Member, q *fleetpb.SpreadRequest) ([]*fleetpb.GiveReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout(q.GetPrepare() != nil))
 	defer cancel()
 	conn, err := t.ranker.conns.Get(via.Address)
 	if err != nil {
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -69,8 +69,9 @@
 	// led is what is known of the group's leader.
 	led led
 	// told and maps are what was told to and by leaders.
-	told *countLog
-	maps mapLog
+	told   *countLog
+	recent recent
+	maps   mapLog
 	// delegate serves leaders that reach other agents through this one.
 	delegate *delegate
 	// leaving says that the process is about to end, and led that it leads no
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
@@ -16,6 +17,8 @@
 	// counts and lists are nil when they were not asked for.
 	counts []uint64
 	lists  [][]int
+	// sums is what was counted since the last look, if it was asked for.
+	sums []*fleetpb.CountSum
 	// address is the engine's IP:port.
 	address string
 }
@@ -30,22 +33,31 @@
 // Look implements fleetpb.AgentServer.
 func (s *service) Look(ctx context.Context, q *fleetpb.LookRequest) (*fleetpb.LookReply, error) {
 	s.ranker.heardOf(q.GetLeader(), boottime.Now())
-	l, err := lookEngine(ctx, s.ranker.engine, wanted{counts: q.GetCounts(), lists: q.GetLists()})
+	want := wanted{counts: q.GetCounts(), experts: int(q.GetExperts()), lists: q.GetLists()}
+	l, err := lookEngine(ctx, s.ranker.engine, want)
 	if err != nil {
 		return nil, err
 	}
 	p := replyFrom(l)
-	if q.GetCounts() {
+	switch {
+	case want.experts > 0:
+		p.Sums = s.ranker.ownSums(l, want.experts, boottime.Now())
+	case want.counts:
 		s.ranker.told.tell(p, l.counts, q.GetCounted())
 	}
 	return p, nil
 }
 
+// ownSums tells what the own engine has counted since the last time.
+func (r *Ranker) ownSums(l look, experts int, now time.Time) []*fleetpb.CountSum {
+	return sumsProto(r.recent.tell(l, now), experts, rankBits)
+}
+
 // lookEngine looks at one engine.
 func lookEngine(ctx context.Context, e *platform.Engine, want wanted) (look, error) {
 	l := look{address: e.Addr}
 	var err error
-	if want.counts {
+	if want.counts || want.experts > 0 {
 		if l.counts, err = e.Counts(ctx); err != nil {
 			return l, err
 		}
@@ -61,16 +73,12 @@
 
 // Give implements fleetpb.AgentServer.
 func (s *service) Give(ctx context.Context, q *fleetpb.GiveRequest) (*fleetpb.GiveReply, error) {
-	d, err := directiveFrom(q)
+	d, known, err := s.read(q)
 	if err != nil {
 		return nil, err
 	}
-	if p := q.GetPrepare(); p != nil {
-		sets, ok := s.ranker.maps.read(p)
-		if !ok {
-			return &fleetpb.GiveReply{UnknownBase: true}, nil
-		}
-		d.Order = lockstep.Prepare{Version: p.GetVersion(), Sets: sets}
+	if !known {
+		return &fleetpb.GiveReply{UnknownBase: true}, nil
 	}
 	o, err := s.ranker.giveOwn(ctx, q.GetToken(), d)
 	if err != nil && o != lockstep.Unknown {
@@ -79,6 +87,21 @@
 	return &fleetpb.GiveReply{Status: uint32(o)}, nil
 }
 
+// read reads an order. It reports false for a map that is told by changes of one
+// that isn't known.
+func (s *service) read(q *fleetpb.GiveRequest) (d lockstep.Directive, known bool, err error) {
+	if d, err = directiveFrom(q); err != nil {
+		return d, false, err
+	}
+	p := q.GetPrepare()
+	if p == nil {
+		return d, true, nil
+	}
+	sets, ok := s.ranker.maps.read(p)
+	d.Order = lockstep.Prepare{Version: p.GetVersion(), Sets: sets}
+	return d, ok, nil
+}
+
 // giveOwn hands an order to the agent's own engine.
 func (r *Ranker) giveOwn(ctx context.Context, token uint64, d lockstep.Directive) (lockstep.Outcome, error) {
 	if p, ok := d.Order.(lockstep.Prepare); ok {
@@ -116,7 +139,7 @@
 }
 
 func lookFrom(p *fleetpb.LookReply, address string) look {
-	l := look{address: address, state: lockstep.State{
+	l := look{address: address, sums: p.GetSums(), state: lockstep.State{
 		Group: p.GetGroup(), Epoch: p.GetEpoch(), Rank: int(p.GetRank()), Size: int(p.GetSize()), Open: p.GetOpen(),
 		Step: p.GetStep(), Sequence: p.GetSequence(), Busy: p.GetBusy(), Map: p.GetMap(), Prepared: p.GetPrepared(),
 		HasPrepared: p.GetHasPrepared(), Running: int(p.GetRunning()), Queued: int(p.GetQueued()), Born: p.GetBorn(),
--- a/internal/ranker/sums.go
+++ b/internal/ranker/sums.go
@@ -3,16 +3,18 @@
 import (
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 )
 
 const (
-	// wholePart stands for the largest count of a set where counts are told as
-	// parts of it. A byte each is enough: what requests happen to be about makes
-	// counts vary by more than its roundings.
-	wholePart = 255
+	// rankBits and sumBits are how many bits a count takes that is told as a part
+	// of the largest, of one rank and of a bunch. Parts go by the square root, as
+	// the chance in a count does: what is rounded of a rank's is less than that.
+	rankBits = 4
+	sumBits  = 8
 	// sumStale is from when on counts since the last look are no more told: they
 	// are of a popularity that may have passed.
 	sumStale = time.Second
@@ -52,51 +54,64 @@
 	}
 }
 
-// summer sums up, at a delegate, what the ranks of its bunch have counted since
-// the leader last asked.
+// recent tells what an engine has counted since it was asked last.
 //
-// Load: 129 ranks with 16 sets of 258 experts, whose leader has a line of
-// 6 Mbit/s. The counts of each rank, ten times a second, take seven times that.
-// Harm prevented: with those of a few ranks, which run six requests each, what
-// these happen to be about is taken for popularity. The sums of all ranks are as
-// small as the counts of one for each bunch.
-type summer struct {
+// Load: 129 ranks with 16 sets of 258 experts, behind lines of 6 Mbit/s. The counts
+// of each rank, ten times a second, take seven times the leader's line. Harm
+// prevented: with those of a few ranks, which run six requests each, what these
+// happen to be about is taken for popularity. Told as sums, those of thirteen ranks
+// are 27 kB on their delegate's line, and 4 kB on the leader's.
+type recent struct {
+	mu    sync.Mutex // guards all below
 	since differences
 	last  time.Time
 }
 
-// sum returns what was counted since the last call, or nil if that was too long
-// ago or there is nothing to compare with.
-func (s *summer) sum(looks []look, now time.Time) []float64 {
-	if now.Sub(s.last) > sumStale {
-		s.since = differences{}
-	}
-	s.last = now
-	var fresh []float64
-	for _, l := range looks {
-		if fresh == nil {
-			fresh = make([]float64, len(l.counts))
-		}
-		s.since.add(fresh, l)
+// tell returns what was counted since the last call, or nil if that was too long
+// ago.
+func (r *recent) tell(l look, now time.Time) []float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.last) > sumStale {
+		r.since = differences{}
 	}
+	r.last = now
+	fresh := make([]float64, len(l.counts))
+	r.since.add(fresh, l)
 	if len(fresh) == 0 || slices.Max(fresh) == 0 {
 		return nil
 	}
 	return fresh
 }
 
-// sumsProto tells counts, set after set, of so many experts each.
-func sumsProto(counts []float64, experts int) []*fleetpb.CountSum {
+// addUp adds counts to a sum, which takes the size of the first.
+func addUp(sum, counts []float64) []float64 {
+	if sum == nil {
+		return slices.Clone(counts)
+	}
+	if len(counts) != len(sum) {
+		return sum
+	}
+	for i, n := range counts {
+		sum[i] += n
+	}
+	return sum
+}
+
+// sumsProto tells counts, set after set, of so many experts each, in parts of so many
+// bits.
+func sumsProto(counts []float64, experts, bits int) []*fleetpb.CountSum {
 	if experts <= 0 || len(counts)%experts != 0 {
 		return nil
 	}
 	var out []*fleetpb.CountSum
 	for set := range slices.Chunk(counts, experts) {
 		most := slices.Max(set)
-		parts := make([]byte, experts)
+		parts := make([]byte, partsSize(experts, bits))
 		for i, n := range set {
 			if most > 0 {
-				parts[i] = byte(math.Round(n / most * wholePart))
+				part := byte(math.Round(math.Sqrt(n/most) * largestPart(bits)))
+				parts[i*bits/sumBits] |= part << (i * bits % sumBits)
 			}
 		}
 		out = append(out, &fleetpb.CountSum{Most: uint64(most), Parts: parts})
@@ -104,16 +119,24 @@
 	return out
 }
 
-// countsFrom reads counts of so many experts in each set. It reports false when
-// they are of another number.
-func countsFrom(sums []*fleetpb.CountSum, experts int) ([]float64, bool) {
-	var out []float64
+// partsSize returns how many bytes parts of so many bits take.
+func partsSize(experts, bits int) int { return (experts*bits + sumBits - 1) / sumBits }
+
+// largestPart returns the part that stands for the largest count.
+func largestPart(bits int) float64 { return float64(int(1)<<bits - 1) }
+
+// countsFrom reads counts of so many experts in each set, in parts of so many bits. It
+// reports false when they are of another number.
+func countsFrom(sums []*fleetpb.CountSum, experts, bits int) ([]float64, bool) {
+	out := make([]float64, 0, len(sums)*experts)
 	for _, s := range sums {
-		if len(s.GetParts()) != experts {
+		if len(s.GetParts()) != partsSize(experts, bits) {
 			return nil, false
 		}
-		for _, part := range s.GetParts() {
-			out = append(out, float64(part)/wholePart*float64(s.GetMost()))
+		for i := range experts {
+			bare := int(s.GetParts()[i*bits/sumBits]) >> (i * bits % sumBits) & (1<<bits - 1)
+			part := float64(bare) / largestPart(bits)
+			out = append(out, part*part*float64(s.GetMost()))
 		}
 	}
 	return out, true
