--- a/internal/fleet/fanout/tree_test.go
+++ b/internal/fleet/fanout/tree_test.go
@@ -46,8 +46,15 @@
 func TestEachProcessIsInOneBunch(t *testing.T) {
 	tree := &Tree{Direct: 16, Most: 13}
 	for _, c := range []struct{ processes, dataCentres, most, bunches int }{
-		{0, 1, 0, 0}, {1, 1, 1, 1}, {11, 3, 1, 11}, {16, 2, 1, 16}, {17, 1, 13, 2},
-		{71, 3, 13, 6}, {128, 5, 13, 10}, {260, 5, 13, 20}, {40, 40, 1, 40},
+		{0, 1, 0, 0},
+		{1, 1, 1, 1},
+		{11, 3, 1, 11},
+		{16, 2, 1, 16},
+		{17, 1, 13, 2},
+		{71, 3, 13, 6},
+		{128, 5, 13, 10},
+		{260, 5, 13, 20},
+		{40, 40, 1, 40},
 	} {
 		t.Run(fmt.Sprintf("%d in %d", c.processes, c.dataCentres), func(t *testing.T) {
 			ps := fleet(c.processes, c.dataCentres)
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -221,7 +221,7 @@
 func (r *Ranker) tryLead(ctx context.Context, s lockstep.State) {
 	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: holderName(r.Settings.Name, s.Rank), TTL: leaseTime}
 	now := boottime.Now()
-	if !r.isFree(ctx, lease, now) {
+	if !r.isFree(ctx, lease) {
 		return
 	}
 	before, known := r.led.last()
@@ -250,7 +250,7 @@
 }
 
 // isFree reports whether nobody holds the group's lease, and notes who does.
-func (r *Ranker) isFree(ctx context.Context, lease *rank.KVLease, now time.Time) bool {
+func (r *Ranker) isFree(ctx context.Context, lease *rank.KVLease) bool {
 	held, ok, err := lease.Held(ctx)
 	if err != nil {
 		r.storeFailed(err)
