--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -73,27 +74,28 @@
 		all = map[string]passed{}
 	}
 	old, ok := all[p.work.GetName()]
-	if !ok || old.work.GetBorn() < p.work.GetBorn() || old.work.GetBorn() == p.work.GetBorn() && old.work.GetNumber() < p.work.GetNumber() {
+	if !ok || newer(p.work, old.work) {
 		all[p.work.GetName()] = p
 	}
 	return all
 }
 
+// newer reports whether an entry told a after b.
+func newer(a, b *fleetpb.EntryWork) bool {
+	return cmp.Or(cmp.Compare(a.GetBorn(), b.GetBorn()), cmp.Compare(a.GetNumber(), b.GetNumber())) > 0
+}
+
 // takeNear returns what the own data centre is to be told now, and takeFar the same
 // for the others.
-func (h *hub) takeNear(now time.Time) []*fleetpb.EntryWork {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	out := aged(h.near, now)
-	h.near = nil
-	return out
-}
+func (h *hub) takeNear(now time.Time) []*fleetpb.EntryWork { return h.take(&h.near, now) }
+func (h *hub) takeFar(now time.Time) []*fleetpb.EntryWork  { return h.take(&h.far, now) }
 
-func (h *hub) takeFar(now time.Time) []*fleetpb.EntryWork {
+// take empties near or far and returns what was in it.
+func (h *hub) take(from *map[string]passed, now time.Time) []*fleetpb.EntryWork {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := aged(h.far, now)
-	h.far = nil
+	out := aged(*from, now)
+	*from = nil
 	return out
 }
 
--- a/internal/ranker/delegate.go
+++ b/internal/ranker/delegate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,19 +67,12 @@
 // Spread implements fleetpb.AgentServer.
 func (s *service) Spread(ctx context.Context, q *fleetpb.SpreadRequest) (*fleetpb.SpreadReply, error) {
 	p := &fleetpb.SpreadReply{Replies: make([]*fleetpb.GiveReply, len(q.GetOrders()))}
-	var wg sync.WaitGroup
-	for i, o := range q.GetOrders() {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			p.Replies[i] = s.handOn(ctx, q, o)
-		}()
-	}
-	wg.Wait()
+	together(len(p.Replies), func(i int) { p.Replies[i] = s.handOn(ctx, q, q.GetOrders()[i]) })
 	return p, nil
 }
 
-// handOn gives one order of the leader's to the agent that it is for.
+// handOn gives one order of the leader's to the agent that it is for, in half of the
+// time for which the leader waits.
 func (s *service) handOn(ctx context.Context, q *fleetpb.SpreadRequest, o *fleetpb.Addressed) *fleetpb.GiveReply {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout(q.GetPrepare() != nil)/2)
 	defer cancel()
--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,28 +46,20 @@
 func (t *term) giveAll(ctx context.Context, directives []lockstep.Directive, byRank []found) []lockstep.Outcome {
 	t.tellMap(directives)
 	outcomes := make([]lockstep.Outcome, len(directives))
-	bunches := map[string][]int{}
-	var wg sync.WaitGroup
+	byDelegate := map[string][]int{}
+	var parts []func()
 	for i, d := range directives {
 		to := byRank[d.Rank]
 		if to.via != nil && !stepOrder(d.Order) {
-			bunches[to.via.Name] = append(bunches[to.via.Name], i)
+			byDelegate[to.via.Name] = append(byDelegate[to.via.Name], i)
 			continue
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			outcomes[i] = t.give(ctx, d, to)
-		}()
+		parts = append(parts, func() { outcomes[i] = t.give(ctx, d, to) })
 	}
-	for _, bunch := range bunches {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			t.giveBunch(ctx, bunch, directives, byRank, outcomes)
-		}()
+	for _, bunch := range byDelegate {
+		parts = append(parts, func() { t.giveBunch(ctx, bunch, directives, byRank, outcomes) })
 	}
-	wg.Wait()
+	together(len(parts), func(i int) { parts[i]() })
 	now := boottime.Now()
 	for i, d := range directives {
 		t.leader.Answered(d, outcomes[i], now)
--- a/internal/ranker/sums_test.go
+++ b/internal/ranker/sums_test.go
@@ -1,6 +1,7 @@
 package ranker
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -177,3 +178,54 @@
 
 // versionRoom is how many bits of a version count a leader's maps.
 const versionRoom = 20
+
+// BenchmarkLeaderLook is the leader's work for one look at all ranks, without the
+// network: to read what the delegates tell, and to sum up their counts.
+func BenchmarkLeaderLook(b *testing.B) {
+	const sets, experts = 16, 258
+	for _, ranks := range []int{16, 72, 129, 258} {
+		b.Run(fmt.Sprint(ranks), func(b *testing.B) {
+			x := &term{
+				ranker: &Ranker{}, group: "g", size: ranks, rankOf: map[string]int{},
+				engine: &routing.Engine{Experts: routing.Experts{Sets: sets, Count: experts}},
+				pop:    newPopularity(sets, experts),
+			}
+			sums, err := proto.Marshal(&fleetpb.GatherReply{Sums: sumsProto(slices.Repeat([]float64{9}, sets*experts), experts, sumBits)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			bunches := (ranks + bunchAgents - 1) / bunchAgents
+			summed, _ := mostSummed(x.engine.Experts, bunches)
+			now := start
+			for b.Loop() {
+				var looks []found
+				for first := 0; first < ranks; first += bunchAgents {
+					looks = append(looks, benchBunch(x, first, min(bunchAgents, ranks-first), now)...)
+				}
+				for range summed {
+					p := &fleetpb.GatherReply{}
+					if err := proto.Unmarshal(sums, p); err != nil {
+						b.Fatal(err)
+					}
+					x.takeSums(p.GetSums())
+				}
+				now = now.Add(lookEvery)
+				x.arrange(looks)
+				x.pop.observe(nil, x.takenSums(), now)
+			}
+		})
+	}
+}
+
+// benchBunch reads the looks at n ranks from a delegate.
+func benchBunch(x *term, first, n int, now time.Time) []found {
+	members := make([]*fleet.Member, 0, n)
+	p := &fleetpb.GatherReply{}
+	for i := range n {
+		members = append(members, &fleet.Member{Name: "agent", Endpoint: "10.1.64.140:8029"})
+		p.Gathered = append(p.Gathered, &fleetpb.Gathered{Target: uint32(i), Look: replyFrom(look{state: lockstep.State{
+			Group: "g", Rank: first + i, Size: x.size, Open: true,
+		}})})
+	}
+	return x.foundBy(members[0], members, p, now)
+}
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
-	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
@@ -82,12 +76,6 @@
 	renews     bool
 }
 
-// renewal is the end of a call that renews the lease.
-type renewal struct {
-	until time.Time
-	err   error
-}
-
 func newTerm(r *Ranker, lease *rank.KVLease, s lockstep.State, token uint64, until time.Time) *term {
 	return &term{
 		ranker: r, lease: lease, group: s.Group, size: s.Size, token: token, until: until,
@@ -147,65 +135,6 @@
 	return t.ranker.Settings.FencingChecked || now.Before(t.until.Add(-changeTime))
 }
 
-// giveBack ends the lease of a leader that stops, so that another leads at once.
-func (t *term) giveBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if err := t.lease.Release(ctx); err != nil {
-		t.ranker.storeFailed(err)
-		return
-	}
-	t.tellEnd(ctx)
-}
-
-// tellEnd tells the first successors that this agent leads no longer.
-func (t *term) tellEnd(ctx context.Context) {
-	agents, _ := t.ranker.members(t.group)
-	var wg sync.WaitGroup
-	for _, m := range agents {
-		if place := (t.rankOf[m.Name] - t.leader.Own - 1 + t.size) % t.size; place >= successors {
-			continue
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			if _, err := t.looker.askAgent(ctx, &m, wanted{leader: t.self(true)}); err != nil {
-				t.ranker.Log.WithFields(logrus.Fields{"agent": m.Name, "cause": err.Error()}).Info("end of the lead not told")
-			}
-		}()
-	}
-	wg.Wait()
-}
-
-// self tells who leads, or that this agent no longer does.
-func (t *term) self(ended bool) *fleetpb.Leader {
-	return &fleetpb.Leader{Agent: t.ranker.Settings.Name, Token: t.token, Rank: uint32(t.leader.Own), Ended: ended}
-}
-
-// keepLease renews the lease beside the rounds, so that a slow store does not
-// stall the group.
-func (t *term) keepLease(ctx context.Context, now time.Time) {
-	select {
-	case end := <-t.renew:
-		t.renews = false
-		if end.err == nil {
-			t.until = end.until
-		} else {
-			t.ranker.storeFailed(end.err)
-			t.lost = t.lost || errors.Is(end.err, rank.ErrLeaseLost)
-		}
-	default:
-	}
-	if t.renews || now.Before(t.renewAt) {
-		return
-	}
-	t.renews, t.renewAt = true, now.Add(renewEvery)
-	go func() {
-		until, err := t.lease.Renew(ctx, now)
-		t.renew <- renewal{until: until, err: err}
-	}()
-}
-
 // readShape reads from the configuration what the group's engines are like.
 func (t *term) readShape(ctx context.Context) {
 	table, err := t.ranker.store.Table(ctx)
@@ -221,167 +150,3 @@
 	t.pop = newPopularity(s.Engine.Experts.Sets, s.Engine.Experts.Count)
 	t.planner = planner{engine: s.Engine, ranks: t.size, gap: table.Gaps()[s.Name]}
 }
-
-// round looks at all ranks, gives the orders that follow, and returns how long
-// to wait for the next round.
-func (t *term) round(ctx context.Context) time.Duration {
-	agents, entries := t.ranker.members(t.group)
-	want := wanted{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil, leader: t.self(false)}
-	t.counted = false
-	looks := t.lookAll(ctx, agents, want)
-	now := boottime.Now()
-	ranks, byRank, seen := t.arrange(looks)
-	t.tellEntries(ctx, entries, looks, !slices.Contains(seen, false), now)
-	if slices.Contains(seen, false) {
-		return t.rescue(ctx, ranks, byRank, seen)
-	}
-	if t.engine == nil {
-		return lookEvery
-	}
-	t.learnMap(byRank)
-	t.notePaces(paces(byRank))
-	if t.counted {
-		t.plan(byRank, now)
-	}
-	was := t.leader.Busy()
-	directives := t.leader.Decide(ranks, t.mayBegin(now), now)
-	t.logHeld(ranks, now)
-	if was && !t.leader.Busy() {
-		return 0 // what was counted meanwhile may ask for the next change
-	}
-	if len(directives) > 0 {
-		t.giveAndFollow(ctx, directives, ranks, byRank, func(now time.Time) []lockstep.Directive {
-			return t.leader.Decide(ranks, t.mayBegin(now), now)
-		})
-		t.logChange()
-		return 0
-	}
-	if t.leader.Busy() {
-		return workEvery
-	}
-	return lookEvery
-}
-
-// logHeld tells of a step that is held for longer than any change takes, and which
-// ranks keep it from being let go.
-func (t *term) logHeld(ranks []lockstep.State, now time.Time) {
-	held := t.leader.HeldFor(ranks, now)
-	if held < changeTime || now.Sub(t.heldLogged) < changeTime {
-		return
-	}
-	t.heldLogged = now
-	f := logrus.Fields{"group": t.group, "epoch": ranks[0].Epoch, "held": held.Milliseconds()}
-	for _, i := range t.leader.Awaited(ranks) {
-		f[fmt.Sprint("rank", i)] = ranks[i].String()
-	}
-	t.ranker.Log.WithFields(f).Warn("a step stays held")
-}
-
-// logChange tells how a change of maps went: one that took longer than expected may
-// have kept the group waiting.
-func (t *term) logChange() {
-	c, ok := t.leader.Changed()
-	if !ok {
-		return
-	}
-	t.ranker.Log.WithFields(logrus.Fields{
-		"group": t.group, "step": c.Step, "ahead": c.Ahead, "took": c.Took.Milliseconds(),
-		"expected": c.Expected.Milliseconds(), "stepTime": c.StepTime.Milliseconds(),
-	}).Info("expert map let go")
-}
-
-// rescue lets a step go that the last leader left held, if its own rank alone
-// isn't seen, and returns how long to wait for the next round.
-func (t *term) rescue(ctx context.Context, ranks []lockstep.State, byRank []found, seen []bool) time.Duration {
-	directives := t.leader.Rescue(ranks, seen)
-	if len(directives) == 0 {
-		return lookEvery
-	}
-	t.giveAndFollow(ctx, directives, ranks, byRank, func(time.Time) []lockstep.Directive { return t.leader.Rescue(ranks, seen) })
-	return 0
-}
-
-// learnMap learns the map in force from the ranks' lists, if all are of one.
-func (t *term) learnMap(byRank []found) {
-	if t.leader.InForce() != nil {
-		return
-	}
-	x := t.engine.Experts
-	sets := make([][][]int, x.Sets)
-	for _, l := range byRank {
-		if l.lists == nil || len(l.lists) != x.Sets || l.state.Map != byRank[0].state.Map {
-			return
-		}
-		for s := range sets {
-			sets[s] = append(sets[s], l.lists[s])
-		}
-	}
-	t.leader.Current(byRank[0].state.Map, inOrder(sets))
-}
-
-// plan follows popularity and proposes the next map if it is worth it.
-func (t *term) plan(byRank []found, now time.Time) {
-	looks := make([]look, 0, len(byRank))
-	for _, f := range byRank {
-		looks = append(looks, f.look)
-	}
-	t.jumped = t.pop.observe(looks, t.takenSums(), now) || t.jumped
-	current := t.leader.InForce()
-	if current == nil || !t.pop.known() {
-		return
-	}
-	p, err := t.planner.plan(current.Sets, t.pop.loads(), paces(byRank), mostRunning(byRank))
-	if err != nil {
-		t.ranker.Log.WithField("cause", err.Error()).Error("no map can be planned")
-		return
-	}
-	if p == nil {
-		return
-	}
-	version, ok := t.leader.Propose(p.sets)
-	if !ok {
-		return
-	}
-	t.ranker.counts.changes.Inc(1)
-	t.ranker.counts.copies.Inc(int64(p.copies))
-	t.ranker.Log.WithFields(logrus.Fields{
-		"group": t.group, "map": version, "copies": p.copies, "skew": p.before, "skewPlanned": p.after, "jump": t.jumped,
-	}).Info("expert map proposed")
-	t.jumped = false
-}
-
-// notePaces tells of each rank that has begun to work slower than usual, or as
-// usual again: all others wait for it, and nothing else names it.
-func (t *term) notePaces(now []float64) {
-	for i, pace := range now {
-		was := 1.0
-		if i < len(t.paces) {
-			was = t.paces[i]
-		}
-		if (pace > 1) != (was > 1) {
-			t.ranker.Log.WithFields(logrus.Fields{"group": t.group, "rank": i, "pace": pace, "before": was}).Warn("rank changes its pace")
-		}
-	}
-	t.paces = now
-}
-
-// paces returns how many times slower than usual each rank is.
-func paces(byRank []found) []float64 {
-	out := make([]float64, len(byRank))
-	for i, f := range byRank {
-		out[i] = 1
-		if f.state.Pace >= batch.SlowFrom {
-			out[i] = f.state.Pace
-		}
-	}
-	return out
-}
-
-// mostRunning returns the largest number of requests that a rank runs.
-func mostRunning(byRank []found) int {
-	n := 0
-	for _, f := range byRank {
-		n = max(n, f.state.Running)
-	}
-	return n
-}
