An outage seen by another entry counts as one; a silent entry is passed over for longer

Cause, found by reading: an entry that begins to ask the store as its reader has lost it has not seen the outage itself. If the store is back by then, entries of endpoints that lapsed meanwhile were taken for gone at once in the whole data centre; they are written again within two seconds. The reader now says that the store does not answer it, and the next answer counts as the store's return, for the neighbours too. A reader that only stops or has just started doesn't say so: its endpoints must not be held.

A frozen reader was tried anew each second, and each try takes 0.75 s in which nothing is heard; now each three seconds.

TestOutageSeenByAnotherIsAnOutage fails without it (the endpoint is not held).

--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -13,9 +13,11 @@
 	// answers none of them: enough that a store which turns away one in three
 	// VMs is reached by one of them.
 	standing = 3
-	// passOver is how long a process that did not answer, or doesn't reach the
-	// store, is passed over.
-	passOver = time.Second
+	// passOver is how long a process that doesn't reach the store is passed over,
+	// and silentOver one that did not answer: each try of it takes most of a
+	// second, in which nothing is heard.
+	passOver   = time.Second
+	silentOver = 3 * time.Second
 	// aloneEvery is the pause between two tries of the store by a process that
 	// hears from others which don't reach it. Keys are believed for twice as long.
 	aloneEvery = 2500 * time.Millisecond
@@ -52,6 +54,18 @@
 	at     time.Time
 }
 
+// usable reports whether the process may be asked again.
+func (h heard) usable(now time.Time) bool {
+	switch h.answer {
+	case Fresh:
+		return true
+	case Away:
+		return now.Sub(h.at) >= passOver
+	default:
+		return now.Sub(h.at) >= silentOver
+	}
+}
+
 // Source returns the name of the process to ask, or "" for the store. Others are
 // the names of all processes of the data centre; the own one may be among them.
 func (c *Choice) Source(others []string, now time.Time) string {
@@ -63,7 +77,7 @@
 		first = slices.Delete(order[:min(standing+1, len(order))], own, own+1)
 	}
 	for _, name := range first {
-		if h, ok := c.heard[name]; !ok || h.answer == Fresh || now.Sub(h.at) >= passOver {
+		if h, ok := c.heard[name]; !ok || h.usable(now) {
 			return name
 		}
 	}
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -32,6 +32,9 @@
 // apply takes in what the store told.
 func (f *Frontend) apply(u mirror.Update) {
 	now := boottime.Now()
+	if !u.Neighbour && f.lostElsewhere {
+		u.Returned, f.lostElsewhere = true, false
+	}
 	if u.Returned {
 		f.belief.Change(func(d *directory.Directory) { d.Returned(now) })
 	}
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -80,6 +80,7 @@
 		return mirror.Update{}, readers.Silent, err
 	}
 	if p.GetAway() {
+		f.lostElsewhere = f.lostElsewhere || p.GetStoreAway()
 		return mirror.Update{}, readers.Away, nil
 	}
 	// The other one counts from the arrival of the request, which is after asked.
@@ -129,7 +130,7 @@
 	}
 	now := boottime.Now()
 	if !ok || f.stopping.Load() || f.away.Load() || now.Sub(u.Asked) > awayAge {
-		return &fleetpb.FollowReply{Away: true}, nil
+		return &fleetpb.FollowReply{Away: true, StoreAway: f.away.Load()}, nil
 	}
 	return followReply(u, f.copy.Returned(), arrived, now), nil
 }
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -3,11 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
+	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -134,3 +141,28 @@
 		}
 	}
 }
+
+// An entry begins to ask the store after another one has lost it, and the store is
+// back by then. Guards against endpoints that are taken for gone at once, since their
+// entries lapsed in the outage: they are written again within two seconds.
+func TestOutageSeenByAnotherIsAnOutage(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		f := &Frontend{Settings: &settings.Relay{}, Log: process.NewBoundedLog("entry", "a"), Output: io.Discard}
+		f.Settings.PlatformAddresses = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+		f.build()
+		f.conns = &peer.Conns{}
+		ep := standin.StartEndpoint("i-1", 1)
+		t.Cleanup(ep.Close)
+		key, value := ep.Entry("s", "a", "ready")
+		now := boottime.Now()
+		f.apply(mirror.Update{Whole: true, Revision: 1, Asked: now, KVs: []kv.KeyValue{kv.NewKeyValue(key, value, 1, 0)}})
+		f.lostElsewhere = lost
+		f.apply(mirror.Update{Deleted: []string{key}, Revision: 2, Asked: now})
+		if held := f.belief.Endpoints(boottime.Now()) == 1; held != lost {
+			t.Errorf("store lost elsewhere %v: the endpoint is held %v", lost, held)
+		}
+		if !f.copy.Returned().IsZero() != lost {
+			t.Errorf("store lost elsewhere %v: others are told of its return at %v", lost, f.copy.Returned())
+		}
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -96,13 +96,18 @@
 	hub      hub
 	// copy is what was heard from the store, to be told to others, and choice says
 	// who is asked for it. Only the mirror's goroutine uses choice, source, which
-	// is who was asked last, once sourced is set, and returned, which is when the
-	// store last came back by what others told.
+	// is who was asked last, once sourced is set, returned, which is when the store
+	// last came back by what others told, and lostElsewhere, which says that it did
+	// not answer one of them.
 	copy     mirror.Copy
 	choice   readers.Choice
 	source   string
 	sourced  bool
 	returned time.Time
+	// lostElsewhere has the next answer of the store count as its return. Guard:
+	// entries of endpoints that lapsed in an outage hold for a while after it. One
+	// that begins to ask the store as another lost it has not seen it away itself.
+	lostElsewhere bool
 	// engines are those of which loads are told.
 	engines fleet.Lists
 	// doubt is raised when leases in the store may have lapsed.
