Entries whose neighbours don't reach the store pause before they ask again

Found by reading, then shown by a test: while the store answers none of the three that ask it, the others were told so at once and asked again at once, as fast as a core bears; 120 lines of the bounded log in 2 s. Each waits 0.2 s now, which delays the way to the next neighbour by as much.

TestOutageIsNotAskedForInALoop fails without the pause.

--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -9,6 +9,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 )
@@ -23,6 +24,9 @@
 	// awayAge is the age of what an entry knows from which it has nothing to tell:
 	// more than its polls leave while the store answers it.
 	awayAge = 2*pollWait + 400*time.Millisecond
+	// awayPause is the pause after another entry had nothing to tell, which it says
+	// at once.
+	awayPause = 200 * time.Millisecond
 )
 
 // hearNeighbour asks another entry of the data centre what the store tells, in place
@@ -45,6 +49,7 @@
 			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("entry does not tell what the store tells")
 		default:
 			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry does not reach the store")
+			pause.For(ctx, awayPause)
 		}
 	}
 	return mirror.Update{}, false
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,6 +143,23 @@
 	}
 }
 
+// The store answers nobody for two seconds. Guards against entries that ask each other
+// again and again, as fast as they are told that there is nothing to tell.
+func TestOutageIsNotAskedForInALoop(t *testing.T) {
+	t.Parallel()
+	const n, outage = 6, 2 * time.Second
+	s := newSystem(t, 1)
+	entries := s.entries(n)
+	s.store.SetFault(standin.Busy)
+	time.Sleep(outage)
+	s.store.SetFault(standin.Well)
+	for _, e := range entries {
+		if asked := strings.Count(e.log.Text(), "entry does not reach the store"); asked > int(2*outage/awayPause) {
+			t.Errorf("%s was told so %d times in %v", e.Settings.Name, asked, outage)
+		}
+	}
+}
+
 // An entry begins to ask the store after another one has lost it, and the store is
 // back by then. Guards against endpoints that are taken for gone at once, since their
 // entries lapsed in the outage: they are written again within two seconds.
