--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -77,8 +77,6 @@
 	// process has heard from it, or false to ask the service. It says itself in
 	// the update whether the service has returned.
 	Neighbour func(ctx context.Context, revision int64, known bool) (Update, bool)
-	// MostPause bounds the pause between failed calls; 0 means mostPause.
-	MostPause time.Duration
 	// Now is the clock.
 	Now func() time.Time
 	// Apply takes in each update, in order, from one goroutine.
@@ -126,7 +124,7 @@
 			failed = true
 			m.fail(ctx, err)
 			pause.For(ctx, rest)
-			rest = min(2*rest, m.mostPause())
+			rest = min(2*rest, mostPause)
 		}
 	}
 	return nil
@@ -147,13 +145,6 @@
 	return m.Wait
 }
 
-func (m *Mirror) mostPause() time.Duration {
-	if m.MostPause > 0 {
-		return m.MostPause
-	}
-	return mostPause
-}
-
 func (m *Mirror) fail(ctx context.Context, err error) {
 	if m.Failed != nil && ctx.Err() == nil {
 		m.Failed(err)
--- a/internal/rank/kvlease.go
+++ b/internal/rank/kvlease.go
@@ -50,18 +50,6 @@
 func (l *KVLease) leaseKey() string  { return l.Prefix + groupPrefix + l.Group + leaseSuffix }
 func (l *KVLease) recordKey() string { return l.Prefix + groupPrefix + l.Group + "/record" }
 
-// LeasePrefix begins the keys of all groups' leases, under a prefix.
-func LeasePrefix(prefix string) string { return prefix + groupPrefix }
-
-// LeaseGroup returns the group whose lease has the key, under a prefix.
-func LeaseGroup(prefix, key string) (string, bool) {
-	rest, ok := strings.CutPrefix(key, prefix+groupPrefix)
-	if !ok {
-		return "", false
-	}
-	return strings.CutSuffix(rest, leaseSuffix)
-}
-
 // Held reads the lease's key, if somebody holds the lease.
 func (l *KVLease) Held(ctx context.Context) (platform.KeyValue, bool, error) {
 	reply, err := l.KV.Get(ctx, l.leaseKey())
