Bunches are of members, and messages go to a member

Members were turned into a second type for the tree in three places (looks, loads, work), and its names back into members by a map each time; in a large fleet each message of an entry's work copied all members to look one up. The tree takes and returns members now. How many entries are told directly, and how many through one, stood in two packages and stands beside the tree. The line that a delegate does not answer is written in one place. No change of behaviour; the tests keep their assertions.

--- a/internal/fleet/fanout/tree.go
+++ b/internal/fleet/fanout/tree.go
@@ -5,13 +5,20 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 )
 
-// Process is one of those that are reached.
-type Process struct{ Name, DataCentre string }
+const (
+	// FewEntries is up to how many entries are each told directly of loads and of
+	// each other's work, and BunchEntries to how many of its data centre one passes
+	// them on in a larger fleet.
+	FewEntries   = 10
+	BunchEntries = 64
+)
 
-// Bunch is the names of processes that are reached through one of them.
-type Bunch []string
+// Bunch is processes that are reached through one of them.
+type Bunch []fleet.Member
 
 // Tree splits processes into bunches and remembers which of them failed as
 // delegates. Set the exported fields before the first call. It is safe for
@@ -28,8 +35,8 @@
 
 // Bunches splits processes into bunches of about equal sizes, each within one data
 // centre. The order of the processes doesn't matter.
-func (t *Tree) Bunches(processes []Process) []Bunch {
-	sorted := slices.SortedFunc(slices.Values(processes), func(a, b Process) int {
+func (t *Tree) Bunches(processes []fleet.Member) []Bunch {
+	sorted := slices.SortedFunc(slices.Values(processes), func(a, b fleet.Member) int {
 		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
 	})
 	if len(sorted) <= t.Direct {
@@ -49,15 +56,11 @@
 
 // split returns bunches of at most the given size, none of them much smaller than
 // another.
-func split(processes []Process, most int) []Bunch {
+func split(processes []fleet.Member, most int) []Bunch {
 	bunches := (len(processes) + most - 1) / most
 	out := make([]Bunch, 0, bunches)
 	for i := range bunches {
-		var b Bunch
-		for _, p := range processes[i*len(processes)/bunches : (i+1)*len(processes)/bunches] {
-			b = append(b, p.Name)
-		}
-		out = append(out, b)
+		out = append(out, processes[i*len(processes)/bunches:(i+1)*len(processes)/bunches])
 	}
 	return out
 }
@@ -68,10 +71,10 @@
 // Guard: a delegate freezes, or is cut off, for some seconds. Were it asked again
 // after a while, its whole bunch would not be seen each time; so it comes last
 // until all others have failed.
-func (t *Tree) Delegate(b Bunch) string {
+func (t *Tree) Delegate(b Bunch) fleet.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.MinFunc(b, func(a, b string) int { return t.failed[a].Compare(t.failed[b]) })
+	return slices.MinFunc(b, func(a, b fleet.Member) int { return t.failed[a.Name].Compare(t.failed[b.Name]) })
 }
 
 // Failed notes that a delegate did not answer.
--- a/internal/fleet/fanout/tree_test.go
+++ b/internal/fleet/fanout/tree_test.go
@@ -5,20 +5,22 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 )
 
 var start = time.Unix(1000, 0)
 
-// fleet returns processes that are spread over data centres in turn.
-func fleet(n, dataCentres int) []Process {
-	out := make([]Process, 0, n)
+// processes returns members that are spread over data centres in turn.
+func processes(n, dataCentres int) []fleet.Member {
+	out := make([]fleet.Member, 0, n)
 	for i := range n {
-		out = append(out, Process{Name: fmt.Sprintf("p%03d", i), DataCentre: fmt.Sprint("dc", i%dataCentres)})
+		out = append(out, fleet.Member{Name: fmt.Sprintf("p%03d", i), DataCentre: fmt.Sprint("dc", i%dataCentres)})
 	}
 	return out
 }
 
-func checkBunches(t *testing.T, processes []Process, bunches []Bunch, most int) {
+func checkBunches(t *testing.T, processes []fleet.Member, bunches []Bunch, most int) {
 	t.Helper()
 	home := map[string]string{}
 	for _, p := range processes {
@@ -29,11 +31,11 @@
 		if len(b) == 0 || len(b) > most {
 			t.Errorf("a bunch of %d, at most %d are allowed", len(b), most)
 		}
-		for _, name := range b {
-			if seen[name] || home[name] != home[b[0]] {
-				t.Errorf("%s of %s is in the bunch %v, before: %v", name, home[name], b, seen[name])
+		for _, m := range b {
+			if seen[m.Name] || home[m.Name] != home[b[0].Name] {
+				t.Errorf("%s of %s is in the bunch %v, before: %v", m.Name, home[m.Name], b, seen[m.Name])
 			}
-			seen[name] = true
+			seen[m.Name] = true
 		}
 	}
 	if len(seen) != len(processes) {
@@ -57,7 +59,7 @@
 		{40, 40, 1, 40},
 	} {
 		t.Run(fmt.Sprintf("%d in %d", c.processes, c.dataCentres), func(t *testing.T) {
-			ps := fleet(c.processes, c.dataCentres)
+			ps := processes(c.processes, c.dataCentres)
 			bunches := tree.Bunches(ps)
 			checkBunches(t, ps, bunches, c.most)
 			if len(bunches) != c.bunches {
@@ -75,12 +77,12 @@
 // is tried anew.
 func TestFailedDelegateComesLast(t *testing.T) {
 	tree := &Tree{Direct: 1, Most: 3}
-	b := tree.Bunches(fleet(3, 1))[0]
+	b := tree.Bunches(processes(3, 1))[0]
 	want := []string{"p000", "p001", "p002", "p000", "p001"}
 	for i, name := range want {
-		if d := tree.Delegate(b); d != name {
+		if d := tree.Delegate(b).Name; d != name {
 			t.Fatalf("after %d failures %s is asked, want %s", i, d, name)
 		}
-		tree.Failed(tree.Delegate(b), start.Add(time.Duration(i)*time.Second))
+		tree.Failed(tree.Delegate(b).Name, start.Add(time.Duration(i)*time.Second))
 	}
 }
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -72,7 +72,7 @@
 	const n = 12
 	s := newSystem(t, 1)
 	entries := s.entries(n)
-	hub := entries[0].work.hub()
+	hub := entries[0].work.hub().Name
 	left := make([]*entry, 0, n)
 	for _, e := range entries {
 		s.eventually("each entry hears of all others", func() bool { return e.belief.Informers() == n-1 })
--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -10,7 +10,6 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
-	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/relay"
@@ -25,9 +24,6 @@
 	// on the way there are dear, and what is heard late is made up for by the
 	// reports of engines.
 	farTimes = 4
-	// bunchEntries is up to how many entries of a data centre one passes messages
-	// on to.
-	bunchEntries = 64
 )
 
 // hub gathers what entries tell of their work and passes it on: to the other entries
@@ -159,8 +155,8 @@
 		return
 	}
 	q := &fleetpb.WorkRequest{Entries: works}
-	for name, m := range near {
-		f.work.send(ctx, name, m.Address, q)
+	for _, m := range near {
+		f.work.send(ctx, m, q)
 	}
 }
 
@@ -169,24 +165,12 @@
 	if len(works) == 0 {
 		return
 	}
-	all := f.others.all()
-	maps.DeleteFunc(all, func(_ string, m fleet.Member) bool { return m.DataCentre == f.Settings.DataCentre })
 	q := &fleetpb.WorkRequest{Entries: works, To: fleetpb.Passing_DATA_CENTRE}
-	for _, b := range f.work.tree.Bunches(processes(all)) {
-		name := f.work.tree.Delegate(b)
-		f.work.send(ctx, name, all[name].Address, q)
+	for _, b := range f.work.tree.Bunches(f.others.far(f.Settings.DataCentre)) {
+		f.work.send(ctx, f.work.tree.Delegate(b), q)
 	}
 }
 
-// processes lists members for a tree.
-func processes(members map[string]fleet.Member) []fanout.Process {
-	out := make([]fanout.Process, 0, len(members))
-	for name, m := range members {
-		out = append(out, fanout.Process{Name: name, DataCentre: m.DataCentre})
-	}
-	return out
-}
-
 // Work implements fleetpb.EntryServer.
 func (s *service) Work(_ context.Context, q *fleetpb.WorkRequest) (*fleetpb.WorkReply, error) {
 	f := s.frontend
--- a/internal/frontend/others.go
+++ b/internal/frontend/others.go
@@ -59,6 +59,19 @@
 	return out
 }
 
+// far returns those of all other data centres.
+func (o *others) far(dataCentre string) []fleet.Member {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []fleet.Member
+	for _, m := range o.byName {
+		if m.DataCentre != dataCentre {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // names returns the names of members.
 func names(members map[string]fleet.Member) []string {
 	return slices.Collect(maps.Keys(members))
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +24,6 @@
 	// tellEvery is the least time between two messages to one entry. A request
 	// lasts a second; in this time the whole fleet places one or two.
 	tellEvery = 20 * time.Millisecond
-	// fewEntries is up to how many entries tell each other directly.
-	fewEntries = 10
 	// tellAlways is the longest time between them: a message that was lost is
 	// made good, and the others see that this entry is there.
 	tellAlways = time.Second
@@ -37,7 +37,7 @@
 // slows all of them. Each entry sees a ninth of the requests; without knowing of
 // the others' it would fill some engines while others rest.
 //
-// In a fleet of more than fewEntries each message to all others would make them grow
+// In a fleet of more than fanout.FewEntries each message to all others would make them grow
 // with its square, so one entry of each data centre is told and passes it on, see
 // hub.
 type teller struct {
@@ -56,7 +56,7 @@
 func newTeller(f *Frontend) *teller {
 	return &teller{
 		frontend: f, born: uint64(boottime.Now().UnixNano()),
-		tree: fanout.Tree{Direct: 1, Most: bunchEntries}, busy: map[string]bool{},
+		tree: fanout.Tree{Direct: 1, Most: fanout.BunchEntries}, busy: map[string]bool{},
 	}
 }
 
@@ -91,33 +91,32 @@
 func (t *teller) tellAll(ctx context.Context, now time.Time) {
 	f := t.frontend
 	own := t.own()
-	all := f.others.all()
-	if len(all) <= fewEntries {
-		for name, m := range all {
-			t.send(ctx, name, m.Address, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}})
+	if f.others.count() <= fanout.FewEntries {
+		for _, m := range f.others.all() {
+			t.send(ctx, m, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}})
 		}
 		return
 	}
-	name := t.hub()
-	if name == f.Settings.Name {
+	hub := t.hub()
+	if hub.Name == f.Settings.Name {
 		f.hub.add(own, fleetpb.Passing_ALL, now)
 		return
 	}
-	t.send(ctx, name, all[name].Address, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}, To: fleetpb.Passing_ALL})
+	t.send(ctx, hub, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}, To: fleetpb.Passing_ALL})
 }
 
 // hub returns the entry of this one's data centre that passes messages on.
-func (t *teller) hub() string {
+func (t *teller) hub() fleet.Member {
 	f := t.frontend
 	near := f.others.near(f.Settings.DataCentre)
 	near[f.Settings.Name] = fleet.Member{Name: f.Settings.Name, DataCentre: f.Settings.DataCentre}
-	return t.tree.Delegate(t.tree.Bunches(processes(near))[0])
+	return t.tree.Delegate(t.tree.Bunches(slices.Collect(maps.Values(near)))[0])
 }
 
 // send tells one entry, unless a message to it is on its way.
-func (t *teller) send(ctx context.Context, name, addr string, q *fleetpb.WorkRequest) {
-	if name != t.frontend.Settings.Name && t.begin(name) {
-		go t.tell(ctx, name, addr, q)
+func (t *teller) send(ctx context.Context, m fleet.Member, q *fleetpb.WorkRequest) {
+	if m.Name != t.frontend.Settings.Name && t.begin(m.Name) {
+		go t.tell(ctx, m, q)
 	}
 }
 
@@ -140,21 +139,21 @@
 	delete(t.busy, name)
 }
 
-func (t *teller) tell(ctx context.Context, name, addr string, q *fleetpb.WorkRequest) {
-	defer t.end(name)
+func (t *teller) tell(ctx context.Context, m fleet.Member, q *fleetpb.WorkRequest) {
+	defer t.end(m.Name)
 	f := t.frontend
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	conn, err := f.conns.Get(addr)
+	conn, err := f.conns.Get(m.Address)
 	if err == nil {
 		_, err = fleetpb.NewEntryClient(conn).Work(ctx, q)
 	}
 	if err == nil {
 		return
 	}
-	f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Debug("work not told")
-	t.tree.Failed(name, boottime.Now())
+	f.Log.WithFields(logrus.Fields{"entry": m.Name, "cause": err.Error()}).Debug("work not told")
+	t.tree.Failed(m.Name, boottime.Now())
 	if status.Code(err) == codes.DeadlineExceeded {
-		f.conns.DropSilent(addr)
+		f.conns.DropSilent(m.Address)
 	}
 }
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
@@ -25,7 +26,7 @@
 			t.Errorf("a hub sends %.0f messages a second to %d entries, want at most %.0f", perSecond, near, want)
 		}
 	}
-	if passPause(bunchEntries) > tellAlways {
+	if passPause(fanout.BunchEntries) > tellAlways {
 		t.Error("others would take this entry for gone")
 	}
 }
--- a/internal/ranker/gather.go
+++ b/internal/ranker/gather.go
@@ -19,24 +19,20 @@
 // Guard: when most delegates are silent at once, it is the leader's own way that is
 // full or cut. Others would not be reached either, and each has its connections to
 // open first; so nothing is concluded from that.
-func (t *term) lookBunches(ctx context.Context, bunches []fanout.Bunch, byName map[string]*fleet.Member, wants []wanted) []found {
+func (t *term) lookBunches(ctx context.Context, bunches []fanout.Bunch, wants []wanted) []found {
 	looks := make([][]found, len(bunches))
 	failed := make([]error, len(bunches))
-	asked := make([]*fleet.Member, len(bunches))
+	asked := make([]fleet.Member, len(bunches))
 	look := func(i int) {
-		targets := make([]*fleet.Member, 0, len(bunches[i]))
-		for _, name := range bunches[i] {
-			targets = append(targets, byName[name])
-		}
-		asked[i] = byName[t.tree.Delegate(bunches[i])]
-		looks[i], failed[i] = t.gather(ctx, asked[i], targets, wants[i])
+		asked[i] = t.tree.Delegate(bunches[i])
+		looks[i], failed[i] = t.gather(ctx, &asked[i], bunches[i], wants[i])
 	}
 	together(len(bunches), look)
 	again := make([]int, 0, len(bunches))
 	for i, err := range failed {
 		if err != nil {
 			again = append(again, i)
-			t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": asked[i].Name, "cause": err.Error()}).Warn("delegate does not answer")
+			t.logSilentDelegate(asked[i].Name, err)
 		}
 	}
 	if 2*len(again) <= len(bunches) {
@@ -49,8 +45,13 @@
 	return slices.Concat(looks...)
 }
 
+// logSilentDelegate tells that a delegate did not answer.
+func (t *term) logSilentDelegate(name string, err error) {
+	t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": name, "cause": err.Error()}).Warn("delegate does not answer")
+}
+
 // gather has a delegate look at the engines of some agents.
-func (t *term) gather(ctx context.Context, delegate *fleet.Member, targets []*fleet.Member, want wanted) ([]found, error) {
+func (t *term) gather(ctx context.Context, delegate *fleet.Member, targets fanout.Bunch, want wanted) ([]found, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := t.ranker.conns.Get(delegate.Address)
@@ -80,17 +81,17 @@
 }
 
 // gatherRequest asks for the states of targets.
-func gatherRequest(targets []*fleet.Member) *fleetpb.GatherRequest {
+func gatherRequest(targets fanout.Bunch) *fleetpb.GatherRequest {
 	q := &fleetpb.GatherRequest{}
-	for _, m := range targets {
-		q.Targets = append(q.Targets, targetOf(m))
+	for i := range targets {
+		q.Targets = append(q.Targets, targetOf(&targets[i]))
 	}
 	q.List = fleet.ListName(q.Targets)
 	return q
 }
 
 // foundBy returns the looks that a delegate tells, and logs which are missing.
-func (t *term) foundBy(delegate *fleet.Member, targets []*fleet.Member, p *fleetpb.GatherReply, asked time.Time) []found {
+func (t *term) foundBy(delegate *fleet.Member, targets fanout.Bunch, p *fleetpb.GatherReply, asked time.Time) []found {
 	out := make([]found, 0, len(targets))
 	seen := make([]bool, len(targets))
 	for _, g := range p.GetGathered() {
@@ -102,7 +103,7 @@
 		f := found{look: lookFrom(g.GetLook(), targets[i].Endpoint), via: delegate}
 		f.state.AsOf = asked
 		if !g.GetDirect() {
-			f.agent = targets[i]
+			f.agent = &targets[i]
 		}
 		out = append(out, t.dated(f))
 	}
--- a/internal/ranker/loads.go
+++ b/internal/ranker/loads.go
@@ -13,15 +13,9 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 )
 
-const (
-	// loadsEvery is how often entries are told of the engines' work. A request
-	// lasts a second or two.
-	loadsEvery = 100 * time.Millisecond
-	// directEntries is up to how many entries are each told by the leader, and
-	// bunchEntries to how many of its data centre an entry passes it on.
-	directEntries = 10
-	bunchEntries  = 64
-)
+// loadsEvery is how often entries are told of the engines' work. A request lasts a
+// second or two.
+const loadsEvery = 100 * time.Millisecond
 
 // loadTeller tells entries of the engines' work.
 //
@@ -41,7 +35,7 @@
 }
 
 func newLoadTeller() loadTeller {
-	return loadTeller{tree: fanout.Tree{Direct: directEntries, Most: bunchEntries}}
+	return loadTeller{tree: fanout.Tree{Direct: fanout.FewEntries, Most: fanout.BunchEntries}}
 }
 
 // due reports whether entries are told now. That a group opens or closes is told at
@@ -86,14 +80,8 @@
 		return
 	}
 	q := loadsOf(looks, whole)
-	byName := map[string]fleet.Member{}
-	processes := make([]fanout.Process, 0, len(entries))
-	for _, m := range entries {
-		byName[m.Name] = m
-		processes = append(processes, fanout.Process{Name: m.Name, DataCentre: m.DataCentre})
-	}
-	for _, b := range t.loads.tree.Bunches(processes) {
-		go t.tellEntry(ctx, byName[t.loads.tree.Delegate(b)], q, len(b) > 1)
+	for _, b := range t.loads.tree.Bunches(entries) {
+		go t.tellEntry(ctx, t.loads.tree.Delegate(b), q, len(b) > 1)
 	}
 }
 
--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -59,12 +59,13 @@
 // there are, the engines of agents that have lapsed are asked too.
 func (t *term) lookAll(ctx context.Context, agents []fleet.Member, want wanted) []found {
 	now := boottime.Now()
-	byName := map[string]*fleet.Member{}
-	var others []fanout.Process
+	var own *fleet.Member
+	others := make([]fleet.Member, 0, len(agents))
 	for i := range agents {
-		byName[agents[i].Name] = &agents[i]
-		if agents[i].Name != t.ranker.Settings.Name {
-			others = append(others, fanout.Process{Name: agents[i].Name, DataCentre: agents[i].DataCentre})
+		if agents[i].Name == t.ranker.Settings.Name {
+			own = &agents[i]
+		} else {
+			others = append(others, agents[i])
 		}
 	}
 	bunches := t.tree.Bunches(others)
@@ -72,7 +73,7 @@
 	if len(bunches) == len(others) {
 		out = t.lookSingly(ctx, agents, want)
 	} else {
-		out = t.lookThrough(ctx, bunches, byName, want, now)
+		out = t.lookThrough(ctx, bunches, own, want, now)
 	}
 	if len(out) >= t.size {
 		return out
@@ -109,8 +110,8 @@
 }
 
 // lookThrough looks at the engines of bunches of agents through their delegates,
-// and at the own one.
-func (t *term) lookThrough(ctx context.Context, bunches []fanout.Bunch, byName map[string]*fleet.Member, want wanted, now time.Time) []found {
+// and at the one beside own, unless that is nil.
+func (t *term) lookThrough(ctx context.Context, bunches []fanout.Bunch, own *fleet.Member, want wanted, now time.Time) []found {
 	experts, most := 0, 0
 	if want.counts {
 		n, pause := mostSummed(t.engine.Experts, len(bunches))
@@ -126,18 +127,18 @@
 			wants[i].experts = experts
 		}
 	}
-	var own []found
+	var beside []found
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if m := byName[t.ranker.Settings.Name]; m != nil {
+		if own != nil {
 			mine := wanted{counts: experts > 0, lists: want.lists}
-			own = t.found([]*fleet.Member{m}, t.looker.lookAt(ctx, []*fleet.Member{m}, []wanted{mine}))
+			beside = t.found([]*fleet.Member{own}, t.looker.lookAt(ctx, []*fleet.Member{own}, []wanted{mine}))
 		}
 	}()
-	out := t.lookBunches(ctx, bunches, byName, wants)
+	out := t.lookBunches(ctx, bunches, wants)
 	<-done
-	return append(out, own...)
+	return append(out, beside...)
 }
 
 // lookLapsed looks at the engines of agents that have lapsed.
--- a/internal/ranker/orders.go
+++ b/internal/ranker/orders.go
@@ -87,7 +87,7 @@
 	replies, err := t.spread(ctx, via, q)
 	if err != nil {
 		t.tree.Failed(via.Name, boottime.Now())
-		t.ranker.Log.WithFields(logrus.Fields{"dependency": "agent", "agent": via.Name, "cause": err.Error()}).Warn("delegate does not answer")
+		t.logSilentDelegate(via.Name, err)
 		return
 	}
 	for n, i := range bunch {
--- a/internal/ranker/sums_test.go
+++ b/internal/ranker/sums_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
@@ -152,10 +153,10 @@
 	const sets, experts, dataCentres, overhead = 16, 258, 5, 80
 	bunches := max(dataCentres, (ranks+bunchAgents-1)/bunchAgents)
 	each := (ranks + bunches - 1) / bunches
-	var bunch []*fleet.Member
+	var bunch fanout.Bunch
 	p := &fleetpb.GatherReply{}
 	for i := range each {
-		bunch = append(bunch, &fleet.Member{Name: "side-alm-a-12", Address: "10.1.10.140:7340", Endpoint: "10.1.64.140:8029"})
+		bunch = append(bunch, fleet.Member{Name: "side-alm-a-12", Address: "10.1.10.140:7340", Endpoint: "10.1.64.140:8029"})
 		p.Gathered = append(p.Gathered, &fleetpb.Gathered{Target: uint32(i), Look: replyFrom(look{state: lockstep.State{
 			Group: "g1", Epoch: 2, Rank: 99, Size: ranks, Open: true, Step: 99999, Sequence: 200, Map: 7 << versionRoom,
 			Prepared: 7 << versionRoom, HasPrepared: true, Running: 4, Queued: 1, Born: 1 << 40, Pace: 1,
@@ -219,13 +220,13 @@
 
 // benchBunch reads the looks at n ranks from a delegate.
 func benchBunch(x *term, first, n int, now time.Time) []found {
-	members := make([]*fleet.Member, 0, n)
+	members := make(fanout.Bunch, 0, n)
 	p := &fleetpb.GatherReply{}
 	for i := range n {
-		members = append(members, &fleet.Member{Name: "agent", Endpoint: "10.1.64.140:8029"})
+		members = append(members, fleet.Member{Name: "agent", Endpoint: "10.1.64.140:8029"})
 		p.Gathered = append(p.Gathered, &fleetpb.Gathered{Target: uint32(i), Look: replyFrom(look{state: lockstep.State{
 			Group: "g", Rank: first + i, Size: x.size, Open: true,
 		}})})
 	}
-	return x.foundBy(members[0], members, p, now)
+	return x.foundBy(&members[0], members, p, now)
 }
