--- /dev/null
+++ b/internal/fleet/document/holder_test.go
@@ -0,0 +1,138 @@
+package document
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// document returns a value of n routes, of which the one at changed differs.
+func document(n, changed int) []byte {
+	rng := rand.New(rand.NewPCG(7, 11))
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, changed)
+	for i := range n {
+		timeout := 8000
+		if i == changed {
+			timeout++
+		}
+		fmt.Fprintf(&b, `{"name":"r%x","host":"h%d","prefix":"/%x/","kind":"stream","timeout":%d,"target":400,"gap":120,"service":"s%d"},`,
+			rng.Uint32(), rng.IntN(9), rng.Uint64(), timeout, rng.IntN(3))
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+// pass gives the newest version of one holder to another and returns its size on
+// the way.
+func pass(t *testing.T, from, to *Holder) int {
+	t.Helper()
+	p, err := from.Pack(to.Newest().Revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := to.Unpack(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := from.Newest(); v.Revision != want.Revision || !bytes.Equal(v.Value, want.Value) {
+		t.Fatalf("revision %d of %d bytes arrives as %d of %d bytes", want.Revision, len(want.Value), v.Revision, len(v.Value))
+	}
+	to.Put(v)
+	return len(p.Bytes)
+}
+
+// A configuration grows, and one route of it changes again and again. Guards against
+// changes that cost as much as the whole.
+func TestChangeCostsLittle(t *testing.T) {
+	for _, routes := range []int{240, 1500, 15000} {
+		from, to := &Holder{}, &Holder{}
+		from.Put(Version{Revision: 5, Value: document(routes, 1)})
+		whole := pass(t, from, to)
+		if most := len(from.Newest().Value) / 6; whole > most {
+			t.Errorf("%d routes: the first copy takes %d bytes, want at most %d", routes, whole, most)
+		}
+		for r := 2; r < 8; r++ {
+			from.Put(Version{Revision: int64(10 * r), Value: document(routes, r*routes/10)})
+			if n := pass(t, from, to); n > whole/10+1000 {
+				t.Errorf("%d routes: a change takes %d bytes of %d", routes, n, whole)
+			}
+		}
+	}
+}
+
+// A receiver is further behind than versions are kept, or holds one that the sender
+// doesn't know. Guards against a difference that nobody can read.
+func TestWhoIsFarBehindGetsAll(t *testing.T) {
+	from, to := &Holder{}, &Holder{}
+	from.Put(Version{Revision: 1, Value: document(50, 1)})
+	pass(t, from, to)
+	for r := 2; r < 20; r++ {
+		from.Put(Version{Revision: int64(r), Value: document(50, r)})
+	}
+	if p, err := from.Pack(1); err != nil || p.Base != 0 {
+		t.Fatalf("packed as the difference from %d (%v), which was dropped", p.Base, err)
+	}
+	pass(t, from, to)
+	if len(from.versions) != 1+pastKept {
+		t.Errorf("%d versions are kept", len(from.versions))
+	}
+}
+
+// Guards against a difference that is put on a value which it isn't of.
+func TestDifferenceIsReadWithItsBaseAlone(t *testing.T) {
+	from, to := &Holder{}, &Holder{}
+	from.Put(Version{Revision: 1, Value: document(200, 1)})
+	from.Put(Version{Revision: 2, Value: document(200, 2)})
+	p, err := from.Pack(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := to.Unpack(p); err == nil {
+		t.Error("read without its base")
+	}
+	to.Put(Version{Revision: 1, Value: document(200, 100)})
+	if v, err := to.Unpack(p); err == nil && bytes.Equal(v.Value, from.Newest().Value) {
+		t.Error("read as if nothing were wrong")
+	} else if err == nil {
+		t.Error("another value came of it")
+	}
+}
+
+// Guards against a version that is put in the place of a newer one.
+func TestNewestStays(t *testing.T) {
+	h := &Holder{}
+	if h.Newest().Revision != 0 {
+		t.Error("an empty holder has a version")
+	}
+	if p, err := h.Pack(0); err != nil || p.Revision != 0 || len(p.Bytes) > 0 {
+		t.Errorf("an empty holder packs %+v (%v)", p, err)
+	}
+	if !h.Put(Version{Revision: 4}) || h.Put(Version{Revision: 3}) || h.Put(Version{Revision: 4}) {
+		t.Error("a version that isn't newer is taken")
+	}
+	if p, err := h.Pack(4); err != nil || p.Revision != 4 || len(p.Bytes) > 0 {
+		t.Errorf("who holds the newest is told %+v (%v)", p, err)
+	}
+}
+
+func BenchmarkPack(b *testing.B) {
+	for _, routes := range []int{240, 1500, 15000} {
+		old, value := document(routes, 1), document(routes, routes/2)
+		for _, base := range [][]byte{nil, old} {
+			b.Run(fmt.Sprintf("routes=%d/difference=%v", routes, base != nil), func(b *testing.B) {
+				b.ReportAllocs()
+				n := 0
+				for range b.N {
+					p, err := pack(value, base)
+					if err != nil {
+						b.Fatal(err)
+					}
+					n = len(p)
+				}
+				b.ReportMetric(float64(n), "bytes")
+			})
+		}
+	}
+}
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -8,6 +8,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/document"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 	"github.com/hyssoprelay/hyssoprelay/platform"
@@ -56,9 +57,15 @@
 	if u.Whole {
 		f.whole(facts, now)
 	}
+	lacking := lack{entry: f.source, address: f.sourceAddress, revision: u.Apart, asked: u.Asked}
+	u.Apart = f.documents.Newest().Revision
+	f.copy.Take(u, now)
+	if u.Lacking {
+		f.lacking.set(lacking)
+		return
+	}
 	// Only now, when all that the answer told is in force, is it as fresh.
 	f.fresh.Learn(u.Asked)
-	f.copy.Take(u, now)
 }
 
 // put takes in one item and returns what it says, or nil if it can't be read.
@@ -71,8 +78,7 @@
 	switch fact := fact.(type) {
 	case platform.TableFact:
 		if f.belief.SetTable(fact.Table, now) {
-			document := item.Value()
-			f.document.Store(&document)
+			f.documents.Put(document.Version{Revision: item.Revision(), Value: item.Value()})
 			f.Log.WithFields(logrus.Fields{
 				"version": fact.Table.Version(), "routes": fact.Table.Routes(), "revision": item.Revision(),
 			}).Info("configuration in force")
--- /dev/null
+++ b/internal/frontend/document_test.go
@@ -0,0 +1,46 @@
+package frontend
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
+)
+
+// largeConfig is a configuration with so many routes more.
+func largeConfig(version, routes int, keys string) []byte {
+	var b strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&b, `{"name":"route-%x","hostname":"h%d","prefix":"/%x/","kind":"streaming","timeoutMs":8000,
+		"targetLatencyMs":400,"gapTargetMs":120,"priority":1,"maxAttempts":2,"resumable":true,"service":"s"},`, i*7919, i%9, i*104729)
+	}
+	return []byte(strings.Replace(string(config(version, keys)), `"routes":[`, `"routes":[`+b.String(), 1))
+}
+
+// The configuration grows by 1,500 routes, an endpoint leaves and a key is taken away
+// right after, and the line of the entry that follows the store is narrow. Guards
+// against entries that give the reader up, and learn of the leaving seconds later,
+// because all of them are given the large value at once.
+func TestLeavingIsNotBehindALargeConfiguration(t *testing.T) {
+	const routes = 1500
+	s := newSystem(t, 2)
+	s.dial = (&line.Narrow{BytesPerSecond: 500e3}).Dial
+	entries := s.entries(5)
+	s.store.Put("op/config", largeConfig(2, routes, `"k1","k2"`))
+	s.put(s.endpoints[0], "a", "draining")
+	for _, e := range entries {
+		s.eventually("the leaving is known", func() bool {
+			return e.log.Has(`"draining":true,"endpoint":"i-0"`)
+		})
+	}
+	s.store.Put("op/config", largeConfig(3, routes+1, `"k1"`))
+	for _, e := range entries {
+		s.eventually("the newest configuration is in force", func() bool { return e.serves(3) })
+	}
+	for _, e := range entries {
+		if e.log.Has("entry does not tell what the store tells") {
+			t.Errorf("%s gave its reader up", e.Settings.Name)
+		}
+	}
+}
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -40,10 +40,13 @@
 			return mirror.Update{}, false
 		}
 		u, answer, err := f.hear(ctx, near[name].Address, revision, known)
+		f.sourceAddress = near[name].Address
 		f.choice.Note(name, answer, boottime.Now())
 		switch {
 		case answer == readers.Fresh:
 			return u, true
+		case answer == readers.Leaving:
+			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry leaves")
 		case err != nil:
 			f.conns.DropSilent(near[name].Address)
 			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("entry does not tell what the store tells")
@@ -79,19 +82,24 @@
 	}
 	asked := boottime.Now()
 	p, err := fleetpb.NewEntryClient(conn).Follow(ctx, &fleetpb.FollowRequest{
-		After: revision, Known: known, WaitMicros: uint64(followWait.Microseconds()),
+		After: revision, Known: known, WaitMicros: uint64(followWait.Microseconds()), DocumentRevision: f.documentHeard(),
 	})
 	if err != nil {
 		return mirror.Update{}, readers.Silent, err
 	}
+	held := f.documents.Newest().Revision
 	if p.GetAway() {
 		f.lostElsewhere = f.lostElsewhere || p.GetStoreAway()
+		if p.GetLeaving() {
+			return mirror.Update{}, readers.Leaving, nil
+		}
 		return mirror.Update{}, readers.Away, nil
 	}
 	// The other one counts from the arrival of the request, which is after asked.
 	u := mirror.Update{
 		Whole: p.GetWhole(), Deleted: p.GetRemoved(), Revision: p.GetRevision(),
 		Asked: asked.Add(time.Duration(p.GetAskedMicros()) * time.Microsecond),
+		Apart: p.GetDocumentRevision(), Lacking: p.GetDocumentRevision() > held,
 	}
 	for _, i := range p.GetItems() {
 		u.KVs = append(u.KVs, kv.NewKeyValue(i.GetKey(), i.GetValue(), i.GetRevision(), 0))
@@ -122,9 +130,12 @@
 	arrived := boottime.Now()
 	t := time.NewTimer(time.Duration(q.GetWaitMicros()) * time.Microsecond)
 	defer t.Stop()
+	if f.stopping.Load() {
+		return &fleetpb.FollowReply{Away: true, Leaving: true}, nil
+	}
 	taken := f.copy.Taken()
 	u, ok := f.copy.Since(q.GetAfter(), q.GetKnown())
-	if ok && !f.away.Load() && !news(u) {
+	if ok && !f.away.Load() && !news(u, q) {
 		select {
 		case <-taken:
 		case <-t.C:
@@ -134,19 +145,22 @@
 		u, ok = f.copy.Since(q.GetAfter(), q.GetKnown())
 	}
 	now := boottime.Now()
-	if !ok || f.stopping.Load() || f.away.Load() || now.Sub(u.Asked) > awayAge {
+	if !ok || f.away.Load() || now.Sub(u.Asked) > awayAge {
 		return &fleetpb.FollowReply{Away: true, StoreAway: f.away.Load()}, nil
 	}
 	return followReply(u, f.copy.Returned(), arrived, now), nil
 }
 
-// news reports whether an update tells more than the time that it is of.
-func news(u mirror.Update) bool { return u.Whole || len(u.KVs)+len(u.Deleted) > 0 }
+// news reports whether an update tells whoever asks more than the time that it is of.
+func news(u mirror.Update, q *fleetpb.FollowRequest) bool {
+	return u.Whole || len(u.KVs)+len(u.Deleted) > 0 || u.Apart > q.GetDocumentRevision()
+}
 
 // followReply tells an update to an entry whose request came at arrived.
 func followReply(u mirror.Update, returned, arrived, now time.Time) *fleetpb.FollowReply {
 	p := &fleetpb.FollowReply{
 		Whole: u.Whole, Removed: u.Deleted, Revision: u.Revision, AskedMicros: u.Asked.Sub(arrived).Microseconds(),
+		DocumentRevision: u.Apart,
 	}
 	for _, item := range u.KVs {
 		p.Items = append(p.Items, &fleetpb.Item{Key: item.Key(), Value: item.Value(), Revision: item.Revision()})
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/document"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
@@ -89,21 +90,25 @@
 	stopping atomic.Bool
 	bounds   atomic.Pointer[settings.Bounds]
 	away     atomic.Bool
-	// document is the configuration in force as the store holds it.
-	document atomic.Pointer[[]byte]
-	others   others
-	work     *teller
-	hub      hub
+	// documents holds the configuration in force as the store does, sender passes it
+	// on, and lacking is one that another entry holds and this one doesn't.
+	documents document.Holder
+	sender    document.Sender
+	lacking   lacking
+	others    others
+	work      *teller
+	hub       hub
 	// copy is what was heard from the store, to be told to others, and choice says
-	// who is asked for it. Only the mirror's goroutine uses choice, source, which
-	// is who was asked last, once sourced is set, returned, which is when the store
+	// who is asked for it. Only the mirror's goroutine uses choice, source and
+	// sourceAddress, which are who was asked last, once sourced is set, returned, which is when the store
 	// last came back by what others told, and lostElsewhere, which says that it did
 	// not answer one of them.
-	copy     mirror.Copy
-	choice   readers.Choice
-	source   string
-	sourced  bool
-	returned time.Time
+	copy          mirror.Copy
+	choice        readers.Choice
+	source        string
+	sourceAddress string
+	sourced       bool
+	returned      time.Time
 	// lostElsewhere has the next answer of the store count as its return. Guard:
 	// entries of endpoints that lapsed in an outage hold for a while after it. One
 	// that begins to ask the store as another lost it has not seen it away itself.
@@ -170,6 +175,9 @@
 		Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
 	f.choice.Own = s.Name
+	f.copy.Apart = platform.DocumentKey
+	f.sender.Holder = &f.documents
+	f.sender.Pace = &document.Pace{BytesPerSecond: documentPart * s.LineRate}
 	f.mirror.Neighbour = f.hearNeighbour
 	f.relay = &relay.Relay{
 		Belief: f.belief, Client: &direct.Client{}, Dialect: platform.Dialect{},
@@ -187,7 +195,7 @@
 		Address: f.peers.Address(),
 	}}
 	parts := []process.Part{
-		f.mirror.Run, registrar.Run, f.work.run, f.passOn, f.prove, f.followSettings, f.peers.Run, f.relay.Sweep,
+		f.mirror.Run, registrar.Run, f.work.run, f.passOn, f.prove, f.fetchDocuments, f.followSettings, f.peers.Run, f.relay.Sweep,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		f.runServers,
 	}
@@ -245,18 +253,14 @@
 }
 
 // Proof implements fleetpb.EntryServer.
-func (s *service) Proof(_ context.Context, r *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
+func (s *service) Proof(context.Context, *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
 	f := s.frontend
 	t := f.belief.Table()
 	if t == nil {
 		return nil, result.New(result.NoPreset, "")
 	}
-	reply := &fleetpb.ProofReply{
+	return &fleetpb.ProofReply{
 		AgeMicros: uint64(max(0, f.fresh.Age(boottime.Now()).Microseconds())),
 		Version:   t.Version(),
-	}
-	if d := f.document.Load(); d != nil && r.GetVersion() < t.Version() {
-		reply.Document = *d
-	}
-	return reply, nil
+	}, nil
 }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -63,6 +64,8 @@
 	t         *testing.T
 	store     *standin.Store
 	endpoints []*standin.Endpoint
+	// dial, when set, opens the entries' connections to each other.
+	dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 func newSystem(t *testing.T, endpoints int) *system {
@@ -103,7 +106,7 @@
 			Bounds: settings.Bounds{
 				KeyRevoke: 5 * time.Second, RetryShare: 0.2, RetrySlack: 500, RetryWindow: 10 * time.Second, Grace: 8 * time.Second,
 			},
-			CallerAddress: local, ReadyAddress: local,
+			CallerAddress: local, ReadyAddress: local, LineRate: 5e6,
 		},
 		Log: process.NewBoundedLog(name, "a"),
 	}
@@ -112,6 +115,7 @@
 	if err := f.Listen(); err != nil {
 		s.t.Fatal(err)
 	}
+	f.conns.Dial = s.dial
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Run(ctx) }()
--- a/internal/frontend/prove.go
+++ b/internal/frontend/prove.go
@@ -8,7 +8,6 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
-	"github.com/hyssoprelay/hyssoprelay/platform"
 )
 
 const (
@@ -63,26 +62,27 @@
 // ask takes in what another entry knows. The age of its knowledge counts from
 // when this entry asked.
 func (f *Frontend) ask(ctx context.Context, name, addr string, turn int) {
-	ctx, cancel := context.WithTimeout(ctx, proveEvery)
-	defer cancel()
-	table := f.belief.Table()
 	conn, err := f.conns.Get(addr)
 	if err != nil {
 		return
 	}
 	asked := boottime.Now()
-	p, err := fleetpb.NewEntryClient(conn).Proof(ctx, &fleetpb.ProofRequest{Version: table.Version()})
+	within, cancel := context.WithTimeout(ctx, proveEvery)
+	defer cancel()
+	p, err := fleetpb.NewEntryClient(conn).Proof(within, &fleetpb.ProofRequest{})
 	if err != nil {
 		f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error(), "turn": turn}).Debug("no proof")
 		return
 	}
-	now := boottime.Now()
-	if len(p.GetDocument()) > 0 {
-		f.takeDocument(p.GetDocument(), name, now)
+	if f.belief.Table().Version() < p.GetVersion() {
+		if err := f.fetchDocument(ctx, name, addr); err != nil {
+			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("configuration not told")
+		}
 	}
 	if f.belief.Table().Version() < p.GetVersion() {
 		return // without that configuration its age says nothing
 	}
+	now := boottime.Now()
 	before := f.fresh.Age(now)
 	f.fresh.Learn(asked.Add(-time.Duration(p.GetAgeMicros()) * time.Microsecond))
 	if after := f.fresh.Age(now); after < before {
@@ -91,16 +91,3 @@
 		}).Info("keys proved by another entry")
 	}
 }
-
-// takeDocument puts a configuration into force that another entry has passed on.
-func (f *Frontend) takeDocument(document []byte, from string, now time.Time) {
-	t, err := platform.DecodeConfig(document)
-	if err != nil {
-		f.Log.WithFields(logrus.Fields{"entry": from, "cause": err.Error()}).Warn("configuration not readable, ignored")
-		return
-	}
-	if f.belief.SetTable(t, now) {
-		f.document.Store(&document)
-		f.Log.WithFields(logrus.Fields{"version": t.Version(), "entry": from}).Info("configuration in force")
-	}
-}
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -18,13 +18,18 @@
 // each second while changes come. Harm prevented: the calls grow with the fleet,
 // and in an outage all of them ask again and again.
 type Copy struct {
+	// Apart is a key that is not told with the others, as its value is large.
+	Apart string
+
 	mu    sync.Mutex // guards all below
 	items map[string]platform.KeyValue
 	// events are the changes after the revision floor, oldest first.
 	events          []event
 	floor, revision int64
 	asked, returned time.Time
-	taken           chan struct{}
+	// apart is the revision of the value of Apart that the process holds.
+	apart int64
+	taken chan struct{}
 }
 
 // event is a change of one key. Of a deletion the revision is not known; it is at
@@ -43,23 +48,45 @@
 		c.items, c.events, c.floor = map[string]platform.KeyValue{}, nil, u.Revision
 	}
 	for _, item := range u.KVs {
+		if item.Key() == c.Apart {
+			continue
+		}
 		c.items[item.Key()] = item
 		if !u.Whole {
 			c.events = append(c.events, event{item: item, revision: item.Revision()})
 		}
 	}
 	for _, key := range u.Deleted {
+		if key == c.Apart {
+			continue
+		}
 		delete(c.items, key)
 		c.events = append(c.events, event{item: platform.NewKeyValue(key, nil, u.Revision, 0), deleted: true, revision: u.Revision})
 	}
 	c.forget()
 	c.revision = max(c.revision, u.Revision)
-	if u.Asked.After(c.asked) {
-		c.asked = u.Asked
-	}
 	if u.Returned {
 		c.returned = now
 	}
+	if u.Lacking {
+		u.Asked = time.Time{}
+	}
+	c.catchUp(u.Asked, u.Apart)
+}
+
+// CatchUp notes that the process holds the value of Apart of a revision, and with it
+// knows all that was changed before asked.
+func (c *Copy) CatchUp(asked time.Time, apart int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.catchUp(asked, apart)
+}
+
+func (c *Copy) catchUp(asked time.Time, apart int64) {
+	if asked.After(c.asked) {
+		c.asked = asked
+	}
+	c.apart = max(c.apart, apart)
 	if c.taken != nil {
 		close(c.taken)
 		c.taken = nil
@@ -86,7 +113,7 @@
 	if c.items == nil {
 		return Update{}, false
 	}
-	u := Update{Revision: c.revision, Asked: c.asked}
+	u := Update{Revision: c.revision, Asked: c.asked, Apart: c.apart}
 	if !known || after < c.floor {
 		u.Whole = true
 		for _, item := range c.items {
--- a/internal/platform/mirror/copy_test.go
+++ b/internal/platform/mirror/copy_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -180,3 +181,152 @@
 		t.Errorf("polls wait %v, want %v", got, want)
 	}
 }
+
+// apartFollower knows what it was told, but for the values of a key that is told apart,
+// which it is given later.
+type apartFollower struct {
+	follower
+
+	lacks bool
+	asked time.Time // of the update that lacks
+	wants int64
+	held  int64
+}
+
+// hear takes in what another one tells of everything else.
+func (f *apartFollower) hear(u Update, now time.Time) {
+	u.Lacking = u.Apart > f.held
+	if u.Lacking {
+		f.lacks, f.asked, f.wants = true, u.Asked, u.Apart
+	}
+	u.Apart = f.held
+	told := u
+	if u.Lacking {
+		told.Asked = time.Time{}
+	}
+	f.copy.Take(u, now)
+	f.revision, f.known = max(f.revision, u.Revision), true
+	if told.Asked.After(f.follower.asked) {
+		f.follower.asked = told.Asked
+	}
+}
+
+// give gives it the value that another one holds.
+func (f *apartFollower) give(from *apartFollower) {
+	f.held = max(f.held, from.held)
+	if !f.lacks || f.held < f.wants {
+		return
+	}
+	f.lacks = false
+	if f.asked.After(f.follower.asked) {
+		f.follower.asked = f.asked
+	}
+	f.copy.CatchUp(f.asked, f.held)
+}
+
+// A large value is told apart from all others, later, by processes of which some are
+// behind. Guards against one that claims to know all of a time though it lacks the
+// value that was in force by then: a key that was taken away would count for longer.
+func TestWhatIsToldApartIsNotClaimed(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		h := &history{}
+		followers := []*apartFollower{{}, {}, {}, {}}
+		for _, f := range followers {
+			f.copy.Apart = "key0"
+		}
+		now := time.Unix(1000, 0)
+		for range 400 {
+			now = now.Add(time.Millisecond)
+			f, from := followers[rng.IntN(4)], followers[rng.IntN(4)]
+			switch rng.IntN(4) {
+			case 0:
+				h.change(rng, now)
+			case 1:
+				if f == followers[0] {
+					u := h.since(f.revision, f.known, now)
+					for _, item := range u.KVs {
+						if item.Key() == "key0" {
+							f.held = max(f.held, item.Revision())
+						}
+					}
+					u.Apart = f.held
+					f.hear(u, now)
+				}
+			case 2:
+				if u, ok := from.copy.Since(f.revision, f.known); ok && f != from && f != followers[0] {
+					f.hear(u, now)
+				}
+			default:
+				f.give(from)
+			}
+			f.checkApart(t, seed, h)
+		}
+	}
+}
+
+// checkApart checks that it holds the value that was in force at the time that it
+// claims.
+func (f *apartFollower) checkApart(t *testing.T, seed uint64, h *history) {
+	t.Helper()
+	inForce := int64(0)
+	for i, e := range h.events {
+		switch {
+		case e.item.Key() != "key0" || !h.at[i].Before(f.follower.asked):
+		case e.deleted:
+			inForce = 0
+		default:
+			inForce = e.revision
+		}
+	}
+	if inForce > f.held {
+		t.Fatalf("seed %d: it claims to know all of a time at which revision %d was in force, and holds %d", seed, inForce, f.held)
+	}
+}
+
+// A process hears from a neighbour of a large value, and asks the service before it was
+// given it. Guards against a value that it never hears of, as the service is asked only
+// for what came after.
+func TestServiceIsAskedFromWhereNothingLacked(t *testing.T) {
+	var polled []int64
+	told := []Update{
+		{Whole: true, Revision: 10},
+		{Revision: 20, Lacking: true},
+		{Revision: 15}, // another neighbour, which is behind
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m := &Mirror{
+		Reader: pollRecorder{polled: &polled, end: cancel}, Wait: time.Second, Now: time.Now, Apply: func(Update) {},
+		Neighbour: func(context.Context, int64, bool) (Update, bool) {
+			if len(told) == 0 {
+				return Update{}, false
+			}
+			u := told[0]
+			told = told[1:]
+			return u, true
+		},
+	}
+	if err := m.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(polled, []int64{15}) {
+		t.Errorf("the service is asked for what came after %v", polled)
+	}
+}
+
+// pollRecorder notes from where on it is asked, and ends the run.
+type pollRecorder struct {
+	polled *[]int64
+	end    func()
+}
+
+func (r pollRecorder) List(context.Context, string, string, int) (platform.RangeReply, error) {
+	return platform.RangeReply{}, ErrCompacted
+}
+
+func (r pollRecorder) Poll(_ context.Context, _ string, after int64, _ time.Duration) (platform.Changed, error) {
+	*r.polled = append(*r.polled, after)
+	r.end()
+	return platform.Changed{Revision: after}, nil
+}
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -48,6 +48,23 @@
 	Returned bool
 	// Neighbour says that another process has told this, in place of the service.
 	Neighbour bool
+	// Apart is the revision of the value of the key that is told apart: of the one
+	// that the process holds, or in what a neighbour tells, of the neighbour's.
+	Apart int64
+	// Lacking says that the process doesn't hold that value yet. It knows what was
+	// changed before Asked only once it does.
+	Lacking bool
+}
+
+// position is up to where a process knows all changes.
+type position struct {
+	revision int64
+	known    bool
+}
+
+// reach notes that all changes up to a revision are known.
+func (p *position) reach(revision int64) {
+	p.revision, p.known = max(p.revision, revision), true
 }
 
 // Mirror follows one prefix. Set the exported fields before Run.
@@ -76,6 +93,9 @@
 	// Neighbour, when set, is asked before the service: it returns what another
 	// process has heard from it, or false to ask the service. It says itself in
 	// the update whether the service has returned.
+	//
+	// The service is asked from where nothing was lacking: what another process has
+	// told of and not yet passed on would else never be told.
 	Neighbour func(ctx context.Context, revision int64, known bool) (Update, bool)
 	// Now is the clock.
 	Now func() time.Time
@@ -88,19 +108,23 @@
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	rest, settle := leastPause, m.Settle
-	revision, known, failed := int64(0), false, false
+	// heard goes up to what neighbours told, and whole up to where nothing lacks.
+	heard, whole, failed := position{}, position{}, false
 	asked := time.Time{}
 	started := m.Now().Add(m.StartTime)
 	for ctx.Err() == nil {
-		u, err := m.next(ctx, revision, known, m.waitFor(m.Now().Sub(asked)))
+		u, err := m.next(ctx, heard, whole, m.waitFor(m.Now().Sub(asked)))
 		switch {
 		case err == nil:
 			if !u.Neighbour {
 				u.Returned = failed
 			}
 			failed, rest = false, leastPause
-			revision, known = u.Revision, true
-			if u.Asked.After(asked) {
+			heard.reach(u.Revision)
+			if !u.Lacking {
+				whole.reach(u.Revision)
+			}
+			if u.Asked.After(asked) && !u.Lacking {
 				asked = u.Asked
 			}
 			m.Apply(u)
@@ -117,7 +141,7 @@
 				settle = m.Settle
 			}
 		case errors.Is(err, ErrCompacted):
-			known = false
+			whole.known = false
 		case errors.Is(err, errDoubted):
 			failed = true
 		default:
@@ -151,26 +175,26 @@
 	}
 }
 
-func (m *Mirror) next(ctx context.Context, revision int64, known bool, wait time.Duration) (Update, error) {
+func (m *Mirror) next(ctx context.Context, heard, whole position, wait time.Duration) (Update, error) {
 	if m.Neighbour != nil {
-		if u, ok := m.Neighbour(ctx, revision, known); ok {
-			u.Neighbour, u.Revision = true, max(u.Revision, revision)
+		if u, ok := m.Neighbour(ctx, heard.revision, heard.known); ok {
+			u.Neighbour = true
 			return u, nil
 		}
 	}
 	asked := m.Now()
-	if !known {
+	if !whole.known {
 		u, err := m.list(ctx)
 		u.Asked = asked
 		return u, err
 	}
-	c, err := m.poll(ctx, revision, wait)
+	c, err := m.poll(ctx, whole.revision, wait)
 	if err != nil {
 		return Update{}, err
 	}
 	// Guard: an answer that was overtaken on its way tells an older revision.
 	// Going on from there would repeat changes, so the newest one stays.
-	return Update{KVs: c.KVs, Deleted: c.Deleted, Revision: max(c.Revision, revision), Asked: asked}, nil
+	return Update{KVs: c.KVs, Deleted: c.Deleted, Revision: max(c.Revision, whole.revision), Asked: asked}, nil
 }
 
 // errDoubted says that a poll was given up to be asked anew.
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -159,6 +159,7 @@
 	Common        commonFlags `group:"Process"`
 	CallerAddress string      `long:"callerAddress" description:"IP:port for callers"`
 	ReadyAddress  string      `long:"readyAddress" description:"IP:port for those who ask whether the process takes connections"`
+	LineRate      string      `long:"lineRate" description:"what the VM's line takes, in Mbit/s"`
 
 	Bounds struct {
 		KeyRevoke   string `long:"keyRevoke" description:"how soon a key that was taken away must be refused"`
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -26,6 +26,8 @@
 	// CallerAddress is listened on for callers, and ReadyAddress for those who
 	// ask whether the process takes connections.
 	CallerAddress, ReadyAddress netip.AddrPort
+	// LineRate is what the VM's line takes, in bytes a second.
+	LineRate float64
 }
 
 // Ranker holds the settings of an agent that leads the expert maps of its
@@ -43,14 +45,18 @@
 
 // Defaults and bounds of these settings.
 const (
-	maxBound      = time.Hour
-	defaultRevoke = 5 * time.Second
-	defaultGrace  = 8 * time.Second
-	defaultWindow = 10 * time.Second
-	defaultSlack  = 50
-	defaultShare  = 0.1
-	mostSlack     = 1e6
-	mostShare     = 1
+	maxBound = time.Hour
+	// Lines are set in megabits a second.
+	defaultLine    = 100
+	mostLine       = 1e6
+	bytesOfMegabit = 1e6 / 8
+	defaultRevoke  = 5 * time.Second
+	defaultGrace   = 8 * time.Second
+	defaultWindow  = 10 * time.Second
+	defaultSlack   = 50
+	defaultShare   = 0.1
+	mostSlack      = 1e6
+	mostShare      = 1
 )
 
 func readBounds(s *inifile.Section) Bounds {
@@ -74,6 +80,7 @@
 	s.Require("callerAddress", "readyAddress")
 	r.CallerAddress = s.Address("callerAddress", true)
 	r.ReadyAddress = s.Address("readyAddress", true)
+	r.LineRate = bytesOfMegabit * s.Float("lineRate", defaultLine, mostLine)
 	errs := fromFaults(doc.Close("[process]", "[bounds]", "[tls]"))
 	errs = append(errs, r.TLS.check()...)
 	if len(errs) > 0 {
