--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -18,6 +18,9 @@
 	// second, in which nothing is heard.
 	passOver   = time.Second
 	silentOver = 3 * time.Second
+	// leaveOver is how long one is passed over that leaves: longer than it takes to
+	// stop and to start again.
+	leaveOver = 12 * time.Second
 	// aloneEvery is the pause between two tries of the store by a process that
 	// hears from others which don't reach it. Keys are believed for twice as long.
 	aloneEvery = 2500 * time.Millisecond
@@ -32,6 +35,8 @@
 	Silent Answer = iota
 	// Away means that the process doesn't reach the store.
 	Away
+	// Leaving means that the process is about to end, which it says at once.
+	Leaving
 	// Fresh means that it told what the store tells.
 	Fresh
 )
@@ -61,6 +66,8 @@
 		return true
 	case Away:
 		return now.Sub(h.at) >= passOver
+	case Leaving:
+		return now.Sub(h.at) >= leaveOver
 	default:
 		return now.Sub(h.at) >= silentOver
 	}
@@ -89,7 +96,7 @@
 		return ""
 	}
 	for _, name := range first {
-		if c.heard[name].answer == Away {
+		if a := c.heard[name].answer; a == Away || a == Leaving {
 			return name
 		}
 	}
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -15,6 +15,11 @@
 	choices map[string]*Choice
 	// dead don't run, and turnedAway aren't answered by the store.
 	dead, turnedAway map[string]bool
+	// leaving are about to end, and neither ask nor tell.
+	leaving map[string]bool
+	// turns counts how often a process heard from another one than before.
+	turns map[string]int
+	last  map[string]string
 	// fresh is the time of which each knows all.
 	fresh map[string]time.Time
 	now   time.Time
@@ -26,6 +31,7 @@
 func newWorld(n int) *world {
 	w := &world{
 		choices: map[string]*Choice{}, dead: map[string]bool{}, turnedAway: map[string]bool{},
+		leaving: map[string]bool{}, turns: map[string]int{}, last: map[string]string{},
 		fresh: map[string]time.Time{}, now: start,
 	}
 	for i := range n {
@@ -42,7 +48,7 @@
 	w.calls = 0
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(tick) {
 		for _, name := range w.names {
-			if !w.dead[name] {
+			if !w.dead[name] && !w.leaving[name] {
 				w.ask(name)
 			}
 		}
@@ -53,6 +59,10 @@
 func (w *world) ask(name string) {
 	c := w.choices[name]
 	source := c.Source(w.names, w.now)
+	if w.last[name] != source {
+		w.last[name] = source
+		w.turns[name]++
+	}
 	if source == "" {
 		w.calls++
 		c.NoteStore(!w.turnedAway[name], w.now)
@@ -64,6 +74,8 @@
 	switch {
 	case w.dead[source]:
 		c.Note(source, Silent, w.now)
+	case w.leaving[source]:
+		c.Note(source, Leaving, w.now)
 	case w.now.Sub(w.fresh[source]) > 5*tick:
 		c.Note(source, Away, w.now)
 	default:
@@ -113,6 +125,29 @@
 	}
 }
 
+// The process that asks the store leaves, for eight seconds in which its callers are
+// served to the end. Guards against all others going back to it each second, and
+// knowing nothing new while it says that it has nothing to tell.
+func TestOneThatLeavesIsNotAskedAgain(t *testing.T) {
+	w := newWorld(12)
+	w.run(time.Second)
+	w.leaving[w.choices["entry0"].order(w.names)[0]] = true
+	clear(w.turns)
+	for range 80 {
+		w.run(tick)
+		for _, name := range w.names {
+			if age := w.now.Sub(w.fresh[name]); !w.leaving[name] && age > 5*tick {
+				t.Fatalf("%s knows what was %v ago", name, age)
+			}
+		}
+	}
+	for name, n := range w.turns {
+		if n > 2 {
+			t.Errorf("%s turned %d times to another", name, n)
+		}
+	}
+}
+
 // The store turns away the three processes that ask first. Guards against a data
 // centre that hears nothing though the store answers all others.
 func TestOthersTryWhenNoneOfTheFirstIsAnswered(t *testing.T) {
