--- a/internal/platform/mirror/copy_test.go
+++ b/internal/platform/mirror/copy_test.go
@@ -175,10 +175,12 @@
 // change.
 func TestOldKnowledgeIsRenewedAtOnce(t *testing.T) {
 	m := &Mirror{Wait: time.Second}
-	got := []time.Duration{m.waitFor(0), m.waitFor(2 * time.Second), m.waitFor(3 * time.Second), m.waitFor(time.Hour)}
-	want := []time.Duration{time.Second, time.Second, agedWait, agedWait}
-	if !slices.Equal(got, want) {
-		t.Errorf("polls wait %v, want %v", got, want)
+	ages := []time.Duration{0, time.Second, 1700 * time.Millisecond, 2 * time.Second, 3 * time.Second, time.Hour}
+	want := []time.Duration{time.Second, time.Second, 300 * time.Millisecond, agedWait, agedWait, agedWait}
+	for i, age := range ages {
+		if got := m.waitFor(age); got != want[i] {
+			t.Errorf("a poll waits %v when knowledge is %v old, want %v", got, age, want[i])
+		}
 	}
 }
 
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -154,19 +154,17 @@
 	return nil
 }
 
-// agedWait is how long a poll waits when what is known has grown old.
+// agedWait is how long a poll waits at least, however old what is known has grown.
 const agedWait = 50 * time.Millisecond
 
-// waitFor returns how long a poll waits when knowledge is of so long ago.
+// waitFor returns how long a poll waits when knowledge is of so long ago: so that it
+// is at most two waits old when the answer comes.
 //
 // Guard: after an outage, or when this process begins to ask in place of another,
 // an answer that waits for a change as usual would leave what is known as old as it
 // is for as long again, and it would count for nothing.
 func (m *Mirror) waitFor(age time.Duration) time.Duration {
-	if age > 2*m.Wait {
-		return min(agedWait, m.Wait)
-	}
-	return m.Wait
+	return min(m.Wait, max(agedWait, 2*m.Wait-age))
 }
 
 func (m *Mirror) fail(ctx context.Context, err error) {
