--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -80,8 +80,12 @@
 	// The others lose little by a dead entry that still counts, so it is long
 	// and costs few calls.
 	LeaseTime = 9 * time.Second
-	// retryEvery is the pause after a failed call.
-	retryEvery = 500 * time.Millisecond
+	// firstRetry is the pause after a failed call, which doubles up to mostRetry with
+	// each further one.
+	firstRetry = 500 * time.Millisecond
+	mostRetry  = 2 * time.Second
+	// endTimeout bounds the call that takes the key back.
+	endTimeout = 500 * time.Millisecond
 )
 
 // Registrar keeps a member's key in the store. Set the exported fields before
@@ -103,9 +107,12 @@
 // lease again it doesn't notice, and the others don't see it for up to a third of
 // the lease. A process that sees a key of the fleet vanish renews its own lease at
 // once, and finds out.
+//
+// Load: the store answers none of hundreds of processes for seconds. Harm prevented:
+// each asks it twice a second, and what the store bears as it returns goes to them.
 func (r *Registrar) Run(ctx context.Context) error {
 	var lease platform.LeaseID
-	failed := false
+	failed, retry := false, firstRetry
 	for ctx.Err() == nil {
 		rest := LeaseTime / 3
 		var err error
@@ -116,7 +123,10 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			r.fail(err)
-			rest = min(rest, retryEvery)
+			rest = min(rest, retry)
+			retry = min(2*retry, mostRetry)
+		} else {
+			retry = firstRetry
 		}
 		if failed && err == nil && r.Returned != nil {
 			r.Returned()
@@ -127,7 +137,7 @@
 	if lease == 0 {
 		return nil
 	}
-	end, cancel := context.WithTimeout(context.Background(), retryEvery)
+	end, cancel := context.WithTimeout(context.Background(), endTimeout)
 	defer cancel()
 	if err := r.Store.Revoke(end, lease); err != nil {
 		r.fail(err)
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
@@ -80,6 +81,40 @@
 	}
 }
 
+// The store answers nobody for eight seconds. Guards against processes that ask it again
+// and again meanwhile, and against one that is written again long after its return.
+func TestOutageIsAskedIntoSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage, mostCalls = 8 * time.Second, 7
+		store := &keys{}
+		store.lapsed.Store(true)
+		store.away.Store(true)
+		calls := 0
+		r := &Registrar{
+			Store: store, Member: Member{Kind: Agent, Name: "a"}, Doubt: &wake.Signal{},
+			Failed: func(error) { calls++ },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- r.Run(ctx) }()
+		time.Sleep(outage)
+		synctest.Wait()
+		if calls > mostCalls {
+			t.Errorf("%d calls in %v", calls, outage)
+		}
+		store.away.Store(false)
+		time.Sleep(mostRetry)
+		synctest.Wait()
+		if store.written.Load() != 1 {
+			t.Errorf("the key is not there %v after the return", mostRetry)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // eventually bounds a test that hangs; a third of a lease is what the process
 // would wait for by itself.
 func eventually(t *testing.T, is func() bool) {
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -38,6 +38,7 @@
 	}
 	if u.Returned {
 		f.belief.Change(func(d *directory.Directory) { d.Returned(now) })
+		f.doubt.Raise()
 	}
 	if !u.Neighbour {
 		f.choice.NoteStore(true, now)
