--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -161,6 +161,7 @@
 	b.arrivals = map[string]*arrivals{}
 	b.lateRunning = map[string]int{}
 	b.known = make(chan struct{})
+	b.cold.Name = b.Name
 	b.began = now
 }
 
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Cold decides whether this entry may send a request to a cold endpoint now.
@@ -13,6 +15,9 @@
 // time what the others send, so each takes its part of that rate and saves up
 // no more than one request. Set the exported fields before the first call.
 type Cold struct {
+	// Name is the entry's own name.
+	Name string
+
 	buckets map[string]*bucket
 }
 
@@ -56,15 +61,22 @@
 // Warm forgets an endpoint.
 func (c *Cold) Warm(endpoint string) { delete(c.buckets, endpoint) }
 
-// fill begins with an empty bucket: entries that all learn in one moment of a
-// cold endpoint would else send one request each at once.
+// phase returns a number from 0 to 1 that differs from entry to entry.
+func (c *Cold) phase(endpoint string) float64 {
+	return float64(xxhash.Sum64String(c.Name+" "+endpoint)) / math.MaxUint64
+}
+
+// fill begins with a part of a request that follows from the names: entries that all
+// learn in one moment of a cold endpoint have their first turns at its rate, one after
+// the other. With one for each they would send at once, and with none all would wait
+// for as long as their part of the rate takes for one.
 func (c *Cold) fill(endpoint string, rate float64, entries int, now time.Time) *bucket {
 	if c.buckets == nil {
 		c.buckets = map[string]*bucket{}
 	}
 	b := c.buckets[endpoint]
 	if b == nil {
-		b = &bucket{at: now}
+		b = &bucket{at: now, tokens: c.phase(endpoint)}
 		c.buckets[endpoint] = b
 	}
 	dt := now.Sub(b.at).Seconds()
