--- a/internal/ranker/popularity.go
+++ b/internal/ranker/popularity.go
@@ -6,16 +6,14 @@
 )
 
 const (
-	// forget is the time in which an observation's weight falls to 1/e. The
-	// counts of half a second differ from the mean by some 17 in 100 by what
-	// the requests happen to be about; over this time that falls by half, and
-	// a popularity lasts for two or three seconds.
+	// forget is the time in which an observation's weight falls to 1/e: long enough
+	// that what the requests happen to be about evens out, and less than a
+	// popularity lasts.
 	forget = 1500 * time.Millisecond
 	// jumpBeyond is how far a new observation must be from the estimate, as
 	// the sum of the differences of all shares, to count as a jump; then the
-	// estimate is given up. Without a jump up to 0.24 were seen, with one 0.35
-	// to 1, over looks 0.1 to 0.5 s apart. Observations of few counts differ by
-	// chance besides; jumpMost bounds what is allowed for that.
+	// estimate is given up. Observations of few counts differ by chance besides;
+	// jumpMost bounds what is allowed for that.
 	jumpBeyond = 0.3
 	jumpMost   = 0.8
 	// partOfJump is the distance from which an observation may have begun
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -36,13 +36,6 @@
 	// failuresInARow is from which reported failure on an endpoint is left
 	// alone for a while.
 	failuresInARow = 2
-	// leastEntries is how many entries are assumed before the store has told
-	// of them: three more than either fleet of today, so that shares are too
-	// small rather than too large.
-	leastEntries = 12
-	// entriesMemory is how long entries count that are no longer listed. One
-	// that is cut off from the store lapses there and goes on serving.
-	entriesMemory = 20 * time.Second
 	// queueBeyond is how many requests beyond its slots a plain service's
 	// endpoint is given. Its work takes a fifth of the target, so a short queue
 	// there ends in time and keeps it busy.
@@ -282,45 +275,6 @@
 	}
 }
 
-// SetEntry notes that another entry is listed, or no longer is.
-func (b *Belief) SetEntry(name string, listed bool, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if listed {
-		b.entries[name] = time.Time{}
-		return
-	}
-	if _, ok := b.entries[name]; ok {
-		b.entries[name] = now
-		b.dropWork(name)
-	}
-}
-
-// Entries returns how many entries share what endpoints bear.
-func (b *Belief) Entries(now time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.countEntries(now)
-}
-
-func (b *Belief) countEntries(now time.Time) int {
-	n := 0
-	for name, gone := range b.entries {
-		if !gone.IsZero() && now.Sub(gone) > entriesMemory {
-			delete(b.entries, name)
-			continue
-		}
-		n++
-	}
-	if _, ok := b.entries[b.Name]; !ok {
-		n++
-	}
-	if !b.listed || now.Sub(b.began) < entriesMemory {
-		return max(n, leastEntries)
-	}
-	return n
-}
-
 // LongestLeft returns the most time that a caller of the route has had left,
 // with the one given now.
 func (b *Belief) LongestLeft(route string, left time.Duration) time.Duration {
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -81,17 +81,6 @@
 	return max(leastLateRoom, int(part-keptForOthers*needed))
 }
 
-// listedEntries returns how many entries share the endpoints' places now.
-func (b *Belief) listedEntries() int {
-	n := 0
-	for _, gone := range b.entries {
-		if gone.IsZero() {
-			n++
-		}
-	}
-	return max(1, n)
-}
-
 // placeTime returns how long a request usually has its place; before any was seen,
 // as long as full engines with a planned map take for one of the usual size.
 func (b *Belief) placeTime(s *routing.Service, now time.Time) time.Duration {
