--- a/internal/rank/evenmap/plan.go
+++ b/internal/rank/evenmap/plan.go
@@ -1,8 +1,6 @@
 package evenmap
 
 import (
-	"cmp"
-	"math"
 	"slices"
 )
 
@@ -78,23 +76,6 @@
 	spent []int
 }
 
-// set is one set in the search.
-type set struct {
-	p     *Placement
-	load  []float64
-	ranks []float64
-	// slow multiplies the loads of ranks.
-	slow []float64
-	mean float64
-	// powers is the sum of the powers of the ranks' loads, and value the
-	// objective that follows from it.
-	powers float64
-	value  float64
-	spent  []int
-	// scratch serves one trial at a time.
-	scratch trial
-}
-
 // NewPlan plans the next placements for the given loads of experts by set. The
 // search takes the change that gains most for each copy, one after the other:
 // the load is a popularity that jumps every few seconds, so a good change now is
@@ -153,51 +134,6 @@
 	return c.gain / float64(c.cost)
 }
 
-func newSet(p *Placement, load, slow []float64) *set {
-	s := &set{p: p, load: load, slow: slow, spent: make([]int, p.shape.Ranks)}
-	if slow == nil {
-		s.slow = slices.Repeat([]float64{1}, p.shape.Ranks)
-	}
-	for _, v := range p.Loads(load) {
-		s.mean += v / float64(p.shape.Ranks)
-	}
-	s.measure()
-	return s
-}
-
-// measure takes the ranks' loads anew from the placement.
-func (s *set) measure() {
-	s.ranks = s.p.Loads(s.load)
-	s.powers = 0
-	if s.mean <= 0 {
-		return
-	}
-	for r := range s.ranks {
-		s.ranks[r] *= s.slow[r]
-		s.powers += s.power(s.ranks[r])
-	}
-	s.value = objective(s.powers)
-}
-
-// skew returns the time of the slowest rank over the mean load.
-func (s *set) skew() float64 {
-	if s.mean <= 0 {
-		return 1
-	}
-	return slices.Max(s.ranks) / s.mean
-}
-
-// power is one rank's part of the objective.
-func (s *set) power(load float64) float64 {
-	x := load / s.mean
-	x2 := x * x
-	x4 := x2 * x2
-	return x4 * x4 * x4
-}
-
-// objective is the norm of the loads over their mean, from the sum of powers.
-func objective(powers float64) float64 { return math.Pow(max(0, powers), 1.0/norm) }
-
 // apply makes a change and reports whether it made copies.
 func (s *planner) apply(c change) bool {
 	st := s.sets[c.set]
@@ -270,16 +206,6 @@
 	return top
 }
 
-// byLoad returns the ranks, the most loaded first.
-func (s *set) byLoad() []int {
-	order := make([]int, len(s.ranks))
-	for r := range order {
-		order[r] = r
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.ranks[b], s.ranks[a]) })
-	return order
-}
-
 // low returns the least loaded ranks that may still copy an expert of a set.
 //
 // Load: 129 ranks with 16 sets, on a quarter of a core. Harm prevented: a search
@@ -368,80 +294,3 @@
 	d.back()
 	s.consider(top, change{set: i, expert: e, to: to, evict: f, from: r, back: true, cost: cost + back, gain: gain})
 }
-
-// trial follows how the objective changes without changing the placement. It
-// works on the set's loads in place and puts them back, because it runs some
-// hundred thousand times a plan.
-type trial struct {
-	s      *set
-	powers float64
-	// experts and holders are the changed lists, of two experts at most.
-	experts [2]int
-	holders [2][]int
-	n       int
-	// ranks and loads are what to put back, newest last.
-	ranks []int
-	loads []float64
-}
-
-// begin starts a trial; back ends it.
-func (s *set) begin() *trial {
-	t := &s.scratch
-	t.s, t.powers, t.n = s, s.powers, 0
-	t.ranks, t.loads = t.ranks[:0], t.loads[:0]
-	return t
-}
-
-func (t *trial) back() {
-	for i := len(t.ranks) - 1; i >= 0; i-- {
-		t.s.ranks[t.ranks[i]] = t.loads[i]
-	}
-}
-
-// gain is the fall of the objective, or 0 where it doesn't fall.
-func (t *trial) gain() float64 {
-	if t.powers >= t.s.powers {
-		return 0
-	}
-	return t.s.value - objective(t.powers)
-}
-
-// of returns the list of an expert's holders that the trial may change.
-func (t *trial) of(e int) *[]int {
-	for i := range t.n {
-		if t.experts[i] == e {
-			return &t.holders[i]
-		}
-	}
-	t.experts[t.n] = e
-	t.holders[t.n] = append(t.holders[t.n][:0], t.s.p.holders[e]...)
-	t.n++
-	return &t.holders[t.n-1]
-}
-
-func (t *trial) spread(e int, hs []int, sign float64) {
-	if len(hs) == 0 {
-		return
-	}
-	part := sign * t.s.load[e] / float64(len(hs))
-	for _, r := range hs {
-		old := t.s.ranks[r]
-		t.ranks, t.loads = append(t.ranks, r), append(t.loads, old)
-		t.s.ranks[r] = old + part*t.s.slow[r]
-		t.powers += t.s.power(t.s.ranks[r]) - t.s.power(old)
-	}
-}
-
-func (t *trial) add(e, r int) {
-	hs := t.of(e)
-	t.spread(e, *hs, -1)
-	*hs = append(*hs, r)
-	t.spread(e, *hs, 1)
-}
-
-func (t *trial) drop(e, r int) {
-	hs := t.of(e)
-	t.spread(e, *hs, -1)
-	*hs = without(*hs, r)
-	t.spread(e, *hs, 1)
-}
