--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -203,8 +203,8 @@
 func (j *job) pass(p Place, a *direct.Answer, ev direct.Event) error {
 	now := j.relay.Now()
 	j.relay.Belief.Heard(p, now)
-	if j.started {
-		j.longestPause = max(j.longestPause, now.Sub(j.lastPart))
+	if pause := now.Sub(j.lastPart); j.started && pause > j.longestPause {
+		j.longestPause, j.pauseEnded = pause, now
 	}
 	j.lastPart = now
 	if !j.started {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -113,6 +113,7 @@
 	}
 	if j.longestPause > 0 {
 		f["longestPause"] = j.longestPause.Milliseconds()
+		f["pauseEnded"] = j.pauseEnded.Sub(j.raw.At).Milliseconds()
 	}
 	if j.waited > 0 {
 		f["waited"] = j.waited.Milliseconds()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,10 +80,11 @@
 	waited time.Duration
 	// firstPart is when the first part of the answer went to the caller.
 	firstPart time.Time
-	// lastPart is when the last part went, and longestPause the longest time
-	// between two.
+	// lastPart is when the last part went, longestPause the longest time between
+	// two, and pauseEnded when that was over.
 	lastPart     time.Time
 	longestPause time.Duration
+	pauseEnded   time.Time
 }
 
 // Pass implements caller.Passer.
