--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -76,7 +76,7 @@
 // Source returns the name of the process to ask, or "" for the store. Others are
 // the names of all processes of the data centre; the own one may be among them.
 func (c *Choice) Source(others []string, now time.Time) string {
-	order := c.order(others)
+	order := c.order(others, now)
 	own := slices.Index(order, c.Own)
 	first := order[:min(own, standing)]
 	if own < standing && now.Sub(c.failed) < passOver {
@@ -96,16 +96,24 @@
 		return ""
 	}
 	for _, name := range first {
-		if a := c.heard[name].answer; a == Away || a == Leaving {
+		if c.heard[name].answer == Away {
 			return name
 		}
 	}
 	return ""
 }
 
-// order returns all processes in the order in which they ask the store.
-func (c *Choice) order(others []string) []string {
+// order returns all processes that aren't about to end, in the order in which they ask
+// the store.
+//
+// Guard: a rolling restart stops the three that may ask at once. Did they keep their
+// places, all others would be blind for as long as those serve their last callers.
+func (c *Choice) order(others []string, now time.Time) []string {
 	all := append(slices.Clone(others), c.Own)
+	all = slices.DeleteFunc(all, func(name string) bool {
+		h := c.heard[name]
+		return h.answer == Leaving && !h.usable(now)
+	})
 	slices.SortFunc(all, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -116,7 +116,7 @@
 	} {
 		w := newWorld(31)
 		w.run(time.Second)
-		order := w.choices["entry0"].order(w.names)
+		order := w.choices["entry0"].order(w.names, w.now)
 		for _, name := range order[:2] {
 			lose(w, name)
 			w.run(3 * time.Second)
@@ -125,25 +125,35 @@
 	}
 }
 
-// The process that asks the store leaves, for eight seconds in which its callers are
-// served to the end. Guards against all others going back to it each second, and
-// knowing nothing new while it says that it has nothing to tell.
-func TestOneThatLeavesIsNotAskedAgain(t *testing.T) {
-	w := newWorld(12)
-	w.run(time.Second)
-	w.leaving[w.choices["entry0"].order(w.names)[0]] = true
-	clear(w.turns)
-	for range 80 {
-		w.run(tick)
-		for _, name := range w.names {
-			if age := w.now.Sub(w.fresh[name]); !w.leaving[name] && age > 5*tick {
-				t.Fatalf("%s knows what was %v ago", name, age)
+// Those that ask the store leave, one or all three that may, for eight seconds in which
+// their callers are served to the end. Guards against others that go back to them each
+// second, or are blind while they say that they have nothing to tell, and against all
+// others asking the store.
+func TestThoseThatLeaveAreNotAskedAgain(t *testing.T) {
+	for _, n := range []int{1, standing} { // each that leaves costs a question
+		w := newWorld(12)
+		w.run(time.Second)
+		for _, name := range w.choices["entry0"].order(w.names, w.now)[:n] {
+			w.leaving[name] = true
+		}
+		clear(w.turns)
+		calls := 0
+		const ticks = 80
+		for range ticks {
+			calls += w.run(tick)
+			for _, name := range w.names {
+				if age := w.now.Sub(w.fresh[name]); !w.leaving[name] && age > time.Duration(4+n)*tick {
+					t.Fatalf("%d leave: %s knows what was %v ago", n, name, age)
+				}
 			}
 		}
-	}
-	for name, n := range w.turns {
-		if n > 2 {
-			t.Errorf("%s turned %d times to another", name, n)
+		for name, turns := range w.turns {
+			if turns > n+1 {
+				t.Errorf("%d leave: %s turned %d times to another", n, name, turns)
+			}
+		}
+		if most := ticks + n; calls > most {
+			t.Errorf("%d leave: %d calls, want at most %d", n, calls, most)
 		}
 	}
 }
@@ -153,7 +163,7 @@
 func TestOthersTryWhenNoneOfTheFirstIsAnswered(t *testing.T) {
 	w := newWorld(31)
 	w.run(time.Second)
-	for _, name := range w.choices["entry0"].order(w.names)[:standing] {
+	for _, name := range w.choices["entry0"].order(w.names, w.now)[:standing] {
 		w.turnedAway[name] = true
 	}
 	w.run(10 * time.Second)
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -87,7 +87,6 @@
 	if err != nil {
 		return mirror.Update{}, readers.Silent, err
 	}
-	held := f.documents.Newest().Revision
 	if p.GetAway() {
 		f.lostElsewhere = f.lostElsewhere || p.GetStoreAway()
 		if p.GetLeaving() {
@@ -95,6 +94,7 @@
 		}
 		return mirror.Update{}, readers.Away, nil
 	}
+	held := f.documents.Newest().Revision
 	// The other one counts from the arrival of the request, which is after asked.
 	u := mirror.Update{
 		Whole: p.GetWhole(), Deleted: p.GetRemoved(), Revision: p.GetRevision(),
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -100,9 +100,9 @@
 	hub       hub
 	// copy is what was heard from the store, to be told to others, and choice says
 	// who is asked for it. Only the mirror's goroutine uses choice, source and
-	// sourceAddress, which are who was asked last, once sourced is set, returned, which is when the store
-	// last came back by what others told, and lostElsewhere, which says that it did
-	// not answer one of them.
+	// sourceAddress, which are who was asked last, once sourced is set, returned,
+	// which is when the store last came back by what others told, and lostElsewhere,
+	// which says that it did not answer one of them.
 	copy          mirror.Copy
 	choice        readers.Choice
 	source        string
