--- a/internal/fleet/document/holder_test.go
+++ b/internal/fleet/document/holder_test.go
@@ -136,3 +136,25 @@
 		}
 	}
 }
+
+// Bytes are changed on their way. Guards against a configuration that nobody wrote.
+func TestGarbledVersionIsRefused(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 5))
+	from := &Holder{}
+	from.Put(Version{Revision: 1, Value: document(240, 1)})
+	from.Put(Version{Revision: 2, Value: document(240, 2)})
+	for _, held := range []int64{0, 1} {
+		p, err := from.Pack(held)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 300 {
+			garbled := p
+			garbled.Bytes = bytes.Clone(p.Bytes)
+			garbled.Bytes[rng.IntN(len(p.Bytes))] ^= byte(1 + rng.IntN(255))
+			if v, err := from.Unpack(garbled); err == nil && !bytes.Equal(v.Value, from.Newest().Value) {
+				t.Fatalf("difference from %d: %d other bytes are taken", held, len(v.Value))
+			}
+		}
+	}
+}
