--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -63,6 +63,8 @@
 	out     map[string]bool
 	// returned is when the store last came back.
 	returned time.Time
+	// lapse is when the first hold of a vanished entry ends; zero if none holds.
+	lapse time.Time
 	// settled says that the first whole listing has been taken in: endpoints
 	// that appear later have started while this process ran.
 	settled bool
@@ -140,9 +142,20 @@
 	}
 	if k.lapsed.IsZero() {
 		k.lapsed = hold
+		d.noteLapse(hold)
 	}
 }
 
+func (d *Directory) noteLapse(hold time.Time) {
+	if d.lapse.IsZero() || hold.Before(d.lapse) {
+		d.lapse = hold
+	}
+}
+
+// Lapsed reports whether a vanished entry has ceased to hold since Endpoints was last
+// called.
+func (d *Directory) Lapsed(now time.Time) bool { return !d.lapse.IsZero() && !now.Before(d.lapse) }
+
 // Whole takes in which entries the store holds in all; others have vanished.
 func (d *Directory) Whole(ids map[string]bool, now time.Time) {
 	d.init()
@@ -195,12 +208,16 @@
 // ids. Each is a copy.
 func (d *Directory) Endpoints(now time.Time) []Endpoint {
 	var out []Endpoint
+	d.lapse = time.Time{}
 	for _, id := range d.ids() {
 		k := d.entries[id]
 		if !k.lapsed.IsZero() && !now.Before(k.lapsed) {
 			delete(d.entries, id)
 			continue
 		}
+		if !k.lapsed.IsZero() {
+			d.noteLapse(k.lapsed)
+		}
 		if !d.usable(k, now) {
 			continue
 		}
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -14,6 +14,11 @@
 	"github.com/hyssoprelay/hyssoprelay/platform"
 )
 
+// noticedElsewhere is how long ago the store came back at least that another entry had
+// lost. It may have turned away that one alone, and then an endpoint whose entry vanishes
+// has left: held for any longer, it would get requests after it has to get none.
+const noticedElsewhere = 500 * time.Millisecond
+
 // storeFailed notes that the store did not answer a read.
 func (f *Frontend) storeFailed(err error) {
 	f.choice.NoteStore(false, boottime.Now())
@@ -33,11 +38,16 @@
 // apply takes in what the store told.
 func (f *Frontend) apply(u mirror.Update) {
 	now := boottime.Now()
+	returned := now
+	if u.Neighbour {
+		returned = f.returned
+	}
 	if !u.Neighbour && f.lostElsewhere {
 		u.Returned, f.lostElsewhere = true, false
+		returned = now.Add(-noticedElsewhere)
 	}
 	if u.Returned {
-		f.belief.Change(func(d *directory.Directory) { d.Returned(now) })
+		f.belief.Change(func(d *directory.Directory) { d.Returned(returned) })
 		f.doubt.Raise()
 	}
 	if !u.Neighbour {
@@ -60,7 +70,7 @@
 	}
 	lacking := lack{entry: f.source, address: f.sourceAddress, revision: u.Apart, asked: u.Asked}
 	u.Apart = f.documents.Newest().Revision
-	f.copy.Take(u, now)
+	f.copy.Take(u, returned)
 	if u.Lacking {
 		f.lacking.set(lacking)
 		return
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -172,6 +172,9 @@
 // back by then. Guards against endpoints that are taken for gone at once, since their
 // entries lapsed in the outage: they are written again within two seconds.
 func TestOutageSeenByAnotherIsAnOutage(t *testing.T) {
+	// An endpoint that leaves while one entry alone is turned away gets nothing new
+	// after two seconds, a pause for changes and the way of a request included.
+	const lapseMost = 1700 * time.Millisecond
 	for _, lost := range []bool{false, true} {
 		f := &Frontend{Settings: &settings.Relay{}, Log: process.NewBoundedLog("entry", "a"), Output: io.Discard}
 		f.Settings.PlatformAddresses = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
@@ -187,6 +190,9 @@
 		if held := f.belief.Endpoints(boottime.Now()) == 1; held != lost {
 			t.Errorf("store lost elsewhere %v: the endpoint is held %v", lost, held)
 		}
+		if held := f.belief.Endpoints(now.Add(lapseMost)) == 1; held {
+			t.Errorf("store lost elsewhere %v: the endpoint is held for %v", lost, lapseMost)
+		}
 		if !f.copy.Returned().IsZero() != lost {
 			t.Errorf("store lost elsewhere %v: others are told of its return at %v", lost, f.copy.Returned())
 		}
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -40,8 +40,9 @@
 	revision int64
 }
 
-// Take takes in an update in the order in which Apply gets them.
-func (c *Copy) Take(u Update, now time.Time) {
+// Take takes in an update in the order in which Apply gets them. If it says that the
+// service has returned, it did so at returned.
+func (c *Copy) Take(u Update, returned time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if u.Whole {
@@ -66,7 +67,7 @@
 	c.forget()
 	c.revision = max(c.revision, u.Revision)
 	if u.Returned {
-		c.returned = now
+		c.returned = returned
 	}
 	if u.Lacking {
 		u.Asked = time.Time{}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -159,7 +159,7 @@
 
 // refresh brings the picture up to the directory.
 func (b *Belief) refresh(now time.Time) {
-	if !b.dirty && now.Sub(b.fed) < reportEvery {
+	if !b.dirty && now.Sub(b.fed) < reportEvery && !b.dir.Lapsed(now) {
 		return
 	}
 	b.dirty, b.fed = false, now
