--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -13,11 +13,16 @@
 	// answers none of them: enough that a store which turns away one in three
 	// VMs is reached by one of them.
 	standing = 3
-	// passOver is how long a process that doesn't reach the store is passed over,
-	// and silentOver one that did not answer: each try of it takes most of a
-	// second, in which nothing is heard.
+	// passOver is how long a process that has nothing to tell is passed over, and
+	// silentOver one that did not answer: each try of it takes most of a second, in
+	// which nothing is heard.
 	passOver   = time.Second
 	silentOver = 3 * time.Second
+	// lostOver is how long one is passed over that the store doesn't answer. It
+	// hears from others by then and tries the store again, which takes it two
+	// seconds to notice each time; whoever turned back to it hears of nothing
+	// meanwhile.
+	lostOver = 8 * time.Second
 	// leaveOver is how long one is passed over that leaves: longer than it takes to
 	// stop and to start again.
 	leaveOver = 12 * time.Second
@@ -33,8 +38,10 @@
 const (
 	// Silent means that no answer came in time.
 	Silent Answer = iota
-	// Away means that the process doesn't reach the store.
+	// Away means that the process has nothing to tell yet.
 	Away
+	// Lost means that the store doesn't answer the process.
+	Lost
 	// Leaving means that the process is about to end, which it says at once.
 	Leaving
 	// Fresh means that it told what the store tells.
@@ -66,6 +73,8 @@
 		return true
 	case Away:
 		return now.Sub(h.at) >= passOver
+	case Lost:
+		return now.Sub(h.at) >= lostOver
 	case Leaving:
 		return now.Sub(h.at) >= leaveOver
 	default:
@@ -96,7 +105,7 @@
 		return ""
 	}
 	for _, name := range first {
-		if c.heard[name].answer == Away {
+		if a := c.heard[name].answer; a == Away || a == Lost {
 			return name
 		}
 	}
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -17,6 +17,10 @@
 	dead, turnedAway map[string]bool
 	// leaving are about to end, and neither ask nor tell.
 	leaving map[string]bool
+	// cut are those whose calls to the store end unanswered after noticed, and
+	// pending is until when such a call lasts; lost are those that have noticed.
+	cut, lost map[string]bool
+	pending   map[string]time.Time
 	// turns counts how often a process heard from another one than before.
 	turns map[string]int
 	last  map[string]string
@@ -24,15 +28,21 @@
 	fresh map[string]time.Time
 	now   time.Time
 	calls int
+	// away is the age from which a process has nothing to tell.
+	away time.Duration
 }
 
-const tick = 100 * time.Millisecond
+const (
+	tick = 100 * time.Millisecond
+	// noticed is how long it takes a process to notice that the store is silent.
+	noticed = 2 * time.Second
+)
 
 func newWorld(n int) *world {
 	w := &world{
 		choices: map[string]*Choice{}, dead: map[string]bool{}, turnedAway: map[string]bool{},
-		leaving: map[string]bool{}, turns: map[string]int{}, last: map[string]string{},
-		fresh: map[string]time.Time{}, now: start,
+		leaving: map[string]bool{}, cut: map[string]bool{}, lost: map[string]bool{}, pending: map[string]time.Time{}, turns: map[string]int{}, last: map[string]string{},
+		fresh: map[string]time.Time{}, now: start, away: 5 * tick,
 	}
 	for i := range n {
 		name := fmt.Sprint("entry", i)
@@ -58,11 +68,24 @@
 
 func (w *world) ask(name string) {
 	c := w.choices[name]
+	if until, ok := w.pending[name]; ok {
+		if w.now.Before(until) {
+			return
+		}
+		delete(w.pending, name)
+		w.lost[name] = true
+		c.NoteStore(false, w.now)
+		return
+	}
 	source := c.Source(w.names, w.now)
 	if w.last[name] != source {
 		w.last[name] = source
 		w.turns[name]++
 	}
+	if source == "" && w.cut[name] {
+		w.pending[name] = w.now.Add(noticed)
+		return
+	}
 	if source == "" {
 		w.calls++
 		c.NoteStore(!w.turnedAway[name], w.now)
@@ -76,11 +99,13 @@
 		c.Note(source, Silent, w.now)
 	case w.leaving[source]:
 		c.Note(source, Leaving, w.now)
-	case w.now.Sub(w.fresh[source]) > 5*tick:
+	case w.lost[source]:
+		c.Note(source, Lost, w.now)
+	case w.now.Sub(w.fresh[source]) > w.away:
 		c.Note(source, Away, w.now)
 	default:
 		c.Note(source, Fresh, w.now)
-		w.fresh[name] = w.fresh[source]
+		w.fresh[name], w.lost[name] = w.fresh[source], false
 	}
 }
 
@@ -158,6 +183,36 @@
 	}
 }
 
+// The process that asks the store is cut off from it, and notices each time only when
+// its call ends. Guards against others that turn back to it again and again, and hear of
+// nothing while it waits: a change has to be known within three seconds.
+func TestOneThatIsCutOffFromTheStoreIsPassedOver(t *testing.T) {
+	const cutTime, mostOld, leastFresh = 12 * time.Second, 500 * time.Millisecond, 0.6
+	for _, n := range []int{2, 8} {
+		w := newWorld(n)
+		w.away = 3400 * time.Millisecond
+		w.run(time.Second)
+		first := w.choices["entry0"].order(w.names, w.now)[0]
+		w.cut[first] = true
+		ticks, fresh := 0, 0
+		for end := w.now.Add(cutTime); w.now.Before(end); {
+			w.run(tick)
+			for _, name := range w.names {
+				if name == first {
+					continue
+				}
+				ticks++
+				if w.now.Sub(w.fresh[name]) <= mostOld {
+					fresh++
+				}
+			}
+		}
+		if part := float64(fresh) / float64(ticks); part < leastFresh {
+			t.Errorf("%d processes: what the others know is new in %.2f of the time", n, part)
+		}
+	}
+}
+
 // The store turns away the three processes that ask first. Guards against a data
 // centre that hears nothing though the store answers all others.
 func TestOthersTryWhenNoneOfTheFirstIsAnswered(t *testing.T) {
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -89,10 +89,7 @@
 	}
 	if p.GetAway() {
 		f.lostElsewhere = f.lostElsewhere || p.GetStoreAway()
-		if p.GetLeaving() {
-			return mirror.Update{}, readers.Leaving, nil
-		}
-		return mirror.Update{}, readers.Away, nil
+		return mirror.Update{}, awayAnswer(p), nil
 	}
 	held := f.documents.Newest().Revision
 	// The other one counts from the arrival of the request, which is after asked.
@@ -110,6 +107,18 @@
 	return u, readers.Fresh, nil
 }
 
+// awayAnswer says why an entry has nothing to tell.
+func awayAnswer(p *fleetpb.FollowReply) readers.Answer {
+	switch {
+	case p.GetLeaving():
+		return readers.Leaving
+	case p.GetStoreAway():
+		return readers.Lost
+	default:
+		return readers.Away
+	}
+}
+
 // newReturn reports whether a return of the store, which another entry has told, is
 // one that this entry hasn't heard of.
 func (f *Frontend) newReturn(at time.Time) bool {
