Relays show from whom they hear what the store tells, and how old their knowledge grew

Ruled out: more log lines, they would be dropped the same way. relay.source.age, .turns, .silent, .away, .lost and .leaving last as long as the process; noteSource moves beside them, unchanged.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -76,7 +76,7 @@
 		return
 	}
 	// Only now, when all that the answer told is in force, is it as fresh.
-	f.fresh.Learn(u.Asked)
+	f.learn(u.Asked, now)
 }
 
 // put takes in one item and returns what it says, or nil if it can't be read.
--- a/internal/frontend/document.go
+++ b/internal/frontend/document.go
@@ -112,7 +112,7 @@
 		return
 	}
 	f.copy.CatchUp(l.asked, f.documents.Newest().Revision)
-	f.fresh.Learn(l.asked)
+	f.learn(l.asked, boottime.Now())
 	f.lacking.drop(l)
 }
 
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -42,6 +42,7 @@
 		u, answer, err := f.hear(ctx, near[name].Address, revision, known)
 		f.sourceAddress = near[name].Address
 		f.choice.Note(name, answer, boottime.Now())
+		f.sources.told(answer)
 		switch {
 		case answer == readers.Fresh:
 			return u, true
@@ -58,20 +59,6 @@
 	return mirror.Update{}, false
 }
 
-// noteSource tells from whom what the store tells is heard from now on, if that
-// changes.
-func (f *Frontend) noteSource(name string) {
-	if f.source == name && f.sourced {
-		return
-	}
-	f.source, f.sourced = name, true
-	from := name
-	if name == "" {
-		from = "store"
-	}
-	f.Log.WithFields(logrus.Fields{"from": from, "knownAge": f.fresh.Age(boottime.Now()).Milliseconds()}).Info("store followed")
-}
-
 // hear asks one entry.
 func (f *Frontend) hear(ctx context.Context, addr string, revision int64, known bool) (mirror.Update, readers.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -105,6 +105,7 @@
 	// which says that it did not answer one of them.
 	copy          mirror.Copy
 	choice        readers.Choice
+	sources       sourceMetrics
 	source        string
 	sourceAddress string
 	sourced       bool
@@ -175,6 +176,7 @@
 		Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
 	f.choice.Own = s.Name
+	f.sources = newSourceMetrics(f.Registry)
 	f.copy.Apart = platform.DocumentKey
 	f.sender.Holder = &f.documents
 	f.sender.Pace = &document.Pace{BytesPerSecond: documentPart * s.LineRate}
--- a/internal/relay/freshness.go
+++ b/internal/relay/freshness.go
@@ -23,6 +23,9 @@
 	}
 }
 
+// Known reports whether anything is known.
+func (f *Freshness) Known() bool { return f.asked.Load() != 0 }
+
 // Age returns how old the process's knowledge is. It is large before anything
 // is known.
 func (f *Freshness) Age(now time.Time) time.Duration {
