Whether an entry may tell others what it knows is decided without a network

Behaviour is unchanged: the decision moves from Follow into readers.Basis, beside whom a process asks, so that a model of a data centre shows both together. The model waits as a poll of the store does (1.5 s, 0.5 s of patience), where it had a figure of its own.

--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -19,8 +19,10 @@
 	leaving map[string]bool
 	// cut are those whose calls to the store end unanswered after noticed, and
 	// pending is until when such a call lasts; lost are those that have noticed.
-	cut, lost map[string]bool
-	pending   map[string]time.Time
+	cut     map[string]bool
+	pending map[string]time.Time
+	// bases are what each one's knowledge rests on.
+	bases map[string]*Basis
 	// turns counts how often a process heard from another one than before.
 	turns map[string]int
 	last  map[string]string
@@ -28,26 +30,28 @@
 	fresh map[string]time.Time
 	now   time.Time
 	calls int
-	// away is the age from which a process has nothing to tell.
-	away time.Duration
 }
 
 const (
 	tick = 100 * time.Millisecond
-	// noticed is how long it takes a process to notice that the store is silent.
-	noticed = 2 * time.Second
+	// wait is that of a poll, and noticed how long it takes a process to notice that
+	// the store is silent.
+	wait    = 1500 * time.Millisecond
+	noticed = wait + PollSlack
 )
 
 func newWorld(n int) *world {
 	w := &world{
 		choices: map[string]*Choice{}, dead: map[string]bool{}, turnedAway: map[string]bool{},
-		leaving: map[string]bool{}, cut: map[string]bool{}, lost: map[string]bool{}, pending: map[string]time.Time{}, turns: map[string]int{}, last: map[string]string{},
-		fresh: map[string]time.Time{}, now: start, away: 5 * tick,
+		leaving: map[string]bool{}, cut: map[string]bool{}, pending: map[string]time.Time{},
+		bases: map[string]*Basis{}, turns: map[string]int{}, last: map[string]string{},
+		fresh: map[string]time.Time{}, now: start,
 	}
 	for i := range n {
 		name := fmt.Sprint("entry", i)
 		w.names = append(w.names, name)
 		w.choices[name] = &Choice{Own: name}
+		w.bases[name] = &Basis{Wait: tick / 2}
 		w.fresh[name] = start
 	}
 	return w
@@ -73,7 +77,7 @@
 			return
 		}
 		delete(w.pending, name)
-		w.lost[name] = true
+		w.bases[name].Lose()
 		c.NoteStore(false, w.now)
 		return
 	}
@@ -99,13 +103,18 @@
 		c.Note(source, Silent, w.now)
 	case w.leaving[source]:
 		c.Note(source, Leaving, w.now)
-	case w.lost[source]:
-		c.Note(source, Lost, w.now)
-	case w.now.Sub(w.fresh[source]) > w.away:
-		c.Note(source, Away, w.now)
 	default:
-		c.Note(source, Fresh, w.now)
-		w.fresh[name], w.lost[name] = w.fresh[source], false
+		w.hear(name, source)
+	}
+}
+
+// hear has a process told by another one.
+func (w *world) hear(name, source string) {
+	a := w.bases[source].Answer(w.fresh[source], w.now)
+	w.choices[name].Note(source, a, w.now)
+	if a == Fresh {
+		w.fresh[name] = w.fresh[source]
+		w.bases[name].Learn()
 	}
 }
 
@@ -190,7 +199,9 @@
 	const cutTime, mostOld, leastFresh = 12 * time.Second, 500 * time.Millisecond, 0.6
 	for _, n := range []int{2, 8} {
 		w := newWorld(n)
-		w.away = 3400 * time.Millisecond
+		for _, b := range w.bases {
+			b.Wait = wait
+		}
 		w.run(time.Second)
 		first := w.choices["entry0"].order(w.names, w.now)[0]
 		w.cut[first] = true
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -22,7 +22,7 @@
 // storeFailed notes that the store did not answer a read.
 func (f *Frontend) storeFailed(err error) {
 	f.choice.NoteStore(false, boottime.Now())
-	if f.away.Swap(true) {
+	if !f.basis.Lose() {
 		return
 	}
 	f.Log.WithFields(logrus.Fields{
@@ -53,7 +53,7 @@
 	if !u.Neighbour {
 		f.choice.NoteStore(true, now)
 	}
-	if f.away.Swap(false) {
+	if f.basis.Learn() {
 		f.Log.WithFields(logrus.Fields{"dependency": "store", "revision": u.Revision}).Warn("dependency regained")
 	}
 	facts := make([]platform.Fact, 0, len(u.KVs))
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -21,9 +21,6 @@
 	followWait = 500 * time.Millisecond
 	// followSlack is added to it before the other one counts as silent.
 	followSlack = 250 * time.Millisecond
-	// awayAge is the age of what an entry knows from which it has nothing to tell:
-	// more than its polls leave while the store answers it.
-	awayAge = 2*pollWait + 400*time.Millisecond
 	// awayPause is the pause after another entry had nothing to tell, which it says
 	// at once.
 	awayPause = 200 * time.Millisecond
@@ -131,7 +128,7 @@
 	}
 	taken := f.copy.Taken()
 	u, ok := f.copy.Since(q.GetAfter(), q.GetKnown())
-	if ok && !f.away.Load() && !news(u, q) {
+	if ok && !f.basis.Lost() && !news(u, q) {
 		select {
 		case <-taken:
 		case <-t.C:
@@ -141,8 +138,8 @@
 		u, ok = f.copy.Since(q.GetAfter(), q.GetKnown())
 	}
 	now := boottime.Now()
-	if !ok || f.away.Load() || now.Sub(u.Asked) > awayAge {
-		return &fleetpb.FollowReply{Away: true, StoreAway: f.away.Load()}, nil
+	if a := f.basis.Answer(u.Asked, now); !ok || a != readers.Fresh {
+		return &fleetpb.FollowReply{Away: true, StoreAway: a == readers.Lost}, nil
 	}
 	return followReply(u, f.copy.Returned(), arrived, now), nil
 }
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -123,7 +123,7 @@
 	s.store.SetFault(standin.Busy)
 	s.eventually("an entry has noticed", func() bool {
 		for _, e := range left {
-			if e.away.Load() {
+			if e.basis.Lost() {
 				return true
 			}
 		}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -89,7 +89,7 @@
 	conns    *peer.Conns
 	stopping atomic.Bool
 	bounds   atomic.Pointer[settings.Bounds]
-	away     atomic.Bool
+	basis    readers.Basis
 	// documents holds the configuration in force as the store does, sender passes it
 	// on, and lacking is one that another entry holds and this one doesn't.
 	documents document.Holder
@@ -176,6 +176,7 @@
 		Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
 	f.choice.Own = s.Name
+	f.basis.Wait = pollWait
 	f.sources = newSourceMetrics(f.Registry)
 	f.copy.Apart = platform.DocumentKey
 	f.sender.Holder = &f.documents
