--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -224,6 +224,47 @@
 	}
 }
 
+// The process that asks the store is cut off from it for as long as the test runs, while
+// something changes all the time. Guards against a data centre whose other processes, which
+// the store would answer, hear of no change in time.
+func TestChangesAreKnownInTimeThoughTheReaderIsCutOff(t *testing.T) {
+	const (
+		// inForce is the time in which a change has to be in force, and way what the
+		// way to the last process takes of it.
+		inForce = 2 * time.Second
+		way     = 300 * time.Millisecond
+		cutTime = 30 * time.Second
+	)
+	for _, n := range []int{2, 3, 8} {
+		w := newWorld(n)
+		for _, b := range w.bases {
+			b.Wait = wait
+		}
+		w.run(time.Second)
+		first := w.choices["entry0"].order(w.names, w.now)[0]
+		w.cut[first] = true
+		oldest := w.oldest(cutTime, first)
+		if oldest > inForce-way {
+			t.Errorf("%d processes: one knows what was %v ago", n, oldest)
+		}
+	}
+}
+
+// oldest lets a time pass and returns how old the knowledge of a process, but for one,
+// has been.
+func (w *world) oldest(d time.Duration, but string) time.Duration {
+	var oldest time.Duration
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.run(tick)
+		for _, name := range w.names {
+			if name != but {
+				oldest = max(oldest, w.now.Sub(w.fresh[name]))
+			}
+		}
+	}
+	return oldest
+}
+
 // The store turns away the three processes that ask first. Guards against a data
 // centre that hears nothing though the store answers all others.
 func TestOthersTryWhenNoneOfTheFirstIsAnswered(t *testing.T) {
