Two entries no longer tell each other what only they have told

Callers saw a route refused with 404 that had been confirmed 2.09 s before.

Cause: the entry of a data centre that asks the store is cut off from it, and hears from the next one. That one turns back to it, once in a second before and once in eight since; then each takes the other's silence for a sign that nothing has changed, until the first one tries the store and its call ends. Class: second-hand knowledge that counts as evidence.

Change: what an entry knows carries the name of the one that the store itself has told it, and nobody is told its own knowledge (readers.Echo). Whoever hears so asks another one, or the store, at once.

Ruled out: a longer pass-over, which makes the blind time rarer and no shorter.

--- a/internal/fleet/readers/basis.go
+++ b/internal/fleet/readers/basis.go
@@ -17,26 +17,41 @@
 // from it. Set the exported fields before the first call. It is safe for concurrent
 // use.
 type Basis struct {
+	// Own is the name of the process.
+	Own string
 	// Wait is how long a poll of the store waits for a change at most.
 	Wait time.Duration
 
-	mu   sync.Mutex // guards lost
+	mu   sync.Mutex // guards all below
 	lost bool
+	// origin is the process that the store itself has told what this one knows.
+	origin string
 }
 
 // Lose notes that the store did not answer the process. It reports whether that is new.
-func (b *Basis) Lose() bool { return b.setLost(true) }
+func (b *Basis) Lose() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := b.lost
+	b.lost = true
+	return !was
+}
 
-// Learn notes that the process was told something new, by the store or by another one.
-// It reports whether it had lost the store before.
-func (b *Basis) Learn() bool { return b.setLost(false) }
+// Learn notes that the process was told what the store has told origin, which is itself
+// or another one. It reports whether it had lost the store before.
+func (b *Basis) Learn(origin string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := b.lost
+	b.lost, b.origin = false, origin
+	return was
+}
 
-func (b *Basis) setLost(lost bool) bool {
+// Origin returns the process that the store itself has told what this one knows.
+func (b *Basis) Origin() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed := b.lost != lost
-	b.lost = lost
-	return changed
+	return b.origin
 }
 
 // Lost reports whether the process hears of nothing, as the store didn't answer it.
@@ -46,12 +61,17 @@
 	return b.lost
 }
 
-// Answer returns what the process may tell another one if it knows all changes that
-// were made before asked.
-func (b *Basis) Answer(asked, now time.Time) Answer {
+// Answer returns what the process may tell another one, the asker, if it knows all
+// changes that were made before asked.
+//
+// Guard: two processes that hear from each other ask the store no more, and each would
+// take the other's silence for a sign that nothing has changed.
+func (b *Basis) Answer(asker string, asked, now time.Time) Answer {
 	switch {
 	case b.Lost():
 		return Lost
+	case b.Origin() == asker:
+		return Echo
 	case now.Sub(asked) > 2*b.Wait+awaySlack:
 		return Away
 	default:
--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -18,6 +18,9 @@
 	// which nothing is heard.
 	passOver   = time.Second
 	silentOver = 3 * time.Second
+	// echoOver is how long one is passed over that hears from this process itself. It
+	// says so at once.
+	echoOver = 2 * time.Second
 	// lostOver is how long one is passed over that the store doesn't answer. It
 	// hears from others by then and tries the store again, which takes it two
 	// seconds to notice each time; whoever turned back to it hears of nothing
@@ -42,6 +45,8 @@
 	Away
 	// Lost means that the store doesn't answer the process.
 	Lost
+	// Echo means that the process knows only what the asking one has told it.
+	Echo
 	// Leaving means that the process is about to end, which it says at once.
 	Leaving
 	// Fresh means that it told what the store tells.
@@ -75,6 +80,8 @@
 		return now.Sub(h.at) >= passOver
 	case Lost:
 		return now.Sub(h.at) >= lostOver
+	case Echo:
+		return now.Sub(h.at) >= echoOver
 	case Leaving:
 		return now.Sub(h.at) >= leaveOver
 	default:
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -51,7 +51,7 @@
 		name := fmt.Sprint("entry", i)
 		w.names = append(w.names, name)
 		w.choices[name] = &Choice{Own: name}
-		w.bases[name] = &Basis{Wait: tick / 2}
+		w.bases[name] = &Basis{Own: name, Wait: tick / 2}
 		w.fresh[name] = start
 	}
 	return w
@@ -95,6 +95,7 @@
 		c.NoteStore(!w.turnedAway[name], w.now)
 		if !w.turnedAway[name] {
 			w.fresh[name] = w.now
+			w.bases[name].Learn(name)
 		}
 		return
 	}
@@ -110,11 +111,11 @@
 
 // hear has a process told by another one.
 func (w *world) hear(name, source string) {
-	a := w.bases[source].Answer(w.fresh[source], w.now)
+	a := w.bases[source].Answer(name, w.fresh[source], w.now)
 	w.choices[name].Note(source, a, w.now)
 	if a == Fresh {
 		w.fresh[name] = w.fresh[source]
-		w.bases[name].Learn()
+		w.bases[name].Learn(w.bases[source].Origin())
 	}
 }
 
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -53,7 +53,7 @@
 	if !u.Neighbour {
 		f.choice.NoteStore(true, now)
 	}
-	if f.basis.Learn() {
+	if f.basis.Learn(f.origin(u)) {
 		f.Log.WithFields(logrus.Fields{"dependency": "store", "revision": u.Revision}).Warn("dependency regained")
 	}
 	facts := make([]platform.Fact, 0, len(u.KVs))
@@ -79,6 +79,14 @@
 	f.learn(u.Asked, now)
 }
 
+// origin returns the entry that the store itself has told an update.
+func (f *Frontend) origin(u mirror.Update) string {
+	if u.Neighbour {
+		return f.sourceOrigin
+	}
+	return f.Settings.Name
+}
+
 // put takes in one item and returns what it says, or nil if it can't be read.
 func (f *Frontend) put(item kv.KeyValue, now time.Time) platform.Fact {
 	fact, err := platform.Translate(item)
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -45,6 +45,8 @@
 			return u, true
 		case answer == readers.Leaving:
 			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry leaves")
+		case answer == readers.Echo:
+			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry hears from this one")
 		case err != nil:
 			f.conns.DropSilent(near[name].Address)
 			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("entry does not tell what the store tells")
@@ -67,14 +69,16 @@
 	asked := boottime.Now()
 	p, err := fleetpb.NewEntryClient(conn).Follow(ctx, &fleetpb.FollowRequest{
 		After: revision, Known: known, WaitMicros: uint64(followWait.Microseconds()), DocumentRevision: f.documentHeard(),
+		Asker: f.Settings.Name,
 	})
 	if err != nil {
 		return mirror.Update{}, readers.Silent, err
 	}
 	if p.GetAway() {
 		f.lostElsewhere = f.lostElsewhere || p.GetStoreAway()
-		return mirror.Update{}, awayAnswer(p), nil
+		return mirror.Update{}, f.awayAnswer(p), nil
 	}
+	f.sourceOrigin = p.GetOrigin()
 	held := f.documents.Newest().Revision
 	// The other one counts from the arrival of the request, which is after asked.
 	u := mirror.Update{
@@ -92,12 +96,14 @@
 }
 
 // awayAnswer says why an entry has nothing to tell.
-func awayAnswer(p *fleetpb.FollowReply) readers.Answer {
+func (f *Frontend) awayAnswer(p *fleetpb.FollowReply) readers.Answer {
 	switch {
 	case p.GetLeaving():
 		return readers.Leaving
 	case p.GetStoreAway():
 		return readers.Lost
+	case p.GetOrigin() == f.Settings.Name:
+		return readers.Echo
 	default:
 		return readers.Away
 	}
@@ -128,7 +134,8 @@
 	}
 	taken := f.copy.Taken()
 	u, ok := f.copy.Since(q.GetAfter(), q.GetKnown())
-	if ok && !f.basis.Lost() && !news(u, q) {
+	a := f.basis.Answer(q.GetAsker(), u.Asked, arrived)
+	if ok && a != readers.Lost && a != readers.Echo && !news(u, q) {
 		select {
 		case <-taken:
 		case <-t.C:
@@ -138,10 +145,13 @@
 		u, ok = f.copy.Since(q.GetAfter(), q.GetKnown())
 	}
 	now := boottime.Now()
-	if a := f.basis.Answer(u.Asked, now); !ok || a != readers.Fresh {
-		return &fleetpb.FollowReply{Away: true, StoreAway: a == readers.Lost}, nil
+	origin := f.basis.Origin()
+	if a = f.basis.Answer(q.GetAsker(), u.Asked, now); !ok || a != readers.Fresh {
+		return &fleetpb.FollowReply{Away: true, StoreAway: a == readers.Lost, Origin: origin}, nil
 	}
-	return followReply(u, f.copy.Returned(), arrived, now), nil
+	p := followReply(u, f.copy.Returned(), arrived, now)
+	p.Origin = origin
+	return p, nil
 }
 
 // news reports whether an update tells whoever asks more than the time that it is of.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -100,7 +100,8 @@
 	hub       hub
 	// copy is what was heard from the store, to be told to others, and choice says
 	// who is asked for it. Only the mirror's goroutine uses choice, source and
-	// sourceAddress, which are who was asked last, once sourced is set, returned,
+	// sourceAddress, which are who was asked last, once sourced is set, sourceOrigin,
+	// which is whom the store itself has told what that one told, returned,
 	// which is when the store last came back by what others told, and lostElsewhere,
 	// which says that it did not answer one of them.
 	copy          mirror.Copy
@@ -108,6 +109,7 @@
 	sources       sourceMetrics
 	source        string
 	sourceAddress string
+	sourceOrigin  string
 	sourced       bool
 	returned      time.Time
 	// lostElsewhere has the next answer of the store count as its return. Guard:
@@ -176,7 +178,7 @@
 		Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
 	f.choice.Own = s.Name
-	f.basis.Wait = pollWait
+	f.basis.Own, f.basis.Wait = s.Name, pollWait
 	f.sources = newSourceMetrics(f.Registry)
 	f.copy.Apart = platform.DocumentKey
 	f.sender.Holder = &f.documents
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -27,7 +27,8 @@
 		age:   metrics.GetOrRegisterTimer("relay.source.age", r),
 		nothing: map[readers.Answer]metrics.Counter{
 			readers.Silent: counter("silent"), readers.Away: counter("away"),
-			readers.Lost: counter("lost"), readers.Leaving: counter("leaving"),
+			readers.Lost: counter("lost"), readers.Echo: counter("echo"),
+			readers.Leaving: counter("leaving"),
 		},
 	}
 }
