A poll of the store that is never answered is noticed in half of a change's time

Callers saw a route refused with 404 that had been confirmed 2.09 s before (2.0 s are allowed).

Cause: the entry that asks the store for its data centre is cut off from it. Its poll may wait 1.5 s and be 0.5 s late before it counts as unanswered; until then it tells the others that nothing has changed, and they answer callers by what was. Class: a dependency's silence that is noticed later than the promise built on it allows. Drainings and data centres taken out go the same way, with the same two seconds.

Ruled out: the way of the configuration itself (it comes with the three after it, at the moment at which the others ask the store); more readers a data centre (twice the calls).

Change: a poll waits two fifths of the time in which a change has to be in force, a new setting (changeApply, 0.8 s for 2 s, 1.5 s at most). One that is late by 0.25 s has nothing to tell, and says so at once; it goes on, and others ask meanwhile. A store that did not answer is tried with a short poll, not waited at.

--- a/cmd/hyssoprelay/soak_system_test.go
+++ b/cmd/hyssoprelay/soak_system_test.go
@@ -23,6 +23,7 @@
 logFormat = json
 
 [bounds]
+changeApply = 2s
 keyRevoke = 5s
 retryShare = 0.2
 retrySlack = 500
--- a/internal/fleet/readers/basis.go
+++ b/internal/fleet/readers/basis.go
@@ -10,6 +10,28 @@
 // answers take within the time for a change of the configuration.
 const PollSlack = 500 * time.Millisecond
 
+const (
+	// waitPart is the part of the time for a change that a poll of the store waits, and
+	// mostWait what it waits at most: knowledge is twice as old while nothing changes,
+	// and keys are to be believed for longer.
+	waitPart = 0.4
+	mostWait = 1500 * time.Millisecond
+	// lateAfter is how long after the end of its wait a poll is late. The store's slow
+	// answers take less; others try the store meanwhile, and the poll goes on.
+	lateAfter = 250 * time.Millisecond
+)
+
+// HearWait is how long a process that is asked by another one waits for news. A frozen one
+// is noticed a little later, well within the time for a change of the configuration.
+const HearWait = 500 * time.Millisecond
+
+// Wait returns how long a poll of the store waits for a change, where a change has to be
+// in force everywhere within a time: a poll that is never answered is noticed, and
+// another process asks in its place, while a third of that time is left.
+func Wait(change time.Duration) time.Duration {
+	return min(mostWait, time.Duration(waitPart*float64(change)))
+}
+
 // awaySlack is added to the two waits of a poll that knowledge may be old.
 const awaySlack = 400 * time.Millisecond
 
@@ -26,6 +48,28 @@
 	lost bool
 	// origin is the process that the store itself has told what this one knows.
 	origin string
+	// late is from when on a call to the store that is under way has taken too long.
+	late time.Time
+}
+
+// Ask notes that the store is asked, and when the answer is due.
+func (b *Basis) Ask(due time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late = due.Add(lateAfter)
+}
+
+// Late returns from when on the store's answer is late, or zero if it is not asked.
+func (b *Basis) Late() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.late
+}
+
+// isLate reports whether the store should have answered by now.
+func (b *Basis) isLate(now time.Time) bool {
+	late := b.Late()
+	return !late.IsZero() && !now.Before(late)
 }
 
 // Lose notes that the store did not answer the process. It reports whether that is new.
@@ -33,7 +77,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	was := b.lost
-	b.lost = true
+	b.lost, b.late = true, time.Time{}
 	return !was
 }
 
@@ -43,7 +87,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	was := b.lost
-	b.lost, b.origin = false, origin
+	b.lost, b.origin, b.late = false, origin, time.Time{}
 	return was
 }
 
@@ -65,14 +109,15 @@
 // changes that were made before asked.
 //
 // Guard: two processes that hear from each other ask the store no more, and each would
-// take the other's silence for a sign that nothing has changed.
+// take the other's silence for a sign that nothing has changed. Nor is a late poll such
+// a sign: the way to the store may have fallen silent, for this process alone.
 func (b *Basis) Answer(asker string, asked, now time.Time) Answer {
 	switch {
 	case b.Lost():
 		return Lost
 	case b.Origin() == asker:
 		return Echo
-	case now.Sub(asked) > 2*b.Wait+awaySlack:
+	case b.isLate(now), now.Sub(asked) > 2*b.Wait+awaySlack:
 		return Away
 	default:
 		return Fresh
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -17,10 +17,12 @@
 	dead, turnedAway map[string]bool
 	// leaving are about to end, and neither ask nor tell.
 	leaving map[string]bool
-	// cut are those whose calls to the store end unanswered after noticed, and
-	// pending is until when such a call lasts; lost are those that have noticed.
-	cut     map[string]bool
-	pending map[string]time.Time
+	// cut are those whose calls to the store end unanswered, silent those among them
+	// whose last one did, and pending is until when such a call lasts.
+	cut, silent map[string]bool
+	pending     map[string]time.Time
+	// hearing is whom a process asks, and until when that one waits for news.
+	hearing map[string]question
 	// bases are what each one's knowledge rests on.
 	bases map[string]*Basis
 	// turns counts how often a process heard from another one than before.
@@ -32,19 +34,24 @@
 	calls int
 }
 
+// question is one process's to another.
+type question struct {
+	source string
+	until  time.Time
+}
+
 const (
 	tick = 100 * time.Millisecond
-	// wait is that of a poll, and noticed how long it takes a process to notice that
-	// the store is silent.
-	wait    = 1500 * time.Millisecond
-	noticed = wait + PollSlack
+	// tryWait is that of a poll of a store that did not answer the last one.
+	tryWait = 50 * time.Millisecond
 )
 
 func newWorld(n int) *world {
 	w := &world{
 		choices: map[string]*Choice{}, dead: map[string]bool{}, turnedAway: map[string]bool{},
-		leaving: map[string]bool{}, cut: map[string]bool{}, pending: map[string]time.Time{},
-		bases: map[string]*Basis{}, turns: map[string]int{}, last: map[string]string{},
+		leaving: map[string]bool{}, cut: map[string]bool{}, silent: map[string]bool{}, pending: map[string]time.Time{},
+		hearing: map[string]question{},
+		bases:   map[string]*Basis{}, turns: map[string]int{}, last: map[string]string{},
 		fresh: map[string]time.Time{}, now: start,
 	}
 	for i := range n {
@@ -77,17 +84,22 @@
 			return
 		}
 		delete(w.pending, name)
+		w.silent[name] = true
 		w.bases[name].Lose()
 		c.NoteStore(false, w.now)
 		return
 	}
+	if q, ok := w.hearing[name]; ok {
+		w.hearOn(name, q)
+		return
+	}
 	source := c.Source(w.names, w.now)
 	if w.last[name] != source {
 		w.last[name] = source
 		w.turns[name]++
 	}
 	if source == "" && w.cut[name] {
-		w.pending[name] = w.now.Add(noticed)
+		w.askSilent(name)
 		return
 	}
 	if source == "" {
@@ -99,19 +111,52 @@
 		}
 		return
 	}
-	switch {
-	case w.dead[source]:
-		c.Note(source, Silent, w.now)
-	case w.leaving[source]:
-		c.Note(source, Leaving, w.now)
-	default:
-		w.hear(name, source)
+	if w.answers(source) && w.answer(name, source) == Fresh && !w.fresh[source].After(w.fresh[name]) {
+		w.hearing[name] = question{source: source, until: w.now.Add(HearWait)}
+		return
+	}
+	w.hear(name, source)
+}
+
+// answers reports whether a process runs and is not about to end.
+func (w *world) answers(name string) bool { return !w.dead[name] && !w.leaving[name] }
+
+// answer returns what a process may tell another one now.
+func (w *world) answer(name, source string) Answer {
+	return w.bases[source].Answer(name, w.fresh[source], w.now)
+}
+
+// hearOn ends a question once there is news, its time is over, or the one that is asked
+// knows that its own poll is late.
+func (w *world) hearOn(name string, q question) {
+	news := w.answers(q.source) && w.fresh[q.source].After(w.fresh[name])
+	late := w.bases[q.source].Late()
+	if !news && w.now.Before(q.until) && (late.IsZero() || w.now.Before(late)) {
+		return
+	}
+	delete(w.hearing, name)
+	w.hear(name, q.source)
+}
+
+// askSilent has a process send a poll that will not be answered.
+func (w *world) askSilent(name string) {
+	due := w.now.Add(w.bases[name].Wait)
+	if w.silent[name] {
+		due = w.now.Add(tryWait)
 	}
+	w.bases[name].Ask(due)
+	w.pending[name] = due.Add(PollSlack)
 }
 
 // hear has a process told by another one.
 func (w *world) hear(name, source string) {
-	a := w.bases[source].Answer(name, w.fresh[source], w.now)
+	a := Silent
+	switch {
+	case w.leaving[source]:
+		a = Leaving
+	case !w.dead[source]:
+		a = w.answer(name, source)
+	}
 	w.choices[name].Note(source, a, w.now)
 	if a == Fresh {
 		w.fresh[name] = w.fresh[source]
@@ -197,11 +242,11 @@
 // its call ends. Guards against others that turn back to it again and again, and hear of
 // nothing while it waits: a change has to be known within three seconds.
 func TestOneThatIsCutOffFromTheStoreIsPassedOver(t *testing.T) {
-	const cutTime, mostOld, leastFresh = 12 * time.Second, 500 * time.Millisecond, 0.6
+	const changeTime, cutTime, mostOld, leastFresh = 3 * time.Second, 12 * time.Second, 500 * time.Millisecond, 0.6
 	for _, n := range []int{2, 8} {
 		w := newWorld(n)
 		for _, b := range w.bases {
-			b.Wait = wait
+			b.Wait = Wait(changeTime)
 		}
 		w.run(time.Second)
 		first := w.choices["entry0"].order(w.names, w.now)[0]
@@ -239,7 +284,7 @@
 	for _, n := range []int{2, 3, 8} {
 		w := newWorld(n)
 		for _, b := range w.bases {
-			b.Wait = wait
+			b.Wait = Wait(inForce)
 		}
 		w.run(time.Second)
 		first := w.choices["entry0"].order(w.names, w.now)[0]
@@ -251,6 +296,22 @@
 	}
 }
 
+// The reader is cut off and hears from the next process, which turns back to it now and
+// then. Guards against two that hear from each other while neither asks the store.
+func TestTurningBackToACutOffReaderCostsNothing(t *testing.T) {
+	const changeTime, noticed, mostOld = 2 * time.Second, 3 * time.Second, 3 * tick
+	w := newWorld(2)
+	for _, b := range w.bases {
+		b.Wait = Wait(changeTime)
+	}
+	first := w.choices["entry0"].order(w.names, w.now)[0]
+	w.cut[first] = true
+	w.run(noticed)
+	if oldest := w.oldest(30*time.Second, first); oldest > mostOld {
+		t.Errorf("the other one knows what was %v ago", oldest)
+	}
+}
+
 // oldest lets a time pass and returns how old the knowledge of a process, but for one,
 // has been.
 func (w *world) oldest(d time.Duration, but string) time.Duration {
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -15,11 +15,7 @@
 )
 
 const (
-	// followWait is how long another entry is asked to wait for something new. A
-	// frozen one is noticed a little later, well within the time in which
-	// configuration has to be in force.
-	followWait = 500 * time.Millisecond
-	// followSlack is added to it before the other one counts as silent.
+	// followSlack is added to readers.HearWait before the other one counts as silent.
 	followSlack = 250 * time.Millisecond
 	// awayPause is the pause after another entry had nothing to tell, which it says
 	// at once.
@@ -60,7 +56,7 @@
 
 // hear asks one entry.
 func (f *Frontend) hear(ctx context.Context, addr string, revision int64, known bool) (mirror.Update, readers.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	ctx, cancel := context.WithTimeout(ctx, readers.HearWait+followSlack)
 	defer cancel()
 	conn, err := f.conns.Get(addr)
 	if err != nil {
@@ -68,7 +64,7 @@
 	}
 	asked := boottime.Now()
 	p, err := fleetpb.NewEntryClient(conn).Follow(ctx, &fleetpb.FollowRequest{
-		After: revision, Known: known, WaitMicros: uint64(followWait.Microseconds()), DocumentRevision: f.documentHeard(),
+		After: revision, Known: known, WaitMicros: uint64(readers.HearWait.Microseconds()), DocumentRevision: f.documentHeard(),
 		Asker: f.Settings.Name,
 	})
 	if err != nil {
@@ -127,20 +123,15 @@
 func (s *service) Follow(ctx context.Context, q *fleetpb.FollowRequest) (*fleetpb.FollowReply, error) {
 	f := s.frontend
 	arrived := boottime.Now()
-	t := time.NewTimer(time.Duration(q.GetWaitMicros()) * time.Microsecond)
-	defer t.Stop()
 	if f.stopping.Load() {
 		return &fleetpb.FollowReply{Away: true, Leaving: true}, nil
 	}
 	taken := f.copy.Taken()
 	u, ok := f.copy.Since(q.GetAfter(), q.GetKnown())
 	a := f.basis.Answer(q.GetAsker(), u.Asked, arrived)
-	if ok && a != readers.Lost && a != readers.Echo && !news(u, q) {
-		select {
-		case <-taken:
-		case <-t.C:
-		case <-ctx.Done():
-			return nil, ctx.Err()
+	if ok && a == readers.Fresh && !news(u, q) {
+		if err := f.awaitNews(ctx, taken, time.Duration(q.GetWaitMicros())*time.Microsecond, arrived); err != nil {
+			return nil, err
 		}
 		u, ok = f.copy.Since(q.GetAfter(), q.GetKnown())
 	}
@@ -154,6 +145,22 @@
 	return p, nil
 }
 
+// awaitNews waits until taken is closed, for no longer than a time, and not beyond that at
+// which the store's answer is late.
+func (f *Frontend) awaitNews(ctx context.Context, taken <-chan struct{}, wait time.Duration, now time.Time) error {
+	if late := f.basis.Late(); !late.IsZero() {
+		wait = min(wait, late.Sub(now))
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-taken:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // news reports whether an update tells whoever asks more than the time that it is of.
 func news(u mirror.Update, q *fleetpb.FollowRequest) bool {
 	return u.Whole || len(u.KVs)+len(u.Deleted) > 0 || u.Apart > q.GetDocumentRevision()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -33,11 +33,6 @@
 const (
 	// storeTimeout bounds a call to the store, which answers in milliseconds.
 	storeTimeout = 700 * time.Millisecond
-	// pollWait is how long a poll waits at the store. While nothing changes,
-	// knowledge is at most twice as old: it dates from when the last answer
-	// was asked for, and the next one is on its way. That leaves a third of
-	// the time in which a key must be refused for the store to be away.
-	pollWait = 1500 * time.Millisecond
 	// pollSettle is how long changes are let gather after some came. It is a
 	// tenth of the time in which configuration has to be in force.
 	pollSettle = 200 * time.Millisecond
@@ -162,6 +157,7 @@
 		f.Output = os.Stdout
 	}
 	now := boottime.Now()
+	wait := readers.Wait(s.Bounds.ChangeApply)
 	f.store = &platform.Store{
 		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
 		Budget: kv.Budget{PerSecond: callsPerSecond}, Metrics: f.Registry,
@@ -174,11 +170,11 @@
 	f.belief.Changed = f.work.woken.Raise
 	f.belief.Begin(now)
 	f.mirror = &mirror.Mirror{
-		Reader: f.store, Wait: pollWait, Settle: pollSettle, MostSettle: mostSettle, StartTime: startTime,
+		Reader: f.store, Wait: wait, Asking: f.basis.Ask, Settle: pollSettle, MostSettle: mostSettle, StartTime: startTime,
 		Now: boottime.Now, Apply: f.apply, Failed: f.storeFailed,
 	}
 	f.choice.Own = s.Name
-	f.basis.Own, f.basis.Wait = s.Name, pollWait
+	f.basis.Own, f.basis.Wait = s.Name, wait
 	f.sources = newSourceMetrics(f.Registry)
 	f.copy.Apart = platform.DocumentKey
 	f.sender.Holder = &f.documents
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -104,7 +104,7 @@
 				PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort(storeAddr)},
 			},
 			Bounds: settings.Bounds{
-				KeyRevoke: 5 * time.Second, RetryShare: 0.2, RetrySlack: 500, RetryWindow: 10 * time.Second, Grace: 8 * time.Second,
+				ChangeApply: 2 * time.Second, KeyRevoke: 5 * time.Second, RetryShare: 0.2, RetrySlack: 500, RetryWindow: 10 * time.Second, Grace: 8 * time.Second,
 			},
 			CallerAddress: local, ReadyAddress: local, LineRate: 5e6,
 		},
--- a/internal/frontend/prove.go
+++ b/internal/frontend/prove.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// proveAfter is the age of what the entry knows from which it asks others.
-	// The store's own answers keep it below twice the wait of a poll.
-	proveAfter = 2*pollWait + 300*time.Millisecond
+	// proveSlack is added to twice the wait of a poll, below which the store's own
+	// answers keep the age of what an entry knows: from there on it asks others.
+	proveSlack = 300 * time.Millisecond
 	// proveEvery is the pause between two rounds of asking. It leaves several
 	// rounds until keys would be refused.
 	proveEvery = 400 * time.Millisecond
@@ -38,7 +38,7 @@
 			return nil
 		case <-t.C:
 		}
-		if f.fresh.Age(boottime.Now()) > proveAfter && f.belief.Known() {
+		if f.fresh.Age(boottime.Now()) > 2*f.basis.Wait+proveSlack && f.belief.Known() {
 			turn++
 			f.askOthers(ctx, turn)
 		}
--- a/internal/frontend/reload.go
+++ b/internal/frontend/reload.go
@@ -16,7 +16,7 @@
 const reloadEvery = 5 * time.Second
 
 // followSettings puts changed settings into force while the process serves. Only
-// the bounds can change; addresses and names need a new start.
+// the bounds can change; addresses, names and changeApply need a new start.
 func (f *Frontend) followSettings(ctx context.Context) error {
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
@@ -46,7 +46,8 @@
 		f.use(s.Bounds)
 	}
 	if signal || *old != s.Bounds {
-		restart := !reflect.DeepEqual(s.Process, f.Settings.Process) || s.CallerAddress != f.Settings.CallerAddress
+		restart := !reflect.DeepEqual(s.Process, f.Settings.Process) || s.CallerAddress != f.Settings.CallerAddress ||
+			s.Bounds.ChangeApply != f.Settings.Bounds.ChangeApply
 		f.Log.WithFields(logrus.Fields{
 			"changed": *old != s.Bounds, "needsRestart": restart, "keyRevoke": s.Bounds.KeyRevoke.String(),
 			"retryShare": s.Bounds.RetryShare, "retrySlack": s.Bounds.RetrySlack, "grace": s.Bounds.Grace.String(),
--- a/internal/platform/mirror/copy_test.go
+++ b/internal/platform/mirror/copy_test.go
@@ -178,12 +178,21 @@
 	ages := []time.Duration{0, time.Second, 1700 * time.Millisecond, 2 * time.Second, 3 * time.Second, time.Hour}
 	want := []time.Duration{time.Second, time.Second, 300 * time.Millisecond, agedWait, agedWait, agedWait}
 	for i, age := range ages {
-		if got := m.waitFor(age); got != want[i] {
+		if got := m.waitFor(age, false); got != want[i] {
 			t.Errorf("a poll waits %v when knowledge is %v old, want %v", got, age, want[i])
 		}
 	}
 }
 
+// The service did not answer the last call. Guards against a process that waits at a
+// service which is silent, and hears of nothing from others meanwhile.
+func TestSilentServiceIsTriedAndNotWaitedAt(t *testing.T) {
+	m := &Mirror{Wait: time.Second}
+	if got := m.waitFor(0, true); got != agedWait {
+		t.Errorf("a poll waits %v, want %v", got, agedWait)
+	}
+}
+
 // apartFollower knows what it was told, but for the values of a key that is told apart,
 // which it is given later.
 type apartFollower struct {
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -97,6 +97,9 @@
 	// The service is asked from where nothing was lacking: what another process has
 	// told of and not yet passed on would else never be told.
 	Neighbour func(ctx context.Context, revision int64, known bool) (Update, bool)
+	// Asking, when set, is told before each call to the service when the answer is
+	// due.
+	Asking func(due time.Time)
 	// Now is the clock.
 	Now func() time.Time
 	// Apply takes in each update, in order, from one goroutine.
@@ -110,14 +113,14 @@
 	rest, settle := leastPause, m.Settle
 	// heard goes up to what neighbours told, and whole up to where nothing lacks.
 	heard, whole, failed := position{}, position{}, false
-	asked := time.Time{}
+	asked, unanswered := time.Time{}, false
 	started := m.Now().Add(m.StartTime)
 	for ctx.Err() == nil {
-		u, err := m.next(ctx, heard, whole, m.waitFor(m.Now().Sub(asked)))
+		u, err := m.next(ctx, heard, whole, m.waitFor(m.Now().Sub(asked), unanswered))
 		switch {
 		case err == nil:
 			if !u.Neighbour {
-				u.Returned = failed
+				u.Returned, unanswered = failed, false
 			}
 			failed, rest = false, leastPause
 			heard.reach(u.Revision)
@@ -145,7 +148,7 @@
 		case errors.Is(err, errDoubted):
 			failed = true
 		default:
-			failed = true
+			failed, unanswered = true, true
 			m.fail(ctx, err)
 			pause.For(ctx, rest)
 			rest = min(2*rest, mostPause)
@@ -158,12 +161,17 @@
 const agedWait = 50 * time.Millisecond
 
 // waitFor returns how long a poll waits when knowledge is of so long ago: so that it
-// is at most two waits old when the answer comes.
+// is at most two waits old when the answer comes. A service that did not answer the last
+// call is tried, and not waited at.
 //
 // Guard: after an outage, or when this process begins to ask in place of another,
 // an answer that waits for a change as usual would leave what is known as old as it
-// is for as long again, and it would count for nothing.
-func (m *Mirror) waitFor(age time.Duration) time.Duration {
+// is for as long again, and it would count for nothing. And a process that tries a service
+// which may be silent hears of nothing from others meanwhile.
+func (m *Mirror) waitFor(age time.Duration, unanswered bool) time.Duration {
+	if unanswered {
+		return agedWait
+	}
 	return min(m.Wait, max(agedWait, 2*m.Wait-age))
 }
 
@@ -182,10 +190,12 @@
 	}
 	asked := m.Now()
 	if !whole.known {
+		m.asking(asked)
 		u, err := m.list(ctx)
 		u.Asked = asked
 		return u, err
 	}
+	m.asking(asked.Add(wait))
 	c, err := m.poll(ctx, whole.revision, wait)
 	if err != nil {
 		return Update{}, err
@@ -195,6 +205,12 @@
 	return Update{KVs: c.KVs, Deleted: c.Deleted, Revision: max(c.Revision, whole.revision), Asked: asked}, nil
 }
 
+func (m *Mirror) asking(due time.Time) {
+	if m.Asking != nil {
+		m.Asking(due)
+	}
+}
+
 // errDoubted says that a poll was given up to be asked anew.
 var errDoubted = errors.New("mirror: the poll was given up")
 
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -162,6 +162,7 @@
 	LineRate      string      `long:"lineRate" description:"what the VM's line takes, in Mbit/s"`
 
 	Bounds struct {
+		ChangeApply string `long:"changeApply" description:"how soon a change of the configuration must be in force"`
 		KeyRevoke   string `long:"keyRevoke" description:"how soon a key that was taken away must be refused"`
 		RetryShare  string `long:"retryShare" description:"share of requests that the fleet may send once more"`
 		RetrySlack  string `long:"retrySlack" description:"requests beyond that in each window"`
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -9,6 +9,8 @@
 
 // Bounds holds what the platform's operators demand of every process.
 type Bounds struct {
+	// ChangeApply is how soon a change of the configuration must be in force.
+	ChangeApply time.Duration
 	// KeyRevoke is how soon a key that was taken away must be refused.
 	KeyRevoke time.Duration
 	// RetryShare of the requests, and RetrySlack more in each RetryWindow,
@@ -50,6 +52,7 @@
 	defaultLine    = 100
 	mostLine       = 1e6
 	bytesOfMegabit = 1e6 / 8
+	defaultApply   = 2 * time.Second
 	defaultRevoke  = 5 * time.Second
 	defaultGrace   = 8 * time.Second
 	defaultWindow  = 10 * time.Second
@@ -61,6 +64,7 @@
 
 func readBounds(s *inifile.Section) Bounds {
 	return Bounds{
+		ChangeApply: s.Duration("changeApply", defaultApply, time.Second, maxBound),
 		KeyRevoke:   s.Duration("keyRevoke", defaultRevoke, time.Second, maxBound),
 		RetryShare:  s.Float("retryShare", defaultShare, mostShare),
 		RetrySlack:  s.Float("retrySlack", defaultSlack, mostSlack),
