Relays read and show the limit that an endpoint names; nothing keeps it yet

No line and no metric told that an endpoint had named one. A line tells of each change, and relay.endpointsLimited how many name one.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,6 +46,8 @@
 	}
 	if told.Wrong {
 		r.Belief.Misdirected(p)
+	} else {
+		j.noteLimit(p, told)
 	}
 	if told.NotRun {
 		_, _ = io.Copy(io.Discard, a)
@@ -60,6 +62,18 @@
 	return j.whole(ctx, p, a)
 }
 
+// noteLimit takes in what an answer says of how many requests the endpoint takes. An answer
+// that neither names a limit nor bears the endpoint's signature says nothing.
+func (j *job) noteLimit(p Place, told Told) {
+	if told.Limit < 0 && !told.Signed {
+		return
+	}
+	now := j.relay.Now()
+	if j.relay.Belief.Limited(p, told.Limit, now) {
+		j.logLimit(p, told.Limit)
+	}
+}
+
 // request is the caller's request as the endpoint gets it.
 func (j *job) request(p Place) *direct.Request {
 	h := caller.EndToEnd(j.raw.Header)
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -112,6 +112,7 @@
 	turns   turns
 	// failures counts the failures in a row that an endpoint reported.
 	failures map[string]int
+	limits   limits
 	outages  outages
 	times    answerTimes
 	// probed is when a request last found out whether the group of a service is
@@ -150,6 +151,7 @@
 	b.queue.MaxWaiting = mostWaiting
 	b.own = map[string]int{}
 	b.failures = map[string]int{}
+	b.limits = limits{}
 	b.probed = map[string]time.Time{}
 	b.arrivals = map[string]*arrivals{}
 	b.lateRunning = map[string]int{}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -57,4 +57,7 @@
 	NotRun, Wrong bool
 	// Cold is how long the endpoint stays cold; zero if it doesn't say.
 	Cold time.Duration
+	// Limit is how many requests a second the endpoint takes from all entries together;
+	// negative if it doesn't say.
+	Limit float64
 }
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -175,6 +175,7 @@
 			b.cold.Warm(id)
 			delete(b.loads, id)
 			delete(b.failures, id)
+			delete(b.limits, id)
 			delete(b.turns.starts, id)
 		}
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -33,6 +33,7 @@
 		return int64(t.Version())
 	})
 	gauge("relay.endpoints", func() int64 { return int64(b.Endpoints(now())) })
+	gauge("relay.endpointsLimited", func() int64 { return int64(b.LimitedEndpoints()) })
 	gauge("relay.entries", func() int64 { return int64(b.Entries(now())) })
 	gauge("relay.entriesHeard", func() int64 { return int64(b.Informers()) })
 	gauge("relay.loadAge", func() int64 { return b.LoadAge(now()).Milliseconds() })
@@ -164,3 +165,14 @@
 	}
 	return t.Sub(from)
 }
+
+// logLimit tells of a limit that an endpoint names, or, if it is negative, no longer does.
+func (j *job) logLimit(p Place, perSecond float64) {
+	fields := logrus.Fields{"endpoint": p.Endpoint.ID, "born": p.Endpoint.Born, "service": p.Endpoint.Service, "request": j.facts.ID}
+	if perSecond < 0 {
+		j.relay.Log.WithFields(fields).Info("endpoint names no limit any more")
+		return
+	}
+	fields["perSecond"] = perSecond
+	j.relay.Log.WithFields(fields).Info("endpoint names a limit")
+}
