--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -96,7 +96,7 @@
 	table     *routing.Table
 	dir       directory.Directory
 	picture   placement.Picture
-	cold      Cold
+	cold      Shares
 	budgets   map[string]*admission.RetryBudget
 	entries   map[string]time.Time // last seen; zero: listed now
 	endpoints map[string]directory.Endpoint
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -59,7 +59,7 @@
 	const entries, rate, bound = 12, 38.0, 38*1.5 + 5
 	for seed := range uint64(50) {
 		rng := rand.New(rand.NewPCG(seed, 2))
-		shares := make([]Cold, entries)
+		shares := make([]Shares, entries)
 		var sent []time.Time
 		for ms := range 5000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -10,5 +10,5 @@
 // taken away is refused: the age of what this process knows, by a clock that
 // goes on while the VM is suspended.
 //
-// What decides (NextStep, Cold, Freshness) is free of sockets and clocks.
+// What decides (NextStep, Shares, Freshness) is free of sockets and clocks.
 package relay
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -172,7 +172,7 @@
 	for id := range b.endpoints {
 		if _, ok := usable[id]; !ok {
 			b.picture.Remove(id)
-			b.cold.Warm(id)
+			b.cold.Forget(id)
 			delete(b.loads, id)
 			delete(b.failures, id)
 			delete(b.limits, id)
--- a/internal/relay/cold_test.go
+++ b/internal/relay/shares_test.go
@@ -9,7 +9,7 @@
 // coldWorld is entries that each send as much as they may to endpoints that have all
 // just started.
 type coldWorld struct {
-	shares    []Cold
+	shares    []Shares
 	endpoints []string
 	rate      float64
 	now       time.Time
@@ -18,7 +18,7 @@
 func newColdWorld(entries, endpoints int, rate float64) *coldWorld {
 	w := &coldWorld{rate: rate, now: start}
 	for i := range entries {
-		w.shares = append(w.shares, Cold{Name: fmt.Sprint("front-a-", i)})
+		w.shares = append(w.shares, Shares{Name: fmt.Sprint("front-a-", i)})
 	}
 	for i := range endpoints {
 		w.endpoints = append(w.endpoints, fmt.Sprintf("i-%07x", i*7919))
