An endpoint that names a limit gets no more from all entries together

Cause: the header is new and nothing read it. Class: a bound on a sum over all entries, which no entry can keep by itself.

Change: entries take shares of the limit, as they do of what cold endpoints bear (Shares). Only as many entries share one as the endpoint takes requests at once, by names alone, since each may have saved one up. What an endpoint has told one entry goes to the others with its work, by the age of the answer; the newest word holds, that it names none too. An answer to a request from before the limit doesn't end it; a start anew of the endpoint does, and 30 s without a word. Who has no share of any endpoint's limit is refused at once (2020 endpointLimited).

--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -110,6 +110,7 @@
 		w := p.work
 		out = append(out, &fleetpb.EntryWork{
 			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(),
+			Limits: w.GetLimits(),
 			AgeMicros: uint64(max(0, now.Sub(p.at).Microseconds())),
 		})
 	}
@@ -179,6 +180,7 @@
 	for _, e := range q.GetEntries() {
 		f.hub.add(e, q.GetTo(), now)
 		if e.GetName() != f.Settings.Name {
+			f.hearLimits(e, now)
 			works = append(works, workFrom(e, now))
 		}
 	}
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -78,10 +78,10 @@
 }
 
 // own describes the work of this entry. Only run calls it.
-func (t *teller) own() *fleetpb.EntryWork {
+func (t *teller) own(now time.Time) *fleetpb.EntryWork {
 	f := t.frontend
 	t.number++
-	w := &fleetpb.EntryWork{Name: f.Settings.Name, Born: t.born, Number: t.number, Waiting: f.belief.Waiting()}
+	w := &fleetpb.EntryWork{Name: f.Settings.Name, Born: t.born, Number: t.number, Waiting: f.belief.Waiting(), Limits: f.limitsTold(now)}
 	for id, n := range f.belief.Own() {
 		w.Works = append(w.Works, &fleetpb.Work{Endpoint: id, Running: uint32(n)})
 	}
@@ -90,7 +90,7 @@
 
 func (t *teller) tellAll(ctx context.Context, now time.Time) {
 	f := t.frontend
-	own := t.own()
+	own := t.own(now)
 	if f.others.count() <= fanout.FewEntries {
 		for _, m := range f.others.all() {
 			t.send(ctx, m, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}})
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -97,6 +97,7 @@
 	dir       directory.Directory
 	picture   placement.Picture
 	cold      Shares
+	limited   Shares
 	budgets   map[string]*admission.RetryBudget
 	entries   map[string]time.Time // last seen; zero: listed now
 	endpoints map[string]directory.Endpoint
@@ -151,12 +152,11 @@
 	b.queue.MaxWaiting = mostWaiting
 	b.own = map[string]int{}
 	b.failures = map[string]int{}
-	b.limits = limits{}
 	b.probed = map[string]time.Time{}
 	b.arrivals = map[string]*arrivals{}
 	b.lateRunning = map[string]int{}
 	b.known = make(chan struct{})
-	b.cold.Name = b.Name
+	b.cold.Name, b.limited.Name = b.Name, b.Name
 	b.began = now
 }
 
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -1,49 +1,98 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+)
+
+const (
+	// limitMemory is how long a limit holds of which nothing more is heard, though it
+	// is asked for: an endpoint names it in each answer.
+	limitMemory = 30 * time.Second
+	// leastLimit is the least rate at which an endpoint is sent requests, a second, so
+	// that the end of its limit is heard of.
+	leastLimit = 0.1
+	// Requests that entries have saved up may come to an endpoint at once. It takes
+	// savedEach for each request a second of its limit and savedMore besides; both leave
+	// some of what it takes to entries that count each other differently.
+	savedEach = 2
+	savedMore = 3
 )
 
-// limit is what an endpoint said last of how many requests it takes.
-type limit struct {
-	// perSecond is for all entries together; none says that it named no limit.
-	perSecond float64
-	none      bool
-	// at is when that was true at the latest.
-	at time.Time
-	// born is the start of the endpoint that said so.
-	born uint64
+// Limit is what an endpoint said last of how many requests it takes.
+type Limit struct {
+	// Endpoint is its id, and Born the start of the endpoint that said so.
+	Endpoint string
+	Born     uint64
+	// PerSecond is the requests a second that it takes from all entries together.
+	// None says that it names no limit.
+	PerSecond float64
+	None      bool
+	// At is when that was true at the latest.
+	At time.Time
 }
 
 // limits holds what endpoints said of how many requests they take, by id.
-type limits map[string]limit
+type limits struct {
+	known map[string]Limit
+	// own are those that endpoints told this entry itself.
+	own map[string]Limit
+}
 
 // note takes in an answer to a request that was given to the endpoint at given, and
-// reports whether it changed what is known.
+// reports whether it changed what is known. A negative rate says that it names no limit.
 //
 // Guard: an answer that was made before the endpoint named its limit may come after one
 // that names it, and must not end it.
-func (l limits) note(ep directory.Endpoint, perSecond float64, given, now time.Time) bool {
-	old, ok := l.of(ep)
-	switch {
-	case perSecond >= 0:
-		l[ep.ID] = limit{perSecond: perSecond, at: now, born: ep.Born}
-		return !ok || old.perSecond != perSecond
-	case ok && given.After(old.at):
-		l[ep.ID] = limit{none: true, at: now, born: ep.Born}
-		return true
-	default:
+func (l *limits) note(ep directory.Endpoint, perSecond float64, given, now time.Time) bool {
+	old, ok := l.of(ep, now)
+	none := perSecond < 0
+	if none && (!ok || !given.After(old.At)) {
 		return false
 	}
+	told := Limit{Endpoint: ep.ID, Born: ep.Born, PerSecond: max(0, perSecond), None: none, At: now}
+	if l.own == nil {
+		l.own = map[string]Limit{}
+	}
+	l.own[ep.ID] = told
+	return l.hear(told)
+}
+
+// hear takes in what an endpoint told some entry, and reports whether it is another limit
+// than was known.
+func (l *limits) hear(told Limit) bool {
+	old, ok := l.known[told.Endpoint]
+	if ok && !told.At.After(old.At) {
+		return false
+	}
+	if l.known == nil {
+		l.known = map[string]Limit{}
+	}
+	l.known[told.Endpoint] = told
+	if !ok {
+		return !told.None
+	}
+	return old.None != told.None || old.PerSecond != told.PerSecond || old.Born != told.Born
+}
+
+// forget forgets an endpoint.
+func (l *limits) forget(id string) {
+	delete(l.known, id)
+	delete(l.own, id)
 }
 
 // of returns the limit that an endpoint names, or false if it names none.
-func (l limits) of(ep directory.Endpoint) (limit, bool) {
-	known, ok := l[ep.ID]
-	if !ok || known.none || known.born != ep.Born {
-		return limit{}, false
+func (l *limits) of(ep directory.Endpoint, now time.Time) (Limit, bool) {
+	known, ok := l.known[ep.ID]
+	if !ok || known.None || known.Born != ep.Born || now.Sub(known.At) > limitMemory {
+		return Limit{}, false
 	}
 	return known, true
 }
@@ -60,15 +109,106 @@
 	return changed
 }
 
+// OwnLimits returns what endpoints have told this entry of their limits lately, so that
+// the others can be told.
+func (b *Belief) OwnLimits(now time.Time) []Limit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Limit, 0, len(b.limits.own))
+	for id, l := range b.limits.own {
+		if now.Sub(l.At) > limitMemory {
+			delete(b.limits.own, id)
+			continue
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// HearLimits takes in what endpoints have told another entry, and returns what was new.
+//
+// Load: an endpoint in need, and a fleet of which each entry sends it a request now and
+// then. Harm prevented: each entry learns of the limit only by sending one more.
+func (b *Belief) HearLimits(told []Limit) []Limit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var changed []Limit
+	for _, l := range told {
+		if b.limits.hear(l) {
+			changed = append(changed, l)
+		}
+	}
+	return changed
+}
+
 // LimitedEndpoints returns how many endpoints name a limit.
-func (b *Belief) LimitedEndpoints() int {
+func (b *Belief) LimitedEndpoints(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
-	for _, ep := range b.endpoints {
-		if _, ok := b.limits.of(ep); ok {
+	for _, ep := range b.dir.Endpoints(now) {
+		if _, ok := b.limits.of(ep, now); ok {
 			n++
 		}
 	}
 	return n
 }
+
+// limitation is what limits leave of a service's endpoints for this entry.
+type limitation struct {
+	// barred says that an endpoint is not asked for its limit, and wait is the least time
+	// until one may be, or 0 if none may.
+	barred bool
+	wait   time.Duration
+}
+
+// avoidLimited keeps the request off endpoints of whose limit this entry has no share, or
+// has used it up, with mu held.
+func (b *Belief) avoidLimited(service *routing.Service, q *placement.Query, now time.Time) limitation {
+	var out limitation
+	for id := range b.limits.known {
+		ep, ok := b.endpoints[id]
+		if !ok || ep.Service != service.Name {
+			continue
+		}
+		l, ok := b.limits.of(ep, now)
+		if !ok {
+			continue
+		}
+		n, mine := b.limitSharers(l)
+		rate := max(l.PerSecond, leastLimit)
+		if mine && b.limited.Ready(id, rate, n, now) {
+			continue
+		}
+		out.barred = true
+		q.Tried = append(q.Tried, id)
+		if w := b.limited.Wait(id, rate, n, now); mine && (out.wait == 0 || w < out.wait) {
+			out.wait = w
+		}
+	}
+	return out
+}
+
+// takeLimited spends a share of the endpoint's limit, with mu held.
+func (b *Belief) takeLimited(ep directory.Endpoint, now time.Time) {
+	if l, ok := b.limits.of(ep, now); ok {
+		n, _ := b.limitSharers(l)
+		b.limited.Take(ep.ID, max(l.PerSecond, leastLimit), n, now)
+	}
+}
+
+// limitSharers returns how many entries share a limit, and whether this one does.
+//
+// Load: 150 entries and an endpoint that takes one request a second. Harm prevented: each
+// has saved up a request after a while, and all come in the same moment. So only as many
+// share it as the endpoint takes at once, and which ones follows from the names alone.
+func (b *Belief) limitSharers(l Limit) (int, bool) {
+	names := b.entryNames()
+	n := max(1, int(savedEach*l.PerSecond)+savedMore)
+	if len(names) <= n {
+		return len(names), true
+	}
+	rank := func(name string) uint64 { return xxhash.Sum64String(name + " " + l.Endpoint) }
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return n, slices.Contains(names[:n], b.Name)
+}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 // What an endpoint takes above the limit that it names, in any limitSpan, from the entries
@@ -118,6 +119,7 @@
 		w.begin(now)
 		if ms%(tellPause*len(w.fleet)) == 0 {
 			w.exchange(now)
+			w.tellLimits(now)
 		}
 		if rng.Float64() < rate/1000 {
 			w.arrive(rng.IntN(len(w.fleet)), now, begins, lasts)
@@ -125,6 +127,16 @@
 	}
 }
 
+// tellLimits has all entries tell each other of limits.
+func (w *limitWorld) tellLimits(now time.Time) {
+	for _, from := range w.fleet {
+		told := from.OwnLimits(now)
+		for _, to := range w.fleet {
+			to.HearLimits(told)
+		}
+	}
+}
+
 // mostInSpan returns the most of some moments that lie within limitSpan.
 func mostInSpan(at []time.Time) int {
 	most, from := 0, 0
@@ -159,8 +171,10 @@
 			w.from, w.until = from.Add(3*time.Second), from.Add(23*time.Second)
 			w.run(rand.New(rand.NewPCG(seed, 5)), from, 34*time.Second, c.rate, c.begins, c.lasts)
 			allowed := limitFactor*limitSpan.Seconds()*c.perSecond + limitMore
-			if n := mostInSpan(w.sent); float64(n) > allowed {
-				t.Errorf("%d entries, seed %d: %d requests in %v, %.1f are allowed", c.entries, seed, n, limitSpan, allowed)
+			for _, at := range [][]time.Time{w.sent, w.all} {
+				if n := mostInSpan(at); float64(n) > allowed {
+					t.Errorf("%d entries, seed %d: %d requests in %v, %.1f are allowed", c.entries, seed, n, limitSpan, allowed)
+				}
 			}
 			if mean := c.rate / float64(c.endpoints) * 8; float64(w.after) < mean/2 {
 				t.Errorf("%d entries, seed %d: %d requests in the 8 s after it, the others get %.0f", c.entries, seed, w.after, mean)
@@ -168,3 +182,73 @@
 		}
 	}
 }
+
+// All of 36 entries hear of a limit and have nothing to send for a while, and then all have.
+// Guards against each of them spending at once what it has saved up.
+func TestSavedSharesOfALimitDoNotComeAtOnce(t *testing.T) {
+	const entries, perSecond, idle = 36, 1.2, 20 * time.Second
+	from := start.Add(entriesMemory + time.Second)
+	w := newLimitWorld(entries, 1, perSecond, &routing.Service{Name: "quotes"}, from)
+	told := []Limit{{Endpoint: limited, Born: 1, PerSecond: perSecond, At: from}}
+	sent := 0
+	for _, now := range []time.Time{from, from.Add(idle)} {
+		sent = 0
+		for _, b := range w.fleet {
+			b.HearLimits(told)
+			if _, e := b.Choose(b.Table().Service("quotes"), placement.Query{}, now); e == nil {
+				sent++
+			}
+		}
+	}
+	if allowed := limitFactor*limitSpan.Seconds()*perSecond + limitMore; float64(sent) > allowed || sent == 0 {
+		t.Errorf("%d requests at once, 1 to %.1f are allowed", sent, allowed)
+	}
+}
+
+// An answer that was made before the limit was named comes after one that names it. Guards
+// against a limit that such an answer ends, and against one that nothing ends.
+func TestOlderAnswerDoesNotEndALimit(t *testing.T) {
+	b := newBelief("me", &routing.Service{Name: "quotes"})
+	list(b, 1, "quotes")
+	choose := func(now time.Time) Place {
+		p, e := b.Choose(b.Table().Service("quotes"), placement.Query{}, now)
+		if e != nil {
+			t.Fatal(e)
+		}
+		return p
+	}
+	old, first := choose(start), choose(start)
+	b.Limited(first, 5, start.Add(time.Second))
+	b.Limited(old, -1, start.Add(2*time.Second))
+	if n := b.LimitedEndpoints(start.Add(2 * time.Second)); n != 1 {
+		t.Error("an older answer ended the limit")
+	}
+	next := old
+	next.given = start.Add(3 * time.Second)
+	b.Limited(next, -1, start.Add(4*time.Second))
+	if n := b.LimitedEndpoints(start.Add(4 * time.Second)); n != 0 {
+		t.Error("the limit has not ended")
+	}
+}
+
+// All endpoints name limits of which this entry has no share. Guards against a request that
+// waits for a place that it can't get.
+func TestRequestWithoutAShareOfAnyLimitIsRefusedAtOnce(t *testing.T) {
+	const entries = 36
+	from := start.Add(entriesMemory + time.Second)
+	w := newLimitWorld(entries, 1, 1, &routing.Service{Name: "quotes"}, from)
+	refused := 0
+	for _, b := range w.fleet {
+		b.HearLimits([]Limit{{Endpoint: limited, Born: 1, PerSecond: 1, At: from}})
+		_, e := b.Choose(b.Table().Service("quotes"), placement.Query{}, from)
+		if e != nil && e.Code() == result.EndpointLimited {
+			refused++
+			if passes(e) || e.RetryAfter() <= 0 {
+				t.Error("it may wait, or is not told when to come back")
+			}
+		}
+	}
+	if want := entries - savedEach - savedMore; refused != want {
+		t.Errorf("%d entries refuse, want %d", refused, want)
+	}
+}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -173,9 +173,10 @@
 		if _, ok := usable[id]; !ok {
 			b.picture.Remove(id)
 			b.cold.Forget(id)
+			b.limited.Forget(id)
 			delete(b.loads, id)
 			delete(b.failures, id)
-			delete(b.limits, id)
+			b.limits.forget(id)
 			delete(b.turns.starts, id)
 		}
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -33,7 +33,7 @@
 		return int64(t.Version())
 	})
 	gauge("relay.endpoints", func() int64 { return int64(b.Endpoints(now())) })
-	gauge("relay.endpointsLimited", func() int64 { return int64(b.LimitedEndpoints()) })
+	gauge("relay.endpointsLimited", func() int64 { return int64(b.LimitedEndpoints(now())) })
 	gauge("relay.entries", func() int64 { return int64(b.Entries(now())) })
 	gauge("relay.entriesHeard", func() int64 { return int64(b.Informers()) })
 	gauge("relay.loadAge", func() int64 { return b.LoadAge(now()).Milliseconds() })
--- a/internal/relay/outage.go
+++ b/internal/relay/outage.go
@@ -29,7 +29,7 @@
 
 func retryAfterFor(why result.Code) time.Duration {
 	switch why {
-	case result.EndpointBusy, result.EndpointCold:
+	case result.EndpointBusy, result.EndpointCold, result.EndpointLimited:
 		return afterBusy
 	default:
 		return afterMissing
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -45,14 +45,13 @@
 	q.Tried = slices.Concat(q.Tried, group.engines)
 	b.leaveToOthers(service, &q, now)
 	wait := b.avoidCold(service, &q, now)
+	limited := b.avoidLimited(service, &q, now)
 	c, ok, why := b.picture.Choose(q, now)
 	if !ok {
-		if wait > 0 {
-			return Place{}, result.New(result.EndpointCold, "").WithRetryAfter(wait)
-		}
-		return Place{}, b.refusal(service.Name, why, now)
+		return Place{}, b.noPlace(service, why, wait, limited, now)
 	}
 	ep := b.endpoints[c.Endpoint]
+	b.takeLimited(ep, now)
 	if ep.ColdAt(now) && service.ColdRate > 0 {
 		b.cold.Take(ep.ID, service.ColdRate, b.countEntries(now), now)
 	}
@@ -66,6 +65,21 @@
 	return p, nil
 }
 
+// noPlace says why a request has got no place, and when it is worth asking again: why is
+// the reason but for shares, cold how long until a cold endpoint may be asked.
+func (b *Belief) noPlace(service *routing.Service, why result.Code, cold time.Duration, limited limitation, now time.Time) *result.Error {
+	switch {
+	case cold > 0:
+		return result.New(result.EndpointCold, "").WithRetryAfter(cold)
+	case limited.wait > 0:
+		return result.New(result.EndpointBusy, "").WithRetryAfter(limited.wait)
+	case limited.barred && why == result.NoEndpoint:
+		return b.refusal(service.Name, result.EndpointLimited, now)
+	default:
+		return b.refusal(service.Name, why, now)
+	}
+}
+
 func (b *Belief) changed() {
 	if b.Changed != nil {
 		b.Changed()
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -69,6 +69,7 @@
 	EndpointDown       Code = 2017
 	Displaced          Code = 2018
 	GroupClosed        Code = 2019
+	EndpointLimited    Code = 2020
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -164,6 +165,7 @@
 	EndpointDown:       {"endpointDown", NotRun, http.StatusServiceUnavailable, "the endpoint does not accept connections"},
 	Displaced:          {"displaced", NotRun, http.StatusServiceUnavailable, "work that is worth more took the place in the queue"},
 	GroupClosed:        {"groupClosed", NotRun, http.StatusServiceUnavailable, "the engines' group takes no requests now"},
+	EndpointLimited:    {"endpointLimited", NotRun, http.StatusServiceUnavailable, "the endpoints name limits of which this entry has no share"},
 
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
