--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -110,7 +110,7 @@
 		w := p.work
 		out = append(out, &fleetpb.EntryWork{
 			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(),
-			Limits: w.GetLimits(),
+			Limits:    w.GetLimits(),
 			AgeMicros: uint64(max(0, now.Sub(p.at).Microseconds())),
 		})
 	}
