A change is known in time though the three that ask the store are cut off from it

Change: those that had nothing to tell lately lose their places to as many after them, six in all at most, so that an outage costs no more than six readers' calls. Who may ask the store does so once when it was told nothing, before it asks the next one; a poll that follows what another process told is a try, not a wait. A poll waits 0.35 of the time for a change (0.4 before). The pause before an entry that had nothing to tell comes only when it is asked again.

--- a/internal/fleet/readers/basis.go
+++ b/internal/fleet/readers/basis.go
@@ -14,7 +14,7 @@
 	// waitPart is the part of the time for a change that a poll of the store waits, and
 	// mostWait what it waits at most: knowledge is twice as old while nothing changes,
 	// and keys are to be believed for longer.
-	waitPart = 0.4
+	waitPart = 0.35
 	mostWait = 1500 * time.Millisecond
 	// lateAfter is how long after the end of its wait a poll is late. The store's slow
 	// answers take less; others try the store meanwhile, and the poll goes on.
--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -63,6 +63,9 @@
 	// alone is when the store was last tried though others were asked, and failed
 	// when it last did not answer this process.
 	alone, failed time.Time
+	// uninformed says that the last process that was asked told nothing, and the store has
+	// not answered since.
+	uninformed bool
 }
 
 // heard is what last came of asking a process.
@@ -91,27 +94,35 @@
 
 // Source returns the name of the process to ask, or "" for the store. Others are
 // the names of all processes of the data centre; the own one may be among them.
+//
+// Those that had nothing to tell lately lose their places to as many after them: three
+// that are cut off from the store say nothing of whether it answers the others. And who
+// may ask it does so once when it was last told nothing, as the next that it would ask may
+// be cut off as well.
 func (c *Choice) Source(others []string, now time.Time) string {
 	order := c.order(others, now)
 	own := slices.Index(order, c.Own)
-	first := order[:min(own, standing)]
-	if own < standing && now.Sub(c.failed) < passOver {
+	useful := c.useful(order[:own], now)
+	lost := min(own-len(useful), standing)
+	stands := own-lost < standing
+	switch {
+	case stands && now.Sub(c.failed) < passOver:
 		// Those after this one may reach the store.
-		first = slices.Delete(order[:min(standing+1, len(order))], own, own+1)
+		useful = c.useful(slices.Delete(order, own, own+1), now)
+	case stands && c.uninformed:
+		return ""
 	}
-	for _, name := range first {
-		if h, ok := c.heard[name]; !ok || h.usable(now) {
-			return name
-		}
+	if len(useful) > 0 {
+		return useful[0]
 	}
-	if own < standing {
+	if stands {
 		return ""
 	}
 	if now.Sub(c.alone) >= aloneEvery {
 		c.alone = now
 		return ""
 	}
-	for _, name := range first {
+	for _, name := range order[:standing] {
 		if a := c.heard[name].answer; a == Away || a == Lost {
 			return name
 		}
@@ -119,6 +130,18 @@
 	return ""
 }
 
+// useful returns those that may have something to tell, of the processes that may come to
+// ask the store, in the same order.
+func (c *Choice) useful(all []string, now time.Time) []string {
+	var out []string
+	for _, name := range all[:min(len(all), 2*standing)] {
+		if h, ok := c.heard[name]; !ok || h.usable(now) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // order returns all processes that aren't about to end, in the order in which they ask
 // the store.
 //
@@ -138,7 +161,7 @@
 
 // NoteStore notes whether the store answered this process.
 func (c *Choice) NoteStore(answered bool, now time.Time) {
-	c.failed = time.Time{}
+	c.failed, c.uninformed = time.Time{}, false
 	if !answered {
 		c.failed = now
 	}
@@ -156,4 +179,5 @@
 		}
 	}
 	c.heard[name] = heard{answer: a, at: now}
+	c.uninformed = a != Fresh && a != Leaving
 }
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -141,7 +142,7 @@
 // askSilent has a process send a poll that will not be answered.
 func (w *world) askSilent(name string) {
 	due := w.now.Add(w.bases[name].Wait)
-	if w.silent[name] {
+	if w.silent[name] || w.bases[name].Origin() != name {
 		due = w.now.Add(tryWait)
 	}
 	w.bases[name].Ask(due)
@@ -312,14 +313,14 @@
 	}
 }
 
-// oldest lets a time pass and returns how old the knowledge of a process, but for one,
+// oldest lets a time pass and returns how old the knowledge of a process, but for some,
 // has been.
-func (w *world) oldest(d time.Duration, but string) time.Duration {
+func (w *world) oldest(d time.Duration, but ...string) time.Duration {
 	var oldest time.Duration
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.run(tick)
 		for _, name := range w.names {
-			if name != but {
+			if !slices.Contains(but, name) {
 				oldest = max(oldest, w.now.Sub(w.fresh[name]))
 			}
 		}
@@ -361,3 +362,23 @@
 	w.run(4 * time.Second)
 	w.checkFresh(t, 5*tick)
 }
+
+// The three processes that may ask the store are cut off from it. Guards against the others,
+// which it would answer, hearing of no change in time.
+func TestChangesAreKnownInTimeThoughThreeReadersAreCutOff(t *testing.T) {
+	const inForce, way = 2 * time.Second, 300 * time.Millisecond
+	for _, n := range []int{5, 12} {
+		w := newWorld(n)
+		for _, b := range w.bases {
+			b.Wait = Wait(inForce)
+		}
+		w.run(time.Second)
+		cut := w.choices["entry0"].order(w.names, w.now)[:standing]
+		for _, name := range cut {
+			w.cut[name] = true
+		}
+		if oldest := w.oldest(30*time.Second, cut...); oldest > inForce-way {
+			t.Errorf("%d processes: one knows what was %v ago", n, oldest)
+		}
+	}
+}
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -17,14 +17,16 @@
 const (
 	// followSlack is added to readers.HearWait before the other one counts as silent.
 	followSlack = 250 * time.Millisecond
-	// awayPause is the pause after another entry had nothing to tell, which it says
-	// at once.
+	// awayPause is the pause before another entry is asked again that had nothing to
+	// tell, which it says at once.
 	awayPause = 200 * time.Millisecond
 )
 
 // hearNeighbour asks another entry of the data centre what the store tells, in place
 // of the store. It reports false when the store is to be asked.
 func (f *Frontend) hearNeighbour(ctx context.Context, revision int64, known bool) (mirror.Update, bool) {
+	// told are those that had nothing to tell.
+	told := map[string]bool{}
 	for ctx.Err() == nil {
 		near := f.others.near(f.Settings.DataCentre)
 		name := f.choice.Source(names(near), boottime.Now())
@@ -32,6 +34,9 @@
 		if name == "" {
 			return mirror.Update{}, false
 		}
+		if told[name] {
+			pause.For(ctx, awayPause)
+		}
 		u, answer, err := f.hear(ctx, near[name].Address, revision, known)
 		f.sourceAddress = near[name].Address
 		f.choice.Note(name, answer, boottime.Now())
@@ -48,7 +53,7 @@
 			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("entry does not tell what the store tells")
 		default:
 			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry does not reach the store")
-			pause.For(ctx, awayPause)
+			told[name] = true
 		}
 	}
 	return mirror.Update{}, false
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -113,15 +113,18 @@
 	rest, settle := leastPause, m.Settle
 	// heard goes up to what neighbours told, and whole up to where nothing lacks.
 	heard, whole, failed := position{}, position{}, false
-	asked, unanswered := time.Time{}, false
+	// doubtful says that the service did not answer the last call, or another process told
+	// the last update in its place.
+	asked, doubtful := time.Time{}, false
 	started := m.Now().Add(m.StartTime)
 	for ctx.Err() == nil {
-		u, err := m.next(ctx, heard, whole, m.waitFor(m.Now().Sub(asked), unanswered))
+		u, err := m.next(ctx, heard, whole, m.waitFor(m.Now().Sub(asked), doubtful))
 		switch {
 		case err == nil:
 			if !u.Neighbour {
-				u.Returned, unanswered = failed, false
+				u.Returned = failed
 			}
+			doubtful = u.Neighbour
 			failed, rest = false, leastPause
 			heard.reach(u.Revision)
 			if !u.Lacking {
@@ -148,7 +151,7 @@
 		case errors.Is(err, errDoubted):
 			failed = true
 		default:
-			failed, unanswered = true, true
+			failed, doubtful = true, true
 			m.fail(ctx, err)
 			pause.For(ctx, rest)
 			rest = min(2*rest, mostPause)
@@ -161,15 +164,15 @@
 const agedWait = 50 * time.Millisecond
 
 // waitFor returns how long a poll waits when knowledge is of so long ago: so that it
-// is at most two waits old when the answer comes. A service that did not answer the last
-// call is tried, and not waited at.
+// is at most two waits old when the answer comes. A service is tried, and not waited at,
+// if it did not answer the last call or this process begins to ask in place of another.
 //
 // Guard: after an outage, or when this process begins to ask in place of another,
 // an answer that waits for a change as usual would leave what is known as old as it
 // is for as long again, and it would count for nothing. And a process that tries a service
 // which may be silent hears of nothing from others meanwhile.
-func (m *Mirror) waitFor(age time.Duration, unanswered bool) time.Duration {
-	if unanswered {
+func (m *Mirror) waitFor(age time.Duration, doubtful bool) time.Duration {
+	if doubtful {
 		return agedWait
 	}
 	return min(m.Wait, max(agedWait, 2*m.Wait-age))
