Limits: what is old is forgotten, callers come back sooner, shares are counted without sorting

Reading the change again: an entry that hears of a limit of an endpoint which it no longer lists kept it for good; a request that finds other endpoints busy was told to come back when a share of the limit is due, up to seconds, and is told the usual time now; the rank of an entry takes one pass over the names, where it sorted them for each request; a limit of 1e300 overflowed and left the endpoint to nobody.

--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -21,10 +21,9 @@
 	// echoOver is how long one is passed over that hears from this process itself. It
 	// says so at once.
 	echoOver = 2 * time.Second
-	// lostOver is how long one is passed over that the store doesn't answer. It
-	// hears from others by then and tries the store again, which takes it two
-	// seconds to notice each time; whoever turned back to it hears of nothing
-	// meanwhile.
+	// lostOver is how long one is passed over that the store doesn't answer: it tries
+	// the store again each second or two, and whoever turns back to it meanwhile waits
+	// until that try is late.
 	lostOver = 8 * time.Second
 	// leaveOver is how long one is passed over that leaves: longer than it takes to
 	// stop and to start again.
--- a/internal/relay/entries.go
+++ b/internal/relay/entries.go
@@ -50,17 +50,6 @@
 	return n
 }
 
-// entryNames returns the names of all entries that count, this one among them.
-func (b *Belief) entryNames() []string {
-	names := make([]string, 0, len(b.entries)+1)
-	for name := range b.entries {
-		if name != b.Name {
-			names = append(names, name)
-		}
-	}
-	return append(names, b.Name)
-}
-
 // listedEntries returns how many entries share the endpoints' places now.
 func (b *Belief) listedEntries() int {
 	n := 0
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -109,20 +109,20 @@
 	return changed
 }
 
+// dropOld forgets what was told too long ago to hold.
+func (l *limits) dropOld(now time.Time) {
+	old := func(_ string, told Limit) bool { return now.Sub(told.At) > limitMemory }
+	maps.DeleteFunc(l.known, old)
+	maps.DeleteFunc(l.own, old)
+}
+
 // OwnLimits returns what endpoints have told this entry of their limits lately, so that
 // the others can be told.
 func (b *Belief) OwnLimits(now time.Time) []Limit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]Limit, 0, len(b.limits.own))
-	for id, l := range b.limits.own {
-		if now.Sub(l.At) > limitMemory {
-			delete(b.limits.own, id)
-			continue
-		}
-		out = append(out, l)
-	}
-	return out
+	b.limits.dropOld(now)
+	return slices.Collect(maps.Values(b.limits.own))
 }
 
 // HearLimits takes in what endpoints have told another entry, and returns what was new.
@@ -203,12 +203,17 @@
 // has saved up a request after a while, and all come in the same moment. So only as many
 // share it as the endpoint takes at once, and which ones follows from the names alone.
 func (b *Belief) limitSharers(l Limit) (int, bool) {
-	names := b.entryNames()
-	n := max(1, int(savedEach*l.PerSecond)+savedMore)
-	if len(names) <= n {
-		return len(names), true
-	}
 	rank := func(name string) uint64 { return xxhash.Sum64String(name + " " + l.Endpoint) }
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return n, slices.Contains(names[:n], b.Name)
+	own, before, entries := rank(b.Name), 0, 1
+	for name := range b.entries {
+		if name == b.Name {
+			continue
+		}
+		entries++
+		if rank(name) < own {
+			before++
+		}
+	}
+	n := int(min(float64(entries), savedEach*l.PerSecond+savedMore))
+	return n, before < n
 }
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -252,3 +252,14 @@
 		t.Errorf("%d entries refuse, want %d", refused, want)
 	}
 }
+
+// Guards against a limit beyond all numbers of requests that leaves the endpoint to nobody.
+func TestHugeLimitIsSharedByAll(t *testing.T) {
+	const entries = 36
+	w := newLimitWorld(entries, 1, 1, &routing.Service{Name: "quotes"}, start)
+	for _, b := range w.fleet {
+		if n, mine := b.limitSharers(Limit{Endpoint: limited, PerSecond: 1e300}); n != entries || !mine {
+			t.Fatalf("%d share it, this one %v", n, mine)
+		}
+	}
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -68,12 +68,13 @@
 // noPlace says why a request has got no place, and when it is worth asking again: why is
 // the reason but for shares, cold how long until a cold endpoint may be asked.
 func (b *Belief) noPlace(service *routing.Service, why result.Code, cold time.Duration, limited limitation, now time.Time) *result.Error {
+	others := why != result.NoEndpoint
 	switch {
 	case cold > 0:
 		return result.New(result.EndpointCold, "").WithRetryAfter(cold)
-	case limited.wait > 0:
+	case limited.wait > 0 && !others:
 		return result.New(result.EndpointBusy, "").WithRetryAfter(limited.wait)
-	case limited.barred && why == result.NoEndpoint:
+	case limited.barred && !others:
 		return b.refusal(service.Name, result.EndpointLimited, now)
 	default:
 		return b.refusal(service.Name, why, now)
