What an entry tells of limits does not grow with the endpoints in need

Reading the change again: each message told all limits of half a minute, so that a thousand endpoints in need would take 40 kB of each of up to 50 messages a second.

--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -16,6 +16,11 @@
 	// limitMemory is how long a limit holds of which nothing more is heard, though it
 	// is asked for: an endpoint names it in each answer.
 	limitMemory = 30 * time.Second
+	// limitTold is for how long others are told of what an endpoint said, which it
+	// repeats in its next answer: longer than the pause between two regular messages.
+	// mostTold is how many limits they are told of at once, the newest ones.
+	limitTold = 1500 * time.Millisecond
+	mostTold  = 16
 	// leastLimit is the least rate at which an endpoint is sent requests, a second, so
 	// that the end of its limit is heard of.
 	leastLimit = 0.1
@@ -116,13 +121,23 @@
 	maps.DeleteFunc(l.own, old)
 }
 
-// OwnLimits returns what endpoints have told this entry of their limits lately, so that
+// OwnLimits returns what endpoints have told this entry of their limits just now, so that
 // the others can be told.
+//
+// Load: a thousand endpoints in need, and a message to the others each 20 ms. Harm
+// prevented: what an entry sends grows with the number of endpoints.
 func (b *Belief) OwnLimits(now time.Time) []Limit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limits.dropOld(now)
-	return slices.Collect(maps.Values(b.limits.own))
+	var out []Limit
+	for _, l := range b.limits.own {
+		if now.Sub(l.At) <= limitTold {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b Limit) int { return b.At.Compare(a.At) })
+	return out[:min(len(out), mostTold)]
 }
 
 // HearLimits takes in what endpoints have told another entry, and returns what was new.
