--- a/internal/ranker/looker.go
+++ b/internal/ranker/looker.go
@@ -247,7 +247,7 @@
 	defer k.mu.Unlock()
 	e := k.direct[addr]
 	if e == nil {
-		e = &platform.Engine{Addr: addr, Timeout: engineTimeout}
+		e = &platform.Engine{Addr: addr, Timeout: max(engineTimeout, k.EngineTimeout)}
 		e.Open()
 		k.direct[addr] = e
 	}
