--- a/internal/relay/belief_test.go
+++ b/internal/relay/belief_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,12 +138,12 @@
 
 func (w *fleetWorld) exchange(now time.Time) {
 	w.number++
+	works := make([]Work, 0, len(w.fleet))
 	for _, from := range w.fleet {
-		for _, to := range w.fleet {
-			if from != to {
-				to.SetWorks([]Work{{Entry: from.Name, Born: 1, Number: w.number, Running: from.Own(), At: now}}, now)
-			}
-		}
+		works = append(works, Work{Entry: from.Name, Born: 1, Number: w.number, Running: from.Own(), At: now})
+	}
+	for i, to := range w.fleet {
+		to.SetWorks(slices.Concat(works[:i], works[i+1:]), now)
 	}
 }
 
