--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -11,7 +11,8 @@
 const (
 	// standing is how many processes of a data centre may ask the store while it
 	// answers none of them: enough that a store which turns away one in three
-	// VMs is reached by one of them.
+	// VMs is reached by one of them. As many after them may when these have nothing to
+	// tell.
 	standing = 3
 	// passOver is how long a process that has nothing to tell is passed over, and
 	// silentOver one that did not answer: each try of it takes most of a second, in
--- a/internal/fleet/readers/doc.go
+++ b/internal/fleet/readers/doc.go
@@ -8,7 +8,9 @@
 // the store, the next asks in its place, and so on for a few; what is left hears
 // from one of these, and asks the store by itself now and then when none of them
 // reaches it. Nobody is chosen and nothing is agreed on: who asks without need costs
-// some calls.
+// some calls. Choice decides whom a process asks, and Basis whether it may tell others what
+// it knows: nobody is told its own knowledge, nor that nothing has changed by one whose
+// call to the store is late.
 //
 // The package needs no network and no clock.
 package readers
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// limitMemory is how long a limit holds of which nothing more is heard, though it
-	// is asked for: an endpoint names it in each answer.
+	// limitMemory is how long a limit holds of which nothing more is heard: an endpoint
+	// names it in each answer, and gets some requests by it.
 	limitMemory = 30 * time.Second
 	// limitTold is for how long others are told of what an endpoint said, which it
 	// repeats in its next answer: longer than the pause between two regular messages.
@@ -46,8 +46,8 @@
 
 // limits holds what endpoints said of how many requests they take, by id.
 type limits struct {
+	// known are the newest, and own those that endpoints told this entry itself.
 	known map[string]Limit
-	// own are those that endpoints told this entry itself.
 	own map[string]Limit
 }
 
