--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -48,7 +48,7 @@
 type limits struct {
 	// known are the newest, and own those that endpoints told this entry itself.
 	known map[string]Limit
-	own map[string]Limit
+	own   map[string]Limit
 }
 
 // note takes in an answer to a request that was given to the endpoint at given, and
