One count of requests within a span in the tests of shares; a limit's rate in one place

The test of limits had the loop of the test of cold shares again, with another span: both call mostWithin, with the spans that they had. The least rate of a limit was worked out where a share is looked at and where it is taken: Limit.rate.

--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -67,7 +67,7 @@
 				sent = append(sent, now)
 			}
 		}
-		if n := mostInASecond(sent); n > bound {
+		if n := mostWithin(sent, time.Second); n > bound {
 			t.Fatalf("seed %d: %d requests in a second, %v are allowed", seed, n, bound)
 		}
 		if len(sent) < 4*30 {
@@ -76,10 +76,11 @@
 	}
 }
 
-func mostInASecond(at []time.Time) int {
+// mostWithin returns the most of some moments, in their order, that lie within a span.
+func mostWithin(at []time.Time, span time.Duration) int {
 	most, from := 0, 0
 	for i := range at {
-		for at[i].Sub(at[from]) >= time.Second {
+		for at[i].Sub(at[from]) >= span {
 			from++
 		}
 		most = max(most, i-from+1)
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -44,6 +44,9 @@
 	At time.Time
 }
 
+// rate returns how many requests a second are sent by the limit, from all entries together.
+func (l Limit) rate() float64 { return max(l.PerSecond, leastLimit) }
+
 // limits holds what endpoints said of how many requests they take, by id.
 type limits struct {
 	// known are the newest, and own those that endpoints told this entry itself.
@@ -191,7 +194,7 @@
 			continue
 		}
 		n, mine := b.limitSharers(l)
-		rate := max(l.PerSecond, leastLimit)
+		rate := l.rate()
 		if mine && b.limited.Ready(id, rate, n, now) {
 			continue
 		}
@@ -208,7 +211,7 @@
 func (b *Belief) takeLimited(ep directory.Endpoint, now time.Time) {
 	if l, ok := b.limits.of(ep, now); ok {
 		n, _ := b.limitSharers(l)
-		b.limited.Take(ep.ID, max(l.PerSecond, leastLimit), n, now)
+		b.limited.Take(ep.ID, l.rate(), n, now)
 	}
 }
 
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -137,18 +137,6 @@
 	}
 }
 
-// mostInSpan returns the most of some moments that lie within limitSpan.
-func mostInSpan(at []time.Time) int {
-	most, from := 0, 0
-	for i := range at {
-		for at[i].Sub(at[from]) >= limitSpan {
-			from++
-		}
-		most = max(most, i-from+1)
-	}
-	return most
-}
-
 // An endpoint in need names a limit that is well below what it gets, for 20 s, and then no
 // more. Guards against entries that go on sending as before, or keep the limit each for
 // itself, and against an endpoint that is left alone afterwards.
@@ -172,7 +160,7 @@
 			w.run(rand.New(rand.NewPCG(seed, 5)), from, 34*time.Second, c.rate, c.begins, c.lasts)
 			allowed := limitFactor*limitSpan.Seconds()*c.perSecond + limitMore
 			for _, at := range [][]time.Time{w.sent, w.all} {
-				if n := mostInSpan(at); float64(n) > allowed {
+				if n := mostWithin(at, limitSpan); float64(n) > allowed {
 					t.Errorf("%d entries, seed %d: %d requests in %v, %.1f are allowed", c.entries, seed, n, limitSpan, allowed)
 				}
 			}
