Repeat the request through the entry of the endpoint's data centre in TestRestIsNotFetchedFromAnotherAttempt

Known red: the test waits until the endpoint that gave the first answer gives another, and asks through the first entry.

The repeats now go through the entry of the endpoint's data centre, and both fetches through an entry of another one. What is checked is the same: the same endpoint answers again, and the rest of the first answer is not found.

--- a/cmd/hyssoprelay/failure_test.go
+++ b/cmd/hyssoprelay/failure_test.go
@@ -243,10 +243,11 @@
 	if _, err := io.ReadAll(res.Body); err != nil {
 		t.Fatal(err)
 	}
-	if status, body, err := f.fetch(f.entries[1], first, 10); err != nil || status != http.StatusOK {
+	name := strings.Split(first, "@")[1]
+	near, other := f.entryOf(name)
+	if status, body, err := f.fetch(other, first, 10); err != nil || status != http.StatusOK {
 		t.Fatalf("the first answer: %d %v %s", status, err, body)
 	}
-	name := strings.Split(first, "@")[1]
 	for _, a := range f.agents {
 		if a.endpoint == name {
 			a.kill()
@@ -254,12 +255,30 @@
 		}
 	}
 	f.eventually("the request is answered again by the same endpoint", func() bool {
-		id, res := f.stream(f.entries[0], "again", 30)
+		id, res := f.stream(near, "again", 30)
 		_, err := io.ReadAll(res.Body)
 		return err == nil && strings.Split(id, "@")[1] == name
 	})
-	status, body, err := f.fetch(f.entries[1], first, 10)
+	status, body, err := f.fetch(other, first, 10)
 	if err != nil || status != http.StatusNotFound {
 		t.Errorf("the rest came from another attempt: %d %v %s", status, err, body)
 	}
 }
+
+// entryOf returns the entry of an endpoint's data centre, which sends requests there
+// first, and an entry of another data centre.
+func (f *fleet) entryOf(endpoint string) (near, other *entryProc) {
+	f.t.Helper()
+	dc, _, _ := strings.Cut(endpoint, "-")
+	for _, e := range f.entries {
+		if strings.HasPrefix(e.name, dc+"-") {
+			near = e
+		} else {
+			other = e
+		}
+	}
+	if near == nil {
+		f.t.Fatalf("no entry in the data centre of %s", endpoint)
+	}
+	return near, other
+}
