Divide store updates between entries into pages

A starting entry, or one that is some changes behind, got all that it was missing in one answer, within 0.75 s. Where an entry has a hundred followers and the fleet a thousand keys (270 kB), 40 Mbit/s carry 31 kB to each follower in that time: no answer arrived, all gave the entry up together and began anew at the next one.

An answer is now at most a page of 32 kB, in the order of keys. mirror.Transfer puts the pages together; they may come from several entries, so that a transfer goes on where it broke off, and the whole counts as old as its oldest page. An entry that has no state yet lets its followers wait while it receives its own, in place of sending them to the readers.

Entries no longer pass on keys that no entry uses: those of agents, half of all. A copy keeps as many changes as it has keys, at least 1,024, in place of 1,024: whoever is further behind gets the complete state, which then is no larger.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,6 +60,7 @@
 	if f.storeStatus.NoteUpdate(f.origin(u)) {
 		f.Log.WithFields(logrus.Fields{"dependency": "store", "revision": u.Revision}).Warn("dependency regained")
 	}
+	u = f.storeCopy.WithoutOlder(withoutUnused(u))
 	facts := make([]platform.Fact, 0, len(u.KVs))
 	for _, item := range u.KVs {
 		if fact := f.applyPut(item, now); fact != nil {
@@ -83,6 +86,21 @@
 	f.advanceFreshness(u.RequestedAt, now)
 }
 
+// withoutUnused returns an update without the keys of the product's own processes that
+// no entry uses: about half of all keys are those of agents, and each entry would send
+// them to its followers.
+func withoutUnused(u mirror.Update) mirror.Update {
+	u.KVs = slices.DeleteFunc(slices.Clone(u.KVs), func(item kv.KeyValue) bool { return unused(item.Key()) })
+	u.Deleted = slices.DeleteFunc(slices.Clone(u.Deleted), unused)
+	return u
+}
+
+// unused reports whether no entry uses a key.
+func unused(key string) bool {
+	kind, _, ok := fleet.KeyOf(key)
+	return strings.HasPrefix(key, fleet.Prefix) && (!ok || kind != fleet.Entry)
+}
+
 // origin returns the entry that received an update directly from the store.
 func (f *Frontend) origin(u mirror.Update) string {
 	if u.FromPeer {
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -22,6 +22,10 @@
 	// nothing to report. Such an entry answers immediately, so requests without a delay
 	// would form a busy loop.
 	unavailableRetryDelay = 200 * time.Millisecond
+	// followPageBytes is the size from which on an answer to another entry is divided,
+	// in bytes. All followers of an entry together get a page each within a fraction of
+	// followTimeoutMargin, also over a line of some ten Mbit/s.
+	followPageBytes = 32 << 10
 )
 
 // followPeer requests the store updates after a revision, or the complete state if
@@ -35,20 +39,25 @@
 		name := f.sourceSelector.Source(names(local), boottime.Now())
 		f.setSource(name)
 		if name == "" {
+			f.transfer.Reset()
 			return mirror.Update{}, false
 		}
 		if unavailable[name] {
 			pause.For(ctx, unavailableRetryDelay)
 		}
-		u, outcome, err := f.requestUpdate(ctx, local[name].Address, revision, known)
+		page, outcome, err := f.requestUpdate(ctx, local[name].Address, revision, known)
 		f.sourceAddress = local[name].Address
 		f.sourceSelector.NoteAnswer(name, outcome, boottime.Now())
 		f.sourceMetrics.countWithoutUpdate(outcome)
 		switch {
 		case outcome == readers.Fresh:
-			return u, true
+			if u, ok := f.transfer.Add(page); ok {
+				return u, true
+			}
 		case outcome == readers.ShuttingDown:
 			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry is shutting down")
+		case outcome == readers.Starting:
+			f.Log.WithFields(logrus.Fields{"entry": name}).Debug("entry is still receiving the state")
 		case outcome == readers.OwnState:
 			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry gets its store updates from this one")
 		case err != nil:
@@ -62,27 +71,30 @@
 	return mirror.Update{}, false
 }
 
-// requestUpdate requests an update from one entry.
-func (f *Frontend) requestUpdate(ctx context.Context, addr string, revision int64, known bool) (mirror.Update, readers.Outcome, error) {
+// requestUpdate requests an update, or the next page of the complete state, from one
+// entry.
+func (f *Frontend) requestUpdate(ctx context.Context, addr string, revision int64, known bool) (mirror.Page, readers.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, readers.MaxFollowWait+followTimeoutMargin)
 	defer cancel()
 	conn, err := f.peerConns.Get(addr)
 	if err != nil {
-		return mirror.Update{}, readers.NoAnswer, err
+		return mirror.Page{}, readers.NoAnswer, err
 	}
 	sent := boottime.Now()
+	next := f.transfer.Request(revision, known, followPageBytes)
 	p, err := fleetpb.NewEntryClient(conn).Follow(ctx, &fleetpb.FollowRequest{
-		After: revision, Known: known, WaitMicros: uint64(readers.MaxFollowWait.Microseconds()), DocumentRevision: f.newestKnownDocument(),
+		After: next.After, Known: next.Known, AfterKey: next.AfterKey, Whole: next.Complete, WaitMicros: uint64(readers.MaxFollowWait.Microseconds()), DocumentRevision: f.newestKnownDocument(),
 		Asker: f.Settings.Name,
 	})
 	if err != nil {
-		return mirror.Update{}, readers.NoAnswer, err
+		return mirror.Page{}, readers.NoAnswer, err
 	}
 	if p.GetAway() {
 		f.storeLostByPeer = f.storeLostByPeer || p.GetStoreAway()
-		return mirror.Update{}, f.unavailableReason(p), nil
+		return mirror.Page{}, f.unavailableReason(p), nil
 	}
 	f.sourceOrigin = p.GetOrigin()
+	f.storeStatus.NoteProgress(boottime.Now())
 	held := f.documents.Newest().Revision
 	// The other entry counts from the arrival of the request, which is after sent, so
 	// RequestedAt is not too late.
@@ -97,7 +109,7 @@
 	if ago := p.GetReturnedMicros(); ago > 0 {
 		u.Recovered = f.isNewRecovery(boottime.Now().Add(-time.Duration(ago) * time.Microsecond))
 	}
-	return u, readers.Fresh, nil
+	return mirror.Page{Update: u, More: p.GetMore()}, readers.Fresh, nil
 }
 
 // unavailableReason returns why an entry has nothing to report.
@@ -105,6 +117,8 @@
 	switch {
 	case p.GetLeaving():
 		return readers.ShuttingDown
+	case p.GetStarting():
+		return readers.Starting
 	case p.GetStoreAway():
 		return readers.StoreLost
 	case p.GetOrigin() == f.Settings.Name:
@@ -136,25 +150,41 @@
 	if f.stopping.Load() {
 		return &fleetpb.FollowReply{Away: true, Leaving: true}, nil
 	}
+	request := mirror.Request{After: q.GetAfter(), Known: q.GetKnown(), AfterKey: q.GetAfterKey(), Complete: q.GetWhole(), PageBytes: followPageBytes}
 	updated := f.storeCopy.Updated()
-	u, ok := f.storeCopy.Since(q.GetAfter(), q.GetKnown())
+	u, ok := f.storeCopy.Since(request)
 	o := f.storeStatus.Answer(q.GetAsker(), u.RequestedAt, arrived)
-	if ok && o == readers.Fresh && !hasChanges(u, q) {
+	if f.shouldAwaitUpdate(ok, o, u, q) {
 		if err := f.awaitUpdate(ctx, updated, time.Duration(q.GetWaitMicros())*time.Microsecond, arrived); err != nil {
 			return nil, err
 		}
-		u, ok = f.storeCopy.Since(q.GetAfter(), q.GetKnown())
+		u, ok = f.storeCopy.Since(request)
 	}
 	now := boottime.Now()
 	origin := f.storeStatus.Origin()
-	if o = f.storeStatus.Answer(q.GetAsker(), u.RequestedAt, now); !ok || o != readers.Fresh {
-		return &fleetpb.FollowReply{Away: true, StoreAway: o == readers.StoreLost, Origin: origin}, nil
+	o = f.storeStatus.Answer(q.GetAsker(), u.RequestedAt, now)
+	if !ok {
+		o = f.storeStatus.AnswerWithoutState(now)
 	}
-	p := followReply(u, f.storeCopy.RecoveredAt(), arrived, now)
-	p.Origin = origin
+	if o != readers.Fresh {
+		return &fleetpb.FollowReply{Away: true, StoreAway: o == readers.StoreLost, Starting: o == readers.Starting, Origin: origin}, nil
+	}
+	p := followReply(u.Update, f.storeCopy.RecoveredAt(), arrived, now)
+	p.Origin, p.More = origin, u.More
 	return p, nil
 }
 
+// shouldAwaitUpdate reports whether the answer to another entry waits for the next
+// update: if nothing has changed, or if this entry has just started and is about to get
+// its state. In the second case an entry that were turned away would turn to the readers
+// together with all others that have just started.
+func (f *Frontend) shouldAwaitUpdate(hasState bool, o readers.Outcome, p mirror.Page, q *fleetpb.FollowRequest) bool {
+	if !hasState {
+		return !f.storeStatus.Lost()
+	}
+	return o == readers.Fresh && !hasChanges(p.Update, q)
+}
+
 // awaitUpdate waits until updated is closed, at most for wait, and not beyond the
 // time from which the pending call to the store is late. It returns the error of ctx.
 func (f *Frontend) awaitUpdate(ctx context.Context, updated <-chan struct{}, wait time.Duration, now time.Time) error {
@@ -172,9 +202,9 @@
 }
 
 // hasChanges reports whether an update contains anything for the asking entry besides
-// a later RequestedAt.
+// a later RequestedAt, or ends the transfer of one.
 func hasChanges(u mirror.Update, q *fleetpb.FollowRequest) bool {
-	return u.Complete || len(u.KVs)+len(u.Deleted) > 0 || u.SeparateRevision > q.GetDocumentRevision()
+	return u.Complete || q.GetAfterKey() != "" || len(u.KVs)+len(u.Deleted) > 0 || u.SeparateRevision > q.GetDocumentRevision()
 }
 
 // followReply encodes an update for an entry whose request arrived at arrived.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -99,15 +99,16 @@
 	workReporter   *workReporter
 	hub            hub
 	// storeCopy holds what was received from the store, to be passed to other entries,
-	// and sourceSelector selects the entry from which updates are requested. Only the
-	// mirror's goroutine uses sourceSelector and the fields from source to
-	// storeLostByPeer. Once hasSource is set, source and sourceAddress identify the
+	// and sourceSelector selects the entry from which updates are requested. transfer
+	// holds the pages of the complete state that have been received. Only the mirror's
+	// goroutine uses sourceSelector and the fields from transfer to storeLostByPeer. Once hasSource is set, source and sourceAddress identify the
 	// entry asked last; an empty source is the store. sourceOrigin is the entry that
 	// received the source's updates directly from the store. storeRecovered is the time
 	// of the last recovery of the store that other entries reported.
 	storeCopy      mirror.Copy
 	sourceSelector readers.SourceSelector
 	sourceMetrics  sourceMetrics
+	transfer       mirror.Transfer
 	source         string
 	sourceAddress  string
 	sourceOrigin   string
@@ -184,6 +185,7 @@
 	}
 	f.sourceSelector.Self = s.Name
 	f.storeStatus.Self, f.storeStatus.Wait = s.Name, pollWait
+	f.storeStatus.NoteProgress(now)
 	f.sourceMetrics = newSourceMetrics(f.Registry)
 	f.storeCopy.SeparateKey = platform.DocumentKey
 	f.documentSender.Versions = &f.documents
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -29,7 +29,7 @@
 		withoutUpdate: map[readers.Outcome]metrics.Counter{
 			readers.NoAnswer: counter("silent"), readers.NotCurrent: counter("away"),
 			readers.StoreLost: counter("lost"), readers.OwnState: counter("echo"),
-			readers.ShuttingDown: counter("leaving"),
+			readers.ShuttingDown: counter("leaving"), readers.Starting: counter("starting"),
 		},
 	}
 }
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -1,16 +1,18 @@
 package mirror
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
-// maxEvents is the number of changes that a Copy keeps: those of several seconds
-// while a fleet of hundreds of processes starts. A process that is further behind
-// gets the complete state.
-const maxEvents = 1024
+// minEvents is the number of changes that a Copy keeps in any case. It keeps more, as
+// many as it has keys, where the complete state is larger: a process that is further
+// behind gets the complete state, which then is no more than its changes.
+const minEvents = 1024
 
 // Copy keeps the state and the recent changes received by a Mirror, so that they
 // can be served to other processes. It is safe for concurrent use.
@@ -25,6 +27,8 @@
 
 	mu    sync.Mutex // guards all below
 	items map[string]platform.KeyValue
+	// keys are the keys of items, sorted, or nil if they have changed since.
+	keys []string
 	// events are the changes after the revision compacted, oldest first.
 	events               []event
 	compacted, revision  int64
@@ -51,13 +55,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if u.Complete {
-		c.items, c.events, c.compacted = map[string]platform.KeyValue{}, nil, u.Revision
+		c.items, c.keys, c.events, c.compacted = map[string]platform.KeyValue{}, nil, nil, u.Revision
 	}
 	for _, item := range u.KVs {
 		if item.Key() == c.SeparateKey {
 			continue
 		}
-		c.items[item.Key()] = item
+		c.put(item)
 		if !u.Complete {
 			c.events = append(c.events, event{item: item, revision: item.Revision()})
 		}
@@ -66,7 +70,7 @@
 		if key == c.SeparateKey {
 			continue
 		}
-		delete(c.items, key)
+		c.remove(key)
 		c.events = append(c.events, event{item: platform.NewKeyValue(key, nil, u.Revision, 0), deleted: true, revision: u.Revision})
 	}
 	c.compact()
@@ -99,43 +103,158 @@
 	}
 }
 
-// compact drops the oldest events beyond maxEvents.
+// WithoutOlder returns an update without the changes that are older than what the copy
+// holds. A complete state is returned as it is.
+//
+// The pages of a complete state are of different ages, and the changes since the oldest
+// one may come from a process that is behind the newest one. Without this, an endpoint
+// that is known to be leaving would count as in service again for a moment.
+func (c *Copy) WithoutOlder(u Update) Update {
+	if u.Complete {
+		return u
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u.KVs = slices.DeleteFunc(slices.Clone(u.KVs), func(item platform.KeyValue) bool {
+		return c.items[item.Key()].Revision() > item.Revision()
+	})
+	u.Deleted = slices.DeleteFunc(slices.Clone(u.Deleted), func(key string) bool {
+		return c.items[key].Revision() > u.Revision
+	})
+	return u
+}
+
+func (c *Copy) put(item platform.KeyValue) {
+	if _, ok := c.items[item.Key()]; !ok {
+		c.keys = nil
+	}
+	c.items[item.Key()] = item
+}
+
+func (c *Copy) remove(key string) {
+	if _, ok := c.items[key]; ok {
+		c.keys = nil
+	}
+	delete(c.items, key)
+}
+
+// compact drops the oldest events beyond those that are kept.
 func (c *Copy) compact() {
-	for len(c.events) > maxEvents {
+	for len(c.events) > max(minEvents, len(c.items)) {
 		c.compacted = max(c.compacted, c.events[0].revision)
 		c.events = c.events[1:]
 	}
 }
 
-// Since returns the changes after a revision, or the complete state if known is
-// false, which means that the process has no state yet, or if the changes are no longer
+// Request is a process's request for what it is missing.
+type Request struct {
+	// After is the revision up to which the process knows all changes. Known is false
+	// if it has no state yet and needs the complete one.
+	After int64
+	Known bool
+	// AfterKey is the last key that the process has received in a transfer that isn't
+	// finished, or "". Complete reports that the complete state is being transferred.
+	AfterKey string
+	Complete bool
+	// PageBytes is the size of keys and values, in bytes, from which on a page ends. 0
+	// means that the answer is not divided into pages.
+	PageBytes int
+}
+
+// Page is the answer to a Request, or a part of it in the order of keys. More reports
+// that further keys follow.
+type Page struct {
+	Update
+	More bool
+}
+
+// lastKey returns the last key of a page, or "" if it contains none.
+func (p *Page) lastKey() string {
+	var last string
+	if n := len(p.KVs); n > 0 {
+		last = p.KVs[n-1].Key()
+	}
+	if n := len(p.Deleted); n > 0 {
+		last = max(last, p.Deleted[n-1])
+	}
+	return last
+}
+
+// Since returns a page of the changes after a revision, or of the complete state if the
+// process has none yet, has received a part of it, or needs changes that are no longer
 // kept. It reports false before the first update.
 //
 // A process that is ahead of the copy gets no changes. RequestedAt still holds for
 // it: all changes made before RequestedAt have revisions up to that of the copy, and
 // so up to that of the process.
-func (c *Copy) Since(after int64, known bool) (Update, bool) {
+func (c *Copy) Since(q Request) (Page, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.items == nil {
-		return Update{}, false
+		return Page{}, false
 	}
-	u := Update{Revision: c.revision, RequestedAt: c.knownAt, SeparateRevision: c.separateRevision}
-	if !known || after < c.compacted {
-		u.Complete = true
-		for _, item := range c.items {
-			u.KVs = append(u.KVs, item)
-		}
-		return u, true
+	p := Page{Update: Update{Revision: c.revision, RequestedAt: c.knownAt, SeparateRevision: c.separateRevision}}
+	// A process that began the transfer with another copy, and knows more than this one,
+	// must not go back to its state.
+	continued := q.Complete && q.After <= c.revision
+	p.Complete = !q.Known || q.After < c.compacted || continued
+	afterKey := q.AfterKey
+	if p.Complete != q.Complete {
+		afterKey = ""
 	}
-	var changed platform.Changed
+	if p.Complete {
+		c.addItems(&p, afterKey, q.PageBytes)
+	} else {
+		c.addChanges(&p, q.After, afterKey, q.PageBytes)
+	}
+	return p, true
+}
+
+// addChanges adds the changes after a revision to a page, from the first key after
+// afterKey on.
+func (c *Copy) addChanges(p *Page, after int64, afterKey string, pageBytes int) {
+	newest := map[string]event{}
 	for _, e := range c.events {
-		if e.revision > after {
-			changed.Apply(e.item, e.deleted)
+		if e.revision > after && e.item.Key() > afterKey {
+			newest[e.item.Key()] = e
+		}
+	}
+	size := 0
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if pageBytes > 0 && size >= pageBytes {
+			p.More = true
+			return
+		}
+		e := newest[key]
+		size += len(key) + len(e.item.Value())
+		if e.deleted {
+			p.Deleted = append(p.Deleted, key)
+		} else {
+			p.KVs = append(p.KVs, e.item)
+		}
+	}
+}
+
+// addItems adds items of the complete state to a page, from the first key after afterKey
+// on.
+func (c *Copy) addItems(p *Page, afterKey string, pageBytes int) {
+	if c.keys == nil {
+		c.keys = slices.Sorted(maps.Keys(c.items))
+	}
+	first, found := slices.BinarySearch(c.keys, afterKey)
+	if found {
+		first++
+	}
+	size := 0
+	for _, key := range c.keys[first:] {
+		if pageBytes > 0 && size >= pageBytes {
+			p.More = true
+			return
 		}
+		item := c.items[key]
+		p.KVs = append(p.KVs, item)
+		size += len(key) + len(item.Value())
 	}
-	u.KVs, u.Deleted = changed.KVs, changed.Deleted
-	return u, true
 }
 
 // RecoveredAt returns the time at which the service last became reachable again
--- a/internal/platform/mirror/copy_test.go
+++ b/internal/platform/mirror/copy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -121,8 +122,8 @@
 				*f = follower{}
 				continue
 			default:
-				if u, ok := from.copy.Since(f.revision, f.known); ok {
-					f.apply(u, now)
+				if u, ok := from.copy.Since(Request{After: f.revision, Known: f.known}); ok {
+					f.apply(u.Update, now)
 				}
 			}
 			if f.known {
@@ -132,25 +133,94 @@
 	}
 }
 
+// Processes get the complete state and changes in pages, from changing sources, while
+// keys change. Guards against a key that is lost between two pages, one that comes back
+// after its deletion, and a process that counts as current before the last page.
+func TestPagesFromSeveralCopiesKeepStateCorrect(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		h := &history{}
+		now := time.Unix(1000, 0)
+		sources := []*follower{{}, {}, {}}
+		f, transfer := &follower{}, Transfer{}
+		for range 400 {
+			now = now.Add(time.Millisecond)
+			switch rng.IntN(4) {
+			case 0:
+				h.change(rng, now)
+			case 1:
+				s := sources[rng.IntN(len(sources))]
+				s.apply(h.since(s.revision, s.known, now), now)
+			default:
+				s := sources[rng.IntN(len(sources))]
+				p, ok := s.copy.Since(transfer.Request(f.revision, f.known, 1))
+				if !ok {
+					continue
+				}
+				if u, ok := transfer.Add(p); ok {
+					f.apply(f.copy.WithoutOlder(u), now)
+				}
+			}
+			f.checkKnown(t, seed, h)
+		}
+		last := sources[0]
+		last.apply(h.since(last.revision, last.known, now), now)
+		for range 2 * len(h.events) {
+			p, _ := last.copy.Since(transfer.Request(f.revision, f.known, 1))
+			if u, ok := transfer.Add(p); ok {
+				f.apply(f.copy.WithoutOlder(u), now)
+			}
+		}
+		f.check(t, seed, h)
+	}
+}
+
+// checkKnown verifies that the state of the follower includes each key's newest change
+// of those made before knownAt, or a later one.
+func (f *follower) checkKnown(t *testing.T, seed uint64, h *history) {
+	t.Helper()
+	newest := map[string]event{}
+	for i, e := range h.events {
+		if h.changedAt[i].Before(f.knownAt) {
+			newest[e.item.Key()] = e
+		}
+	}
+	for key, e := range newest {
+		held, ok := f.state[key]
+		value, _ := strconv.Atoi(held)
+		if !e.deleted && (!ok && !h.deletedAfter(key, e.revision) || ok && int64(value) < e.revision) {
+			t.Fatalf("seed %d: revision %d of %s was made before knownAt, and it holds %q", seed, e.revision, key, held)
+		}
+		if e.deleted && ok && int64(value) < e.revision {
+			t.Fatalf("seed %d: %s was deleted by revision %d before knownAt, and it holds %q", seed, key, e.revision, held)
+		}
+	}
+}
+
+// deletedAfter reports whether a key was deleted after a revision.
+func (h *history) deletedAfter(key string, revision int64) bool {
+	return slices.ContainsFunc(h.events[revision:], func(e event) bool { return e.deleted && e.item.Key() == key })
+}
+
 // Guards against a copy that grows without bound, and against a process far behind that
 // misses changes which were dropped.
 func TestProcessFarBehindGetsCompleteState(t *testing.T) {
 	c := &Copy{}
-	if _, ok := c.Since(0, false); ok {
+	if _, ok := c.Since(Request{}); ok {
 		t.Fatal("an empty copy returns an update")
 	}
 	now := time.Unix(1000, 0)
 	c.Apply(Update{Complete: true, Revision: 1}, now)
-	for r := int64(2); r < 3*maxEvents; r++ {
+	for r := int64(2); r < 3*minEvents; r++ {
 		c.Apply(Update{KVs: []platform.KeyValue{platform.NewKeyValue(fmt.Sprint(r%7), nil, r, 0)}, Revision: r}, now)
 	}
-	if len(c.events) > maxEvents {
+	if len(c.events) > minEvents {
 		t.Errorf("%d changes are kept", len(c.events))
 	}
-	if u, ok := c.Since(1, true); !ok || !u.Complete || len(u.KVs) != 7 {
+	if u, ok := c.Since(Request{After: 1, Known: true}); !ok || !u.Complete || len(u.KVs) != 7 {
 		t.Errorf("a process far behind gets complete %v, %d items", u.Complete, len(u.KVs))
 	}
-	if u, ok := c.Since(3*maxEvents-2, true); !ok || u.Complete || len(u.KVs) != 1 {
+	if u, ok := c.Since(Request{After: 3*minEvents - 2, Known: true}); !ok || u.Complete || len(u.KVs) != 1 {
 		t.Errorf("a process that lacks one change gets complete %v, %d items", u.Complete, len(u.KVs))
 	}
 }
@@ -265,8 +335,8 @@
 					f.receive(u, now)
 				}
 			case 2:
-				if u, ok := from.copy.Since(f.revision, f.known); ok && f != from && f != followers[0] {
-					f.receive(u, now)
+				if u, ok := from.copy.Since(Request{After: f.revision, Known: f.known}); ok && f != from && f != followers[0] {
+					f.receive(u.Update, now)
 				}
 			default:
 				f.transferFrom(from)
