--- a/internal/fleet/readers/basis.go
+++ b/internal/fleet/readers/basis.go
@@ -53,6 +53,35 @@
 	origin string
 	// lateAt is the time from which the pending call to the store is late.
 	lateAt time.Time
+	// progressAt is when the process started or last received a part of its state.
+	progressAt time.Time
+}
+
+// startupPatience is the time without progress after which a process that has no state
+// yet no longer keeps its followers.
+const startupPatience = time.Second
+
+// NoteProgress records that the process has started, or has received a part of its
+// state.
+func (f *Freshness) NoteProgress(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.progressAt = now
+}
+
+// AnswerWithoutState returns the outcome of a request to the process while it has no
+// state yet.
+func (f *Freshness) AnswerWithoutState(now time.Time) Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.storeLost:
+		return StoreLost
+	case now.Sub(f.progressAt) < startupPatience:
+		return Starting
+	default:
+		return NotCurrent
+	}
 }
 
 // NoteRequest records a call to the store whose answer is due at a time.
--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -1,7 +1,6 @@
 package readers
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -50,6 +49,8 @@
 	OwnState
 	// ShuttingDown means that the process is shutting down. It answers this at once.
 	ShuttingDown
+	// Starting means that the process has no state yet but is receiving it.
+	Starting
 	// Fresh means that the process served the current state or its changes.
 	Fresh
 )
@@ -66,7 +67,8 @@
 	// store failed, or zero if the store answered it.
 	lastDirectPoll, storeFailedAt time.Time
 	// uninformed reports that the last request to another process brought no update,
-	// for another reason than ShuttingDown, and the store has not been called since.
+	// for another reason than ShuttingDown or Starting, and the store has not been called
+	// since.
 	uninformed bool
 }
 
@@ -79,7 +81,7 @@
 // usable reports whether requests may be sent to the process again.
 func (p pastOutcome) usable(now time.Time) bool {
 	switch p.outcome {
-	case Fresh:
+	case Fresh, Starting:
 		return true
 	case NotCurrent:
 		return now.Sub(p.at) >= notCurrentBackoff
@@ -97,6 +99,9 @@
 // Source returns the name of the process to request updates from, or "" for the store.
 // others are the names of all processes of the data centre, with or without Self.
 //
+// The first processes in the order in which they take over follow the one before them
+// that has updates. All others follow one of their parents in the tree of processes.
+//
 // Processes that recently had no updates are replaced as readers by as many of the
 // processes after them, at most maxReaders: if three can't reach the store, it may still
 // answer the others. A process that may poll the store does so once if its last request
@@ -105,6 +110,9 @@
 func (s *SourceSelector) Source(others []string, now time.Time) string {
 	order := s.takeoverOrder(others, now)
 	ownIndex := slices.Index(order, s.Self)
+	if ownIndex >= 2*maxReaders {
+		return s.followerSource(order, ownIndex, now)
+	}
 	usable := s.usable(order[:ownIndex], now)
 	unusable := min(ownIndex-len(usable), maxReaders)
 	mayRead := ownIndex-unusable < maxReaders
@@ -121,6 +129,24 @@
 	if mayRead {
 		return ""
 	}
+	return s.sourceWithoutUsable(order, now)
+}
+
+// followerSource returns the source of a process that is none of those that may become
+// readers.
+func (s *SourceSelector) followerSource(order []string, ownIndex int, now time.Time) string {
+	for _, name := range parents(order, ownIndex) {
+		if p, ok := s.lastOutcomes[name]; !ok || p.usable(now) {
+			return name
+		}
+	}
+	return s.sourceWithoutUsable(order, now)
+}
+
+// sourceWithoutUsable returns the source of a process that may not read the store
+// regularly and has no source that may have updates: the store now and then, and
+// otherwise a reader that at least answers.
+func (s *SourceSelector) sourceWithoutUsable(order []string, now time.Time) string {
 	if now.Sub(s.lastDirectPoll) >= directPollInterval {
 		s.lastDirectPoll = now
 		return ""
@@ -156,10 +182,7 @@
 		p := s.lastOutcomes[name]
 		return p.outcome == ShuttingDown && !p.usable(now)
 	})
-	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
-	return slices.Compact(all)
+	return slices.Compact(sortedBy(all, xxhash.Sum64String))
 }
 
 // NoteStore records whether the store answered this process.
@@ -183,5 +206,5 @@
 		}
 	}
 	s.lastOutcomes[name] = pastOutcome{outcome: o, at: now}
-	s.uninformed = o != Fresh && o != ShuttingDown
+	s.uninformed = o != Fresh && o != ShuttingDown && o != Starting
 }
--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -8,7 +8,7 @@
 // Guards against calls to the store that grow with the fleet: one process polls it,
 // whatever the size of the fleet.
 func TestOneProcessPollsTheStore(t *testing.T) {
-	for _, n := range []int{1, 3, 31} {
+	for _, n := range []int{1, 3, 31, 107} {
 		s := newSimulation(n)
 		s.run(time.Second)
 		if calls := s.run(10 * time.Second); calls != int(10*time.Second/tick) {
@@ -73,7 +73,7 @@
 // waits: a change has to be known within three seconds.
 func TestReaderCutOffFromStoreIsSkipped(t *testing.T) {
 	const changeTime, partitionTime, maxAge, minFresh = 3 * time.Second, 12 * time.Second, 500 * time.Millisecond, 0.6
-	for _, n := range []int{2, 8} {
+	for _, n := range []int{2, 8, 40} {
 		s := newLongPollSimulation(n, changeTime)
 		first := s.selectors["entry0"].takeoverOrder(s.names, s.now)[0]
 		s.partitioned[first] = true
@@ -107,7 +107,7 @@
 		latency       = 300 * time.Millisecond
 		partitionTime = 30 * time.Second
 	)
-	for _, n := range []int{2, 3, 8} {
+	for _, n := range []int{2, 3, 8, 107} {
 		s := newLongPollSimulation(n, changeTime)
 		first := s.selectors["entry0"].takeoverOrder(s.names, s.now)[0]
 		s.partitioned[first] = true
@@ -171,7 +171,7 @@
 // could reach it, getting changes too late.
 func TestChangesArriveInTimeWithThreePartitionedReaders(t *testing.T) {
 	const changeTime, latency = 2 * time.Second, 300 * time.Millisecond
-	for _, n := range []int{5, 12} {
+	for _, n := range []int{5, 12, 107} {
 		s := newLongPollSimulation(n, changeTime)
 		partitioned := s.selectors["entry0"].takeoverOrder(s.names, s.now)[:maxReaders]
 		for _, name := range partitioned {
--- a/internal/fleet/readers/world_test.go
+++ b/internal/fleet/readers/world_test.go
@@ -42,7 +42,7 @@
 }
 
 const (
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// retryPollWait is the wait of a poll if the store did not answer the last one, or
 	// if the state of the process comes from another one.
 	retryPollWait = 50 * time.Millisecond
