Bound what an entry holds for callers and endpoints that do not read

A caller that stopped reading kept its endpoint's slot until the deadline of its request, and its connection for five seconds more; 64 kB were held for each connection, the kernel held up to 4 MB more, and nothing bounded all connections together: 2,500 of them may hold 160 MB before the kernel's part, on VMs of 184 MB. Bodies of requests (5 MB, 20 MB while they arrive) and answers that are not streams (8 MB) were not counted.

caller.Server now counts what it holds: requests while they arrive and until they are answered, and answers that wait. Past a limit, a quarter of the VM's memory ([process] memory), the caller that has read nothing for the longest time is cut off; if all read, writers wait, so that endpoints are slowed down; a request that finds no room is refused as not run (2021 entryFull). A caller that reads nothing for 3 s while an answer waits is cut off (3007 callerStalled); the log line says whether the stream may be resumed. An endpoint that reads nothing of a long request for 3 s is cut off (3008 endpointStalled): the outcome is unknown, as it may have run. Socket buffers are 64 kB both ways, and the garbage collector works towards three quarters of the VM's memory.

Weighed: a smaller bound for each connection (slows down callers that read in bursts and bounds nothing together); cutting the caller that holds most (one that reads a large answer fast holds most); spilling to disk (there is none).

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -11,6 +11,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 // maxPendingBytes is the number of unsent response bytes at which writes to a caller block. nbio
@@ -26,10 +28,17 @@
 // Lock order: nbio's lock of the connection is acquired before mu, because nbio reports written
 // bytes while it holds its own lock. Therefore nothing here calls nbio while holding mu.
 type conn struct {
-	mu           sync.Mutex
-	pending      int
+	server  *Server
+	netConn *nbio.Conn
+
+	mu      sync.Mutex // guards the fields up to cancel
+	pending int
+	// progressAt is when the caller last read something, or when pending began to grow.
+	progressAt   time.Time
 	disconnected bool
-	cancel       context.CancelFunc
+	// cutCause is why the server closed the connection, or nil.
+	cutCause *result.Error
+	cancel   context.CancelFunc
 	// writable receives a signal when pending falls.
 	writable chan struct{}
 	// lastDone is closed when the newest request of the connection has been answered.
@@ -52,7 +61,7 @@
 
 // markRequestRead records that a request has been received completely.
 func (c *conn) markRequestRead() {
-	c.unparsedBytes.Store(0)
+	c.server.memory.release(int(c.unparsedBytes.Swap(0)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopReadTimer()
@@ -68,8 +77,8 @@
 
 func (c *conn) addUnparsed(n int) int { return int(c.unparsedBytes.Add(int64(n))) }
 
-func newConn() *conn {
-	c := &conn{writable: make(chan struct{}, 1), lastDone: make(chan struct{})}
+func newConn(s *Server, netConn *nbio.Conn) *conn {
+	c := &conn{server: s, netConn: netConn, writable: make(chan struct{}, 1), lastDone: make(chan struct{})}
 	close(c.lastDone)
 	return c
 }
@@ -126,6 +135,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disconnected = true
+	c.releasePending()
+	c.server.memory.release(int(c.unparsedBytes.Swap(0)))
 	c.stopReadTimer()
 	if c.cancel != nil {
 		c.cancel()
@@ -135,13 +146,44 @@
 
 // markWritten subtracts n sent bytes from pending. The bytes of a TLS handshake are never added to
 // pending, so the result is kept from falling below zero.
-func (c *conn) markWritten(n int) {
+func (c *conn) markWritten(n int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = max(0, c.pending-n)
+	n = min(n, c.pending)
+	c.pending -= n
+	c.progressAt = now
+	c.server.memory.release(n)
 	c.notifyWritable()
 }
 
+// addPending adds n bytes to pending, for which memory was acquired. It returns an error, and
+// releases the memory, if the connection is closed.
+func (c *conn) addPending(n int, now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.closedError(); err != nil {
+		c.server.memory.release(n)
+		return err
+	}
+	if c.pending == 0 {
+		c.progressAt = now
+	}
+	c.pending += n
+	return nil
+}
+
+// closedError returns why the connection is closed, or nil if it is open. c.mu must be held.
+func (c *conn) closedError() error {
+	switch {
+	case c.cutCause != nil:
+		return c.cutCause
+	case c.disconnected:
+		return errDisconnected
+	default:
+		return nil
+	}
+}
+
 func (c *conn) notifyWritable() {
 	select {
 	case c.writable <- struct{}{}:
@@ -149,35 +191,59 @@
 	}
 }
 
-// waitPendingBelow blocks until fewer than limit bytes are pending. It returns an error if the
-// caller has disconnected, or if ctx is done first.
+// waitPendingBelow blocks until fewer than limit bytes are pending. It cuts the connection off if
+// the caller reads nothing for the server's StallTimeout. It returns an error if the connection is
+// closed, or if ctx is done first.
 func (c *conn) waitPendingBelow(ctx context.Context, limit int) error {
 	for {
 		c.mu.Lock()
-		disconnected, full := c.disconnected, c.pending >= limit
+		err, full, stallAt := c.closedError(), c.pending >= limit, c.progressAt.Add(c.server.StallTimeout)
 		c.mu.Unlock()
-		if disconnected {
-			return errDisconnected
+		if err != nil {
+			return err
 		}
 		if !full {
 			return nil
 		}
-		select {
-		case <-c.writable:
-		case <-ctx.Done():
-			return ctx.Err()
+		now := time.Now()
+		if !now.Before(stallAt) {
+			c.cut(result.Newf(result.CallerStalled, "nothing read for %v", c.server.StallTimeout), now)
+			continue
+		}
+		if err := c.awaitWritable(ctx, stallAt.Sub(now)); err != nil {
+			return err
 		}
 	}
 }
 
-// write sends b to the caller. It blocks while maxPendingBytes or more are pending.
+// awaitWritable waits until pending falls, at most for d. It returns an error if ctx is done
+// first.
+func (c *conn) awaitWritable(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.writable:
+		return nil
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// write sends b to the caller. It blocks while maxPendingBytes or more are pending, or while the
+// server holds as many bytes for all callers as it may.
 func (c *conn) write(ctx context.Context, w net.Conn, b []byte) error {
 	if err := c.waitPendingBelow(ctx, maxPendingBytes); err != nil {
 		return err
 	}
-	c.mu.Lock()
-	c.pending += wireSize(w, len(b))
-	c.mu.Unlock()
+	n := wireSize(w, len(b))
+	if err := c.server.acquire(ctx, n); err != nil {
+		return err
+	}
+	if err := c.addPending(n, time.Now()); err != nil {
+		return err
+	}
 	if _, err := w.Write(b); err != nil {
 		return errDisconnected
 	}
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -46,6 +46,8 @@
 	// prevDone is closed when the connection's earlier requests have been answered. ownDone is
 	// closed when this request has been answered.
 	prevDone, ownDone chan struct{}
+	// held is the number of bytes that are held for the request besides what waits for the caller.
+	held int
 	// draining, if not nil, reports whether the server is about to stop.
 	draining *atomic.Bool
 }
@@ -212,3 +214,25 @@
 	_ = w.conn.waitPendingBelow(ctx, 1)
 	_ = w.netConn.Close()
 }
+
+// Hold counts n more bytes as held for the request until it ends. If the memory held for all
+// callers is used up, it waits until there is room or the context of the request is done.
+func (w *Reply) Hold(n int) error {
+	if err := w.conn.server.acquire(w.ctx, n); err != nil {
+		return err
+	}
+	w.held += n
+	return nil
+}
+
+func (w *Reply) releaseHeld() {
+	w.conn.server.memory.release(w.held)
+	w.held = 0
+}
+
+// CutCause returns why the server closed the caller's connection, or nil if it did not.
+func (w *Reply) CutCause() *result.Error {
+	w.conn.mu.Lock()
+	defer w.conn.mu.Unlock()
+	return w.conn.cutCause
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -37,6 +37,9 @@
 	// their requests are refused with a result code. Forwarder serves its requests on these
 	// connections as on any other. Any further connection is closed without a response.
 	maxExcessConns = 64
+	// retryAfterFull is the Retry-After time of a request that found no memory. Answers that wait
+	// for stalled callers are cut off within that time.
+	retryAfterFull = time.Second
 )
 
 // Handler serves the requests that a Server has parsed. Serve must finish the reply before it
@@ -83,6 +86,15 @@
 	// the time between requests. Zero or less selects the default of 30 s.
 	ReadTimeout time.Duration
 	IdleTimeout time.Duration
+	// MemoryLimit bounds the bytes that are held for all callers together: requests, and answers
+	// that have not been read. Zero or less means no bound.
+	MemoryLimit int64
+	// StallTimeout is how long a caller may read nothing while an answer waits for it before its
+	// connection is closed. Zero or less selects the default of 3 s.
+	StallTimeout time.Duration
+	// OnCutOff, if not nil, is called when a connection is closed because its caller does not read.
+	// It must not block.
+	OnCutOff func(CutOff)
 	// Handler serves the requests.
 	Handler Handler
 	// Forwarder, if not nil, serves all requests in place of Handler.
@@ -90,6 +102,7 @@
 	// Now is the clock for RawRequest.ReceivedAt. Nil selects time.Now.
 	Now func() time.Time
 
+	memory         memory
 	engine         *nbhttp.Engine
 	conns          sync.Map // *nbio.Conn to *conn
 	activeRequests inflight.Counter
@@ -109,6 +122,10 @@
 	if s.IdleTimeout <= 0 {
 		s.IdleTimeout = defaultReadTimeout
 	}
+	if s.StallTimeout <= 0 {
+		s.StallTimeout = defaultStallTimeout
+	}
+	s.memory.limit = s.MemoryLimit
 	ln, err := net.Listen("tcp", s.Addr)
 	if err != nil {
 		return result.Newf(result.AddressInUse, "%s: %v", s.Addr, err)
@@ -187,7 +204,8 @@
 
 func (s *Server) handleOpen(w net.Conn) {
 	if c := underlying(w); c != nil {
-		s.conns.Store(c, newConn())
+		limitSendBuffer(c)
+		s.conns.Store(c, newConn(s, c))
 	}
 }
 
@@ -199,7 +217,8 @@
 }
 
 // handleData counts n received bytes. It returns false, which closes the connection, if a request
-// exceeds the maximum size. The first bytes of a request start its read timer.
+// exceeds the maximum size, or if it is large and the memory held for callers is used up. The first
+// bytes of a request start its read timer.
 func (s *Server) handleData(w *nbio.Conn, n int) bool {
 	v, ok := s.conns.Load(w)
 	if !ok {
@@ -212,7 +231,8 @@
 		_ = w.SetReadDeadline(time.Now().Add(s.ReadTimeout + readDeadlineGrace))
 		v.(*conn).startReadTimer(s.ReadTimeout, func() { s.handleReadTimeout(w, v.(*conn)) })
 	}
-	return total <= s.BodyLimit*readLimitFactor+maxHeaderBytes
+	fits := s.memory.add(n) || s.freeMemory(time.Now()) || total <= smallRequest
+	return fits && total <= s.BodyLimit*readLimitFactor+maxHeaderBytes
 }
 
 // handleReadTimeout refuses a request that was not received completely in time. If an earlier
@@ -238,7 +258,7 @@
 func (s *Server) handleWritten(w *nbio.Conn, _ []byte, n int) {
 	v, ok := s.conns.Load(w)
 	if ok {
-		v.(*conn).markWritten(n)
+		v.(*conn).markWritten(n, time.Now())
 	}
 }
 
@@ -274,9 +294,15 @@
 // handleRaw serves the request with Forwarder in a new goroutine.
 func (s *Server) handleRaw(hr *http.Request, nc net.Conn, c *conn) {
 	raw, err := s.readRaw(hr)
-	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close || err != nil, protoMinor: hr.ProtoMinor}
-	reply.prevDone, reply.ownDone = c.enqueue()
 	c.markRequestRead()
+	held := 0
+	if err == nil && s.tryAcquire(len(raw.Body), time.Now()) {
+		held = len(raw.Body)
+	} else if err == nil {
+		err = result.New(result.EntryFull, "").WithRetryAfter(retryAfterFull)
+	}
+	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close || err != nil, protoMinor: hr.ProtoMinor, held: held}
+	reply.prevDone, reply.ownDone = c.enqueue()
 	s.activeRequests.Begin()
 	go s.serveRaw(raw, err, reply)
 }
@@ -299,6 +325,7 @@
 func (s *Server) serveInOrder(w *Reply, serve func(ctx context.Context)) {
 	defer s.activeRequests.End()
 	defer close(w.ownDone)
+	defer w.releaseHeld()
 	<-w.prevDone
 	defer w.conn.unbindCancel()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -41,9 +41,13 @@
 	}
 	for range maxStaleResponses + 1 {
 		resp, err := readResponse(r.conn.br, req.Method)
+		if err != nil && r.writer.stalled.Load() {
+			return ErrEndpointStalled
+		}
 		if err != nil {
 			return err
 		}
+		r.writer.answered.Store(true)
 		r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
 		if req.Matches == nil || req.Matches(resp.Header) {
 			return nil
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // NotSentError reports that no byte of the request was written to the network.
@@ -47,7 +48,11 @@
 // Client sends requests to endpoints over pooled connections. Its zero value is
 // ready for use. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex
+	// StallTimeout is how long an endpoint may read nothing of a long request. Zero
+	// selects the default of 3 s. Set it before the first call.
+	StallTimeout time.Duration
+
+	mu    sync.Mutex // guards all below
 	idle  map[string][]*conn
 	dials int64
 }
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -34,6 +35,9 @@
 	// readBufferSize, in bytes, holds a response header or several events of a
 	// stream.
 	readBufferSize = 4 << 10
+	// receiveBufferSize, in bytes, is what the kernel holds of a response while its
+	// caller reads slowly. The kernel would enlarge it to megabytes.
+	receiveBufferSize = 64 << 10
 )
 
 // conn is a connection. It is owned either by the pool or by one Response.
@@ -44,6 +48,8 @@
 	// expires is when the pool closes the connection if it is still idle.
 	expires time.Time
 	used    bool
+	// stallTimeout is how long the endpoint may read nothing of a request.
+	stallTimeout time.Duration
 }
 
 // abort closes the connection with a TCP reset.
@@ -69,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	d := net.Dialer{
-		Control:         setUserTimeout,
+		Control:         setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
@@ -79,13 +85,16 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr, stallTimeout: cmp.Or(c.StallTimeout, bodyStallTimeout)}, nil
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferSize),
+		)
 	})
 	return errors.Join(err, optErr)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
@@ -55,6 +57,11 @@
 	// configuration allows bodies of 4 MB; a connection takes about 20 KB of memory.
 	maxBodyBytes = 5 << 20
 	maxConns     = 2500
+	// callerMemoryShare is the part of the VM's memory that may be held for callers, and
+	// processMemoryShare the size of the whole process, also as a part, from which on
+	// the garbage collector runs more often in place of letting the process grow.
+	callerMemoryShare  = 0.25
+	processMemoryShare = 0.75
 	// readTimeout limits the time to receive a request; the configuration gives callers
 	// three seconds for its header.
 	readTimeout = 20 * time.Second
@@ -133,6 +140,7 @@
 	f.callerServer = &caller.Server{
 		Addr: s.CallerAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Forwarder: f.relay, Now: boottime.Now,
+		MemoryLimit: int64(callerMemoryShare * float64(s.Memory)), OnCutOff: f.logCutOff,
 	}
 	f.readyServer = &caller.Server{
 		Addr: s.ReadyAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
@@ -151,6 +159,14 @@
 	return f.peerServer.Listen()
 }
 
+// logCutOff logs that a caller was cut off because it did not read its answer.
+func (f *Frontend) logCutOff(c caller.CutOff) {
+	f.Log.WithFields(logrus.Fields{
+		"code": int(c.Cause.Code()), "result": c.Cause.Code().String(), "cause": c.Cause.Detail(),
+		"held": c.Held, "stalled": c.Stalled.Milliseconds(),
+	}).Warn("caller cut off")
+}
+
 // CallerAddress returns the IP:port at which callers are served. Call it after
 // Listen.
 func (f *Frontend) CallerAddress() string { return f.callerServer.Address() }
@@ -197,6 +213,9 @@
 		Metrics: relay.NewMetrics(f.Registry),
 	}
 	f.relay.Metrics.RegisterGauges(f.state, boottime.Now)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(processMemoryShare * float64(s.Memory)))
+	}
 	f.applyBounds(s.Bounds)
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -161,7 +161,7 @@
 // forwardBuffered reads the complete answer before it forwards any of it, so that the request can
 // still be sent to another endpoint if the answer is cut off.
 func (j *job) forwardBuffered(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
+	body, err := io.ReadAll(heldReader{r: io.LimitReader(resp, maxAnswerBytes+1), reply: j.reply})
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errAnswerTooLarge
 	}
@@ -181,6 +181,21 @@
 	return Delivered{}
 }
 
+// heldReader counts what is read as held for a request.
+type heldReader struct {
+	r     io.Reader
+	reply *caller.Reply
+}
+
+// Read implements io.Reader.
+func (h heldReader) Read(p []byte) (int, error) {
+	n, err := h.r.Read(p)
+	if holdErr := h.reply.Hold(n); holdErr != nil {
+		return n, holdErr
+	}
+	return n, err
+}
+
 // readErrorOutcome returns the outcome of an answer that failed while it was read.
 func (j *job) readErrorOutcome(ctx context.Context, err error) Outcome {
 	if ctx.Err() != nil {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -18,7 +20,7 @@
 		return
 	case Disconnected:
 		j.reply.Abort()
-		j.log(result.Cancelled, 0, now, o.Cause)
+		j.logDisconnected(o, now)
 		return
 	case Interrupted:
 		j.reply.Abort()
@@ -44,8 +46,20 @@
 	j.refuse(j.correctEffect(e), now)
 }
 
+// logDisconnected logs the end of a request whose caller left or was cut off.
+func (j *job) logDisconnected(o Disconnected, now time.Time) {
+	if cut := j.reply.CutCause(); cut != nil {
+		j.log(cut.Code(), 0, now, cut)
+		return
+	}
+	j.log(result.Cancelled, 0, now, o.Cause)
+}
+
 // unknownResult returns the result of a request that may have run.
 func (j *job) unknownResult(o Unknown, now time.Time) *result.Error {
+	if errors.Is(o.Cause, direct.ErrEndpointStalled) {
+		return result.New(result.EndpointStalled, "")
+	}
 	if !now.Before(j.deadline) {
 		return result.New(result.DeadlineExceeded, "")
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -122,6 +123,9 @@
 	if j.lastEventID > 0 {
 		f["lastEvent"] = j.lastEventID
 	}
+	if code == result.CallerStalled {
+		f["resumable"] = j.headerSent && j.route.RetrySemantics == routing.Stream && j.route.Resumable
+	}
 	if cause != nil {
 		f["cause"] = cause.Error()
 	}
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -30,6 +30,8 @@
 	CallerAddress, ReadyAddress netip.AddrPort
 	// LineRate is what the VM's line takes, in bytes a second.
 	LineRate float64
+	// Memory is the VM's memory in bytes.
+	Memory int64
 }
 
 // Ranker holds the settings of an agent that leads the expert maps of its
@@ -52,14 +54,18 @@
 	defaultLine    = 100
 	mostLine       = 1e6
 	bytesOfMegabit = 1e6 / 8
-	defaultApply   = 2 * time.Second
-	defaultRevoke  = 5 * time.Second
-	defaultGrace   = 8 * time.Second
-	defaultWindow  = 10 * time.Second
-	defaultSlack   = 50
-	defaultShare   = 0.1
-	mostSlack      = 1e6
-	mostShare      = 1
+	// Memory is set in megabytes.
+	defaultMemory   = 256
+	mostMemory      = 1e6
+	bytesOfMegabyte = 1 << 20
+	defaultApply    = 2 * time.Second
+	defaultRevoke   = 5 * time.Second
+	defaultGrace    = 8 * time.Second
+	defaultWindow   = 10 * time.Second
+	defaultSlack    = 50
+	defaultShare    = 0.1
+	mostSlack       = 1e6
+	mostShare       = 1
 )
 
 func readBounds(s *inifile.Section) Bounds {
@@ -85,6 +91,7 @@
 	r.CallerAddress = s.Address("callerAddress", true)
 	r.ReadyAddress = s.Address("readyAddress", true)
 	r.LineRate = bytesOfMegabit * s.Float("lineRate", defaultLine, mostLine)
+	r.Memory = int64(bytesOfMegabyte * s.Float("memory", defaultMemory, mostMemory))
 	errs := fromFaults(doc.Close("[process]", "[bounds]", "[tls]"))
 	errs = append(errs, r.TLS.check()...)
 	if len(errs) > 0 {
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -70,6 +70,7 @@
 	Displaced          Code = 2018
 	GroupClosed        Code = 2019
 	EndpointLimited    Code = 2020
+	EntryFull          Code = 2021
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -77,6 +78,8 @@
 	DeadlineExceeded Code = 3004
 	Cancelled        Code = 3005
 	AnswerLost       Code = 3006
+	CallerStalled    Code = 3007
+	EndpointStalled  Code = 3008
 
 	BadToken           Code = 4001
 	Conflict           Code = 4002
@@ -166,6 +169,7 @@
 	Displaced:          {"displaced", NotRun, http.StatusServiceUnavailable, "work that is worth more took the place in the queue"},
 	GroupClosed:        {"groupClosed", NotRun, http.StatusServiceUnavailable, "the engines' group takes no requests now"},
 	EndpointLimited:    {"endpointLimited", NotRun, http.StatusServiceUnavailable, "the endpoints name limits of which this entry has no share"},
+	EntryFull:          {"entryFull", NotRun, http.StatusServiceUnavailable, "the entry holds as many bytes for callers as its memory allows"},
 
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
@@ -173,6 +177,8 @@
 	DeadlineExceeded: {"deadlineExceeded", Unknown, http.StatusGatewayTimeout, "the deadline passed while the request ran"},
 	Cancelled:        {"cancelled", Unknown, statusClosedRequest, "the caller left"},
 	AnswerLost:       {"answerLost", Ran, http.StatusGone, "the request was run before and its answer is no longer kept"},
+	CallerStalled:    {"callerStalled", Unknown, statusClosedRequest, "the caller did not read its answer and was cut off"},
+	EndpointStalled:  {"endpointStalled", Unknown, http.StatusBadGateway, "the endpoint did not read the request and was cut off"},
 
 	BadToken:           {"badToken", NotApplicable, http.StatusUnauthorized, "the operator token is missing or wrong"},
 	Conflict:           {"conflict", NotApplicable, http.StatusConflict, "another operator's change came first; read and decide again"},
