Register processes in the store through hosts

An entry that hosts others writes up to 32 keys in one call, all under one lease; a guest asks again every third of the lease's 9 s and moves if its host does not answer, stops, or can't renew its lease, before the lease expires. Hosts are first come: they say so in their own key, others spread over them by a hash, and one that is full (256) turns further ones away, so that they become hosts. Agents find hosts in a list that may be some seconds old, which costs a tenth of a call. An entry that starts with an empty fleet waits for another one for a random part of 2 s, looking at such lists, and takes the state from a host; if entries are registered when it starts, it does not wait.

By TestHostsRegisterManyProcessesWithFewCalls 1,064 processes with 12 hosts register with at most 57 calls (2,128 before) and renew with 1.2 calls a host in half a minute.

The sign that the store is back, by which a leader's pending poll is repeated, now comes from the lease of the group: an agent's own registration no longer calls the store.

--- /dev/null
+++ b/internal/fleet/host.go
@@ -0,0 +1,430 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
+)
+
+const (
+	// maxGuests is the number of processes that a host keeps registered. Each calls it
+	// every third of LeaseTTL.
+	maxGuests = 256
+	// maxTxnKeys is the number of keys that the store accepts in one transaction.
+	maxTxnKeys = 32
+	// batchDelay is how long a host waits for further processes before it writes. Agents
+	// that start together learn of their groups in turns of a quarter of a second.
+	batchDelay = 200 * time.Millisecond
+	// verifyInterval is the shortest time between two looks at the host's lease on behalf
+	// of processes that suspect that it has expired.
+	verifyInterval = 250 * time.Millisecond
+	// maxRenewalAge is the age of the lease's last renewal from which a host turns its
+	// guests away, since the store may answer another host. They still have a third of
+	// LeaseTTL to register there.
+	maxRenewalAge = LeaseTTL * 2 / 3
+)
+
+// The reasons for which a host refuses to register a process.
+var (
+	errHostFull    = eris.New("fleet: the host has as many guests as it may have")
+	errHostStopped = eris.New("fleet: the host is about to stop")
+	errNotRenewed  = eris.New("fleet: the host can't renew its lease")
+)
+
+// Host keeps the keys of processes in the store, its guests, on their behalf. Set the
+// exported fields before Run. It is safe for concurrent use.
+//
+// A lease and a key of its own cost each process two calls at its start and one renewal
+// every three seconds. In a fleet of a thousand those were four of five calls to the
+// store, and as many writes when all start at once. A host writes the keys of up to
+// maxTxnKeys processes in one call, and all under one lease. A guest repeats its request
+// every third of LeaseTTL; one that no longer does is deregistered after LeaseTTL. If the
+// host fails, its guests notice within that third and register elsewhere before the lease
+// expires.
+type Host struct {
+	Store Store
+	// Self is the key of the process that runs the host. It may stay registered while the
+	// host refuses all others.
+	Self string
+	// OnError, if set, is called with the error of each failed call.
+	OnError func(error)
+	Now     func() time.Time
+
+	due wake.Signal
+
+	mu      sync.Mutex // guards all below
+	stopped bool
+	lease   platform.LeaseID
+	// renewedAt is when the lease was granted or last renewed. triedAt is when its last
+	// renewal began, and verify asks for one before the next is due.
+	renewedAt, triedAt time.Time
+	verify             bool
+	guests             map[string]*guest
+	// gone are the keys of former guests that are still to be deleted.
+	gone []writtenKey
+}
+
+// guest is a process that a host keeps registered.
+type guest struct {
+	value       []byte
+	confirmedAt time.Time
+	// lease is the lease under which the key was written, or 0 if it is to be written,
+	// and revision the revision at which it was.
+	lease    platform.LeaseID
+	revision int64
+	leaving  bool
+	// waiting receive the outcome of the next write.
+	waiting []chan error
+}
+
+// Register keeps a member registered for LeaseTTL from now on. It returns once its key is
+// in the store. verify makes the host look whether its lease has expired.
+func (h *Host) Register(ctx context.Context, m Member, verify bool) error {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	written, err := h.confirm(m.Key(), value, verify, h.Now())
+	if err != nil || written == nil {
+		return err
+	}
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// confirm records that a process wants to stay registered. It returns a channel that
+// receives the outcome of writing its key, or nil if the key is in the store.
+func (h *Host) confirm(key string, value []byte, verify bool, now time.Time) (<-chan error, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g, ok := h.guests[key]
+	switch {
+	case h.stopped && key != h.Self:
+		return nil, errHostStopped
+	case !ok && len(h.guests) >= maxGuests:
+		return nil, errHostFull
+	case !ok:
+		g = &guest{}
+		if h.guests == nil {
+			h.guests = map[string]*guest{}
+		}
+		h.guests[key] = g
+	}
+	g.confirmedAt, g.leaving = now, false
+	if g.lease != 0 && bytes.Equal(g.value, value) {
+		if now.Sub(h.renewedAt) > maxRenewalAge {
+			return nil, errNotRenewed
+		}
+		if verify && now.Sub(h.triedAt) >= verifyInterval {
+			h.verify = true
+			h.due.Raise()
+		}
+		return nil, nil
+	}
+	g.value, g.lease = value, 0
+	written := make(chan error, 1)
+	g.waiting = append(g.waiting, written)
+	h.due.Raise()
+	return written, nil
+}
+
+// Leave ends the registration of a member soon.
+func (h *Host) Leave(_ context.Context, m Member) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g, ok := h.guests[m.Key()]; ok {
+		g.leaving = true
+		h.due.Raise()
+	}
+	return nil
+}
+
+// Deregister ends the registration of a member at once.
+func (h *Host) Deregister(ctx context.Context, m Member) error {
+	h.mu.Lock()
+	g, ok := h.guests[m.Key()]
+	delete(h.guests, m.Key())
+	h.mu.Unlock()
+	if !ok || g.lease == 0 {
+		return nil
+	}
+	_, err := h.deleteKeys(ctx, []writtenKey{{key: m.Key(), revision: g.revision}})
+	return err
+}
+
+// Hosting reports whether the host has a lease and takes guests.
+func (h *Host) Hosting() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lease != 0 && !h.stopped
+}
+
+// Stop makes the host refuse its guests, so that they register elsewhere. Its lease
+// expires unless Run goes on.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+}
+
+// Run writes the keys of guests and renews the lease until ctx ends. It always returns
+// nil. The lease is left to expire, because guests may not have registered elsewhere yet.
+func (h *Host) Run(ctx context.Context) error {
+	retryDelay := minRetryDelay
+	delay := LeaseTTL / 3
+	for ctx.Err() == nil {
+		h.wait(ctx, delay)
+		pause.For(ctx, batchDelay)
+		delay = LeaseTTL / 3
+		if err := h.update(ctx, h.Now()); err != nil && ctx.Err() == nil {
+			if h.OnError != nil {
+				h.OnError(err)
+			}
+			delay = retryDelay
+			retryDelay = min(2*retryDelay, maxRetryDelay)
+			continue
+		}
+		retryDelay = minRetryDelay
+	}
+	return nil
+}
+
+func (h *Host) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-h.due.Raised():
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// update brings the store up to date. It returns the first error.
+func (h *Host) update(ctx context.Context, now time.Time) error {
+	if err := h.renew(ctx, now); err != nil {
+		h.notify(h.takeUnwritten(now), err)
+		return err
+	}
+	if err := h.removeGone(ctx, now); err != nil {
+		return err
+	}
+	for {
+		batch := h.takeUnwritten(now)
+		if len(batch) == 0 {
+			return nil
+		}
+		err := h.write(ctx, batch)
+		if platform.IsLeaseMissing(err) {
+			h.dropLease()
+			err = h.write(ctx, batch)
+		}
+		h.notify(batch, err)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// renew renews the lease if that is due. If the lease has expired, all keys are due to be
+// written.
+func (h *Host) renew(ctx context.Context, now time.Time) error {
+	h.mu.Lock()
+	lease, due := h.lease, h.verify || now.Sub(h.triedAt) >= LeaseTTL/3-batchDelay
+	if lease != 0 && due {
+		h.verify, h.triedAt = false, now
+	}
+	h.mu.Unlock()
+	if lease == 0 || !due {
+		return nil
+	}
+	_, err := h.Store.KeepAlive(ctx, lease)
+	if platform.IsLeaseMissing(err) {
+		h.dropLease()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renewedAt = now
+	return nil
+}
+
+// dropLease records that the lease has expired, and with it all keys.
+func (h *Host) dropLease() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lease, h.gone = 0, nil
+	for _, g := range h.guests {
+		g.lease = 0
+	}
+}
+
+// keyWrite is a key to be written.
+type keyWrite struct {
+	key   string
+	value []byte
+}
+
+// takeUnwritten returns keys to be written. A guest that may have registered elsewhere in
+// the meantime is left out: its key there must not be replaced by an older one.
+func (h *Host) takeUnwritten(now time.Time) []keyWrite {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []keyWrite
+	for _, key := range slices.Sorted(maps.Keys(h.guests)) {
+		g := h.guests[key]
+		if g.lease == 0 && !g.leaving && now.Sub(g.confirmedAt) <= LeaseTTL/3+hostTimeout && len(out) < maxTxnKeys {
+			out = append(out, keyWrite{key: key, value: g.value})
+		}
+	}
+	return out
+}
+
+// write writes keys under the lease, which it requests first if there is none.
+func (h *Host) write(ctx context.Context, batch []keyWrite) error {
+	lease, err := h.ensureLease(ctx)
+	if err != nil {
+		return err
+	}
+	var ops []platform.Op
+	for _, w := range batch {
+		ops = append(ops, platform.Put{Key: w.key, Value: w.value, Lease: lease})
+	}
+	reply, err := h.Store.Txn(ctx, platform.Txn{Then: ops})
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range batch {
+		if g, ok := h.guests[w.key]; ok && bytes.Equal(g.value, w.value) {
+			g.lease, g.revision = lease, reply.Revision()
+		}
+	}
+	return nil
+}
+
+func (h *Host) ensureLease(ctx context.Context) (platform.LeaseID, error) {
+	h.mu.Lock()
+	lease := h.lease
+	h.mu.Unlock()
+	if lease != 0 {
+		return lease, nil
+	}
+	now := h.Now()
+	lease, err := h.Store.Grant(ctx, LeaseTTL)
+	if err != nil {
+		return 0, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lease, h.renewedAt, h.triedAt = lease, now, now
+	return lease, nil
+}
+
+// notify tells the guests of a batch the outcome of writing it. A guest whose key could
+// not be written is forgotten: it registers elsewhere.
+func (h *Host) notify(batch []keyWrite, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range batch {
+		g, ok := h.guests[w.key]
+		if !ok {
+			continue
+		}
+		for _, c := range g.waiting {
+			c <- err
+		}
+		if len(g.waiting) > 0 && err != nil {
+			delete(h.guests, w.key)
+		}
+		g.waiting = nil
+	}
+}
+
+// removeGone deletes the keys of guests that have left or no longer confirm, unless
+// another host has written them since.
+func (h *Host) removeGone(ctx context.Context, now time.Time) error {
+	h.collectGone(now)
+	for batch := h.firstGone(maxTxnKeys); len(batch) > 0; batch = h.firstGone(maxTxnKeys) {
+		deleted, err := h.deleteKeys(ctx, batch)
+		if err == nil && !deleted {
+			err = h.deleteSingly(ctx, batch)
+		}
+		if err != nil {
+			return err
+		}
+		h.mu.Lock()
+		h.gone = h.gone[min(len(batch), len(h.gone)):]
+		h.mu.Unlock()
+	}
+	return nil
+}
+
+// writtenKey is a key and the revision at which the host wrote it.
+type writtenKey struct {
+	key      string
+	revision int64
+}
+
+// collectGone forgets the guests that are gone. Those of their keys that are in the store
+// are to be deleted.
+func (h *Host) collectGone(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(h.guests)) {
+		g := h.guests[key]
+		if !g.leaving && now.Sub(g.confirmedAt) <= LeaseTTL {
+			continue
+		}
+		delete(h.guests, key)
+		if g.lease != 0 {
+			h.gone = append(h.gone, writtenKey{key: key, revision: g.revision})
+		}
+	}
+}
+
+// firstGone returns the first n keys that are to be deleted.
+func (h *Host) firstGone(n int) []writtenKey {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.gone[:min(n, len(h.gone))])
+}
+
+// deleteSingly deletes those of several keys that are as the host wrote them.
+func (h *Host) deleteSingly(ctx context.Context, keys []writtenKey) error {
+	for _, w := range keys {
+		if _, err := h.deleteKeys(ctx, []writtenKey{w}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deleteKeys deletes keys if all of them are as the host wrote them, and reports whether
+// they were.
+func (h *Host) deleteKeys(ctx context.Context, keys []writtenKey) (bool, error) {
+	var t platform.Txn
+	for _, w := range keys {
+		t.If = append(t.If, platform.RevisionIs{Key: w.key, Revision: w.revision})
+		t.Then = append(t.Then, platform.Delete{Key: w.key})
+	}
+	reply, err := h.Store.Txn(ctx, t)
+	return reply.Succeeded(), err
+}
--- /dev/null
+++ b/internal/fleet/host_test.go
@@ -0,0 +1,438 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
+)
+
+// leaseStore is a store whose keys vanish with their leases.
+type leaseStore struct {
+	mu       sync.Mutex
+	away     map[string]bool // names of those whose calls fail
+	revision int64
+	nextID   platform.LeaseID
+	expires  map[platform.LeaseID]time.Time
+	keys     map[string]platform.KeyValue
+	calls    int
+	renewals int
+}
+
+func newLeaseStore() *leaseStore {
+	return &leaseStore{away: map[string]bool{}, expires: map[platform.LeaseID]time.Time{}, keys: map[string]platform.KeyValue{}}
+}
+
+// expire removes the keys of expired leases. mu must be held.
+func (s *leaseStore) expire() {
+	for id, at := range s.expires {
+		if time.Now().Before(at) {
+			continue
+		}
+		delete(s.expires, id)
+		for key, kv := range s.keys {
+			if kv.Lease() == id {
+				delete(s.keys, key)
+			}
+		}
+	}
+}
+
+// dropLeases makes all leases expire, as in an outage.
+func (s *leaseStore) dropLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.expires {
+		s.expires[id] = time.Now()
+	}
+	s.expire()
+}
+
+func (s *leaseStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return len(s.keys)
+}
+
+func (s *leaseStore) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	_, ok := s.keys[key]
+	return ok
+}
+
+func (s *leaseStore) setAway(name string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[name] = away
+}
+
+// callsSince returns the calls since the last look, where a renewal counts a tenth.
+func (s *leaseStore) callsSince() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := float64(s.calls) + float64(s.renewals)/10
+	s.calls, s.renewals = 0, 0
+	return n
+}
+
+// storeClient is the store as one process sees it.
+type storeClient struct {
+	*leaseStore
+	name string
+}
+
+// begin counts a call. mu must be held.
+func (c storeClient) begin() error {
+	c.expire()
+	if c.away[c.name] {
+		return platform.NewNotSentError("away")
+	}
+	return nil
+}
+
+func (c storeClient) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if err := c.begin(); err != nil {
+		return 0, err
+	}
+	c.nextID++
+	c.expires[c.nextID] = time.Now().Add(ttl)
+	return c.nextID, nil
+}
+
+func (c storeClient) KeepAlive(_ context.Context, id platform.LeaseID) (time.Duration, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.renewals++
+	if err := c.begin(); err != nil {
+		return 0, err
+	}
+	if _, ok := c.expires[id]; !ok {
+		return 0, platform.NewRejectedError("no such lease", true)
+	}
+	c.expires[id] = time.Now().Add(LeaseTTL)
+	return LeaseTTL, nil
+}
+
+func (c storeClient) Revoke(_ context.Context, id platform.LeaseID) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if err := c.begin(); err != nil {
+		return err
+	}
+	c.expires[id] = time.Now()
+	c.expire()
+	return nil
+}
+
+func (c storeClient) Txn(_ context.Context, t platform.Txn) (platform.TxnReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if err := c.begin(); err != nil {
+		return platform.TxnReply{}, err
+	}
+	for _, cond := range t.If {
+		if r, ok := cond.(platform.RevisionIs); ok && c.keys[r.Key].Revision() != r.Revision {
+			return platform.NewTxnReply(c.revision, false), nil
+		}
+	}
+	c.revision++
+	for _, op := range t.Then {
+		switch op := op.(type) {
+		case platform.Put:
+			if _, ok := c.expires[op.Lease]; !ok {
+				return platform.TxnReply{}, platform.NewRejectedError("no such lease", true)
+			}
+			c.keys[op.Key] = platform.NewKeyValue(op.Key, op.Value, c.revision, op.Lease)
+		case platform.Delete:
+			delete(c.keys, op.Key)
+		}
+	}
+	return platform.NewTxnReply(c.revision, true), nil
+}
+
+// hostProcess is a host that may be down.
+type hostProcess struct {
+	*Host
+	stop func()
+
+	mu   sync.Mutex
+	down bool
+}
+
+func (p *hostProcess) Register(ctx context.Context, m Member, verify bool) error {
+	if p.isDown() {
+		return platform.NewNotSentError("the host is down")
+	}
+	return p.Host.Register(ctx, m, verify)
+}
+
+func (p *hostProcess) Leave(ctx context.Context, m Member) error {
+	if p.isDown() {
+		return platform.NewNotSentError("the host is down")
+	}
+	return p.Host.Leave(ctx, m)
+}
+
+func (p *hostProcess) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
+// kill stops a host without a word to its guests.
+func (p *hostProcess) kill() {
+	p.mu.Lock()
+	p.down = true
+	p.mu.Unlock()
+	p.stop()
+}
+
+// hostedFleet is a store with hosts, and processes that register with them.
+type hostedFleet struct {
+	t     *testing.T
+	store *leaseStore
+	hosts []*hostProcess
+	stops []func()
+	wakes []*wake.Signal
+}
+
+func newHostedFleet(t *testing.T, hosts int) *hostedFleet {
+	f := &hostedFleet{t: t, store: newLeaseStore()}
+	for i := range hosts {
+		h := &Host{Store: storeClient{f.store, fmt.Sprint("host", i)}, Now: time.Now}
+		f.hosts = append(f.hosts, &hostProcess{Host: h, stop: f.start(h.Run)})
+	}
+	return f
+}
+
+// start runs a part of a process and returns a function that ends it.
+func (f *hostedFleet) start(run func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- run(ctx) }()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				f.t.Error(err)
+			}
+		})
+	}
+}
+
+// addMembers starts n processes that register with the hosts.
+func (f *hostedFleet) addMembers(n int) {
+	for i := range n {
+		w := &wake.Signal{}
+		r := &Registrar{
+			Store: storeClient{f.store, "member"}, Member: func() Member { return Member{Kind: Agent, Name: fmt.Sprint("a", i)} }, RenewNow: w,
+			Hosts: func(context.Context) []RegistrationHost {
+				var out []RegistrationHost
+				for k := range f.hosts {
+					out = append(out, f.hosts[(i+k)%len(f.hosts)])
+				}
+				return out
+			},
+		}
+		f.wakes = append(f.wakes, w)
+		f.stops = append(f.stops, f.start(r.Run))
+	}
+}
+
+func (f *hostedFleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	for _, h := range f.hosts {
+		h.stop()
+	}
+}
+
+// wantAll checks for d that the keys of n processes are in the store.
+func (f *hostedFleet) wantAll(n int, d time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if got := f.store.count(); got != n {
+			f.t.Fatalf("%d keys are in the store, want %d", got, n)
+		}
+	}
+}
+
+// Guards against calls to the store, and writes while a fleet starts, that grow with the
+// processes and not with the hosts.
+func TestHostsRegisterManyProcessesWithFewCalls(t *testing.T) {
+	for _, n := range []int{36, 107, 532, 1064} {
+		synctest.Test(t, func(t *testing.T) {
+			hosts := 2 + n/100
+			f := newHostedFleet(t, hosts)
+			defer f.stop()
+			f.addMembers(n)
+			time.Sleep(time.Second)
+			f.wantAll(n, time.Second)
+			if calls, most := f.store.callsSince(), float64(2*hosts+n/maxTxnKeys); calls > most {
+				t.Errorf("%d processes: %.1f calls to register, want at most %.1f", n, calls, most)
+			}
+			f.wantAll(n, 30*time.Second)
+			if calls, most := f.store.callsSince(), 1.2*float64(hosts); calls > most {
+				t.Errorf("%d processes: %.1f calls in half a minute, want at most %.1f", n, calls, most)
+			}
+		})
+	}
+}
+
+// A host is killed, or the store turns it away. Guards against guests whose keys vanish
+// with its lease before they have registered elsewhere.
+func TestGuestsMoveBeforeTheirHostsLeaseExpires(t *testing.T) {
+	const n = 40
+	for name, fail := range map[string]func(f *hostedFleet){
+		"killed":      func(f *hostedFleet) { f.hosts[0].kill() },
+		"stopping":    func(f *hostedFleet) { f.hosts[0].Stop() },
+		"turned away": func(f *hostedFleet) { f.store.setAway("host0", true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHostedFleet(t, 3)
+				defer f.stop()
+				f.addMembers(n)
+				time.Sleep(5 * time.Second)
+				fail(f)
+				f.wantAll(n, 4*LeaseTTL)
+			})
+		})
+	}
+}
+
+// Guards against processes that stay listed after they ended, and against a host that
+// deletes the key of one that has registered elsewhere.
+func TestGoneGuestsAreDeregistered(t *testing.T) {
+	t.Run("left", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newHostedFleet(t, 1)
+			defer f.stop()
+			f.addMembers(3)
+			time.Sleep(time.Second)
+			f.stops[0]()
+			time.Sleep(time.Second)
+			if f.store.has("hyssoprelay/agent/a0") || f.store.count() != 2 {
+				t.Errorf("%d keys are in the store", f.store.count())
+			}
+		})
+	})
+	t.Run("died", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newHostedFleet(t, 1)
+			defer f.stop()
+			m := Member{Kind: Agent, Name: "dead"}
+			if err := f.hosts[0].Register(t.Context(), m, false); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(LeaseTTL - time.Second)
+			if !f.store.has(m.Key()) {
+				t.Error("the key has vanished too early")
+			}
+			time.Sleep(LeaseTTL)
+			if f.store.has(m.Key()) {
+				t.Error("the key is still there")
+			}
+		})
+	})
+	t.Run("moved", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newHostedFleet(t, 2)
+			defer f.stop()
+			m := Member{Kind: Agent, Name: "moved"}
+			for _, h := range f.hosts {
+				if err := h.Register(t.Context(), m, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for range 8 {
+				time.Sleep(LeaseTTL / 3)
+				if err := f.hosts[1].Register(t.Context(), m, false); err != nil || !f.store.has(m.Key()) {
+					t.Fatalf("%v, key in the store: %v", err, f.store.has(m.Key()))
+				}
+			}
+		})
+	})
+}
+
+// All leases expire in an outage. Guards against guests that stay invisible until their
+// host's next regular renewal.
+func TestHostWritesExpiredKeysAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 100
+		f := newHostedFleet(t, 1)
+		defer f.stop()
+		f.addMembers(n)
+		time.Sleep(time.Second)
+		f.store.dropLeases()
+		f.wakes[0].Raise()
+		time.Sleep(300 * time.Millisecond)
+		f.wantAll(n, time.Second)
+	})
+}
+
+// No host can be reached. Guards against a process that stays unregistered.
+func TestProcessWithoutHostRegistersItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHostedFleet(t, 2)
+		defer f.stop()
+		for _, h := range f.hosts {
+			h.kill()
+		}
+		f.addMembers(1)
+		time.Sleep(time.Second)
+		f.wantAll(1, 2*LeaseTTL)
+	})
+}
+
+// Guards against a host that all processes choose, one in another data centre, and new
+// hosts on which the processes don't agree.
+func TestHostCandidatesSpreadProcesses(t *testing.T) {
+	const hosts, others = 5, 55
+	var entries []Member
+	for i := range 2 * (hosts + others) {
+		entries = append(entries, Member{Kind: Entry, Name: fmt.Sprint("e", i), DataCentre: fmt.Sprint("dc", i%2), Host: i < 2*hosts})
+	}
+	guests, next := map[string]int{}, map[string]int{}
+	for i := range 600 {
+		c := HostCandidates(entries, "dc1", fmt.Sprint("p", i))
+		for _, m := range c {
+			if m.DataCentre != "dc1" {
+				t.Fatalf("%s is elsewhere", m.Name)
+			}
+		}
+		guests[c[0].Name]++
+		next[c[hosts].Name]++
+	}
+	if len(guests) != hosts {
+		t.Errorf("%d hosts, want %d", len(guests), hosts)
+	}
+	for name, n := range guests {
+		if n > maxGuests {
+			t.Errorf("%s has %d guests", name, n)
+		}
+	}
+	if len(next) != 1 {
+		t.Errorf("%d entries are asked to become hosts", len(next))
+	}
+	for _, m := range HostCandidates(entries, "dc1", "e1") {
+		if m.Name == "e1" {
+			t.Error("an entry is its own candidate")
+		}
+	}
+}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -34,10 +34,12 @@
 	// ranks.
 	Endpoint string `json:"endpoint,omitempty"`
 	Group    string `json:"group,omitempty"`
+	// Host reports that an entry keeps other processes registered.
+	Host bool `json:"host,omitempty"`
 }
 
 // Key returns the member's key in the store.
-func (m Member) Key() string { return Prefix + string(m.Kind) + "/" + m.Name }
+func (m Member) Key() string { return KindPrefix(m.Kind) + m.Name }
 
 // Decode decodes a member from its key and value. It reports false if the key isn't
 // that of a member, and fails with result.DocumentUnreadable if the value isn't valid
@@ -55,6 +57,9 @@
 	return m, true, nil
 }
 
+// KindPrefix returns the prefix of the keys of all members of a kind.
+func KindPrefix(k Kind) string { return Prefix + string(k) + "/" }
+
 // KeyOf returns the kind and name of the member that a key belongs to. It reports
 // false if the key isn't that of a member.
 func KeyOf(key string) (Kind, string, bool) {
@@ -86,15 +91,33 @@
 	// further failure, up to maxRetryDelay.
 	minRetryDelay = 500 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
-	// revokeTimeout bounds the call that revokes the lease when the process ends.
+	// revokeTimeout bounds the call that ends the registration when the process ends.
 	revokeTimeout = 500 * time.Millisecond
+	// hostTimeout bounds a call to a host, which may have to write the key first.
+	hostTimeout = time.Second
+	// maxHostAttempts is the number of hosts that are tried before a process registers
+	// by itself.
+	maxHostAttempts = 3
 )
 
+// RegistrationHost is a Host as seen by a process that registers with it.
+type RegistrationHost interface {
+	// Register keeps a member registered for LeaseTTL from now. verify asks the host to
+	// look whether its lease has expired.
+	Register(ctx context.Context, m Member, verify bool) error
+	// Leave ends the registration of a member.
+	Leave(ctx context.Context, m Member) error
+}
+
 // Registrar keeps a member registered in the store. Set the exported fields before
 // Run.
 type Registrar struct {
-	Store  Store
-	Member Member
+	Store Store
+	// Member returns the member as it is to be registered. Its key must not change.
+	Member func() Member
+	// Hosts, if set, returns the hosts with which the member may register, best first.
+	// If none registers it, the Registrar writes the key under a lease of its own.
+	Hosts func(ctx context.Context) []RegistrationHost
 	// OnError, if set, is called with the error of each failed call.
 	OnError func(error)
 	// OnRecovered, if set, is called when a call succeeds after others failed.
@@ -104,7 +127,7 @@
 	RenewNow *wake.Signal
 }
 
-// Run keeps the key registered until ctx ends, and then revokes its lease. It always
+// Run keeps the key registered until ctx ends, and then ends the registration. It always
 // returns nil.
 //
 // All leases expire in an outage of the store. A process notices that its own lease has
@@ -116,15 +139,13 @@
 // otherwise each call the store twice a second, and use up the capacity that it has
 // while it recovers.
 func (r *Registrar) Run(ctx context.Context) error {
-	var lease platform.LeaseID
-	failed, retryDelay := false, minRetryDelay
+	var current registration
+	failed, verify, retryDelay := false, false, minRetryDelay
 	for ctx.Err() == nil {
 		delay := LeaseTTL / 3
 		var err error
-		if lease == 0 {
-			lease, err = r.register(ctx)
-		} else if _, err = r.Store.KeepAlive(ctx, lease); platform.IsLeaseMissing(err) {
-			lease, delay = 0, 0
+		if current, err = r.renew(ctx, current, verify); platform.IsLeaseMissing(err) {
+			current, delay = registration{}, 0
 		}
 		if err != nil && ctx.Err() == nil {
 			r.reportFailure(err)
@@ -137,28 +158,94 @@
 			r.OnRecovered()
 		}
 		failed = err != nil
-		r.wait(ctx, delay)
+		verify = r.wait(ctx, delay)
 	}
-	if lease == 0 {
+	r.end(current)
+	return nil
+}
+
+// registration is how a member is registered: by a host, under a lease of its own, or not
+// at all.
+type registration struct {
+	host  RegistrationHost
+	lease platform.LeaseID
+}
+
+// renew renews a registration, or makes a new one.
+func (r *Registrar) renew(ctx context.Context, current registration, verify bool) (registration, error) {
+	if current.lease != 0 {
+		_, err := r.Store.KeepAlive(ctx, current.lease)
+		return current, err
+	}
+	if host := r.registerWithHost(ctx, current.host, verify); host != nil {
+		return registration{host: host}, nil
+	}
+	lease, err := r.register(ctx)
+	return registration{lease: lease}, err
+}
+
+// registerWithHost registers with the current host or, if that fails, with another one.
+// It returns nil if all that it tried failed.
+func (r *Registrar) registerWithHost(ctx context.Context, current RegistrationHost, verify bool) RegistrationHost {
+	if r.Hosts == nil {
 		return nil
 	}
-	revokeCtx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	if current != nil && r.tryHost(ctx, current, verify) {
+		return current
+	}
+	attempts := 0
+	for _, h := range r.Hosts(ctx) {
+		if h == current {
+			continue
+		}
+		if r.tryHost(ctx, h, verify) {
+			return h
+		}
+		if attempts++; attempts == maxHostAttempts {
+			break
+		}
+	}
+	return nil
+}
+
+func (r *Registrar) tryHost(ctx context.Context, h RegistrationHost, verify bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
-	if err := r.Store.Revoke(revokeCtx, lease); err != nil {
+	err := h.Register(ctx, r.Member(), verify)
+	if err != nil {
+		r.reportFailure(err)
+	}
+	return err == nil
+}
+
+// end ends a registration.
+func (r *Registrar) end(current registration) {
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	var err error
+	switch {
+	case current.lease != 0:
+		err = r.Store.Revoke(ctx, current.lease)
+	case current.host != nil:
+		err = current.host.Leave(ctx, r.Member())
+	}
+	if err != nil {
 		r.reportFailure(err)
 	}
-	return nil
 }
 
-// wait returns after d, or earlier if RenewNow is raised or ctx ends.
-func (r *Registrar) wait(ctx context.Context, d time.Duration) {
+// wait returns after d, or earlier if RenewNow is raised or ctx ends. It reports whether
+// RenewNow was raised.
+func (r *Registrar) wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-r.RenewNow.Raised():
+		return true
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 func (r *Registrar) reportFailure(err error) {
@@ -175,12 +262,12 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(r.Member)
+	value, err := json.Marshal(r.Member())
 	if err != nil {
 		return 0, err
 	}
 	_, err = r.Store.Txn(ctx, platform.Txn{Then: []platform.Op{
-		platform.Put{Key: r.Member.Key(), Value: value, Lease: lease},
+		platform.Put{Key: r.Member().Key(), Value: value, Lease: lease},
 	}})
 	if err != nil {
 		return 0, err
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -48,7 +48,7 @@
 func TestExpiredKeyIsWrittenAgainAtOnce(t *testing.T) {
 	t.Parallel()
 	store, renewNow := &fakeStore{}, &wake.Signal{}
-	r := &Registrar{Store: store, Member: Member{Kind: Agent, Name: "a"}, RenewNow: renewNow}
+	r := &Registrar{Store: store, Member: func() Member { return Member{Kind: Agent, Name: "a"} }, RenewNow: renewNow}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
@@ -70,7 +70,7 @@
 	store.expired.Store(true)
 	store.unreachable.Store(true)
 	r := &Registrar{
-		Store: store, Member: Member{Kind: Agent, Name: "a"}, RenewNow: &wake.Signal{},
+		Store: store, Member: func() Member { return Member{Kind: Agent, Name: "a"} }, RenewNow: &wake.Signal{},
 		OnRecovered: func() { recovered <- struct{}{} }, OnError: func(error) { store.unreachable.Store(false) },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -93,7 +93,7 @@
 		store.unreachable.Store(true)
 		calls := 0
 		r := &Registrar{
-			Store: store, Member: Member{Kind: Agent, Name: "a"}, RenewNow: &wake.Signal{},
+			Store: store, Member: func() Member { return Member{Kind: Agent, Name: "a"} }, RenewNow: &wake.Signal{},
 			OnError: func(error) { calls++ },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
@@ -32,11 +35,17 @@
 // known is false, from another entry of the data centre in place of the store. It
 // returns false if the store is to be polled.
 func (f *Frontend) followPeer(ctx context.Context, revision int64, known bool) (mirror.Update, bool) {
+	if !known {
+		f.discoverEntries(ctx)
+	}
 	// unavailable holds the entries that had nothing to report.
 	unavailable := map[string]bool{}
 	for ctx.Err() == nil {
 		local := f.members.inDataCentre(f.Settings.DataCentre)
 		name := f.sourceSelector.Source(names(local), boottime.Now())
+		if name == "" && !known {
+			name = f.firstSource()
+		}
 		f.setSource(name)
 		if name == "" {
 			f.transfer.Reset()
@@ -71,6 +80,25 @@
 	return mirror.Update{}, false
 }
 
+// firstSource returns the entry from which an entry without state tries to get it before
+// it reads the store, or "" if there is none or it was tried. It is one that keeps others
+// registered, and so one of the first that started.
+//
+// An entry that starts together with the whole fleet sees few others, and often counts
+// itself as their first reader. A third of all entries then read the complete state from
+// the store.
+func (f *Frontend) firstSource() string {
+	if f.firstSourceTried {
+		return ""
+	}
+	f.firstSourceTried = true
+	candidates := fleet.HostCandidates(slices.Collect(maps.Values(f.members.all())), f.Settings.DataCentre, f.Settings.Name)
+	if len(candidates) == 0 || !candidates[0].Host {
+		return ""
+	}
+	return candidates[0].Name
+}
+
 // requestUpdate requests an update, or the next page of the complete state, from one
 // entry.
 func (f *Frontend) requestUpdate(ctx context.Context, addr string, revision int64, known bool) (mirror.Page, readers.Outcome, error) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -1,8 +1,10 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -79,6 +81,10 @@
 	Registry metrics.Registry
 	// Output receives the log lines; nil means standard output.
 	Output io.Writer
+	// MaxHostWait is the longest time that the process, when it starts together with the
+	// whole fleet, waits for another entry with which it can register. Zero selects the
+	// default of 2 s.
+	MaxHostWait time.Duration
 	// Reload loads the settings again; nil means that they never change.
 	Reload func() (*settings.Relay, error)
 	// ReloadSignal receives a value when the settings may have changed.
@@ -103,8 +109,14 @@
 	documentSender document.Sender
 	missing        missingTracker
 	members        memberSet
-	workReporter   *workReporter
-	hub            hub
+	// host keeps processes registered in the store. aloneUntil is until when this entry,
+	// having just started, waits for another one before it registers by itself. fleetRuns
+	// reports that other entries were registered when this one started.
+	host         *fleet.Host
+	aloneUntil   time.Time
+	fleetRuns    atomic.Bool
+	workReporter *workReporter
+	hub          hub
 	// storeCopy holds what was received from the store, to be passed to other entries,
 	// and sourceSelector selects the entry from which updates are requested. transfer
 	// holds the pages of the complete state that have been received. Only the mirror's
@@ -116,11 +128,13 @@
 	sourceSelector readers.SourceSelector
 	sourceMetrics  sourceMetrics
 	transfer       mirror.Transfer
-	source         string
-	sourceAddress  string
-	sourceOrigin   string
-	hasSource      bool
-	storeRecovered time.Time
+	// firstSourceTried reports that firstSource has returned an entry, or found none.
+	firstSourceTried bool
+	source           string
+	sourceAddress    string
+	sourceOrigin     string
+	hasSource        bool
+	storeRecovered   time.Time
 	// storeLostByPeer reports that the store did not answer another entry; the store's
 	// next answer to this entry then counts as its recovery. Endpoints whose store
 	// entries expired in an outage are retained for a while after it, but an entry that
@@ -192,6 +206,8 @@
 	f.state = &relay.State{
 		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Freshness: &f.freshness,
 	}
+	f.aloneUntil = now.Add(rand.N(cmp.Or(f.MaxHostWait, maxHostWait)))
+	f.host = &fleet.Host{Store: f.store, OnError: f.callFailed, Now: boottime.Now}
 	f.workReporter = newWorkReporter(f)
 	f.state.OnChange = f.workReporter.changed.Raise
 	f.state.Init(now)
@@ -221,12 +237,10 @@
 
 // Run serves until ctx is done, then drains without interrupting requests.
 func (f *Frontend) Run(ctx context.Context) error {
-	registrar := &fleet.Registrar{Store: f.store, OnError: f.callFailed, RenewNow: &f.leaseSuspect, Member: fleet.Member{
-		Kind: fleet.Entry, Name: f.Settings.Name, DataCentre: f.Settings.DataCentre,
-		Address: f.peerServer.ListenAddr(),
-	}}
+	f.host.Self = f.member().Key()
+	registrar := &fleet.Registrar{Store: f.store, OnError: f.callFailed, RenewNow: &f.leaseSuspect, Member: f.member, Hosts: f.registrationHosts}
 	parts := []process.Part{
-		f.mirror.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
+		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		f.stopServers,
 	}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -109,7 +109,7 @@
 			},
 			CallerAddress: local, ReadyAddress: local, LineRate: 5e6,
 		},
-		Log: process.NewBoundedLog(name, "a"),
+		Log: process.NewBoundedLog(name, "a"), MaxHostWait: time.Millisecond,
 	}
 	logOutput := &logs.Log{}
 	f.Output = logOutput
--- a/internal/frontend/leave.go
+++ b/internal/frontend/leave.go
@@ -24,6 +24,7 @@
 func (f *Frontend) drain() {
 	start := time.Now()
 	f.stopping.Store(true)
+	f.host.Stop()
 	f.callerServer.StartDraining()
 	f.Log.WithField("running", f.callerServer.ActiveRequests()).Info("relay draining")
 	deadline := start.Add(f.bounds.Load().Grace - graceMargin)
--- a/internal/frontend/others.go
+++ b/internal/frontend/others.go
@@ -46,6 +46,18 @@
 	return maps.Clone(s.byName)
 }
 
+// hasOther reports whether an entry of a data centre besides self is known.
+func (s *memberSet) hasOther(dataCentre, self string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, m := range s.byName {
+		if name != self && m.DataCentre == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
 // inDataCentre returns the entries of one data centre by name.
 func (s *memberSet) inDataCentre(dataCentre string) map[string]fleet.Member {
 	s.mu.Lock()
--- a/internal/ranker/lease.go
+++ b/internal/ranker/lease.go
@@ -59,8 +59,13 @@
 	select {
 	case result := <-t.renewals:
 		t.renewing = false
+		recovered := t.renewalFailed && result.err == nil
+		t.renewalFailed = result.err != nil
 		if result.err == nil {
 			t.leaseUntil = result.until
+			if recovered {
+				t.ranker.storeReturned.Raise()
+			}
 		} else {
 			t.ranker.logStoreFailure(result.err)
 			t.leaseLost = t.leaseLost || errors.Is(result.err, rank.ErrLeaseLost)
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -167,19 +167,6 @@
 	r.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
 }
 
-// register keeps the agent's key in the store once the agent's group is known.
-func (r *Ranker) register(ctx context.Context) error {
-	group := r.awaitGroup(ctx)
-	if group == "" {
-		return nil
-	}
-	registrar := &fleet.Registrar{Store: r.store, OnError: r.logStoreFailure, RenewNow: &r.leaseInDoubt, OnRecovered: r.storeReturned.Raise, Member: fleet.Member{
-		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
-		Address: r.peers.ListenAddr(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
-	}}
-	return registrar.Run(ctx)
-}
-
 // awaitGroup returns the group of the agent's engine, or "" when ctx ends first.
 func (r *Ranker) awaitGroup(ctx context.Context) string {
 	select {
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -76,6 +76,8 @@
 	renewals     chan renewal
 	nextRenewal  time.Time
 	renewing     bool
+	// renewalFailed reports that the store did not answer the last renewal.
+	renewalFailed bool
 }
 
 func newTerm(r *Ranker, lease *rank.KVLease, s lockstep.State, token uint64, until time.Time) *term {
