Forward work and loads within subgroups, and each group's loads through another entry

At 107 to 120 entries a data centre has two subgroups of at most 64, but all entries reported their work to the hub of the first one, and each hub that got reports from elsewhere passed them on to the whole data centre: every entry got them twice, and the interval between two rounds grew with the data centre (0.54 s, and 2.1 s to the others). The loads of engines went the same way: the leader of each group chose the first entry of each subgroup, so that one carried the loads of all four groups to 119 others.

An entry now reports to the hub of its own subgroup, which forwards to that subgroup at once, to the hubs of the other subgroups of its data centre as often, and to those of the other data centres a quarter as often. The interval is at most 0.32 s whatever the size of the fleet; at 532 entries reports of other data centres are 1.5 s old at the most in place of 2.7 s. Each group's loads go through entries chosen by a hash of its name: of 250 groups none of 60 entries carries more than 16 (TestDelegatesAreSpread), where one carried all.

--- a/internal/fleet/fanout/tree.go
+++ b/internal/fleet/fanout/tree.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 )
 
@@ -30,6 +32,9 @@
 	MaxDirect int
 	// MaxSize is the largest size of a subgroup.
 	MaxSize int
+	// Spread, if set, names what is sent. Trees with different names choose different
+	// delegates, so that one process doesn't forward the messages of all.
+	Spread string
 
 	mu       sync.Mutex // guards failedAt
 	failedAt map[string]time.Time
@@ -69,9 +74,21 @@
 	return out
 }
 
+// SubgroupOf returns the subgroup of Subgroups that contains a process, or nil if there
+// is none.
+func (t *Tree) SubgroupOf(processes []fleet.Member, name string) Subgroup {
+	for _, s := range t.Subgroups(processes) {
+		if slices.ContainsFunc(s, func(m fleet.Member) bool { return m.Name == name }) {
+			return s
+		}
+	}
+	return nil
+}
+
 // Delegate returns the member through which a subgroup is reached: the first that
 // never failed or, if all have failed, the one whose last failure is the longest ago.
-// The subgroup must not be empty.
+// The subgroup must not be empty. The first is that of the subgroup's order or, with
+// Spread, that of the order of a hash.
 //
 // A delegate that froze or was unreachable for some seconds is used again only after
 // all others have failed. If it were retried after a fixed time, its whole subgroup
@@ -79,7 +96,17 @@
 func (t *Tree) Delegate(s Subgroup) fleet.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.MinFunc(s, func(a, b fleet.Member) int { return t.failedAt[a.Name].Compare(t.failedAt[b.Name]) })
+	return slices.MinFunc(s, func(a, b fleet.Member) int {
+		return cmp.Or(t.failedAt[a.Name].Compare(t.failedAt[b.Name]), cmp.Compare(t.place(a.Name), t.place(b.Name)))
+	})
+}
+
+// place returns a number by which processes that never failed are ordered.
+func (t *Tree) place(name string) uint64 {
+	if t.Spread == "" {
+		return 0
+	}
+	return xxhash.Sum64String(t.Spread + "/" + name)
 }
 
 // NoteFailure records that a process failed as a delegate, or is expected to.
--- a/internal/fleet/fanout/tree_test.go
+++ b/internal/fleet/fanout/tree_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// Guards against one process that forwards the messages of all groups.
+func TestDelegatesAreSpread(t *testing.T) {
+	const groups, members = 250, 60
+	carried := map[string]int{}
+	for i := range groups {
+		tree := &Tree{MaxDirect: 1, MaxSize: 64, Spread: fmt.Sprint("group", i)}
+		carried[tree.Delegate(tree.Subgroups(processes(members, 1))[0]).Name]++
+	}
+	for name, n := range carried {
+		if n > 4*groups/members {
+			t.Errorf("%s forwards the messages of %d groups of %d", name, n, groups)
+		}
+	}
+}
+
 // Guards against a subgroup that is repeatedly unreachable because a frozen delegate
 // is retried.
 func TestFailedDelegateComesLast(t *testing.T) {
--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// forwardIntervalPerEntry, times the number of entries in the hub's data centre, is
-	// the minimum interval between two rounds of messages to them. It limits the rate
-	// to what one core of a hub handles.
+	// forwardIntervalPerEntry, times the number of entries in the hub's subgroup, is the
+	// minimum interval between two rounds of messages to them. It limits the rate to what
+	// one core of a hub handles.
 	forwardIntervalPerEntry = 5 * time.Millisecond
 	// remoteIntervalFactor is how many times longer the interval for other data centres
 	// is: bandwidth to them is expensive, and load reports of engines make up for the
@@ -28,8 +28,8 @@
 )
 
 // hub collects the work reports of entries and forwards them to the other entries of
-// the data centre, and to one entry of each other data centre, which forwards them
-// there.
+// its subgroup, and to one entry of each other subgroup, which forwards them there.
+// Subgroups are parts of a data centre, see fanout.Tree.
 //
 // If each of 150 entries in five data centres reported to all others, 30,000 messages
 // per second would take more CPU time of the entries than their callers' requests,
@@ -38,10 +38,11 @@
 type hub struct {
 	changed wake.Signal
 
-	mu sync.Mutex // guards local and remote
-	// local and remote hold what is still to be sent to the hub's data centre and to the
-	// other ones: the newest report of each entry, by its name.
-	local, remote map[string]queuedWork
+	mu sync.Mutex // guards all below
+	// local, near and remote hold what is still to be sent to the hub's subgroup, to the
+	// other subgroups of its data centre and to those of the other ones: the newest report
+	// of each entry, by its name.
+	local, near, remote map[string]queuedWork
 }
 
 // queuedWork is a work report to be forwarded and the time at which it was true.
@@ -60,6 +61,7 @@
 	defer h.mu.Unlock()
 	h.local = keepNewest(h.local, queued)
 	if to == fleetpb.Passing_ALL {
+		h.near = keepNewest(h.near, queued)
 		h.remote = keepNewest(h.remote, queued)
 	}
 	h.changed.Raise()
@@ -83,13 +85,16 @@
 	return cmp.Or(cmp.Compare(a.GetBorn(), b.GetBorn()), cmp.Compare(a.GetNumber(), b.GetNumber())) > 0
 }
 
-// takeLocal removes and returns the reports for the hub's data centre.
+// takeLocal removes and returns the reports for the hub's subgroup.
 func (h *hub) takeLocal(now time.Time) []*fleetpb.EntryWork { return h.take(&h.local, now) }
 
+// takeNear removes and returns the reports for the other subgroups of the data centre.
+func (h *hub) takeNear(now time.Time) []*fleetpb.EntryWork { return h.take(&h.near, now) }
+
 // takeRemote removes and returns the reports for the other data centres.
 func (h *hub) takeRemote(now time.Time) []*fleetpb.EntryWork { return h.take(&h.remote, now) }
 
-// take empties local or remote and returns its reports.
+// take empties local, near or remote and returns its reports.
 func (h *hub) take(from *map[string]queuedWork, now time.Time) []*fleetpb.EntryWork {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -121,7 +126,7 @@
 }
 
 // forwardInterval returns the interval between two rounds of messages to the given
-// number of entries of the hub's data centre.
+// number of entries of the hub's subgroup.
 func forwardInterval(entries int) time.Duration {
 	return max(minReportInterval, time.Duration(entries)*forwardIntervalPerEntry)
 }
@@ -139,12 +144,13 @@
 		case <-timer.C:
 		}
 		now := boottime.Now()
-		local := f.members.inDataCentre(f.Settings.DataCentre)
-		interval := forwardInterval(len(local))
-		f.forwardLocal(ctx, local, f.hub.takeLocal(now))
+		to := f.workReporter.peers()
+		interval := forwardInterval(len(to.subgroup))
+		f.workReporter.forward(ctx, to.subgroup, f.hub.takeLocal(now), fleetpb.Passing_NOBODY)
+		f.workReporter.forward(ctx, to.near, f.hub.takeNear(now), fleetpb.Passing_SUBGROUP)
 		if now.Sub(lastRemote) >= remoteIntervalFactor*interval {
 			lastRemote = now
-			f.forwardRemote(ctx, f.hub.takeRemote(now))
+			f.workReporter.forward(ctx, to.remote, f.hub.takeRemote(now), fleetpb.Passing_SUBGROUP)
 		}
 		timer.Reset(maxReportInterval)
 		if f.hub.hasRemote() {
@@ -155,25 +161,14 @@
 	return nil
 }
 
-// forwardLocal sends reports to the other entries of the data centre.
-func (f *Frontend) forwardLocal(ctx context.Context, members map[string]fleet.Member, works []*fleetpb.EntryWork) {
-	if len(works) == 0 {
-		return
-	}
-	q := &fleetpb.WorkRequest{Entries: works}
-	for _, m := range members {
-		f.workReporter.send(ctx, m, q)
-	}
-}
-
-// forwardRemote sends reports to one entry of each other data centre.
-func (f *Frontend) forwardRemote(ctx context.Context, works []*fleetpb.EntryWork) {
+// forward sends reports to entries, which pass them on as to says.
+func (r *workReporter) forward(ctx context.Context, entries []fleet.Member, works []*fleetpb.EntryWork, to fleetpb.Passing) {
 	if len(works) == 0 {
 		return
 	}
-	q := &fleetpb.WorkRequest{Entries: works, To: fleetpb.Passing_DATA_CENTRE}
-	for _, subgroup := range f.workReporter.tree.Subgroups(f.members.outsideDataCentre(f.Settings.DataCentre)) {
-		f.workReporter.send(ctx, f.workReporter.tree.Delegate(subgroup), q)
+	q := &fleetpb.WorkRequest{Entries: works, To: to}
+	for _, m := range entries {
+		r.send(ctx, m, q)
 	}
 }
 
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -51,12 +51,11 @@
 	return list[i]
 }
 
-// forwardLoads forwards a load report to the other entries of this entry's data
-// centre.
+// forwardLoads forwards a load report to the other entries of this entry's subgroup.
 func (f *Frontend) forwardLoads(ctx context.Context, q *fleetpb.LoadsRequest, targets []*fleetpb.Target) {
 	received := boottime.Now()
-	for name, m := range f.members.inDataCentre(f.Settings.DataCentre) {
-		if name != f.Settings.Name {
+	for _, m := range f.workReporter.peers().subgroup {
+		if m.Name != f.Settings.Name {
 			go f.forwardLoad(ctx, m, q, targets, received)
 		}
 	}
--- a/internal/frontend/others.go
+++ b/internal/frontend/others.go
@@ -71,19 +71,6 @@
 	return out
 }
 
-// outsideDataCentre returns the entries of all other data centres.
-func (s *memberSet) outsideDataCentre(dataCentre string) []fleet.Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []fleet.Member
-	for _, m := range s.byName {
-		if m.DataCentre != dataCentre {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // names returns the names of members in no particular order.
 func names(members map[string]fleet.Member) []string {
 	return slices.Collect(maps.Keys(members))
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -39,14 +39,14 @@
 // others it would fill some engines while others are idle.
 //
 // In a fleet of more than fanout.MaxDirectEntries, messages from each entry to all
-// others would grow with the square of the fleet. One entry of each data centre then
+// others would grow with the square of the fleet. One entry of each subgroup then
 // receives the reports and forwards them, see hub.
 type workReporter struct {
 	frontend    *Frontend
 	incarnation uint64
 	changed     wake.Signal
 	sequence    uint64
-	// tree selects the entry of the data centre that receives the reports.
+	// tree selects the entries that forward the reports.
 	tree fanout.Tree
 
 	mu sync.Mutex // guards inFlight
@@ -107,12 +107,41 @@
 	r.send(ctx, hub, &fleetpb.WorkRequest{Entries: []*fleetpb.EntryWork{own}, To: fleetpb.Passing_ALL})
 }
 
-// hub returns the hub of this entry's data centre: the entry that forwards reports.
-func (r *workReporter) hub() fleet.Member {
+// hub returns the hub of this entry's subgroup: the entry that forwards reports.
+func (r *workReporter) hub() fleet.Member { return r.tree.Delegate(r.peers().subgroup) }
+
+// hubPeers are the entries to which a hub forwards reports.
+type hubPeers struct {
+	// subgroup is the hub's own subgroup, the hub included.
+	subgroup []fleet.Member
+	// near are the hubs of the other subgroups of its data centre, and remote those of
+	// the other data centres.
+	near, remote []fleet.Member
+}
+
+// peers returns the entries to which this entry forwards reports if it is a hub.
+func (r *workReporter) peers() hubPeers {
 	f := r.frontend
-	local := f.members.inDataCentre(f.Settings.DataCentre)
-	local[f.Settings.Name] = fleet.Member{Name: f.Settings.Name, DataCentre: f.Settings.DataCentre}
-	return r.tree.Delegate(r.tree.Subgroups(slices.Collect(maps.Values(local)))[0])
+	self := fleet.Member{Name: f.Settings.Name, DataCentre: f.Settings.DataCentre}
+	all := f.members.all()
+	all[self.Name] = self
+	return peersOf(&r.tree, slices.Collect(maps.Values(all)), self)
+}
+
+// peersOf returns the entries to which a hub forwards reports, of all entries.
+func peersOf(tree *fanout.Tree, entries []fleet.Member, self fleet.Member) hubPeers {
+	var out hubPeers
+	for _, s := range tree.Subgroups(entries) {
+		switch {
+		case slices.ContainsFunc(s, func(m fleet.Member) bool { return m.Name == self.Name }):
+			out.subgroup = s
+		case s[0].DataCentre == self.DataCentre:
+			out.near = append(out.near, tree.Delegate(s))
+		default:
+			out.remote = append(out.remote, tree.Delegate(s))
+		}
+	}
+	return out
 }
 
 // send delivers a message to one entry in the background, unless another message to
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"io"
 	"net/netip"
 	"testing"
@@ -32,6 +33,41 @@
 	}
 }
 
+// Every entry reports once, and the hubs forward the reports. Guards against an entry that
+// gets a report twice or not at all, and against a hub whose messages, or whose interval,
+// grow with its data centre and not with its subgroup: at a hundred entries one hub sent
+// the reports of all to all, and at twice as long intervals as at fifty.
+func TestEachReportReachesEachEntryOnce(t *testing.T) {
+	for _, n := range []int{36, 107, 532, 1064} {
+		tree := &fanout.Tree{MaxDirect: 1, MaxSize: fanout.MaxSubgroupEntries}
+		var entries []fleet.Member
+		for i := range n {
+			entries = append(entries, fleet.Member{Name: fmt.Sprintf("e%04d", i), DataCentre: fmt.Sprint("dc", i%5)})
+		}
+		for _, from := range []fleet.Member{entries[0], entries[n/2], entries[n-1]} {
+			received := map[string]int{}
+			hub := tree.Delegate(tree.SubgroupOf(entries, from.Name))
+			to := peersOf(tree, entries, hub)
+			for _, m := range to.subgroup {
+				received[m.Name]++
+			}
+			for _, next := range append(to.near, to.remote...) {
+				for _, m := range peersOf(tree, entries, next).subgroup {
+					received[m.Name]++
+				}
+			}
+			for _, m := range entries {
+				if received[m.Name] != 1 {
+					t.Fatalf("%d entries: %s gets the report of %s %d times", n, m.Name, from.Name, received[m.Name])
+				}
+			}
+			if d := forwardInterval(len(to.subgroup)); d > maxReportInterval/3 {
+				t.Errorf("%d entries: the hub forwards every %v", n, d)
+			}
+		}
+	}
+}
+
 // newWork returns a report of an entry; number grows with each report.
 func newWork(name string, number uint64) *fleetpb.EntryWork {
 	return &fleetpb.EntryWork{Name: name, Born: 1, Number: number}
@@ -55,11 +91,13 @@
 	h, now := &hub{}, time.Unix(1000, 0)
 	h.add(newWork("a", 2), fleetpb.Passing_ALL, now)
 	h.add(newWork("a", 1), fleetpb.Passing_ALL, now)
-	h.add(newWork("b", 5), fleetpb.Passing_DATA_CENTRE, now)
+	h.add(newWork("b", 5), fleetpb.Passing_SUBGROUP, now)
 	h.add(newWork("c", 9), fleetpb.Passing_NOBODY, now)
 	now = now.Add(30 * time.Millisecond)
-	checkForwarded(t, "near", h.takeLocal(now), 2, 5)
-	checkForwarded(t, "near again", h.takeLocal(now))
+	checkForwarded(t, "subgroup", h.takeLocal(now), 2, 5)
+	checkForwarded(t, "subgroup again", h.takeLocal(now))
+	checkForwarded(t, "near", h.takeNear(now), 2)
+	checkForwarded(t, "near again", h.takeNear(now))
 	if !h.hasRemote() {
 		t.Error("the last report is not queued for other data centres")
 	}
@@ -68,7 +106,7 @@
 	if remote[0].GetAgeMicros() != 30_000 || h.hasRemote() {
 		t.Errorf("forwarded with an age of %d µs, more reports queued: %v", remote[0].GetAgeMicros(), h.hasRemote())
 	}
-	h.add(remote[0], fleetpb.Passing_DATA_CENTRE, now)
+	h.add(remote[0], fleetpb.Passing_SUBGROUP, now)
 	if age := h.takeLocal(now.Add(time.Millisecond))[0].GetAgeMicros(); age != 31_000 {
 		t.Errorf("forwarded twice with an age of %d µs", age)
 	}
--- a/internal/ranker/loads.go
+++ b/internal/ranker/loads.go
@@ -36,8 +36,11 @@
 	sentLists fleet.SentLists
 }
 
-func newLoadReporter() loadReporter {
-	return loadReporter{tree: fanout.Tree{MaxDirect: fanout.MaxDirectEntries, MaxSize: fanout.MaxSubgroupEntries}}
+// newLoadReporter returns a reporter of the loads of a group. Each group has its own
+// entries that forward them: one that forwarded those of all groups of a large fleet would
+// have no time for its callers.
+func newLoadReporter(group string) loadReporter {
+	return loadReporter{tree: fanout.Tree{MaxDirect: fanout.MaxDirectEntries, MaxSize: fanout.MaxSubgroupEntries, Spread: group}}
 }
 
 // due reports whether a report is due now. A change between accepting and closed is
--- a/internal/ranker/loads_test.go
+++ b/internal/ranker/loads_test.go
@@ -54,7 +54,7 @@
 // Guards against reporting the opening of a group with the delay of a load report,
 // while requests wait for it.
 func TestOpeningIsReportedAtOnce(t *testing.T) {
-	l := newLoadReporter()
+	l := newLoadReporter("g")
 	now := start
 	if !l.due(true, now) || l.due(true, now.Add(time.Millisecond)) {
 		t.Error("the first report is not due exactly once")
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -86,7 +86,7 @@
 		leader: lockstep.Leader{OwnRank: s.Rank, HoldRank: (s.Rank + 1) % s.Size, Token: token},
 		poller: newPoller(r, agentCallTimeout, engineTimeout),
 		tree:   fanout.Tree{MaxDirect: maxDirectAgents, MaxSize: maxSubgroupAgents},
-		loads:  newLoadReporter(), rankByAgent: map[string]int{},
+		loads:  newLoadReporter(s.Group), rankByAgent: map[string]int{},
 		renewals: make(chan renewal, 1), retries: remoteRetries,
 	}
 }
