--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -160,8 +160,9 @@
 		Addr: s.ReadyAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Forwarder: readiness{f},
 	}
-	f.peerConns = &peer.ConnPool{}
-	f.peerServer = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
+	traffic := &peer.Traffic{Registry: f.Registry}
+	f.peerConns = &peer.ConnPool{Traffic: traffic}
+	f.peerServer = &peer.Server{Addr: s.PeerAddress.String(), Traffic: traffic, Register: func(g grpc.ServiceRegistrar) {
 		fleetpb.RegisterEntryServer(g, &service{frontend: f})
 	}}
 	if err := f.callerServer.Listen(); err != nil {
@@ -242,6 +243,7 @@
 	parts := []process.Part{
 		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
+		func(ctx context.Context) error { return process.LogTraffic(ctx, f.Log, f.Registry) },
 		f.stopServers,
 	}
 	parts = append(parts, process.MetricsParts(f.Settings.MetricsAddress, f.Registry)...)
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -42,6 +42,8 @@
 	TLS *tls.Config
 	// Dial opens connections; nil means TCP. Tests use it to cut connections.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Traffic, if set, counts the messages.
+	Traffic *Traffic
 
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
@@ -88,6 +90,9 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.WithDisableServiceConfig(),
 	}
+	if p.Traffic != nil {
+		opts = append(opts, grpc.WithStatsHandler(p.Traffic))
+	}
 	if p.Dial != nil {
 		opts = append(opts, grpc.WithContextDialer(p.Dial))
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,6 +30,8 @@
 	Agent peerpb.AgentServer
 	// Register registers further services; it may be nil.
 	Register func(grpc.ServiceRegistrar)
+	// Traffic, if set, counts the messages.
+	Traffic *Traffic
 
 	ln net.Listener
 }
@@ -93,6 +95,9 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	}
+	if s.Traffic != nil {
+		opts = append(opts, grpc.StatsHandler(s.Traffic))
+	}
 	if s.TLS != nil {
 		opts = append(opts, grpc.Creds(credentials.NewTLS(s.TLS)))
 	}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -129,8 +129,9 @@
 	r.countHistory = newCountHistory(boottime.Now())
 	r.delegate = newDelegate(r)
 	r.groupKnown = make(chan struct{})
-	r.conns = &peer.ConnPool{}
-	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Register: func(g grpc.ServiceRegistrar) {
+	traffic := &peer.Traffic{Registry: r.Registry}
+	r.conns = &peer.ConnPool{Traffic: traffic}
+	r.peers = &peer.Server{Addr: s.PeerAddress.String(), Traffic: traffic, Register: func(g grpc.ServiceRegistrar) {
 		fleetpb.RegisterAgentServer(g, &service{ranker: r})
 	}}
 	return r.peers.Listen()
@@ -142,6 +143,7 @@
 	parts := []process.Part{
 		r.peers.Run, r.register, r.watchEngine,
 		func(ctx context.Context) error { return r.Log.Run(ctx, r.Output) },
+		func(ctx context.Context) error { return process.LogTraffic(ctx, r.Log, r.Registry) },
 	}
 	parts = append(parts, process.MetricsParts(r.Settings.MetricsAddress, r.Registry)...)
 	r.Log.WithField("endpoint", r.Settings.EndpointAddress.String()).Info("ranker started")
