--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -25,6 +25,7 @@
 			st.SetRetry(RetryBudget{Share: 0.2, Slack: slack, Window: window})
 			st.entries = entries
 			b := st.budget("s", now)
+			b.RecordFirstAttempt(now)
 			now = now.Add(time.Hour)
 			for step := 0; step <= 10; step++ {
 				for b.TrySpend(now) {
