Let an entry that knows no other one report its work

Before the forwarding by subgroups the set was made anew. TestFirstReportIsSentBeforeAnyEntryIsKnown panics without the change.

--- a/internal/caller/memory_test.go
+++ b/internal/caller/memory_test.go
@@ -180,7 +180,10 @@
 	for range callers {
 		requestAndStall(t, s, "/endless", "")
 	}
-	<-f.ended // from here on the limit is reached
+	// From here on the limit is reached.
+	if err := <-f.ended; result.CodeOf(err) != result.CallerStalled {
+		t.Errorf("an answer ended with %v", err)
+	}
 	if most := f.mostHeld.Load(); most > vmMemory/4 || most < vmMemory/8 {
 		t.Errorf("%d bytes were held", most)
 	}
--- a/internal/frontend/others.go
+++ b/internal/frontend/others.go
@@ -39,11 +39,13 @@
 	return len(s.byName)
 }
 
-// all returns a copy of the entries by name.
+// all returns a copy of the entries by name, which is never nil.
 func (s *memberSet) all() map[string]fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return maps.Clone(s.byName)
+	out := make(map[string]fleet.Member, len(s.byName)+1)
+	maps.Copy(out, s.byName)
+	return out
 }
 
 // hasOther reports whether an entry of a data centre besides self is known.
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// Guards against an entry that ends with its first report, because it knows no entry yet.
+func TestFirstReportIsSentBeforeAnyEntryIsKnown(t *testing.T) {
+	f := &Frontend{Settings: &settings.Relay{Process: settings.Process{Name: "a", DataCentre: "x"}}}
+	f.workReporter = newWorkReporter(f)
+	if hub := f.workReporter.hub(); hub.Name != "a" {
+		t.Errorf("the hub is %q", hub.Name)
+	}
+	if to := f.workReporter.peers(); len(to.subgroup) != 1 || len(to.near)+len(to.remote) != 0 {
+		t.Errorf("reports go to %v", to)
+	}
+}
+
 // newWork returns a report of an entry; number grows with each report.
 func newWork(name string, number uint64) *fleetpb.EntryWork {
 	return &fleetpb.EntryWork{Name: name, Born: 1, Number: number}
