Let guests leave a host that can't renew its lease two seconds before it expires

Their hosts turned guests away once their lease had not been renewed for six of nine seconds, and a guest asks each three: up to nine.

A host turns guests away after four seconds. An agent that the store doesn't answer tries the entries that it last listed.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -29,9 +29,9 @@
 	// of processes that suspect that it has expired.
 	verifyInterval = 250 * time.Millisecond
 	// maxRenewalAge is the age of the lease's last renewal from which a host turns its
-	// guests away, since the store may answer another host. They still have a third of
-	// LeaseTTL to register there.
-	maxRenewalAge = LeaseTTL * 2 / 3
+	// guests away, since the store may answer another host. It leaves a guest, which asks
+	// again within a third of LeaseTTL, two seconds to register there.
+	maxRenewalAge = LeaseTTL/3 + time.Second
 )
 
 // The reasons for which a host refuses to register a process.
--- a/internal/fleet/host_test.go
+++ b/internal/fleet/host_test.go
@@ -236,7 +236,8 @@
 
 // addMembers starts n processes that register with the hosts.
 func (f *hostedFleet) addMembers(n int) {
-	for i := range n {
+	for range n {
+		i := len(f.wakes)
 		w := &wake.Signal{}
 		r := &Registrar{
 			Store: storeClient{f.store, "member"}, Member: func() Member { return Member{Kind: Agent, Name: fmt.Sprint("a", i)} }, RenewNow: w,
@@ -307,8 +308,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newHostedFleet(t, 3)
 				defer f.stop()
-				f.addMembers(n)
-				time.Sleep(5 * time.Second)
+				for range n {
+					f.addMembers(1)
+					time.Sleep(100 * time.Millisecond) // guests ask again at different times
+				}
+				time.Sleep(time.Second)
 				fail(f)
 				f.wantAll(n, 4*LeaseTTL)
 			})
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -86,6 +86,8 @@
 	// the lease of the agent's own key may have lapsed, and storeReturned when the
 	// store answers again after failures.
 	leaderGone, leaseInDoubt, storeReturned wake.Signal
+	// lastListed are the entries that the store last listed; only the registrar uses them.
+	lastListed []fleet.Member
 	// groupKnown is closed when the group of the agent's engine is known.
 	groupKnown     chan struct{}
 	groupKnownOnce sync.Once
--- a/internal/ranker/register.go
+++ b/internal/ranker/register.go
@@ -8,6 +8,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
 const (
@@ -52,13 +53,19 @@
 	return nil
 }
 
-// listedEntries returns the entries that the store lists.
+// listedEntries returns the entries that the store lists or, if it doesn't answer, those
+// that it last listed: it may answer one of them.
 func (r *Ranker) listedEntries(ctx context.Context) []fleet.Member {
 	kvs, err := r.store.ListStale(ctx, fleet.KindPrefix(fleet.Entry))
 	if err != nil {
 		r.logStoreFailure(err)
-		return nil
+		return r.lastListed
 	}
+	r.lastListed = r.decodeEntries(kvs)
+	return r.lastListed
+}
+
+func (r *Ranker) decodeEntries(kvs []kv.KeyValue) []fleet.Member {
 	var out []fleet.Member
 	for _, item := range kvs {
 		m, ok, err := fleet.Decode(item.Key(), item.Value())
