--- a/internal/frontend/register.go
+++ b/internal/frontend/register.go
@@ -26,7 +26,7 @@
 	// hostPollInterval is how often it looks whether it knows another entry meanwhile, and
 	// discoveryInterval the mean time between two lists of the store's entries.
 	hostPollInterval  = 20 * time.Millisecond
-	discoveryInterval = 400 * time.Millisecond
+	discoveryInterval = 150 * time.Millisecond
 )
 
 // member describes this entry to the fleet.
