--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -65,11 +65,12 @@
 	}
 }
 
-// add adds n bytes of a request that have been received, and reports whether more may be
-// received.
-func (m *memory) add(n int) bool {
-	held := m.held.Add(int64(n))
-	return m.limit <= 0 || held <= receiveFactor*m.limit
+// add adds n bytes of a request that have been received.
+func (m *memory) add(n int) { m.held.Add(int64(n)) }
+
+// mayReceive reports whether more of a large request may be received.
+func (m *memory) mayReceive() bool {
+	return m.limit <= 0 || m.held.Load() <= receiveFactor*m.limit
 }
 
 func (m *memory) release(n int) {
@@ -98,14 +99,14 @@
 // acquire adds n bytes to the memory held for callers. While they don't fit, it cuts off
 // the caller that has read nothing for the longest time or, if all are reading, waits.
 func (s *Server) acquire(ctx context.Context, n int) error {
+	if s.memory.tryAdd(n) {
+		return nil // without a channel and a lock for each part of an answer
+	}
 	for {
 		released := s.memory.released()
-		if s.memory.tryAdd(n) {
+		if s.tryAcquire(n, time.Now()) {
 			return nil
 		}
-		if s.cutSlowest(time.Now()) {
-			continue
-		}
 		t := time.NewTimer(memoryRetryInterval)
 		select {
 		case <-released:
@@ -121,18 +122,12 @@
 // tryAcquire adds n bytes to the memory held for callers if they fit after stalled callers
 // have been cut off.
 func (s *Server) tryAcquire(n int, now time.Time) bool {
-	for !s.memory.tryAdd(n) {
-		if !s.cutSlowest(now) {
-			return false
-		}
-	}
-	return true
+	return s.makeRoom(func() bool { return s.memory.tryAdd(n) }, now)
 }
 
-// freeMemory cuts off stalled callers until more of a request may be received, and reports
-// whether it may.
-func (s *Server) freeMemory(now time.Time) bool {
-	for !s.memory.add(0) {
+// makeRoom cuts off stalled callers until fits reports true, and reports whether it does.
+func (s *Server) makeRoom(fits func() bool, now time.Time) bool {
+	for !fits() {
 		if !s.cutSlowest(now) {
 			return false
 		}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -231,7 +231,8 @@
 		_ = w.SetReadDeadline(time.Now().Add(s.ReadTimeout + readDeadlineGrace))
 		v.(*conn).startReadTimer(s.ReadTimeout, func() { s.handleReadTimeout(w, v.(*conn)) })
 	}
-	fits := s.memory.add(n) || s.freeMemory(time.Now()) || total <= smallRequest
+	s.memory.add(n)
+	fits := s.makeRoom(s.memory.mayReceive, time.Now()) || total <= smallRequest
 	return fits && total <= s.BodyLimit*readLimitFactor+maxHeaderBytes
 }
 
--- a/internal/fleet/fanout/tree.go
+++ b/internal/fleet/fanout/tree.go
@@ -78,13 +78,18 @@
 // is none.
 func (t *Tree) SubgroupOf(processes []fleet.Member, name string) Subgroup {
 	for _, s := range t.Subgroups(processes) {
-		if slices.ContainsFunc(s, func(m fleet.Member) bool { return m.Name == name }) {
+		if s.Contains(name) {
 			return s
 		}
 	}
 	return nil
 }
 
+// Contains reports whether a process is a member of the subgroup.
+func (s Subgroup) Contains(name string) bool {
+	return slices.ContainsFunc(s, func(m fleet.Member) bool { return m.Name == name })
+}
+
 // Delegate returns the member through which a subgroup is reached: the first that
 // never failed or, if all have failed, the one whose last failure is the longest ago.
 // The subgroup must not be empty. The first is that of the subgroup's order or, with
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -187,7 +187,7 @@
 	retryDelay := minRetryDelay
 	delay := LeaseTTL / 3
 	for ctx.Err() == nil {
-		h.wait(ctx, delay)
+		h.due.Wait(ctx, delay)
 		pause.For(ctx, batchDelay)
 		delay = LeaseTTL / 3
 		if err := h.update(ctx, h.Now()); err != nil && ctx.Err() == nil {
@@ -203,16 +203,6 @@
 	return nil
 }
 
-func (h *Host) wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-h.due.Raised():
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // update brings the store up to date. It returns the first error.
 func (h *Host) update(ctx context.Context, now time.Time) error {
 	if err := h.renew(ctx, now); err != nil {
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -60,6 +60,21 @@
 // KindPrefix returns the prefix of the keys of all members of a kind.
 func KindPrefix(k Kind) string { return Prefix + string(k) + "/" }
 
+// DecodeAll decodes the members among items of the store. onError is called with the error
+// of each that can't be read.
+func DecodeAll(items []platform.KeyValue, onError func(error)) []Member {
+	var out []Member
+	for _, item := range items {
+		m, ok, err := Decode(item.Key(), item.Value())
+		if err != nil {
+			onError(err)
+		} else if ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // KeyOf returns the kind and name of the member that a key belongs to. It reports
 // false if the key isn't that of a member.
 func KeyOf(key string) (Kind, string, bool) {
@@ -158,7 +173,7 @@
 			r.OnRecovered()
 		}
 		failed = err != nil
-		verify = r.wait(ctx, delay)
+		verify = r.RenewNow.Wait(ctx, delay)
 	}
 	r.end(current)
 	return nil
@@ -234,20 +249,6 @@
 	}
 }
 
-// wait returns after d, or earlier if RenewNow is raised or ctx ends. It reports whether
-// RenewNow was raised.
-func (r *Registrar) wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-r.RenewNow.Raised():
-		return true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 func (r *Registrar) reportFailure(err error) {
 	if r.OnError != nil {
 		r.OnError(err)
--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -136,7 +136,7 @@
 // readers.
 func (s *SourceSelector) followerSource(order []string, ownIndex int, now time.Time) string {
 	for _, name := range parents(order, ownIndex) {
-		if p, ok := s.lastOutcomes[name]; !ok || p.usable(now) {
+		if s.mayHaveUpdates(name, now) {
 			return name
 		}
 	}
@@ -164,13 +164,19 @@
 func (s *SourceSelector) usable(all []string, now time.Time) []string {
 	var out []string
 	for _, name := range all[:min(len(all), 2*maxReaders)] {
-		if p, ok := s.lastOutcomes[name]; !ok || p.usable(now) {
+		if s.mayHaveUpdates(name, now) {
 			out = append(out, name)
 		}
 	}
 	return out
 }
 
+// mayHaveUpdates reports whether a process may be asked for updates.
+func (s *SourceSelector) mayHaveUpdates(name string, now time.Time) bool {
+	p, ok := s.lastOutcomes[name]
+	return !ok || p.usable(now)
+}
+
 // takeoverOrder returns all processes that aren't shutting down, in the order in which
 // they take over polling the store.
 //
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -147,7 +147,7 @@
 func (f *Frontend) putMember(item kv.KeyValue, now time.Time) {
 	m, ok, err := fleet.Decode(item.Key(), item.Value())
 	if err != nil {
-		f.Log.WithField("cause", err.Error()).Warn("malformed store entry ignored")
+		f.logMalformed(err)
 		return
 	}
 	if ok && m.Kind == fleet.Entry {
@@ -156,6 +156,10 @@
 	}
 }
 
+func (f *Frontend) logMalformed(err error) {
+	f.Log.WithField("cause", err.Error()).Warn("malformed store entry ignored")
+}
+
 func (f *Frontend) applyRemove(key string, now time.Time) {
 	switch fact := platform.TranslateRemoved(key).(type) {
 	case platform.OutFact:
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -27,7 +27,7 @@
 	unavailableRetryDelay = 200 * time.Millisecond
 	// followPageBytes is the size from which on an answer to another entry is divided,
 	// in bytes. All followers of an entry together get a page each within a fraction of
-	// followTimeoutMargin, also over a line of some ten Mbit/s.
+	// the time for which they wait, also over a line of some ten Mbit/s.
 	followPageBytes = 32 << 10
 )
 
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -54,7 +54,7 @@
 // forwardLoads forwards a load report to the other entries of this entry's subgroup.
 func (f *Frontend) forwardLoads(ctx context.Context, q *fleetpb.LoadsRequest, targets []*fleetpb.Target) {
 	received := boottime.Now()
-	for _, m := range f.workReporter.peers().subgroup {
+	for _, m := range f.workReporter.subgroup() {
 		if m.Name != f.Settings.Name {
 			go f.forwardLoad(ctx, m, q, targets, received)
 		}
--- a/internal/frontend/register.go
+++ b/internal/frontend/register.go
@@ -93,8 +93,8 @@
 		if first && len(kvs) > 0 {
 			f.fleetRuns.Store(true)
 		}
-		for _, item := range kvs {
-			if m, ok, err := fleet.Decode(item.Key(), item.Value()); ok && err == nil && m.Name != f.Settings.Name {
+		for _, m := range fleet.DecodeAll(kvs, f.logMalformed) {
+			if m.Name != f.Settings.Name {
 				f.members.put(m)
 			}
 		}
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -108,7 +108,21 @@
 }
 
 // hub returns the hub of this entry's subgroup: the entry that forwards reports.
-func (r *workReporter) hub() fleet.Member { return r.tree.Delegate(r.peers().subgroup) }
+func (r *workReporter) hub() fleet.Member { return r.tree.Delegate(r.subgroup()) }
+
+// subgroup returns the entries of this entry's subgroup, itself included.
+func (r *workReporter) subgroup() fanout.Subgroup {
+	local := r.frontend.members.inDataCentre(r.frontend.Settings.DataCentre)
+	self := r.self()
+	local[self.Name] = self
+	return r.tree.SubgroupOf(slices.Collect(maps.Values(local)), self.Name)
+}
+
+// self returns this entry as a member of its data centre.
+func (r *workReporter) self() fleet.Member {
+	s := r.frontend.Settings
+	return fleet.Member{Name: s.Name, DataCentre: s.DataCentre}
+}
 
 // hubPeers are the entries to which a hub forwards reports.
 type hubPeers struct {
@@ -121,9 +135,8 @@
 
 // peers returns the entries to which this entry forwards reports if it is a hub.
 func (r *workReporter) peers() hubPeers {
-	f := r.frontend
-	self := fleet.Member{Name: f.Settings.Name, DataCentre: f.Settings.DataCentre}
-	all := f.members.all()
+	self := r.self()
+	all := r.frontend.members.all()
 	all[self.Name] = self
 	return peersOf(&r.tree, slices.Collect(maps.Values(all)), self)
 }
@@ -133,7 +146,7 @@
 	var out hubPeers
 	for _, s := range tree.Subgroups(entries) {
 		switch {
-		case slices.ContainsFunc(s, func(m fleet.Member) bool { return m.Name == self.Name }):
+		case s.Contains(self.Name):
 			out.subgroup = s
 		case s[0].DataCentre == self.DataCentre:
 			out.near = append(out.near, tree.Delegate(s))
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -219,20 +219,7 @@
 			newest[e.item.Key()] = e
 		}
 	}
-	size := 0
-	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		if pageBytes > 0 && size >= pageBytes {
-			p.More = true
-			return
-		}
-		e := newest[key]
-		size += len(key) + len(e.item.Value())
-		if e.deleted {
-			p.Deleted = append(p.Deleted, key)
-		} else {
-			p.KVs = append(p.KVs, e.item)
-		}
-	}
+	p.fill(slices.Sorted(maps.Keys(newest)), func(key string) event { return newest[key] }, pageBytes)
 }
 
 // addItems adds items of the complete state to a page, from the first key after afterKey
@@ -245,15 +232,24 @@
 	if found {
 		first++
 	}
+	p.fill(c.keys[first:], func(key string) event { return event{item: c.items[key]} }, pageBytes)
+}
+
+// fill adds keys to a page until it is full, each as of its newest change.
+func (p *Page) fill(keys []string, newest func(key string) event, pageBytes int) {
 	size := 0
-	for _, key := range c.keys[first:] {
+	for _, key := range keys {
 		if pageBytes > 0 && size >= pageBytes {
 			p.More = true
 			return
 		}
-		item := c.items[key]
-		p.KVs = append(p.KVs, item)
-		size += len(key) + len(item.Value())
+		e := newest(key)
+		size += len(key) + len(e.item.Value())
+		if e.deleted {
+			p.Deleted = append(p.Deleted, key)
+		} else {
+			p.KVs = append(p.KVs, e.item)
+		}
 	}
 }
 
--- a/internal/ranker/members.go
+++ b/internal/ranker/members.go
@@ -98,7 +98,7 @@
 	m, ok, err := fleet.Decode(item.Key(), item.Value())
 	switch {
 	case err != nil:
-		r.Log.WithField("cause", err.Error()).Warn("malformed store entry ignored")
+		r.logMalformed(err)
 	case ok && m.Kind == fleet.Agent:
 		r.agents[m.Name] = m
 		delete(r.lapsed, m.Name)
@@ -107,6 +107,10 @@
 	}
 }
 
+func (r *Ranker) logMalformed(err error) {
+	r.Log.WithField("cause", err.Error()).Warn("malformed store entry ignored")
+}
+
 func (r *Ranker) removeMember(key string, now time.Time) {
 	switch kind, name, _ := fleet.KeyOf(key); kind {
 	case fleet.Agent:
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -187,7 +187,8 @@
 // when the group has no leader.
 func (r *Ranker) watchEngine(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r.awaitPoll(ctx)
+		// The next poll is due, or the group's leader has resigned.
+		r.leaderGone.Wait(ctx, ownPollInterval)
 		s, err := r.engine.State(ctx)
 		if err != nil || s.Group == "" {
 			continue // a starting engine has no group yet
@@ -205,18 +206,6 @@
 	return nil
 }
 
-// awaitPoll waits until the next poll of the engine is due or the group's leader has
-// resigned.
-func (r *Ranker) awaitPoll(ctx context.Context) {
-	t := time.NewTimer(ownPollInterval)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-r.leaderGone.Raised():
-	case <-ctx.Done():
-	}
-}
-
 // campaign takes the group's lease if it is free and leads the group until the term
 // ends.
 func (r *Ranker) campaign(ctx context.Context, s lockstep.State) {
--- a/internal/ranker/register.go
+++ b/internal/ranker/register.go
@@ -8,7 +8,6 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
-	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
 const (
@@ -61,19 +60,6 @@
 		r.logStoreFailure(err)
 		return r.lastListed
 	}
-	r.lastListed = r.decodeEntries(kvs)
+	r.lastListed = fleet.DecodeAll(kvs, r.logMalformed)
 	return r.lastListed
 }
-
-func (r *Ranker) decodeEntries(kvs []kv.KeyValue) []fleet.Member {
-	var out []fleet.Member
-	for _, item := range kvs {
-		m, ok, err := fleet.Decode(item.Key(), item.Value())
-		if err != nil {
-			r.Log.WithField("cause", err.Error()).Warn("malformed store entry ignored")
-		} else if ok {
-			out = append(out, m)
-		}
-	}
-	return out
-}
--- a/internal/wake/wake_test.go
+++ b/internal/wake/wake_test.go
@@ -1,6 +1,10 @@
 package wake
 
-import "testing"
+import (
+	"context"
+	"testing"
+	"time"
+)
 
 func TestSignalsCountAsOneUntilRead(t *testing.T) {
 	var s Signal
@@ -15,3 +19,19 @@
 	s.Raise()
 	<-s.Raised()
 }
+
+func TestWaitEndsWithItsCause(t *testing.T) {
+	var s Signal
+	s.Raise()
+	if !s.Wait(t.Context(), time.Hour) {
+		t.Error("a raised signal is not reported")
+	}
+	if s.Wait(t.Context(), time.Millisecond) {
+		t.Error("a signal is reported twice")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if s.Wait(ctx, time.Hour) {
+		t.Error("the end of the context counts as a signal")
+	}
+}
