Keep a guest's key through a return to a former host and a late write

Three faults: - a host waited a whole interval after each write of a guest, so that its renewal came up to 6 s after the last one, and it turned all guests away; - a refused renewal was repeated with the next one only, with the same end; - a host could not tell a renewal from a guest that comes back: requests now say rewrite when others may have written the key. And by reading: a write without an answer may be executed after the guest has registered elsewhere. A guest that was told so, or that gave up while it waited, asks its next host to write the key once more 3 s later; a host forgets a guest that gives up, and deletes what it wrote for it after all.

Each has a test that fails without its line (five mutants).

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -4,13 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/wake"
@@ -25,6 +24,9 @@
 	// batchDelay is how long a host waits for further processes before it writes. Agents
 	// that start together learn of their groups in turns of a quarter of a second.
 	batchDelay = 200 * time.Millisecond
+	// renewalInterval is the time from one renewal of the lease to the next, less the wait
+	// for further processes.
+	renewalInterval = LeaseTTL/3 - batchDelay
 	// verifyInterval is the shortest time between two looks at the host's lease on behalf
 	// of processes that suspect that it has expired.
 	verifyInterval = 250 * time.Millisecond
@@ -36,11 +38,25 @@
 
 // The reasons for which a host refuses to register a process.
 var (
-	errHostFull    = eris.New("fleet: the host has as many guests as it may have")
-	errHostStopped = eris.New("fleet: the host is about to stop")
-	errNotRenewed  = eris.New("fleet: the host can't renew its lease")
+	errHostFull    = &RefusedError{Reason: "fleet: the host has as many guests as it may have"}
+	errHostStopped = &RefusedError{Reason: "fleet: the host is about to stop"}
+	errNotRenewed  = &RefusedError{Reason: "fleet: the host can't renew its lease"}
 )
 
+// RefusedError says that a host did not register a process: no key was written for the
+// request, nor will one be.
+type RefusedError struct {
+	Reason string
+}
+
+func (e *RefusedError) Error() string { return e.Reason }
+
+// IsRefused reports whether err says that a request to register had no effect.
+func IsRefused(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
 // Host keeps the keys of processes in the store, its guests, on their behalf. Set the
 // exported fields before Run. It is safe for concurrent use.
 //
@@ -78,9 +94,9 @@
 type guest struct {
 	value       []byte
 	confirmedAt time.Time
-	// lease is the lease under which the key was written, or 0 if it is to be written,
-	// and revision the revision at which it was.
-	lease    platform.LeaseID
+	// written reports that value is in the store. revision is the revision at which the
+	// host last wrote the key, or 0 if it has not under its present lease.
+	written  bool
 	revision int64
 	leaving  bool
 	// waiting receive the outcome of the next write.
@@ -88,13 +104,14 @@
 }
 
 // Register keeps a member registered for LeaseTTL from now on. It returns once its key is
-// in the store. verify makes the host look whether its lease has expired.
-func (h *Host) Register(ctx context.Context, m Member, verify bool) error {
-	value, err := json.Marshal(m)
+// in the store. The error is a RefusedError if the request had no effect.
+func (h *Host) Register(ctx context.Context, q Request) error {
+	value, err := json.Marshal(q.Member)
 	if err != nil {
 		return err
 	}
-	written, err := h.confirm(m.Key(), value, verify, h.Now())
+	key := q.Member.Key()
+	written, err := h.confirm(key, value, q, h.Now())
 	if err != nil || written == nil {
 		return err
 	}
@@ -102,13 +119,24 @@
 	case err := <-written:
 		return err
 	case <-ctx.Done():
+		h.abandon(key, written)
 		return ctx.Err()
 	}
 }
 
+// abandon forgets a guest that no longer waits for its key to be written: it registers
+// elsewhere, and its key there must not be replaced.
+func (h *Host) abandon(key string, written chan error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g, ok := h.guests[key]; ok && slices.Contains(g.waiting, written) {
+		h.forget(key, g)
+	}
+}
+
 // confirm records that a process wants to stay registered. It returns a channel that
 // receives the outcome of writing its key, or nil if the key is in the store.
-func (h *Host) confirm(key string, value []byte, verify bool, now time.Time) (<-chan error, error) {
+func (h *Host) confirm(key string, value []byte, q Request, now time.Time) (chan error, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g, ok := h.guests[key]
@@ -125,17 +153,17 @@
 		h.guests[key] = g
 	}
 	g.confirmedAt, g.leaving = now, false
-	if g.lease != 0 && bytes.Equal(g.value, value) {
+	if g.written && !q.Rewrite && bytes.Equal(g.value, value) {
 		if now.Sub(h.renewedAt) > maxRenewalAge {
 			return nil, errNotRenewed
 		}
-		if verify && now.Sub(h.triedAt) >= verifyInterval {
+		if q.Verify && now.Sub(h.triedAt) >= verifyInterval {
 			h.verify = true
 			h.due.Raise()
 		}
 		return nil, nil
 	}
-	g.value, g.lease = value, 0
+	g.value, g.written = value, false
 	written := make(chan error, 1)
 	g.waiting = append(g.waiting, written)
 	h.due.Raise()
@@ -159,7 +187,7 @@
 	g, ok := h.guests[m.Key()]
 	delete(h.guests, m.Key())
 	h.mu.Unlock()
-	if !ok || g.lease == 0 {
+	if !ok || g.revision == 0 {
 		return nil
 	}
 	_, err := h.deleteKeys(ctx, []writtenKey{{key: m.Key(), revision: g.revision}})
@@ -189,7 +217,6 @@
 	for ctx.Err() == nil {
 		h.due.Wait(ctx, delay)
 		pause.For(ctx, batchDelay)
-		delay = LeaseTTL / 3
 		if err := h.update(ctx, h.Now()); err != nil && ctx.Err() == nil {
 			if h.OnError != nil {
 				h.OnError(err)
@@ -198,11 +225,22 @@
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
 		}
-		retryDelay = minRetryDelay
+		delay, retryDelay = h.renewalDelay(h.Now()), minRetryDelay
 	}
 	return nil
 }
 
+// renewalDelay returns the time until the lease is due to be renewed. Guests that cause
+// other updates in the meantime do not put it off.
+func (h *Host) renewalDelay(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lease == 0 {
+		return LeaseTTL / 3
+	}
+	return max(0, h.triedAt.Add(renewalInterval).Sub(now))
+}
+
 // update brings the store up to date. It returns the first error.
 func (h *Host) update(ctx context.Context, now time.Time) error {
 	if err := h.renew(ctx, now); err != nil {
@@ -233,7 +271,7 @@
 // written.
 func (h *Host) renew(ctx context.Context, now time.Time) error {
 	h.mu.Lock()
-	lease, due := h.lease, h.verify || now.Sub(h.triedAt) >= LeaseTTL/3-batchDelay
+	lease, due := h.lease, h.verify || now.Sub(h.triedAt) >= renewalInterval
 	if lease != 0 && due {
 		h.verify, h.triedAt = false, now
 	}
@@ -246,11 +284,12 @@
 		h.dropLease()
 		return nil
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if err != nil {
+		h.verify = true // the retry is not to wait until the next renewal
 		return err
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.renewedAt = now
 	return nil
 }
@@ -261,7 +300,7 @@
 	defer h.mu.Unlock()
 	h.lease, h.gone = 0, nil
 	for _, g := range h.guests {
-		g.lease = 0
+		g.written, g.revision = false, 0
 	}
 }
 
@@ -279,7 +318,7 @@
 	var out []keyWrite
 	for _, key := range slices.Sorted(maps.Keys(h.guests)) {
 		g := h.guests[key]
-		if g.lease == 0 && !g.leaving && now.Sub(g.confirmedAt) <= LeaseTTL/3+hostTimeout && len(out) < maxTxnKeys {
+		if !g.written && !g.leaving && now.Sub(g.confirmedAt) <= LeaseTTL/3+hostTimeout && len(out) < maxTxnKeys {
 			out = append(out, keyWrite{key: key, value: g.value})
 		}
 	}
@@ -303,9 +342,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, w := range batch {
-		if g, ok := h.guests[w.key]; ok && bytes.Equal(g.value, w.value) {
-			g.lease, g.revision = lease, reply.Revision()
+		g, ok := h.guests[w.key]
+		if !ok {
+			h.gone = append(h.gone, writtenKey{key: w.key, revision: reply.Revision()})
+			continue
 		}
+		g.written, g.revision = bytes.Equal(g.value, w.value), reply.Revision()
 	}
 	return nil
 }
@@ -342,12 +384,21 @@
 			c <- err
 		}
 		if len(g.waiting) > 0 && err != nil {
-			delete(h.guests, w.key)
+			h.forget(w.key, g)
 		}
 		g.waiting = nil
 	}
 }
 
+// forget forgets a guest. Its key, if it is in the store, is to be deleted. mu must be
+// held.
+func (h *Host) forget(key string, g *guest) {
+	delete(h.guests, key)
+	if g.revision != 0 {
+		h.gone = append(h.gone, writtenKey{key: key, revision: g.revision})
+	}
+}
+
 // removeGone deletes the keys of guests that have left or no longer confirm, unless
 // another host has written them since.
 func (h *Host) removeGone(ctx context.Context, now time.Time) error {
@@ -383,10 +434,7 @@
 		if !g.leaving && now.Sub(g.confirmedAt) <= LeaseTTL {
 			continue
 		}
-		delete(h.guests, key)
-		if g.lease != 0 {
-			h.gone = append(h.gone, writtenKey{key: key, revision: g.revision})
-		}
+		h.forget(key, g)
 	}
 }
 
--- a/internal/fleet/host_test.go
+++ b/internal/fleet/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -12,10 +13,14 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 )
 
+// lateWrite is how much later a write without an answer is executed.
+const lateWrite = 1500 * time.Millisecond
+
 // leaseStore is a store whose keys vanish with their leases.
 type leaseStore struct {
 	mu       sync.Mutex
 	away     map[string]bool // names of those whose calls fail
+	late     map[string]bool // names of those whose next write is executed lateWrite later
 	revision int64
 	nextID   platform.LeaseID
 	expires  map[platform.LeaseID]time.Time
@@ -25,7 +30,7 @@
 }
 
 func newLeaseStore() *leaseStore {
-	return &leaseStore{away: map[string]bool{}, expires: map[platform.LeaseID]time.Time{}, keys: map[string]platform.KeyValue{}}
+	return &leaseStore{away: map[string]bool{}, late: map[string]bool{}, expires: map[platform.LeaseID]time.Time{}, keys: map[string]platform.KeyValue{}}
 }
 
 // expire removes the keys of expired leases. mu must be held.
@@ -143,6 +148,11 @@
 	if err := c.begin(); err != nil {
 		return platform.TxnReply{}, err
 	}
+	if c.late[c.name] {
+		c.late[c.name] = false
+		time.AfterFunc(lateWrite, func() { _, _ = c.Txn(context.Background(), t) })
+		return platform.TxnReply{}, platform.NewUnknownOutcomeError("no answer")
+	}
 	for _, cond := range t.If {
 		if r, ok := cond.(platform.RevisionIs); ok && c.keys[r.Key].Revision() != r.Revision {
 			return platform.NewTxnReply(c.revision, false), nil
@@ -172,11 +182,11 @@
 	down bool
 }
 
-func (p *hostProcess) Register(ctx context.Context, m Member, verify bool) error {
+func (p *hostProcess) Register(ctx context.Context, q Request) error {
 	if p.isDown() {
 		return platform.NewNotSentError("the host is down")
 	}
-	return p.Host.Register(ctx, m, verify)
+	return p.Host.Register(ctx, q)
 }
 
 func (p *hostProcess) Leave(ctx context.Context, m Member) error {
@@ -192,11 +202,15 @@
 	return p.down
 }
 
+func (p *hostProcess) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
 // kill stops a host without a word to its guests.
 func (p *hostProcess) kill() {
-	p.mu.Lock()
-	p.down = true
-	p.mu.Unlock()
+	p.setDown(true)
 	p.stop()
 }
 
@@ -320,6 +334,97 @@
 	}
 }
 
+// Guards against a guest that returns to a host which it had left: the host takes its key
+// for written, and the one that it comes from deletes it.
+func TestGuestReturnsToAFormerHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHostedFleet(t, 2)
+		defer f.stop()
+		f.addMembers(1)
+		time.Sleep(time.Second)
+		f.hosts[0].setDown(true)
+		time.Sleep(LeaseTTL / 3)
+		f.hosts[0].setDown(false)
+		f.hosts[1].setDown(true)
+		time.Sleep(LeaseTTL / 3)
+		f.hosts[1].setDown(false)
+		f.wantAll(1, 3*LeaseTTL)
+	})
+}
+
+// Guards against a host that puts off its renewal whenever it has a guest to write, and
+// then turns all its guests away.
+func TestHostRenewsInTimeWhileGuestsJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHostedFleet(t, 1)
+		defer f.stop()
+		for i := range 30 {
+			f.addMembers(1)
+			time.Sleep(2*time.Second + time.Duration(i)*50*time.Millisecond)
+			h := f.hosts[0]
+			h.Host.mu.Lock()
+			age := time.Since(h.renewedAt)
+			h.Host.mu.Unlock()
+			if age > LeaseTTL/3+batchDelay {
+				t.Fatalf("the lease was last renewed %v ago", age)
+			}
+		}
+	})
+}
+
+// The store refuses one renewal. Guards against a host that waits for the next one, and
+// turns its guests away before.
+func TestRefusedRenewalIsRepeatedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHostedFleet(t, 2)
+		defer f.stop()
+		f.addMembers(20)
+		time.Sleep(time.Second)
+		f.store.callsSince()
+		f.store.setAway("host0", true)
+		time.Sleep(LeaseTTL/3 + minRetryDelay/2)
+		f.store.setAway("host0", false)
+		time.Sleep(LeaseTTL)
+		if calls := f.store.callsSince(); calls >= 1 {
+			t.Errorf("%.1f calls, so guests have moved", calls)
+		}
+	})
+}
+
+// The store gives a host no answer and executes its write after the guest has registered
+// elsewhere. Guards against a key that then vanishes with a lease that is not its host's,
+// or stays after its process has ended.
+func TestLateWriteOfAFormerHostIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHostedFleet(t, 2)
+		defer f.stop()
+		f.store.late["host0"] = true
+		f.addMembers(1)
+		time.Sleep(lateWrite + LeaseTTL/3 + time.Second)
+		f.hosts[0].kill()
+		f.wantAll(1, 2*LeaseTTL)
+		f.stops[0]()
+		time.Sleep(time.Second)
+		f.wantAll(0, time.Second)
+	})
+}
+
+// Guards against a guest that has given up and is then written over its key at the next
+// host, or stays listed.
+func TestAbandonedGuestIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &Host{Store: storeClient{newLeaseStore(), "host"}, Now: time.Now}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := h.Register(ctx, Request{Member: Member{Kind: Agent, Name: "a"}}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatal(err)
+		}
+		if batch := h.takeUnwritten(time.Now()); len(batch) != 0 {
+			t.Errorf("%d keys are to be written", len(batch))
+		}
+	})
+}
+
 // Guards against processes that stay listed after they ended, and against a host that
 // deletes the key of one that has registered elsewhere.
 func TestGoneGuestsAreDeregistered(t *testing.T) {
@@ -341,7 +446,7 @@
 			f := newHostedFleet(t, 1)
 			defer f.stop()
 			m := Member{Kind: Agent, Name: "dead"}
-			if err := f.hosts[0].Register(t.Context(), m, false); err != nil {
+			if err := f.hosts[0].Register(t.Context(), Request{Member: m}); err != nil {
 				t.Fatal(err)
 			}
 			time.Sleep(LeaseTTL - time.Second)
@@ -360,13 +465,13 @@
 			defer f.stop()
 			m := Member{Kind: Agent, Name: "moved"}
 			for _, h := range f.hosts {
-				if err := h.Register(t.Context(), m, false); err != nil {
+				if err := h.Register(t.Context(), Request{Member: m, Rewrite: true}); err != nil {
 					t.Fatal(err)
 				}
 			}
 			for range 8 {
 				time.Sleep(LeaseTTL / 3)
-				if err := f.hosts[1].Register(t.Context(), m, false); err != nil || !f.store.has(m.Key()) {
+				if err := f.hosts[1].Register(t.Context(), Request{Member: m}); err != nil || !f.store.has(m.Key()) {
 					t.Fatalf("%v, key in the store: %v", err, f.store.has(m.Key()))
 				}
 			}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -115,11 +115,21 @@
 	maxHostAttempts = 3
 )
 
+// Request asks a host to keep a member registered.
+type Request struct {
+	Member Member
+	// Verify asks the host to look whether its lease has expired.
+	Verify bool
+	// Rewrite asks it to write the key even if it has done so before, because others may
+	// have written it since.
+	Rewrite bool
+}
+
 // RegistrationHost is a Host as seen by a process that registers with it.
 type RegistrationHost interface {
-	// Register keeps a member registered for LeaseTTL from now. verify asks the host to
-	// look whether its lease has expired.
-	Register(ctx context.Context, m Member, verify bool) error
+	// Register keeps a member registered for LeaseTTL from now. The error is a
+	// RefusedError if the request had no effect.
+	Register(ctx context.Context, q Request) error
 	// Leave ends the registration of a member.
 	Leave(ctx context.Context, m Member) error
 }
@@ -184,6 +194,9 @@
 type registration struct {
 	host  RegistrationHost
 	lease platform.LeaseID
+	// uncertain reports that another host may still write the key: its lease would then
+	// decide when the key vanishes.
+	uncertain bool
 }
 
 // renew renews a registration, or makes a new one.
@@ -192,45 +205,59 @@
 		_, err := r.Store.KeepAlive(ctx, current.lease)
 		return current, err
 	}
-	if host := r.registerWithHost(ctx, current.host, verify); host != nil {
-		return registration{host: host}, nil
+	if next, ok := r.registerWithHost(ctx, current, verify); ok {
+		return next, nil
 	}
 	lease, err := r.register(ctx)
 	return registration{lease: lease}, err
 }
 
 // registerWithHost registers with the current host or, if that fails, with another one.
-// It returns nil if all that it tried failed.
-func (r *Registrar) registerWithHost(ctx context.Context, current RegistrationHost, verify bool) RegistrationHost {
+// It reports false if all that it tried failed.
+func (r *Registrar) registerWithHost(ctx context.Context, current registration, verify bool) (registration, bool) {
 	if r.Hosts == nil {
-		return nil
+		return registration{}, false
 	}
-	if current != nil && r.tryHost(ctx, current, verify) {
-		return current
+	uncertain := false
+	if current.host != nil {
+		q := Request{Member: r.Member(), Verify: verify, Rewrite: current.uncertain}
+		err := r.tryHost(ctx, current.host, q)
+		if err == nil {
+			return registration{host: current.host}, true
+		}
+		uncertain = mayBeWritten(q, err)
 	}
 	attempts := 0
 	for _, h := range r.Hosts(ctx) {
-		if h == current {
+		if h == current.host {
 			continue
 		}
-		if r.tryHost(ctx, h, verify) {
-			return h
+		q := Request{Member: r.Member(), Verify: verify, Rewrite: true}
+		err := r.tryHost(ctx, h, q)
+		if err == nil {
+			return registration{host: h, uncertain: uncertain}, true
 		}
+		uncertain = uncertain || mayBeWritten(q, err)
 		if attempts++; attempts == maxHostAttempts {
 			break
 		}
 	}
-	return nil
+	return registration{}, false
+}
+
+// mayBeWritten reports whether a host may still write the key after a request that failed.
+func mayBeWritten(q Request, err error) bool {
+	return platform.IsUnknown(err) || q.Rewrite && !IsRefused(err)
 }
 
-func (r *Registrar) tryHost(ctx context.Context, h RegistrationHost, verify bool) bool {
+func (r *Registrar) tryHost(ctx context.Context, h RegistrationHost, q Request) error {
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
-	err := h.Register(ctx, r.Member(), verify)
+	err := h.Register(ctx, q)
 	if err != nil {
 		r.reportFailure(err)
 	}
-	return err == nil
+	return err
 }
 
 // end ends a registration.
--- a/internal/frontend/register.go
+++ b/internal/frontend/register.go
@@ -55,9 +55,9 @@
 
 // Register implements fleet.RegistrationHost. Other processes learn that they may register
 // here.
-func (h localHost) Register(ctx context.Context, m fleet.Member, verify bool) error {
-	m.Host = true
-	return h.Host.Register(ctx, m, verify)
+func (h localHost) Register(ctx context.Context, q fleet.Request) error {
+	q.Member.Host = true
+	return h.Host.Register(ctx, q)
 }
 
 // Leave implements fleet.RegistrationHost. The host ends together with the registration.
@@ -117,10 +117,10 @@
 	if q.GetLeaving() {
 		err = s.frontend.host.Leave(ctx, m)
 	} else {
-		err = s.frontend.host.Register(ctx, m, q.GetVerify())
+		err = s.frontend.host.Register(ctx, fleet.Request{Member: m, Verify: q.GetVerify(), Rewrite: q.GetRewrite()})
 	}
 	if err != nil {
-		return nil, status.Error(codes.Unavailable, err.Error())
+		return nil, peer.RegisterStatus(err)
 	}
 	return &fleetpb.RegisterReply{}, nil
 }
--- a/internal/peer/register.go
+++ b/internal/peer/register.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
 // RegistrationHost is an entry that keeps other processes registered. It implements
@@ -15,10 +20,27 @@
 }
 
 // Register implements fleet.RegistrationHost.
-func (h RegistrationHost) Register(ctx context.Context, m fleet.Member, verify bool) error {
-	q := registerRequest(m)
-	q.Verify = verify
-	return h.send(ctx, q)
+func (h RegistrationHost) Register(ctx context.Context, q fleet.Request) error {
+	msg := registerRequest(q.Member)
+	msg.Verify, msg.Rewrite = q.Verify, q.Rewrite
+	err := h.send(ctx, msg)
+	switch status.Code(err) {
+	case codes.FailedPrecondition:
+		return &fleet.RefusedError{Reason: status.Convert(err).Message()}
+	case codes.Unknown:
+		return platform.NewUnknownOutcomeError(status.Convert(err).Message())
+	default:
+		return err
+	}
+}
+
+// RegisterStatus returns the status with which a host answers a request to register: it
+// was refused, or the key may have been written nevertheless.
+func RegisterStatus(err error) error {
+	if platform.IsUnknown(err) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return status.Error(codes.Unknown, err.Error())
+	}
+	return status.Error(codes.FailedPrecondition, err.Error())
 }
 
 // Leave implements fleet.RegistrationHost.
