Renew a host's lease through another entry when the store turns the host away

A lease may be renewed by anyone who knows it: the host asks up to three entries of its data centre, and the guests stay.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -72,6 +72,9 @@
 	// Self is the key of the process that runs the host. It may stay registered while the
 	// host refuses all others.
 	Self string
+	// RenewElsewhere, if set, asks other processes to renew a lease that the store does not
+	// renew for this one.
+	RenewElsewhere func(ctx context.Context, lease platform.LeaseID) error
 	// OnError, if set, is called with the error of each failed call.
 	OnError func(error)
 	Now     func() time.Time
@@ -190,8 +193,7 @@
 	if !ok || g.revision == 0 {
 		return nil
 	}
-	_, err := h.deleteKeys(ctx, []writtenKey{{key: m.Key(), revision: g.revision}})
-	return err
+	return h.deleteKeys(ctx, []writtenKey{{key: m.Key(), revision: g.revision}})
 }
 
 // Hosting reports whether the host has a lease and takes guests.
@@ -218,9 +220,7 @@
 		h.due.Wait(ctx, delay)
 		pause.For(ctx, batchDelay)
 		if err := h.update(ctx, h.Now()); err != nil && ctx.Err() == nil {
-			if h.OnError != nil {
-				h.OnError(err)
-			}
+			h.reportFailure(err)
 			delay = retryDelay
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
@@ -279,7 +279,7 @@
 	if lease == 0 || !due {
 		return nil
 	}
-	_, err := h.Store.KeepAlive(ctx, lease)
+	err := h.keepAlive(ctx, lease)
 	if platform.IsLeaseMissing(err) {
 		h.dropLease()
 		return nil
@@ -294,6 +294,23 @@
 	return nil
 }
 
+// keepAlive renews a lease, if need be through another process: the store may turn some
+// away and serve the others. Guests that moved would each be a write, all at once.
+func (h *Host) keepAlive(ctx context.Context, lease platform.LeaseID) error {
+	_, err := h.Store.KeepAlive(ctx, lease)
+	if err == nil || platform.IsLeaseMissing(err) || h.RenewElsewhere == nil || ctx.Err() != nil {
+		return err
+	}
+	h.reportFailure(err)
+	return h.RenewElsewhere(ctx, lease)
+}
+
+func (h *Host) reportFailure(err error) {
+	if h.OnError != nil {
+		h.OnError(err)
+	}
+}
+
 // dropLease records that the lease has expired, and with it all keys.
 func (h *Host) dropLease() {
 	h.mu.Lock()
@@ -404,11 +421,7 @@
 func (h *Host) removeGone(ctx context.Context, now time.Time) error {
 	h.collectGone(now)
 	for batch := h.firstGone(maxTxnKeys); len(batch) > 0; batch = h.firstGone(maxTxnKeys) {
-		deleted, err := h.deleteKeys(ctx, batch)
-		if err == nil && !deleted {
-			err = h.deleteSingly(ctx, batch)
-		}
-		if err != nil {
+		if err := h.deleteKeys(ctx, batch); err != nil {
 			return err
 		}
 		h.mu.Lock()
@@ -445,24 +458,24 @@
 	return slices.Clone(h.gone[:min(n, len(h.gone))])
 }
 
-// deleteSingly deletes those of several keys that are as the host wrote them.
-func (h *Host) deleteSingly(ctx context.Context, keys []writtenKey) error {
-	for _, w := range keys {
-		if _, err := h.deleteKeys(ctx, []writtenKey{w}); err != nil {
+// deleteKeys deletes those of several keys that are as the host wrote them. If others have
+// changed, the store says which, and the rest follows in another transaction.
+func (h *Host) deleteKeys(ctx context.Context, keys []writtenKey) error {
+	for len(keys) > 0 {
+		var t platform.Txn
+		for _, w := range keys {
+			t.If = append(t.If, platform.RevisionIs{Key: w.key, Revision: w.revision})
+			t.Then = append(t.Then, platform.Delete{Key: w.key})
+		}
+		reply, err := h.Store.Txn(ctx, t)
+		if err != nil || reply.Succeeded() {
 			return err
 		}
+		n := len(keys)
+		keys = slices.DeleteFunc(slices.Clone(keys), func(w writtenKey) bool { return reply.RevisionOf(w.key) != w.revision })
+		if len(keys) == n {
+			return platform.NewUnknownOutcomeError("the store refused to delete keys that are unchanged")
+		}
 	}
 	return nil
 }
-
-// deleteKeys deletes keys if all of them are as the host wrote them, and reports whether
-// they were.
-func (h *Host) deleteKeys(ctx context.Context, keys []writtenKey) (bool, error) {
-	var t platform.Txn
-	for _, w := range keys {
-		t.If = append(t.If, platform.RevisionIs{Key: w.key, Revision: w.revision})
-		t.Then = append(t.Then, platform.Delete{Key: w.key})
-	}
-	reply, err := h.Store.Txn(ctx, t)
-	return reply.Succeeded(), err
-}
--- a/internal/fleet/host_test.go
+++ b/internal/fleet/host_test.go
@@ -153,11 +153,17 @@
 		time.AfterFunc(lateWrite, func() { _, _ = c.Txn(context.Background(), t) })
 		return platform.TxnReply{}, platform.NewUnknownOutcomeError("no answer")
 	}
+	var current []platform.KeyValue
+	hold := true
 	for _, cond := range t.If {
-		if r, ok := cond.(platform.RevisionIs); ok && c.keys[r.Key].Revision() != r.Revision {
-			return platform.NewTxnReply(c.revision, false), nil
+		if r, ok := cond.(platform.RevisionIs); ok {
+			current = append(current, c.keys[r.Key])
+			hold = hold && c.keys[r.Key].Revision() == r.Revision
 		}
 	}
+	if !hold {
+		return platform.NewFailedTxnReply(current), nil
+	}
 	c.revision++
 	for _, op := range t.Then {
 		switch op := op.(type) {
@@ -248,6 +254,16 @@
 	}
 }
 
+// renewForEachOther makes the hosts renew the leases of others.
+func (f *hostedFleet) renewForEachOther() {
+	for i, h := range f.hosts {
+		h.RenewElsewhere = func(ctx context.Context, lease platform.LeaseID) error {
+			_, err := f.hosts[(i+1)%len(f.hosts)].Store.KeepAlive(ctx, lease)
+			return err
+		}
+	}
+}
+
 // addMembers starts n processes that register with the hosts.
 func (f *hostedFleet) addMembers(n int) {
 	for range n {
@@ -287,6 +303,72 @@
 	}
 }
 
+// The store turns a third of the hosts away for as long as a lease lasts. Guards against
+// guests that all move, each of them a write.
+func TestGuestsStayWhileTheStoreTurnsTheirHostAway(t *testing.T) {
+	for _, n := range []int{36, 107, 532, 1064} {
+		synctest.Test(t, func(t *testing.T) {
+			hosts := 3 * (1 + n/120)
+			f := newHostedFleet(t, hosts)
+			defer f.stop()
+			f.renewForEachOther()
+			for range n {
+				f.addMembers(1)
+				time.Sleep(LeaseTTL / 3 / time.Duration(n)) // guests ask again at different times
+			}
+			time.Sleep(time.Second)
+			f.store.callsSince()
+			for i := 0; i < hosts; i += 3 {
+				f.store.setAway(fmt.Sprint("host", i), true)
+			}
+			f.wantAll(n, LeaseTTL)
+			for i := 0; i < hosts; i += 3 {
+				f.store.setAway(fmt.Sprint("host", i), false)
+			}
+			f.wantAll(n, LeaseTTL)
+			if calls, most := f.store.callsSince(), 1.2*float64(hosts); calls > most {
+				t.Errorf("%d processes: %.1f calls, want at most %.1f", n, calls, most)
+			}
+		})
+	}
+}
+
+// Guests of one host move to others, and some end. Guards against a transaction for each
+// key that is to be deleted, and against keys that stay.
+func TestKeysOfFormerGuestsAreDeletedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 30
+		store := newLeaseStore()
+		h, other := &Host{Store: storeClient{store, "host"}, Now: time.Now}, storeClient{store, "other"}
+		f := &hostedFleet{t: t, store: store}
+		defer f.start(h.Run)()
+		var registered []func()
+		for i := range n {
+			registered = append(registered, f.start(func(ctx context.Context) error {
+				return h.Register(ctx, Request{Member: Member{Kind: Agent, Name: fmt.Sprint(i)}})
+			}))
+		}
+		time.Sleep(time.Second)
+		for i, done := range registered {
+			done()
+			if i%3 == 0 {
+				key := Member{Kind: Agent, Name: fmt.Sprint(i)}.Key()
+				if _, err := other.Txn(t.Context(), platform.Txn{Then: []platform.Op{platform.Delete{Key: key}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		store.callsSince()
+		time.Sleep(2 * LeaseTTL)
+		if left := store.count(); left != 0 {
+			t.Errorf("%d keys are left", left)
+		}
+		if calls := store.callsSince(); calls > 3 {
+			t.Errorf("%.1f calls to delete %d keys", calls, n)
+		}
+	})
+}
+
 // Guards against calls to the store, and writes while a fleet starts, that grow with the
 // processes and not with the hosts.
 func TestHostsRegisterManyProcessesWithFewCalls(t *testing.T) {
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// Guards against a lease that expires because the store turns its holder away, and against
+// one that has expired and is taken for renewed.
+func TestLeaseIsRenewedByAnotherEntry(t *testing.T) {
+	s := newSystem(t, 1)
+	entries := s.startEntries(3)
+	const ttl = time.Second
+	lease, err := entries[0].store.Grant(t.Context(), ttl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(2 * ttl); time.Now().Before(end); time.Sleep(ttl / 5) {
+		if err := entries[0].renewElsewhere(t.Context(), lease); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := entries[1].store.Revoke(t.Context(), lease); err != nil {
+		t.Fatal(err)
+	}
+	if err := entries[0].renewElsewhere(t.Context(), lease); !kv.IsLeaseMissing(err) {
+		t.Errorf("%v, want that the lease does not exist", err)
+	}
+}
+
 // Twelve entries exchange work reports through one of them, which stops. Guards
 // against entries that know only of their own work from then on, and overload engines
 // that others have filled.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -208,7 +208,7 @@
 		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Freshness: &f.freshness,
 	}
 	f.aloneUntil = now.Add(rand.N(cmp.Or(f.MaxHostWait, maxHostWait)))
-	f.host = &fleet.Host{Store: f.store, OnError: f.callFailed, Now: boottime.Now}
+	f.host = &fleet.Host{Store: f.store, RenewElsewhere: f.renewElsewhere, OnError: f.callFailed, Now: boottime.Now}
 	f.workReporter = newWorkReporter(f)
 	f.state.OnChange = f.workReporter.changed.Raise
 	f.state.Init(now)
--- a/internal/frontend/register.go
+++ b/internal/frontend/register.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -15,6 +16,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
 const (
@@ -27,6 +29,10 @@
 	// discoveryInterval the mean time between two lists of the store's entries.
 	hostPollInterval  = 20 * time.Millisecond
 	discoveryInterval = 150 * time.Millisecond
+	// renewalAttempts is the number of entries that are asked to renew a lease, and
+	// renewalTimeout bounds each request.
+	renewalAttempts = 3
+	renewalTimeout  = 300 * time.Millisecond
 )
 
 // member describes this entry to the fleet.
@@ -42,7 +48,7 @@
 func (f *Frontend) registrationHosts(ctx context.Context) []fleet.RegistrationHost {
 	f.awaitOtherEntry(ctx)
 	var out []fleet.RegistrationHost
-	for _, m := range fleet.HostCandidates(slices.Collect(maps.Values(f.members.all())), f.Settings.DataCentre, f.Settings.Name) {
+	for _, m := range f.hostCandidates() {
 		if m.Host {
 			out = append(out, peer.RegistrationHost{Conns: f.peerConns, Host: m})
 		}
@@ -50,6 +56,29 @@
 	return append(out, localHost{f.host})
 }
 
+// renewElsewhere asks other entries of the data centre to renew a lease.
+func (f *Frontend) renewElsewhere(ctx context.Context, lease kv.LeaseID) error {
+	var err error = kv.NewNotSentError("no other entry of the data centre is known")
+	candidates := f.hostCandidates()
+	for _, m := range candidates[:min(renewalAttempts, len(candidates))] {
+		if err = f.renewThrough(ctx, m, lease); err == nil || kv.IsLeaseMissing(err) {
+			f.Log.WithFields(logrus.Fields{"entry": m.Name, "expired": err != nil}).Info("lease renewed by another entry")
+			return err
+		}
+	}
+	return err
+}
+
+func (f *Frontend) renewThrough(ctx context.Context, m fleet.Member, lease kv.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, renewalTimeout)
+	defer cancel()
+	return peer.RegistrationHost{Conns: f.peerConns, Host: m}.RenewLease(ctx, lease)
+}
+
+func (f *Frontend) hostCandidates() []fleet.Member {
+	return fleet.HostCandidates(slices.Collect(maps.Values(f.members.all())), f.Settings.DataCentre, f.Settings.Name)
+}
+
 // localHost is the host in this process.
 type localHost struct{ *fleet.Host }
 
@@ -104,6 +133,15 @@
 	}
 }
 
+// RenewLease implements fleetpb.EntryServer.
+func (s *service) RenewLease(ctx context.Context, q *fleetpb.RenewLeaseRequest) (*fleetpb.RenewLeaseReply, error) {
+	_, err := s.frontend.store.KeepAlive(ctx, kv.LeaseID(q.GetLease()))
+	if err != nil && !kv.IsLeaseMissing(err) {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &fleetpb.RenewLeaseReply{Missing: err != nil}, nil
+}
+
 // Register implements fleetpb.EntryServer.
 func (s *service) Register(ctx context.Context, q *fleetpb.RegisterRequest) (*fleetpb.RegisterReply, error) {
 	m := fleet.Member{
--- a/internal/peer/register.go
+++ b/internal/peer/register.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// RenewLease asks the entry to renew a lease. platform.IsLeaseMissing reports whether the
+// error is that it does not exist.
+func (h RegistrationHost) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+	conn, err := h.Conns.Get(h.Host.Address)
+	if err != nil {
+		return err
+	}
+	reply, err := fleetpb.NewEntryClient(conn).RenewLease(ctx, &fleetpb.RenewLeaseRequest{Lease: int64(lease)})
+	if err == nil && reply.GetMissing() {
+		return platform.NewRejectedError("the lease does not exist", true)
+	}
+	return err
+}
+
 // RegisterStatus returns the status with which a host answers a request to register: it
 // was refused, or the key may have been written nevertheless.
 func RegisterStatus(err error) error {
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -65,6 +65,7 @@
 	revision  int64
 	succeeded bool
 	ops       []OpReply
+	current   []KeyValue
 }
 
 // Revision returns the service's revision after the transaction.
@@ -77,6 +78,17 @@
 // Ops returns the replies to the executed operations, in order.
 func (r TxnReply) Ops() []OpReply { return r.ops }
 
+// RevisionOf returns the revision of the last change of a key named by a condition, if the
+// conditions did not hold and the store says so. It is 0 if the key does not exist.
+func (r TxnReply) RevisionOf(key string) int64 {
+	for _, kv := range r.current {
+		if kv.key == key {
+			return kv.revision
+		}
+	}
+	return 0
+}
+
 // TxnReplyFrom converts a TxnResponse message.
 func TxnReplyFrom(p *etcdpb.TxnResponse) TxnReply {
 	r := TxnReply{
@@ -133,3 +145,7 @@
 func NewTxnReply(revision int64, succeeded bool) TxnReply {
 	return TxnReply{revision: revision, succeeded: succeeded}
 }
+
+// NewFailedTxnReply returns the reply to a transaction whose conditions did not hold. current
+// holds the keys that they name as they are in the store.
+func NewFailedTxnReply(current []KeyValue) TxnReply { return TxnReply{current: current} }
