--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -117,6 +117,7 @@
 	fleetRuns    atomic.Bool
 	workReporter *workReporter
 	hub          hub
+	hubLoad      hubLoad
 	// storeCopy holds what was received from the store, to be passed to other entries,
 	// and sourceSelector selects the entry from which updates are requested. transfer
 	// holds the pages of the complete state that have been received. Only the mirror's
--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
@@ -25,6 +28,11 @@
 	// is: bandwidth to them is expensive, and load reports of engines make up for the
 	// delay.
 	remoteIntervalFactor = 4
+	// hubLineShare is the share of its line's bytes a second that a hub may use for reports
+	// to its data centre before it warns, and hubWarningInterval the shortest time between
+	// two warnings.
+	hubLineShare       = 0.5
+	hubWarningInterval = time.Minute
 )
 
 // hub collects the work reports of entries and forwards them to the other entries of
@@ -146,8 +154,9 @@
 		now := boottime.Now()
 		to := f.workReporter.peers()
 		interval := forwardInterval(len(to.subgroup))
-		f.workReporter.forward(ctx, to.subgroup, f.hub.takeLocal(now), fleetpb.Passing_NOBODY)
-		f.workReporter.forward(ctx, to.near, f.hub.takeNear(now), fleetpb.Passing_SUBGROUP)
+		sent := f.workReporter.forward(ctx, to.subgroup, f.hub.takeLocal(now), fleetpb.Passing_NOBODY)
+		sent += f.workReporter.forward(ctx, to.near, f.hub.takeNear(now), fleetpb.Passing_SUBGROUP)
+		f.warnOfHubLoad(sent, interval, now)
 		if now.Sub(lastRemote) >= remoteIntervalFactor*interval {
 			lastRemote = now
 			f.workReporter.forward(ctx, to.remote, f.hub.takeRemote(now), fleetpb.Passing_SUBGROUP)
@@ -161,15 +170,44 @@
 	return nil
 }
 
-// forward sends reports to entries, which pass them on as to says.
-func (r *workReporter) forward(ctx context.Context, entries []fleet.Member, works []*fleetpb.EntryWork, to fleetpb.Passing) {
+// forward sends reports to entries, which pass them on as to says. It returns the number of
+// bytes of all messages.
+func (r *workReporter) forward(ctx context.Context, entries []fleet.Member, works []*fleetpb.EntryWork, to fleetpb.Passing) int {
 	if len(works) == 0 {
-		return
+		return 0
 	}
 	q := &fleetpb.WorkRequest{Entries: works, To: to}
 	for _, m := range entries {
 		r.send(ctx, m, q)
 	}
+	return len(entries) * proto.Size(q)
+}
+
+// warnOfHubLoad logs that the fleet is larger than this entry can forward reports for, given
+// the bytes sent in a round and the time until the next one.
+func (f *Frontend) warnOfHubLoad(sent int, interval time.Duration, now time.Time) {
+	rate, warn := f.hubLoad.observe(sent, interval, f.Settings.LineRate, now)
+	if warn {
+		f.Log.WithFields(logrus.Fields{
+			"bytesPerSecond": int(rate), "lineBytesPerSecond": int(f.Settings.LineRate), "entries": f.members.count(), "limit": "hubLineShare",
+		}).Warn("reports need more of the line than a hub may use")
+	}
+}
+
+// hubLoad decides when a hub warns of the rate at which it sends.
+type hubLoad struct {
+	warnedAt time.Time
+}
+
+// observe returns the rate, in bytes a second, at which a hub sends if it sends so many bytes
+// each interval, and whether to warn of it. lineRate is in bytes a second, 0 if unknown.
+func (l *hubLoad) observe(sent int, interval time.Duration, lineRate float64, now time.Time) (rate float64, warn bool) {
+	rate = float64(sent) / interval.Seconds()
+	if lineRate == 0 || rate <= hubLineShare*lineRate || now.Sub(l.warnedAt) < hubWarningInterval {
+		return rate, false
+	}
+	l.warnedAt = now
+	return rate, true
 }
 
 // Work implements fleetpb.EntryServer.
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -152,3 +152,28 @@
 		t.Error("the process does not recheck its own lease")
 	}
 }
+
+// Guards against a fleet that outgrows its hubs unnoticed: knowledge of others' work then
+// only gets older.
+func TestHubWarnsBeforeItsLineIsFull(t *testing.T) {
+	const lineRate = 5e6
+	var l hubLoad
+	start := time.Now()
+	for _, c := range []struct {
+		sent  int
+		after time.Duration
+		warn  bool
+	}{
+		{sent: 1e6, warn: false},
+		{sent: 3e6, warn: true},
+		{sent: 3e6, after: time.Second, warn: false},
+		{sent: 3e6, after: 2 * hubWarningInterval, warn: true},
+	} {
+		if _, warn := l.observe(c.sent, time.Second, lineRate, start.Add(c.after)); warn != c.warn {
+			t.Errorf("%d bytes a second after %v: warning %v", c.sent, c.after, warn)
+		}
+	}
+	if _, warn := (&hubLoad{}).observe(1e9, time.Second, 0, start); warn {
+		t.Error("a warning though the line's rate is unknown")
+	}
+}
--- a/internal/ranker/delegate.go
+++ b/internal/ranker/delegate.go
@@ -77,6 +77,10 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout(req.GetPrepare() != nil)/2)
 	defer cancel()
 	order := addressed.GetOrder()
+	if order == nil {
+		s.ranker.Log.WithField("agent", addressed.GetTarget().GetAgent()).Warn("message without an order ignored")
+		return &fleetpb.GiveReply{Status: uint32(lockstep.Unknown)}
+	}
 	order.Token = req.GetToken()
 	if order.GetPrepare() != nil {
 		order.Order = &fleetpb.GiveRequest_Prepare{Prepare: req.GetPrepare()}
