--- a/internal/fleet/readers/choice_test.go
+++ b/internal/fleet/readers/choice_test.go
@@ -182,3 +182,38 @@
 		}
 	}
 }
+
+// Guards against processes that start together and leave a source which is still receiving
+// the state: all of them then move from one source to the next, or ask the store.
+func TestSourceThatIsStartingIsKept(t *testing.T) {
+	now := time.Now()
+	names := newSimulation(107).names
+	for _, name := range names {
+		s := SourceSelector{Self: name}
+		source := s.Source(names, now)
+		if source == "" {
+			continue // the reader
+		}
+		s.NoteAnswer(source, Starting, now)
+		if next := s.Source(names, now); next != source {
+			t.Errorf("%s leaves %s for %q", name, source, next)
+		}
+	}
+}
+
+// Guards against followers that stay with a source whose own transfer has stopped, or that
+// can't reach the store.
+func TestStartingEndsWithoutProgress(t *testing.T) {
+	now := time.Now()
+	var f Freshness
+	f.NoteProgress(now)
+	for after, want := range map[time.Duration]Outcome{startupPatience / 2: Starting, startupPatience: NotCurrent} {
+		if got := f.AnswerWithoutState(now.Add(after)); got != want {
+			t.Errorf("after %v: %v, want %v", after, got, want)
+		}
+	}
+	f.NoteFailure()
+	if got := f.AnswerWithoutState(now); got != StoreLost {
+		t.Errorf("without the store: %v, want %v", got, StoreLost)
+	}
+}
