Cache the lists of all groups, however many they are

Cause: an entry and a delegate cached 16 lists of engines and dropped all when a 17th came. Loads are told ten times a second for each group by the hash of its list, so from 17 groups on lists were unknown at each second message: a leader's report was lost, and each forwarded one was sent twice. Lists are dropped after 5 s without a message, and the least recently used ones beyond 65,536 targets (the target's 12,000 engines, twice, before and after a change, are 48,000). Mutants: a cache of 16 times 12 targets fails at 83 groups, without a renewed time of use the bounded one drops lists in use.

--- a/internal/fleet/lists_test.go
+++ b/internal/fleet/lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 )
@@ -15,21 +16,57 @@
 		t.Fatal("different lists have the same hash, or one list has different hashes")
 	}
 	l := &TargetLists{}
-	hash := TargetListHash(one)
-	if l.Resolve(hash, nil) != nil {
+	hash, now := TargetListHash(one), time.Now()
+	if l.Resolve(hash, nil, now) != nil {
 		t.Error("a list that was never received is found")
 	}
-	if got := l.Resolve(hash, one); len(got) != 1 {
+	if got := l.Resolve(hash, one, now); len(got) != 1 {
 		t.Error("a received list isn't returned")
 	}
-	if got := l.Resolve(hash, nil); len(got) != 1 || got[0] != one[0] {
+	if got := l.Resolve(hash, nil, now); len(got) != 1 || got[0] != one[0] {
 		t.Error("a list received earlier isn't found")
 	}
-	for i := range uint64(2 * maxLists) {
-		l.Resolve(i, one)
+}
+
+// Groups of 12 ranks send messages ten times a second. Guards against lists that are
+// requested again because there are many groups.
+func TestListsOfAllGroupsStayCached(t *testing.T) {
+	for _, groups := range []int{16, 83, 250, 1000, 2000} {
+		l, now := &TargetLists{}, time.Now()
+		for round := range 20 {
+			for g := range groups {
+				now = now.Add(100 * time.Millisecond / time.Duration(groups))
+				var targets []*fleetpb.Target
+				if round == 0 {
+					targets = make([]*fleetpb.Target, 12)
+				}
+				if l.Resolve(uint64(g), targets, now) == nil {
+					t.Fatalf("%d groups: round %d: the list of group %d is unknown", groups, round, g)
+				}
+			}
+		}
+	}
+}
+
+// Guards against memory that grows as the members of groups change, and against the lists
+// in use being dropped for that.
+func TestCachedListsAreBounded(t *testing.T) {
+	const inUse = 1 << 40
+	l, now := &TargetLists{}, time.Now()
+	l.Resolve(inUse, make([]*fleetpb.Target, 129), now)
+	for i := range uint64(3000) {
+		now = now.Add(time.Millisecond)
+		l.Resolve(i, make([]*fleetpb.Target, 129), now)
+		if l.Resolve(inUse, nil, now) == nil {
+			t.Fatalf("after %d others a list in use is unknown", i)
+		}
+		if l.targets > maxCachedTargets {
+			t.Fatalf("%d targets are cached", l.targets)
+		}
 	}
-	if len(l.byHash) > maxLists {
-		t.Errorf("%d lists are cached", len(l.byHash))
+	l.Resolve(0, make([]*fleetpb.Target, 1), now.Add(2*listRetention))
+	if l.targets != 1 || len(l.byHash) != 1 {
+		t.Errorf("%d targets of %d lists are cached though one list is in use", l.targets, len(l.byHash))
 	}
 }
 
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -16,7 +16,7 @@
 func (s *service) Loads(ctx context.Context, q *fleetpb.LoadsRequest) (*fleetpb.LoadsReply, error) {
 	f := s.frontend
 	now := boottime.Now()
-	targets := f.targetLists.Resolve(q.GetList(), q.GetTargets())
+	targets := f.targetLists.Resolve(q.GetList(), q.GetTargets(), now)
 	if targets == nil {
 		return &fleetpb.LoadsReply{UnknownList: true}, nil
 	}
--- a/internal/ranker/delegate.go
+++ b/internal/ranker/delegate.go
@@ -37,9 +37,9 @@
 
 // Gather implements fleetpb.AgentServer.
 func (s *service) Gather(ctx context.Context, req *fleetpb.GatherRequest) (*fleetpb.GatherReply, error) {
-	d := s.ranker.delegate
-	s.ranker.noteLeader(req.GetLeader(), boottime.Now())
-	targets := d.targetLists.Resolve(req.GetList(), req.GetTargets())
+	d, now := s.ranker.delegate, boottime.Now()
+	s.ranker.noteLeader(req.GetLeader(), now)
+	targets := d.targetLists.Resolve(req.GetList(), req.GetTargets(), now)
 	if targets == nil {
 		return &fleetpb.GatherReply{UnknownList: true}, nil
 	}
