Ask the store for the state after one listed entry has not given it

So an entry loses time at its start, by two things. Where others are registered, those listed in its data centre may be gone: it asked them one after the other, 0.75 s each. It waits 0.15 s for the first one now, and asks the store next. Where none are, it waits for the first one up to 2 s; that wait is left as it is: without it each of 532 entries reads the complete state, three calls each.

--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -25,6 +25,9 @@
 	// nothing to report. Such an entry answers immediately, so requests without a delay
 	// would form a busy loop.
 	unavailableRetryDelay = 200 * time.Millisecond
+	// firstAnswerTimeout bounds the first request of an entry that starts while others are
+	// registered. Those that run answer in milliseconds.
+	firstAnswerTimeout = 150 * time.Millisecond
 	// followPageBytes is the size from which on an answer to another entry is divided,
 	// in bytes. All followers of an entry together get a page each within a fraction of
 	// the time for which they wait, also over a line of some ten Mbit/s.
@@ -43,7 +46,10 @@
 	for ctx.Err() == nil {
 		local := f.members.inDataCentre(f.Settings.DataCentre)
 		name := f.sourceSelector.Source(names(local), boottime.Now())
-		if name == "" && !known {
+		switch {
+		case !known && f.storeNext:
+			name, f.storeNext = "", false
+		case !known && name == "":
 			name = f.firstSource()
 		}
 		f.setSource(name)
@@ -58,6 +64,7 @@
 		f.sourceAddress = local[name].Address
 		f.sourceSelector.NoteAnswer(name, outcome, boottime.Now())
 		f.sourceMetrics.countWithoutUpdate(outcome)
+		f.storeNext = !known && outcome != readers.Fresh && f.fleetRuns.Load()
 		switch {
 		case outcome == readers.Fresh:
 			if u, ok := f.transfer.Add(page); ok {
@@ -102,14 +109,18 @@
 // requestUpdate requests an update, or the next page of the complete state, from one
 // entry.
 func (f *Frontend) requestUpdate(ctx context.Context, addr string, revision int64, known bool) (mirror.Page, readers.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, readers.MaxFollowWait+followTimeoutMargin)
+	next := f.transfer.Request(revision, known, followPageBytes)
+	timeout := readers.MaxFollowWait + followTimeoutMargin
+	if !known && next.AfterKey == "" && f.fleetRuns.Load() {
+		timeout = firstAnswerTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := f.peerConns.Get(addr)
 	if err != nil {
 		return mirror.Page{}, readers.NoAnswer, err
 	}
 	sent := boottime.Now()
-	next := f.transfer.Request(revision, known, followPageBytes)
 	p, err := fleetpb.NewEntryClient(conn).Follow(ctx, &fleetpb.FollowRequest{
 		After: next.After, Known: next.Known, AfterKey: next.AfterKey, Whole: next.Complete, WaitMicros: uint64(readers.MaxFollowWait.Microseconds()), DocumentRevision: f.newestKnownDocument(),
 		Asker: f.Settings.Name,
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
@@ -11,12 +12,14 @@
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -77,6 +80,28 @@
 	}
 }
 
+// A data centre has lost power, and the store still lists its entries. Guards against an
+// entry that starts there and asks them for the state one after the other, so that it serves
+// nobody for seconds.
+func TestEntryStartsThoughThoseListedAreGone(t *testing.T) {
+	s := newSystem(t, 1)
+	s.maxHostWait = time.Hour
+	gone, addr := newLine(t, s.store.Addr())
+	gone.Set(line.Mute)
+	for i := range 40 {
+		m := fleet.Member{Kind: fleet.Entry, Name: fmt.Sprint("gone", i), DataCentre: "a", Address: addr, Host: true}
+		value, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.store.Put(m.Key(), value)
+	}
+	e := s.start("entry", s.store.Addr())
+	if n := strings.Count(e.log.Text(), "entry did not return store updates"); n > 1 {
+		t.Errorf("%d entries that are gone were asked before the store", n)
+	}
+}
+
 // Guards against a lease that expires because the store turns its holder away, and against
 // one that has expired and is taken for renewed.
 func TestLeaseIsRenewedByAnotherEntry(t *testing.T) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -121,7 +121,7 @@
 	// storeCopy holds what was received from the store, to be passed to other entries,
 	// and sourceSelector selects the entry from which updates are requested. transfer
 	// holds the pages of the complete state that have been received. Only the mirror's
-	// goroutine uses sourceSelector and the fields from transfer to storeLostByPeer. Once hasSource is set, source and sourceAddress identify the
+	// goroutine uses sourceSelector and the fields from transfer to storeLostByPeer and storeNext. Once hasSource is set, source and sourceAddress identify the
 	// entry asked last; an empty source is the store. sourceOrigin is the entry that
 	// received the source's updates directly from the store. storeRecovered is the time
 	// of the last recovery of the store that other entries reported.
@@ -131,11 +131,14 @@
 	transfer       mirror.Transfer
 	// firstSourceTried reports that firstSource has returned an entry, or found none.
 	firstSourceTried bool
-	source           string
-	sourceAddress    string
-	sourceOrigin     string
-	hasSource        bool
-	storeRecovered   time.Time
+	// storeNext reports that this entry has no state yet, though others are registered,
+	// and that the one which it asked for it has failed: the store is asked next.
+	storeNext      bool
+	source         string
+	sourceAddress  string
+	sourceOrigin   string
+	hasSource      bool
+	storeRecovered time.Time
 	// storeLostByPeer reports that the store did not answer another entry; the store's
 	// next answer to this entry then counts as its recovery. Endpoints whose store
 	// entries expired in an outage are retained for a while after it, but an entry that
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -67,6 +68,8 @@
 	endpoints []*standin.Endpoint
 	// dial, when set, opens the entries' connections to each other.
 	dial func(ctx context.Context, addr string) (net.Conn, error)
+	// maxHostWait, when set, is the MaxHostWait of entries.
+	maxHostWait time.Duration
 }
 
 func newSystem(t *testing.T, endpoints int) *system {
@@ -109,7 +112,7 @@
 			},
 			CallerAddress: local, ReadyAddress: local, LineRate: 5e6,
 		},
-		Log: process.NewBoundedLog(name, "a"), MaxHostWait: time.Millisecond,
+		Log: process.NewBoundedLog(name, "a"), MaxHostWait: cmp.Or(s.maxHostWait, time.Millisecond),
 	}
 	logOutput := &logs.Log{}
 	f.Output = logOutput
