--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -38,18 +38,21 @@
 
 // The reasons for which a host refuses to register a process.
 var (
-	errHostFull    = &RefusedError{Reason: "fleet: the host has as many guests as it may have"}
-	errHostStopped = &RefusedError{Reason: "fleet: the host is about to stop"}
-	errNotRenewed  = &RefusedError{Reason: "fleet: the host can't renew its lease"}
+	errHostFull    = NewRefusedError("fleet: the host has as many guests as it may have")
+	errHostStopped = NewRefusedError("fleet: the host is about to stop")
+	errNotRenewed  = NewRefusedError("fleet: the host can't renew its lease")
 )
 
 // RefusedError says that a host did not register a process: no key was written for the
 // request, nor will one be.
 type RefusedError struct {
-	Reason string
+	reason string
 }
 
-func (e *RefusedError) Error() string { return e.Reason }
+// NewRefusedError returns a RefusedError with the reason for which the host refused.
+func NewRefusedError(reason string) *RefusedError { return &RefusedError{reason: reason} }
+
+func (e *RefusedError) Error() string { return e.reason }
 
 // IsRefused reports whether err says that a request to register had no effect.
 func IsRefused(err error) bool {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -121,10 +121,11 @@
 	// storeCopy holds what was received from the store, to be passed to other entries,
 	// and sourceSelector selects the entry from which updates are requested. transfer
 	// holds the pages of the complete state that have been received. Only the mirror's
-	// goroutine uses sourceSelector and the fields from transfer to storeLostByPeer and storeNext. Once hasSource is set, source and sourceAddress identify the
-	// entry asked last; an empty source is the store. sourceOrigin is the entry that
-	// received the source's updates directly from the store. storeRecovered is the time
-	// of the last recovery of the store that other entries reported.
+	// goroutine uses sourceSelector and the fields from transfer to storeLostByPeer. Once
+	// hasSource is set, source and sourceAddress identify the entry asked last; an empty
+	// source is the store. sourceOrigin is the entry that received the source's updates
+	// directly from the store. storeRecovered is the time of the last recovery of the
+	// store that other entries reported.
 	storeCopy      mirror.Copy
 	sourceSelector readers.SourceSelector
 	sourceMetrics  sourceMetrics
--- a/internal/peer/register.go
+++ b/internal/peer/register.go
@@ -26,7 +26,7 @@
 	err := h.send(ctx, msg)
 	switch status.Code(err) {
 	case codes.FailedPrecondition:
-		return &fleet.RefusedError{Reason: status.Convert(err).Message()}
+		return fleet.NewRefusedError(status.Convert(err).Message())
 	case codes.Unknown:
 		return platform.NewUnknownOutcomeError(status.Convert(err).Message())
 	default:
