--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -40,7 +41,7 @@
 	cutCause *result.Error
 	cancel   context.CancelFunc
 	// writable receives a signal when pending falls.
-	writable chan struct{}
+	writable wake.Signal
 	// lastDone is closed when the newest request of the connection has been answered.
 	lastDone chan struct{}
 	// unparsedBytes counts the bytes received since the last complete request.
@@ -78,7 +79,7 @@
 func (c *conn) addUnparsed(n int) int { return int(c.unparsedBytes.Add(int64(n))) }
 
 func newConn(s *Server, netConn *nbio.Conn) *conn {
-	c := &conn{server: s, netConn: netConn, writable: make(chan struct{}, 1), lastDone: make(chan struct{})}
+	c := &conn{server: s, netConn: netConn, lastDone: make(chan struct{})}
 	close(c.lastDone)
 	return c
 }
@@ -141,7 +142,7 @@
 	if c.cancel != nil {
 		c.cancel()
 	}
-	c.notifyWritable()
+	c.writable.Raise()
 }
 
 // markWritten subtracts n sent bytes from pending. The bytes of a TLS handshake are never added to
@@ -153,7 +154,7 @@
 	c.pending -= n
 	c.progressAt = now
 	c.server.memory.release(n)
-	c.notifyWritable()
+	c.writable.Raise()
 }
 
 // addPending adds n bytes to pending, for which memory was acquired. It returns an error, and
@@ -184,13 +185,6 @@
 	}
 }
 
-func (c *conn) notifyWritable() {
-	select {
-	case c.writable <- struct{}{}:
-	default:
-	}
-}
-
 // waitPendingBelow blocks until fewer than limit bytes are pending. It cuts the connection off if
 // the caller reads nothing for the server's StallTimeout. It returns an error if the connection is
 // closed, or if ctx is done first.
@@ -210,27 +204,12 @@
 			c.cut(result.Newf(result.CallerStalled, "nothing read for %v", c.server.StallTimeout), now)
 			continue
 		}
-		if err := c.awaitWritable(ctx, stallAt.Sub(now)); err != nil {
-			return err
+		if !c.writable.Wait(ctx, stallAt.Sub(now)) && ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
 }
 
-// awaitWritable waits until pending falls, at most for d. It returns an error if ctx is done
-// first.
-func (c *conn) awaitWritable(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.writable:
-		return nil
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // write sends b to the caller. It blocks while maxPendingBytes or more are pending, or while the
 // server holds as many bytes for all callers as it may.
 func (c *conn) write(ctx context.Context, w net.Conn, b []byte) error {
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -175,7 +175,7 @@
 	c.cutCause = cause
 	cutOff := CutOff{Cause: cause, Held: c.pending, Stalled: now.Sub(c.progressAt)}
 	c.releasePending()
-	c.notifyWritable()
+	c.writable.Raise()
 	c.mu.Unlock()
 	if c.server.OnCutOff != nil {
 		c.server.OnCutOff(cutOff)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -219,25 +219,23 @@
 		return registration{}, false
 	}
 	uncertain := false
-	if current.host != nil {
-		q := Request{Member: r.Member(), Verify: verify, Rewrite: current.uncertain}
-		err := r.tryHost(ctx, current.host, q)
-		if err == nil {
-			return registration{host: current.host}, true
-		}
-		uncertain = mayBeWritten(q, err)
+	try := func(h RegistrationHost, rewrite bool) bool {
+		q := Request{Member: r.Member(), Verify: verify, Rewrite: rewrite}
+		err := r.tryHost(ctx, h, q)
+		uncertain = uncertain || err != nil && mayBeWritten(q, err)
+		return err == nil
+	}
+	if current.host != nil && try(current.host, current.uncertain) {
+		return registration{host: current.host}, true
 	}
 	attempts := 0
 	for _, h := range r.Hosts(ctx) {
 		if h == current.host {
 			continue
 		}
-		q := Request{Member: r.Member(), Verify: verify, Rewrite: true}
-		err := r.tryHost(ctx, h, q)
-		if err == nil {
+		if try(h, true) {
 			return registration{host: h, uncertain: uncertain}, true
 		}
-		uncertain = uncertain || mayBeWritten(q, err)
 		if attempts++; attempts == maxHostAttempts {
 			break
 		}
@@ -290,12 +288,13 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(r.Member())
+	m := r.Member()
+	value, err := json.Marshal(m)
 	if err != nil {
 		return 0, err
 	}
 	_, err = r.Store.Txn(ctx, platform.Txn{Then: []platform.Op{
-		platform.Put{Key: r.Member().Key(), Value: value, Lease: lease},
+		platform.Put{Key: m.Key(), Value: value, Lease: lease},
 	}})
 	if err != nil {
 		return 0, err
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
-	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
@@ -99,7 +96,7 @@
 		return ""
 	}
 	f.firstSourceTried = true
-	candidates := fleet.HostCandidates(slices.Collect(maps.Values(f.members.all())), f.Settings.DataCentre, f.Settings.Name)
+	candidates := f.hostCandidates()
 	if len(candidates) == 0 || !candidates[0].Host {
 		return ""
 	}
--- a/internal/peer/register.go
+++ b/internal/peer/register.go
@@ -37,11 +37,11 @@
 // RenewLease asks the entry to renew a lease. platform.IsLeaseMissing reports whether the
 // error is that it does not exist.
 func (h RegistrationHost) RenewLease(ctx context.Context, lease platform.LeaseID) error {
-	conn, err := h.Conns.Get(h.Host.Address)
+	client, err := h.client()
 	if err != nil {
 		return err
 	}
-	reply, err := fleetpb.NewEntryClient(conn).RenewLease(ctx, &fleetpb.RenewLeaseRequest{Lease: int64(lease)})
+	reply, err := client.RenewLease(ctx, &fleetpb.RenewLeaseRequest{Lease: int64(lease)})
 	if err == nil && reply.GetMissing() {
 		return platform.NewRejectedError("the lease does not exist", true)
 	}
@@ -65,14 +65,22 @@
 }
 
 func (h RegistrationHost) send(ctx context.Context, q *fleetpb.RegisterRequest) error {
-	conn, err := h.Conns.Get(h.Host.Address)
+	client, err := h.client()
 	if err != nil {
 		return err
 	}
-	_, err = fleetpb.NewEntryClient(conn).Register(ctx, q)
+	_, err = client.Register(ctx, q)
 	return err
 }
 
+func (h RegistrationHost) client() (fleetpb.EntryClient, error) {
+	conn, err := h.Conns.Get(h.Host.Address)
+	if err != nil {
+		return nil, err
+	}
+	return fleetpb.NewEntryClient(conn), nil
+}
+
 func registerRequest(m fleet.Member) *fleetpb.RegisterRequest {
 	return &fleetpb.RegisterRequest{
 		Kind: string(m.Kind), Name: m.Name, DataCentre: m.DataCentre, Address: m.Address, Endpoint: m.Endpoint, Group: m.Group,
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -254,21 +254,8 @@
 // page. The pages aren't one snapshot: polling from that revision repeats changes
 // that later pages already contained, and delivers those that they missed.
 func (m *Mirror) list(ctx context.Context) (Update, error) {
-	u := Update{Complete: true}
-	after := ""
-	for {
-		page, err := m.Reader.List(ctx, m.Prefix, after, pageLimit)
-		if err != nil {
-			return u, err
-		}
-		if u.Revision == 0 {
-			u.Revision = page.Revision()
-		}
-		kvs := page.KVs()
-		u.KVs = append(u.KVs, kvs...)
-		if !page.More() || len(kvs) == 0 {
-			return u, nil
-		}
-		after = kvs[len(kvs)-1].Key()
-	}
+	kvs, revision, err := platform.ListPages(func(after string) (platform.RangeReply, error) {
+		return m.Reader.List(ctx, m.Prefix, after, pageLimit)
+	})
+	return Update{Complete: true, KVs: kvs, Revision: revision}, err
 }
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -149,3 +149,22 @@
 // NewFailedTxnReply returns the reply to a transaction whose conditions did not hold. current
 // holds the keys that they name as they are in the store.
 func NewFailedTxnReply(current []KeyValue) TxnReply { return TxnReply{current: current} }
+
+// ListPages calls list for one page of keys after the other, each after the last key of the
+// page before it, and returns all keys with the revision of the first page. If a call fails, it
+// returns the keys so far with the error.
+func ListPages(list func(after string) (RangeReply, error)) (kvs []KeyValue, revision int64, err error) {
+	for after := ""; ; after = kvs[len(kvs)-1].Key() {
+		page, err := list(after)
+		if err != nil {
+			return kvs, revision, err
+		}
+		if revision == 0 {
+			revision = page.Revision()
+		}
+		kvs = append(kvs, page.KVs()...)
+		if !page.More() || len(page.KVs()) == 0 {
+			return kvs, revision, nil
+		}
+	}
+}
