Log and count what endpoints say of rests and of leaving

An entry's logs could not tell whether an endpoint had asked it for a rest, for how long, or had said that it is leaving: the two headers were passed on to callers and read by nobody. No decision uses them yet.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,6 +48,7 @@
 		r.State.Misdirected(assigned)
 	} else {
 		j.recordLimit(assigned, info)
+		j.logAvailability(assigned, info)
 	}
 	if info.NotRun {
 		_, _ = io.Copy(io.Discard, resp)
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -61,4 +61,10 @@
 	// Limit is the number of requests per second that the endpoint accepts from all entries
 	// together; negative if it doesn't say.
 	Limit float64
+	// Leaving means that the endpoint is shutting down, and accepts no new requests from an entry
+	// to which it has said so.
+	Leaving bool
+	// Rest is how long the endpoint wants no further request from this entry; zero if it doesn't
+	// say.
+	Rest time.Duration
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -49,6 +49,14 @@
 	metrics.GetOrRegisterCounter("relay.attempts."+outcomeName(o), m.registry).Inc(1)
 }
 
+// countLeaving counts an answer that says that its endpoint is leaving.
+func (m *Metrics) countLeaving() {
+	metrics.GetOrRegisterCounter("relay.answers.leaving", m.registry).Inc(1)
+}
+
+// countRest counts an answer that asks for a rest.
+func (m *Metrics) countRest() { metrics.GetOrRegisterCounter("relay.answers.rest", m.registry).Inc(1) }
+
 func outcomeName(o Outcome) string {
 	switch o.(type) {
 	case Delivered:
@@ -173,7 +181,7 @@
 // logLimit logs a limit that an endpoint reports, or, if it is negative, that it reports none any
 // more.
 func (j *job) logLimit(assigned Assignment, perSecond float64) {
-	fields := logrus.Fields{"endpoint": assigned.Endpoint.ID, "born": assigned.Endpoint.StartMillis, "service": assigned.Endpoint.Service, "request": j.requestInfo.ID}
+	fields := j.endpointFields(assigned)
 	if perSecond < 0 {
 		j.relay.Log.WithFields(fields).Info("endpoint no longer reports a limit")
 		return
@@ -181,3 +189,22 @@
 	fields["perSecond"] = perSecond
 	j.relay.Log.WithFields(fields).Info("endpoint reports a limit")
 }
+
+// logAvailability logs and counts what an answer says about whether its endpoint accepts further
+// requests.
+func (j *job) logAvailability(assigned Assignment, info AnswerInfo) {
+	if info.Leaving {
+		j.relay.Metrics.countLeaving()
+		j.relay.Log.WithFields(j.endpointFields(assigned)).Info("endpoint says that it is leaving")
+	}
+	if info.Rest > 0 {
+		j.relay.Metrics.countRest()
+		j.relay.Log.WithFields(j.endpointFields(assigned)).WithField("rest", info.Rest.Milliseconds()).Info("endpoint asks for a rest")
+	}
+}
+
+// endpointFields returns the log fields of an answer's endpoint and request.
+func (j *job) endpointFields(assigned Assignment) logrus.Fields {
+	ep := assigned.Endpoint
+	return logrus.Fields{"endpoint": ep.ID, "born": ep.StartMillis, "service": ep.Service, "request": j.requestInfo.ID}
+}
