Leave an endpoint alone for as long as it asks to rest

Callers saw more than a tenth of their drafts refused for nine seconds, while four of twelve engines turned all requests away and asked each entry for 3 s; they got 4 to 7 requests from an entry in that time, where at most two are allowed.

Cause: what an endpoint says of its own need was kept in a structure that the next report of load overwrites. A refusal made the endpoint count as full until a newer report, and entries report each few milliseconds; an endpoint that refuses everything has no load and looked best of all. Its Retry-After was read by nobody.

Ruled out: a single path (first attempts did it as well), and a burst at the moment of the refusal (the requests came one by one over the whole 3 s).

Now an entry keeps the rest by endpoint, whatever else it hears of the endpoint, and excludes it where all paths meet (first attempts, requests that waited, further attempts, moved streams). If all endpoints of a service rest, a request that can't outwait the first of them is refused at once with 2022 endpointResting and the time of that end, also one that waits already. The time of a rest is kept out of the drain rate, as that of a closed group is.

Before: TestEndpointThatAsksForARestGetsNoRequests 2 or 3 requests in 2 s on each of six paths, after: none.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -73,7 +73,7 @@
 		return w.assigned, e
 	}
 	for {
-		timer := time.NewTimer(st.untilNextRefusal(clock()))
+		timer := time.NewTimer(st.untilNextDispatch(clock()))
 		select {
 		case e := <-w.done:
 			timer.Stop()
@@ -100,7 +100,11 @@
 		w.assigned = assigned
 		return false, e
 	}
-	if e := st.refuseIfClosed(w.req, now); e != nil {
+	e := st.refuseIfClosed(w.req, now)
+	if e == nil {
+		e = st.refuseIfResting(w.req, now)
+	}
+	if e != nil {
 		st.recordArrival(w, now)
 		return false, e
 	}
@@ -179,7 +183,7 @@
 		return true
 	}
 	switch e.Code() {
-	case result.EndpointBusy, result.EndpointCold, result.GroupClosed:
+	case result.EndpointBusy, result.EndpointCold, result.GroupClosed, result.EndpointResting:
 		return true
 	default:
 		return false
@@ -251,21 +255,27 @@
 		return
 	}
 	st.refresh(now)
-	st.excludeClosedGroups(now)
+	st.excludeStandstill(now)
 	started, refused := st.queue.Next(now, st.placer(now))
 	for _, r := range started {
 		st.waiters[r.ID].queued = false
 		st.waiters[r.ID].done <- nil
 	}
 	st.handleRefusals(refused, now)
+	st.refuseDuringRest(now)
 }
 
 // queueRefusal returns the refusal, with a Retry-After time, for a request that the queue refused.
-// While the group is closed, the drain rate measured before does not predict when it opens.
+// While the group is closed or all endpoints rest, the drain rate measured before does not predict
+// when the service accepts requests again.
 func (st *State) queueRefusal(w *waiter, r admission.Refused, now time.Time) *result.Error {
-	if _, closed := st.groupState(w.req.Service, now); closed {
+	state, closed := st.groupState(w.req.Service, now)
+	if closed {
 		return st.refusal(w.req.Service.Name, result.GroupClosed, now)
 	}
+	if left := st.serviceRest(w.req.Service, state.closedEngines, now); left > 0 {
+		return restRefusal(left)
+	}
 	return result.New(r.Code, "").WithRetryAfter(r.RetryAfter)
 }
 
@@ -276,9 +286,10 @@
 	st.queue.SkipDrainTime(s.Name+lateRouteSuffix, now)
 }
 
-// excludeClosedGroups keeps the time for which groups are closed out of the drain rate that the
-// queue measures. Otherwise the queue would refuse callers for seconds after a group opens.
-func (st *State) excludeClosedGroups(now time.Time) {
+// excludeStandstill keeps the time for which groups are closed, or all endpoints of a service rest,
+// out of the drain rate that the queue measures. Otherwise the queue would refuse callers for
+// seconds afterwards.
+func (st *State) excludeStandstill(now time.Time) {
 	seen := map[string]bool{}
 	for _, w := range st.waiters {
 		s := w.req.Service
@@ -286,7 +297,7 @@
 			continue
 		}
 		seen[s.Name] = true
-		if _, closed := st.groupState(s, now); closed {
+		if state, closed := st.groupState(s, now); closed || st.serviceRest(s, state.closedEngines, now) > 0 {
 			st.excludeFromDrainRate(s, now)
 		}
 	}
@@ -314,15 +325,19 @@
 	}
 }
 
-// untilNextRefusal returns how long until a waiting request has to be refused or marked late.
-func (st *State) untilNextRefusal(now time.Time) time.Duration {
+// untilNextDispatch returns how long until a waiting request has to be refused or marked late, or
+// an endpoint that rests may be sent requests again.
+func (st *State) untilNextDispatch(now time.Time) time.Duration {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	at, ok := st.queue.NextRefusal()
-	if !ok {
-		return time.Second
+	d := time.Second
+	if at, ok := st.queue.NextRefusal(); ok {
+		d = at.Sub(now)
+	}
+	if end, ok := st.rests.nextEnd(now); ok {
+		d = min(d, end)
 	}
-	return max(time.Millisecond, at.Sub(now))
+	return max(time.Millisecond, d)
 }
 
 // cancelWaiting removes a request whose context has ended from the queue.
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -67,7 +67,7 @@
 	}
 	if e == nil && j.attempts.Sent > 0 && !st.TakeRetry(j.service.Name, finished) {
 		st.Release(assigned, Unused{}, finished)
-		return Assignment{}, st.Refusal(j.service.Name, result.EndpointBusy, finished)
+		return Assignment{}, st.Refusal(j.service, result.EndpointBusy, finished)
 	}
 	return assigned, e
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,6 +49,7 @@
 	} else {
 		j.recordLimit(assigned, info)
 		j.logAvailability(assigned, info)
+		r.State.RecordRest(assigned, info.Rest, r.Now())
 	}
 	if info.NotRun {
 		_, _ = io.Copy(io.Discard, resp)
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -117,6 +117,7 @@
 	// failures counts the consecutive failures that each endpoint reported.
 	failures  map[string]int
 	limits    limits
+	rests     rests
 	outages   outages
 	latencies answerLatencies
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
@@ -343,14 +344,20 @@
 	return now.Sub(newest)
 }
 
-// Refusal returns the refusal of a request for a service, with a Retry-After time.
-func (st *State) Refusal(service string, code result.Code, now time.Time) *result.Error {
+// Refusal returns the refusal of a request for a service, with a Retry-After time. The code gives
+// the reason, unless all endpoints of the service rest.
+func (st *State) Refusal(service *routing.Service, code result.Code, now time.Time) *result.Error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.refusal(service, code, now)
+	st.refresh(now)
+	state, _ := st.groupState(service, now)
+	if left := st.serviceRest(service, state.closedEngines, now); left > 0 {
+		return restRefusal(left)
+	}
+	return st.refusal(service.Name, code, now)
 }
 
-// refusal is Refusal with mu held.
+// refusal returns a refusal with a Retry-After time. mu must be held.
 func (st *State) refusal(service string, code result.Code, now time.Time) *result.Error {
 	return result.New(code, "").WithRetryAfter(st.outages.retryAfter(service, retryAfterFor(code), now))
 }
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -30,7 +30,7 @@
 		j.deliverFailure(o.Answer, now)
 		return
 	case NotRun:
-		e = j.relay.State.Refusal(j.service.Name, o.Code, now)
+		e = j.relay.State.Refusal(j.service, o.Code, now)
 	case Unknown:
 		e = j.unknownResult(o, now)
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -163,6 +163,7 @@
 	}
 	st.dirty, st.refreshedAt = false, now
 	st.removeStaleEntryLoads(now)
+	st.rests.expire(now)
 	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
 	for _, ep := range st.dir.Endpoints(now) {
 		usable[ep.ID], addresses[ep.Address] = ep, ep
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -35,6 +35,7 @@
 	})
 	gauge("relay.endpoints", func() int64 { return int64(st.Endpoints(now())) })
 	gauge("relay.endpointsLimited", func() int64 { return int64(st.LimitedEndpoints(now())) })
+	gauge("relay.endpointsResting", func() int64 { return int64(st.RestingEndpoints(now())) })
 	gauge("relay.entries", func() int64 { return int64(st.Entries(now())) })
 	gauge("relay.entriesHeard", func() int64 { return int64(st.ReportingEntries()) })
 	gauge("relay.loadAge", func() int64 { return st.LoadAge(now()).Milliseconds() })
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -44,7 +44,11 @@
 		return Assignment{}, st.refusal(service.Name, result.GroupClosed, now)
 	}
 	q.Route = service.Name
+	if left := st.serviceRest(service, state.closedEngines, now); left > 0 {
+		return Assignment{}, restRefusal(left)
+	}
 	q.Excluded = slices.Concat(q.Excluded, state.closedEngines)
+	st.excludeResting(&q, now)
 	st.excludeBeyondQuota(service, &q, now)
 	wait := st.excludeCold(service, &q, now)
 	limited := st.excludeLimited(service, &q, now)
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -71,6 +71,7 @@
 	GroupClosed        Code = 2019
 	EndpointLimited    Code = 2020
 	EntryFull          Code = 2021
+	EndpointResting    Code = 2022
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -170,6 +171,7 @@
 	GroupClosed:        {"groupClosed", NotRun, http.StatusServiceUnavailable, "the engines' group takes no requests now"},
 	EndpointLimited:    {"endpointLimited", NotRun, http.StatusServiceUnavailable, "the endpoints name limits of which this entry has no share"},
 	EntryFull:          {"entryFull", NotRun, http.StatusServiceUnavailable, "the entry holds as many bytes for callers as its memory allows"},
+	EndpointResting:    {"endpointResting", NotRun, http.StatusServiceUnavailable, "all endpoints have asked this entry for a rest"},
 
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
