Send nothing new to an endpoint that has said that it is leaving

An endpoint that shuts down says so in all its answers, and callers' requests reached it all the same: from an entry that is cut off from the store, or whose store still lists it as ready, half of all requests of a service of two.

Cause: only the store's listing decided whether an endpoint is leaving; an answer's word was passed on to the caller and not read. Ruled out that a mark on the listed record would do: a record is dropped when its entry lapses, and a fresh one is made when the entry comes back.

Now the directory keeps who has said so by ID and start time, apart from the entries, from the header of the first such answer on, before any of it is passed on. An instance that started later under the ID is not affected.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -48,7 +48,7 @@
 
 // usable reports whether the endpoint may receive new requests.
 func (d *Directory) usable(rec *record, now time.Time) bool {
-	if rec.replaced || rec.endpoint.Draining || d.outOfService[rec.endpoint.DataCentre] {
+	if rec.replaced || rec.endpoint.Draining || d.outOfService[rec.endpoint.DataCentre] || d.leaving.covers(rec.endpoint.Entry) {
 		return false
 	}
 	return rec.retainedUntil.IsZero() || now.Before(rec.retainedUntil)
@@ -69,6 +69,7 @@
 
 	entries      map[string]*record
 	outOfService map[string]bool
+	leaving      leavingMarks
 	// storeRecovered is when the store last recovered; zero if it has not failed.
 	storeRecovered time.Time
 	// nextExpiry is when the first retention of a vanished entry ends; zero if no entry
@@ -131,6 +132,14 @@
 	}
 }
 
+// MarkLeaving records that the endpoint with the ID that started at startMillis has said itself, at
+// now, that it is shutting down. It receives no new requests, whatever its entry says: the entry
+// may not say so, or this process may be cut off from the store.
+func (d *Directory) MarkLeaving(id string, startMillis uint64, now time.Time) {
+	d.leaving.add(id, startMillis, now)
+	d.leaving.expire(now, func(id string) bool { return d.entries[id] != nil })
+}
+
 // Remove records that an entry has vanished from the store.
 //
 // Entries expire while the store is unavailable, because endpoints cannot renew them.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,8 +48,7 @@
 		r.State.Misdirected(assigned)
 	} else {
 		j.recordLimit(assigned, info)
-		j.logAvailability(assigned, info)
-		r.State.RecordRest(assigned, info.Rest, r.Now())
+		j.recordAvailability(assigned, info)
 	}
 	if info.NotRun {
 		_, _ = io.Copy(io.Discard, resp)
@@ -76,6 +75,17 @@
 	}
 }
 
+// recordAvailability records what an answer says about whether its endpoint accepts further
+// requests. It is called before any part of the answer is forwarded.
+func (j *job) recordAvailability(assigned Assignment, info AnswerInfo) {
+	j.logAvailability(assigned, info)
+	now := j.relay.Now()
+	if info.Leaving {
+		j.relay.State.RecordLeaving(assigned, now)
+	}
+	j.relay.State.RecordRest(assigned, info.Rest, now)
+}
+
 // endpointRequest returns the caller's request as it is sent to the endpoint.
 func (j *job) endpointRequest(assigned Assignment) *direct.Request {
 	h := caller.EndToEndHeaders(j.raw.Header)
--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -316,6 +316,12 @@
 	st.UpdateDirectory(func(d *directory.Directory) { d.ExtendColdStart(id, cold, now) })
 }
 
+// RecordLeaving records that an endpoint said in its answer to an attempt that it is leaving.
+func (st *State) RecordLeaving(assigned Assignment, now time.Time) {
+	ep := assigned.Endpoint
+	st.UpdateDirectory(func(d *directory.Directory) { d.MarkLeaving(ep.ID, ep.StartMillis, now) })
+}
+
 // Misdirected records that another endpoint answered at the address of an assigned one.
 func (st *State) Misdirected(assigned Assignment) {
 	st.UpdateDirectory(func(d *directory.Directory) { d.MarkMisdirected(assigned.Endpoint.ID, assigned.Endpoint.StartMillis) })
