Leave an endpoint alone that refuses several requests in a row

The same cause as of the rests, elsewhere: endpoints that turn everything away without asking for a rest got a third of all requests and more. A refusal made one count as full until the next report, which entries make of their own counts every few milliseconds; having no load it looked best. Callers used up their attempts and the fleet its retry budget there.

From the second refusal in a row on, an entry leaves the endpoint alone for 0.25 s, doubled up to 2 s. A burst counts once, an answer or a part of one ends the series, and while the whole service gives no answers its endpoints are tried on: a closed group must not open late.

Ruled out: longer backoffs in the balancer, which are lifted by the same reports, and which agents' entries share, whose reports come from the endpoint itself.

--- a/internal/relay/belief.go
+++ b/internal/relay/belief.go
@@ -118,6 +118,7 @@
 	failures  map[string]int
 	limits    limits
 	rests     rests
+	refusing  refusalStreaks
 	outages   outages
 	latencies answerLatencies
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -176,6 +176,7 @@
 			st.limitShares.Forget(id)
 			delete(st.loads, id)
 			delete(st.failures, id)
+			st.refusing.forget(id)
 			st.limits.remove(id)
 			delete(st.recentStarts.starts, id)
 		}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -36,6 +36,7 @@
 	gauge("relay.endpoints", func() int64 { return int64(st.Endpoints(now())) })
 	gauge("relay.endpointsLimited", func() int64 { return int64(st.LimitedEndpoints(now())) })
 	gauge("relay.endpointsResting", func() int64 { return int64(st.RestingEndpoints(now())) })
+	gauge("relay.endpointsRefusing", func() int64 { return int64(st.RefusingEndpoints(now())) })
 	gauge("relay.entries", func() int64 { return int64(st.Entries(now())) })
 	gauge("relay.entriesHeard", func() int64 { return int64(st.ReportingEntries()) })
 	gauge("relay.loadAge", func() int64 { return st.LoadAge(now()).Milliseconds() })
@@ -204,6 +205,17 @@
 	}
 }
 
+// logRefusing logs that an endpoint is left alone because it has refused requests in a row.
+func (j *job) logRefusing(assigned Assignment, now time.Time) {
+	refusals, pause := j.relay.State.Refusing(assigned.Endpoint.ID, now)
+	if pause <= 0 {
+		return
+	}
+	fields := j.endpointFields(assigned)
+	fields["refusals"], fields["pause"] = refusals, pause.Milliseconds()
+	j.relay.Log.WithFields(fields).Info("endpoint refuses requests in a row")
+}
+
 // endpointFields returns the log fields of an answer's endpoint and request.
 func (j *job) endpointFields(assigned Assignment) logrus.Fields {
 	ep := assigned.Endpoint
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -52,9 +52,10 @@
 	st.excludeBeyondQuota(service, &q, now)
 	wait := st.excludeCold(service, &q, now)
 	limited := st.excludeLimited(service, &q, now)
+	refusing := st.excludeRefusing(service, &q, now)
 	c, ok, reason := st.balancer.Choose(q, now)
 	if !ok {
-		return Assignment{}, st.assignmentError(service, reason, wait, limited, now)
+		return Assignment{}, st.assignmentError(service, reason, wait, limited, refusing, now)
 	}
 	ep := st.endpoints[c.Endpoint]
 	st.takeLimitShare(ep, now)
@@ -73,9 +74,9 @@
 
 // assignmentError returns the error for a request that can't be assigned, with a Retry-After time.
 // reason is the balancer's reason, which is NoEndpoint if there is no endpoint besides the excluded
-// ones. cold is the time until a cold endpoint may be sent a request, and limited the effect of
-// limits.
-func (st *State) assignmentError(service *routing.Service, reason result.Code, cold time.Duration, limited limitState, now time.Time) *result.Error {
+// ones. cold is the time until a cold endpoint may be sent a request, limited the effect of limits,
+// and refusing means that endpoints were excluded that refuse requests.
+func (st *State) assignmentError(service *routing.Service, reason result.Code, cold time.Duration, limited limitState, refusing bool, now time.Time) *result.Error {
 	othersExist := reason != result.NoEndpoint
 	switch {
 	case cold > 0:
@@ -84,6 +85,8 @@
 		return result.New(result.EndpointBusy, "").WithRetryAfter(limited.wait)
 	case limited.excluded && !othersExist:
 		return st.refusal(service.Name, result.EndpointLimited, now)
+	case refusing && !othersExist:
+		return st.refusal(service.Name, result.EndpointBusy, now)
 	default:
 		return st.refusal(service.Name, reason, now)
 	}
@@ -123,6 +126,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.balancer.Progress(assigned.attempt, now)
+	st.refusing.forget(assigned.Endpoint.ID)
 	if st.releaseQueued(assigned) {
 		st.latencies.recordFirst(assigned.Endpoint.Service, now.Sub(assigned.assignedAt), now)
 	}
@@ -168,6 +172,9 @@
 	}
 	switch o := o.(type) {
 	case NotRun:
+		if o.Code == result.EndpointBusy {
+			st.refusing.record(assigned.Endpoint.ID, assigned.assignedAt, now)
+		}
 		if o.Sent {
 			st.balancer.Refuse(assigned.attempt, 0, now)
 			return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -195,6 +195,9 @@
 		j.relay.State.Release(assigned, o, now)
 		j.relay.Metrics.countAttempt(o)
 		j.countAttempt(o)
+		if _, notRun := o.(NotRun); notRun {
+			j.logRefusing(assigned, now)
+		}
 		left := j.deadline.Sub(now)
 		if ctx.Err() != nil {
 			left = 0
