Register the counters of rests and of leaving from the start

TestMetricsPageIsComplete failed: the two counters appeared with their first answer only, so that an operator could not tell none from unknown.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -15,11 +15,19 @@
 type Metrics struct {
 	registry metrics.Registry
 	running  metrics.Counter
+	// leaving counts the answers that say that their endpoint is leaving, and rests those that ask
+	// for a rest.
+	leaving, rests metrics.Counter
 }
 
 // NewMetrics registers the metrics in r.
 func NewMetrics(r metrics.Registry) *Metrics {
-	return &Metrics{registry: r, running: metrics.GetOrRegisterCounter("relay.running", r)}
+	return &Metrics{
+		registry: r,
+		running:  metrics.GetOrRegisterCounter("relay.running", r),
+		leaving:  metrics.GetOrRegisterCounter("relay.answers.leaving", r),
+		rests:    metrics.GetOrRegisterCounter("relay.answers.rest", r),
+	}
 }
 
 // RegisterGauges registers gauges for the state of st.
@@ -51,14 +59,6 @@
 	metrics.GetOrRegisterCounter("relay.attempts."+outcomeName(o), m.registry).Inc(1)
 }
 
-// countLeaving counts an answer that says that its endpoint is leaving.
-func (m *Metrics) countLeaving() {
-	metrics.GetOrRegisterCounter("relay.answers.leaving", m.registry).Inc(1)
-}
-
-// countRest counts an answer that asks for a rest.
-func (m *Metrics) countRest() { metrics.GetOrRegisterCounter("relay.answers.rest", m.registry).Inc(1) }
-
 func outcomeName(o Outcome) string {
 	switch o.(type) {
 	case Delivered:
@@ -196,11 +196,11 @@
 // requests.
 func (j *job) logAvailability(assigned Assignment, info AnswerInfo) {
 	if info.Leaving {
-		j.relay.Metrics.countLeaving()
+		j.relay.Metrics.leaving.Inc(1)
 		j.relay.Log.WithFields(j.endpointFields(assigned)).Info("endpoint says that it is leaving")
 	}
 	if info.Rest > 0 {
-		j.relay.Metrics.countRest()
+		j.relay.Metrics.rests.Inc(1)
 		j.relay.Log.WithFields(j.endpointFields(assigned)).WithField("rest", info.Rest.Milliseconds()).Info("endpoint asks for a rest")
 	}
 }
