Keep an endpoint's limit while its listing lapses

An endpoint whose data centre was out of service for a moment, or whose entry lapsed in an outage of the store, came back without its limit and got a burst from each entry.

The tests of rests that lapse were empty, as nothing had applied the listing before it lapsed: they do now, and fail if rests go with the listing.

--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -16,6 +16,7 @@
 		"nothing else is heard":     func(*State) {},
 		"its entry is read again":   func(st *State) { listEndpoints(st, 3, "quotes") },
 		"its entry lapses for long": func(st *State) { lapse(st, start.Add(time.Minute)) },
+		"its data centre is out":    func(st *State) { takeOutAndBack(st, start) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			wantUnusedOnEachPath(t, start.Add(2*time.Minute), func(st *State) {
@@ -29,8 +30,24 @@
 // lapse removes the entries of all endpoints and lists them again.
 func lapse(st *State, now time.Time) {
 	st.UpdateDirectory(func(d *directory.Directory) { d.ApplyListing(nil, now) })
-	_ = st.Endpoints(now)
+	refresh(st, now)
 	listEndpoints(st, 3, "quotes")
+	refresh(st, now)
+}
+
+// takeOutAndBack takes the data centre of all endpoints out of service and puts it back.
+func takeOutAndBack(st *State, now time.Time) {
+	for _, out := range []bool{true, false} {
+		st.UpdateDirectory(func(d *directory.Directory) { d.SetOutOfService("a", out, now) })
+		refresh(st, now)
+	}
+}
+
+// refresh applies the changes of the directory at once.
+func refresh(st *State, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.refresh(now)
 }
 
 // An endpoint that was leaving starts again under its ID. Guards against an instance that gets no
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -51,7 +51,8 @@
 // the limit.
 func (l RateLimit) rate() float64 { return max(l.PerSecond, minLimitRate) }
 
-// limits holds the limits that endpoints report, by endpoint ID.
+// limits holds the limits that endpoints report, by endpoint ID. They outlive the endpoint's listing
+// in the store, because an endpoint that is listed again has not forgotten.
 type limits struct {
 	// newest holds the latest report from any source, and own those made to this entry.
 	newest map[string]RateLimit
@@ -94,11 +95,6 @@
 	return old.Unlimited != reported.Unlimited || old.PerSecond != reported.PerSecond || old.Incarnation != reported.Incarnation
 }
 
-func (l *limits) remove(id string) {
-	delete(l.newest, id)
-	delete(l.own, id)
-}
-
 // lookup returns the current limit of an endpoint, or false if there is none.
 func (l *limits) lookup(ep directory.Endpoint, now time.Time) (RateLimit, bool) {
 	known, ok := l.newest[ep.ID]
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -253,3 +253,31 @@
 		}
 	}
 }
+
+// An endpoint that reports a limit is out of service, or its store entry lapses, for a moment. Guards
+// against an entry that forgets the limit, and sends the endpoint a burst when it is back.
+func TestLimitOutlivesALapsedEntry(t *testing.T) {
+	for name, meanwhile := range map[string]func(st *State){
+		"lapsed entry":               func(st *State) { lapse(st, start) },
+		"data centre out of service": func(st *State) { takeOutAndBack(st, start) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &routing.Service{Name: "quotes"}
+			st := newState("me", s)
+			listEndpoints(st, 3, s.Name)
+			refresh(st, start)
+			st.RecordLimit(assignedTo(unavailableEndpoint), 0.5, start)
+			meanwhile(st)
+			now := start.Add(time.Second)
+			n := 0
+			for _, id := range chooseSome(t, st, s, placement.Query{}, now) {
+				if id == unavailableEndpoint {
+					n++
+				}
+			}
+			if n > 1 || st.LimitedEndpoints(now) != 1 {
+				t.Errorf("%d requests to an endpoint that accepts one in two seconds, %d endpoints with a limit", n, st.LimitedEndpoints(now))
+			}
+		})
+	}
+}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -164,6 +164,7 @@
 	st.dirty, st.refreshedAt = false, now
 	st.removeStaleEntryLoads(now)
 	st.rests.expire(now)
+	st.limits.expire(now)
 	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
 	for _, ep := range st.dir.Endpoints(now) {
 		usable[ep.ID], addresses[ep.Address] = ep, ep
@@ -173,15 +174,14 @@
 		if _, ok := usable[id]; !ok {
 			st.balancer.Remove(id)
 			st.coldShares.Forget(id)
-			st.limitShares.Forget(id)
 			delete(st.loads, id)
 			delete(st.failures, id)
 			st.refusing.forget(id)
-			st.limits.remove(id)
 			delete(st.recentStarts.starts, id)
 		}
 	}
 	st.endpoints, st.addresses = usable, addresses
+	st.limitShares.Retain(func(id string) bool { return st.limits.newest[id] != (RateLimit{}) })
 }
 
 // updateReport gives the balancer a load report for one endpoint.
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -103,6 +103,7 @@
 			t.Run(kind+", "+path, func(t *testing.T) {
 				st := newState("me", s)
 				listEndpoints(st, 3, s.Name)
+				refresh(st, start)
 				prepare(st)
 				for _, id := range assign(t, st, s, now) {
 					if id == unavailableEndpoint {
@@ -129,18 +130,8 @@
 		"a shorter rest": func(st *State) {
 			st.RecordRest(assignedTo(unavailableEndpoint), time.Second, start.Add(100*time.Millisecond))
 		},
-		"a lapsed entry": func(st *State) {
-			st.UpdateDirectory(func(d *directory.Directory) { d.Remove(unavailableEndpoint, start) })
-			_ = st.Endpoints(start)
-			listEndpoints(st, 3, "quotes")
-		},
-		"a data centre out of service": func(st *State) {
-			for _, out := range []bool{true, false} {
-				st.UpdateDirectory(func(d *directory.Directory) { d.SetOutOfService("a", out, start) })
-				st.DispatchWaiting(start)
-				_ = st.Endpoints(start)
-			}
-		},
+		"a lapsed entry":               func(st *State) { lapse(st, start) },
+		"a data centre out of service": func(st *State) { takeOutAndBack(st, start) },
 		"a restart": func(st *State) {
 			st.UpdateDirectory(func(d *directory.Directory) {
 				d.Put(directory.Entry{ID: unavailableEndpoint, StartMillis: 2, Service: "quotes", Address: "10.0.0.1:1", DataCentre: "a", Slots: 12}, start)
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -60,6 +61,11 @@
 // Forget deletes the state of an endpoint.
 func (s *RateShares) Forget(endpoint string) { delete(s.buckets, endpoint) }
 
+// Retain deletes the state of all endpoints for which keep returns false.
+func (s *RateShares) Retain(keep func(endpoint string) bool) {
+	maps.DeleteFunc(s.buckets, func(endpoint string, _ *bucket) bool { return !keep(endpoint) })
+}
+
 // initialTokens returns a number from 0 to 1 that depends on the entry and the endpoint.
 func (s *RateShares) initialTokens(endpoint string) float64 {
 	return float64(xxhash.Sum64String(s.Name+" "+endpoint)) / math.MaxUint64
