Keep an agent's endpoint alone for as long as it asks to rest

Times were read as whole seconds, so that half a second was none, and a very large one became negative.

The agent's allowance now refuses truly until the rest is over, also what was admitted and not sent yet; a new incarnation of the endpoint ends it.

Before: TestEndpointThatAsksForARestIsSentNothing, the second look-up reaches the endpoint (3001 outcomeUnknown), after: 2006 endpointBusy with the rest that is left, and no connection.

--- a/internal/agent/guards_test.go
+++ b/internal/agent/guards_test.go
@@ -32,6 +32,8 @@
 	late atomic.Int64
 	// dialled gets a value for each connection to the endpoint.
 	dialled chan struct{}
+	// reply is what the endpoint writes in answer to a request before it breaks the connection.
+	reply atomic.Value
 }
 
 func newBench(t *testing.T) *bench {
@@ -101,6 +103,10 @@
 		}
 		_, _ = c.Read(make([]byte, 1))
 		b.dialled <- struct{}{}
+		if reply, ok := b.reply.Load().(string); ok {
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, reply)
+		}
 		_ = c.Close()
 	}
 }
@@ -350,3 +356,26 @@
 	}
 	b.assertDispatched(0)
 }
+
+// The endpoint turns a look-up away with status 503 and asks for half a minute of rest. Guards
+// against an agent that sends it the next request at once.
+func TestEndpointThatAsksForARestIsSentNothing(t *testing.T) {
+	b := newBench(t)
+	b.reply.Store("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 30\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	lookUp := func(id string) *peerpb.End {
+		req := order(id, "")
+		req.RunOnce, req.Method = false, "GET"
+		return b.run(req)
+	}
+	b.assertEnd(lookUp("first"), result.OutcomeUnknown)
+	<-b.dialled
+	end := lookUp("second")
+	b.assertEnd(end, result.EndpointBusy)
+	if wait := time.Duration(end.GetRetryAfterMicros()) * time.Microsecond; wait < 20*time.Second {
+		t.Errorf("the caller is asked back after %v", wait)
+	}
+	b.assertEnd(b.run(order("third", "k")), result.EndpointBusy)
+	if n := len(b.dialled); n != 0 {
+		t.Errorf("%d further requests reached the endpoint", n)
+	}
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/allowance"
@@ -106,9 +107,23 @@
 	if result.CodeOf(err) == result.OutcomeUnknown && endpoint.ConnectionLost(err) {
 		a.restarted(allowance.ConnectionLost, a.now())
 	}
+	a.recordRest(err, a.now())
 	return ranError(ctx, err)
 }
 
+// recordRest records that the endpoint turned a request away, and for how long it wants
+// no further one.
+func (a *Agent) recordRest(err error, now time.Time) {
+	e := result.Of(err)
+	if e == nil || e.Code() != result.OutcomeUnknown || e.RetryAfter() <= 0 {
+		return
+	}
+	a.allowance.Rest(e.RetryAfter(), now)
+	a.Log.WithFields(logrus.Fields{
+		"endpoint": a.Settings.EndpointName, "rest": e.RetryAfter().Milliseconds(), "cause": e.Detail(),
+	}).Info("endpoint asks for a rest")
+}
+
 // resumable reports whether a stream broke off whose rest the engine may have.
 func resumable(at *attempt, err error) bool {
 	if err == nil || !at.req.GetStream() || at.count() == 0 {
--- a/internal/endpoint/allowance/allowance.go
+++ b/internal/endpoint/allowance/allowance.go
@@ -115,6 +115,8 @@
 	warmSince time.Time
 	ttft      ttftDetector
 	retries   retryScheduler
+	// restUntil is until when the endpoint wants no requests.
+	restUntil time.Time
 }
 
 // Configure sets the limits. It returns ErrColdLimit, ErrFullLimit or
@@ -147,10 +149,10 @@
 	return min(a.limits.Full, a.limits.Cold+a.completions/a.limits.RampCompletions)
 }
 
-// Admit reserves a slot for a request. Without a free slot it returns an error
-// with a retry delay: EndpointCold before Configure has been called and while the
-// limit is below the full one, else EndpointBusy. The slot is held until Complete
-// or Fail is called with the ticket.
+// Admit reserves a slot for a request. While the endpoint rests or without a free
+// slot it returns an error with a retry delay: EndpointCold before Configure has been
+// called and while the limit is below the full one, else EndpointBusy. The slot is
+// held until Complete or Fail is called with the ticket.
 //
 // Entries that act on outdated load reports can together send more than the
 // endpoint can run, so the check and the reservation are one atomic step.
@@ -159,6 +161,9 @@
 func (a *Allowance) Admit(now time.Time) (Ticket, *result.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if e := a.restErrorLocked(now); e != nil {
+		return Ticket{}, e
+	}
 	limit := a.limit()
 	if a.running+a.inherited.count(now) < limit {
 		if a.running == 0 {
@@ -181,11 +186,14 @@
 // connection when it restarts; sent together they would exceed what the cold
 // endpoint can run. A ticket of the present epoch stays valid. An older ticket is
 // revalidated only if all running requests fit under the current limit, otherwise
-// Revalidate returns EndpointCold. A rejected ticket must still be released by
-// Fail.
+// Revalidate returns EndpointCold. While the endpoint rests, it returns EndpointBusy. A
+// rejected ticket must still be released by Fail.
 func (a *Allowance) Revalidate(t Ticket, now time.Time) (Ticket, *result.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if e := a.restErrorLocked(now); e != nil {
+		return Ticket{}, e
+	}
 	limit := a.limit()
 	if t.epoch == a.epoch || a.running+a.inherited.count(now) <= limit {
 		return Ticket{epoch: a.epoch, admittedAt: t.admittedAt}, nil
@@ -194,6 +202,28 @@
 	return Ticket{}, result.New(result.EndpointCold, "it turned cold before the request was sent").WithRetryAfter(delay)
 }
 
+// Rest records that the endpoint wants no requests for the duration d from now on. A
+// shorter rest does not end a longer one; a new incarnation does.
+//
+// An overloaded endpoint that refuses requests has free slots, so requests would
+// go on reaching it.
+func (a *Allowance) Rest(d time.Duration, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if until := now.Add(d); until.After(a.restUntil) {
+		a.restUntil = until
+	}
+}
+
+// restErrorLocked returns the error for a request while the endpoint rests, or nil.
+func (a *Allowance) restErrorLocked(now time.Time) *result.Error {
+	left := a.restUntil.Sub(now)
+	if left <= 0 {
+		return nil
+	}
+	return result.New(result.EndpointBusy, "the endpoint asked for a rest").WithRetryAfter(left)
+}
+
 // ObserveTTFT records the time to first token of a streamed request, and starts a
 // cold start if the times have risen suddenly. It must not be called for responses
 // that aren't streamed: their first byte arrives after all of the work.
@@ -269,6 +299,7 @@
 	}
 	if a.incarnation != "" {
 		a.inherited.n = 0
+		a.restUntil = time.Time{}
 		a.resetToColdLocked(NewIncarnation)
 	}
 	a.incarnation = id
--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/service"
@@ -38,6 +39,25 @@
 	}
 }
 
+// Guards against a time that was misread: half a second as none, and a very large one as negative.
+func TestRetryAfterOfARefusal(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"2": 2 * time.Second, "0.5": 500 * time.Millisecond, "99999999999": 24 * time.Hour,
+		"": 0, "0": 0, "-1": 0, "NaN": 0, "Inf": 0, "soon": 0,
+	} {
+		s := &rawServer{answer: func(conn net.Conn, _ *http.Request, _ int) bool {
+			send(conn, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: "+text+"\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}}
+		c := client(t, s.start(t), nil)
+		var a answer
+		err := c.Do(testContext(t), plainCall("r"), a.sink)
+		if got := result.Of(err).RetryAfter(); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
 // An endpoint that is not there has run nothing, and the caller may go
 // elsewhere at once.
 func TestNobodyListensIsARefusal(t *testing.T) {
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"mime"
 	"net/http"
 	"strconv"
@@ -117,12 +118,17 @@
 	}
 }
 
+// maxRetryAfter bounds the time that an endpoint may name, so that none overflows a
+// time.Duration.
+const maxRetryAfter = 24 * time.Hour
+
+// parseRetryAfter reads seconds. Text that can't be read names no time.
 func parseRetryAfter(value string) time.Duration {
-	n, err := strconv.Atoi(value)
-	if err != nil || n < 0 {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds > 0) || math.IsInf(seconds, 1) {
 		return 0
 	}
-	return time.Duration(n) * time.Second
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // OnContentLength implements nbhttp.Processor; it comes after the last header.
