Give the stand-ins of a test process a loopback address of their own

TestChaos was seen once with "order ran 10 times", orders without an idempotency key, while the soak of another package failed beside it. Entries refuse such orders, so they came from elsewhere.

Cause: a stand-in's port goes back to the kernel when it is closed, and relays of the soak send on to it; if the kernel gives it to another package's service, that service runs them. Shown by a run: a relay whose endpoint is closed, and a plain service that listens at its address, run ten orders of which five reach the service, all under the key "", which is the message that was seen. That this happened in the one run is most likely and can't be shown: its ports were not kept.

Ruled out as the remedy: an expected endpoint in each request, which those of the platform's routes carry and a plain service does not look at.

--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -1,7 +1,10 @@
 package standin
 
 import (
+	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -36,3 +39,36 @@
 	}
 	return "", eris.New("no free port")
 }
+
+// loopbackIP returns a loopback address that no other process with a PID below 2^22 uses.
+func loopbackIP(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
+}
+
+// Listen opens a free port at a loopback address of this process alone.
+//
+// A process under test may go on sending to a listener that has been closed. At a
+// shared address, the kernel may have given the port to the listener of another test,
+// which would answer in its place.
+func Listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(loopbackIP(os.Getpid()), "0"))
+	if err == nil {
+		return ln, nil
+	}
+	// Some systems have 127.0.0.1 alone.
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
+// Serve starts an HTTP server at an address that Listen opens; Close ends it. It panics if
+// there is none, as httptest.NewServer does.
+func Serve(h http.Handler) *httptest.Server {
+	ln, err := Listen()
+	if err != nil {
+		panic(err)
+	}
+	s := httptest.NewUnstartedServer(h)
+	_ = s.Listener.Close()
+	s.Listener = ln
+	s.Start()
+	return s
+}
--- a/internal/standin/line/faulty.go
+++ b/internal/standin/line/faulty.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 )
 
 // Mode is how a Faulty line behaves.
@@ -51,7 +53,7 @@
 
 // Listen opens the line at a free port and returns the address.
 func (l *Faulty) Listen() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := standin.Listen()
 	if err != nil {
 		return "", eris.Wrap(err, "faulty line")
 	}
--- a/internal/standin/line/line.go
+++ b/internal/standin/line/line.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 )
 
 // maxRequest is the largest request in bytes.
@@ -31,7 +33,7 @@
 
 // Listen opens the line at a free port and returns the address.
 func (l *Lossy) Listen() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := standin.Listen()
 	if err != nil {
 		return "", eris.Wrap(err, "lossy line")
 	}
