--- /dev/null
+++ b/internal/relay/dispatch.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+// placer returns the function with which the queue assigns requests. mu must be held.
+func (st *State) placer(now time.Time) admission.Placer {
+	return func(r *admission.Request) bool {
+		w := st.waiters[r.ID]
+		service := w.req.Service
+		if w.late && st.lateRunning[service.Name] >= st.lateSlots(service, now) {
+			w.assignErr = result.New(result.EndpointBusy, "").WithRetryAfter(retryAfterBusy)
+			return false
+		}
+		assigned, e := st.choose(service, w.req.Query, now)
+		w.assigned, w.assignErr = assigned, e
+		if e != nil {
+			return false
+		}
+		w.assigned.requestID, w.assigned.late = r.ID, w.late
+		if w.late {
+			st.lateRunning[service.Name]++
+		}
+		return true
+	}
+}
+
+// DispatchWaiting assigns or refuses waiting requests according to the current state.
+func (st *State) DispatchWaiting(now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.dispatchWaiting(now)
+}
+
+func (st *State) dispatchWaiting(now time.Time) {
+	if st.queue.Waiting() == 0 {
+		return
+	}
+	st.refresh(now)
+	st.excludeStandstill(now)
+	started, refused := st.queue.Next(now, st.placer(now))
+	for _, r := range started {
+		st.waiters[r.ID].queued = false
+		st.waiters[r.ID].done <- nil
+	}
+	st.handleRefusals(refused, now)
+	st.refuseDuringRest(now)
+}
+
+// queueRefusal returns the refusal, with a Retry-After time, for a request that the queue refused.
+// While the group is closed or all endpoints rest, the drain rate measured before does not predict
+// when the service accepts requests again.
+func (st *State) queueRefusal(w *waiter, r admission.Refused, now time.Time) *result.Error {
+	state, closed := st.groupState(w.req.Service, now)
+	if closed {
+		return st.refusal(w.req.Service.Name, result.GroupClosed, now)
+	}
+	if left := st.serviceRest(w.req.Service, state.closedEngines, now); left > 0 {
+		return restRefusal(left)
+	}
+	return result.New(r.Code, "").WithRetryAfter(r.RetryAfter)
+}
+
+// excludeFromDrainRate keeps the time up to now out of the drain rate that the queue measures for a
+// service.
+func (st *State) excludeFromDrainRate(s *routing.Service, now time.Time) {
+	st.queue.SkipDrainTime(s.Name, now)
+	st.queue.SkipDrainTime(s.Name+lateRouteSuffix, now)
+}
+
+// excludeStandstill keeps the time for which groups are closed, or all endpoints of a service rest,
+// out of the drain rate that the queue measures. Otherwise the queue would refuse callers for
+// seconds afterwards.
+func (st *State) excludeStandstill(now time.Time) {
+	seen := map[string]bool{}
+	for _, w := range st.waiters {
+		s := w.req.Service
+		if !w.queued || seen[s.Name] {
+			continue
+		}
+		seen[s.Name] = true
+		if state, closed := st.groupState(s, now); closed || st.serviceRest(s, state.closedEngines, now) > 0 {
+			st.excludeFromDrainRate(s, now)
+		}
+	}
+}
+
+// handleRefusals ends the wait of requests that the queue has refused, or lets them wait on as late
+// requests.
+func (st *State) handleRefusals(refused []admission.QueuedRefusal, now time.Time) {
+	for _, r := range refused {
+		w := st.waiters[r.ID]
+		if w == nil {
+			continue
+		}
+		if !w.markLate(r.Code) {
+			w.refusal = st.queueRefusal(w, r.Refused, now)
+		} else if st.enqueue(w, now) {
+			w.queued = false
+			w.done <- nil
+			continue
+		}
+		if w.refusal != nil {
+			delete(st.waiters, r.ID)
+			w.done <- w.refusal
+		}
+	}
+}
+
+// untilNextDispatch returns how long until a waiting request has to be refused or marked late, or
+// an endpoint that rests may be sent requests again.
+func (st *State) untilNextDispatch(now time.Time) time.Duration {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	d := time.Second
+	if at, ok := st.queue.NextRefusal(); ok {
+		d = at.Sub(now)
+	}
+	if end, ok := st.rests.nextEnd(now); ok {
+		d = min(d, end)
+	}
+	return max(time.Millisecond, d)
+}
+
+// cancelWaiting removes a request whose context has ended from the queue.
+func (st *State) cancelWaiting(w *waiter, id string, now time.Time) (Assignment, *result.Error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	select {
+	case e := <-w.done:
+		// The request was assigned or refused at the same moment. An assignment must be used or
+		// given back.
+		return w.assigned, e
+	default:
+	}
+	st.queue.Cancel(id)
+	delete(st.waiters, id)
+	st.dispatchWaiting(now)
+	return Assignment{}, result.New(result.Cancelled, "while it waited")
+}
