Soak: endpoints that say they are leaving, and such that ask for a rest

An endpoint that leaves says so in its answers while the store lists it as ready, and starts again under its ID after a while; another refuses everything and asks for 1.5 s of rest. What callers see is held against the promise: a relay that has passed on an endpoint's word may send it nothing that was asked more than 2 s later, in touch with the store or not, unless the relay has restarted since.

That rests are kept can't be seen by callers, as a relay's refusal is its own: it has its tests in internal/frontend.

--- a/cmd/hyssoprelay/soak_callers_test.go
+++ b/cmd/hyssoprelay/soak_callers_test.go
@@ -178,6 +178,8 @@
 		return "a request with a key that was taken away ran"
 	case a.err != nil:
 		return ""
+	case cs.fromLeaving(a):
+		return "a request was sent to an endpoint that had said that it is leaving"
 	case a.status == http.StatusOK && !a.whole():
 		return "a success is not whole"
 	case a.status == http.StatusOK && a.header.Get("X-Hyssoprelay-Attempt-Id") != a.id:
@@ -189,6 +191,19 @@
 	}
 }
 
+// fromLeaving reports whether an answer is of an endpoint that had told the relay long enough before
+// that it is leaving.
+func (cs *callers) fromLeaving(a asked) bool {
+	seal := a.header.Get("X-Hyssoprelay-Replica-Seal")
+	for _, earlier := range cs.all {
+		told := earlier.err == nil && earlier.relay == a.relay && earlier.header.Get("Server-Leaving") != ""
+		if told && earlier.header.Get("X-Hyssoprelay-Replica-Seal") == seal && cs.s.mustKnowLeaving(a.relay, seal, earlier.ended, a.sent) {
+			return true
+		}
+	}
+	return false
+}
+
 // saysNotRun reports whether the answer says that the request did not run.
 func (a asked) saysNotRun() bool {
 	code, err := strconv.Atoi(a.header.Get("X-Result-Code"))
--- a/cmd/hyssoprelay/soak_chaos_test.go
+++ b/cmd/hyssoprelay/soak_chaos_test.go
@@ -136,11 +136,28 @@
 	i := c.rng.IntN(len(c.s.desks))
 	desk, d := c.s.desks[i], c.between(200*time.Millisecond, 3*time.Second)
 	name := fmt.Sprint("desk", i)
-	if c.rng.IntN(3) == 0 {
+	switch c.rng.IntN(5) {
+	case 0:
 		if c.take("unlisted", name, now, d, func() { c.s.list(desk) }) {
 			c.s.unlist(desk)
 		}
 		return
+	case 1:
+		d += leavingDrain
+		if c.take("leaving", name, now, d, func() { c.s.restart(desk) }) {
+			c.s.leave(desk)
+		}
+		return
+	case 2:
+		stop := func() {
+			desk.Behave(standin.Answers)
+			desk.AskForRest("")
+		}
+		if c.take("resting", name, now, d, stop) {
+			desk.AskForRest("1.5")
+			desk.Behave(standin.Refuses)
+		}
+		return
 	}
 	b := []standin.Behaviour{standin.Refuses, standin.Resets, standin.Tears, standin.Fails, standin.Hangs}[c.rng.IntN(5)]
 	if c.take(fmt.Sprintf("endpoint%d", b), name, now, d, func() { desk.Behave(standin.Answers) }) {
@@ -174,6 +191,7 @@
 	case 0:
 		if c.take("killed", p.name, now, c.between(50*time.Millisecond, 2*time.Second), p.start) {
 			p.kill()
+			c.s.recordRestart(p.name)
 		}
 	case 1:
 		c.stop(p, now)
@@ -205,6 +223,7 @@
 		p.start()
 	}
 	if c.take("stopped", p.name, now, d, end) {
+		c.s.recordRestart(p.name)
 		p.signal(syscall.SIGTERM)
 	}
 }
--- a/cmd/hyssoprelay/soak_system_test.go
+++ b/cmd/hyssoprelay/soak_system_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +88,24 @@
 	version int
 	// keys holds when the lost key was given (true) or taken away (false).
 	keys []keyChange
+	// restarts holds when each process began to end, and leavings when endpoints were leaving.
+	restarts map[string][]time.Time
+	leavings []leaving
+}
+
+// leavingDrain is how long requests may still reach an endpoint from a relay that has passed on
+// its word that it is leaving.
+const leavingDrain = 2 * time.Second
+
+// leaving is the time for which an endpoint said that it is leaving; until is zero before its end.
+type leaving struct {
+	seal        string
+	from, until time.Time
+}
+
+// includes reports whether the endpoint was leaving at all times from a to b.
+func (l leaving) includes(a, b time.Time) bool {
+	return a.After(l.from) && (l.until.IsZero() || b.Before(l.until))
 }
 
 type keyChange struct {
@@ -177,6 +196,55 @@
 	return !taken.IsZero() && sent.Sub(taken) > keyRevoke
 }
 
+// leave has an endpoint say that it is leaving, which the store does not.
+func (s *soakSystem) leave(d *desk) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leavings = append(s.leavings, leaving{seal: "seal-" + d.ID, from: time.Now()})
+	d.SayLeaving("1")
+}
+
+// restart has an endpoint that was leaving start again under its ID.
+func (s *soakSystem) restart(d *desk) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.leavings {
+		if l := &s.leavings[i]; l.seal == "seal-"+d.ID && l.until.IsZero() {
+			l.until = time.Now()
+		}
+	}
+	d.SayLeaving("")
+	d.Born += bornStep
+	s.list(d)
+}
+
+// bornStep is the time in ms from one start of an endpoint to the next, as it states them.
+const bornStep = 1000
+
+// recordRestart records that a process begins to end and will be started again.
+func (s *soakSystem) recordRestart(process string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restarts == nil {
+		s.restarts = map[string][]time.Time{}
+	}
+	s.restarts[process] = append(s.restarts[process], time.Now())
+}
+
+// mustKnowLeaving reports whether a relay that passed on an endpoint's word that it is leaving, at
+// told, must not have sent it a request that a caller sent at sent.
+func (s *soakSystem) mustKnowLeaving(relay, seal string, told, sent time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.restarts[relay] {
+		if at.Before(sent) && !at.Before(told) {
+			return false
+		}
+	}
+	within := func(l leaving) bool { return l.seal == seal && l.includes(told, sent) }
+	return sent.Sub(told) > leavingDrain && slices.ContainsFunc(s.leavings, within)
+}
+
 func (s *soakSystem) list(d *desk) {
 	key, value := d.EntryAt("desk", d.dataCentre, "ready", d.addr)
 	s.store.Put(key, value)
