Soak: a request that waited for a leaving endpoint's successor is allowed

Traced: all eleven requests had arrived more than 2 s after the endpoint's word, at relays of which every endpoint was out, and all ended within 50 ms of the moment at which the endpoint started again under its ID; they had waited and were served by its successor, which is allowed. The check now asks that the later request has ended before that moment. A restart excuses from the end of the process, not from the signal on: a relay that drains still knows.

--- a/cmd/hyssoprelay/soak_callers_test.go
+++ b/cmd/hyssoprelay/soak_callers_test.go
@@ -197,7 +197,7 @@
 	seal := a.header.Get("X-Hyssoprelay-Replica-Seal")
 	for _, earlier := range cs.all {
 		told := earlier.err == nil && earlier.relay == a.relay && earlier.header.Get("Server-Leaving") != ""
-		if told && earlier.header.Get("X-Hyssoprelay-Replica-Seal") == seal && cs.s.mustKnowLeaving(a.relay, seal, earlier.ended, a.sent) {
+		if told && earlier.header.Get("X-Hyssoprelay-Replica-Seal") == seal && cs.s.mustKnowLeaving(seal, earlier, a) {
 			return true
 		}
 	}
--- a/cmd/hyssoprelay/soak_chaos_test.go
+++ b/cmd/hyssoprelay/soak_chaos_test.go
@@ -190,8 +190,8 @@
 	switch c.rng.IntN(4) {
 	case 0:
 		if c.take("killed", p.name, now, c.between(50*time.Millisecond, 2*time.Second), p.start) {
-			p.kill()
 			c.s.recordRestart(p.name)
+			p.kill()
 		}
 	case 1:
 		c.stop(p, now)
@@ -220,10 +220,10 @@
 		} else if !p.await(exitTime) {
 			c.s.t.Errorf("%s does not end well after SIGTERM", p.name)
 		}
+		c.s.recordRestart(p.name)
 		p.start()
 	}
 	if c.take("stopped", p.name, now, d, end) {
-		c.s.recordRestart(p.name)
 		p.signal(syscall.SIGTERM)
 	}
 }
--- a/cmd/hyssoprelay/soak_system_test.go
+++ b/cmd/hyssoprelay/soak_system_test.go
@@ -88,7 +88,7 @@
 	version int
 	// keys holds when the lost key was given (true) or taken away (false).
 	keys []keyChange
-	// restarts holds when each process began to end, and leavings when endpoints were leaving.
+	// restarts holds when each process ended, and leavings when endpoints were leaving.
 	restarts map[string][]time.Time
 	leavings []leaving
 }
@@ -221,7 +221,7 @@
 // bornStep is the time in ms from one start of an endpoint to the next, as it states them.
 const bornStep = 1000
 
-// recordRestart records that a process begins to end and will be started again.
+// recordRestart records that a process has ended, or is about to, and will be started again.
 func (s *soakSystem) recordRestart(process string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,18 +231,19 @@
 	s.restarts[process] = append(s.restarts[process], time.Now())
 }
 
-// mustKnowLeaving reports whether a relay that passed on an endpoint's word that it is leaving, at
-// told, must not have sent it a request that a caller sent at sent.
-func (s *soakSystem) mustKnowLeaving(relay, seal string, told, sent time.Time) bool {
+// mustKnowLeaving reports whether a relay that passed on an endpoint's word that it is leaving, in
+// one answer, must not have sent it the request of another one. A request that waited until the
+// endpoint had started again was served by its successor.
+func (s *soakSystem) mustKnowLeaving(seal string, told, later asked) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, at := range s.restarts[relay] {
-		if at.Before(sent) && !at.Before(told) {
+	for _, at := range s.restarts[later.relay] {
+		if at.Before(later.ended) && !at.Before(told.ended) {
 			return false
 		}
 	}
-	within := func(l leaving) bool { return l.seal == seal && l.includes(told, sent) }
-	return sent.Sub(told) > leavingDrain && slices.ContainsFunc(s.leavings, within)
+	within := func(l leaving) bool { return l.seal == seal && l.includes(told.ended, later.ended) }
+	return later.sent.Sub(told.ended) > leavingDrain && slices.ContainsFunc(s.leavings, within)
 }
 
 func (s *soakSystem) list(d *desk) {
--- a/cmd/hyssoprelay/soak_test.go
+++ b/cmd/hyssoprelay/soak_test.go
@@ -18,7 +18,10 @@
 var soakRegressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{9145, "requests that waited until a leaving endpoint had started again were taken for ones sent before"},
+	{9147, "the same"},
+}
 
 // The relays and rankers run as separate processes while connections to the
 // store and to endpoints are slowed, broken, cut one way and silenced, the store
