Read Retry-After in one place

Three packages read the header, two of them whole seconds alone: the callers' client came back at once where a relay asked for a quarter of a second and the body was cut. One function reads it, with the bound that keeps large numbers from turning negative.

--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -2,14 +2,14 @@
 
 import (
 	"fmt"
-	"math"
 	"mime"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/retryafter"
 )
 
 const (
@@ -101,8 +101,8 @@
 		r.closing = r.closing || strings.EqualFold(value, "close")
 	case headerIncarnation:
 		r.incarnation = value
-	case "Retry-After":
-		r.retryAfter = parseRetryAfter(value)
+	case retryafter.Header:
+		r.retryAfter = retryafter.Parse(value)
 	case headerRequestID:
 		r.checkRequestID(value)
 	}
@@ -118,19 +118,6 @@
 	}
 }
 
-// maxRetryAfter bounds the time that an endpoint may name, so that none overflows a
-// time.Duration.
-const maxRetryAfter = 24 * time.Hour
-
-// parseRetryAfter reads seconds. Text that can't be read names no time.
-func parseRetryAfter(value string) time.Duration {
-	seconds, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(seconds > 0) || math.IsInf(seconds, 1) {
-		return 0
-	}
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // OnContentLength implements nbhttp.Processor; it comes after the last header.
 func (r *response) OnContentLength(_ *nbhttp.Parser, n int) {
 	if r.interim() {
--- a/pkg/client/exchange.go
+++ b/pkg/client/exchange.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/retryafter"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -154,14 +155,13 @@
 	return result.New(result.Code(b.Error.Code), b.Error.Detail).WithRetryAfter(after)
 }
 
-// refusal reads the error's body. The header has the code and whole seconds,
+// refusal reads the error's body. The header has the code and the time in seconds,
 // for a body that was cut.
 func refusal(resp *http.Response, code result.Code) error {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	var b errorBody
 	if err != nil || json.Unmarshal(raw, &b) != nil || b.Error.Code != int(code) {
-		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
-		return result.New(code, "").WithRetryAfter(time.Duration(seconds) * time.Second)
+		return result.New(code, "").WithRetryAfter(retryafter.Parse(resp.Header.Get(retryafter.Header)))
 	}
 	return b.result()
 }
