--- a/internal/relay/rest.go
+++ b/internal/relay/rest.go
@@ -125,11 +125,20 @@
 	return least
 }
 
+// restLeft is serviceRest for a service whose closed groups are not known to the caller. mu must be
+// held.
+func (st *State) restLeft(service *routing.Service, now time.Time) time.Duration {
+	if len(st.rests.byEndpoint) == 0 {
+		return 0
+	}
+	state, _ := st.groupState(service, now)
+	return st.serviceRest(service, state.closedEngines, now)
+}
+
 // refuseIfResting returns a refusal if all endpoints of the service rest for longer than the request
 // can wait, or else nil. mu must be held.
 func (st *State) refuseIfResting(req AdmitRequest, now time.Time) *result.Error {
-	state, _ := st.groupState(req.Service, now)
-	left := st.serviceRest(req.Service, state.closedEngines, now)
+	left := st.restLeft(req.Service, now)
 	if left == 0 || st.mayWaitFor(req, left, now) {
 		return nil
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -357,8 +357,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.refresh(now)
-	state, _ := st.groupState(service, now)
-	if left := st.serviceRest(service, state.closedEngines, now); left > 0 {
+	if left := st.restLeft(service, now); left > 0 {
 		return restRefusal(left)
 	}
 	return st.refusal(service.Name, code, now)
