--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -111,8 +111,8 @@
 	return ranError(ctx, err)
 }
 
-// recordRest records that the endpoint turned a request away, and for how long it wants
-// no further one.
+// recordRest records that the endpoint turned a request away, with status 429, 502, 503 or
+// 504, and for how long it wants no further one.
 func (a *Agent) recordRest(err error, now time.Time) {
 	e := result.Of(err)
 	if e == nil || e.Code() != result.OutcomeUnknown || e.RetryAfter() <= 0 {
