Tests that fail keep all logs, counters, events and time lines

Now each test that starts processes, a system or a group keeps, when it fails, what all of them wrote (times in RFC 3339 with nanoseconds, one clock), the counters, the events of the stand-ins (requests, calls to the store, orders to ranks, maps that come into force), and the time lines. They go into the directory that HYSSOPRELAY_TEST_LOGS names, or into the test's output.

--- a/cmd/hyssoprelay/daemon_test.go
+++ b/cmd/hyssoprelay/daemon_test.go
@@ -26,12 +26,8 @@
 func newDaemon(t *testing.T, name string, args ...string) *daemon {
 	t.Helper()
 	d := &daemon{t: t, name: name, args: args}
-	t.Cleanup(func() {
-		d.kill()
-		if t.Failed() {
-			t.Logf("%s: %s", name, d.log.Text())
-		}
-	})
+	standin.Keep(t, name, d.log.Text)
+	t.Cleanup(d.kill)
 	d.start()
 	return d
 }
--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -67,21 +65,30 @@
 	role string
 	args []string
 	cmd  *exec.Cmd
-	log  bytes.Buffer
+	log  standin.Log
 }
 
-func (p *proc) start() *bufio.Reader {
+func (p *proc) start() {
 	p.t.Helper()
 	p.cmd = roleCommand(context.Background(), p.role, p.args...)
-	p.cmd.Stderr = &p.log
-	out, err := p.cmd.StdoutPipe()
-	if err != nil {
-		p.t.Fatal(err)
-	}
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	return bufio.NewReader(out)
+}
+
+// firstLine waits for the first line that the process writes.
+func (p *proc) firstLine() string {
+	p.t.Helper()
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		if line, _, ok := strings.Cut(p.log.Text(), "\n"); ok {
+			return line
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.t.Fatalf("%s has written no line", p.name)
+	return ""
 }
 
 func (p *proc) signal(s syscall.Signal) {
@@ -112,6 +119,7 @@
 	agents   []*agentProc
 	services []string
 	engines  []string
+	standins int
 }
 
 type entryProc struct {
@@ -126,23 +134,17 @@
 
 func (f *fleet) proc(name, role string, args ...string) *proc {
 	p := &proc{t: f.t, name: name, role: role, args: args}
-	f.t.Cleanup(func() {
-		p.kill()
-		if f.t.Failed() {
-			f.t.Logf("%s: %s", name, p.log.String())
-		}
-	})
+	standin.Keep(f.t, name, p.log.Text)
+	f.t.Cleanup(p.kill)
 	return p
 }
 
 func (f *fleet) standin(args ...string) []string {
 	f.t.Helper()
-	p := f.proc(strings.Join(args, " "), roleStandin, args...)
-	line, err := p.start().ReadString('\n')
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return strings.Fields(line)
+	f.standins++
+	p := f.proc(fmt.Sprintf("standin %d %s", f.standins, args[0]), roleStandin, append(args, "--events")...)
+	p.start()
+	return strings.Fields(p.firstLine())
 }
 
 // freeAddress returns an address that nobody listens on.
@@ -327,11 +329,28 @@
 		said = out
 		return code == 0
 	})
+	f.keepTimelines()
 	for _, e := range f.entries {
 		f.eventually(e.name+" is ready", func() bool { return f.ready(e) })
 	}
 }
 
+// keepTimelines has a test that fails leave the time lines of all processes that still run, and
+// their state with the counters.
+func (f *fleet) keepTimelines() {
+	kept := ""
+	standin.Keep(f.t, "timelines", func() string { return kept })
+	f.t.Cleanup(func() {
+		if !f.t.Failed() {
+			return
+		}
+		for _, command := range [][]string{{"status"}, {"timeline", "--since", "2m"}} {
+			out, code := f.run(append([]string{f.way}, command...)...)
+			kept += fmt.Sprintln(command, "exit", code, out)
+		}
+	})
+}
+
 func (f *fleet) ready(e *entryProc) bool {
 	status, _, err := f.chat(e, "ready")
 	if err != nil || status != http.StatusOK {
--- a/cmd/hyssoprelay/ranker_test.go
+++ b/cmd/hyssoprelay/ranker_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	kept "github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -36,6 +37,7 @@
 func newRankers(t *testing.T, group *standin.Group, stores []string) *rankers {
 	t.Helper()
 	r := &rankers{fleet: &fleet{t: t, dir: t.TempDir()}, group: group}
+	kept.Keep(t, "engines", group.Events)
 	for i, store := range stores {
 		name := fmt.Sprint("ranker", i)
 		file := r.settings(name, fmt.Sprintf(rankerSettings, name, store, group.Addr(i)))
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
 	list "github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
+	"github.com/hyssoprelay/hyssoprelay/internal/process"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
@@ -48,6 +49,8 @@
 	Drain time.Duration
 	// Log receives the processes' lines; nil drops them.
 	Log *logrus.Logger
+	// Events, if not nil, receives the events of the stand-ins.
+	Events *logrus.Logger
 
 	// KV is the stand-in of the platform's key-value service.
 	KV *kv.Server
@@ -127,9 +130,9 @@
 	s.ctx = ctx
 	s.engines = map[string]*engine.Engine{}
 	s.services = map[string]*service.Service{}
-	s.KV = &kv.Server{}
+	s.KV = &kv.Server{Events: s.Events}
 	s.parts = append(s.parts, s.run(s.KV.Run))
-	s.List = &vmlist.Server{}
+	s.List = &vmlist.Server{Events: s.Events}
 	s.parts = append(s.parts, s.run(s.List.Run))
 	s.Network.at(s.KV.Addr(), Platform)
 	s.Network.at(s.List.Addr(), Platform)
@@ -185,7 +188,7 @@
 // StartEngine starts an engine and its agent.
 func (s *System) StartEngine(dc, name string) error {
 	e := engine.New(s.EngineSettings)
-	srv := &standin.Server{Listen: loopback.String(), Handler: s.handler(name, e)}
+	srv := &standin.Server{Listen: loopback.String(), Handler: s.handler(name, e), Events: s.Events, Name: name}
 	e.Drop = srv.Drop
 	s.parts = append(s.parts, s.run(srv.Run))
 	s.mu.Lock()
@@ -198,7 +201,7 @@
 // StartService starts a plain service and its agent.
 func (s *System) StartService(dc, name string) error {
 	v := &service.Service{}
-	srv := &standin.Server{Listen: loopback.String(), Handler: v}
+	srv := &standin.Server{Listen: loopback.String(), Handler: v, Events: s.Events, Name: name}
 	s.parts = append(s.parts, s.run(srv.Run))
 	s.mu.Lock()
 	s.services[name] = v
@@ -207,6 +210,16 @@
 	return err
 }
 
+// logOf returns a logger that writes to Log and names a process in its lines.
+func (s *System) logOf(name, dc string) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(s.Log.Out)
+	l.SetFormatter(s.Log.Formatter)
+	l.SetLevel(s.Log.Level)
+	process.AddOrigin(l, name, dc)
+	return l
+}
+
 func (s *System) process(dc, name string) settings.Process {
 	return settings.Process{
 		Name:              name,
@@ -229,7 +242,7 @@
 			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
 			Kind:            kind,
 		},
-		Log:  s.Log,
+		Log:  s.logOf(name+"-agent", dc),
 		Dial: h.Dial,
 	}
 	s.joinGroup(p.Settings)
@@ -256,7 +269,7 @@
 			OperatorToken: OperatorToken,
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
-		Log:      s.Log,
+		Log:      s.logOf(name, dc),
 		Dial:     h.Dial,
 		Announce: 300 * time.Millisecond,
 	}
--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -30,10 +32,49 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	if err := s.Start(ctx); err != nil {
+	readTimelines := keepLogs(t, s)
+	err := s.Start(ctx)
+	t.Cleanup(s.Stop)
+	t.Cleanup(readTimelines)
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(s.Stop)
+}
+
+// keepLogs has a test that fails leave the lines and the counters of all processes, the events of
+// the stand-ins and the time lines. The function that it returns has to be called while the system
+// still runs.
+func keepLogs(t *testing.T, s *System) (readTimelines func()) {
+	t.Helper()
+	lines, events := &standin.Log{}, &standin.Log{}
+	s.Log, s.Events = standin.NewEventLog(lines), standin.NewEventLog(events)
+	standin.Keep(t, "processes", lines.Text)
+	standin.Keep(t, "standins", events.Text)
+	standin.Keep(t, "counters", func() string {
+		var b strings.Builder
+		for _, e := range s.EntriesOf("") {
+			fmt.Fprintln(&b, e.Name, standin.Counters(e.Process.Registry))
+		}
+		for _, a := range s.Agents() {
+			fmt.Fprintln(&b, a.Name, standin.Counters(a.Process.Registry))
+		}
+		return b.String()
+	})
+	timelines := ""
+	standin.Keep(t, "timelines", func() string { return timelines })
+	return func() {
+		if t.Failed() {
+			timelines = s.timelines()
+		}
+	}
+}
+
+// timelines returns the time lines of all processes that still run.
+func (s *System) timelines() string {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := s.Order(ctx, "timeline", "--since", "2m")
+	return fmt.Sprintln(out, err)
 }
 
 func ask(t *testing.T, e *Entry, path, body string, header ...string) (int, string) {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -132,12 +132,8 @@
 			}
 		})
 	}
-	s.t.Cleanup(func() {
-		stop()
-		if s.t.Failed() {
-			s.t.Logf("log of %s:\n%s", name, logOutput.Text())
-		}
-	})
+	logs.Keep(s.t, name, logOutput.Text)
+	s.t.Cleanup(stop)
 	e := &entry{Frontend: f, log: logOutput, stop: stop}
 	s.eventually("the entry is ready", func() bool { return e.ready() == http.StatusOK })
 	return e
--- a/internal/process/boundedlog.go
+++ b/internal/process/boundedlog.go
@@ -40,7 +40,7 @@
 		inner: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano, DisableHTMLEscape: true},
 		limit: &b.limit,
 	})
-	b.AddHook(origin{name: name, dataCentre: dataCentre})
+	AddOrigin(b.Logger, name, dataCentre)
 	return b
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -101,7 +101,7 @@
 	QuietEventLoop()
 	l := logrus.New()
 	l.SetOutput(os.Stderr)
-	l.AddHook(origin{name: p.Name, dataCentre: p.DataCentre})
+	AddOrigin(l, p.Name, p.DataCentre)
 	if p.LogFormat == settings.LogJSON {
 		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	} else {
@@ -110,6 +110,11 @@
 	return l
 }
 
+// AddOrigin has l name a process and its data centre in each line.
+func AddOrigin(l *logrus.Logger, name, dataCentre string) {
+	l.AddHook(origin{name: name, dataCentre: dataCentre})
+}
+
 // origin adds to each line where it comes from.
 type origin struct {
 	name, dataCentre string
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -44,6 +44,7 @@
 	g := &testGroup{t: t, store: standin.NewStore(), group: group}
 	t.Cleanup(g.store.Close)
 	t.Cleanup(g.group.Close)
+	logs.Keep(t, "engines", g.group.Events)
 	experts := fmt.Sprintf(`"experts":%d`, group.Experts)
 	g.store.Put("op/config", []byte(strings.Replace(standin.GroupConfiguration, `"experts":9`, experts, 1)))
 	for i := range n {
@@ -81,6 +82,8 @@
 			}
 		})
 	}
+	logs.Keep(g.t, name, log.Text)
+	logs.Keep(g.t, name+" counters", func() string { return logs.Counters(r.Registry) })
 	g.t.Cleanup(stop)
 	g.logs, g.stops = append(g.logs, log), append(g.stops, stop)
 }
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -1,6 +1,10 @@
 package kv
 
-import "time"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 // faults are the switches that are on.
 type faults struct {
@@ -42,6 +46,9 @@
 	s.wake()
 	g := s.gate
 	s.mu.Unlock()
+	if s.Events != nil {
+		s.Events.WithFields(logrus.Fields{"process": "kv", "down": down}).Info("service switched")
+	}
 	if g != nil {
 		g.set(down)
 	}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -33,6 +34,9 @@
 	// refused; zero means none.
 	WritesPerSecond int
 	ReadsPerSecond  int
+	// Events, if not nil, receives a line for each call that has been answered, and for each time
+	// that the service goes down or comes back.
+	Events *logrus.Logger
 
 	etcdpb.UnimplementedKVServer
 	etcdpb.UnimplementedLeaseServer
@@ -96,7 +100,7 @@
 	gate.set(s.faults.down)
 	s.mu.Unlock()
 	close(s.ready)
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(2*maxValue), grpc.WaitForHandlers(true))
+	g := grpc.NewServer(grpc.MaxRecvMsgSize(2*maxValue), grpc.WaitForHandlers(true), grpc.UnaryInterceptor(s.logCall))
 	etcdpb.RegisterKVServer(g, s)
 	etcdpb.RegisterLeaseServer(g, s)
 	etcdpb.RegisterWatchServer(g, s)
@@ -111,6 +115,18 @@
 	return nil
 }
 
+// logCall calls handler and writes a line about the call to Events.
+func (s *Server) logCall(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	begun := time.Now()
+	resp, err := handler(ctx, req)
+	if s.Events != nil {
+		s.Events.WithFields(logrus.Fields{
+			"process": "kv", "method": info.FullMethod, "took": time.Since(begun).Milliseconds(), "code": status.Code(err).String(),
+		}).Info("call answered")
+	}
+	return resp, err
+}
+
 // tick ends leases until ctx or the serving goroutine ends.
 func (s *Server) tick(ctx context.Context, done chan error) {
 	t := time.NewTicker(leaseTick)
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/engine"
@@ -26,6 +27,7 @@
 	ColdBound   int    `long:"coldBound" default:"2" description:"engine: requests at once while cold"`
 	WarmAfter   int    `long:"warmAfter" default:"8" description:"engine: whole answers until warm"`
 	TokenMicros int64  `long:"tokenMicros" default:"200" description:"engine: time for a token"`
+	Events      bool   `long:"events" description:"write a line of JSON for each request"`
 	Args        struct {
 		Kind string `positional-arg-name:"kind" choice:"engine" choice:"service" choice:"kv" choice:"vmlist" required:"yes"`
 	} `positional-args:"yes"`
@@ -47,23 +49,31 @@
 	case "kv":
 		return runKV(ctx, o)
 	case "vmlist":
-		s := &vmlist.Server{Listen: o.Listen}
+		s := &vmlist.Server{Listen: o.Listen, Events: o.events()}
 		return o.serve(ctx, s.Run, func(context.Context) string { return s.Addr() })
 	}
 	h, err := handler(o)
 	if err != nil {
 		return err
 	}
-	s := &standin.Server{Listen: o.Listen, Handler: h}
+	s := &standin.Server{Listen: o.Listen, Handler: h, Events: o.events(), Name: o.Args.Kind}
 	if e, ok := h.(*engine.Engine); ok {
 		e.Drop = s.Drop
 	}
 	return o.serve(ctx, s.Run, s.Addr)
 }
 
+// events returns the logger of the stand-in's events, or nil if none are wanted.
+func (o options) events() *logrus.Logger {
+	if !o.Events {
+		return nil
+	}
+	return standin.NewEventLog(o.out)
+}
+
 // runKV serves the key-value service and, at a second address, its faults.
 func runKV(ctx context.Context, o options) error {
-	s := &kv.Server{Listen: o.Listen}
+	s := &kv.Server{Listen: o.Listen, Events: o.events()}
 	c := &standin.Server{Listen: "127.0.0.1:0", Handler: s.Control()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -9,6 +9,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 )
@@ -21,6 +22,10 @@
 	// Listen is the address to listen on; port 0 takes a free one.
 	Listen  string
 	Handler http.Handler
+	// Events, if not nil, receives a line when a request arrives and when it has been served. Name
+	// is the server's name in these lines.
+	Events *logrus.Logger
+	Name   string
 
 	once  sync.Once
 	ready chan struct{}
@@ -61,7 +66,7 @@
 		Network:                "tcp",
 		Addrs:                  []string{s.Listen},
 		NPoller:                1,
-		Handler:                s.Handler,
+		Handler:                WithEvents(s.Events, s.Name, s.Handler),
 		SupportServerOnly:      true,
 		MessageHandlerPoolSize: handlers,
 		Listen:                 s.listen,
--- a/internal/standin/vmlist/server.go
+++ b/internal/standin/vmlist/server.go
@@ -10,7 +10,10 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/vmlist"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 )
 
 // readTimeout bounds how long a caller may take for its request.
@@ -34,6 +37,8 @@
 	Listen string
 	// Now is the clock of the lag; nil means the system's.
 	Now func() time.Time
+	// Events, if not nil, receives a line when a request arrives and when it has been served.
+	Events *logrus.Logger
 
 	once  sync.Once
 	ready chan struct{}
@@ -81,7 +86,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", s.list)
 	mux.HandleFunc("POST /control/vms", s.control)
-	h := &http.Server{Handler: mux, ReadTimeout: readTimeout}
+	h := &http.Server{Handler: standin.WithEvents(s.Events, "vmlist", mux), ReadTimeout: readTimeout}
 	done := make(chan error, 1)
 	go func() { done <- h.Serve(l) }()
 	select {
