Give the event loop a connection only after its poller has come round

What callers saw: the end of the stream in place of an answer, on a new connection whose request may have been read and passed on (an order then has no known outcome). On the way to endpoints the same broke an attempt that may run once, or passed for the restart of an idle engine.

Cause: nbio's poller takes a batch of events and looks each up by the number of its descriptor. When another goroutine closes a connection whose hang-up waits in the batch (an answered 'Connection: close', a failed write, a timer), and a new connection gets its number, the hang-up is taken for the new one's, which is closed with EOF.

Evidence: two tests hold the poller at an earlier event of the batch, one on the server's side, one on the client's. With the new wait taken out both fail each time ('no answer: unexpected EOF', 'the next connection was closed'), with it they pass, also under the race detector.

Why the wait holds: a connection is registered only after its poller has begun a batch that is later than the moment at which the connection had its number. The closed one left epoll with its number, so no later batch names it, and the earlier ones are done. Who closes does not matter: timers and failed writes of nbio's own are covered. Each poller has a probe connection that answers a byte; waits that come together share one answer.

Looked for elsewhere: all engines that we start take the Gate. nbhttp's client registers its connections itself, so each call of an operator's command has an engine of its own. TestCommandThatFailsAtOnceEnds called close on a client, which is gone; it now makes a call, which starts and stops an engine as before and is checked too.

To tell it from other causes next time, the entries log and count each caller's connection that was lost while a request was being received or answered, with the cause, what had been received and sent, and its age.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -29,8 +29,9 @@
 // Lock order: nbio's lock of the connection is acquired before mu, because nbio reports written
 // bytes while it holds its own lock. Therefore nothing here calls nbio while holding mu.
 type conn struct {
-	server  *Server
-	netConn *nbio.Conn
+	server   *Server
+	netConn  *nbio.Conn
+	openedAt time.Time
 
 	mu      sync.Mutex // guards the fields up to cancel
 	pending int
@@ -78,8 +79,8 @@
 
 func (c *conn) addUnparsed(n int) int { return int(c.unparsedBytes.Add(int64(n))) }
 
-func newConn(s *Server, netConn *nbio.Conn) *conn {
-	c := &conn{server: s, netConn: netConn, lastDone: make(chan struct{})}
+func newConn(s *Server, netConn *nbio.Conn, now time.Time) *conn {
+	c := &conn{server: s, netConn: netConn, openedAt: now, lastDone: make(chan struct{})}
 	close(c.lastDone)
 	return c
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -95,6 +95,8 @@
 	// OnCutOff, if not nil, is called when a connection is closed because its caller does not read.
 	// It must not block.
 	OnCutOff func(CutOff)
+	// OnLost, if not nil, is called when a connection is lost. It must not block.
+	OnLost func(Lost)
 	// Handler serves the requests.
 	Handler Handler
 	// Forwarder, if not nil, serves all requests in place of Handler.
@@ -104,6 +106,7 @@
 
 	memory         memory
 	engine         *nbhttp.Engine
+	gate           eventloop.Gate
 	conns          sync.Map // *nbio.Conn to *conn
 	activeRequests inflight.Counter
 	rejecting      atomic.Bool
@@ -135,7 +138,7 @@
 	eventloop.InstallHooks(s.engine, s.handleOpen, s.handleData)
 	s.engine.OnClose(s.handleClose)
 	s.engine.OnWrittenSize(s.handleWritten)
-	return eris.Wrap(eventloop.StartHTTP(s.engine), "start the caller server")
+	return eris.Wrap(s.gate.StartHTTP(s.engine), "start the caller server")
 }
 
 func (s *Server) config(ln net.Listener) nbhttp.Config {
@@ -149,7 +152,7 @@
 		KeepaliveTime:  s.ReadTimeout + readDeadlineGrace,
 		RetainHTTPBody: false,
 		Handler:        http.HandlerFunc(s.handleHTTP),
-		Listen:         func(string, string) (net.Listener, error) { return ln, nil },
+		Listen:         func(string, string) (net.Listener, error) { return s.gate.Listener(ln), nil },
 	}
 	if s.TLS == nil {
 		cfg.Addrs = []string{s.Addr}
@@ -205,15 +208,23 @@
 func (s *Server) handleOpen(w net.Conn) {
 	if c := underlying(w); c != nil {
 		limitSendBuffer(c)
-		s.conns.Store(c, newConn(s, c))
+		s.conns.Store(c, newConn(s, c, time.Now()))
 	}
 }
 
-func (s *Server) handleClose(w net.Conn, _ error) {
+// handleClose is called with a nil cause if the server itself closed the connection.
+func (s *Server) handleClose(w net.Conn, cause error) {
 	v, ok := s.conns.LoadAndDelete(underlying(w))
-	if ok {
-		v.(*conn).markDisconnected()
+	if !ok {
+		return
+	}
+	c := v.(*conn)
+	if cause != nil && s.OnLost != nil {
+		if l, ok := c.lost(cause, time.Now()); ok {
+			s.OnLost(l)
+		}
 	}
+	c.markDisconnected()
 }
 
 // handleData counts n received bytes. It returns false, which closes the connection, if a request
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -289,3 +289,28 @@
 	_, body := post(t, s, PathServices+"o/", "", "Connection", "close")
 	assertCode(t, body, result.TooManyConnections)
 }
+
+// Guards against a caller's connection that ends without an answer and without a line that tells
+// what closed it and how far its request had come.
+func TestLostConnectionIsReported(t *testing.T) {
+	lost := make(chan Lost, 1)
+	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, OnLost: func(l Lost) { lost <- l }}
+	runServer(t, s)
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const part = "POST /v1/chat/completions HTTP/1.1\r\n"
+	if _, err := io.WriteString(c, part); err != nil {
+		t.Fatal(err)
+	}
+	for s.memory.held.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if l := <-lost; l.Received != len(part) || l.Answering || l.Cause == nil {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -78,7 +78,7 @@
 		return nil, errors.Join(err, std.Close())
 	}
 	c := &conn{nb: nb, ready: make(chan struct{}, 1)}
-	if err := l.add(c); err != nil {
+	if err := l.add(ctx, c); err != nil {
 		return nil, errors.Join(err, nb.Close())
 	}
 	return c, nil
--- a/internal/endpoint/loop.go
+++ b/internal/endpoint/loop.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 // Lock order: mu only; nothing is called with it held.
 type loop struct {
 	engine *nbio.Engine
+	gate   eventloop.Gate
 	// lost is told that an idle connection was closed by the endpoint; it may
 	// be nil.
 	lost func(idle time.Duration)
@@ -36,7 +38,7 @@
 		EpollMod:     nbio.EPOLLET,
 		EPOLLONESHOT: nbio.EPOLLONESHOT,
 	})
-	l.engine.OnRead(func(nb *nbio.Conn) {
+	eventloop.InstallReadHook(l.engine, func(nb *nbio.Conn) {
 		if c := l.find(nb); c != nil {
 			c.onReadable()
 		}
@@ -53,7 +55,7 @@
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, _ int) {
 		nb.ResetPollerEvent()
 	})
-	return l, eventloop.StartEngine(l.engine)
+	return l, l.gate.StartEngine(l.engine)
 }
 
 // tellLost passes on that the endpoint closed an idle connection.
@@ -68,8 +70,11 @@
 	}
 }
 
-// add gives c to the event loop.
-func (l *loop) add(c *conn) error {
+// add gives c to the event loop when the loop can serve it.
+func (l *loop) add(ctx context.Context, c *conn) error {
+	if err := l.gate.Await(ctx, c.nb); err != nil {
+		return err
+	}
 	l.mu.Lock()
 	l.conns[c.nb] = c
 	l.mu.Unlock()
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -15,6 +15,7 @@
 	strays   metrics.Counter
 	fetches  metrics.Counter
 	pushes   metrics.Counter
+	lost     metrics.Counter
 	// names holds the metric of each result code, which is counted for every
 	// request.
 	names map[result.Code]string
@@ -32,6 +33,7 @@
 		strays:   metrics.GetOrRegisterCounter("entry.strayReplies", r),
 		fetches:  metrics.GetOrRegisterCounter("entry.fetches", r),
 		pushes:   metrics.GetOrRegisterCounter("entry.pushes", r),
+		lost:     metrics.GetOrRegisterCounter("entry.callersLost", r),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,6 +132,7 @@
 		ReadTimeout: l.RequestTimeout,
 		IdleTimeout: l.IdleTimeout,
 		Handler:     e,
+		OnLost:      e.logLost,
 	}
 	if err := e.callers.Listen(); err != nil {
 		return err
@@ -283,3 +284,9 @@
 
 // Leaving reports whether the entry has announced that it leaves.
 func (e *Entry) Leaving() bool { return e.leaving.Load() }
+
+// logLost logs and counts a caller's connection that was lost.
+func (e *Entry) logLost(l caller.Lost) {
+	e.counters.lost.Inc(1)
+	e.Log.WithFields(l.Fields()).Info("caller's connection lost")
+}
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -1,4 +1,4 @@
-// Package eventloop starts nbio event loops and installs their hooks.
+// Package eventloop starts nbio event loops, installs their hooks, and gives them connections.
 package eventloop
 
 import (
@@ -24,6 +24,10 @@
 	})
 	e.OnData(func(c *nbio.Conn, data []byte) {
 		accepted.Load()
+		if isProbe(c) {
+			c.DataHandler()(c, data)
+			return
+		}
 		if onData != nil && !onData(c, len(data)) {
 			_ = c.Close()
 			return
@@ -31,3 +35,14 @@
 		c.DataHandler()(c, data)
 	})
 }
+
+// InstallReadHook sets the OnRead hook of e, which is called when a connection can be read.
+func InstallReadHook(e *nbio.Engine, onRead func(*nbio.Conn)) {
+	e.OnRead(func(c *nbio.Conn) {
+		if isProbe(c) {
+			answerProbe(c)
+			return
+		}
+		onRead(c)
+	})
+}
--- /dev/null
+++ b/internal/eventloop/listener.go
@@ -0,0 +1,104 @@
+package eventloop
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/lesismal/nbio"
+)
+
+// maxAwaited is the number of accepted connections that may wait for their poller. Further ones
+// wait in the kernel.
+const maxAwaited = 256
+
+// Listen listens at an address like net.Listen. The connections that the listener accepts may be
+// added to the engine.
+func (g *Gate) Listen(network, addr string) (net.Listener, error) {
+	ln, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return g.Listener(ln), nil
+}
+
+// Listener returns a listener for the engine that accepts the connections of ln. Closing it closes
+// ln.
+func (g *Gate) Listener(ln net.Listener) net.Listener {
+	g.init()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &listener{
+		Listener: ln, gate: g, ctx: ctx, cancel: cancel,
+		ready: make(chan *nbio.Conn), failed: make(chan error), slots: make(chan struct{}, maxAwaited),
+	}
+}
+
+// listener accepts connections in the background, so that one busy poller does not hold up the
+// connections of the others.
+type listener struct {
+	net.Listener
+	gate *Gate
+	// ctx is done when the listener is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	begin  sync.Once
+	ready  chan *nbio.Conn
+	failed chan error
+	slots  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	l.begin.Do(func() { go l.run() })
+	select {
+	case c := <-l.ready:
+		return c, nil
+	case err := <-l.failed:
+		return nil, err
+	case <-l.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. It closes the connections that nobody has accepted.
+func (l *listener) Close() error {
+	l.cancel()
+	return l.Listener.Close()
+}
+
+// run accepts connections until the listener is closed.
+func (l *listener) run() {
+	for l.ctx.Err() == nil {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			l.fail(err)
+			continue
+		}
+		l.slots <- struct{}{}
+		go func() {
+			defer func() { <-l.slots }()
+			l.admit(conn)
+		}()
+	}
+}
+
+func (l *listener) fail(err error) {
+	select {
+	case l.failed <- err:
+	case <-l.ctx.Done():
+	}
+}
+
+// admit hands conn to Accept when the engine can serve it.
+func (l *listener) admit(conn net.Conn) {
+	c, err := l.gate.Convert(l.ctx, conn)
+	if err != nil {
+		return // the engine stops, and conn is closed
+	}
+	select {
+	case l.ready <- c:
+	case <-l.ctx.Done():
+		_ = c.Close()
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -148,6 +148,8 @@
 	storeLostByPeer bool
 	// targetLists holds the lists of engines to which load reports refer.
 	targetLists fleet.TargetLists
+	// callersLost counts the callers' connections that were lost.
+	callersLost metrics.Counter
 	// leaseSuspect is raised when leases in the store may have expired.
 	leaseSuspect wake.Signal
 }
@@ -160,6 +162,7 @@
 		Addr: s.CallerAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Forwarder: f.relay, Now: boottime.Now,
 		MemoryLimit: int64(callerMemoryShare * float64(s.Memory)), OnCutOff: f.logCutOff,
+		OnLost: f.logLost,
 	}
 	f.readyServer = &caller.Server{
 		Addr: s.ReadyAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
@@ -187,6 +190,12 @@
 	}).Warn("caller cut off")
 }
 
+// logLost logs and counts a caller's connection that was lost.
+func (f *Frontend) logLost(l caller.Lost) {
+	f.callersLost.Inc(1)
+	f.Log.WithFields(l.Fields()).Info("caller's connection lost")
+}
+
 // CallerAddress returns the IP:port at which callers are served. Call it after
 // Listen.
 func (f *Frontend) CallerAddress() string { return f.callerServer.Address() }
@@ -202,6 +211,7 @@
 	if f.Output == nil {
 		f.Output = os.Stdout
 	}
+	f.callersLost = metrics.GetOrRegisterCounter("relay.callersLost", f.Registry)
 	now := boottime.Now()
 	pollWait := readers.Wait(s.Bounds.ChangeApply)
 	f.store = &platform.Store{
--- a/internal/operator/command/changes.go
+++ b/internal/operator/command/changes.go
@@ -28,7 +28,6 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
 	var reply operator.ChangeReply
 	err = c.do(p.ctx, call{method: method, path: path, body: body, change: true}, &reply)
 	if r, ok := err.(*refusal); ok && r.reply.Code == int(result.WriteUnknown) {
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -62,11 +62,9 @@
 	token   string
 	tls     *httptls.Config
 	timeout time.Duration
-	engine  *nbhttp.Engine
 }
 
-// open reads what the options name and starts the client. Whoever opens a
-// client closes it.
+// open reads what the options name.
 func (p *Program) open() (*client, error) {
 	c := &client{addrs: p.options.Admin, timeout: p.options.Timeout}
 	if len(c.addrs) == 0 && p.Env("HYSSOPRELAY_ADMIN") != "" {
@@ -87,12 +85,9 @@
 	}
 	// The library's own lines would stand between those of the command.
 	logging.SetLevel(logging.LevelNone)
-	c.engine = nbhttp.NewEngine(nbhttp.Config{NPoller: 1, MaxHTTPBodySize: maxAnswer, ReadLimit: maxAnswer})
-	return c, eventloop.StartHTTP(c.engine)
+	return c, nil
 }
 
-func (c *client) close() { c.engine.Stop() }
-
 func (c *client) readToken(file, env string) error {
 	c.token = env
 	if file == "" {
@@ -110,14 +105,22 @@
 }
 
 // ask sends one request to one address.
+//
+// nbhttp's client adds the connection to the engine by itself, so that no Gate can hold it back.
+// Therefore the engine serves this connection alone.
 func (c *client) ask(ctx context.Context, addr string, r call) reply {
 	req, err := c.request(addr, r)
 	if err != nil {
 		return unreached{err}
 	}
+	engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 1, MaxHTTPBodySize: maxAnswer, ReadLimit: maxAnswer})
+	if err := (&eventloop.Gate{}).StartHTTP(engine); err != nil {
+		return unreached{err}
+	}
+	defer engine.Stop()
 	var connected atomic.Bool
 	h := &nbhttp.Client{
-		Engine:          c.engine,
+		Engine:          engine,
 		Timeout:         c.timeout,
 		TLSClientConfig: c.tls,
 		Dial: func(string, string) (net.Conn, error) {
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -246,7 +247,9 @@
 					t.Errorf("open: %v", err)
 					return
 				}
-				c.close()
+				if a, ok := c.ask(t.Context(), "127.0.0.1:1", call{method: http.MethodGet, path: "/"}).(unreached); !ok {
+					t.Errorf("%v", a)
+				}
 			}
 		}()
 	}
--- a/internal/operator/command/history_test.go
+++ b/internal/operator/command/history_test.go
@@ -8,9 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
-	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/config"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
@@ -45,11 +42,6 @@
 	lost, stopLost := listen(t, &line.Lossy{To: addrs[0]})
 	late, stopLate := listen(t, &line.Lossy{To: addrs[1], Delay: 30 * time.Millisecond})
 	bad := []string{lost, late}
-	engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 1})
-	if err := eventloop.StartHTTP(engine); err != nil {
-		t.Fatal(err)
-	}
-	defer engine.Stop()
 	results := make(chan []told, historyOperators)
 	for i := range historyOperators {
 		go func() {
@@ -59,7 +51,7 @@
 				if r.Intn(4) == 0 {
 					service.LoseAnswers(1)
 				}
-				c := &client{token: token, timeout: 30 * time.Second, engine: engine}
+				c := &client{token: token, timeout: 30 * time.Second}
 				c.addrs = []string{addrs[r.Intn(2)], addrs[r.Intn(2)]}
 				if r.Intn(3) == 0 {
 					c.addrs[0] = bad[r.Intn(2)]
--- a/internal/operator/command/presets.go
+++ b/internal/operator/command/presets.go
@@ -186,7 +186,6 @@
 	if err != nil {
 		return err
 	}
-	defer c.close()
 	if err := c.do(p.ctx, call{method: http.MethodGet, path: path}, v); err != nil {
 		return err
 	}
--- a/internal/operator/command/timeline.go
+++ b/internal/operator/command/timeline.go
@@ -41,7 +41,6 @@
 	if err != nil {
 		return err
 	}
-	defer client.close()
 	merged, err := client.timeline(c.program.ctx, "/admin/timeline?"+c.query(c.program.Now()).Encode())
 	if err != nil {
 		return err
--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -51,6 +51,7 @@
 	timeout time.Duration
 
 	engine  *nbhttp.Engine
+	gate    eventloop.Gate
 	address string
 	running inflight.Counter
 	// byConn and byAddr hold a *meter by the connection and by its remote
@@ -76,7 +77,7 @@
 	l.engine = nbhttp.NewEngine(l.config(ln))
 	eventloop.InstallHooks(l.engine, l.opened, l.arrived)
 	l.engine.OnClose(l.closed)
-	return eris.Wrap(eventloop.StartHTTP(l.engine), "admin listener")
+	return eris.Wrap(l.gate.StartHTTP(l.engine), "admin listener")
 }
 
 func (l *listener) config(ln net.Listener) nbhttp.Config {
@@ -91,7 +92,7 @@
 		KeepaliveTime:          l.timeout,
 		WriteTimeout:           writeTimeout,
 		Handler:                http.HandlerFunc(l.serve),
-		Listen:                 func(string, string) (net.Listener, error) { return ln, nil },
+		Listen:                 func(string, string) (net.Listener, error) { return l.gate.Listener(ln), nil },
 	}
 	if l.keys == nil {
 		cfg.Addrs = []string{l.address}
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -24,8 +24,10 @@
 // ServeMetrics answers each request at addr with all metrics as text, until
 // ctx ends.
 func ServeMetrics(ctx context.Context, addr string, r metrics.Registry) error {
+	gate := &eventloop.Gate{}
 	e := nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp",
+		Listen:  gate.Listen,
 		Addrs:   []string{addr},
 		MaxLoad: maxReaders,
 
@@ -40,7 +42,7 @@
 		}),
 	})
 	eventloop.InstallHooks(e, nil, nil)
-	if err := eventloop.StartHTTP(e); err != nil {
+	if err := gate.StartHTTP(e); err != nil {
 		return result.Newf(result.AddressInUse, "%s: %v", addr, err)
 	}
 	<-ctx.Done()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -61,6 +61,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
 	logging.SetLevel(logging.LevelNone)
+	gate := &eventloop.Gate{}
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name:                   "standin",
 		Network:                "tcp",
@@ -69,11 +70,17 @@
 		Handler:                WithEvents(s.Events, s.Name, s.Handler),
 		SupportServerOnly:      true,
 		MessageHandlerPoolSize: handlers,
-		Listen:                 s.listen,
+		Listen: func(network, addr string) (net.Listener, error) {
+			ln, err := gate.Listen(network, addr)
+			if err == nil {
+				s.addr = ln.Addr().String()
+			}
+			return ln, err
+		},
 	})
 	engine.OnClose(func(c net.Conn, _ error) { s.conns.Delete(c) })
 	eventloop.InstallHooks(engine, func(c net.Conn) { s.conns.Store(c, nil) }, nil)
-	if err := eventloop.StartHTTP(engine); err != nil {
+	if err := gate.StartHTTP(engine); err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Listen)
 	}
 	close(s.ready)
@@ -81,11 +88,3 @@
 	engine.Stop()
 	return nil
 }
-
-func (s *Server) listen(network, addr string) (net.Listener, error) {
-	ln, err := net.Listen(network, addr)
-	if err == nil {
-		s.addr = ln.Addr().String()
-	}
-	return ln, err
-}
