Keep an engine whose agent stays away in its group

What callers saw: none of it at once. The group ran on with an outdated map, so the rank with the popular experts delayed each pass, and no step that was held could be let go, for as long as the agent was away.

Cause: a leader polls the engine of an agent whose key has vanished for 15 s, and then forgot it, although the engine was still in the group and answered each poll. From then on it lacked a rank, and without all ranks it proposes and orders nothing; it kept its lease, so nobody took over.

Why it holds: the 15 s now count from when the engine was last seen in the group. An engine that has left it, or does not answer, is forgotten as before, with a line that says so.

Still open: a successor that is elected while the agent is away learns its engine from nowhere.

--- a/internal/ranker/looks.go
+++ b/internal/ranker/looks.go
@@ -153,6 +153,11 @@
 		report, err := t.poller.pollEngine(ctx, members[i], lists, unresponsiveTimeout)
 		results[i] = pollResult{rankReport: report, err: err}
 	})
+	for i, result := range results {
+		if result.err == nil && result.state.Group == t.group {
+			t.ranker.noteLapsedSeen(members[i].Name, now)
+		}
+	}
 	return t.successful(members, results)
 }
 
--- a/internal/ranker/members.go
+++ b/internal/ranker/members.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
@@ -12,16 +14,16 @@
 )
 
 // lapsedRetention is how long the engine of an agent whose key has vanished is still
-// polled directly. Agents are restarted within one or two seconds and VMs replaced
-// within about ten. By the end of this time, the rank of an engine that does not
-// return has been given to another engine.
+// polled directly after it was last seen in its group. Agents are restarted within one
+// or two seconds and VMs replaced within about ten. By the end of this time, the rank
+// of an engine that does not return has been given to another engine.
 const lapsedRetention = 15 * time.Second
 
-// lapsedMember is an agent whose key has vanished, with the time when that was
-// noticed.
+// lapsedMember is an agent whose key has vanished, with the time when that was noticed
+// or, if later, when its engine was last seen in its group without the agent.
 type lapsedMember struct {
-	member   fleet.Member
-	lapsedAt time.Time
+	member fleet.Member
+	seenAt time.Time
 }
 
 // markLapsed remembers an agent whose key has vanished. r.mu must be held.
@@ -33,7 +35,7 @@
 // any rank; steps stayed held for 5 s that way while agents were restarted in turn.
 func (r *Ranker) markLapsed(name string, now time.Time) {
 	if m, ok := r.agents[name]; ok {
-		r.lapsed[name] = lapsedMember{member: m, lapsedAt: now}
+		r.lapsed[name] = lapsedMember{member: m, seenAt: now}
 	}
 }
 
@@ -136,16 +138,32 @@
 	return agents, entries
 }
 
-// lapsedMembers returns the agents of a group whose keys vanished no longer than
-// lapsedRetention ago, and forgets older ones.
+// noteLapsedSeen records that the engine of an agent whose key has vanished was seen in
+// its group.
+//
+// An agent may stay away for good while its engine goes on. A leader that forgot the
+// engine after a fixed time would lack a rank from then on, and the group would keep an
+// outdated map, or a held step, until an agent is back.
+func (r *Ranker) noteLapsedSeen(name string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m, ok := r.lapsed[name]; ok {
+		m.seenAt = now
+		r.lapsed[name] = m
+	}
+}
+
+// lapsedMembers returns the agents of a group whose keys have vanished, except those
+// whose engines have not been seen for lapsedRetention, which it forgets.
 func (r *Ranker) lapsedMembers(group string, now time.Time) []fleet.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []fleet.Member
 	for name, lapsed := range r.lapsed {
 		switch {
-		case now.Sub(lapsed.lapsedAt) > lapsedRetention:
+		case now.Sub(lapsed.seenAt) > lapsedRetention:
 			delete(r.lapsed, name)
+			r.Log.WithFields(logrus.Fields{"agent": name, "unseen": now.Sub(lapsed.seenAt).Milliseconds()}).Info("engine without an agent forgotten")
 		case lapsed.member.Group == group:
 			out = append(out, lapsed.member)
 		}
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -281,3 +281,17 @@
 		}
 	})
 }
+
+// An agent ends for good, and its engine goes on with its group. Guards against a leader that
+// forgets the engine after a while: it would lack a rank and change no map any more.
+func TestEngineWithoutAnAgentStaysInTheGroup(t *testing.T) {
+	t.Parallel()
+	g := startSmallGroup(t)
+	g.eventually("a map is in force", func() bool { return g.group.Version() > 0 })
+	g.stops[(g.leader()+1)%3]()
+	time.Sleep(lapsedRetention + time.Second)
+	before := g.group.Version()
+	g.group.Prefer(5)
+	g.eventually("another map is in force", func() bool { return g.group.Version() > before })
+	g.awaitProgress()
+}
