End a hold although the VM of another rank has frozen

What callers saw: all streams of a group stood still until a frozen VM was back, if it froze while the group's leader held a step to change the map.

Cause: without a report of each rank the leader gave no order at all; only a step of its predecessor was let go, and only without the predecessor's own rank.

Evidence: TestLeaderEndsItsHoldWithoutAFrozenRank freezes a rank at each moment of a change and failed in each before.

Why it holds: no earlier leader can change a rank that has seen the token, so the leader's own orders say what a missing rank is: armed, if it answered so or was seen so; not armed, if no order to arm it was ever given for this map. With all missing ranks armed the change is completed, with none of them it is aborted on the others, whose no-op version keeps late orders out. If an arm was not answered, the step stays held, as TestStepStaysHeldWhileAnArmIsInDoubt checks, and a line says which ranks are not seen.

The simulation's ranks now answer an arm as done, as engines do.

--- a/internal/rank/lockstep/giveup.go
+++ b/internal/rank/lockstep/giveup.go
@@ -48,10 +48,11 @@
 	return []AddressedOrder{newAddressedOrder(ranks, h.rank, Release{Step: h.step})}
 }
 
-// abortStep returns the next orders to abort the held step: disarm all ranks,
-// prepare the no-op version on them, and release the step. The leader's own
-// rank is disarmed and prepared before the others; see RecoverHeldStep.
-func (l *Leader) abortStep(ranks []State, h heldStep, now time.Time) []AddressedOrder {
+// abortStep returns the next orders to abort the held step: disarm all ranks, or
+// those for which observed is true, prepare the no-op version on them, and
+// release the step. The leader's own rank is disarmed and prepared before the
+// others; see RecoverHeldStep.
+func (l *Leader) abortStep(ranks []State, observed []bool, h heldStep, now time.Time) []AddressedOrder {
 	if l.inForce == nil || l.inForce.Version != ranks[h.rank].Map {
 		return nil // the map in force must be set first; see SetInForce
 	}
@@ -63,9 +64,11 @@
 	}
 	var out []AddressedOrder
 	for i := range ranks {
-		out = append(out, l.abortRank(ranks, i)...)
+		if isObserved(observed, i) {
+			out = append(out, l.abortRank(ranks, i)...)
+		}
 	}
-	if len(out) > 0 || !allPrepared(ranks, l.noopVersion) {
+	if len(out) > 0 || !allPrepared(ranks, observed, l.noopVersion) {
 		return out
 	}
 	return releaseStep(ranks, h)
@@ -86,9 +89,10 @@
 	}
 }
 
-func allPrepared(ranks []State, version uint64) bool {
-	for _, r := range ranks {
-		if !r.HasPrepared || r.Prepared != version {
+// allPrepared reports whether all observed ranks have prepared a version.
+func allPrepared(ranks []State, observed []bool, version uint64) bool {
+	for i, r := range ranks {
+		if isObserved(observed, i) && (!r.HasPrepared || r.Prepared != version) {
 			return false
 		}
 	}
--- a/internal/rank/lockstep/leader.go
+++ b/internal/rank/lockstep/leader.go
@@ -75,7 +75,9 @@
 	// fencedAt is when each rank was first known to have seen the leader's
 	// token; zero means not yet.
 	fencedAt []time.Time
-	deposed  bool
+	// arms holds what is known of the orders to arm ranks for the last goal, by rank.
+	arms    map[int]armRecord
+	deposed bool
 }
 
 // versionCounterBits is the number of low bits of a version that count the maps
@@ -103,6 +105,7 @@
 		return 0, false
 	}
 	l.goal = &Goal{Version: l.nextVersion(), Sets: sets}
+	l.arms = map[int]armRecord{}
 	return l.goal.Version, true
 }
 
@@ -150,7 +153,9 @@
 	if p, ok := ao.Order.(Prepare); ok && o == Rejected && p.Version == l.newestVersion {
 		l.prepareRejected = true
 	}
-	switch ao.Order.(type) {
+	switch order := ao.Order.(type) {
+	case Arm:
+		l.recordArm(ao.Rank, order, o)
 	case Hold:
 		l.recordHold(o)
 	case Release:
@@ -234,9 +239,9 @@
 	case l.aborting || l.mustAbort(ranks, armed, same, held, now):
 		l.aborting = true
 		l.leadTime.cancel()
-		return l.abortStep(ranks, held, now)
+		return l.abortStep(ranks, nil, held, now)
 	default:
-		return l.armNext(ranks, held)
+		return l.armNext(ranks, nil, held)
 	}
 }
 
@@ -247,7 +252,7 @@
 func (l *Leader) fence(ranks []State, observed []bool) []AddressedOrder {
 	var out []AddressedOrder
 	for i := range ranks {
-		if l.fencedAt[i].IsZero() && (observed == nil || observed[i]) {
+		if l.fencedAt[i].IsZero() && isObserved(observed, i) {
 			out = append(out, newAddressedOrder(ranks, i, Fence{}))
 		}
 	}
@@ -313,19 +318,24 @@
 	return l.goal.Version, true
 }
 
-// armNext returns the orders that arm the next ranks: first those other than
+// armNext returns the orders that arm the next ranks, among all ranks if observed
+// is nil, otherwise among those for which it is true: first those other than
 // OwnRank and HoldRank, then HoldRank, and OwnRank last. RecoverHeldStep
 // depends on OwnRank being last. Arming HoldRank separately covers a leader
 // that fails just after its hold, while its first arm orders are still in
 // transit: the order for HoldRank is not among them, so the successor finds a
 // rank that is not armed. It costs a few milliseconds per change.
-func (l *Leader) armNext(ranks []State, h heldStep) []AddressedOrder {
+func (l *Leader) armNext(ranks []State, observed []bool, h heldStep) []AddressedOrder {
 	armed, _ := countArmed(ranks)
 	version, _ := l.targetVersion(ranks, armed)
-	arm := func(i int) AddressedOrder { return newAddressedOrder(ranks, i, Arm{Version: version, Step: h.step}) }
+	arm := func(i int) AddressedOrder {
+		order := Arm{Version: version, Step: h.step}
+		l.noteArmOrdered(i, order)
+		return newAddressedOrder(ranks, i, order)
+	}
 	var out []AddressedOrder
 	for i, r := range ranks {
-		if r.Armed == nil && i != l.OwnRank && i != l.HoldRank {
+		if r.Armed == nil && isObserved(observed, i) && i != l.OwnRank && i != l.HoldRank {
 			out = append(out, arm(i))
 		}
 	}
--- a/internal/rank/lockstep/leader_test.go
+++ b/internal/rank/lockstep/leader_test.go
@@ -136,3 +136,56 @@
 		t.Fatalf("map %d in force a second after a rank accepted a version and delayed its copy", w.ranks[0].state.Map)
 	}
 }
+
+// Guards against a group that stays held while the VM of a rank that does not lead is frozen: its
+// engine cannot be reached, and all callers of the group would wait until the VM is back. The
+// leader knows from the orders that it gave whether that rank is armed.
+func TestLeaderEndsItsHoldWithoutAFrozenRank(t *testing.T) {
+	const ranks = 4
+	for rounds := range 3 {
+		w := newSimulation(t, 7, ranks)
+		d := newLeaderDriver(w, 1)
+		for !anyHeld(w) {
+			w.advance(true)
+			d.round(w.observe())
+		}
+		for range rounds {
+			d.round(w.observe())
+		}
+		frozen := (d.l.HoldRank + 1) % ranks
+		w.unreachableRank, w.unreachableUntil = frozen, w.tick+1000
+		w.proposalInterval = 1000
+		for range 20 {
+			w.advance(true)
+			d.round(w.observe())
+		}
+		if anyHeld(w) {
+			t.Errorf("the step is held although the frozen rank is known to be armed or not, %d rounds after the hold", rounds)
+		}
+		checkRecovery(t, w, d)
+	}
+}
+
+// Guards against two maps in one step: a rank whose arm order was not answered may be armed, so the
+// step has to stay held until the rank is observed.
+func TestStepStaysHeldWhileAnArmIsInDoubt(t *testing.T) {
+	w := newSimulation(t, 7, 4)
+	d := newLeaderDriver(w, 1)
+	for !anyHeld(w) {
+		w.advance(true)
+		d.round(w.observe())
+	}
+	frozen := (d.l.HoldRank + 1) % 4
+	stale := w.observe()
+	w.unreachableRank, w.unreachableUntil = frozen, w.tick+1000
+	d.round(stale)
+	for range 20 {
+		w.advance(true)
+		d.round(w.observe())
+	}
+	if !anyHeld(w) {
+		t.Error("the step was released although the frozen rank may be armed")
+	}
+	w.unreachableUntil = 0
+	checkRecovery(t, w, d)
+}
--- a/internal/rank/lockstep/observe.go
+++ b/internal/rank/lockstep/observe.go
@@ -14,13 +14,16 @@
 // leader can have changed the rank since.
 func (l *Leader) reportsFollowFence(ranks []State, observed []bool) bool {
 	for i, r := range ranks {
-		if (observed == nil || observed[i]) && !r.AsOf.After(l.fencedAt[i]) {
+		if isObserved(observed, i) && !r.AsOf.After(l.fencedAt[i]) {
 			return false
 		}
 	}
 	return true
 }
 
+// isObserved reports whether rank i was observed. A nil slice stands for all ranks.
+func isObserved(observed []bool, i int) bool { return observed == nil || observed[i] }
+
 // sameAcceptingGroup reports whether ranks lists every rank of a group by its
 // number, all in one epoch and accepting requests.
 func (l *Leader) sameAcceptingGroup(ranks []State) bool {
@@ -42,6 +45,7 @@
 			l.newestVersion = max(l.newestVersion, r.Armed.Version)
 		}
 	}
+	l.observeArms(ranks)
 	if l.goal != nil && allInForce(ranks, l.goal.Version) {
 		l.inForce, l.goal = l.goal, nil
 	}
@@ -55,6 +59,7 @@
 		l.epoch = epoch
 		l.goal, l.aborting, l.heldSince, l.noopVersion, l.inForce, l.holdStep, l.releasedStep = nil, false, time.Time{}, 0, nil, 0, 0
 		l.fencedAt = nil
+		l.arms = nil
 		l.lastStepAt = time.Time{}
 		l.leadTime.cancel()
 	}
--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -144,6 +144,7 @@
 			return Rejected
 		}
 		r.state.Armed = &ArmedMap{Step: o.Step, Version: o.Version}
+		return Done
 	case Disarm:
 		if o.Version == r.state.Map {
 			return Rejected
@@ -307,7 +308,11 @@
 // orders. A frozen leader continues with an observation from before it froze.
 func (d *leaderDriver) round(obs observation) {
 	if !obs.complete {
-		for _, ao := range d.l.RecoverHeldStep(obs.ranks, obs.observed) {
+		orders := d.l.RecoverHeldStep(obs.ranks, obs.observed)
+		if len(orders) == 0 {
+			orders = d.l.EndOwnHold(obs.ranks, obs.observed, d.w.now)
+		}
+		for _, ao := range orders {
 			d.l.RecordOutcome(ao, d.w.deliver(d.token, ao), d.w.now)
 		}
 		return
--- a/internal/ranker/round.go
+++ b/internal/ranker/round.go
@@ -23,7 +23,7 @@
 	ranks, byRank, seen := t.indexByRank(reports)
 	t.reportLoads(ctx, entries, reports, !slices.Contains(seen, false), now)
 	if slices.Contains(seen, false) {
-		return t.recoverHeldStep(ctx, ranks, byRank, seen)
+		return t.endHeldStep(ctx, ranks, byRank, seen, now)
 	}
 	if t.engine == nil {
 		return pollInterval
@@ -80,18 +80,44 @@
 	}).Info("expert map change completed")
 }
 
-// recoverHeldStep releases a step that the previous leader left held, provided that
-// the rank of that leader is the only one without a report. It returns how long to
-// wait before the next round.
-func (t *term) recoverHeldStep(ctx context.Context, ranks []lockstep.State, byRank []rankReport, seen []bool) time.Duration {
-	orders := t.leader.RecoverHeldStep(ranks, seen)
+// endHeldStep ends a hold while some ranks have no report: that of the previous leader
+// if only its rank is missing, or this leader's own if it knows which of the missing
+// ranks are armed. It returns how long to wait before the next round.
+func (t *term) endHeldStep(ctx context.Context, ranks []lockstep.State, byRank []rankReport, seen []bool, now time.Time) time.Duration {
+	next := func(now time.Time) []lockstep.AddressedOrder {
+		if orders := t.leader.RecoverHeldStep(ranks, seen); len(orders) > 0 {
+			return orders
+		}
+		return t.leader.EndOwnHold(ranks, seen, now)
+	}
+	orders := next(now)
 	if len(orders) == 0 {
+		t.logInDoubt(ranks, seen, now)
 		return pollInterval
 	}
-	t.giveAndContinue(ctx, orders, ranks, byRank, func(time.Time) []lockstep.AddressedOrder { return t.leader.RecoverHeldStep(ranks, seen) })
+	t.giveAndContinue(ctx, orders, ranks, byRank, next)
 	return 0
 }
 
+// logInDoubt logs that a step stays held because it is not known whether a rank without
+// a report is armed. It logs at most once in maxChangeTime.
+func (t *term) logInDoubt(ranks []lockstep.State, seen []bool, now time.Time) {
+	held := slices.IndexFunc(ranks, func(s lockstep.State) bool { return s.Held != nil })
+	if held < 0 || now.Sub(t.heldLoggedAt) < maxChangeTime {
+		return
+	}
+	t.heldLoggedAt = now
+	fields := logrus.Fields{"group": t.group, "epoch": ranks[held].Epoch, "step": *ranks[held].Held}
+	for i, ok := range seen {
+		if ok {
+			fields[fmt.Sprint("rank", i)] = ranks[i].String()
+		} else {
+			fields[fmt.Sprint("rank", i)] = "not seen"
+		}
+	}
+	t.ranker.Log.WithFields(fields).Warn("a step stays held, it is not known whether a rank is armed")
+}
+
 // learnMapInForce derives the map in force from the ranks' expert lists, if all ranks
 // report the same version.
 func (t *term) learnMapInForce(byRank []rankReport) {
