Tell a leader's successor which engines have lost their agents

Cause: a successor reads the agents from the store. It never learns of an agent whose key has vanished before, nor of its predecessor's own once that has stopped, so it lacks their ranks until the agents are back.

TestSuccessorKnowsEnginesWithoutAgents shows it without load: it failed before with 'timed out waiting until another map is in force' after 35 s and passes now.

Why it holds: a leader names the lapsed agents in a poll once a second, to each agent that it polls, and its own engine in the message by which it ends its term. An agent that leads later polls those engines directly, as its predecessor did, until their agents are listed again or the engines have not been seen for 15 s. At most 16 are named, 1 kB/s an agent.

--- a/internal/ranker/lease.go
+++ b/internal/ranker/lease.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
@@ -31,8 +34,12 @@
 }
 
 // announceEnd tells the agents that are first in the order of succession that the
-// term has ended. The message is a poll, whose result is ignored.
+// term has ended and, because this agent's key is about to vanish, where its engine is.
+// The message is a poll, whose result is ignored.
 func (t *term) announceEnd(ctx context.Context) {
+	self := t.ranker.self(t.group)
+	leader := t.leaderProto(true)
+	leader.Lapsed = append(t.lapsedTargets(boottime.Now()), targetProto(&self))
 	agents, _ := t.ranker.members(t.group)
 	var recipients []fleet.Member
 	for _, m := range agents {
@@ -41,7 +48,7 @@
 		}
 	}
 	parallel(len(recipients), func(i int) {
-		if _, err := t.poller.queryAgent(ctx, &recipients[i], pollOptions{leader: t.leaderProto(true)}); err != nil {
+		if _, err := t.poller.queryAgent(ctx, &recipients[i], pollOptions{leader: leader}); err != nil {
 			t.ranker.Log.WithFields(logrus.Fields{"agent": recipients[i].Name, "cause": err.Error()}).Info("cannot tell agent that the term has ended")
 		}
 	})
@@ -53,6 +60,30 @@
 	return &fleetpb.Leader{Agent: t.ranker.Settings.Name, Token: t.token, Rank: uint32(t.leader.OwnRank), Ended: ended}
 }
 
+// lapsedToTell returns the agents that this poll names as lapsed, at most once in
+// lapsedTellInterval.
+//
+// A successor reads the agents from the store, which no longer has those. Without their
+// engines it would lack a rank until they are back, and change no map.
+func (t *term) lapsedToTell(now time.Time) []*fleetpb.Target {
+	if now.Sub(t.lapsedToldAt) < lapsedTellInterval {
+		return nil
+	}
+	t.lapsedToldAt = now
+	return t.lapsedTargets(now)
+}
+
+// lapsedTargets returns the agents whose keys have vanished, at most maxLapsedTold.
+func (t *term) lapsedTargets(now time.Time) []*fleetpb.Target {
+	lapsed := t.ranker.lapsedMembers(t.group, now)
+	slices.SortFunc(lapsed, func(a, b fleet.Member) int { return strings.Compare(a.Name, b.Name) })
+	var out []*fleetpb.Target
+	for i := range lapsed[:min(len(lapsed), maxLapsedTold)] {
+		out = append(out, targetProto(&lapsed[i]))
+	}
+	return out
+}
+
 // keepLease renews the lease when it is due. The call runs concurrently with the
 // rounds, so that a slow store does not stall the group.
 func (t *term) keepLease(ctx context.Context, now time.Time) {
--- a/internal/ranker/led.go
+++ b/internal/ranker/led.go
@@ -119,6 +119,7 @@
 
 // noteLeader records what a poll request says about the leader; msg may be nil.
 func (r *Ranker) noteLeader(msg *fleetpb.Leader, now time.Time) {
+	r.noteLapsed(msg.GetLapsed(), now)
 	switch {
 	case msg == nil:
 	case !msg.GetEnded():
--- a/internal/ranker/members.go
+++ b/internal/ranker/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 )
@@ -153,6 +154,21 @@
 	}
 }
 
+// noteLapsed records agents that the group's leader has named as lapsed. If this agent
+// leads next, the store no longer tells it where their engines are.
+func (r *Ranker) noteLapsed(targets []*fleetpb.Target, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, target := range targets {
+		m := memberFromProto(target)
+		if m.Name == r.Settings.Name || m.Endpoint == "" {
+			continue
+		}
+		m.Group = r.group
+		r.lapsed[m.Name] = lapsedMember{member: *m, seenAt: now}
+	}
+}
+
 // lapsedMembers returns the agents of a group whose keys have vanished, except those
 // whose engines have not been seen for lapsedRetention, which it forgets.
 func (r *Ranker) lapsedMembers(group string, now time.Time) []fleet.Member {
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -295,3 +295,22 @@
 	g.eventually("another map is in force", func() bool { return g.group.Version() > before })
 	g.awaitProgress()
 }
+
+// The agent of an engine ends for good, and then that of the leader does. Guards against a successor
+// that does not know their engines because the store lists their agents no longer: it would lack
+// ranks and change no map until the agents are back.
+func TestSuccessorKnowsEnginesWithoutAgents(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 4, standin.StartGroup(4, 2, 9, 4))
+	g.eventually("a map is in force", func() bool { return g.group.Version() > 0 })
+	old := g.leader()
+	g.stops[(old+1)%4]()
+	// The leader names the lapsed agent within this time.
+	time.Sleep(2 * lapsedTellInterval)
+	g.stops[old]()
+	g.eventually("another agent leads the group", func() bool { return len(g.tokens("group leadership acquired")) > 1 })
+	before := g.group.Version()
+	g.group.Prefer(5)
+	g.eventually("another map is in force", func() bool { return g.group.Version() > before })
+	g.awaitProgress()
+}
--- a/internal/ranker/register.go
+++ b/internal/ranker/register.go
@@ -24,10 +24,7 @@
 	if group == "" {
 		return nil
 	}
-	self := fleet.Member{
-		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
-		Address: r.peers.ListenAddr(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
-	}
+	self := r.self(group)
 	registrar := &fleet.Registrar{
 		Store: r.store, OnError: r.logStoreFailure, RenewNow: &r.leaseInDoubt, OnRecovered: r.storeReturned.Raise,
 		Hosts: r.registrationHosts, Member: func() fleet.Member { return self },
@@ -35,6 +32,14 @@
 	return registrar.Run(ctx)
 }
 
+// self returns this agent as a member of the fleet.
+func (r *Ranker) self(group string) fleet.Member {
+	return fleet.Member{
+		Kind: fleet.Agent, Name: r.Settings.Name, DataCentre: r.Settings.DataCentre,
+		Address: r.peers.ListenAddr(), Endpoint: r.Settings.EndpointAddress.String(), Group: group,
+	}
+}
+
 // registrationHosts returns the entries with which this agent may register, best first.
 func (r *Ranker) registrationHosts(ctx context.Context) []fleet.RegistrationHost {
 	for i := range hostLookups {
--- a/internal/ranker/round.go
+++ b/internal/ranker/round.go
@@ -17,6 +17,7 @@
 func (t *term) round(ctx context.Context) time.Duration {
 	agents, entries := t.ranker.members(t.group)
 	opts := pollOptions{counts: t.engine != nil && !t.leader.Busy(), lists: t.engine != nil && t.leader.InForce() == nil, leader: t.leaderProto(false)}
+	opts.leader.Lapsed = t.lapsedToTell(boottime.Now())
 	t.countsPolled = false
 	reports := t.pollGroup(ctx, agents, opts)
 	now := boottime.Now()
