Stop an agent only when its last answers have been delivered

What callers saw: half an answer ('unexpected EOF') from an agent that was told to stop, although its endpoint had computed the whole.

Cause: a stopping agent waited until its attempts had been computed, then half a second 'for the last answers to reach the entries', and aborted all calls. An entry takes an answer no faster than its caller reads it, and no faster than it gets processor time; what it had not taken by then was cut off. With all agents stopping there is no other endpoint to go on with.

Evidence: TestStopDeliversAnswersToSlowCallers lets a caller read 40 kB/s while the agents stop: 1,520 of 8,001 events and 'unexpected EOF' before, the whole answer now.

Why it holds: the gRPC server is now stopped gracefully, within the drain time: it refuses new calls and waits for the open ones and for their last bytes. Reports to entries, which never end, are ended without an error before; an entry takes that as the word of an agent that only delivers, and lets the attempts that wait for it go on, where a broken stream of reports still ends them.

Ruled out: a longer pause, which only moves the bound.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,7 +64,10 @@
 	tokens    atomic.Int64
 	version   atomic.Uint64
 	running   inflight.Counter
-	askLoad   chan struct{}
+	// delivering is closed when all that runs has ended and only answers are
+	// still being delivered.
+	delivering chan struct{}
+	askLoad    chan struct{}
 }
 
 func (a *Agent) now() time.Time { return time.Now() }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -44,6 +44,7 @@
 	}
 	a.workCtx = workCtx
 	a.askLoad = make(chan struct{}, 1)
+	a.delivering = make(chan struct{})
 	a.incarnation = uint64(a.now().UnixMicro())
 	a.ring = &timeline.Ring{Clock: &a.clock}
 	a.client = &endpoint.Client{
@@ -146,8 +147,19 @@
 	defer cancel()
 	a.running.Wait(ctx)
 	a.flush()
-	// The last answers still have to reach the entries.
-	time.Sleep(announceTime)
+	a.deliver(ctx)
+}
+
+// deliver waits until the entries have taken the last answers: until ctx is done, or for
+// announceTime if that is longer. Entries take an answer no faster than its caller reads it.
+func (a *Agent) deliver(ctx context.Context) {
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(deadline), announceTime))
+	defer cancel()
+	close(a.delivering)
+	begun := a.now()
+	a.peers.Drain(ctx)
+	a.Log.WithFields(logrus.Fields{"took": a.now().Sub(begun).Milliseconds(), "aborted": ctx.Err() != nil}).Info("last answers delivered")
 }
 
 // flush stores the outcomes of claimed requests before the agent goes.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -124,7 +124,8 @@
 	return &peerpb.CancelReply{Hlc: uint64(a.clock.Next(now))}, nil
 }
 
-// Watch implements peerpb.AgentServer.
+// Watch implements peerpb.AgentServer. It ends without an error when the agent stops and
+// only delivers answers.
 func (a *server) Watch(req *peerpb.WatchRequest, stream grpc.ServerStreamingServer[peerpb.LoadReport]) error {
 	a.clock.Observe(timeline.Stamp(req.GetHlc()), a.now())
 	interval := max(leastInterval, time.Duration(req.GetIntervalMicros())*time.Microsecond)
@@ -143,6 +144,8 @@
 		}
 		select {
 		case <-tick.C:
+		case <-a.delivering:
+			return nil
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		}
--- a/internal/demo/failures_test.go
+++ b/internal/demo/failures_test.go
@@ -1,10 +1,16 @@
 package demo
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -299,3 +305,62 @@
 		}
 	}
 }
+
+// Guards against an agent that stops half a second after its endpoint has computed an answer,
+// although a caller that reads slowly does not have it yet: the caller would get half an answer.
+func TestStopDeliversAnswersToSlowCallers(t *testing.T) {
+	t.Parallel()
+	const tokens = 8000
+	s := startSystem(t, func(s *System) {
+		s.Preset = strings.Replace(s.Preset, "maxOutputTokens = 1000", fmt.Sprint("maxOutputTokens = ", tokens), 1)
+		s.EngineSettings.TokenMicros = 20
+	})
+	e := s.EntriesOf("a")[0]
+	c, err := (&net.Dialer{Control: smallReceiveBuffer}).Dial("tcp", e.Process.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	body := fmt.Sprintf(`{"model":"small","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`, tokens)
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.Process.CallerAddress()+caller.PathChat, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+Key)
+	if err := r.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil || res.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", res, err)
+	}
+	eventually(t, "the answer is computed", func() bool {
+		running := 0
+		for _, a := range s.Agents() {
+			running += a.Process.Running()
+		}
+		return running == 0
+	})
+	for _, a := range s.Agents() {
+		a.cancel()
+	}
+	// The caller reads slowly for longer than the agents took to stop.
+	var b bytes.Buffer
+	for range 20 {
+		_, _ = io.CopyN(&b, res.Body, 4096)
+		time.Sleep(100 * time.Millisecond)
+	}
+	_, err = b.ReadFrom(res.Body)
+	if n := strings.Count(b.String(), "data: "); err != nil || n != tokens+1 {
+		t.Errorf("%d of %d events, %v", n, tokens+1, err)
+	}
+}
+
+// smallReceiveBuffer bounds what the kernel receives for a caller that does not read.
+func smallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var opt error
+	err := raw.Control(func(fd uintptr) {
+		opt = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+	})
+	return errors.Join(err, opt)
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -173,6 +173,14 @@
 	return all
 }
 
+// release lets the attempts that wait for an agent go on without its reports: the agent
+// stops, and delivers their answers before that.
+func (m *members) release(one *member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	one.attempts = map[*job]context.CancelCauseFunc{}
+}
+
 // drop forgets what an agent said that can't be heard any more, and ends the
 // attempts that wait for it.
 func (m *members) drop(one *member) {
--- a/internal/entry/memberwatch.go
+++ b/internal/entry/memberwatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
@@ -11,7 +13,10 @@
 // watch follows one agent's reports until ctx ends.
 func (m *members) watch(ctx context.Context, one *member) {
 	for ctx.Err() == nil {
-		m.follow(ctx, one)
+		err := m.follow(ctx, one)
+		if errors.Is(err, io.EOF) {
+			m.release(one)
+		}
 		m.drop(one)
 		select {
 		case <-time.After(watchRetry):
@@ -20,15 +25,16 @@
 	}
 }
 
-// follow reads reports until the stream breaks or the agent falls silent.
-func (m *members) follow(ctx context.Context, one *member) {
+// follow reads reports until the stream breaks or the agent falls silent. It returns
+// io.EOF if the agent has ended the stream.
+func (m *members) follow(ctx context.Context, one *member) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	quiet := time.AfterFunc(silentAfter, cancel)
 	defer quiet.Stop()
 	cc, err := m.conns.Get(one.addr)
 	if err != nil {
-		return
+		return err
 	}
 	req := &peerpb.WatchRequest{
 		Hlc:            uint64(m.clock.Next(m.now())),
@@ -37,12 +43,12 @@
 	}
 	stream, err := peerpb.NewAgentClient(cc).Watch(ctx, req)
 	if err != nil {
-		return
+		return err
 	}
 	for {
 		r, err := stream.Recv()
 		if err != nil {
-			return
+			return err
 		}
 		quiet.Reset(silentAfter)
 		m.heard(ctx, one, r)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -33,7 +33,8 @@
 	// Traffic, if set, counts the messages.
 	Traffic *Traffic
 
-	ln net.Listener
+	ln   net.Listener
+	grpc *grpc.Server
 }
 
 // Listen opens the listener, so that ListenAddr can be used before Run. It returns a
@@ -44,40 +45,48 @@
 		return result.Newf(result.AddressInUse, "%s: %v", s.Addr, err)
 	}
 	s.ln = ln
+	s.grpc = grpc.NewServer(s.options()...)
+	if s.Peer != nil {
+		peerpb.RegisterPeerServer(s.grpc, s.Peer)
+	}
+	if s.Agent != nil {
+		peerpb.RegisterAgentServer(s.grpc, s.Agent)
+	}
+	if s.Register != nil {
+		s.Register(s.grpc)
+	}
 	return nil
 }
 
+// Drain refuses new calls, waits until the open ones have ended and their last messages
+// have been sent, and makes Run return. It aborts the calls that are still open when ctx
+// is done. Listen must have succeeded before.
+func (s *Server) Drain(ctx context.Context) {
+	stop := context.AfterFunc(ctx, s.grpc.Stop)
+	defer stop()
+	s.grpc.GracefulStop()
+}
+
 // ListenAddr returns the address of the listener, as IP:port. Listen must have
 // succeeded before.
 func (s *Server) ListenAddr() string { return s.ln.Addr().String() }
 
-// Run serves until ctx ends, after calling Listen if that has not been done. When ctx
-// ends, Run aborts open calls; for a graceful shutdown ctx must end only after they
-// have completed.
+// Run serves until ctx ends or Drain returns, after calling Listen if that has not been
+// done. When ctx ends, Run aborts open calls.
 func (s *Server) Run(ctx context.Context) error {
 	if s.ln == nil {
 		if err := s.Listen(); err != nil {
 			return err
 		}
 	}
-	g := grpc.NewServer(s.options()...)
-	if s.Peer != nil {
-		peerpb.RegisterPeerServer(g, s.Peer)
-	}
-	if s.Agent != nil {
-		peerpb.RegisterAgentServer(g, s.Agent)
-	}
-	if s.Register != nil {
-		s.Register(g)
-	}
 	done := make(chan error, 1)
-	go func() { done <- g.Serve(s.ln) }()
+	go func() { done <- s.grpc.Serve(s.ln) }()
 	select {
 	case err := <-done:
 		return err
 	case <-ctx.Done():
 	}
-	g.Stop()
+	s.grpc.Stop()
 	// Serve returns ErrServerStopped if the server was stopped before it began to
 	// serve. This is not an error.
 	if err := <-done; !errors.Is(err, grpc.ErrServerStopped) {
