Demonstration systems: addresses that no other system has used

The new events of the stand-ins tell the cause: the order desk got six HTTP/2 prefaces ('PRI *') within a second, gRPC calls for an agent that another system had killed and whose port the kernel had given to this desk. All systems of a test process, and of others beside it, shared 127.0.0.1 and its ephemeral ports, and their processes have the same names, so that a request could even have run at another system's agent.

Now each part of a system listens at an address of its test process alone, on a port that the process has not given out before, as the stand-ins of the platform do already. The certificate of the process tests names that address too.

No check is changed.

--- a/cmd/hyssoprelay/secure_test.go
+++ b/cmd/hyssoprelay/secure_test.go
@@ -23,6 +23,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -36,7 +37,7 @@
 	}
 	c := &x509.Certificate{
 		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), net.ParseIP(standin.LoopbackIP())}, IsCA: true, BasicConstraintsValid: true,
 		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 	}
 	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -30,8 +30,6 @@
 // OperatorToken is the token of the system's operators.
 const OperatorToken = "demo-operator-token-of-32-letters"
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
-
 // System is a whole system. Set the exported fields before Start.
 type System struct {
 	// DataCentres are the names of the data centres.
@@ -130,9 +128,17 @@
 	s.ctx = ctx
 	s.engines = map[string]*engine.Engine{}
 	s.services = map[string]*service.Service{}
-	s.KV = &kv.Server{Events: s.Events}
+	kvAddr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	listAddr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s.KV = &kv.Server{Listen: kvAddr.String(), Events: s.Events}
 	s.parts = append(s.parts, s.run(s.KV.Run))
-	s.List = &vmlist.Server{Events: s.Events}
+	s.List = &vmlist.Server{Listen: listAddr.String(), Events: s.Events}
 	s.parts = append(s.parts, s.run(s.List.Run))
 	s.Network.at(s.KV.Addr(), Platform)
 	s.Network.at(s.List.Addr(), Platform)
@@ -187,26 +193,34 @@
 
 // StartEngine starts an engine and its agent.
 func (s *System) StartEngine(dc, name string) error {
+	addr, err := freeAddress()
+	if err != nil {
+		return err
+	}
 	e := engine.New(s.EngineSettings)
-	srv := &standin.Server{Listen: loopback.String(), Handler: s.handler(name, e), Events: s.Events, Name: name}
+	srv := &standin.Server{Listen: addr.String(), Handler: s.handler(name, e), Events: s.Events, Name: name}
 	e.Drop = srv.Drop
 	s.parts = append(s.parts, s.run(srv.Run))
 	s.mu.Lock()
 	s.engines[name] = e
 	s.mu.Unlock()
-	_, err := s.StartAgent(dc, name, srv.Addr(s.ctx), settings.Engine)
+	_, err = s.StartAgent(dc, name, srv.Addr(s.ctx), settings.Engine)
 	return err
 }
 
 // StartService starts a plain service and its agent.
 func (s *System) StartService(dc, name string) error {
+	addr, err := freeAddress()
+	if err != nil {
+		return err
+	}
 	v := &service.Service{}
-	srv := &standin.Server{Listen: loopback.String(), Handler: v, Events: s.Events, Name: name}
+	srv := &standin.Server{Listen: addr.String(), Handler: v, Events: s.Events, Name: name}
 	s.parts = append(s.parts, s.run(srv.Run))
 	s.mu.Lock()
 	s.services[name] = v
 	s.mu.Unlock()
-	_, err := s.StartAgent(dc, name, srv.Addr(s.ctx), settings.Plain)
+	_, err = s.StartAgent(dc, name, srv.Addr(s.ctx), settings.Plain)
 	return err
 }
 
@@ -220,11 +234,21 @@
 	return l
 }
 
-func (s *System) process(dc, name string) settings.Process {
+// freeAddress returns an address that no other system uses or has used: processes go on
+// calling the addresses of those that were killed, and all systems have the same names.
+func freeAddress() (netip.AddrPort, error) {
+	addr, err := standin.FreeAddress()
+	if err != nil {
+		return netip.AddrPort{}, eris.Wrap(err, "address of a part")
+	}
+	return netip.ParseAddrPort(addr)
+}
+
+func (s *System) process(dc, name string, peer netip.AddrPort) settings.Process {
 	return settings.Process{
 		Name:              name,
 		DataCentre:        dc,
-		PeerAddress:       loopback,
+		PeerAddress:       peer,
 		VMListAddress:     netip.MustParseAddrPort(s.List.Addr()),
 		PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort(s.KV.Addr())},
 		DrainTimeout:      s.Drain,
@@ -234,10 +258,14 @@
 
 // StartAgent starts the agent beside an endpoint.
 func (s *System) StartAgent(dc, name, endpointAddr string, kind settings.EndpointKind) (*Agent, error) {
+	addr, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
 	h := s.Network.Host(dc)
 	p := &agent.Agent{
 		Settings: &settings.Agent{
-			Process:         s.process(dc, name+"-agent"),
+			Process:         s.process(dc, name+"-agent", addr),
 			EndpointName:    name,
 			EndpointAddress: netip.MustParseAddrPort(endpointAddr),
 			Kind:            kind,
@@ -260,12 +288,20 @@
 
 // StartEntry starts an entry.
 func (s *System) StartEntry(dc, name string) (*Entry, error) {
+	var addrs [3]netip.AddrPort
+	for i := range addrs {
+		addr, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addrs[i] = addr
+	}
 	h := s.Network.Host(dc)
 	p := &entry.Entry{
 		Settings: &settings.Entry{
-			Process:       s.process(dc, name),
-			CallerAddress: loopback,
-			AdminAddress:  loopback,
+			Process:       s.process(dc, name, addrs[0]),
+			CallerAddress: addrs[1],
+			AdminAddress:  addrs[2],
 			OperatorToken: OperatorToken,
 			Limits:        settings.Limits{BodyBytes: 1 << 20, MaxConnections: 4096, IdleTimeout: time.Minute},
 		},
--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -24,13 +25,13 @@
 
 var portsTried atomic.Int64
 
-// FreeAddress returns a loopback address that nobody listens on, for processes
-// whose address must be known before they start. It returns no address twice
-// before all have been tried.
+// FreeAddress returns an address at LoopbackIP that nobody listens on, for processes
+// whose address must be known before they start, or which others may go on calling
+// after their end. It returns no address twice before all have been tried.
 func FreeAddress() (string, error) {
 	for range ports {
 		n := os.Getpid()*pidStride + int(portsTried.Add(1))
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+n%ports))
+		addr := net.JoinHostPort(LoopbackIP(), strconv.Itoa(firstPort+n%ports))
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -45,18 +46,25 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
 }
 
+// LoopbackIP returns the loopback address of this process alone, or 127.0.0.1 on
+// systems that have no other.
+var LoopbackIP = sync.OnceValue(func() string {
+	ip := loopbackIP(os.Getpid())
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "127.0.0.1"
+	}
+	_ = ln.Close()
+	return ip
+})
+
 // Listen opens a free port at a loopback address of this process alone.
 //
 // A process under test may go on sending to a listener that has been closed. At a
 // shared address, the kernel may have given the port to the listener of another test,
 // which would answer in its place.
 func Listen() (net.Listener, error) {
-	ln, err := net.Listen("tcp", net.JoinHostPort(loopbackIP(os.Getpid()), "0"))
-	if err == nil {
-		return ln, nil
-	}
-	// Some systems have 127.0.0.1 alone.
-	return net.Listen("tcp", "127.0.0.1:0")
+	return net.Listen("tcp", net.JoinHostPort(LoopbackIP(), "0"))
 }
 
 // Serve starts an HTTP server at an address that Listen opens; Close ends it. It panics if
--- a/internal/standin/address_test.go
+++ b/internal/standin/address_test.go
@@ -31,3 +31,19 @@
 		t.Errorf("listens at %s, want %s", host, want)
 	}
 }
+
+// Guards against a system under test whose process is called by the processes of another system,
+// which go on calling the address of one that was killed: the address must not be given out again.
+func TestFreeAddressesAreOfThisProcessAndNotUsedAgain(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		addr, err := FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if host, _, _ := net.SplitHostPort(addr); host != LoopbackIP() || seen[addr] {
+			t.Fatalf("%s, given out before: %v", addr, seen[addr])
+		}
+		seen[addr] = true
+	}
+}
