Answers are not cut by the read deadline of a new connection

Found while looking for further ways to the end of a stream in place of an answer.

What callers saw: an answer that lasts longer than 31 s could break off there.

Cause: nbhttp sets a read deadline for a new connection after it has begun to read from it. If the request is dispatched in between, the server has already cleared the deadline, which then stays for the whole answer. With the Gate a request has usually arrived when its connection is added, which makes that likelier.

Evidence: TestDeadlineOfANewConnectionDoesNotCutItsAnswer sets the deadline after the request as nbhttp may: 'unexpected EOF' before, the whole answer now.

Now nbhttp's deadline lies a year ahead, and a timer of the connection closes it if nothing is received (TestUnusedConnectionIsClosed). A request that has begun to arrive had its own timer already.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -47,6 +47,8 @@
 	lastDone chan struct{}
 	// unparsedBytes counts the bytes received since the last complete request.
 	unparsedBytes atomic.Int64
+	// unusedTimer fires when the connection was opened and nothing was received.
+	unusedTimer *time.Timer
 	// readTimer fires when the request that is being received exceeds its read timeout.
 	readTimer *time.Timer
 }
@@ -61,6 +63,20 @@
 	}
 }
 
+// startUnusedTimer closes the connection after d unless stopUnusedTimer is called before.
+func (c *conn) startUnusedTimer(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unusedTimer = time.AfterFunc(d, func() { _ = c.netConn.Close() })
+}
+
+// stopUnusedTimer stops the timer of startUnusedTimer.
+func (c *conn) stopUnusedTimer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unusedTimer.Stop()
+}
+
 // markRequestRead records that a request has been received completely.
 func (c *conn) markRequestRead() {
 	c.server.memory.release(int(c.unparsedBytes.Swap(0)))
@@ -140,6 +156,7 @@
 	c.releasePending()
 	c.server.memory.release(int(c.unparsedBytes.Swap(0)))
 	c.stopReadTimer()
+	c.unusedTimer.Stop()
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -33,6 +33,10 @@
 	// readDeadlineGrace is the time after ReadTimeout at which a connection is closed if the
 	// timeout response could not be sent.
 	readDeadlineGrace = time.Second
+	// noDeadline is the time until the read deadline that nbhttp sets for a new connection. nbhttp
+	// begins to read from the connection before that, so that the deadline may come after the
+	// answer has begun and would cut it. The timers of conn take its place.
+	noDeadline = 365 * 24 * time.Hour
 	// maxExcessConns is the number of connections beyond MaxConns that are still accepted, so that
 	// their requests are refused with a result code. Forwarder serves its requests on these
 	// connections as on any other. Any further connection is closed without a response.
@@ -147,12 +151,10 @@
 		MaxLoad:         s.MaxConns + maxExcessConns,
 		MaxHTTPBodySize: s.BodyLimit * readLimitFactor,
 		ReadLimit:       s.BodyLimit * readLimitFactor,
-		// nbhttp sets this deadline shortly after it begins to read from a connection, so a longer
-		// one would replace the deadline of a request that has begun to arrive.
-		KeepaliveTime:  s.ReadTimeout + readDeadlineGrace,
-		RetainHTTPBody: false,
-		Handler:        http.HandlerFunc(s.handleHTTP),
-		Listen:         func(string, string) (net.Listener, error) { return s.gate.Listener(ln), nil },
+		KeepaliveTime:   noDeadline,
+		RetainHTTPBody:  false,
+		Handler:         http.HandlerFunc(s.handleHTTP),
+		Listen:          func(string, string) (net.Listener, error) { return s.gate.Listener(ln), nil },
 	}
 	if s.TLS == nil {
 		cfg.Addrs = []string{s.Addr}
@@ -208,7 +210,9 @@
 func (s *Server) handleOpen(w net.Conn) {
 	if c := underlying(w); c != nil {
 		limitSendBuffer(c)
-		s.conns.Store(c, newConn(s, c, time.Now()))
+		state := newConn(s, c, time.Now())
+		state.startUnusedTimer(s.ReadTimeout + readDeadlineGrace)
+		s.conns.Store(c, state)
 	}
 }
 
@@ -240,6 +244,7 @@
 		// Without a deadline, a caller that sends an occasional byte would hold its connection
 		// indefinitely.
 		_ = w.SetReadDeadline(time.Now().Add(s.ReadTimeout + readDeadlineGrace))
+		v.(*conn).stopUnusedTimer()
 		v.(*conn).startReadTimer(s.ReadTimeout, func() { s.handleReadTimeout(w, v.(*conn)) })
 	}
 	s.memory.add(n)
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -314,3 +314,38 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// Guards against an answer that is cut because nbhttp's read deadline for a new connection, which
+// it sets after it has begun to read, comes after the request.
+func TestDeadlineOfANewConnectionDoesNotCutItsAnswer(t *testing.T) {
+	const events = 30
+	var s *Server
+	s = &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, ReadTimeout: 50 * time.Millisecond}
+	s.Handler = handlerFunc(func(_ context.Context, _ *Request, w *Reply) {
+		_ = w.netConn.SetReadDeadline(time.Now().Add(s.engine.KeepaliveTime))
+		_ = w.BeginStream(http.StatusOK, "text/event-stream", "")
+		for range events {
+			time.Sleep(readDeadlineGrace / 20)
+			_ = w.WriteChunk([]byte("data: x\n\n"))
+		}
+		_ = w.EndStream()
+	})
+	runServer(t, s)
+	if _, body := post(t, s, PathChat, `{"model":"m","stream":true,"messages":[1]}`); strings.Count(body, "data: ") != events {
+		t.Errorf("%d of %d events: %.80s", strings.Count(body, "data: "), events, body)
+	}
+}
+
+// Guards against callers that hold connections without ever sending a request.
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, ReadTimeout: 50 * time.Millisecond}
+	runServer(t, s)
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.ReadAll(c); err != nil {
+		t.Error(err)
+	}
+}
