--- a/internal/rank/lockstep/world_test.go
+++ b/internal/rank/lockstep/world_test.go
@@ -416,3 +416,26 @@
 	}
 	return false
 }
+
+// Guards against a step that runs with two expert maps because a leader ends its own hold while
+// the VM of another rank is frozen or cut off.
+func TestNoStepBeginsWithTwoMapsWhileRanksFreeze(t *testing.T) {
+	for seed := range uint64(3000) {
+		w := newSimulation(t, seed, 4)
+		w.faultRate = 0.5 * w.rng.Float64()
+		activity := w.rng.Float64()
+		d := newLeaderDriver(w, 1)
+		for range 400 {
+			w.advance(w.rng.Float64() < activity)
+			if anyHeld(w) && w.tick >= w.unreachableUntil && w.rng.IntN(4) == 0 {
+				w.unreachableRank = (d.l.OwnRank + 1 + w.rng.IntN(len(w.ranks)-1)) % len(w.ranks)
+				w.unreachableUntil = w.tick + 1 + w.rng.IntN(60)
+			}
+			if w.rng.IntN(150) == 0 && !w.isUnreachable(d.l.OwnRank) {
+				d = d.successor()
+			}
+			d.round(w.observe())
+		}
+		checkRecovery(t, w, d)
+	}
+}
