--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -319,8 +319,7 @@
 // it sets after it has begun to read, comes after the request.
 func TestDeadlineOfANewConnectionDoesNotCutItsAnswer(t *testing.T) {
 	const events = 30
-	var s *Server
-	s = &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, ReadTimeout: 50 * time.Millisecond}
+	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, ReadTimeout: 50 * time.Millisecond}
 	s.Handler = handlerFunc(func(_ context.Context, _ *Request, w *Reply) {
 		_ = w.netConn.SetReadDeadline(time.Now().Add(s.engine.KeepaliveTime))
 		_ = w.BeginStream(http.StatusOK, "text/event-stream", "")
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -54,8 +54,8 @@
 	m.ring = &timeline.Ring{Clock: m.clock}
 	waitCtx, stop := context.WithTimeout(context.Background(), time.Minute)
 	defer stop()
-	m.follow(waitCtx, &member{addr: srv.ListenAddr(), attempts: map[*job]context.CancelCauseFunc{}})
-	if waitCtx.Err() != nil || heard == 0 {
+	err := m.follow(waitCtx, &member{addr: srv.ListenAddr(), attempts: map[*job]context.CancelCauseFunc{}})
+	if waitCtx.Err() != nil || heard == 0 || err == nil {
 		t.Errorf("the stream of a frozen agent was followed to the end of the test, %d reports", heard)
 	}
 }
