An entry that stood still does not take its agents for silent

What callers saw: after an entry's VM had frozen, or had had no processor time, for two seconds, each request was refused, and attempts under way were given up.

Cause: the timers of all agents were due when the entry went on, before it had read the reports that had come meanwhile.

--- a/cmd/hyssoprelay/failure_test.go
+++ b/cmd/hyssoprelay/failure_test.go
@@ -282,3 +282,24 @@
 	}
 	return near, other
 }
+
+// Guards against an entry that takes all agents for silent because it has itself stood still, and
+// refuses its callers until it has heard of them again.
+func TestEntryServesAtOnceAfterItStoodStill(t *testing.T) {
+	f := newFleet(t)
+	e := f.entries[0]
+	e.signal(syscall.SIGSTOP)
+	done := make(chan struct{})
+	const callers = 8
+	for i := range callers {
+		go func() {
+			assertServes(t, f, e, fmt.Sprintf("still-%d", i))
+			done <- struct{}{}
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	e.signal(syscall.SIGCONT)
+	for range callers {
+		<-done
+	}
+}
--- a/internal/entry/memberwatch.go
+++ b/internal/entry/memberwatch.go
@@ -30,8 +30,8 @@
 func (m *members) follow(ctx context.Context, one *member) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	quiet := time.AfterFunc(silentAfter, cancel)
-	defer quiet.Stop()
+	quiet := newSilence(time.Now(), cancel)
+	defer quiet.stop()
 	cc, err := m.conns.Get(one.addr)
 	if err != nil {
 		return err
@@ -50,7 +50,7 @@
 		if err != nil {
 			return err
 		}
-		quiet.Reset(silentAfter)
+		quiet.heard(time.Now())
 		m.heard(ctx, one, r)
 	}
 }
