Log what lost exchanges have in common

An endpoint that ends under a request left one line with the attempt's outcome, and only if another attempt followed. No process knew the parts of a prompt: the adapter kept the last alone, which belongs to the request, under a comment that called it the last shared one, and nothing read it.

No decision is changed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -34,6 +34,7 @@
 // attempt sends the request to one endpoint and forwards its answer.
 func (j *job) attempt(ctx context.Context, assigned Assignment) Outcome {
 	r := j.relay
+	j.answerBegan = false
 	req := j.endpointRequest(assigned)
 	resp, err := r.Client.Do(ctx, assigned.Endpoint.Address, req)
 	if err != nil {
@@ -181,7 +182,7 @@
 		return j.readErrorOutcome(ctx, err)
 	}
 	now := j.relay.Now()
-	j.relay.State.PartReceived(assigned, now)
+	j.partReceived(assigned, now)
 	answer := &BufferedAnswer{Status: resp.Status, Header: caller.EndToEndHeaders(resp.Header), Body: body}
 	if resp.Status >= http.StatusInternalServerError {
 		return Failed{Answer: answer}
@@ -240,9 +241,15 @@
 	}
 }
 
+// partReceived records that the attempt has received a part of its answer.
+func (j *job) partReceived(assigned Assignment, now time.Time) {
+	j.answerBegan = true
+	j.relay.State.PartReceived(assigned, now)
+}
+
 func (j *job) forwardEvent(assigned Assignment, resp *direct.Response, ev direct.Event) error {
 	now := j.relay.Now()
-	j.relay.State.PartReceived(assigned, now)
+	j.partReceived(assigned, now)
 	if pause := now.Sub(j.lastPartAt); j.headerSent && pause > j.longestPause {
 		j.longestPause, j.pauseEndedAt = pause, now
 	}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -27,9 +27,9 @@
 	Resume string
 	// PromptTokens and OutputTokens are the size of a generation request.
 	PromptTokens, OutputTokens int
-	// PromptID identifies the last of the prompt's parts that it shares with other requests, which
-	// is the one most specific to this request.
-	PromptID string
+	// SharedParts are the IDs of the prompt's parts, in order, that other requests may share: all but
+	// the last.
+	SharedParts []string
 }
 
 // EndpointInfo holds what the relay tells an endpoint about a request.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -18,6 +18,9 @@
 	// leaving counts the answers that say that their endpoint is leaving, and rests those that ask
 	// for a rest.
 	leaving, rests metrics.Counter
+	// lostBegun and lostUnbegun count the exchanges that were lost after and before their answer had
+	// begun.
+	lostBegun, lostUnbegun metrics.Counter
 }
 
 // NewMetrics registers the metrics in r.
@@ -27,6 +30,9 @@
 		running:  metrics.GetOrRegisterCounter("relay.running", r),
 		leaving:  metrics.GetOrRegisterCounter("relay.answers.leaving", r),
 		rests:    metrics.GetOrRegisterCounter("relay.answers.rest", r),
+
+		lostBegun:   metrics.GetOrRegisterCounter("relay.lost.begun", r),
+		lostUnbegun: metrics.GetOrRegisterCounter("relay.lost.unbegun", r),
 	}
 }
 
@@ -59,6 +65,15 @@
 	metrics.GetOrRegisterCounter("relay.attempts."+outcomeName(o), m.registry).Inc(1)
 }
 
+// countLost counts an exchange that was lost.
+func (m *Metrics) countLost(answerBegan bool) {
+	if answerBegan {
+		m.lostBegun.Inc(1)
+		return
+	}
+	m.lostUnbegun.Inc(1)
+}
+
 func outcomeName(o Outcome) string {
 	switch o.(type) {
 	case Delivered:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,8 @@
 	// lastEventID is the number of the last event that the caller has received.
 	lastEventID int64
 	headerSent  bool
+	// answerBegan means that the current attempt has received a part of its answer.
+	answerBegan bool
 	// waited is the total time that the request waited to be assigned.
 	waited time.Duration
 	// firstPartAt is when the first part of the answer was forwarded.
@@ -195,6 +197,7 @@
 		j.relay.State.Release(assigned, o, now)
 		j.relay.Metrics.countAttempt(o)
 		j.countAttempt(o)
+		j.noteLost(assigned, o)
 		if _, notRun := o.(NotRun); notRun {
 			j.logRefusing(assigned, now)
 		}
