Failing test: endpoints crash on one part of some prompts, one after the other

Three entries, 12 endpoints that crash as they begin to answer a prompt with one part and are replaced 1.5 s later; 33 sound requests a second share account, first and middle parts with 7 fatal ones, no two alike.

Beside it, one that passes and has to go on doing so: eight endpoints end for reasons of their own under prompts whose parts no answer has had before, and all are served.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -173,6 +173,11 @@
 
 // request sends one request as a caller.
 func (e *entry) request(ctx context.Context, path, id, key string) response {
+	return e.requestWithPrompt(ctx, path, id, key, "")
+}
+
+// requestWithPrompt sends one request whose prompt has the given parts.
+func (e *entry) requestWithPrompt(ctx context.Context, path, id, key, prompt string) response {
 	method := http.MethodGet
 	if strings.HasPrefix(path, "/order/") || strings.HasPrefix(path, "/stream/") {
 		method = http.MethodPost
@@ -185,6 +190,9 @@
 	r.Header.Set("X-Hyssoprelay-Attempt-Id", id)
 	r.Header.Set("X-Hyssoprelay-Deadline-Ms", "6000")
 	r.Header.Set("X-Api-Key", key)
+	if prompt != "" {
+		r.Header.Set("X-Hyssoprelay-Prompt-Prefix", prompt)
+	}
 	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
 	if err != nil {
 		return response{err: err}
