Refuse the parts of prompts on which endpoints crash

Callers saw: 1 to 9 of about 35 requests a second served for 36 s, because requests that share one part of their prompts ended one endpoint after the other, eleven in all.

Cause: a lost exchange is judged by itself. Nothing was kept of what lost exchanges had in common, no entry knew of another's, and the repeat of a lost exchange was the quickest way to the next crash. Class: a decision by one process on one event where only the fleet's events together show the cause.

Each entry now keeps a case against each shared part of the prompts under which endpoints ended before their answer began (internal/quarantine, pure). An answer that begins clears all parts of its prompt, also those that crashes have in common with most requests. The case travels at once in the work reports and each second in an exchange with one other entry, merges in any order, and is asked for by an entry that starts. Three ends have a part refused that was never answered, five one that was. A part that is refused is refused in the queue too (2023, not run), not repeated, tried by one entry alone, and forgotten when nobody asks for it.

An endpoint has ended if it accepts no connections after it has lost the exchange: a reset of one connection, or a group that cuts off what it runs, is no evidence.

--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -57,6 +57,16 @@
 	dials int64
 }
 
+// Accepts reports whether addr accepts a connection, which is closed at once.
+func (c *Client) Accepts(ctx context.Context, addr string) bool {
+	cn, err := c.dial(ctx, addr)
+	if err != nil {
+		return false
+	}
+	cn.abort()
+	return true
+}
+
 // Do sends req to addr and returns the response when its header has arrived. The
 // returned Response must be closed. When ctx is done, the connection is reset,
 // also while the body is being read.
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -72,6 +72,11 @@
 		}
 		_ = cn.Conn.Close()
 	}
+	return c.dial(ctx, addr)
+}
+
+// dial opens a connection to addr.
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	d := net.Dialer{
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -226,6 +226,7 @@
 	f.host = &fleet.Host{Store: f.store, RenewElsewhere: f.renewElsewhere, OnError: f.callFailed, Now: boottime.Now}
 	f.workReporter = newWorkReporter(f)
 	f.state.OnChange = f.workReporter.changed.Raise
+	f.state.OnPartChange = f.logPartChange
 	f.state.Init(now)
 	f.mirror = &mirror.Mirror{
 		Reader: f.store, Wait: pollWait, OnRequest: f.storeStatus.NoteRequest, Settle: changeBatchDelay, MaxSettle: maxChangeBatchDelay, StartupPeriod: startupPeriod,
@@ -256,7 +257,7 @@
 	f.host.Self = f.member().Key()
 	registrar := &fleet.Registrar{Store: f.store, OnError: f.callFailed, RenewNow: &f.leaseSuspect, Member: f.member, Hosts: f.registrationHosts}
 	parts := []process.Part{
-		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
+		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		func(ctx context.Context) error { return process.LogTraffic(ctx, f.Log, f.Registry) },
 		f.stopServers,
--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -127,6 +127,7 @@
 		out = append(out, &fleetpb.EntryWork{
 			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(),
 			Limits:    w.GetLimits(),
+			Cases:     w.GetCases(),
 			AgeMicros: uint64(max(0, now.Sub(queued.asOf).Microseconds())),
 		})
 	}
@@ -219,6 +220,7 @@
 		f.hub.add(e, q.GetTo(), now)
 		if e.GetName() != f.Settings.Name {
 			f.receiveLimits(e, now)
+			f.receiveCases(e, now)
 			entryLoads = append(entryLoads, decodeEntryLoad(e, now))
 		}
 	}
--- /dev/null
+++ b/internal/quarantine/case.go
@@ -0,0 +1,166 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxCrashes is the greatest number of crashes of a case that are kept. It is also the number
+	// from which on no further request with the part is let through as a trial.
+	maxCrashes = 6
+	// clockTolerance is by how much a time that another entry reports must be later than the known
+	// one to replace it. Each report is off by the time of its transfer; without the tolerance, two
+	// entries that repeat each other's reports would move a time on with each exchange.
+	clockTolerance = 500 * time.Millisecond
+)
+
+// Crash is the end of an endpoint under a request.
+type Crash struct {
+	// Endpoint and Incarnation identify the instance that ended.
+	Endpoint    string
+	Incarnation uint64
+	// Account is the account of the request, or "".
+	Account string
+	At      time.Time
+}
+
+func (c Crash) sameInstance(other Crash) bool {
+	return c.Endpoint == other.Endpoint && c.Incarnation == other.Incarnation
+}
+
+// Case is what is known against one part of prompts. A zero time means never.
+type Case struct {
+	// Part is the part's ID.
+	Part string
+	// Crashes are the ends of endpoints, of different instances, under requests with the part since
+	// an answer to one last began, the oldest first.
+	Crashes []Crash
+	// AnsweredAt is when an answer to a request with the part last began.
+	AnsweredAt time.Time
+	// AskedAt is when a request with the part was last refused, and TriedAt when one was last let
+	// through although the part is refused.
+	AskedAt, TriedAt time.Time
+	// OrderedAt is when operators ordered that the part be refused, and LiftedAt when they lifted
+	// whatever was known against it.
+	OrderedAt, LiftedAt time.Time
+}
+
+// ordered reports whether operators have ordered that the part be refused.
+func (c *Case) ordered() bool { return c.OrderedAt.After(c.LiftedAt) }
+
+// latest returns the time of the latest event of the case.
+func (c *Case) latest() time.Time {
+	latest := c.AnsweredAt
+	for _, t := range []time.Time{c.AskedAt, c.TriedAt, c.OrderedAt, c.LiftedAt} {
+		latest = later(latest, t)
+	}
+	if n := len(c.Crashes); n > 0 {
+		latest = later(latest, c.Crashes[n-1].At)
+	}
+	return latest
+}
+
+// add adds a crash unless the same instance is known to have ended. It reports whether it did.
+func (c *Case) add(crash Crash) bool {
+	if !crash.At.After(later(c.AnsweredAt, c.LiftedAt)) {
+		return false
+	}
+	if i := slices.IndexFunc(c.Crashes, crash.sameInstance); i >= 0 {
+		if crash.At.Before(c.Crashes[i].At) {
+			c.Crashes[i].At = crash.At
+			c.sort()
+		}
+		return false
+	}
+	if len(c.Crashes) >= maxCrashes {
+		return false
+	}
+	c.Crashes = append(c.Crashes, crash)
+	c.sort()
+	return true
+}
+
+func (c *Case) sort() {
+	slices.SortFunc(c.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+}
+
+// clear forgets the crashes that happened before the part was last answered or lifted.
+func (c *Case) clear() {
+	cleared := later(c.AnsweredAt, c.LiftedAt)
+	c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool { return !crash.At.After(cleared) })
+}
+
+// merge adds what another entry knows of the same part and reports whether anything was new.
+func (c *Case) merge(other Case) bool {
+	changed := false
+	for _, t := range []struct{ known, reported *time.Time }{
+		{&c.AnsweredAt, &other.AnsweredAt},
+		{&c.AskedAt, &other.AskedAt},
+		{&c.TriedAt, &other.TriedAt},
+		{&c.OrderedAt, &other.OrderedAt},
+		{&c.LiftedAt, &other.LiftedAt},
+	} {
+		if t.reported.Sub(*t.known) > clockTolerance {
+			*t.known = *t.reported
+			changed = true
+		}
+	}
+	c.clear()
+	for _, crash := range other.Crashes {
+		changed = c.add(crash) || changed
+	}
+	return changed
+}
+
+// clone returns a copy that shares nothing with c.
+func (c *Case) clone() Case {
+	out := *c
+	out.Crashes = slices.Clone(c.Crashes)
+	return out
+}
+
+// span returns the time from the first to the last crash.
+func (c *Case) span() time.Duration {
+	if len(c.Crashes) == 0 {
+		return 0
+	}
+	return c.lastCrash().Sub(c.Crashes[0].At)
+}
+
+// lastCrash returns the time of the last crash, or zero if there is none.
+func (c *Case) lastCrash() time.Time {
+	if len(c.Crashes) == 0 {
+		return time.Time{}
+	}
+	return c.Crashes[len(c.Crashes)-1].At
+}
+
+// concerns reports whether the crashes speak against the part in requests of an account: its own
+// requests are among them, or those of two others are. One account alone can't have a part refused
+// that it shares with another.
+func (c *Case) concerns(account string) bool {
+	for _, crash := range c.Crashes {
+		if crash.Account == account || crash.Account != c.Crashes[0].Account {
+			return true
+		}
+	}
+	return false
+}
+
+// explainedBy reports whether all crashes of c are also crashes of other.
+func (c *Case) explainedBy(other *Case) bool {
+	for _, crash := range c.Crashes {
+		if !slices.ContainsFunc(other.Crashes, crash.sameInstance) {
+			return false
+		}
+	}
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -34,6 +34,11 @@
 // assignEndpoint chooses the endpoint of the next attempt. It checks the age of the known keys
 // again, since they may have become too old while the request waited.
 func (j *job) assignEndpoint(ctx context.Context, now time.Time) (Assignment, *result.Error) {
+	if j.attempts.Sent > 0 {
+		if e := j.recheckParts(now); e != nil {
+			return Assignment{}, e
+		}
+	}
 	assigned, e := j.admit(ctx, j.query(), now)
 	if e != nil {
 		return assigned, e
@@ -53,13 +58,10 @@
 		return st.Choose(j.service, q, now)
 	}
 	req := AdmitRequest{
-		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: anonymousAccount,
+		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: j.accountName(), Parts: j.requestInfo.SharedParts,
 		FirstPartDeadline: j.firstPartDeadline(), Deadline: j.deadline, Priority: j.urgency(),
 		TargetLatency: j.route.TargetLatency, AskedBefore: j.askedBefore(), AbandonAt: j.abandonTime(),
 	}
-	if j.account != nil {
-		req.Account = j.account.Name
-	}
 	assigned, e := st.Admit(ctx, req, j.relay.Now)
 	finished := j.relay.Now()
 	if waited := finished.Sub(now); waited > 0 {
@@ -72,6 +74,14 @@
 	return assigned, e
 }
 
+// accountName returns the name of the request's account, or anonymousAccount if it has none.
+func (j *job) accountName() string {
+	if j.account == nil {
+		return anonymousAccount
+	}
+	return j.account.Name
+}
+
 // abandonTime returns when the caller gives up if no part of the answer has arrived; zero means at
 // its deadline.
 func (j *job) abandonTime() time.Time {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -182,7 +182,7 @@
 		return j.readErrorOutcome(ctx, err)
 	}
 	now := j.relay.Now()
-	j.partReceived(assigned, now)
+	j.partReceived(assigned, resp.Status, now)
 	answer := &BufferedAnswer{Status: resp.Status, Header: caller.EndToEndHeaders(resp.Header), Body: body}
 	if resp.Status >= http.StatusInternalServerError {
 		return Failed{Answer: answer}
@@ -241,15 +241,19 @@
 	}
 }
 
-// partReceived records that the attempt has received a part of its answer.
-func (j *job) partReceived(assigned Assignment, now time.Time) {
+// partReceived records that the attempt has received a part of its answer, which has the given
+// status.
+func (j *job) partReceived(assigned Assignment, status int, now time.Time) {
+	if !j.answerBegan && status/100 == 2 {
+		j.clearParts(now)
+	}
 	j.answerBegan = true
 	j.relay.State.PartReceived(assigned, now)
 }
 
 func (j *job) forwardEvent(assigned Assignment, resp *direct.Response, ev direct.Event) error {
 	now := j.relay.Now()
-	j.partReceived(assigned, now)
+	j.partReceived(assigned, resp.Status, now)
 	if pause := now.Sub(j.lastPartAt); j.headerSent && pause > j.longestPause {
 		j.longestPause, j.pauseEndedAt = pause, now
 	}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -165,6 +165,7 @@
 	st.removeStaleEntryLoads(now)
 	st.rests.expire(now)
 	st.limits.expire(now)
+	st.expireCases(now)
 	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
 	for _, ep := range st.dir.Endpoints(now) {
 		usable[ep.ID], addresses[ep.Address] = ep, ep
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -133,6 +133,9 @@
 	if !now.Before(j.deadline) {
 		return result.New(result.DeadlinePassed, "")
 	}
+	if e := st.checkParts(j.accountName(), j.requestInfo.SharedParts, now); e != nil {
+		return e
+	}
 	j.lastEventID, _ = strconv.ParseInt(j.requestInfo.Resume, 10, 64)
 	return nil
 }
@@ -197,7 +200,7 @@
 		j.relay.State.Release(assigned, o, now)
 		j.relay.Metrics.countAttempt(o)
 		j.countAttempt(o)
-		j.noteLost(assigned, o)
+		suspect := j.noteLost(ctx, assigned, o)
 		if _, notRun := o.(NotRun); notRun {
 			j.logRefusing(assigned, now)
 		}
@@ -210,7 +213,7 @@
 			continue
 		}
 		budget := func() bool { return j.allowRetry(o, now) }
-		if NextDecision(j.route, j.attempts, o, left, budget) == End {
+		if suspect || NextDecision(j.route, j.attempts, o, left, budget) == End {
 			j.finish(o, nil, now)
 			return
 		}
@@ -255,6 +258,10 @@
 	if e := j.recheckKeyAge(next); e != nil {
 		return Assignment{}, e
 	}
+	if e := j.recheckParts(now); e != nil {
+		j.relay.State.Release(next, Unused{}, now)
+		return Assignment{}, e
+	}
 	j.tried = append(j.tried, next.Endpoint.ID)
 	return next, nil
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -91,6 +92,9 @@
 	// OnChange, if set, is called when this entry's own work or a limit reported to it changes,
 	// with an internal lock held. It must not block and must not call methods of the State.
 	OnChange func()
+	// OnPartChange, if set, is called when what is held against a part of prompts changes, with the
+	// entry that reported it, or "" if this entry observed it. The same restrictions apply.
+	OnPartChange func(c quarantine.Change, from string, now time.Time)
 
 	mu           sync.Mutex // guards the fields below
 	retry        RetryBudget
@@ -115,12 +119,14 @@
 	longestTimeLeft map[string]time.Duration
 	recentStarts    startHistory
 	// failures counts the consecutive failures that each endpoint reported.
-	failures  map[string]int
-	limits    limits
-	rests     rests
-	refusing  refusalStreaks
-	outages   outages
-	latencies answerLatencies
+	failures map[string]int
+	limits   limits
+	rests    rests
+	refusing refusalStreaks
+	outages  outages
+	// quarantine holds what is known against parts of prompts.
+	quarantine quarantine.Table
+	latencies  answerLatencies
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
 	lastProbe map[string]time.Time
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -72,6 +72,7 @@
 	EndpointLimited    Code = 2020
 	EntryFull          Code = 2021
 	EndpointResting    Code = 2022
+	PromptPartRefused  Code = 2023
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -173,6 +174,8 @@
 	EntryFull:          {"entryFull", NotRun, http.StatusServiceUnavailable, "the entry holds as many bytes for callers as its memory allows"},
 	EndpointResting:    {"endpointResting", NotRun, http.StatusServiceUnavailable, "all endpoints have asked this entry for a rest"},
 
+	PromptPartRefused: {"promptPartRefused", NotRun, http.StatusServiceUnavailable, "endpoints have crashed on a part of this prompt"},
+
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
 	AnswerIncomplete: {"answerIncomplete", Unknown, http.StatusBadGateway, "only a part of the answer arrived"},
