A stream without length and chunks that ends before its first event is not complete

Callers saw: 200 and an empty stream that looked complete, from an endpoint that crashed before its first event and whose answers end with their connection.

Cause: the end of such an answer is the end of its connection, so a crash before the first event reads as a whole stream of none. A stream that ends inside an event was taken for broken before; one that ends before any now is, too, and is sent elsewhere or answered 502. One that ends after an event stays complete: nothing tells it from a whole one.

TestBrokenStreamsWithoutLengthAreNotComplete failed before in both subtests 'before any event' (status 200, empty body). With it tests of whole answers and streams, of ends inside an event and of resets, each with and without a resume; these passed already.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -113,6 +113,10 @@
 	return r.complete && r.resp != nil && !r.resp.Close && r.conn.br.Buffered() == 0 && r.writer.finished() == nil && hasFraming(r.resp)
 }
 
+// Framed reports whether the end of the body is marked by its length or by chunked encoding, not by
+// the close of the connection.
+func (r *Response) Framed() bool { return hasFraming(r.resp) }
+
 // hasFraming reports whether the end of the body is marked by its length or by
 // chunked encoding, not by the close of the connection.
 func hasFraming(r *http.Response) bool {
--- /dev/null
+++ b/internal/frontend/unframed_test.go
@@ -0,0 +1,110 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+// newUnframedSystem starts an entry and two endpoints, of which the first sends answers without
+// length and chunks as u says.
+func newUnframedSystem(t *testing.T, resumable bool, u *standin.Unframed) (*system, *entry) {
+	t.Helper()
+	s := newSystem(t, 2)
+	cfg := config(2, `"k1"`)
+	if !resumable {
+		cfg = bytes.Replace(cfg, []byte(`"resumable":true,`), nil, 1)
+	}
+	s.store.Put("op/config", cfg)
+	s.endpoints[0].AnswerUnframed(u)
+	return s, s.start("entry1", s.store.Addr())
+}
+
+// requestsToFirst sends requests until n have reached the first endpoint, and passes their responses
+// to check.
+func (s *system) requestsToFirst(e *entry, path string, n int, check func(resp response)) {
+	s.t.Helper()
+	for i, reached := 0, 0; reached < n; i++ {
+		if i == 4000 {
+			s.t.Fatal("the first endpoint gets no requests")
+		}
+		id := fmt.Sprint("q", i)
+		resp := e.request(context.Background(), path, id, "k1")
+		if s.endpoints[0].Runs(id) > 0 {
+			reached++
+			check(resp)
+		}
+	}
+}
+
+// An endpoint ends its answers with the connection. Guards against answers that are lost, cut or
+// sent twice for it.
+func TestWholeAnswersWithoutLengthAreDelivered(t *testing.T) {
+	t.Parallel()
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprint("resumable ", resumable), func(t *testing.T) {
+			t.Parallel()
+			s, e := newUnframedSystem(t, resumable, &standin.Unframed{})
+			s.requestsToFirst(e, "/look/1", 2, func(resp response) {
+				s.wantStatus(resp, http.StatusOK)
+				if resp.body != "answer of i-0" {
+					t.Errorf("body %q", resp.body)
+				}
+			})
+			s.requestsToFirst(e, "/order/1", 2, func(resp response) { s.wantStatus(resp, http.StatusOK) })
+			s.requestsToFirst(e, "/stream/1", 2, func(resp response) { s.wantWholeStream(resp, 5) })
+		})
+	}
+}
+
+// An endpoint's stream without chunks ends too early: before the first event, inside an event, or
+// with a reset. Guards against passing it on as complete, and against not resuming it.
+func TestBrokenStreamsWithoutLengthAreNotComplete(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		unframed standin.Unframed
+		// begun means that the caller has received a part.
+		begun bool
+	}{
+		"inside the first event": {standin.Unframed{Events: -1, Text: "id: 1\nda"}, false},
+		"before any event":       {standin.Unframed{Events: -1}, false},
+		"inside an event":        {standin.Unframed{Events: 2, Text: "id: 3\ndata: to"}, true},
+		"reset inside an event":  {standin.Unframed{Events: 2, Text: "id: 3\nda", Reset: true}, true},
+		"reset after an event":   {standin.Unframed{Events: 2, Reset: true}, true},
+	} {
+		t.Run(name+", resumable", func(t *testing.T) {
+			t.Parallel()
+			s, e := newUnframedSystem(t, true, &c.unframed)
+			s.requestsToFirst(e, "/stream/1", 2, func(resp response) { s.wantWholeStream(resp, 5) })
+		})
+		t.Run(name+", not resumable", func(t *testing.T) {
+			t.Parallel()
+			s, e := newUnframedSystem(t, false, &c.unframed)
+			s.requestsToFirst(e, "/stream/1", 2, func(resp response) {
+				if resp.err == nil && resp.status == http.StatusOK {
+					t.Errorf("the broken stream looks complete: %q", resp.body)
+				}
+				if !c.begun && resp.status != http.StatusBadGateway {
+					t.Errorf("status %d, %v", resp.status, resp.err)
+				}
+			})
+		})
+	}
+}
+
+// An endpoint resets the connection within an answer without length. Guards against passing on half
+// an answer as the whole one.
+func TestResetAnswersWithoutLengthAreNotComplete(t *testing.T) {
+	t.Parallel()
+	s, e := newUnframedSystem(t, true, &standin.Unframed{Reset: true})
+	s.requestsToFirst(e, "/look/1", 2, func(resp response) {
+		s.wantStatus(resp, http.StatusOK)
+		if resp.body != "answer of i-1" {
+			t.Errorf("body %q", resp.body)
+		}
+	})
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -223,6 +223,11 @@
 	events := direct.NewEventReader(resp)
 	for {
 		ev, err := events.Next()
+		if err == io.EOF && !j.answerBegan && !resp.Framed() {
+			// Only its connection's end marks the end of this answer, and that is also how an endpoint
+			// ends that crashes before the first event.
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			return j.endStream(resp)
 		}
