Use endpoints that answer although all have been ejected

Two endpoints end their streams inside an event: every second stream was not resumed, as the other endpoint was ejected for its own broken stream, and look-ups that both would have answered were refused with 2004.

Ejection spares callers an endpoint that fails them while others serve. If none is left, the ones that had begun to respond to what failed are chosen among after all; an endpoint that did not respond stays out, so nobody is sent to one that is down, and closed groups are decided before that.

TestEndpointsThatRespondAreUsedAlthoughAllAreEjected decides it without sockets.

--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -155,6 +155,7 @@
 	e.lastFailure = now
 	e.ejectedUntil = now.Add(minEjection << min(e.consecutiveFailures, maxEjectionDoublings))
 	e.consecutiveFailures++
+	e.respondedToFailed = a.responded
 }
 
 // Bounds of the ejection after a failure: 250 ms, doubled up to 16 s. The first is
--- a/internal/endpoint/placement/choose.go
+++ b/internal/endpoint/placement/choose.go
@@ -95,6 +95,9 @@
 		return b.recordChoice(e, false, probe, now), true, result.OK
 	}
 	e, reason := b.scan(rt, &q, now)
+	if e == nil {
+		e = b.ejected(rt, &q, now)
+	}
 	if e != nil {
 		return b.recordChoice(e, false, false, now), true, result.OK
 	}
@@ -168,6 +171,25 @@
 	return lowest, why
 }
 
+// ejected returns the endpoint with the lowest load score among those that can't be
+// selected only because they were ejected, and that had begun to respond to the
+// attempt that failed. It returns nil if there is none.
+//
+// Endpoints that all break off some responses would otherwise all be ejected in
+// turn, and requests refused that most of them would answer.
+func (b *Balancer) ejected(rt *route, q *Query, now time.Time) (lowest *endpoint) {
+	lowestScore := math.Inf(1)
+	for _, e := range rt.endpoints {
+		if isExcluded(q, e) || !e.respondedToFailed || !now.Before(e.ejectedUntil) || b.stateWithoutEjection(e, rt, now) != eligible {
+			continue
+		}
+		if score := b.loadScore(e, rt, q, now); score < lowestScore {
+			lowest, lowestScore = e, score
+		}
+	}
+	return lowest
+}
+
 // isExcluded reports whether q excludes e.
 func isExcluded(q *Query, e *endpoint) bool {
 	return len(q.Excluded) > 0 && slices.Contains(q.Excluded, e.name)
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -51,6 +51,9 @@
 	consecutiveFailures int
 	lastFailure         time.Time
 	ejectedUntil        time.Time
+	// respondedToFailed is whether a part of the response to the attempt that last
+	// failed had arrived: the endpoint was running then.
+	respondedToFailed bool
 	// lastChosen is when the endpoint was last selected.
 	lastChosen time.Time
 	// probes counts the probes since the endpoint last responded in normal
@@ -69,6 +72,7 @@
 	e.lastRefusal, e.backoffUntil = time.Time{}, time.Time{}
 	e.consecutiveRefusals = 0
 	e.consecutiveFailures, e.lastFailure, e.ejectedUntil = 0, time.Time{}, time.Time{}
+	e.respondedToFailed = false
 	e.latency = 0
 }
 
@@ -108,13 +112,19 @@
 // state returns eligible, or the index in rejectionCodes of the reason that the
 // endpoint can't be selected.
 func (b *Balancer) state(e *endpoint, rt *route, now time.Time) int {
+	if !e.unavailable() && now.Before(e.ejectedUntil) {
+		return busy
+	}
+	return b.stateWithoutEjection(e, rt, now)
+}
+
+// stateWithoutEjection is state for an endpoint whose ejection doesn't count.
+func (b *Balancer) stateWithoutEjection(e *endpoint, rt *route, now time.Time) int {
 	switch {
 	case e.reportedOutOfService || e.configuredOut:
 		return outOfService
 	case e.draining:
 		return draining
-	case now.Before(e.ejectedUntil):
-		return busy
 	case !e.hasRecentReport(now, b.StaleAfter):
 		return b.stateUnknown(e, now)
 	case e.cold:
--- a/internal/endpoint/placement/placement_test.go
+++ b/internal/endpoint/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -396,3 +397,33 @@
 		}
 	}
 }
+
+// All endpoints have just broken off a response, and one is down. Guards against refusing all requests
+// while the others would answer them, and against trying the one that is down.
+func TestEndpointsThatRespondAreUsedAlthoughAllAreEjected(t *testing.T) {
+	b := &Balancer{Entries: 1}
+	now := time.Unix(1000, 0)
+	for _, name := range []string{"a", "b", "down"} {
+		b.Update(Report{Endpoint: name, Incarnation: 1, Routes: []string{"r"}, Allowance: 4, Capacity: 4, ValidAt: now}, now)
+	}
+	for _, name := range []string{"a", "b", "down"} {
+		others := slices.DeleteFunc([]string{"a", "b", "down"}, func(s string) bool { return s == name })
+		c, ok, _ := b.Choose(Query{Route: "r", Excluded: others}, now)
+		if !ok || c.Endpoint != name {
+			t.Fatalf("%+v, %v", c, ok)
+		}
+		a := b.Start(c, Query{Route: "r"}, now)
+		if name != "down" {
+			b.Progress(a, now)
+		}
+		b.Fail(a, now)
+	}
+	for range 20 {
+		if c, ok, why := b.Choose(Query{Route: "r"}, now); !ok || c.Endpoint == "down" {
+			t.Fatalf("%+v, %v, %v", c, ok, why)
+		}
+	}
+	if _, ok, _ := b.Choose(Query{Route: "r", Excluded: []string{"a", "b"}}, now); ok {
+		t.Error("the endpoint that is down was selected")
+	}
+}
--- a/internal/frontend/unframed_test.go
+++ b/internal/frontend/unframed_test.go
@@ -108,3 +108,19 @@
 		}
 	})
 }
+
+// Both endpoints end their streams inside an event. Guards against streams that are not resumed and
+// look-ups that are refused because both endpoints count as failing, although both answer.
+func TestEndpointsThatAllBreakOffStreamsAreUsed(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	for _, ep := range s.endpoints {
+		ep.AnswerUnframed(&standin.Unframed{Events: 3, Text: "id: 4\ndata: to"})
+	}
+	e := s.start("entry1", s.store.Addr())
+	// Fewer than the retry budget of an entry that has just started allows.
+	for i := range 8 {
+		s.wantWholeStream(e.request(context.Background(), "/stream/1", fmt.Sprint("s", i), "k1"), 5)
+		s.wantStatus(e.request(context.Background(), "/look/1", fmt.Sprint("l", i), "k1"), http.StatusOK)
+	}
+}
