Shares of cold and limited endpoints follow demand

Callers would see: while the platform leads most new connections to one entry, that one refuses most requests although endpoints are free, as it may use only an equal share of what cold endpoints, and those that name a limit, take from all entries together. With 36 entries and a small limit it may have no share at all.

Entries now report their demand for such services in their work reports. Shares follow it once one entry's demand is three times the mean; by chance alone they stay equal. An entry uses the smaller of its shares by the last two views, half a second apart: it grows only after all others have seen theirs shrink, so the sum is not exceeded. Entries with a high demand are always among those that share a limit.

Tried first: factors by the demand alone.

--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -128,6 +128,7 @@
 			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(),
 			Limits:    w.GetLimits(),
 			Cases:     w.GetCases(),
+			Demands:   w.GetDemands(),
 			AgeMicros: uint64(max(0, now.Sub(queued.asOf).Microseconds())),
 		})
 	}
@@ -230,11 +231,14 @@
 
 func decodeEntryLoad(e *fleetpb.EntryWork, now time.Time) relay.EntryLoad {
 	l := relay.EntryLoad{
-		Entry: e.GetName(), Incarnation: e.GetBorn(), Sequence: e.GetNumber(), Running: map[string]int{}, Waiting: e.GetWaiting(),
+		Entry: e.GetName(), Incarnation: e.GetBorn(), Sequence: e.GetNumber(), Running: map[string]int{}, Waiting: e.GetWaiting(), Demand: map[string]float64{},
 		At: now.Add(-time.Duration(e.GetAgeMicros()) * time.Microsecond),
 	}
 	for _, work := range e.GetWorks() {
 		l.Running[work.GetEndpoint()] = int(work.GetRunning())
 	}
+	for _, d := range e.GetDemands() {
+		l.Demand[d.GetService()] = float64(d.GetPerSecond())
+	}
 	return l
 }
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -87,6 +87,9 @@
 	for id, n := range f.state.OwnRunning() {
 		w.Works = append(w.Works, &fleetpb.Work{Endpoint: id, Running: uint32(n)})
 	}
+	for service, perSecond := range f.state.OwnDemands(now) {
+		w.Demands = append(w.Demands, &fleetpb.ServiceDemand{Service: service, PerSecond: float32(perSecond)})
+	}
 	return w
 }
 
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -6,10 +6,12 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
 )
 
-// CountFirstAttempt counts a first attempt towards the retry budget of a service.
+// CountFirstAttempt counts a first attempt towards the retry budget of a service, and towards this
+// entry's demand for it.
 func (st *State) CountFirstAttempt(service string, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.demands.count(service, now)
 	st.budget(service, now).RecordFirstAttempt(now)
 }
 
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -63,7 +63,7 @@
 		var sent []time.Time
 		for ms := range 5000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
-			if rng.Float64() < 0.4 && shares[rng.IntN(entries)].Take("x", rate, entries, now) {
+			if rng.Float64() < 0.4 && shares[rng.IntN(entries)].Take("x", rate/entries, now) {
 				sent = append(sent, now)
 			}
 		}
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -25,6 +26,8 @@
 
 // arrivalRate measures the rate of new requests of one service, with an exponential average.
 type arrivalRate struct {
+	// window is the time constant; zero means arrivalWindow.
+	window               time.Duration
 	count                float64
 	updatedAt, startedAt time.Time
 }
@@ -39,11 +42,20 @@
 
 func (a *arrivalRate) decay(now time.Time) {
 	if dt := now.Sub(a.updatedAt); dt > 0 {
-		a.count *= math.Exp(-dt.Seconds() / arrivalWindow.Seconds())
+		a.count *= math.Exp(-dt.Seconds() / a.timeConstant().Seconds())
 		a.updatedAt = now
 	}
 }
 
+func (a *arrivalRate) timeConstant() time.Duration { return cmp.Or(a.window, arrivalWindow) }
+
+// average returns the rate in requests per second. It counts the time before the first arrival as
+// time without any.
+func (a *arrivalRate) average(now time.Time) float64 {
+	a.decay(now)
+	return a.count / a.timeConstant().Seconds()
+}
+
 // rate returns the rate in requests per second. It corrects for the short time since the first
 // arrival.
 func (a *arrivalRate) rate(now time.Time) float64 {
@@ -51,7 +63,7 @@
 		return 0
 	}
 	a.decay(now)
-	window := arrivalWindow.Seconds()
+	window := a.timeConstant().Seconds()
 	seen := 1 - math.Exp(-max(minMeasured.Seconds(), now.Sub(a.startedAt).Seconds())/window)
 	return a.count / (window * seen)
 }
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
@@ -191,14 +189,13 @@
 		if !ok {
 			continue
 		}
-		n, included := st.limitSharers(l)
-		rate := l.rate()
-		if included && st.limitShares.Ready(id, rate, n, now) {
+		rate := st.limitShareOf(service, l, now) * l.rate()
+		if rate > 0 && st.limitShares.Ready(id, rate, now) {
 			continue
 		}
 		out.excluded = true
 		q.Excluded = append(q.Excluded, id)
-		if w := st.limitShares.Wait(id, rate, n, now); included && (out.wait == 0 || w < out.wait) {
+		if w := st.limitShares.Wait(id, rate, now); rate > 0 && (out.wait == 0 || w < out.wait) {
 			out.wait = w
 		}
 	}
@@ -206,31 +203,8 @@
 }
 
 // takeLimitShare spends one request of this entry's share of the endpoint's limit. mu must be held.
-func (st *State) takeLimitShare(ep directory.Endpoint, now time.Time) {
+func (st *State) takeLimitShare(service *routing.Service, ep directory.Endpoint, now time.Time) {
 	if l, ok := st.limits.lookup(ep, now); ok {
-		n, _ := st.limitSharers(l)
-		st.limitShares.Take(ep.ID, l.rate(), n, now)
-	}
-}
-
-// limitSharers returns how many entries share a limit, and whether this one does.
-//
-// With 150 entries and an endpoint that accepts one request per second, each entry would have saved
-// up a request after a while, and all could send theirs at the same moment. So only as many entries
-// share the limit as burstPerRate and burstBase permit. A hash of the names selects them, so that
-// all entries agree without coordination.
-func (st *State) limitSharers(l RateLimit) (int, bool) {
-	hash := func(name string) uint64 { return xxhash.Sum64String(name + " " + l.Endpoint) }
-	own, before, entries := hash(st.Name), 0, 1
-	for name := range st.entries {
-		if name == st.Name {
-			continue
-		}
-		entries++
-		if hash(name) < own {
-			before++
-		}
+		st.limitShares.Take(ep.ID, st.limitShareOf(service, l, now)*l.rate(), now)
 	}
-	n := int(min(float64(entries), burstPerRate*l.PerSecond+burstBase))
-	return n, before < n
 }
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -248,8 +248,8 @@
 	const entries = 36
 	w := newLimitModel(entries, 1, 1, &routing.Service{Name: "quotes"}, start)
 	for _, st := range w.fleet {
-		if n, mine := st.limitSharers(RateLimit{Endpoint: limitedEndpoint, PerSecond: 1e300}); n != entries || !mine {
-			t.Fatalf("%d entries share the limit, this one: %v", n, mine)
+		if sharers := st.limitSharers(nil, RateLimit{Endpoint: limitedEndpoint, PerSecond: 1e300}); len(sharers) != entries || !slices.Contains(sharers, st.Name) {
+			t.Fatalf("%d entries share the limit: %v", len(sharers), sharers)
 		}
 	}
 }
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -182,6 +182,7 @@
 		}
 	}
 	st.endpoints, st.addresses = usable, addresses
+	st.refreshDemands(now)
 	st.limitShares.Retain(func(id string) bool { return st.limits.newest[id] != (RateLimit{}) })
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -58,9 +58,9 @@
 		return Assignment{}, st.assignmentError(service, reason, wait, limited, refusing, now)
 	}
 	ep := st.endpoints[c.Endpoint]
-	st.takeLimitShare(ep, now)
+	st.takeLimitShare(service, ep, now)
 	if ep.ColdAt(now) && service.ColdRate > 0 {
-		st.coldShares.Take(ep.ID, service.ColdRate, st.countEntries(now), now)
+		st.coldShares.Take(ep.ID, st.coldShare(service.Name, now)*service.ColdRate, now)
 	}
 	assigned := Assignment{Endpoint: ep, LoadAge: -1, assignedAt: now, attempt: st.balancer.Start(c, q, now)}
 	if l, ok := st.loads[ep.ID]; ok {
@@ -105,16 +105,16 @@
 		return 0
 	}
 	minWait := time.Duration(0)
-	n := st.countEntries(now)
+	rate := st.coldShare(service.Name, now) * service.ColdRate
 	for id, ep := range st.endpoints {
 		if ep.Service != service.Name || !ep.ColdAt(now) {
 			continue
 		}
-		if st.coldShares.Ready(id, service.ColdRate, n, now) {
+		if st.coldShares.Ready(id, rate, now) {
 			continue
 		}
 		q.Excluded = append(q.Excluded, id)
-		if w := st.coldShares.Wait(id, service.ColdRate, n, now); minWait == 0 || w < minWait {
+		if w := st.coldShares.Wait(id, rate, now); minWait == 0 || w < minWait {
 			minWait = w
 		}
 	}
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -32,15 +32,15 @@
 // most the rate and one request per entry in any second, which such endpoints tolerate.
 const shareBurst = 1.0
 
-// Ready reports whether a request may be sent to the endpoint, which accepts rate requests per
-// second from all of entries together.
-func (s *RateShares) Ready(endpoint string, rate float64, entries int, now time.Time) bool {
-	return s.refill(endpoint, rate, entries, now).tokens >= 1
+// Ready reports whether a request may be sent to the endpoint. This entry's share of what the endpoint
+// accepts is rate requests per second.
+func (s *RateShares) Ready(endpoint string, rate float64, now time.Time) bool {
+	return s.refill(endpoint, rate, now).tokens >= 1
 }
 
 // Take spends one request of the share and reports whether there was one.
-func (s *RateShares) Take(endpoint string, rate float64, entries int, now time.Time) bool {
-	b := s.refill(endpoint, rate, entries, now)
+func (s *RateShares) Take(endpoint string, rate float64, now time.Time) bool {
+	b := s.refill(endpoint, rate, now)
 	if b.tokens < 1 {
 		return false
 	}
@@ -49,12 +49,12 @@
 }
 
 // Wait returns how long until a request may be sent to the endpoint, at most a minute.
-func (s *RateShares) Wait(endpoint string, rate float64, entries int, now time.Time) time.Duration {
-	b := s.refill(endpoint, rate, entries, now)
+func (s *RateShares) Wait(endpoint string, rate float64, now time.Time) time.Duration {
+	b := s.refill(endpoint, rate, now)
 	if b.tokens >= 1 || rate <= 0 {
 		return 0
 	}
-	seconds := (1 - b.tokens) * float64(max(1, entries)) / rate
+	seconds := (1 - b.tokens) / rate
 	return time.Duration(math.Min(seconds, 60) * float64(time.Second))
 }
 
@@ -77,7 +77,7 @@
 // of such an endpoint at the same moment then send their first requests one after another, at its
 // rate. With one token each they would send at once, and with none all would wait for as long as
 // their share of the rate takes to yield one.
-func (s *RateShares) refill(endpoint string, rate float64, entries int, now time.Time) *bucket {
+func (s *RateShares) refill(endpoint string, rate float64, now time.Time) *bucket {
 	if s.buckets == nil {
 		s.buckets = map[string]*bucket{}
 	}
@@ -89,7 +89,7 @@
 	dt := now.Sub(b.at).Seconds()
 	if dt > 0 {
 		b.at = now
-		b.tokens = math.Min(shareBurst, b.tokens+dt*rate/float64(max(1, entries)))
+		b.tokens = math.Min(shareBurst, b.tokens+dt*rate)
 	}
 	return b
 }
--- a/internal/relay/shares_test.go
+++ b/internal/relay/shares_test.go
@@ -31,7 +31,7 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
 		for i := range w.shares {
 			for _, id := range w.endpoints {
-				if w.shares[i].Take(id, w.rate, len(w.shares), w.now) {
+				if w.shares[i].Take(id, w.rate/float64(len(w.shares)), w.now) {
 					sent[id]++
 				}
 			}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -75,6 +75,9 @@
 	Running map[string]int
 	// Waiting lists the services with waiting requests.
 	Waiting []string
+	// Demand holds the requests per second by service, for services whose endpoints accept a limited
+	// rate.
+	Demand map[string]float64
 	// At is when the message arrived.
 	At time.Time
 }
@@ -132,6 +135,7 @@
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
 	// requests that were late when they were assigned.
 	arrivals    map[string]*arrivalRate
+	demands     demands
 	lateRunning map[string]int
 	// movable holds the running attempts that may be moved, by endpoint. attemptSeq is the number
 	// of the last one.
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -140,7 +140,7 @@
 	w.sequence++
 	entryLoads := make([]EntryLoad, 0, len(w.fleet))
 	for _, from := range w.fleet {
-		entryLoads = append(entryLoads, EntryLoad{Entry: from.Name, Incarnation: 1, Sequence: w.sequence, Running: from.OwnRunning(), At: now})
+		entryLoads = append(entryLoads, EntryLoad{Entry: from.Name, Incarnation: 1, Sequence: w.sequence, Running: from.OwnRunning(), Demand: from.OwnDemands(now), At: now})
 	}
 	for i, to := range w.fleet {
 		to.SetEntryLoads(slices.Concat(entryLoads[:i], entryLoads[i+1:]), now)
