Close connections that wait too long for their poller, unread

Callers would see: while most new connections go to one entry and its poller is busy, their requests lie unread until they give up after a second, or are read when nobody waits any more. Up to 256 accepted connections wait for their poller's next round and the rest behind them in the kernel, without a bound.

A connection that has waited for half a second is closed unread, which tells the caller that its request was not run, and its next try meets another entry.

TestConnectionsThatWaitTooLongAreClosedUnread failed before: not closed within 20 s.

--- a/internal/eventloop/gate_test.go
+++ b/internal/eventloop/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -314,3 +315,33 @@
 		})
 	}
 }
+
+// The platform leads most new connections to one process, whose poller is busy. Guards against
+// requests that lie unread until their callers have given up.
+func TestConnectionsThatWaitTooLongAreClosedUnread(t *testing.T) {
+	h := newHeldPoller(t)
+	first, _ := h.open()
+	h.send(first)
+	<-h.stopped
+	waiting := h.dial()
+	if _, err := io.WriteString(waiting, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := waiting.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := waiting.Read(make([]byte, 1))
+	var timeout net.Error
+	if err == nil || errors.As(err, &timeout) && timeout.Timeout() {
+		t.Errorf("the connection was not closed while the poller was busy: %v", err)
+	}
+	h.resume <- struct{}{}
+	client, _ := h.open()
+	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("a connection after that: %v, %v", resp, err)
+	}
+}
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -4,13 +4,19 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
 
-// maxAwaited is the number of accepted connections that may wait for their poller. Further ones
-// wait in the kernel.
-const maxAwaited = 256
+const (
+	// maxAwaited is the number of accepted connections that may wait for their poller. Further ones
+	// wait in the kernel.
+	maxAwaited = 256
+	// maxAwait is the longest time that one of them waits. Callers whose requests are not read within
+	// a second give up. Closed unread, a request may be sent to another process at once.
+	maxAwait = 500 * time.Millisecond
+)
 
 // Listen listens at an address like net.Listen. The connections that the listener accepts may be
 // added to the engine.
@@ -90,15 +96,17 @@
 	}
 }
 
-// admit hands conn to Accept when the engine can serve it.
+// admit hands conn to Accept when the engine can serve it, or closes it after maxAwait.
 func (l *listener) admit(conn net.Conn) {
-	c, err := l.gate.Convert(l.ctx, conn)
+	ctx, cancel := context.WithTimeout(l.ctx, maxAwait)
+	defer cancel()
+	c, err := l.gate.Convert(ctx, conn)
 	if err != nil {
-		return // the engine stops, and conn is closed
+		return // the engine stops or is too busy, and conn is closed
 	}
 	select {
 	case l.ready <- c:
-	case <-l.ctx.Done():
+	case <-ctx.Done():
 		_ = c.Close()
 	}
 }
