--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -22,10 +22,12 @@
 	// minDemandFactor is the least factor of an entry, so that one without demand has a share when
 	// requests reach it.
 	minDemandFactor = 0.25
-	// highDemand is the ratio to the mean from which on an entry's demand counts as high, if it has at
-	// least minHighDemand requests per second. Below, demands differ by chance.
-	highDemand    = 3
-	minHighDemand = 4
+	// highDemand is the ratio to the mean from which on an entry's demand counts as high, if it also
+	// exceeds the mean by highDeviations standard deviations and is at least minHighDemand requests
+	// per second. Below, demands differ by chance.
+	highDemand     = 2
+	highDeviations = 4
+	minHighDemand  = 4
 )
 
 // demands holds how much of a service's requests each entry gets, to divide what all entries may use
@@ -73,7 +75,8 @@
 		highest = max(highest, d)
 	}
 	mean := sum / float64(max(1, len(perSecond)))
-	if highest < max(highDemand*mean, minHighDemand) {
+	deviation := math.Sqrt(mean / (2 * demandWindow.Seconds()))
+	if highest < max(highDemand*mean, mean+highDeviations*deviation, minHighDemand) {
 		return nil
 	}
 	v := demandView{}
