Wake waiting requests when a share of an endpoint's rate is saved up

Callers see: an entry that gets most connections refuses with 2004, or holds requests for up to two seconds, although it has shares of its endpoints' limits. A request that found no share waited for the next event to be tried again; when the other entries have nothing to do, no report of theirs comes, and its own requests all wait.

The queue now is dispatched when the first share is saved up; the timers of all waiting requests cause one dispatch a millisecond at most.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -20,6 +20,7 @@
 		assigned, e := st.choose(service, w.req.Query, now)
 		w.assigned, w.assignErr = assigned, e
 		if e != nil {
+			st.noteShareWait(e, now)
 			return false
 		}
 		w.assigned.requestID, w.assigned.late = r.ID, w.late
@@ -30,11 +31,31 @@
 	}
 }
 
-// DispatchWaiting assigns or refuses waiting requests according to the current state.
+// noteShareWait records when a request that could not be assigned may be assigned because this entry
+// has saved up its share of a cold endpoint, or of one that names a limit. Nothing else may happen
+// until then: without requests of other entries, no report of theirs arrives. mu must be held.
+func (st *State) noteShareWait(e *result.Error, now time.Time) {
+	if c := e.Code(); c != result.EndpointCold && c != result.EndpointBusy {
+		return
+	}
+	at := now.Add(e.RetryAfter())
+	if st.nextShareAt.IsZero() || at.Before(st.nextShareAt) {
+		st.nextShareAt = at
+	}
+}
+
+// minTimedDispatch is the least time between two dispatches that a timer causes. All waiting requests
+// have one that ends at the same moment.
+const minTimedDispatch = time.Millisecond
+
+// DispatchWaiting assigns or refuses waiting requests according to the current state, unless that was
+// done within the last minTimedDispatch.
 func (st *State) DispatchWaiting(now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.dispatchWaiting(now)
+	if now.Sub(st.dispatchedAt) >= minTimedDispatch {
+		st.dispatchWaiting(now)
+	}
 }
 
 func (st *State) dispatchWaiting(now time.Time) {
@@ -42,6 +63,7 @@
 		return
 	}
 	st.refresh(now)
+	st.dispatchedAt, st.nextShareAt = now, time.Time{}
 	st.excludeStandstill(now)
 	started, refused := st.queue.Next(now, st.placer(now))
 	for _, r := range started {
@@ -112,8 +134,8 @@
 	}
 }
 
-// untilNextDispatch returns how long until a waiting request has to be refused or marked late, or
-// an endpoint that rests may be sent requests again.
+// untilNextDispatch returns how long until a waiting request has to be refused or marked late, an
+// endpoint that rests may be sent requests again, or this entry has saved up a share.
 func (st *State) untilNextDispatch(now time.Time) time.Duration {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -124,7 +146,10 @@
 	if end, ok := st.rests.nextEnd(now); ok {
 		d = min(d, end)
 	}
-	return max(time.Millisecond, d)
+	if !st.nextShareAt.IsZero() {
+		d = min(d, st.nextShareAt.Sub(now))
+	}
+	return max(minTimedDispatch, d)
 }
 
 // cancelWaiting removes a request whose context has ended from the queue.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -116,6 +116,9 @@
 	othersRunning map[string]int
 	queue         admission.Controller
 	waiters       map[string]*waiter
+	// dispatchedAt is when waiting requests were last dispatched, and nextShareAt when one that found
+	// no share of an endpoint's rate then may find one, or zero.
+	dispatchedAt, nextShareAt time.Time
 	// maxGaps is the smallest MaxGap of the routes to a service, by service.
 	maxGaps map[string]time.Duration
 	// longestTimeLeft is the most time that a caller has had left, by route.
