--- a/internal/frontend/parts.go
+++ b/internal/frontend/parts.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 const (
@@ -124,6 +127,9 @@
 // Parts implements fleetpb.EntryServer.
 func (s *service) Parts(_ context.Context, q *fleetpb.PartsRequest) (*fleetpb.PartsReply, error) {
 	st, now := s.frontend.state, boottime.Now()
+	if o := q.GetOrder(); o != nil && !quarantine.ValidPart(o.GetPart()) {
+		return nil, status.Error(codes.InvalidArgument, result.New(result.MalformedOrder, "part").Error())
+	}
 	told := decodeCases(q.GetCases(), now)
 	st.MergeCases(told, "", now)
 	if o := q.GetOrder(); o != nil {
@@ -154,10 +160,14 @@
 	return out
 }
 
-// decodeCases returns the cases that another entry sent at a time.
+// decodeCases returns the cases that another entry sent at a time, without those whose part has no
+// valid ID.
 func decodeCases(cases []*fleetpb.PartCase, sent time.Time) []quarantine.Case {
 	out := make([]quarantine.Case, 0, len(cases))
 	for _, c := range cases {
+		if !quarantine.ValidPart(c.GetPart()) {
+			continue
+		}
 		decoded := quarantine.Case{
 			Part: c.GetPart(), AnsweredAt: timeAgo(c.GetAnswered(), sent), AskedAt: timeAgo(c.GetAsked(), sent), TriedAt: timeAgo(c.GetTried(), sent),
 			OrderedAt: timeAgo(c.GetOrdered(), sent), LiftedAt: timeAgo(c.GetLifted(), sent),
--- a/internal/operator/command/main.go
+++ b/internal/operator/command/main.go
@@ -124,6 +124,7 @@
 		{"datacentre", "take a data centre out of service, or bring it in", newTargetCommands(p, "dataCentres")},
 		{"endpoint", "take an endpoint out of service, or bring it in", newTargetCommands(p, "endpoints")},
 		{"claims", "list and release claims of requests that may run only once", newClaimCommands(p)},
+		{"parts", "list, refuse and lift parts of prompts on which endpoints crash", newPartCommands(p)},
 		{"status", "show the state of all processes", &statusCommand{program: p}},
 		{"timeline", "show events of all processes in causal order", &timelineCommand{program: p}},
 		{"explain", "tell a request's story from saved logs", &explainCommand{program: p}},
