Keep refused parts of prompts in the store

If all entries are killed at once while a part is refused, they would learn it anew from three more crashes. One entry of the fleet now writes each refused part under a key of its own and deletes it when the refusal ends; entries that start read it with the rest of the store. A stored case does not overrule what an entry knows.

TestRefusedPartsOutliveARestartOfAllEntries failed before (nothing was stored).

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -98,7 +98,8 @@
 // unused reports whether no entry uses a key.
 func unused(key string) bool {
 	kind, _, ok := fleet.KeyOf(key)
-	return strings.HasPrefix(key, fleet.Prefix) && (!ok || kind != fleet.Entry)
+	_, isPart := storedPart(key)
+	return strings.HasPrefix(key, fleet.Prefix) && !isPart && (!ok || kind != fleet.Entry)
 }
 
 // origin returns the entry that received an update directly from the store.
@@ -134,6 +135,10 @@
 			"cold": fact.Entry.Cold.Milliseconds(), "revision": item.Revision(),
 		}).Info("endpoint entry updated")
 	case platform.OwnFact:
+		if part, ok := storedPart(item.Key()); ok {
+			f.restorePart(part, item.Value(), now)
+			break
+		}
 		f.putMember(item, now)
 	}
 	return fact
@@ -168,6 +173,9 @@
 		f.state.UpdateDirectory(func(d *directory.Directory) { d.Remove(fact.Entry.ID, now) })
 		f.Log.WithField("endpoint", fact.Entry.ID).Info("endpoint entry removed")
 	case platform.OwnFact:
+		if part, ok := storedPart(key); ok {
+			f.storedParts.remove(part)
+		}
 		if kind, name, ok := fleet.KeyOf(key); ok && kind == fleet.Entry {
 			f.removeMember(name, now)
 		}
@@ -188,6 +196,7 @@
 	ids := map[string]bool{}
 	outOfService := map[string]bool{}
 	listed := map[string]bool{}
+	parts := map[string]bool{}
 	for _, fact := range facts {
 		switch fact := fact.(type) {
 		case platform.EndpointFact:
@@ -198,8 +207,12 @@
 			if kind, name, ok := fleet.KeyOf(fact.Key); ok && kind == fleet.Entry {
 				listed[name] = true
 			}
+			if part, ok := storedPart(fact.Key); ok {
+				parts[part] = true
+			}
 		}
 	}
+	f.storedParts.retain(parts)
 	for name := range f.members.all() {
 		if !listed[name] {
 			f.removeMember(name, now)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,6 +109,7 @@
 	documentSender document.Sender
 	missing        missingTracker
 	members        memberSet
+	storedParts    partSet
 	// host keeps processes registered in the store. aloneUntil is until when this entry,
 	// having just started, waits for another one before it registers by itself. fleetRuns
 	// reports that other entries were registered when this one started.
@@ -257,7 +258,7 @@
 	f.host.Self = f.member().Key()
 	registrar := &fleet.Registrar{Store: f.store, OnError: f.callFailed, RenewNow: &f.leaseSuspect, Member: f.member, Hosts: f.registrationHosts}
 	parts := []process.Part{
-		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
+		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.saveParts, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		func(ctx context.Context) error { return process.LogTraffic(ctx, f.Log, f.Registry) },
 		f.stopServers,
--- a/internal/frontend/parts_test.go
+++ b/internal/frontend/parts_test.go
@@ -126,3 +126,29 @@
 		t.Errorf("an exchange takes %d bytes, want at most %d", n, maxExchangeBytes)
 	}
 }
+
+// All entries are killed at once while a part is refused. Guards against learning anew, from further
+// crashes, what the fleet knew, and against keys that outlive the refusal.
+func TestRefusedPartsOutliveARestartOfAllEntries(t *testing.T) {
+	s := newSystem(t, 2)
+	entries := s.startEntries(2)
+	now := boottime.Now()
+	for i := range 3 {
+		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}
+		entries[i%2].state.RecordCrash(relay.Assignment{Endpoint: ep}, "t1", []string{"bad1"}, now.Add(time.Duration(i-3)*time.Second))
+	}
+	stored := func() int { return len(s.store.Keys(refusedPartPrefix)) }
+	s.eventually("the part is stored", func() bool { return stored() == 1 })
+	stopAll(entries)
+	entries = s.startEntries(2)
+	for i, e := range entries {
+		s.wantPartRefused(e, fmt.Sprint("q", i))
+	}
+	if err := entries[0].order("bad1", false); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("the key is deleted", func() bool { return stored() == 0 })
+	for i, e := range entries {
+		s.wantStatus(e.requestWithPrompt(context.Background(), "/look/1", fmt.Sprint("l", i), "k1", promptWithPart), http.StatusOK)
+	}
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -355,3 +355,19 @@
 		}
 	}
 }
+
+// A stored case reaches an entry that has cleared the part since. Guards against refusing it again.
+func TestStoredCaseDoesNotOverruleWhatIsKnown(t *testing.T) {
+	stored := Case{Part: "p", Crashes: []Crash{end(1, 1000), end(2, 2000), end(3, 3000)}}
+	fresh, knowing, answering := &Table{}, &Table{}, &Table{}
+	knowing.Merge(stored.clone(), at(3000))
+	knowing.Answered([]string{"p"}, at(4000))
+	answering.Answered([]string{"p"}, at(500))
+	for table, want := range map[*Table]bool{fresh: true, knowing: false, answering: false} {
+		table.Restore(stored.clone(), at(5000))
+		wantRefused(t, table, 5000, want, "p")
+		if got := len(table.Lasting(at(5000))); (got == 1) != want {
+			t.Errorf("%d lasting cases, want one: %v", got, want)
+		}
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -134,6 +134,28 @@
 	})
 }
 
+// Restore adds a case that was stored before this entry started, unless the part is known here. It
+// returns what changed.
+func (t *Table) Restore(stored Case, now time.Time) []Change {
+	if t.cases[stored.Part] != nil || !t.answered.at(stored.Part).IsZero() {
+		return nil
+	}
+	stored.AskedAt = now
+	return t.Merge(stored, now)
+}
+
+// Lasting returns the cases of parts that are refused until an answer begins, nobody asks for them or
+// operators lift them.
+func (t *Table) Lasting(now time.Time) []Case {
+	var lasting []*record
+	for _, r := range t.cases {
+		if r.isRefused(now) && (r.ordered() || r.span() >= minSpan) {
+			lasting = append(lasting, r)
+		}
+	}
+	return clones(lasting)
+}
+
 // Order has a part refused by order of an operator.
 func (t *Table) Order(part string, now time.Time) []Change {
 	r := t.record(part)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -128,6 +128,28 @@
 	return st.quarantine.Reply(told)
 }
 
+// RestoreCase adds a case that was stored before this entry started. It has no effect if this entry
+// knows the part.
+func (st *State) RestoreCase(c quarantine.Case, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.noteChanges(st.quarantine.Restore(c, now), "store", now)
+}
+
+// LastingCases returns the cases of parts that are refused until something changes.
+func (st *State) LastingCases(now time.Time) []quarantine.Case {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.quarantine.Lasting(now)
+}
+
+// KeepsPart reports whether this entry is the one that stores whether a part is refused.
+func (st *State) KeepsPart(part string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.isTrialEntry(part)
+}
+
 // PartRefused reports whether requests with a part are refused to some account.
 func (st *State) PartRefused(part string, now time.Time) bool {
 	st.mu.Lock()
