--- a/internal/frontend/parts.go
+++ b/internal/frontend/parts.go
@@ -21,7 +21,7 @@
 	// timeout of each. They reach the entries that missed the messages about a change: those that
 	// were cut off.
 	casesInterval = time.Second
-	// firstCasesInterval is the same until an entry that has started has asked another one.
+	// firstCasesInterval is the first interval after the start. It doubles up to casesInterval.
 	firstCasesInterval = 50 * time.Millisecond
 )
 
@@ -74,11 +74,7 @@
 // as this entry knows any, until ctx is done. An entry that has started asks another one in any case.
 func (f *Frontend) exchangeCases(ctx context.Context) error {
 	asked := false
-	for {
-		interval := casesInterval
-		if !asked {
-			interval = firstCasesInterval
-		}
+	for interval := firstCasesInterval; ; interval = min(2*interval, casesInterval) {
 		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -109,6 +109,20 @@
 	samples   int
 }
 
+// newFleetModel returns entries that all know each other and the endpoints of a service.
+func newFleetModel(entries, endpoints int, s *routing.Service, began time.Time) fleetModel {
+	w := fleetModel{engines: endpoints}
+	for i := range entries {
+		st := newState(fmt.Sprint("entry", i), s)
+		listEndpoints(st, endpoints, s.Name)
+		for k := range entries {
+			st.SetEntry(fmt.Sprint("entry", k), true, began)
+		}
+		w.fleet = append(w.fleet, st)
+	}
+	return w
+}
+
 type openRequest struct {
 	entry    int
 	assigned Assignment
@@ -147,6 +161,16 @@
 	}
 }
 
+// exchangeLimits passes each entry's own limits to all entries.
+func (w *fleetModel) exchangeLimits(now time.Time) {
+	for _, from := range w.fleet {
+		reported := from.RecentOwnLimits(now)
+		for _, to := range w.fleet {
+			to.MergeLimits(reported)
+		}
+	}
+}
+
 func (w *fleetModel) sampleExcess() {
 	n := map[string]int{}
 	for _, o := range w.open {
