--- a/internal/frontend/parts_test.go
+++ b/internal/frontend/parts_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/relay"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
@@ -154,3 +155,22 @@
 		s.wantStatus(e.requestWithPrompt(context.Background(), "/look/1", fmt.Sprint("l", i), "k1", promptWithPart), http.StatusOK)
 	}
 }
+
+// Three endpoints end under requests of three entries of a fleet in which reports go through hubs.
+// Guards against entries that do not learn of each other's crashes there.
+func TestCrashesAreKnownToAllEntriesOfALargerFleet(t *testing.T) {
+	const n = fanout.MaxDirectEntries + 2
+	s := newSystem(t, 1)
+	entries := s.startEntries(n)
+	now := boottime.Now()
+	for i := range 3 {
+		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}
+		entries[i*4].state.RecordCrash(relay.Assignment{Endpoint: ep}, "t1", []string{"bad1"}, now.Add(time.Duration(i-3)*time.Second))
+	}
+	for _, e := range entries {
+		s.eventually("each entry refuses the part", func() bool { return e.state.RefusedParts(boottime.Now()) == 1 })
+	}
+	if !entries[1].log.Has("prompt part refused from now on") {
+		t.Error("no log line names the part")
+	}
+}
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -177,3 +177,24 @@
 		t.Error("a warning though the line's rate is unknown")
 	}
 }
+
+// A hub passes on a report. Guards against a field that it leaves out: the entries behind it would
+// not learn of limits, demands or crashes.
+func TestHubForwardsAllOfAReport(t *testing.T) {
+	report := newWork("a", 1)
+	report.Born = 7
+	report.Works = []*fleetpb.Work{{Endpoint: "i-1", Running: 2}}
+	report.Waiting = []string{"s"}
+	report.Limits = []*fleetpb.Limit{{Endpoint: "i-1", PerSecond: 3}}
+	report.Cases = []*fleetpb.PartCase{{Part: "ab", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-1"}}}}
+	report.Demands = []*fleetpb.ServiceDemand{{Service: "s", PerSecond: 4}}
+	fields := report.ProtoReflect().Descriptor().Fields()
+	h, now := &hub{}, time.Unix(1000, 0)
+	h.add(report, fleetpb.Passing_ALL, now)
+	forwarded := h.takeRemote(now.Add(time.Millisecond))[0].ProtoReflect()
+	for i := range fields.Len() {
+		if !forwarded.Has(fields.Get(i)) {
+			t.Errorf("%s is not forwarded", fields.Get(i).Name())
+		}
+	}
+}
