A process that stood still closes no connections that waited for it meanwhile

Their connections had been accepted in the moment before the entry stopped; when it went on after 3 s, the limit of half a second on their wait for the poller was due before the poller's first round.

The timer that waits once more if it fires late, which entries have for silent agents, is now one type for both (pause.Watchdog).

--- a/internal/entry/memberwatch.go
+++ b/internal/entry/memberwatch.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer/peerpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/timeline"
 )
@@ -30,8 +31,8 @@
 func (m *members) follow(ctx context.Context, one *member) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	quiet := newSilence(time.Now(), cancel)
-	defer quiet.stop()
+	quiet := pause.NewWatchdog(silentAfter, time.Now(), cancel)
+	defer quiet.Stop()
 	cc, err := m.conns.Get(one.addr)
 	if err != nil {
 		return err
@@ -50,7 +51,7 @@
 		if err != nil {
 			return err
 		}
-		quiet.heard(time.Now())
+		quiet.Restart(time.Now())
 		m.heard(ctx, one, r)
 	}
 }
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 )
 
 const (
@@ -98,8 +100,10 @@
 
 // admit hands conn to Accept when the engine can serve it, or closes it after maxAwait.
 func (l *listener) admit(conn net.Conn) {
-	ctx, cancel := context.WithTimeout(l.ctx, maxAwait)
+	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
+	tooLong := pause.NewWatchdog(maxAwait, time.Now(), cancel)
+	defer tooLong.Stop()
 	c, err := l.gate.Convert(ctx, conn)
 	if err != nil {
 		return // the engine stops or is too busy, and conn is closed
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,5 @@
-// Package pause provides a sleep that ends early when its context is done.
+// Package pause provides a sleep that ends early when its context is done, and a watchdog timer for
+// processes that may stand still.
 package pause
 
 import (
--- a/internal/entry/silence_test.go
+++ b/internal/pause/watchdog_test.go
@@ -1,4 +1,4 @@
-package entry
+package pause
 
 import (
 	"context"
@@ -8,11 +8,12 @@
 
 // Guards against an entry that takes an agent for silent because it has itself stood still, and
 // against one that waits for a silent agent forever.
-func TestSilenceIsNotSeenByAnEntryThatStoodStill(t *testing.T) {
+func TestWatchdogWaitsOnceMoreAfterAStandstill(t *testing.T) {
 	start := time.Now()
 	ctx, cancel := context.WithCancel(t.Context())
-	s := newSilence(start, cancel)
-	defer s.stop()
+	const silentAfter = 2 * time.Second
+	s := NewWatchdog(silentAfter, start, cancel)
+	defer s.Stop()
 	woken := start.Add(silentAfter + 3*time.Second)
 	s.expire(woken)
 	if ctx.Err() != nil {
