The slow caller of TestStopDeliversAnswersToSlowCallers reads, if slowly

Traced in its kept time lines: accepted at 48.18, cut off with 3007 'nothing read for 3s' at 52.7, and computed only at 54.5. The test's caller read nothing until the whole answer was computed, which took longer than entries let a caller read nothing; they are to cut such a caller off.

The caller now reads 128 bytes at each look while the answer is computed, of 1.2 MB.

--- a/internal/demo/failures_test.go
+++ b/internal/demo/failures_test.go
@@ -334,7 +334,10 @@
 	if err != nil || res.StatusCode != http.StatusOK {
 		t.Fatalf("%v, %v", res, err)
 	}
+	// The caller reads a little now and then: one that reads nothing for some seconds is cut off.
+	var b bytes.Buffer
 	eventually(t, "the answer is computed", func() bool {
+		_, _ = io.CopyN(&b, res.Body, 128)
 		running := 0
 		for _, a := range s.Agents() {
 			running += a.Process.Running()
@@ -345,7 +348,6 @@
 		a.cancel()
 	}
 	// The caller reads slowly for longer than the agents took to stop.
-	var b bytes.Buffer
 	for range 20 {
 		_, _ = io.CopyN(&b, res.Body, 4096)
 		time.Sleep(100 * time.Millisecond)
