One loop refuses waiting requests, one scan chooses an endpoint, one constructor refuses a part

No behaviour changes. Refusing waiting requests because of a part repeated the loop of refusing them during a rest; the choice among ejected endpoints repeated scan with another condition, which is a state of its own now; the refusal of a repeat was built beside its constructor; the list of parts was made twice to be printed once.

--- a/internal/endpoint/placement/choose.go
+++ b/internal/endpoint/placement/choose.go
@@ -94,9 +94,9 @@
 	if e != nil {
 		return b.recordChoice(e, false, probe, now), true, result.OK
 	}
-	e, reason := b.scan(rt, &q, now)
+	e, reason := b.scan(rt, &q, now, b.state)
 	if e == nil {
-		e = b.ejected(rt, &q, now)
+		e, _ = b.scan(rt, &q, now, b.lastResortState)
 	}
 	if e != nil {
 		return b.recordChoice(e, false, false, now), true, result.OK
@@ -151,15 +151,15 @@
 }
 
 // scan returns the endpoint with the lowest load score among all endpoints, for
-// when sample finds none. If no endpoint can be selected, it returns the index
-// in rejectionCodes of the reason that is most likely to pass.
-func (b *Balancer) scan(rt *route, q *Query, now time.Time) (lowest *endpoint, why int) {
+// when sample finds none. If no endpoint can be selected by its state, it returns
+// the index in rejectionCodes of the reason that is most likely to pass.
+func (b *Balancer) scan(rt *route, q *Query, now time.Time, state func(*endpoint, *route, time.Time) int) (lowest *endpoint, why int) {
 	lowestScore := math.Inf(1)
 	for _, e := range rt.endpoints {
 		if isExcluded(q, e) {
 			continue
 		}
-		st := b.state(e, rt, now)
+		st := state(e, rt, now)
 		if st != eligible {
 			why = max(why, st)
 			continue
@@ -171,25 +171,6 @@
 	return lowest, why
 }
 
-// ejected returns the endpoint with the lowest load score among those that can't be
-// selected only because they were ejected, and that had begun to respond to the
-// attempt that failed. It returns nil if there is none.
-//
-// Endpoints that all break off some responses would otherwise all be ejected in
-// turn, and requests refused that most of them would answer.
-func (b *Balancer) ejected(rt *route, q *Query, now time.Time) (lowest *endpoint) {
-	lowestScore := math.Inf(1)
-	for _, e := range rt.endpoints {
-		if isExcluded(q, e) || !e.respondedToFailed || !now.Before(e.ejectedUntil) || b.stateWithoutEjection(e, rt, now) != eligible {
-			continue
-		}
-		if score := b.loadScore(e, rt, q, now); score < lowestScore {
-			lowest, lowestScore = e, score
-		}
-	}
-	return lowest
-}
-
 // isExcluded reports whether q excludes e.
 func isExcluded(q *Query, e *endpoint) bool {
 	return len(q.Excluded) > 0 && slices.Contains(q.Excluded, e.name)
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -118,6 +118,19 @@
 	return b.stateWithoutEjection(e, rt, now)
 }
 
+// lastResortState is state for when no endpoint can be selected: it makes endpoints
+// eligible that can't be selected only because they were ejected, if they had begun
+// to respond to the attempt that failed.
+//
+// Endpoints that all break off some responses would otherwise all be ejected in
+// turn, and requests refused that most of them would answer.
+func (b *Balancer) lastResortState(e *endpoint, rt *route, now time.Time) int {
+	if !e.respondedToFailed || !now.Before(e.ejectedUntil) {
+		return busy
+	}
+	return b.stateWithoutEjection(e, rt, now)
+}
+
 // stateWithoutEjection is state for an endpoint whose ejection doesn't count.
 func (b *Balancer) stateWithoutEjection(e *endpoint, rt *route, now time.Time) int {
 	switch {
--- a/internal/operator/command/parts.go
+++ b/internal/operator/command/parts.go
@@ -81,7 +81,8 @@
 	for _, addr := range addrs {
 		reply, err := p.askParts(pool, addr, q)
 		if err == nil {
-			return p.show(partViews(reply), func() string { return partsText(partViews(reply)) })
+			views := partViews(reply)
+			return p.show(views, func() string { return partsText(views) })
 		}
 		if status.Code(err) == codes.InvalidArgument {
 			return refuse(result.MalformedOrder, status.Convert(err).Message())
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// refuseWaiting refuses the waiting requests for which refusal returns an error. mu must be held.
+func (st *State) refuseWaiting(refusal func(req AdmitRequest) *result.Error) {
+	for id, w := range st.waiters {
+		if !w.queued {
+			continue
+		}
+		if e := refusal(w.req); e != nil {
+			st.queue.Cancel(id)
+			delete(st.waiters, id)
+			w.done <- e
+		}
+	}
+}
+
 // untilNextDispatch returns how long until a waiting request has to be refused or marked late, an
 // endpoint that rests may be sent requests again, or this entry has saved up a share.
 func (st *State) untilNextDispatch(now time.Time) time.Duration {
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -88,7 +88,7 @@
 	if len(parts) == 0 || !j.relay.State.RefusesParts(j.accountName(), parts, now) {
 		return nil
 	}
-	return result.New(result.PromptPartRefused, "").WithRetryAfter(retryAfterQuarantine)
+	return quarantineRefusal("")
 }
 
 // clearParts records that the endpoint has begun a sound answer to the request, so that no part of
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -14,8 +14,8 @@
 const retryAfterQuarantine = time.Minute
 
 // quarantineRefusal returns the refusal of a request with a part that endpoints crash on.
-func quarantineRefusal(part string) *result.Error {
-	return result.New(result.PromptPartRefused, "part "+part).WithRetryAfter(retryAfterQuarantine)
+func quarantineRefusal(detail string) *result.Error {
+	return result.New(result.PromptPartRefused, detail).WithRetryAfter(retryAfterQuarantine)
 }
 
 // checkParts returns why a request is refused because of a part of its prompt, or nil.
@@ -30,7 +30,7 @@
 	if c == nil {
 		return nil
 	}
-	return quarantineRefusal(c.Part)
+	return quarantineRefusal("part " + c.Part)
 }
 
 // isTrialEntry reports whether this entry is the one that lets requests with a refused part through
@@ -185,12 +185,10 @@
 // refuseWaitingWith refuses the waiting requests with a part that is refused from now on. Otherwise
 // they would be sent all at once when their group opens again. mu must be held.
 func (st *State) refuseWaitingWith(part string, now time.Time) {
-	for id, w := range st.waiters {
-		if !w.queued || !st.quarantine.Refuses(w.req.Account, w.req.Parts, now) {
-			continue
+	st.refuseWaiting(func(req AdmitRequest) *result.Error {
+		if !st.quarantine.Refuses(req.Account, req.Parts, now) {
+			return nil
 		}
-		st.queue.Cancel(id)
-		delete(st.waiters, id)
-		w.done <- quarantineRefusal(part)
-	}
+		return quarantineRefusal("part " + part)
+	})
 }
--- a/internal/relay/rest.go
+++ b/internal/relay/rest.go
@@ -152,16 +152,7 @@
 	if len(st.rests.byEndpoint) == 0 {
 		return
 	}
-	for id, w := range st.waiters {
-		if !w.queued {
-			continue
-		}
-		if e := st.refuseIfResting(w.req, now); e != nil {
-			st.queue.Cancel(id)
-			delete(st.waiters, id)
-			w.done <- e
-		}
-	}
+	st.refuseWaiting(func(req AdmitRequest) *result.Error { return st.refuseIfResting(req, now) })
 }
 
 // mayWaitFor reports whether a request that can be assigned only after d is still worth starting
