Share out the rate of cold endpoints only while one is cold

Found when reading the whole change again. Since shares follow demand, each choice of an endpoint looked at all entries twice, also while no endpoint was cold or named a limit. The share is now computed at the first cold endpoint, and once where both views are even; the views themselves are kept up to date as before. The two places that take the smaller share of both views are one.

--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
 
@@ -77,3 +78,28 @@
 		})
 	}
 }
+
+// BenchmarkChooseWarm measures the choice among endpoints that may become cold, none of which is, by
+// the number of entries.
+func BenchmarkChooseWarm(b *testing.B) {
+	for _, entries := range []int{36, 670} {
+		b.Run(fmt.Sprint("entries=", entries), func(b *testing.B) {
+			s := &routing.Service{Name: "quotes", Engine: testEngine(), ColdRate: 12}
+			st := newState("entry0", s)
+			listEndpoints(st, 12, s.Name)
+			for i := range entries {
+				st.SetEntry(fmt.Sprint("entry", i), true, start)
+			}
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				assigned, e := st.Choose(s, placement.Query{}, now)
+				if e != nil {
+					b.Fatal(e)
+				}
+				st.Release(assigned, Delivered{}, now)
+			}
+		})
+	}
+}
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -45,8 +45,8 @@
 	// reported holds the demands that this entry has last told the others.
 	reported map[string]float64
 	views    map[string]*demandViews
-	// limitShares caches the shares of limits, by endpoint.
-	limitShares map[string]limitShare
+	// limitFractions caches the shares of limits, by endpoint.
+	limitFractions map[string]limitShare
 }
 
 // demandViews holds the last two views of a service's demands.
@@ -121,7 +121,7 @@
 			st.demands.shared[ep.Service] = true
 		}
 	}
-	maps.DeleteFunc(st.demands.limitShares, func(id string, _ limitShare) bool { return st.endpoints[id].ID == "" })
+	maps.DeleteFunc(st.demands.limitFractions, func(id string, _ limitShare) bool { return st.endpoints[id].ID == "" })
 }
 
 // hasLimitedRate reports whether an endpoint is cold or names a limit. mu must be held.
@@ -169,12 +169,20 @@
 	return out
 }
 
-// coldShare returns this entry's share, from 0 to 1, of the rate of a service's cold endpoints. mu
-// must be held.
-func (st *State) coldShare(service string, now time.Time) float64 {
-	views := st.demandViews(service, now)
+// least returns the smaller one of a share by the two views.
+func (v *demandViews) least(share func(demandView) float64) float64 {
+	if v.current == nil && v.previous == nil {
+		return share(nil)
+	}
+	return math.Min(share(v.current), share(v.previous))
+}
+
+// coldRate returns this entry's share of the rate, in requests per second, of a service's cold
+// endpoints. mu must be held.
+func (st *State) coldRate(service *routing.Service, now time.Time) float64 {
 	n := st.countEntries(now)
-	return math.Min(st.shareOfAll(views.current, n), st.shareOfAll(views.previous, n))
+	share := st.demandViews(service.Name, now).least(func(v demandView) float64 { return st.shareOfAll(v, n) })
+	return share * service.ColdRate
 }
 
 // shareOfAll returns this entry's share of what n entries use together.
@@ -204,16 +212,15 @@
 // limitShareOf returns this entry's share of an endpoint's limit, or zero if it has none. mu must be
 // held.
 func (st *State) limitShareOf(service *routing.Service, l RateLimit, now time.Time) float64 {
-	cached, ok := st.demands.limitShares[l.Endpoint]
+	cached, ok := st.demands.limitFractions[l.Endpoint]
 	if ok && cached.perSecond == l.PerSecond && now.Sub(cached.at) < limitShareTime {
 		return cached.fraction
 	}
-	views := st.demandViews(service.Name, now)
-	fraction := math.Min(st.shareOfLimit(views.current, l), st.shareOfLimit(views.previous, l))
-	if st.demands.limitShares == nil {
-		st.demands.limitShares = map[string]limitShare{}
+	fraction := st.demandViews(service.Name, now).least(func(v demandView) float64 { return st.shareOfLimit(v, l) })
+	if st.demands.limitFractions == nil {
+		st.demands.limitFractions = map[string]limitShare{}
 	}
-	st.demands.limitShares[l.Endpoint] = limitShare{at: now, perSecond: l.PerSecond, fraction: fraction}
+	st.demands.limitFractions[l.Endpoint] = limitShare{at: now, perSecond: l.PerSecond, fraction: fraction}
 	return fraction
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -60,7 +60,7 @@
 	ep := st.endpoints[c.Endpoint]
 	st.takeLimitShare(service, ep, now)
 	if ep.ColdAt(now) && service.ColdRate > 0 {
-		st.coldShares.Take(ep.ID, st.coldShare(service.Name, now)*service.ColdRate, now)
+		st.coldShares.Take(ep.ID, st.coldRate(service, now), now)
 	}
 	assigned := Assignment{Endpoint: ep, LoadAge: -1, assignedAt: now, attempt: st.balancer.Start(c, q, now)}
 	if l, ok := st.loads[ep.ID]; ok {
@@ -104,12 +104,17 @@
 	if service.ColdRate <= 0 {
 		return 0
 	}
-	minWait := time.Duration(0)
-	rate := st.coldShare(service.Name, now) * service.ColdRate
+	// The views are kept up to date also while no endpoint is cold, so that the share follows the
+	// demand of the last moments when one becomes cold.
+	st.demandViews(service.Name, now)
+	minWait, rate := time.Duration(0), 0.0
 	for id, ep := range st.endpoints {
 		if ep.Service != service.Name || !ep.ColdAt(now) {
 			continue
 		}
+		if rate == 0 {
+			rate = st.coldRate(service, now) // a look at all entries
+		}
 		if st.coldShares.Ready(id, rate, now) {
 			continue
 		}
