Take the refused parts in the store from the entry's copy of it; one conversion of ages

No behaviour changes. A set of stored parts was kept beside the copy of the store that each entry has, at four places where the store's changes are applied; it is looked up in the copy now.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -135,15 +135,20 @@
 			"cold": fact.Entry.Cold.Milliseconds(), "revision": item.Revision(),
 		}).Info("endpoint entry updated")
 	case platform.OwnFact:
-		if part, ok := storedPart(item.Key()); ok {
-			f.restorePart(part, item.Value(), now)
-			break
-		}
-		f.putMember(item, now)
+		f.applyOwn(item, now)
 	}
 	return fact
 }
 
+// applyOwn applies an item that the product's own processes have written.
+func (f *Frontend) applyOwn(item kv.KeyValue, now time.Time) {
+	if _, ok := storedPart(item.Key()); ok {
+		f.restorePart(item, now)
+		return
+	}
+	f.putMember(item, now)
+}
+
 func (f *Frontend) setOutOfService(fact platform.OutFact, now time.Time) {
 	f.state.UpdateDirectory(func(d *directory.Directory) { d.SetOutOfService(fact.DataCentre, !fact.Removed, now) })
 	f.Log.WithFields(logrus.Fields{"outDataCentre": fact.DataCentre, "out": !fact.Removed}).Info("data centre order in force")
@@ -173,9 +178,6 @@
 		f.state.UpdateDirectory(func(d *directory.Directory) { d.Remove(fact.Entry.ID, now) })
 		f.Log.WithField("endpoint", fact.Entry.ID).Info("endpoint entry removed")
 	case platform.OwnFact:
-		if part, ok := storedPart(key); ok {
-			f.storedParts.remove(part)
-		}
 		if kind, name, ok := fleet.KeyOf(key); ok && kind == fleet.Entry {
 			f.removeMember(name, now)
 		}
@@ -196,7 +198,6 @@
 	ids := map[string]bool{}
 	outOfService := map[string]bool{}
 	listed := map[string]bool{}
-	parts := map[string]bool{}
 	for _, fact := range facts {
 		switch fact := fact.(type) {
 		case platform.EndpointFact:
@@ -207,12 +208,8 @@
 			if kind, name, ok := fleet.KeyOf(fact.Key); ok && kind == fleet.Entry {
 				listed[name] = true
 			}
-			if part, ok := storedPart(fact.Key); ok {
-				parts[part] = true
-			}
 		}
 	}
-	f.storedParts.retain(parts)
 	for name := range f.members.all() {
 		if !listed[name] {
 			f.removeMember(name, now)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,7 +109,6 @@
 	documentSender document.Sender
 	missing        missingTracker
 	members        memberSet
-	storedParts    partSet
 	// host keeps processes registered in the store. aloneUntil is until when this entry,
 	// having just started, waits for another one before it registers by itself. fleetRuns
 	// reports that other entries were registered when this one started.
--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -64,7 +64,7 @@
 	if to == fleetpb.Passing_NOBODY {
 		return
 	}
-	queued := queuedWork{work: w, asOf: now.Add(-time.Duration(w.GetAgeMicros()) * time.Microsecond)}
+	queued := queuedWork{work: w, asOf: timeOfAge(w.GetAgeMicros(), now)}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.local = keepNewest(h.local, queued)
@@ -129,7 +129,7 @@
 			Limits:    w.GetLimits(),
 			Cases:     w.GetCases(),
 			Demands:   w.GetDemands(),
-			AgeMicros: uint64(max(0, now.Sub(queued.asOf).Microseconds())),
+			AgeMicros: ageMicros(queued.asOf, now),
 		})
 	}
 	return out
@@ -232,7 +232,7 @@
 func decodeEntryLoad(e *fleetpb.EntryWork, now time.Time) relay.EntryLoad {
 	l := relay.EntryLoad{
 		Entry: e.GetName(), Incarnation: e.GetBorn(), Sequence: e.GetNumber(), Running: map[string]int{}, Waiting: e.GetWaiting(), Demand: map[string]float64{},
-		At: now.Add(-time.Duration(e.GetAgeMicros()) * time.Microsecond),
+		At: timeOfAge(e.GetAgeMicros(), now),
 	}
 	for _, work := range e.GetWorks() {
 		l.Running[work.GetEndpoint()] = int(work.GetRunning())
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -17,7 +17,7 @@
 	for _, l := range own {
 		out = append(out, &fleetpb.Limit{
 			Endpoint: l.Endpoint, Born: l.Incarnation, PerSecond: l.PerSecond, None: l.Unlimited,
-			AgeMicros: uint64(max(0, now.Sub(l.At).Microseconds())),
+			AgeMicros: ageMicros(l.At, now),
 		})
 	}
 	return out
@@ -28,12 +28,12 @@
 	if len(e.GetLimits()) == 0 {
 		return
 	}
-	sent := now.Add(-time.Duration(e.GetAgeMicros()) * time.Microsecond)
+	sent := timeOfAge(e.GetAgeMicros(), now)
 	limits := make([]relay.RateLimit, 0, len(e.GetLimits()))
 	for _, l := range e.GetLimits() {
 		limits = append(limits, relay.RateLimit{
 			Endpoint: l.GetEndpoint(), Incarnation: l.GetBorn(), PerSecond: l.GetPerSecond(), Unlimited: l.GetNone(),
-			At: sent.Add(-time.Duration(l.GetAgeMicros()) * time.Microsecond),
+			At: timeOfAge(l.GetAgeMicros(), sent),
 		})
 	}
 	for _, l := range f.state.MergeLimits(limits) {
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -31,7 +31,7 @@
 // loadsFrom decodes the loads of engines. Missing counts are taken as zero and a
 // missing slowdown as normal.
 func loadsFrom(q *fleetpb.LoadsRequest, targets []*fleetpb.Target, now time.Time) []relay.EndpointLoad {
-	at := now.Add(-time.Duration(q.GetAgeMicros()) * time.Microsecond)
+	at := timeOfAge(q.GetAgeMicros(), now)
 	loads := make([]relay.EndpointLoad, 0, len(targets))
 	for i, target := range targets {
 		l := relay.EndpointLoad{Address: target.GetEndpoint(), Slowdown: 1, Closed: q.GetClosed(), Forming: q.GetForming(), At: at}
--- a/internal/frontend/parts.go
+++ b/internal/frontend/parts.go
@@ -66,8 +66,7 @@
 	if len(e.GetCases()) == 0 {
 		return
 	}
-	sent := now.Add(-time.Duration(e.GetAgeMicros()) * time.Microsecond)
-	f.state.MergeCases(decodeCases(e.GetCases(), sent), e.GetName(), now)
+	f.state.MergeCases(decodeCases(e.GetCases(), timeOfAge(e.GetAgeMicros(), now)), e.GetName(), now)
 }
 
 // exchangeCases exchanges all cases against parts of prompts with one other entry at a time, as long
@@ -148,7 +147,7 @@
 		for _, crash := range c.Crashes {
 			encoded.Crashes = append(encoded.Crashes, &fleetpb.PartCrash{
 				Endpoint: crash.Endpoint, Born: crash.Incarnation, Account: crash.Account,
-				AgeMicros: uint64(max(0, now.Sub(crash.At).Microseconds())),
+				AgeMicros: ageMicros(crash.At, now),
 			})
 		}
 		out = append(out, encoded)
@@ -171,7 +170,7 @@
 		for _, crash := range c.GetCrashes() {
 			decoded.Crashes = append(decoded.Crashes, quarantine.Crash{
 				Endpoint: crash.GetEndpoint(), Incarnation: crash.GetBorn(), Account: crash.GetAccount(),
-				At: sent.Add(-time.Duration(crash.GetAgeMicros()) * time.Microsecond),
+				At: timeOfAge(crash.GetAgeMicros(), sent),
 			})
 		}
 		out = append(out, decoded)
@@ -184,7 +183,7 @@
 	if t.IsZero() {
 		return 0
 	}
-	return uint64(max(0, now.Sub(t).Microseconds())) + 1
+	return ageMicros(t, now) + 1
 }
 
 // timeAgo is the reverse of agePlusOne.
@@ -192,5 +191,5 @@
 	if age == 0 {
 		return time.Time{}
 	}
-	return now.Add(-time.Duration(age-1) * time.Microsecond)
+	return timeOfAge(age-1, now)
 }
--- a/internal/frontend/partstore.go
+++ b/internal/frontend/partstore.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -26,66 +25,39 @@
 // storedPart returns the part that a key of the store refers to, or false for another key.
 func storedPart(key string) (string, bool) { return strings.CutPrefix(key, refusedPartPrefix) }
 
-// partSet holds the parts of prompts that the store names as refused.
-type partSet struct {
-	mu    sync.Mutex
-	parts map[string]bool
-}
-
-func (s *partSet) put(part string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.parts == nil {
-		s.parts = map[string]bool{}
-	}
-	s.parts[part] = true
-}
-
-func (s *partSet) remove(part string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.parts, part)
-}
-
-func (s *partSet) has(part string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.parts[part]
-}
-
-// all returns the parts in no particular order.
-func (s *partSet) all() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]string, 0, len(s.parts))
-	for part := range s.parts {
-		out = append(out, part)
-	}
-	return out
-}
-
-// retain removes the parts that are not in listed.
-func (s *partSet) retain(listed map[string]bool) {
-	for _, part := range s.all() {
-		if !listed[part] {
-			s.remove(part)
-		}
+// storedCase returns the case that an item of the store holds for a part, or false if it is malformed.
+func storedCase(item kv.KeyValue) (*fleetpb.PartCase, bool) {
+	part, ok := storedPart(item.Key())
+	c := &fleetpb.PartCase{}
+	if err := proto.Unmarshal(item.Value(), c); err != nil || !ok || c.GetPart() != part {
+		return nil, false
 	}
+	return c, true
 }
 
 // restorePart applies a refused part from the store, unless this entry knows more about it.
-func (f *Frontend) restorePart(part string, value []byte, now time.Time) {
-	var stored fleetpb.PartCase
-	if err := proto.Unmarshal(value, &stored); err != nil || stored.GetPart() != part {
-		f.Log.WithField("part", part).Warn("malformed refused part in the store ignored")
+func (f *Frontend) restorePart(item kv.KeyValue, now time.Time) {
+	stored, ok := storedCase(item)
+	if !ok {
+		f.Log.WithField("key", item.Key()).Warn("malformed refused part in the store ignored")
 		return
 	}
-	f.storedParts.put(part)
-	for _, c := range decodeCases([]*fleetpb.PartCase{&stored}, now) {
+	for _, c := range decodeCases([]*fleetpb.PartCase{stored}, now) {
 		f.state.RestoreCase(c, now)
 	}
 }
 
+// partsInStore returns the parts that the store names as refused.
+func (f *Frontend) partsInStore() map[string]bool {
+	parts := map[string]bool{}
+	for _, item := range f.storeCopy.ItemsWith(refusedPartPrefix) {
+		if c, ok := storedCase(item); ok {
+			parts[c.GetPart()] = true
+		}
+	}
+	return parts
+}
+
 // saveParts keeps the refused parts of prompts in the store until ctx is done, so that they outlive a
 // restart of all entries at once. One entry of the fleet writes each of them.
 func (f *Frontend) saveParts(ctx context.Context) error {
@@ -113,11 +85,11 @@
 // entry is to write.
 func (f *Frontend) partChanges(lasting []quarantine.Case, now time.Time) []kv.Op {
 	var ops []kv.Op
-	refused := map[string]bool{}
+	stored, refused := f.partsInStore(), map[string]bool{}
 	for _, c := range encodeCases(lasting, now) {
 		part := c.GetPart()
 		refused[part] = true
-		if f.storedParts.has(part) || !f.state.KeepsPart(part) {
+		if stored[part] || !f.state.KeepsPart(part) {
 			continue
 		}
 		value, err := proto.Marshal(c)
@@ -127,7 +99,7 @@
 		}
 		ops = append(ops, kv.Put{Key: refusedPartPrefix + part, Value: value})
 	}
-	for _, part := range f.storedParts.all() {
+	for part := range stored {
 		if !refused[part] && f.state.KeepsPart(part) {
 			ops = append(ops, kv.Delete{Key: refusedPartPrefix + part})
 		}
--- a/internal/frontend/prove.go
+++ b/internal/frontend/prove.go
@@ -85,7 +85,7 @@
 	}
 	now := boottime.Now()
 	before := f.freshness.Age(now)
-	f.freshness.Advance(sent.Add(-time.Duration(p.GetAgeMicros()) * time.Microsecond))
+	f.freshness.Advance(timeOfAge(p.GetAgeMicros(), sent))
 	if after := f.freshness.Age(now); after < before {
 		f.Log.WithFields(logrus.Fields{
 			"entry": name, "version": p.GetVersion(), "age": after.Milliseconds(), "ageBefore": before.Milliseconds(),
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -124,6 +125,19 @@
 	return u
 }
 
+// ItemsWith returns the items whose keys begin with a prefix, in no particular order.
+func (c *Copy) ItemsWith(prefix string) []platform.KeyValue {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var items []platform.KeyValue
+	for key, item := range c.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
 func (c *Copy) put(item platform.KeyValue) {
 	if _, ok := c.items[item.Key()]; !ok {
 		c.keys = nil
