Tests: one function sends requests at random times for both loads

The two loads of internal/frontend drew the same loop; the draws keep their order, and the assertions are as they were. The load of connections counts served requests with the function that the other one has.

--- a/internal/frontend/crashing_test.go
+++ b/internal/frontend/crashing_test.go
@@ -120,23 +120,19 @@
 // first and the middle parts of their prompts, and no two have the same last part.
 func (s *crashingSystem) play(path string, d time.Duration, soundRate, fatalRate float64) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	var wg sync.WaitGroup
-	end := time.Now().Add(d)
-	for i := 0; time.Now().Before(end); i++ {
+	sendAtRate(rng, d, soundRate+fatalRate, func(i int) func() {
 		e, fatal := s.entries[rng.IntN(len(s.entries))], rng.Float64() < fatalRate/(soundRate+fatalRate)
 		prompt, list := fmt.Sprintf("f1:40,%x:400,%x:200", 0xc0+i%5, 0x10000+i), &s.sound
 		if fatal {
 			prompt, list = fmt.Sprintf("f1:40,%x:400,%s:100,%x:200", 0xc0+i%5, fatalPart, 0x10000+i), &s.fatal
 		}
-		wg.Go(func() {
+		return func() {
 			o := s.send(e, path, fmt.Sprint("q", i), prompt, fatal)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			*list = append(*list, o)
-		})
-		time.Sleep(time.Duration(rng.ExpFloat64() / (soundRate + fatalRate) * float64(time.Second)))
-	}
-	wg.Wait()
+		}
+	})
 }
 
 // fatalArrivals returns when requests with fatalPart reached endpoints after a time.
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -202,6 +203,18 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: string(b), close: resp.Close, err: err}
 }
 
+// sendAtRate sends requests at random times, perSecond a second on average, for d, and waits until all
+// have been answered. prepare is called for one request after the other, and what it returns sends it.
+func sendAtRate(rng *rand.Rand, d time.Duration, perSecond float64, prepare func(i int) (send func())) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for i := 0; time.Now().Before(end); i++ {
+		wg.Go(prepare(i))
+		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	wg.Wait()
+}
+
 func (s *system) runs(id string) int {
 	n := 0
 	for _, e := range s.endpoints {
--- a/internal/frontend/skew_test.go
+++ b/internal/frontend/skew_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -17,9 +16,6 @@
 	hot *entry
 	// perSecond is the rate of requests.
 	perSecond float64
-
-	mu         sync.Mutex // guards all below
-	sent, read int
 }
 
 // hotShare is the part of all new connections that the hot entry gets.
@@ -28,28 +24,24 @@
 // run sends requests for d and returns the share that was served at the first attempt.
 func (l *connectionLoad) run(d time.Duration, seed uint64) float64 {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	l.sent, l.read = 0, 0
-	var wg sync.WaitGroup
-	end := time.Now().Add(d)
-	for i := 0; time.Now().Before(end); i++ {
+	var mu sync.Mutex // guards all
+	var all []outcome
+	begun := time.Now()
+	sendAtRate(rng, d, l.perSecond, func(i int) func() {
 		e := l.entries[rng.IntN(len(l.entries))]
 		if l.hot != nil && rng.Float64() < hotShare {
 			e = l.hot
 		}
 		path := allPaths[i%len(allPaths)]
-		wg.Go(func() {
-			resp := e.request(context.Background(), path, fmt.Sprint(seed, "/", i), "k1")
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.sent++
-			if resp.err == nil && resp.status == http.StatusOK {
-				l.read++
-			}
-		})
-		time.Sleep(time.Duration(rng.ExpFloat64() / l.perSecond * float64(time.Second)))
-	}
-	wg.Wait()
-	return float64(l.read) / float64(max(1, l.sent))
+		return func() {
+			o := outcome{sentAt: time.Now(), resp: e.request(context.Background(), path, fmt.Sprint(seed, "/", i), "k1")}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, o)
+		}
+	})
+	ok, n := served(all, begun)
+	return float64(ok) / float64(max(1, n))
 }
 
 // The platform leads most new connections to one of three entries, while callers open twice as many,
