Replace the event loop's probe when its connection ends; readiness asks the event loop

What callers saw: an entry that says it is ready and closes each new connection unread, for the rest of its process's life.

Cause: a Gate asks each poller through one loopback connection. When that ended, for whatever reason, Await failed from then on and the listener closed all that it accepted, without a line or a counter. Readiness is answered by another engine with a probe of its own, so it stayed 200. It is the class of a background loop on which readiness rests in silence.

Change: a probe that ends is replaced, by as many attempts as it takes, and whoever waits for its answer is answered through the new connection.

Ruled out: a larger limit for the wait does nothing for a probe that is gone; ending the process would cut the streams of all its callers for a fault that can be mended in a millisecond.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -101,6 +101,10 @@
 	OnCutOff func(CutOff)
 	// OnLost, if not nil, is called when a connection is lost. It must not block.
 	OnLost func(Lost)
+	// OnProbeLost and OnUnread, if not nil, are called as those of eventloop.Gate. They must not
+	// block.
+	OnProbeLost func(cause error)
+	OnUnread    func()
 	// Handler serves the requests.
 	Handler Handler
 	// Forwarder, if not nil, serves all requests in place of Handler.
@@ -142,6 +146,7 @@
 	eventloop.InstallHooks(s.engine, s.handleOpen, s.handleData)
 	s.engine.OnClose(s.handleClose)
 	s.engine.OnWrittenSize(s.handleWritten)
+	s.gate.OnProbeLost, s.gate.OnUnread = s.OnProbeLost, s.OnUnread
 	return eris.Wrap(s.gate.StartHTTP(s.engine), "start the caller server")
 }
 
@@ -173,6 +178,9 @@
 // OpenConns returns the number of open connections.
 func (s *Server) OpenConns() int { return s.engine.Online() }
 
+// Responds reports whether new connections are served. If not, some are closed unread.
+func (s *Server) Responds(ctx context.Context) bool { return s.gate.Responds(ctx) }
+
 // StartDraining makes callers reconnect elsewhere: from now on, each response closes its
 // connection. New requests are still accepted.
 func (s *Server) StartDraining() { s.draining.Store(true) }
@@ -203,7 +211,7 @@
 	drainCtx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
 	s.activeRequests.Wait(drainCtx)
-	s.engine.Stop()
+	s.gate.Stop()
 	return nil
 }
 
--- a/internal/endpoint/loop.go
+++ b/internal/endpoint/loop.go
@@ -100,4 +100,4 @@
 }
 
 // stop closes all connections and ends the loop.
-func (l *loop) stop() { l.engine.Stop() }
+func (l *loop) stop() { l.gate.Stop() }
--- a/internal/eventloop/gate.go
+++ b/internal/eventloop/gate.go
@@ -6,15 +6,24 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 )
 
-// maxProbesPerPoller bounds the connections that Gate opens at its start to reach all pollers, as a
-// multiple of the number of pollers.
-const maxProbesPerPoller = 8
+const (
+	// maxProbesPerPoller bounds the connections that Gate opens to reach all pollers, as a multiple
+	// of the number of pollers.
+	maxProbesPerPoller = 8
+	// replaceRetryDelay is the delay between two attempts to replace a probe's connection.
+	replaceRetryDelay = 50 * time.Millisecond
+	// dialTimeout bounds the opening of one connection within the process.
+	dialTimeout = time.Second
+)
 
 var (
 	errPollerNotReached = errors.New("eventloop: no connection reached a poller")
@@ -22,7 +31,8 @@
 )
 
 // Gate starts an nbio engine and holds back each new connection until the engine can serve it. An
-// engine has one Gate. The zero value is ready for use; it must not be copied.
+// engine has one Gate. The zero value is ready for use; it must not be copied. Set the exported
+// fields before the start.
 //
 // A poller takes events in batches and looks each one up by its descriptor's number. If another
 // goroutine closes a connection while its hang-up waits in the batch, and a new connection gets the
@@ -36,13 +46,31 @@
 // goroutine first runs, so a Stop right after the start could be lost. The pollers of a started
 // Gate are running.
 type Gate struct {
+	// OnProbeLost, if set, is called when the connection through which the Gate asks a poller has
+	// ended, before it is replaced. It must not block.
+	OnProbeLost func(cause error)
+	// OnUnread, if set, is called when a connection is closed because its poller did not answer in
+	// time. It must not block.
+	OnUnread func()
+
 	once    sync.Once
 	started chan struct{} // closed when probes is set
 	probes  []*probe      // by poller
+	engine  *nbio.Engine
+	// stopEngine stops the engine with its listeners.
+	stopEngine func()
+	// stopping is done once Stop is called.
+	stopping context.Context
+	stop     context.CancelFunc
+	// mu is held while connections for probes are added to the engine.
+	mu sync.Mutex
 }
 
 func (g *Gate) init() {
-	g.once.Do(func() { g.started = make(chan struct{}) })
+	g.once.Do(func() {
+		g.started = make(chan struct{})
+		g.stopping, g.stop = context.WithCancel(context.Background())
+	})
 }
 
 // StartEngine starts e and returns once each of its pollers is running. It returns an error if the
@@ -52,7 +80,7 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
-	return eris.Wrap(g.start(e), "start the event loop")
+	return eris.Wrap(g.start(e, e.Stop), "start the event loop")
 }
 
 // StartHTTP does the same as StartEngine for an HTTP engine.
@@ -61,61 +89,121 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
-	return eris.Wrap(g.start(e.Engine), "start the event loop")
+	return eris.Wrap(g.start(e.Engine, e.Stop), "start the event loop")
+}
+
+// Stop stops the engine. The Gate must have been started. The engine must not be stopped in another
+// way: its Stop waits for all connections to be closed, also for one that replaces a probe meanwhile.
+func (g *Gate) Stop() {
+	g.stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopEngine()
+}
+
+// start puts a probe into each poller of e, which stop stops.
+func (g *Gate) start(e *nbio.Engine, stop func()) error {
+	g.engine, g.stopEngine = e, stop
+	missing := map[int]*probe{}
+	for i := range e.NPoller {
+		p := &probe{gate: g, poller: i, ended: make(chan struct{})}
+		g.probes = append(g.probes, p)
+		missing[i] = p
+	}
+	if err := g.connect(missing); err != nil {
+		return err
+	}
+	for _, p := range g.probes {
+		go p.run(g.stopping)
+	}
+	close(g.started)
+	for _, p := range g.probes {
+		if err := p.await(g.stopping); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// start puts a probe into each poller of e. A connection's poller is determined by its descriptor's
-// number. Therefore the client ends of connections to pollers that have a probe already stay open
-// until all pollers have been reached: they occupy the lower numbers, so that each further
-// connection gets the next. The probes use TCP over loopback because socketpair is not available on
-// every platform.
-func (g *Gate) start(e *nbio.Engine) (err error) {
+// connect gives each of the missing probes, by poller, a connection to its poller. It is not to be
+// called by two goroutines at once.
+//
+// A connection's poller is determined by its descriptor's number. Therefore the client ends of
+// connections to other pollers stay open until all missing ones have been reached: they occupy the
+// lower numbers, so that each further connection gets the next. The probes use TCP over loopback
+// because socketpair is not available on every platform.
+func (g *Gate) connect(missing map[int]*probe) (err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	probes := make([]*probe, e.NPoller)
-	var surplus []io.Closer
+	surplus := []io.Closer{ln}
 	defer func() {
 		for _, c := range surplus {
 			err = errors.Join(err, c.Close())
 		}
-		err = errors.Join(err, ln.Close())
 	}()
-	reached := 0
-	for range maxProbesPerPoller * e.NPoller {
-		if reached == e.NPoller {
-			break
+	for range maxProbesPerPoller * g.engine.NPoller {
+		if len(missing) == 0 {
+			return nil
 		}
 		client, server, err := dialPair(ln)
 		if err != nil {
 			return err
 		}
-		i := server.Hash() % e.NPoller
-		if probes[i] != nil {
+		p, ok := missing[server.Hash()%g.engine.NPoller]
+		if !ok {
 			surplus = append(surplus, client)
 			if err := server.Close(); err != nil {
 				return err
 			}
 			continue
 		}
-		probes[i] = newProbe(client)
-		if err := probes[i].start(e, server); err != nil {
+		if err := p.attach(g.engine, client, server); err != nil {
 			return err
 		}
-		reached++
+		delete(missing, p.poller)
 	}
-	if reached < e.NPoller {
+	if len(missing) > 0 {
 		return errPollerNotReached
 	}
-	g.probes = probes
-	close(g.started)
 	return nil
 }
 
+// replace gives a probe a new connection in place of one that has ended. It reports false if the
+// Gate stops first.
+//
+// If the poller of a lost probe could no longer be asked, each new connection to it would be closed
+// unread for the rest of the process's life, while the process goes on saying that it is ready.
+func (g *Gate) replace(ctx context.Context, p *probe, cause error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if g.OnProbeLost != nil {
+		g.OnProbeLost(cause)
+	}
+	for !g.tryReplace(ctx, p) {
+		if !pause.For(ctx, replaceRetryDelay) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// tryReplace makes one attempt to replace the connection of a probe. It reports true as well if there
+// is nothing left to do because ctx is done.
+func (g *Gate) tryReplace(ctx context.Context, p *probe) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ctx.Err() != nil {
+		return true
+	}
+	return g.connect(map[int]*probe{p.poller: p}) == nil
+}
+
 // dialPair connects to ln and returns both ends of the connection.
 func dialPair(ln net.Listener) (client net.Conn, server *nbio.Conn, err error) {
-	client, err = net.Dial("tcp", ln.Addr().String())
+	client, err = net.DialTimeout("tcp", ln.Addr().String(), dialTimeout)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -133,18 +221,42 @@
 // Await waits until c may be added to the engine. It returns an error if ctx is done first or the
 // engine has stopped. The Gate must have been started or be about to start.
 func (g *Gate) Await(ctx context.Context, c *nbio.Conn) error {
+	if err := g.awaitStart(ctx); err != nil {
+		return err
+	}
+	return g.probes[c.Hash()%len(g.probes)].await(ctx)
+}
+
+// Responds reports whether all pollers answer within the time for which accepted connections wait for
+// theirs. If not, some of them are closed unread.
+func (g *Gate) Responds(ctx context.Context) bool {
+	ctx, stop := withMaxAwait(ctx)
+	defer stop()
+	return g.awaitAll(ctx) == nil
+}
+
+// awaitAll waits until all pollers have answered.
+func (g *Gate) awaitAll(ctx context.Context) error {
+	if err := g.awaitStart(ctx); err != nil {
+		return err
+	}
+	turns := make([]<-chan struct{}, len(g.probes))
+	for i, p := range g.probes {
+		turns[i] = p.turn()
+	}
+	for i, p := range g.probes {
+		if err := p.awaitTurn(ctx, turns[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Gate) awaitStart(ctx context.Context) error {
 	g.init()
 	select {
 	case <-g.started:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	p := g.probes[c.Hash()%len(g.probes)]
-	select {
-	case <-p.turn():
 		return nil
-	case <-p.ended:
-		return errStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/eventloop/gate_test.go
+++ b/internal/eventloop/gate_test.go
@@ -25,10 +25,11 @@
 		t.Run(fmt.Sprint(pollers), func(t *testing.T) {
 			for range 200 {
 				e := nbhttp.NewEngine(nbhttp.Config{NPoller: pollers, SupportServerOnly: true})
-				if err := (&Gate{}).StartHTTP(e); err != nil {
+				gate := &Gate{}
+				if err := gate.StartHTTP(e); err != nil {
 					t.Fatal(err)
 				}
-				e.Stop()
+				gate.Stop()
 			}
 		})
 	}
@@ -38,6 +39,7 @@
 type heldPoller struct {
 	t      *testing.T
 	engine *nbhttp.Engine
+	gate   *Gate
 	addr   string
 	// opened receives the connections that the engine was given.
 	opened chan *nbio.Conn
@@ -52,6 +54,7 @@
 	t.Helper()
 	h := &heldPoller{t: t, opened: make(chan *nbio.Conn, 16), stopped: make(chan struct{}), resume: make(chan struct{})}
 	gate := &Gate{}
+	h.gate = gate
 	h.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp", Addrs: []string{"127.0.0.1:0"}, NPoller: 1, SupportServerOnly: true,
 		Listen: func(network, addr string) (net.Listener, error) {
@@ -73,7 +76,7 @@
 	if err := gate.StartHTTP(h.engine); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(h.engine.Stop)
+	t.Cleanup(gate.Stop)
 	return h
 }
 
@@ -193,7 +196,7 @@
 	if err := gate.StartEngine(e); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(e.Stop)
+	t.Cleanup(gate.Stop)
 	// dial returns the endpoint's end and the client's end of a new connection.
 	dial := func() (server, client net.Conn) {
 		client, err := net.Dial("tcp", ln.Addr().String())
@@ -299,7 +302,7 @@
 			if err := gate.StartHTTP(e); err != nil {
 				b.Fatal(err)
 			}
-			defer e.Stop()
+			defer gate.Stop()
 			c := &nbio.Conn{}
 			done := make(chan error, atOnce)
 			for b.Loop() {
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -98,19 +98,37 @@
 	}
 }
 
+// withMaxAwait returns a context that is done when the process has been running for maxAwait. stop
+// must be called in the end.
+func withMaxAwait(ctx context.Context) (limited context.Context, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	tooLong := pause.NewWatchdog(maxAwait, time.Now(), cancel)
+	return ctx, func() {
+		tooLong.Stop()
+		cancel()
+	}
+}
+
 // admit hands conn to Accept when the engine can serve it, or closes it after maxAwait.
 func (l *listener) admit(conn net.Conn) {
-	ctx, cancel := context.WithCancel(l.ctx)
-	defer cancel()
-	tooLong := pause.NewWatchdog(maxAwait, time.Now(), cancel)
-	defer tooLong.Stop()
+	ctx, stop := withMaxAwait(l.ctx)
+	defer stop()
 	c, err := l.gate.Convert(ctx, conn)
 	if err != nil {
-		return // the engine stops or is too busy, and conn is closed
+		l.noteUnread()
+		return
 	}
 	select {
 	case l.ready <- c:
 	case <-ctx.Done():
 		_ = c.Close()
+		l.noteUnread()
+	}
+}
+
+// noteUnread reports that a connection was closed unread, unless the listener is closed.
+func (l *listener) noteUnread() {
+	if l.ctx.Err() == nil && l.gate.OnUnread != nil {
+		l.gate.OnUnread()
 	}
 }
--- a/internal/eventloop/probe.go
+++ b/internal/eventloop/probe.go
@@ -1,20 +1,24 @@
 package eventloop
 
 import (
+	"context"
+	"errors"
 	"net"
 	"sync"
 
 	"github.com/lesismal/nbio"
 )
 
-// probe is a connection whose server end belongs to a poller. The poller sends back what the client
-// end sends, which shows that it has begun a batch since.
+// probe asks one poller through a connection whose server end belongs to it. The poller sends back
+// what the client end sends, which shows that it has begun a batch since.
 type probe struct {
-	client net.Conn
-	// ended is closed when the poller has closed the connection.
+	gate   *Gate
+	poller int
+	// ended is closed when the engine stops.
 	ended chan struct{}
 
-	mu sync.Mutex // guards all below
+	mu     sync.Mutex // guards all below
+	client net.Conn
 	// current is closed when the answer under way has come, next when the one after it has; each
 	// is nil if nobody waits for it.
 	current, next chan struct{}
@@ -23,23 +27,36 @@
 // probeSession marks the server ends of probes.
 type probeSession struct{}
 
-func newProbe(client net.Conn) *probe {
-	return &probe{client: client, ended: make(chan struct{})}
-}
-
-// start gives the server end to e and returns when its poller has answered for the first time.
-func (p *probe) start(e *nbio.Engine, server *nbio.Conn) error {
+// attach gives the probe a new connection, and its server end to e. If an answer was under way, the
+// poller is asked for it again.
+func (p *probe) attach(e *nbio.Engine, client net.Conn, server *nbio.Conn) error {
 	server.SetSession(probeSession{})
 	server.OnData(echo)
 	if _, err := e.AddConn(server); err != nil {
-		return err
+		return errors.Join(err, client.Close())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.client = client
+	if p.current != nil {
+		p.ask()
 	}
-	go p.run()
+	return nil
+}
+
+// await waits until the poller has begun a batch that is later than this call. It returns an error if
+// ctx is done first or the engine stops.
+func (p *probe) await(ctx context.Context) error { return p.awaitTurn(ctx, p.turn()) }
+
+// awaitTurn waits for a turn of the probe.
+func (p *probe) awaitTurn(ctx context.Context, turn <-chan struct{}) error {
 	select {
-	case <-p.turn():
+	case <-turn:
 		return nil
 	case <-p.ended:
 		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
@@ -63,20 +80,31 @@
 // ask sends one byte. mu must be held; one byte at a time is under way, so the write does not wait.
 func (p *probe) ask() {
 	if _, err := p.client.Write([]byte{0}); err != nil {
-		// The connection has ended, which run observes too.
+		// The connection has ended: the one that replaces it is asked.
 		return
 	}
 }
 
-// run passes on the poller's answers until the poller closes the connection.
-func (p *probe) run() {
+// run passes on the poller's answers until ctx is done, over one connection after the other.
+func (p *probe) run(ctx context.Context) {
 	defer close(p.ended)
-	buf := make([]byte, 1)
 	for {
-		if _, err := p.client.Read(buf); err != nil {
-			_ = p.client.Close()
+		if cause := p.passOn(); !p.gate.replace(ctx, p, cause) {
 			return
 		}
+	}
+}
+
+// passOn passes on the poller's answers until the connection ends, and returns the reason.
+func (p *probe) passOn() error {
+	p.mu.Lock()
+	client := p.client
+	p.mu.Unlock()
+	buf := make([]byte, 1)
+	for {
+		if _, err := client.Read(buf); err != nil {
+			return errors.Join(err, client.Close())
+		}
 		p.answered()
 	}
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -150,6 +150,8 @@
 	targetLists fleet.TargetLists
 	// callersLost counts the callers' connections that were lost.
 	callersLost metrics.Counter
+	// callersUnread counts those that were closed unread.
+	callersUnread metrics.Counter
 	// leaseSuspect is raised when leases in the store may have expired.
 	leaseSuspect wake.Signal
 }
@@ -162,7 +164,7 @@
 		Addr: s.CallerAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Forwarder: f.relay, Now: boottime.Now,
 		MemoryLimit: int64(callerMemoryShare * float64(s.Memory)), OnCutOff: f.logCutOff,
-		OnLost: f.logLost,
+		OnLost: f.logLost, OnProbeLost: f.logProbeLost, OnUnread: f.logUnread,
 	}
 	f.readyServer = &caller.Server{
 		Addr: s.ReadyAddress.String(), BodyLimit: maxBodyBytes, MaxConns: maxConns,
@@ -196,6 +198,18 @@
 	f.Log.WithFields(l.Fields()).Info("caller's connection lost")
 }
 
+// logProbeLost logs that the connection is being replaced through which the process asks its event
+// loop whether it may be given a caller's connection.
+func (f *Frontend) logProbeLost(cause error) {
+	f.Log.WithField("cause", cause.Error()).Warn("event loop probe lost")
+}
+
+// logUnread logs and counts a caller's connection that was closed unread.
+func (f *Frontend) logUnread() {
+	f.callersUnread.Inc(1)
+	f.Log.Warn("caller's connection closed unread, the event loop is busy")
+}
+
 // CallerAddress returns the IP:port at which callers are served. Call it after
 // Listen.
 func (f *Frontend) CallerAddress() string { return f.callerServer.Address() }
@@ -212,6 +226,7 @@
 		f.Output = os.Stdout
 	}
 	f.callersLost = metrics.GetOrRegisterCounter("relay.callersLost", f.Registry)
+	f.callersUnread = metrics.GetOrRegisterCounter("relay.callersUnread", f.Registry)
 	now := boottime.Now()
 	pollWait := readers.Wait(s.Bounds.ChangeApply)
 	f.store = &platform.Store{
@@ -286,12 +301,12 @@
 type readiness struct{ frontend *Frontend }
 
 // Forward implements caller.Forwarder.
-func (r readiness) Forward(_ context.Context, raw *caller.RawRequest, w *caller.Reply) {
+func (r readiness) Forward(ctx context.Context, raw *caller.RawRequest, w *caller.Reply) {
 	status := http.StatusServiceUnavailable
 	switch {
 	case raw.Path != platform.ReadyPath:
 		status = http.StatusNotFound
-	case r.frontend.isReady(boottime.Now()):
+	case r.frontend.isReady(boottime.Now()) && r.frontend.callerServer.Responds(ctx):
 		status = http.StatusOK
 	}
 	if err := w.SendRaw(status, http.Header{}, nil); err != nil {
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -114,10 +114,11 @@
 		return unreached{err}
 	}
 	engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 1, MaxHTTPBodySize: maxAnswer, ReadLimit: maxAnswer})
-	if err := (&eventloop.Gate{}).StartHTTP(engine); err != nil {
+	gate := &eventloop.Gate{}
+	if err := gate.StartHTTP(engine); err != nil {
 		return unreached{err}
 	}
-	defer engine.Stop()
+	defer gate.Stop()
 	var connected atomic.Bool
 	h := &nbhttp.Client{
 		Engine:          engine,
--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -152,5 +152,5 @@
 	patience, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	l.running.Wait(patience)
-	l.engine.Stop()
+	l.gate.Stop()
 }
--- a/internal/process/metrics.go
+++ b/internal/process/metrics.go
@@ -46,6 +46,6 @@
 		return result.Newf(result.AddressInUse, "%s: %v", addr, err)
 	}
 	<-ctx.Done()
-	e.Stop()
+	gate.Stop()
 	return nil
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -85,6 +85,6 @@
 	}
 	close(s.ready)
 	<-ctx.Done()
-	engine.Stop()
+	gate.Stop()
 	return nil
 }
