--- a/internal/frontend/metrics_test.go
+++ b/internal/frontend/metrics_test.go
@@ -35,7 +35,7 @@
 		e.request(context.Background(), path, "m"+path, "k1")
 	}
 	// Names that contain a result, an outcome, a kind or a service are listed once.
-	family := regexp.MustCompile(`^(relay\.(?:results|attempts|kind|service)|platform\.calls|peer\.(?:sent|received))\..*$`)
+	family := regexp.MustCompile(`^(relay\.(?:results|attempts|kind|service)|platform\.(?:calls|bytes)|peer\.(?:sent|received))\..*$`)
 	page, shown := documentedMetrics(t), map[string]bool{}
 	e.Registry.Each(func(name string, _ any) { shown[family.ReplaceAllString(name, "$1.*")] = true })
 	for name := range shown {
