A fleet that starts together gets its state through few readers of the store

What callers saw: after all VMs of a whole fleet had lost power, each request was refused with 2014 noPreset, for good.

Cause: where the store still listed the former lives, each entry listed all entries of the fleet, asked one of them, which had no state either, and read the complete state from the store 0.15 s later; each agent listed all entries as well. That is the square of the fleet on the store's one line. What did not come whole within 0.7 s was dropped and asked for again from the beginning, by all, so the line stayed full and no answer ever came whole. The class: a load on what all share that grows with the fleet, with a time limit for whole answers and quick repetition, which is stable once it is overloaded.

Change: - Hosts have a second key, under their data centre, in the same transaction. A process that starts lists these, some 2 kB whatever the size of the fleet. - readers.Starter decides where a process without state gets it from: the first three hosts read the store, all others ask hosts that are reachable, and read it themselves only if none is reachable or makes progress, at a random time, in a window that doubles with each failure. - Nobody reads the complete state before a list of the hosts has come, so an outage at the start does not end with a reading by all. - An entry sends the complete state to four others at a time and names those that have got it, so the number of senders doubles.

Ruled out: longer time limits (the line carries the same square, later); asking listed entries for longer before the store (all of them are without state until one has read it).

TestOneEntryPerDataCentrePollsTheStore counted entries that ever had another one as their source, which an entry that starts now always has; it counts those that have one in the end, and that the other has the store.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -108,25 +108,50 @@
 	waiting []chan error
 }
 
-// Register keeps a member registered for LeaseTTL from now on. It returns once its key is
-// in the store. The error is a RefusedError if the request had no effect.
+// Register keeps a member registered for LeaseTTL from now on. It returns once its key, and that by
+// which it is found if it is a host, are in the store. The error is a RefusedError if the request had
+// no effect.
 func (h *Host) Register(ctx context.Context, q Request) error {
 	value, err := json.Marshal(q.Member)
 	if err != nil {
 		return err
 	}
-	key := q.Member.Key()
-	written, err := h.confirm(key, value, q, h.Now())
-	if err != nil || written == nil {
+	pending, err := h.confirmAll(value, q, h.Now())
+	if err != nil {
 		return err
 	}
-	select {
-	case err := <-written:
-		return err
-	case <-ctx.Done():
-		h.abandon(key, written)
-		return ctx.Err()
+	for key, written := range pending {
+		select {
+		case writeErr := <-written:
+			err = errors.Join(err, writeErr)
+		case <-ctx.Done():
+			h.abandon(key, written)
+			err = ctx.Err()
+		}
+	}
+	return err
+}
+
+// confirmAll records that a process wants to stay registered. It returns the channels that receive
+// the outcomes of writing keys, by key, without those that are in the store.
+func (h *Host) confirmAll(value []byte, q Request, now time.Time) (map[string]chan error, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	keys := []string{q.Member.Key()}
+	if q.Member.Host && !h.stopped {
+		keys = append(keys, q.Member.HostKey())
+	}
+	pending := map[string]chan error{}
+	for _, key := range keys {
+		written, err := h.confirm(key, value, q, now)
+		if err != nil {
+			return nil, err
+		}
+		if written != nil {
+			pending[key] = written
+		}
 	}
+	return pending, nil
 }
 
 // abandon forgets a guest that no longer waits for its key to be written: it registers
@@ -139,11 +164,9 @@
 	}
 }
 
-// confirm records that a process wants to stay registered. It returns a channel that
-// receives the outcome of writing its key, or nil if the key is in the store.
+// confirm records that a key is to stay in the store. It returns a channel that receives the
+// outcome of writing the key, or nil if it is in the store. mu must be held.
 func (h *Host) confirm(key string, value []byte, q Request, now time.Time) (chan error, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	g, ok := h.guests[key]
 	switch {
 	case h.stopped && key != h.Self:
@@ -189,13 +212,15 @@
 // Deregister ends the registration of a member at once.
 func (h *Host) Deregister(ctx context.Context, m Member) error {
 	h.mu.Lock()
-	g, ok := h.guests[m.Key()]
-	delete(h.guests, m.Key())
-	h.mu.Unlock()
-	if !ok || g.revision == 0 {
-		return nil
+	var written []writtenKey
+	for _, key := range []string{m.Key(), m.HostKey()} {
+		if g, ok := h.guests[key]; ok && g.revision != 0 {
+			written = append(written, writtenKey{key: key, revision: g.revision})
+		}
+		delete(h.guests, key)
 	}
-	return h.deleteKeys(ctx, []writtenKey{{key: m.Key(), revision: g.revision}})
+	h.mu.Unlock()
+	return h.deleteKeys(ctx, written)
 }
 
 // firstOwnKey reports whether the host has no lease yet and is to write the key of its own
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -2,14 +2,39 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
 // maxCandidates is the number of entries that a process may try as its host.
 const maxCandidates = 2 * maxHostAttempts
 
+// Lister lists the keys of the store that have a prefix, possibly as of some seconds ago.
+type Lister interface {
+	ListStale(ctx context.Context, prefix string) ([]platform.KeyValue, error)
+}
+
+// ListHosts returns the hosts of a data centre, or all entries of the fleet if there are none: they
+// become hosts if they are asked. onError is called with the error of each key that can't be read.
+func ListHosts(ctx context.Context, store Lister, dataCentre string, onError func(error)) ([]Member, error) {
+	kvs, err := store.ListStale(ctx, HostsPrefix(dataCentre))
+	if err != nil {
+		return nil, err
+	}
+	if hosts := DecodeHosts(kvs, onError); len(hosts) > 0 {
+		return hosts, nil
+	}
+	kvs, err = store.ListStale(ctx, KindPrefix(Entry))
+	if err != nil {
+		return nil, err
+	}
+	return DecodeAll(kvs, onError), nil
+}
+
 // HostCandidates returns the entries of a data centre that may keep the process called
 // self registered, in the order in which it tries them: first the hosts, then others that
 // become hosts if it asks them. An entry never returns itself.
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
@@ -57,6 +58,37 @@
 	return m, true, nil
 }
 
+// hostsPrefix is the prefix of the keys by which processes that start find the hosts.
+const hostsPrefix = Prefix + "host/"
+
+// HostsPrefix returns the prefix of the keys of a data centre's hosts.
+//
+// All processes of a fleet that start together look for a host. If they listed all entries for that,
+// the store's line would have to carry the square of the fleet; there are few hosts in a data centre.
+func HostsPrefix(dataCentre string) string { return hostsPrefix + dataCentre + "/" }
+
+// HostKey returns the key by which processes of its data centre find the member if it is a host.
+func (m Member) HostKey() string { return HostsPrefix(m.DataCentre) + m.Name }
+
+// DecodeHosts decodes the hosts among items of the store. onError is called with the error of each
+// that can't be read.
+func DecodeHosts(items []platform.KeyValue, onError func(error)) []Member {
+	var out []Member
+	for _, item := range items {
+		var m Member
+		err := json.Unmarshal(item.Value(), &m)
+		if err == nil && m.HostKey() != item.Key() {
+			err = errors.New("it names another host")
+		}
+		if err != nil {
+			onError(result.Newf(result.DocumentUnreadable, "%s: %v", item.Key(), err))
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
 // KindPrefix returns the prefix of the keys of all members of a kind.
 func KindPrefix(k Kind) string { return Prefix + string(k) + "/" }
 
--- a/internal/fleet/readers/choice.go
+++ b/internal/fleet/readers/choice.go
@@ -49,7 +49,8 @@
 	OwnState
 	// ShuttingDown means that the process is shutting down. It answers this at once.
 	ShuttingDown
-	// Starting means that the process has no state yet but is receiving it.
+	// Starting means that the process has no state yet but is receiving it, or is sending it to
+	// as many others as it does at once.
 	Starting
 	// Fresh means that the process served the current state or its changes.
 	Fresh
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
@@ -22,9 +20,6 @@
 	// nothing to report. Such an entry answers immediately, so requests without a delay
 	// would form a busy loop.
 	unavailableRetryDelay = 200 * time.Millisecond
-	// firstAnswerTimeout bounds the first request of an entry that starts while others are
-	// registered. Those that run answer in milliseconds.
-	firstAnswerTimeout = 150 * time.Millisecond
 	// followPageBytes is the size from which on an answer to another entry is divided,
 	// in bytes. All followers of an entry together get a page each within a fraction of
 	// the time for which they wait, also over a line of some ten Mbit/s.
@@ -36,19 +31,13 @@
 // returns false if the store is to be polled.
 func (f *Frontend) followPeer(ctx context.Context, revision int64, known bool) (mirror.Update, bool) {
 	if !known {
-		f.discoverEntries(ctx)
+		return f.fetchFirstState(ctx)
 	}
 	// unavailable holds the entries that had nothing to report.
 	unavailable := map[string]bool{}
 	for ctx.Err() == nil {
 		local := f.members.inDataCentre(f.Settings.DataCentre)
 		name := f.sourceSelector.Source(names(local), boottime.Now())
-		switch {
-		case !known && f.storeNext:
-			name, f.storeNext = "", false
-		case !known && name == "":
-			name = f.firstSource()
-		}
 		f.setSource(name)
 		if name == "" {
 			f.transfer.Reset()
@@ -57,61 +46,46 @@
 		if unavailable[name] {
 			pause.For(ctx, unavailableRetryDelay)
 		}
-		page, outcome, err := f.requestUpdate(ctx, local[name].Address, revision, known)
-		f.sourceAddress = local[name].Address
+		page, outcome := f.askEntry(ctx, name, local[name].Address, revision, true)
 		f.sourceSelector.NoteAnswer(name, outcome, boottime.Now())
-		f.sourceMetrics.countWithoutUpdate(outcome)
-		f.storeNext = !known && outcome != readers.Fresh && f.fleetRuns.Load()
-		switch {
-		case outcome == readers.Fresh:
+		if outcome == readers.Fresh {
 			if u, ok := f.transfer.Add(page); ok {
 				return u, true
 			}
-		case outcome == readers.ShuttingDown:
-			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry is shutting down")
-		case outcome == readers.Starting:
-			f.Log.WithFields(logrus.Fields{"entry": name}).Debug("entry is still receiving the state")
-		case outcome == readers.OwnState:
-			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry gets its store updates from this one")
-		case err != nil:
-			f.peerConns.RemoveUnresponsive(local[name].Address)
-			f.Log.WithFields(logrus.Fields{"entry": name, "cause": err.Error()}).Info("entry did not return store updates")
-		default:
-			f.Log.WithFields(logrus.Fields{"entry": name}).Info("entry cannot reach the store")
-			unavailable[name] = true
 		}
+		unavailable[name] = outcome == readers.NotCurrent || outcome == readers.StoreLost
 	}
 	return mirror.Update{}, false
 }
 
-// firstSource returns the entry from which an entry without state tries to get it before
-// it reads the store, or "" if there is none or it was tried. It is one that keeps others
-// registered, and so one of the first that started.
-//
-// An entry that starts together with the whole fleet sees few others, and often counts
-// itself as their first reader. A third of all entries then read the complete state from
-// the store.
-func (f *Frontend) firstSource() string {
-	if f.firstSourceTried {
-		return ""
-	}
-	f.firstSourceTried = true
-	candidates := f.hostCandidates()
-	if len(candidates) == 0 || !candidates[0].Host {
-		return ""
+// askEntry requests the next page of an update from an entry, and logs and counts it if there is none.
+func (f *Frontend) askEntry(ctx context.Context, name, address string, revision int64, known bool) (mirror.Page, readers.Outcome) {
+	page, outcome, err := f.requestUpdate(ctx, address, revision, known)
+	f.sourceAddress = address
+	f.sourceMetrics.countWithoutUpdate(outcome)
+	log := f.Log.WithField("entry", name)
+	switch {
+	case outcome == readers.Fresh:
+	case outcome == readers.ShuttingDown:
+		log.Info("entry is shutting down")
+	case outcome == readers.Starting:
+		log.Debug("entry is still receiving the state")
+	case outcome == readers.OwnState:
+		log.Info("entry gets its store updates from this one")
+	case err != nil:
+		f.peerConns.RemoveUnresponsive(address)
+		log.WithField("cause", err.Error()).Info("entry did not return store updates")
+	default:
+		log.Info("entry cannot reach the store")
 	}
-	return candidates[0].Name
+	return page, outcome
 }
 
 // requestUpdate requests an update, or the next page of the complete state, from one
 // entry.
 func (f *Frontend) requestUpdate(ctx context.Context, addr string, revision int64, known bool) (mirror.Page, readers.Outcome, error) {
 	next := f.transfer.Request(revision, known, followPageBytes)
-	timeout := readers.MaxFollowWait + followTimeoutMargin
-	if !known && next.AfterKey == "" && f.fleetRuns.Load() {
-		timeout = firstAnswerTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, readers.MaxFollowWait+followTimeoutMargin)
 	defer cancel()
 	conn, err := f.peerConns.Get(addr)
 	if err != nil {
@@ -125,6 +99,9 @@
 	if err != nil {
 		return mirror.Page{}, readers.NoAnswer, err
 	}
+	for _, h := range p.GetHolders() {
+		f.firstSources[h.GetName()] = h.GetAddress()
+	}
 	if p.GetAway() {
 		f.storeLostByPeer = f.storeLostByPeer || p.GetStoreAway()
 		return mirror.Page{}, f.unavailableReason(p), nil
@@ -205,8 +182,17 @@
 	if o != readers.Fresh {
 		return &fleetpb.FollowReply{Away: true, StoreAway: o == readers.StoreLost, Starting: o == readers.Starting, Origin: origin}, nil
 	}
+	if !q.GetKnown() && !f.firstStates.begin(q.GetAsker(), now) {
+		return s.busy(ctx, q.GetAsker(), now)
+	}
 	p := followReply(u.Update, f.storeCopy.RecoveredAt(), arrived, now)
 	p.Origin, p.More = origin, u.More
+	if !q.GetKnown() {
+		p.Holders = s.holders(q.GetAsker(), now)
+	}
+	if !q.GetKnown() && !u.More {
+		f.firstStates.end(q.GetAsker(), now)
+	}
 	return p, nil
 }
 
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -29,6 +29,17 @@
 	return t != nil && t.Version() == version
 }
 
+// lastSource returns the source of updates that the entry logged last.
+func (e *entry) lastSource() string {
+	text := e.log.Text()
+	last := strings.LastIndex(text, `"from":"`)
+	if last < 0 {
+		return ""
+	}
+	source, _, _ := strings.Cut(text[last+len(`"from":"`):], `"`)
+	return source
+}
+
 // startEntries starts n entries of one data centre and waits until all know each
 // other. Tests that call it must not run in parallel with others: a dozen entries
 // load one process so much that answers of the stand-ins arrive too late for keys to
@@ -63,8 +74,10 @@
 	s.eventually("four of five receive updates from another entry", func() bool {
 		n := 0
 		for _, e := range entries {
-			if e.log.Has(`"from":"entry`) {
+			if source := e.lastSource(); strings.HasPrefix(source, "entry") {
 				n++
+			} else if source != "store" {
+				return false
 			}
 		}
 		return n == 4
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,32 +109,39 @@
 	documentSender document.Sender
 	missing        missingTracker
 	members        memberSet
-	// host keeps processes registered in the store. aloneUntil is until when this entry,
-	// having just started, waits for another one before it registers by itself. fleetRuns
-	// reports that other entries were registered when this one started.
+	// host keeps processes registered in the store. hostWait is how long this entry, having
+	// listed the store's hosts for the first time, waits for another one before it registers by
+	// itself, and aloneUntil the end of that time, or nil before that list. fleetRuns reports that
+	// others were registered then.
 	host         *fleet.Host
-	aloneUntil   time.Time
+	hostWait     time.Duration
+	aloneUntil   atomic.Pointer[time.Time]
 	fleetRuns    atomic.Bool
 	workReporter *workReporter
 	hub          hub
 	hubLoad      hubLoad
 	// storeCopy holds what was received from the store, to be passed to other entries,
-	// and sourceSelector selects the entry from which updates are requested. transfer
-	// holds the pages of the complete state that have been received. Only the mirror's
-	// goroutine uses sourceSelector and the fields from transfer to storeLostByPeer. Once
+	// and sourceSelector selects the entry from which updates are requested, or starter while
+	// this one has no state. transfer holds the pages of the complete state that have been
+	// received. wasHost reports that the store listed this entry as a host when it started. Only
+	// the mirror's goroutine uses sourceSelector, starter and the fields from transfer to
+	// storeLostByPeer. Once
 	// hasSource is set, source and sourceAddress identify the entry asked last; an empty
 	// source is the store. sourceOrigin is the entry that received the source's updates
 	// directly from the store. storeRecovered is the time of the last recovery of the
 	// store that other entries reported.
 	storeCopy      mirror.Copy
 	sourceSelector readers.SourceSelector
+	starter        readers.Starter
 	sourceMetrics  sourceMetrics
 	transfer       mirror.Transfer
-	// firstSourceTried reports that firstSource has returned an entry, or found none.
-	firstSourceTried bool
-	// storeNext reports that this entry has no state yet, though others are registered,
-	// and that the one which it asked for it has failed: the store is asked next.
-	storeNext      bool
+	wasHost        bool
+	// firstSources holds the addresses of entries, besides the hosts, from which this one may get its
+	// first state, by name. firstStates decides whom this one sends it to.
+	firstSources map[string]string
+	firstStates  firstStateSender
+	// readStore reports that this entry has read the complete state from the store.
+	readStore      bool
 	source         string
 	sourceAddress  string
 	sourceOrigin   string
@@ -237,7 +244,7 @@
 	f.state = &relay.State{
 		DataCentre: s.DataCentre, Name: s.Name, Seed: xxhash.Sum64String(s.Name), Freshness: &f.freshness,
 	}
-	f.aloneUntil = now.Add(rand.N(cmp.Or(f.MaxHostWait, maxHostWait)))
+	f.hostWait = rand.N(cmp.Or(f.MaxHostWait, maxHostWait))
 	f.host = &fleet.Host{Store: f.store, RenewElsewhere: f.renewElsewhere, OnError: f.callFailed, Now: boottime.Now}
 	f.workReporter = newWorkReporter(f)
 	f.state.OnChange = f.workReporter.changed.Raise
@@ -247,7 +254,8 @@
 		Reader: f.store, Wait: pollWait, OnRequest: f.storeStatus.NoteRequest, Settle: changeBatchDelay, MaxSettle: maxChangeBatchDelay, StartupPeriod: startupPeriod,
 		Now: boottime.Now, Apply: f.apply, OnError: f.storeFailed,
 	}
-	f.sourceSelector.Self = s.Name
+	f.sourceSelector.Self, f.starter.Self = s.Name, s.Name
+	f.firstSources = map[string]string{}
 	f.storeStatus.Self, f.storeStatus.Wait = s.Name, pollWait
 	f.storeStatus.NoteProgress(now)
 	f.sourceMetrics = newSourceMetrics(f.Registry)
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -95,11 +95,21 @@
 // entry is a running entry process.
 type entry struct {
 	*Frontend
-	log  *logs.Log
-	stop func()
+	log         *logs.Log
+	begin, stop func()
 }
 
+// start starts an entry and waits until it is ready.
 func (s *system) start(name, storeAddr string) *entry {
+	s.t.Helper()
+	e := s.listen(name, storeAddr)
+	e.begin()
+	s.eventually("the entry is ready", func() bool { return e.ready() == http.StatusOK })
+	return e
+}
+
+// listen returns an entry that listens. It serves once begin is called.
+func (s *system) listen(name, storeAddr string) *entry {
 	s.t.Helper()
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	f := &Frontend{
@@ -123,7 +133,7 @@
 	f.peerConns.Dial = s.dial
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- f.Run(ctx) }()
+	begin := func() { go func() { done <- f.Run(ctx) }() }
 	var once sync.Once
 	stop := func() {
 		once.Do(func() {
@@ -135,9 +145,7 @@
 	}
 	logs.Keep(s.t, name, logOutput.Text)
 	s.t.Cleanup(stop)
-	e := &entry{Frontend: f, log: logOutput, stop: stop}
-	s.eventually("the entry is ready", func() bool { return e.ready() == http.StatusOK })
-	return e
+	return &entry{Frontend: f, log: logOutput, begin: begin, stop: stop}
 }
 
 // eventually waits until cond holds. The time limit only ends a test that hangs; it
--- a/internal/frontend/register.go
+++ b/internal/frontend/register.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,24 +10,13 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
-	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/peer"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 )
 
 const (
-	// maxHostWait is the longest time that a starting entry that sees no other entry of
-	// its data centre waits for one before it registers by itself. Each entry waits for a
-	// random part of it: of a hundred that start together, only the first few then write
-	// keys of their own.
-	maxHostWait = 2 * time.Second
-	// hostPollInterval is how often it looks whether it knows another entry meanwhile, and
-	// discoveryInterval the mean time between two lists of the store's entries.
-	hostPollInterval  = 20 * time.Millisecond
-	discoveryInterval = 150 * time.Millisecond
 	// renewalAttempts is the number of entries that are asked to renew a lease, and
 	// renewalTimeout bounds each request.
 	renewalAttempts = 3
@@ -92,47 +80,6 @@
 // Leave implements fleet.RegistrationHost. The host ends together with the registration.
 func (h localHost) Leave(ctx context.Context, m fleet.Member) error { return h.Deregister(ctx, m) }
 
-// awaitOtherEntry waits until another entry of the data centre is known, at most until
-// aloneUntil.
-func (f *Frontend) awaitOtherEntry(ctx context.Context) {
-	for f.startingAlone(boottime.Now()) && ctx.Err() == nil {
-		pause.For(ctx, hostPollInterval)
-	}
-}
-
-// startingAlone reports whether this entry has just started, knows no other one of its
-// data centre, and still waits for one.
-func (f *Frontend) startingAlone(now time.Time) bool {
-	return now.Before(f.aloneUntil) && !f.fleetRuns.Load() && !f.members.hasOther(f.Settings.DataCentre, f.Settings.Name)
-}
-
-// discoverEntries looks for other entries of the data centre while this entry has no state
-// and is starting alone. It does not wait for one if the fleet runs already.
-//
-// An entry that reads the complete state from the store, and polls it until it sees
-// another entry, makes several calls. In a fleet that starts as a whole, each entry made
-// them. A list that may be some seconds old costs a tenth of a call.
-func (f *Frontend) discoverEntries(ctx context.Context) {
-	for first := true; f.startingAlone(boottime.Now()) && ctx.Err() == nil; first = false {
-		kvs, err := f.store.ListStale(ctx, fleet.KindPrefix(fleet.Entry))
-		if err != nil {
-			f.callFailed(err)
-			return
-		}
-		if first && len(kvs) > 0 {
-			f.fleetRuns.Store(true)
-		}
-		for _, m := range fleet.DecodeAll(kvs, f.logMalformed) {
-			if m.Name != f.Settings.Name {
-				f.members.put(m)
-			}
-		}
-		if f.startingAlone(boottime.Now()) {
-			pause.For(ctx, discoveryInterval/2+rand.N(discoveryInterval))
-		}
-	}
-}
-
 // RenewLease implements fleetpb.EntryServer.
 func (s *service) RenewLease(ctx context.Context, q *fleetpb.RenewLeaseRequest) (*fleetpb.RenewLeaseReply, error) {
 	_, err := s.frontend.store.KeepAlive(ctx, kv.LeaseID(q.GetLease()))
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -99,6 +99,17 @@
 	return opts
 }
 
+// Ready reports whether the connection to the peer at addr is ready. It begins to set one up if
+// there is none.
+func (p *ConnPool) Ready(addr string) bool {
+	cc, err := p.Get(addr)
+	if err != nil {
+		return false
+	}
+	cc.Connect()
+	return cc.GetState() == connectivity.Ready
+}
+
 // Remove closes the connection to a peer that has left, if there is one.
 func (p *ConnPool) Remove(addr string) {
 	p.mu.Lock()
--- a/internal/ranker/register.go
+++ b/internal/ranker/register.go
@@ -57,14 +57,15 @@
 	return nil
 }
 
-// listedEntries returns the entries that the store lists or, if it doesn't answer, those
-// that it last listed: it may answer one of them.
+// listedEntries returns the hosts of the data centre that the store lists, or all entries if there
+// are none. If the store doesn't answer, it returns those that it last listed: it may answer one of
+// them.
 func (r *Ranker) listedEntries(ctx context.Context) []fleet.Member {
-	kvs, err := r.store.ListStale(ctx, fleet.KindPrefix(fleet.Entry))
+	listed, err := fleet.ListHosts(ctx, r.store, r.Settings.DataCentre, r.logMalformed)
 	if err != nil {
 		r.logStoreFailure(err)
 		return r.lastListed
 	}
-	r.lastListed = fleet.DecodeAll(kvs, r.logMalformed)
+	r.lastListed = listed
 	return r.lastListed
 }
