--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -67,7 +67,9 @@
 	// because it isn't known whether they are cold.
 	ColdStart func(service string) time.Duration
 
-	entries      map[string]*record
+	entries map[string]*record
+	// byAddress holds the IDs of the entries by address.
+	byAddress    map[string]map[string]bool
 	outOfService map[string]bool
 	leaving      leavingMarks
 	// storeRecovered is when the store last recovered; zero if it has not failed.
@@ -93,6 +95,9 @@
 	}
 	isNew := rec == nil || e.StartMillis != rec.endpoint.StartMillis
 	if isNew {
+		if rec != nil {
+			d.unindex(rec.endpoint.Entry)
+		}
 		rec = &record{}
 		d.entries[e.ID] = rec
 	}
@@ -101,7 +106,9 @@
 	if isNew && d.listed {
 		coldUntil = latest(coldUntil, now.Add(d.coldStart(e.Service)))
 	}
+	d.unindex(rec.endpoint.Entry)
 	rec.endpoint.Entry = e
+	d.index(e)
 	rec.endpoint.ColdUntil = latest(rec.endpoint.ColdUntil, coldUntil)
 	d.markReplaced(rec)
 }
@@ -112,10 +119,8 @@
 // for some seconds until it expires. Requests sent for the predecessor are answered
 // as misdirected and use up the attempts that their route allows.
 func (d *Directory) markReplaced(rec *record) {
-	for _, other := range d.entries {
-		if other == rec || other.endpoint.Address != rec.endpoint.Address {
-			continue
-		}
+	for id := range d.byAddress[rec.endpoint.Address] {
+		other := d.entries[id]
 		if other.endpoint.StartMillis < rec.endpoint.StartMillis {
 			other.replaced = true
 		} else if other.endpoint.StartMillis > rec.endpoint.StartMillis {
@@ -124,6 +129,30 @@
 	}
 }
 
+// index adds an entry to byAddress.
+func (d *Directory) index(e Entry) {
+	ids := d.byAddress[e.Address]
+	if ids == nil {
+		ids = map[string]bool{}
+		d.byAddress[e.Address] = ids
+	}
+	ids[e.ID] = true
+}
+
+// unindex removes an entry from byAddress.
+func (d *Directory) unindex(e Entry) {
+	delete(d.byAddress[e.Address], e.ID)
+	if len(d.byAddress[e.Address]) == 0 {
+		delete(d.byAddress, e.Address)
+	}
+}
+
+// drop removes an entry.
+func (d *Directory) drop(id string) {
+	d.unindex(d.entries[id].endpoint.Entry)
+	delete(d.entries, id)
+}
+
 // MarkMisdirected records that another endpoint answered at the address of the endpoint
 // with the ID that started at startMillis, which is therefore gone.
 func (d *Directory) MarkMisdirected(id string, startMillis uint64) {
@@ -155,7 +184,7 @@
 	}
 	until := d.storeRecovered.Add(d.RetentionAfterOutage)
 	if d.storeRecovered.IsZero() || !now.Before(until) || rec.endpoint.Draining {
-		delete(d.entries, id)
+		d.drop(id)
 		return
 	}
 	if rec.retainedUntil.IsZero() {
@@ -234,7 +263,7 @@
 	for _, id := range d.ids() {
 		rec := d.entries[id]
 		if !rec.retainedUntil.IsZero() && !now.Before(rec.retainedUntil) {
-			delete(d.entries, id)
+			d.drop(id)
 			continue
 		}
 		if !rec.retainedUntil.IsZero() {
@@ -262,7 +291,7 @@
 
 func (d *Directory) initMaps() {
 	if d.entries == nil {
-		d.entries = map[string]*record{}
+		d.entries, d.byAddress = map[string]*record{}, map[string]map[string]bool{}
 		d.outOfService = map[string]bool{}
 	}
 }
--- a/internal/fleet/readers/starter_test.go
+++ b/internal/fleet/readers/starter_test.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// startTick is the step of a startingFleet.
+	startTick = 20 * time.Millisecond
 	// startSpread is the time within which the processes of a fleet that lost power start.
 	startSpread = 300 * time.Millisecond
 	// storeLineBytes and entryLineBytes are what the lines of the store and of a process carry, in
@@ -92,7 +94,7 @@
 // run advances the fleet until all processes that are not gone have the state, at most for d. It
 // returns the time that it took.
 func (f *startingFleet) run(d time.Duration) time.Duration {
-	for end := start.Add(d); f.now.Before(end); f.now = f.now.Add(linkTick) {
+	for end := start.Add(d); f.now.Before(end); f.now = f.now.Add(startTick) {
 		f.transfer()
 		missing := false
 		for _, p := range f.processes {
@@ -119,12 +121,12 @@
 		}
 	}
 	for _, p := range f.processes {
-		share := entryLineBytes * linkTick.Seconds()
+		share := entryLineBytes * startTick.Seconds()
 		switch {
 		case p.reading && f.now.Before(f.storeSilentUntil):
 			continue
 		case p.reading:
-			share = min(share, storeLineBytes*linkTick.Seconds()/float64(reading))
+			share = min(share, storeLineBytes*startTick.Seconds()/float64(reading))
 		case f.receives(p):
 			share /= float64(bySource[p.source])
 		default:
