Name a lapsed agent in the leader's next poll

A poll now names at once the lapsed agents that none has named yet, and all of them once a second as before.

--- a/internal/ranker/lease.go
+++ b/internal/ranker/lease.go
@@ -39,7 +39,7 @@
 func (t *term) announceEnd(ctx context.Context) {
 	self := t.ranker.self(t.group)
 	leader := t.leaderProto(true)
-	leader.Lapsed = append(t.lapsedTargets(boottime.Now()), targetProto(&self))
+	leader.Lapsed = append(lapsedTargets(t.ranker.lapsedMembers(t.group, boottime.Now())), targetProto(&self))
 	agents, _ := t.ranker.members(t.group)
 	var recipients []fleet.Member
 	for _, m := range agents {
@@ -60,22 +60,31 @@
 	return &fleetpb.Leader{Agent: t.ranker.Settings.Name, Token: t.token, Rank: uint32(t.leader.OwnRank), Ended: ended}
 }
 
-// lapsedToTell returns the agents that this poll names as lapsed, at most once in
-// lapsedTellInterval.
+// lapsedToTell returns the agents that this poll names as lapsed: those that no poll has named
+// yet, and all of them once in lapsedTellInterval.
 //
 // A successor reads the agents from the store, which no longer has those. Without their
 // engines it would lack a rank until they are back, and change no map.
 func (t *term) lapsedToTell(now time.Time) []*fleetpb.Target {
-	if now.Sub(t.lapsedToldAt) < lapsedTellInterval {
-		return nil
+	all := now.Sub(t.lapsedToldAt) >= lapsedTellInterval
+	if all {
+		t.lapsedToldAt = now
 	}
-	t.lapsedToldAt = now
-	return t.lapsedTargets(now)
+	lapsed := t.ranker.lapsedMembers(t.group, now)
+	told := make(map[string]bool, len(lapsed))
+	var due []fleet.Member
+	for _, m := range lapsed {
+		if all || !t.lapsedTold[m.Name] {
+			due = append(due, m)
+		}
+		told[m.Name] = true
+	}
+	t.lapsedTold = told
+	return lapsedTargets(due)
 }
 
-// lapsedTargets returns the agents whose keys have vanished, at most maxLapsedTold.
-func (t *term) lapsedTargets(now time.Time) []*fleetpb.Target {
-	lapsed := t.ranker.lapsedMembers(t.group, now)
+// lapsedTargets returns the targets of agents in the order of their names, at most maxLapsedTold.
+func lapsedTargets(lapsed []fleet.Member) []*fleetpb.Target {
 	slices.SortFunc(lapsed, func(a, b fleet.Member) int { return strings.Compare(a.Name, b.Name) })
 	var out []*fleetpb.Target
 	for i := range lapsed[:min(len(lapsed), maxLapsedTold)] {
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -26,8 +26,9 @@
 	// agentCallTimeout bounds a call to an agent. It is about forty times the delay
 	// between data centres. While a step is held, a slow call stalls streams.
 	agentCallTimeout = 200 * time.Millisecond
-	// lapsedTellInterval is the time between two polls that name the lapsed agents,
-	// and maxLapsedTold how many they name: an agent receives at most 1 kB/s of them.
+	// lapsedTellInterval is the time between two polls that name all lapsed agents, and
+	// maxLapsedTold how many a poll names. An agent receives at most 1 kB/s of them, besides
+	// each once.
 	lapsedTellInterval = time.Second
 	maxLapsedTold      = 16
 	// maxChangeTime is an upper bound of the time from a change's hold until its end,
@@ -75,8 +76,10 @@
 	rankByAgent map[string]int
 	// slowdowns is each rank's slowdown factor at the last poll.
 	slowdowns []float64
-	// lapsedToldAt is when a poll last named the lapsed agents.
+	// lapsedToldAt is when a poll last named all lapsed agents.
 	lapsedToldAt time.Time
+	// lapsedTold are those that a poll has named.
+	lapsedTold map[string]bool
 	// heldLoggedAt is when a step held for too long was last logged.
 	heldLoggedAt time.Time
 	renewals     chan renewal
