--- a/internal/fleet/readers/starter.go
+++ b/internal/fleet/readers/starter.go
@@ -84,7 +84,7 @@
 	order := sortedBy(hosts, xxhash.Sum64String)
 	own := slices.Index(order, s.Self)
 	sources := append(s.sources(order, own), byDistance(holders, s.Self)...)
-	sources = slices.Compact(sources[:min(len(sources), maxStartSources+maxStartHolders)])
+	sources = sources[:min(len(sources), maxStartSources+maxStartHolders)]
 	if len(sources) == 0 || own >= 0 && own < maxReaders && now.Sub(s.storeFailedAt) >= notCurrentBackoff {
 		return ReadStore{}
 	}
