--- a/internal/fleet/readers/starter.go
+++ b/internal/fleet/readers/starter.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// maxStartSources is the number of hosts from which a starting process may get the state, and
-	// maxStartHolders that of others.
-	maxStartSources, maxStartHolders = 6, 6
+	// maxStartSources is the number of hosts from which a starting process may get the state.
+	maxStartSources = 6
 	// firstTurnWindow is the time within which a starting process whose sources are all
 	// unreachable or without updates reads the store for the first time. Processes that lost
 	// power together are up again within a part of it.
@@ -83,16 +82,17 @@
 	}
 	order := sortedBy(hosts, xxhash.Sum64String)
 	own := slices.Index(order, s.Self)
-	sources := append(s.sources(order, own), byDistance(holders, s.Self)...)
-	sources = sources[:min(len(sources), maxStartSources+maxStartHolders)]
-	if len(sources) == 0 || own >= 0 && own < maxReaders && now.Sub(s.storeFailedAt) >= notCurrentBackoff {
+	isHost := own >= 0
+	isReader := isHost && own < maxReaders
+	sources := append(s.hostSources(order, own), byDistance(holders, s.Self)...)
+	if len(sources) == 0 || isReader && now.Sub(s.storeFailedAt) >= notCurrentBackoff {
 		return ReadStore{}
 	}
 	sources = slices.DeleteFunc(sources, func(name string) bool { return !reachable(name) })
 	if name, ok := s.choose(sources, now); ok {
 		return Ask{Name: name}
 	}
-	if len(sources) > 0 && own < 0 && s.window < statelessTurnWindow {
+	if len(sources) > 0 && !isHost && s.window < statelessTurnWindow {
 		s.window = statelessTurnWindow
 		s.drawTurn(now)
 	}
@@ -102,10 +102,10 @@
 	return Pause{For: min(startPollInterval, s.turnAt.Sub(now))}
 }
 
-// sources returns the hosts that may be asked, best first. A host that is no reader asks those
+// hostSources returns the hosts that may be asked, best first. A host that is no reader asks those
 // before it in order, so that no two ask each other; a reader asks the others only after the store
 // has not answered it.
-func (s *Starter) sources(order []string, own int) []string {
+func (s *Starter) hostSources(order []string, own int) []string {
 	switch {
 	case own >= maxReaders:
 		order = order[:own]
