Tests of the client and the processes that others' tests reconnect to have addresses of their own

The stray request took the first line of the script. The client sent its order once.

Change: the client's servers listen at the loopback address of their process alone (standin.Serve), and so do the relays and rankers of the tests, so that what reconnects to them reaches nobody else. A test of the client that fails prints what its entries saw. No check is changed.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -111,7 +111,7 @@
 // listen returns an entry that listens. It serves once begin is called.
 func (s *system) listen(name, storeAddr string) *entry {
 	s.t.Helper()
-	local := netip.MustParseAddrPort("127.0.0.1:0")
+	local := netip.MustParseAddrPort(logs.LoopbackIP() + ":0")
 	f := &Frontend{
 		Settings: &settings.Relay{
 			Process: settings.Process{
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -60,7 +60,7 @@
 	r := &Ranker{
 		Settings: &settings.Ranker{
 			Process: settings.Process{
-				Name: name, DataCentre: "a", PeerAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+				Name: name, DataCentre: "a", PeerAddress: netip.MustParseAddrPort(logs.LoopbackIP() + ":0"),
 				PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort(g.store.Addr())},
 			},
 			EndpointAddress: netip.MustParseAddrPort(g.group.Addr(i)), Service: "s", FencingChecked: true,
@@ -262,7 +262,7 @@
 	_, page, _ := strings.Cut(string(b), "\n## Rankers\n")
 	r := &Ranker{
 		Settings: &settings.Ranker{Process: settings.Process{
-			PeerAddress:       netip.MustParseAddrPort("127.0.0.1:0"),
+			PeerAddress:       netip.MustParseAddrPort(logs.LoopbackIP() + ":0"),
 			PlatformAddresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
 		}},
 		Log: process.NewBoundedLog("agent", "a"),
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -50,8 +50,13 @@
 func (s *script) client(t *testing.T) *Client {
 	t.Helper()
 	c := &Client{Key: "secret", MaxAttempts: len(s.answers)}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("entries saw %v", s.seen)
+		}
+	})
 	for range 2 {
-		srv := httptest.NewServer(s)
+		srv := standin.Serve(s)
 		t.Cleanup(srv.Close)
 		c.Entries = append(c.Entries, srv.URL)
 	}
@@ -198,7 +203,7 @@
 func TestNextEntryWhenOneIsDown(t *testing.T) {
 	s := &script{answers: []func(http.ResponseWriter, *http.Request){saying("done"), saying("done")}}
 	c := s.client(t)
-	down := httptest.NewServer(s)
+	down := standin.Serve(s)
 	down.Close()
 	c.Entries[0] = down.URL
 	_, err := c.Service(t.Context(), order)
