Name what attempts of one request have in common where an endpoint ends under it

Lines could not tell one request that ends each endpoint from ends of other causes under a long request: the attempts have IDs of their own, and whether the endpoint ended was found out for prompts with shared parts alone. The line of a lost exchange now has a fingerprint of the work that is asked for, and says of all kinds whether the endpoint ended. The look costs the endpoint one or two connections; requests that lose an endpoint together share it.

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -27,6 +27,9 @@
 	Resume string
 	// PromptTokens and OutputTokens are the size of a generation request.
 	PromptTokens, OutputTokens int
+	// Work is what the headers say of the work that is asked for. It is the same in all attempts of
+	// the caller.
+	Work string
 	// SharedParts are the IDs of the prompt's parts, in order, that other requests may share: all but
 	// the last.
 	SharedParts []string
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -19,8 +19,8 @@
 	// for a rest.
 	leaving, rests metrics.Counter
 	// lostBegun and lostUnbegun count the exchanges that were lost after and before their answer had
-	// begun.
-	lostBegun, lostUnbegun metrics.Counter
+	// begun, and lostEnded those of both whose endpoint ended.
+	lostBegun, lostUnbegun, lostEnded metrics.Counter
 }
 
 // NewMetrics registers the metrics in r.
@@ -33,6 +33,7 @@
 
 		lostBegun:   metrics.GetOrRegisterCounter("relay.lost.begun", r),
 		lostUnbegun: metrics.GetOrRegisterCounter("relay.lost.unbegun", r),
+		lostEnded:   metrics.GetOrRegisterCounter("relay.lost.ended", r),
 	}
 }
 
@@ -66,8 +67,11 @@
 	metrics.GetOrRegisterCounter("relay.attempts."+outcomeName(o), m.registry).Inc(1)
 }
 
-// countLost counts an exchange that was lost.
-func (m *Metrics) countLost(answerBegan bool) {
+// countLost counts an exchange that was lost, also apart if its endpoint ended.
+func (m *Metrics) countLost(answerBegan, ended bool) {
+	if ended {
+		m.lostEnded.Inc(1)
+	}
 	if answerBegan {
 		m.lostBegun.Inc(1)
 		return
@@ -149,6 +153,9 @@
 	if j.lastEventID > 0 {
 		f["lastEvent"] = j.lastEventID
 	}
+	if j.endedEndpoint {
+		f["fingerprint"] = j.requestFingerprint
+	}
 	if code == result.CallerStalled {
 		f["resumable"] = j.headerSent && j.route.RetrySemantics == routing.Stream && j.route.Resumable
 	}
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -48,13 +49,16 @@
 	}
 	ended := j.endedUnderRequest(ctx, assigned, cause)
 	parts, now := j.requestInfo.SharedParts, j.relay.Now()
-	if ended {
+	j.endedEndpoint = j.endedEndpoint || ended
+	speaksAgainstParts := ended && len(parts) > 0 && !j.answerBegan && !j.headerSent
+	if speaksAgainstParts {
 		j.relay.State.RecordCrash(assigned, j.accountName(), parts, now)
 	}
-	suspect = ended && j.relay.State.SuspectsParts(parts)
-	j.relay.Metrics.countLost(j.answerBegan)
+	suspect = speaksAgainstParts && j.relay.State.SuspectsParts(parts)
+	j.relay.Metrics.countLost(j.answerBegan, ended)
 	f := j.endpointFields(assigned)
 	f["answerBegan"], f["cause"], f["ended"], f["suspect"] = j.answerBegan, cause.Error(), ended, suspect
+	f["fingerprint"] = j.requestFingerprint
 	if len(parts) > 0 {
 		f["parts"] = parts
 	}
@@ -65,21 +69,29 @@
 	return suspect
 }
 
-// endedUnderRequest reports whether the endpoint ended under a request whose answer had not begun.
+// endedUnderRequest reports whether the endpoint ended under a request.
 // An endpoint that still accepts connections has not: a reset of one connection, or a group that
 // cuts off what it runs because another rank is missing, says nothing about the request.
 func (j *job) endedUnderRequest(ctx context.Context, assigned Assignment, cause error) bool {
-	if len(j.requestInfo.SharedParts) == 0 || j.answerBegan || j.headerSent || isSilence(cause) {
+	if isSilence(cause) {
 		return false
 	}
-	address := assigned.Endpoint.Address
-	accepts := j.relay.Client.Accepts(ctx, address)
-	if accepts {
+	return j.relay.hasEnded(ctx, assigned.Endpoint) && ctx.Err() == nil
+}
+
+// hasEnded reports whether an endpoint that closed a connection accepts no others. Requests that lose
+// the same endpoint at the same time share one look, which costs it connections.
+func (r *Relay) hasEnded(ctx context.Context, ep directory.Endpoint) bool {
+	ctx = context.WithoutCancel(ctx) // the look is not for one request alone
+	ended, _, _ := r.endLooks.Do(ep.Address, func() (any, error) {
+		if !r.Client.Accepts(ctx, ep.Address) {
+			return true, nil
+		}
 		// The connections of a process that ends do not all close at the same moment.
 		pause.For(ctx, endingTime)
-		accepts = j.relay.Client.Accepts(ctx, address)
-	}
-	return !accepts && ctx.Err() == nil
+		return !r.Client.Accepts(ctx, ep.Address), nil
+	})
+	return ended == true
 }
 
 // recheckParts returns why a request may not be sent again because of a part of its prompt, or nil.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
@@ -41,6 +42,8 @@
 	Log     logrus.FieldLogger
 	Metrics *Metrics
 
+	// endLooks holds the looks that are under way whether an endpoint has ended, by its address.
+	endLooks  singleflight.Group
 	stopping  atomic.Bool
 	maxKeyAge atomic.Int64
 }
@@ -69,6 +72,10 @@
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline time.Time
 	attempts AttemptCounts
+	// requestFingerprint is the result of fingerprint.
+	requestFingerprint string
+	// endedEndpoint means that an endpoint ended under an attempt of this request.
+	endedEndpoint bool
 	// tried lists the endpoints that were assigned to attempts of this request.
 	tried []string
 	// lastFailure is the last complete failure that an endpoint reported.
@@ -136,6 +143,7 @@
 	if e := st.checkParts(j.accountName(), j.requestInfo.SharedParts, now); e != nil {
 		return e
 	}
+	j.requestFingerprint = j.fingerprint()
 	j.lastEventID, _ = strconv.ParseInt(j.requestInfo.Resume, 10, 64)
 	return nil
 }
