--- a/internal/frontend/crashing_test.go
+++ b/internal/frontend/crashing_test.go
@@ -39,6 +39,8 @@
 	grouped bool
 	// replaceAfter is the time from a crash until another endpoint takes over.
 	replaceAfter time.Duration
+	// work is the time from the arrival of a request at an endpoint to its answer.
+	work time.Duration
 
 	mu        sync.Mutex // guards all below
 	crashedAt []time.Time
@@ -49,17 +51,22 @@
 	fatal     []outcome
 }
 
-// newCrashingSystem starts three entries and 12 endpoints.
-func newCrashingSystem(t *testing.T, cfg []byte, grouped bool, replaceAfter time.Duration) *crashingSystem {
+// newCrashingSystem returns a system that crashes on fatalPart once it is started.
+func newCrashingSystem(t *testing.T, grouped bool, replaceAfter time.Duration) *crashingSystem {
 	t.Helper()
 	s := &crashingSystem{system: newSystem(t, 0), grouped: grouped, replaceAfter: replaceAfter, gone: map[*standin.Endpoint]bool{}}
 	s.crashes = &standin.Crashes{Part: fatalPart, Delay: 50 * time.Millisecond, Crashed: s.crashed}
-	s.store.Put("op/config", cfg)
+	return s
+}
+
+// begin starts a number of entries and 12 endpoints.
+func (s *crashingSystem) begin(entries int) {
+	s.t.Helper()
+	s.store.Put("op/config", config(2, `"k1"`))
 	for range 12 {
 		s.startEndpoint()
 	}
-	s.entries = s.startEntries(3)
-	return s
+	s.entries = s.startEntries(entries)
 }
 
 // startEndpoint adds an endpoint under an ID of its own.
@@ -68,7 +75,7 @@
 	defer s.mu.Unlock()
 	n := len(s.all)
 	ep := standin.StartEndpoint(fmt.Sprint("i-", n), uint64(n+1))
-	ep.Pause = 20 * time.Millisecond
+	ep.Pause, ep.Work = 20*time.Millisecond, s.work
 	ep.CrashOn(s.crashes)
 	s.t.Cleanup(ep.Close)
 	s.all = append(s.all, ep)
@@ -200,7 +207,8 @@
 		"streams of a group": {"/stream/1", true, 800 * time.Millisecond, 14 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newCrashingSystem(t, config(2, `"k1"`), c.grouped, c.replaceAfter)
+			s := newCrashingSystem(t, c.grouped, c.replaceAfter)
+			s.begin(3)
 			s.play(c.path, c.play, soundRate, fatalRate)
 			s.wantContained()
 		})
@@ -210,7 +218,8 @@
 // Eight endpoints end for reasons of their own, under requests with parts of prompts that no answer
 // has had before. Guards against taking those parts for the cause.
 func TestUnrelatedCrashesConvictNoPart(t *testing.T) {
-	s := newCrashingSystem(t, config(2, `"k1"`), false, 300*time.Millisecond)
+	s := newCrashingSystem(t, false, 300*time.Millisecond)
+	s.begin(3)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -187,6 +187,15 @@
 
 // requestWithPrompt sends one request whose prompt has the given parts.
 func (e *entry) requestWithPrompt(ctx context.Context, path, id, key, prompt string) response {
+	h := http.Header{}
+	if prompt != "" {
+		h.Set("X-Hyssoprelay-Prompt-Prefix", prompt)
+	}
+	return e.requestWithHeader(ctx, path, id, key, h)
+}
+
+// requestWithHeader sends one request with further headers.
+func (e *entry) requestWithHeader(ctx context.Context, path, id, key string, h http.Header) response {
 	method := http.MethodGet
 	if strings.HasPrefix(path, "/order/") || strings.HasPrefix(path, "/stream/") {
 		method = http.MethodPost
@@ -196,12 +205,10 @@
 		return response{err: err}
 	}
 	r.Host = "h"
+	r.Header = h
 	r.Header.Set("X-Hyssoprelay-Attempt-Id", id)
 	r.Header.Set("X-Hyssoprelay-Deadline-Ms", "6000")
 	r.Header.Set("X-Api-Key", key)
-	if prompt != "" {
-		r.Header.Set("X-Hyssoprelay-Prompt-Prefix", prompt)
-	}
 	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
 	if err != nil {
 		return response{err: err}
