Refuse a request under which three endpoints have ended, in all entries together

Cause: each entry counted the attempts of one try of the caller and began at zero with the next one. Nothing connected the tries: cases were held against parts of prompts alone, only before an answer began, and reached other entries 20 ms to 1 s later, while the caller's next try came after 1 ms.

Change: a second table of cases, against requests by a fingerprint of their work. Ends count whether the answer had begun or not, three refuse, a whole answer clears. An entry tells the others of an end before it repeats the request or answers the caller, so that the next try meets an entry that knows; in a fleet of more than ten the first end goes to the one entry that the fingerprint selects, the second to all through subgroups.

--- /dev/null
+++ b/internal/frontend/ended_test.go
@@ -0,0 +1,141 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/relay"
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+const testFingerprint = "0123456789abcdef0123456789abcdef"
+
+// endUnder has an entry record and announce that the i-th endpoint ended under a request.
+func (e *entry) endUnder(i int) {
+	ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}
+	s := relay.Subjects{Account: "t1", Fingerprint: testFingerprint}
+	e.announceEnd(context.Background(), e.state.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Minute, boottime.Now()))
+}
+
+// waitUntilAllKnown waits until each entry knows all.
+func (s *system) waitUntilAllKnown(entries []*entry) {
+	for _, e := range entries {
+		s.eventually("the entries know each other", func() bool { return e.members.count() == len(entries) })
+	}
+}
+
+// Endpoints end under a request at one entry after the other. Guards against an entry that answers its
+// caller before the others know, so that the caller's next attempt is sent once more: the ends must be
+// known when announceEnd returns.
+func TestEndsAreKnownBeforeTheCallerIsAnswered(t *testing.T) {
+	for name, n := range map[string]int{"few entries": 3, "entries in subgroups": fanout.MaxDirectEntries + 2} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 1)
+			entries := s.startEntries(n)
+			s.waitUntilAllKnown(entries)
+			for i := range 3 {
+				entries[i].endUnder(i)
+			}
+			for _, e := range entries {
+				if !e.state.RequestRefused(testFingerprint, boottime.Now()) {
+					t.Errorf("%s does not refuse the request: %+v", e.Settings.Name, e.state.KnownOfRequest(testFingerprint))
+				}
+			}
+		})
+	}
+}
+
+// An entry has stopped when an endpoint ends. Guards against requests that wait for it again and again.
+func TestEntryThatDoesNotAnswerIsWaitedForOnce(t *testing.T) {
+	var s silentEntries
+	now := boottime.Now()
+	s.note("a", false, now)
+	if !s.has("a", now.Add(time.Second)) || s.has("a", now.Add(silentPause)) || s.has("b", now) {
+		t.Errorf("%+v", s.since)
+	}
+	s.note("a", true, now)
+	if s.has("a", now) {
+		t.Error("an entry that has answered is not waited for")
+	}
+}
+
+// A request waits for a slot when the third endpoint ends under another copy of it. Guards against
+// holding it, and against sending it as soon as there is a slot.
+func TestWaitingCopyOfARefusedRequestIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	s.endpoints[0].Behave(standin.Hangs)
+	e := s.start("entry0", s.store.Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const slots = 10 // six, and four in the endpoint's queue
+	for i := range slots {
+		go e.request(ctx, "/look/other", fmt.Sprint("busy", i), "k1")
+	}
+	s.eventually("all slots are taken", func() bool { return len(s.endpoints[0].Arrivals()) == slots })
+	done := make(chan response, 1)
+	go func() { done <- e.request(context.Background(), "/look/1", "q", "k1") }()
+	s.eventually("the request waits", func() bool { return len(e.state.WaitingServices()) == 1 })
+	raw := &caller.RawRequest{Method: http.MethodGet, Host: "h", Target: "/look/1"}
+	e.state.OrderRequest(relay.Fingerprint("t1", raw, "\n\n"), true, boottime.Now())
+	resp := <-done
+	s.wantStatus(resp, http.StatusServiceUnavailable)
+	if code := resp.header.Get("X-Result-Code"); code != "2024" || s.runs("q") != 0 {
+		t.Errorf("code %s, %d runs", code, s.runs("q"))
+	}
+}
+
+// An operator has a request refused at one entry, and lifts that at another. Guards against entries that
+// do not learn of either.
+func TestRequestOrdersReachAllEntries(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	entries := s.startEntries(2)
+	order := func(e *entry, refuse bool) {
+		o := &fleetpb.PartOrder{Part: testFingerprint, Refuse: refuse, Request: true}
+		if _, err := (&service{frontend: e.Frontend}).Parts(context.Background(), &fleetpb.PartsRequest{Order: o}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	refused := func(e *entry, want int) func() bool {
+		return func() bool { return e.state.RefusedRequests(boottime.Now()) == want }
+	}
+	order(entries[0], true)
+	s.eventually("the other entry refuses the request", refused(entries[1], 1))
+	order(entries[1], false)
+	s.eventually("the order is lifted", refused(entries[0], 0))
+	if n := entries[0].state.RefusedParts(boottime.Now()); n != 0 {
+		t.Errorf("%d parts refused", n)
+	}
+}
+
+// A thousand requests lose the endpoints that they had. Guards against messages between entries that
+// grow with the number of requests.
+func TestSizeOfManyRequestCasesIsBounded(t *testing.T) {
+	const maxWorkBytes, maxExchangeBytes = 8 * 400, 16 * 400
+	now := boottime.Now()
+	st := &relay.State{Name: "entry0"}
+	st.Init(now)
+	for i := range 1000 {
+		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}
+		s := relay.Subjects{Account: "account", Fingerprint: fmt.Sprintf("%032x", i%100)}
+		st.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Second, now.Add(time.Duration(i)*time.Millisecond/4))
+	}
+	now = now.Add(250 * time.Millisecond)
+	if n := proto.Size(&fleetpb.EntryWork{RequestCases: encodeCases(st.RecentCases(now).Requests, now)}); n > maxWorkBytes || n == 0 {
+		t.Errorf("a report takes %d bytes, want at most %d", n, maxWorkBytes)
+	}
+	if n := proto.Size(&fleetpb.PartsRequest{RequestCases: encodeCases(st.Cases().Requests, now)}); n > maxExchangeBytes || n == 0 {
+		t.Errorf("an exchange takes %d bytes, want at most %d", n, maxExchangeBytes)
+	}
+}
--- a/internal/frontend/fatalrequest_test.go
+++ b/internal/frontend/fatalrequest_test.go
@@ -206,9 +206,9 @@
 		e, next := s.entries[rng.IntN(len(s.entries))], s.entries[rng.IntN(len(s.entries))]
 		return func() {
 			o := outcome{sentAt: time.Now()}
-			o.resp = e.request(context.Background(), "/look/1", fmt.Sprint("q", i), "k1")
+			o.resp = e.popularRequest(fmt.Sprint("q", i))
 			if o.resp.err != nil || o.resp.status != http.StatusOK {
-				o.resp = next.request(context.Background(), "/look/1", fmt.Sprint("r", i), "k1")
+				o.resp = next.popularRequest(fmt.Sprint("r", i))
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -217,6 +217,12 @@
 	})
 }
 
+// popularRequest sends the look-up that many callers ask for.
+func (e *entry) popularRequest(id string) response {
+	h := http.Header{"X-Hyssoprelay-Deadline-Ms": {"1500"}}
+	return e.requestWithHeader(context.Background(), "/look/1", id, "k1", h)
+}
+
 // wantPopularServed checks that the look-up is served some time after the first request.
 func (s *crashingSystem) wantPopularServed(after time.Duration) {
 	s.t.Helper()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -118,8 +118,10 @@
 	aloneUntil   atomic.Pointer[time.Time]
 	fleetRuns    atomic.Bool
 	workReporter *workReporter
-	hub          hub
-	hubLoad      hubLoad
+	// silent holds the entries that did not answer in time when told of an endpoint's end.
+	silent  silentEntries
+	hub     hub
+	hubLoad hubLoad
 	// storeCopy holds what was received from the store, to be passed to other entries,
 	// and sourceSelector selects the entry from which updates are requested, or starter while
 	// this one has no state. transfer holds the pages of the complete state that have been
@@ -248,7 +250,7 @@
 	f.host = &fleet.Host{Store: f.store, RenewElsewhere: f.renewElsewhere, OnError: f.callFailed, Now: boottime.Now}
 	f.workReporter = newWorkReporter(f)
 	f.state.OnChange = f.workReporter.changed.Raise
-	f.state.OnPartChange = f.logPartChange
+	f.state.OnPartChange, f.state.OnRequestChange = f.logPartChange, f.logRequestChange
 	f.state.Init(now)
 	f.mirror = &mirror.Mirror{
 		Reader: f.store, Wait: pollWait, OnRequest: f.storeStatus.NoteRequest, Settle: changeBatchDelay, MaxSettle: maxChangeBatchDelay, StartupPeriod: startupPeriod,
@@ -266,7 +268,7 @@
 	f.relay = &relay.Relay{
 		State: f.state, Client: &direct.Client{}, HeaderCodec: platform.HeaderCodec{},
 		Now: boottime.Now, Log: f.Log.Logger,
-		Metrics: relay.NewMetrics(f.Registry),
+		Metrics: relay.NewMetrics(f.Registry), AnnounceEnd: f.announceEnd,
 	}
 	f.relay.Metrics.RegisterGauges(f.state, boottime.Now)
 	if s.Memory > 0 {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -207,7 +207,9 @@
 	r.Host = "h"
 	r.Header = h
 	r.Header.Set("X-Hyssoprelay-Attempt-Id", id)
-	r.Header.Set("X-Hyssoprelay-Deadline-Ms", "6000")
+	if r.Header.Get("X-Hyssoprelay-Deadline-Ms") == "" {
+		r.Header.Set("X-Hyssoprelay-Deadline-Ms", "6000")
+	}
 	r.Header.Set("X-Api-Key", key)
 	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
 	if err != nil {
--- a/internal/frontend/parts_test.go
+++ b/internal/frontend/parts_test.go
@@ -120,12 +120,12 @@
 		st.RecordCrash(relay.Assignment{Endpoint: ep}, "account", parts, now.Add(time.Duration(i)*time.Millisecond/4))
 	}
 	now = now.Add(250 * time.Millisecond)
-	one := st.Cases()[:1]
+	one := st.Cases().Parts[:1]
 	t.Logf("a case of %d ends takes %d bytes", len(one[0].Crashes), proto.Size(&fleetpb.PartsRequest{Cases: encodeCases(one, now)}))
-	if n := proto.Size(&fleetpb.EntryWork{Cases: encodeCases(st.RecentCases(now), now)}); n > maxWorkBytes || n == 0 {
+	if n := proto.Size(&fleetpb.EntryWork{Cases: encodeCases(st.RecentCases(now).Parts, now)}); n > maxWorkBytes || n == 0 {
 		t.Errorf("a report takes %d bytes, want at most %d", n, maxWorkBytes)
 	}
-	if n := proto.Size(&fleetpb.PartsRequest{Cases: encodeCases(st.Cases(), now)}); n > maxExchangeBytes || n == 0 {
+	if n := proto.Size(&fleetpb.PartsRequest{Cases: encodeCases(st.Cases().Parts, now)}); n > maxExchangeBytes || n == 0 {
 		t.Errorf("an exchange takes %d bytes, want at most %d", n, maxExchangeBytes)
 	}
 }
--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -83,7 +83,8 @@
 func (r *workReporter) ownWork(now time.Time) *fleetpb.EntryWork {
 	f := r.frontend
 	r.sequence++
-	w := &fleetpb.EntryWork{Name: f.Settings.Name, Born: r.incarnation, Number: r.sequence, Waiting: f.state.WaitingServices(), Limits: f.ownLimits(now), Cases: encodeCases(f.state.RecentCases(now), now)}
+	w := &fleetpb.EntryWork{Name: f.Settings.Name, Born: r.incarnation, Number: r.sequence, Waiting: f.state.WaitingServices(), Limits: f.ownLimits(now)}
+	f.reportCases(w, now)
 	for id, n := range f.state.OwnRunning() {
 		w.Works = append(w.Works, &fleetpb.Work{Endpoint: id, Running: uint32(n)})
 	}
--- a/internal/operator/command/parts.go
+++ b/internal/operator/command/parts.go
@@ -17,8 +17,8 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// partCommands list the parts of prompts on which endpoints have crashed, and decide about them. They
-// ask any relay; the relays tell each other.
+// partCommands list the parts of prompts on which endpoints have crashed, or the requests under which
+// they have ended, and decide about them. They ask any relay; the relays tell each other.
 type partCommands struct {
 	List   partListCommand  `command:"list" description:"list the parts of prompts on which endpoints have crashed"`
 	Refuse partOrderCommand `command:"refuse" description:"refuse requests with a part"`
@@ -35,7 +35,8 @@
 
 // partOptions are the flags of the commands that speak with relays.
 type partOptions struct {
-	Peer []string `long:"peer" description:"IP:port of a relay's peer address; several are tried in turn" value-name:"ADDR" required:"yes"`
+	Peer    []string `long:"peer" description:"IP:port of a relay's peer address; several are tried in turn" value-name:"ADDR" required:"yes"`
+	Request bool     `long:"request" description:"whole requests, by the fingerprint that the logs name, in place of parts"`
 }
 
 type partListCommand struct {
@@ -49,7 +50,7 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	return c.program.parts(c.Peer, &fleetpb.PartsRequest{})
+	return c.program.parts(c.partOptions, &fleetpb.PartsRequest{})
 }
 
 type partOrderCommand struct {
@@ -67,21 +68,25 @@
 	if err := noArguments(args); err != nil {
 		return err
 	}
-	if !quarantine.ValidPart(c.Args.Part) {
-		return usageError{"the ID of a part is a hexadecimal number in lower case"}
+	if !quarantine.ValidID(c.Args.Part) {
+		return usageError{"the ID of a part, or a fingerprint, is a hexadecimal number in lower case"}
 	}
-	return c.program.parts(c.Peer, &fleetpb.PartsRequest{Order: &fleetpb.PartOrder{Part: c.Args.Part, Refuse: c.refuse}})
+	order := &fleetpb.PartOrder{Part: c.Args.Part, Refuse: c.refuse, Request: c.Request}
+	return c.program.parts(c.partOptions, &fleetpb.PartsRequest{Order: order})
 }
 
-// parts asks the first relay that answers, and prints what it holds against parts.
-func (p *Program) parts(addrs []string, q *fleetpb.PartsRequest) error {
+// parts asks the first relay that answers, and prints what it holds against parts or requests.
+func (p *Program) parts(options partOptions, q *fleetpb.PartsRequest) error {
 	pool := &peer.ConnPool{}
 	defer pool.Close()
 	var last error
-	for _, addr := range addrs {
+	for _, addr := range options.Peer {
 		reply, err := p.askParts(pool, addr, q)
 		if err == nil {
-			views := partViews(reply)
+			views := partViews(reply.GetCases())
+			if options.Request {
+				views = partViews(reply.GetRequestCases())
+			}
 			return p.show(views, func() string { return partsText(views) })
 		}
 		if status.Code(err) == codes.InvalidArgument {
@@ -89,7 +94,7 @@
 		}
 		last = err
 	}
-	return refuse(result.EntryUnreachable, strings.Join(addrs, ", ")+": "+status.Convert(last).Message())
+	return refuse(result.EntryUnreachable, strings.Join(options.Peer, ", ")+": "+status.Convert(last).Message())
 }
 
 func (p *Program) askParts(pool *peer.ConnPool, addr string, q *fleetpb.PartsRequest) (*fleetpb.PartsReply, error) {
@@ -102,7 +107,7 @@
 	return fleetpb.NewEntryClient(conn).Parts(ctx, q)
 }
 
-// partView is a part of prompts as it is printed.
+// partView is a part of prompts, or the fingerprint of a request, as it is printed.
 type partView struct {
 	Part    string `json:"part"`
 	Refused bool   `json:"refused"`
@@ -116,9 +121,9 @@
 	AskedMillis int64 `json:"askedMillis"`
 }
 
-func partViews(reply *fleetpb.PartsReply) []partView {
-	views := make([]partView, 0, len(reply.GetCases()))
-	for _, c := range reply.GetCases() {
+func partViews(cases []*fleetpb.PartCase) []partView {
+	views := make([]partView, 0, len(cases))
+	for _, c := range cases {
 		v := partView{Part: c.GetPart(), Refused: c.GetRefused(), Ordered: c.GetOrdered() != 0, LastMillis: -1, AskedMillis: -1}
 		for _, crash := range c.GetCrashes() {
 			v.Endpoints = append(v.Endpoints, crash.GetEndpoint())
--- a/internal/operator/command/parts_test.go
+++ b/internal/operator/command/parts_test.go
@@ -29,7 +29,7 @@
 	return &fleetpb.PartsReply{Cases: []*fleetpb.PartCase{{
 		Part: "5c1e07a2", Refused: true, Asked: 2_000_001,
 		Crashes: []*fleetpb.PartCrash{{Endpoint: "i-1", Account: "a", AgeMicros: 9_000_000}, {Endpoint: "i-2", Account: "a", AgeMicros: 4_000_000}},
-	}}}, nil
+	}}, RequestCases: []*fleetpb.PartCase{{Part: "0f0f0f0f", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-3"}}}}}, nil
 }
 
 // startPartServer returns the address of a relay's stand-in.
@@ -68,6 +68,13 @@
 			t.Errorf("orders %v", s.orders)
 		}
 	})
+	t.Run("requests", func(t *testing.T) {
+		assertOutcome(t, runLine(t, nil, "parts", "list", "--request", "--peer", addr), exitDone, "0f0f0f0f", "i-3")
+		assertOutcome(t, runLine(t, nil, "parts", "lift", "--request", "--peer", addr, "0f0f0f0f"), exitDone)
+		if last := s.orders[len(s.orders)-1]; !last.GetRequest() || last.GetRefuse() {
+			t.Errorf("order %v", last)
+		}
+	})
 	t.Run("no part", func(t *testing.T) {
 		assertOutcome(t, runLine(t, nil, "parts", "lift", "--peer", addr, "NOT-HEX"), exitUsage, "hexadecimal")
 	})
--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -23,25 +23,31 @@
 	// Account is the account of the request, or "".
 	Account string
 	At      time.Time
+	// CallerLeft is the time that the request's caller had left. It is set for whole requests.
+	CallerLeft time.Duration
 }
 
 func (c Crash) sameInstance(other Crash) bool {
 	return c.Endpoint == other.Endpoint && c.Incarnation == other.Incarnation
 }
 
-// Case is what is known against one part of prompts. A zero time means never.
+// Case is what is known against one subject: a part of prompts or a whole request. A zero time means
+// never.
 type Case struct {
-	// Part is the part's ID.
-	Part string
-	// Crashes are the ends of endpoints, of different instances, under requests with the part since
-	// an answer to one last began, the oldest first.
+	// Subject is the ID of the part, or the fingerprint of the request.
+	Subject string
+	// Crashes are the ends of endpoints, of different instances, under requests with the subject since
+	// AnsweredAt, the oldest first.
 	Crashes []Crash
-	// AnsweredAt is when an answer to a request with the part last began.
+	// AnsweredAt is when an answer to a request with the part last began, or when the request was last
+	// answered completely.
 	AnsweredAt time.Time
-	// AskedAt is when a request with the part was last refused, and TriedAt when one was last let
-	// through although the part is refused.
+	// AskedAt is when a request with the subject was last refused, and TriedAt when one was last let
+	// through although it is refused.
 	AskedAt, TriedAt time.Time
-	// OrderedAt is when operators ordered that the part be refused, and LiftedAt when they lifted
+	// FailedTrials counts the trials of a request under which another endpoint ended.
+	FailedTrials int
+	// OrderedAt is when operators ordered that the subject be refused, and LiftedAt when they lifted
 	// whatever was known against it.
 	OrderedAt, LiftedAt time.Time
 }
@@ -85,13 +91,16 @@
 	slices.SortFunc(c.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
 
-// clear forgets the crashes that happened before the part was last answered or lifted.
+// clear forgets the crashes that happened before the subject was last answered or lifted.
 func (c *Case) clear() {
 	cleared := later(c.AnsweredAt, c.LiftedAt)
 	c.Crashes = slices.DeleteFunc(c.Crashes, func(crash Crash) bool { return !crash.At.After(cleared) })
+	if len(c.Crashes) == 0 {
+		c.FailedTrials = 0
+	}
 }
 
-// merge adds what another entry knows of the same part and reports whether anything was new.
+// merge adds what another entry knows of the same subject and reports whether anything was new.
 func (c *Case) merge(other Case) bool {
 	changed := false
 	for _, t := range []struct{ known, reported *time.Time }{
@@ -110,6 +119,9 @@
 	for _, crash := range other.Crashes {
 		changed = c.add(crash) || changed
 	}
+	if len(c.Crashes) > 0 {
+		c.FailedTrials = max(c.FailedTrials, other.FailedTrials)
+	}
 	return changed
 }
 
@@ -136,7 +148,7 @@
 	return c.Crashes[len(c.Crashes)-1].At
 }
 
-// concerns reports whether the crashes speak against the part in requests of an account: its own
+// concerns reports whether the crashes speak against the subject in requests of an account: its own
 // requests are among them, or those of two others are. One account alone can't have a part refused
 // that it shares with another.
 func (c *Case) concerns(account string) bool {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -47,7 +47,7 @@
 	if len(changes) != 1 {
 		t.Fatalf("changes %+v", changes)
 	}
-	if c, ok := changes[0].(Refused); !ok || c.Case.Part != "fatal" || len(c.Case.Crashes) != 3 {
+	if c, ok := changes[0].(Refused); !ok || c.Case.Subject != "fatal" || len(c.Case.Crashes) != 3 {
 		t.Errorf("change %+v", changes[0])
 	}
 	wantRefused(t, table, 10000, true, "first", "middle", "fatal")
@@ -337,10 +337,10 @@
 // Each order of merging the same cases gives the same result.
 func TestMergeDoesNotDependOnTheOrder(t *testing.T) {
 	cases := []Case{
-		{Part: "p", Crashes: []Crash{end(1, 1000), end(2, 2000)}},
-		{Part: "p", Crashes: []Crash{end(2, 2000), end(3, 3000)}, AskedAt: at(9000)},
-		{Part: "p", AnsweredAt: at(1500)},
-		{Part: "p", Crashes: []Crash{end(4, 8000)}, LiftedAt: at(2500)},
+		{Subject: "p", Crashes: []Crash{end(1, 1000), end(2, 2000)}},
+		{Subject: "p", Crashes: []Crash{end(2, 2000), end(3, 3000)}, AskedAt: at(9000)},
+		{Subject: "p", AnsweredAt: at(1500)},
+		{Subject: "p", Crashes: []Crash{end(4, 8000)}, LiftedAt: at(2500)},
 	}
 	for seed := range uint64(50) {
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -358,7 +358,7 @@
 
 // A stored case reaches an entry that has cleared the part since. Guards against refusing it again.
 func TestStoredCaseDoesNotOverruleWhatIsKnown(t *testing.T) {
-	stored := Case{Part: "p", Crashes: []Crash{end(1, 1000), end(2, 2000), end(3, 3000)}}
+	stored := Case{Subject: "p", Crashes: []Crash{end(1, 1000), end(2, 2000), end(3, 3000)}}
 	fresh, knowing, answering := &Table{}, &Table{}, &Table{}
 	knowing.Merge(stored.clone(), at(3000))
 	knowing.Answered([]string{"p"}, at(4000))
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -46,8 +46,8 @@
 	ID string
 	// Account is the name of the account, or anonymousAccount for a request without one.
 	Account string
-	// Parts are the IDs of the prompt's parts that other requests may share.
-	Parts []string
+	// Subjects is what the request may be refused for while it waits.
+	Subjects Subjects
 	// FirstPartDeadline is the time at which the first part of the answer is due, and Deadline the
 	// caller's deadline. TargetLatency is the latency target from which FirstPartDeadline follows.
 	FirstPartDeadline, Deadline time.Time
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -35,7 +35,7 @@
 // again, since they may have become too old while the request waited.
 func (j *job) assignEndpoint(ctx context.Context, now time.Time) (Assignment, *result.Error) {
 	if j.attempts.Sent > 0 {
-		if e := j.recheckParts(now); e != nil {
+		if e := j.relay.State.Refuses(j.subjects(), now); e != nil {
 			return Assignment{}, e
 		}
 	}
@@ -58,7 +58,7 @@
 		return st.Choose(j.service, q, now)
 	}
 	req := AdmitRequest{
-		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: j.accountName(), Parts: j.requestInfo.SharedParts,
+		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: j.accountName(), Subjects: j.subjects(),
 		FirstPartDeadline: j.firstPartDeadline(), Deadline: j.deadline, Priority: j.urgency(),
 		TargetLatency: j.route.TargetLatency, AskedBefore: j.askedBefore(), AbandonAt: j.abandonTime(),
 	}
--- a/internal/relay/fingerprint_test.go
+++ b/internal/relay/fingerprint_test.go
@@ -20,10 +20,14 @@
 	return j
 }
 
+func (j *job) testFingerprint() string {
+	return Fingerprint(j.accountName(), j.raw, j.requestInfo.Work)
+}
+
 // Two attempts of one request must have one fingerprint, and requests for different work, or of
 // different accounts, different ones.
 func TestFingerprintIsThatOfTheWork(t *testing.T) {
-	want := fingerprintJob(func(*job) {}).fingerprint()
+	want := fingerprintJob(func(*job) {}).testFingerprint()
 	for name, c := range map[string]struct {
 		change func(j *job)
 		same   bool
@@ -39,7 +43,7 @@
 		"fields moved about": {func(j *job) { j.raw.Host, j.raw.Method = "hP", "OST" }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := fingerprintJob(c.change).fingerprint(); (got == want) != c.same {
+			if got := fingerprintJob(c.change).testFingerprint(); (got == want) != c.same {
 				t.Errorf("%s, want the same as %s: %t", got, want, c.same)
 			}
 		})
@@ -52,7 +56,7 @@
 			j := fingerprintJob(func(j *job) { j.raw.Body = bytes.Repeat([]byte{'x'}, n) })
 			b.ReportAllocs()
 			for b.Loop() {
-				j.fingerprint()
+				j.testFingerprint()
 			}
 		})
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -56,6 +56,7 @@
 	gauge("relay.entriesHeard", func() int64 { return int64(st.ReportingEntries()) })
 	gauge("relay.loadAge", func() int64 { return st.LoadAge(now()).Milliseconds() })
 	gauge("relay.partsRefused", func() int64 { return int64(st.RefusedParts(now())) })
+	gauge("relay.requestsRefused", func() int64 { return int64(st.RefusedRequests(now())) })
 	gauge("relay.waiting", func() int64 { return int64(len(st.WaitingServices())) })
 }
 
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -40,33 +40,84 @@
 }
 
 // noteLost counts and logs an exchange that was lost, with what its request has in common with
-// others. It reports whether the request must not be repeated because endpoints are suspected to
-// crash on a part of its prompt: a repeat is the quickest way to the next crash.
-func (j *job) noteLost(ctx context.Context, assigned Assignment, o Outcome) (suspect bool) {
+// others. If the endpoint ended, it tells the other entries first, so that whichever of them gets the
+// request next knows of it.
+//
+// It reports whether the request may be repeated, and why it is refused from now on, if it is: a
+// repeat is the quickest way to the next end.
+func (j *job) noteLost(ctx context.Context, assigned Assignment, o Outcome) (mayRepeat bool, refused *result.Error) {
 	cause := lostCause(o)
 	if cause == nil {
-		return false
+		return true, nil
 	}
 	ended := j.endedUnderRequest(ctx, assigned, cause)
-	parts, now := j.requestInfo.SharedParts, j.relay.Now()
-	j.endedEndpoint = j.endedEndpoint || ended
-	speaksAgainstParts := ended && len(parts) > 0 && !j.answerBegan && !j.headerSent
-	if speaksAgainstParts {
-		j.relay.State.RecordCrash(assigned, j.accountName(), parts, now)
-	}
-	suspect = speaksAgainstParts && j.relay.State.SuspectsParts(parts)
 	j.relay.Metrics.countLost(j.answerBegan, ended)
+	suspect, ends := false, 0
+	if ended {
+		j.endedEndpoint = true
+		suspect = j.recordPartCrash(assigned)
+		ends = j.recordEnd(ctx, assigned)
+		refused = j.relay.State.Refuses(j.subjects(), j.relay.Now())
+	}
+	j.logLost(assigned, cause, ended, suspect, ends)
+	return !suspect && refused == nil, refused
+}
+
+// recordPartCrash records against the parts of the prompt that an endpoint ended before its answer
+// began. It reports whether one more end has one of the parts refused.
+func (j *job) recordPartCrash(assigned Assignment) (suspect bool) {
+	parts := j.requestInfo.SharedParts
+	if len(parts) == 0 || j.answerBegan || j.headerSent {
+		return false
+	}
+	j.relay.State.RecordCrash(assigned, j.accountName(), parts, j.relay.Now())
+	return j.relay.State.SuspectsParts(parts)
+}
+
+// recordEnd records against the request that an endpoint ended under it, and announces it. It returns
+// the number of such ends that are known.
+func (j *job) recordEnd(ctx context.Context, assigned Assignment) int {
+	st, now := j.relay.State, j.relay.Now()
+	c := st.RecordEnd(assigned, j.subjects(), j.callerLeft(now), now)
+	if j.relay.AnnounceEnd == nil {
+		return len(c.Crashes)
+	}
+	j.relay.AnnounceEnd(ctx, c)
+	return len(st.KnownOfRequest(j.requestFingerprint).Crashes)
+}
+
+// callerLeft returns how long the caller may go on with its attempts.
+func (j *job) callerLeft(now time.Time) time.Duration {
+	if j.requestInfo.TimeLeft <= 0 {
+		return max(0, j.deadline.Sub(now))
+	}
+	return max(0, j.raw.ReceivedAt.Add(j.requestInfo.TimeLeft).Sub(now))
+}
+
+// logLost logs an exchange that was lost.
+func (j *job) logLost(assigned Assignment, cause error, ended, suspect bool, ends int) {
 	f := j.endpointFields(assigned)
 	f["answerBegan"], f["cause"], f["ended"], f["suspect"] = j.answerBegan, cause.Error(), ended, suspect
-	f["fingerprint"] = j.requestFingerprint
-	if len(parts) > 0 {
+	f["fingerprint"], f["ends"] = j.requestFingerprint, ends
+	if parts := j.requestInfo.SharedParts; len(parts) > 0 {
 		f["parts"] = parts
 	}
 	if j.account != nil {
 		f["account"] = j.account.Name
 	}
 	j.relay.Log.WithFields(f).Info("exchange with endpoint lost")
-	return suspect
+}
+
+// subjects returns what the request may be refused for because endpoints end under it.
+func (j *job) subjects() Subjects {
+	return Subjects{Account: j.accountName(), Parts: j.requestInfo.SharedParts, Fingerprint: j.requestFingerprint}
+}
+
+// noteWhole records a whole answer to the request, which clears it: it is not what endpoints end under.
+func (j *job) noteWhole(o Outcome, now time.Time) {
+	if _, ok := o.(Delivered); ok {
+		j.relay.State.RecordWhole(j.subjects(), now)
+	}
 }
 
 // endedUnderRequest reports whether the endpoint ended under a request.
@@ -94,15 +145,6 @@
 	return ended == true
 }
 
-// recheckParts returns why a request may not be sent again because of a part of its prompt, or nil.
-func (j *job) recheckParts(now time.Time) *result.Error {
-	parts := j.requestInfo.SharedParts
-	if len(parts) == 0 || !j.relay.State.RefusesParts(j.accountName(), parts, now) {
-		return nil
-	}
-	return quarantineRefusal("")
-}
-
 // clearParts records that the endpoint has begun a sound answer to the request, so that no part of
 // its prompt is what endpoints crash on.
 func (j *job) clearParts(now time.Time) {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -9,55 +9,113 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// retryAfterQuarantine is the Retry-After time of a request with a part that endpoints crash on. The
-// refusal does not pass by itself while the part is asked for.
+// retryAfterQuarantine is the Retry-After time of a request under which, or under a part of whose
+// prompt, endpoints end. The refusal does not pass by itself while the request is asked for.
 const retryAfterQuarantine = time.Minute
 
-// quarantineRefusal returns the refusal of a request with a part that endpoints crash on.
-func quarantineRefusal(detail string) *result.Error {
-	return result.New(result.PromptPartRefused, detail).WithRetryAfter(retryAfterQuarantine)
+// Subjects is what a request may be refused for because endpoints end under it.
+type Subjects struct {
+	Account string
+	// Parts are the IDs of the prompt's parts that other requests may share.
+	Parts []string
+	// Fingerprint identifies the work that the request asks for.
+	Fingerprint string
 }
 
-// checkParts returns why a request is refused because of a part of its prompt, or nil.
-func (st *State) checkParts(account string, parts []string, now time.Time) *result.Error {
-	if len(parts) == 0 {
-		return nil
-	}
+// requests returns the fingerprint as the subjects of a table of requests.
+func (s Subjects) requests() []string { return []string{s.Fingerprint} }
+
+// Cases holds what is known against parts of prompts, and against whole requests.
+type Cases struct{ Parts, Requests []quarantine.Case }
+
+// Empty reports whether there are no cases.
+func (c Cases) Empty() bool { return len(c.Parts) == 0 && len(c.Requests) == 0 }
+
+// partRefusal returns the refusal of a request with a part that endpoints crash on.
+func partRefusal(part string) *result.Error {
+	return result.New(result.PromptPartRefused, "part "+part).WithRetryAfter(retryAfterQuarantine)
+}
+
+// requestRefusal returns the refusal of a request under which endpoints end.
+func requestRefusal(fingerprint string) *result.Error {
+	return result.New(result.RequestRefused, "fingerprint "+fingerprint).WithRetryAfter(retryAfterQuarantine)
+}
+
+// checkSubjects returns why a request is refused because endpoints end under it, or nil. isTrial means
+// that it is let through although the request is refused.
+func (st *State) checkSubjects(s Subjects, now time.Time) (isTrial bool, e *result.Error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	c, changes := st.quarantine.Check(account, parts, st.isTrialEntry, now)
-	st.noteChanges(changes, "", now)
-	if c == nil {
-		return nil
+	c, changes := st.parts.Check(s.Account, s.Parts, st.isTrialEntry, now)
+	st.notePartChanges(changes, "", now)
+	if c != nil {
+		return false, partRefusal(c.Subject)
 	}
-	return quarantineRefusal("part " + c.Part)
+	c, changes = st.requests.Check(s.Account, s.requests(), st.isTrialEntry, now)
+	st.noteRequestChanges(changes, "", now)
+	if c != nil {
+		return false, requestRefusal(c.Subject)
+	}
+	return len(changes) > 0, nil
+}
+
+// trialUnsent records that a request that was let through as a trial was not sent to an endpoint.
+func (st *State) trialUnsent(s Subjects) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.requests.TrialUnsent(s.requests())
 }
 
-// isTrialEntry reports whether this entry is the one that lets requests with a refused part through
-// as a trial. All entries that see the same listing agree on one.
-func (st *State) isTrialEntry(part string) bool {
-	hash := func(name string) uint64 { return xxhash.Sum64String(name + " " + part) }
-	own := hash(st.Name)
+// isTrialEntry reports whether this entry is the one that lets requests with a refused subject
+// through as a trial. All entries that see the same listing agree on one.
+func (st *State) isTrialEntry(subject string) bool { return st.keeper(subject) == st.Name }
+
+// keeper returns the name of the listed entry, this one included, that the hash of a subject selects.
+// mu must be held.
+func (st *State) keeper(subject string) string {
+	hash := func(name string) uint64 { return xxhash.Sum64String(name + " " + subject) }
+	selected, least := st.Name, hash(st.Name)
 	for name, delistedAt := range st.entries {
-		if name != st.Name && delistedAt.IsZero() && hash(name) < own {
-			return false
+		if h := hash(name); delistedAt.IsZero() && h < least {
+			selected, least = name, h
 		}
 	}
-	return true
+	return selected
+}
+
+// Keeper returns the name of the entry that is told first of an endpoint that ended under a request.
+func (st *State) Keeper(fingerprint string) string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.keeper(fingerprint)
 }
 
-// RefusesParts reports whether a request is refused because of a part of its prompt.
-func (st *State) RefusesParts(account string, parts []string, now time.Time) bool {
+// Refuses returns why a request is refused because endpoints end under it, or nil. Unlike
+// checkSubjects it lets none through as a trial.
+func (st *State) Refuses(s Subjects, now time.Time) *result.Error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.Refuses(account, parts, now)
+	return st.refusalOf(s, now)
+}
+
+// refusalOf is Refuses with mu held.
+func (st *State) refusalOf(s Subjects, now time.Time) *result.Error {
+	for _, part := range s.Parts {
+		if st.parts.Refuses(s.Account, []string{part}, now) {
+			return partRefusal(part)
+		}
+	}
+	if st.requests.Refuses(s.Account, s.requests(), now) {
+		return requestRefusal(s.Fingerprint)
+	}
+	return nil
 }
 
 // SuspectsParts reports whether one more crash under one of the parts would have it refused.
 func (st *State) SuspectsParts(parts []string) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.Suspects(parts)
+	return st.parts.Suspects(parts)
 }
 
 // RecordAnswered records that an answer began to a request with the given parts.
@@ -67,7 +125,25 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.noteChanges(st.quarantine.Answered(parts, now), "", now)
+	st.notePartChanges(st.parts.Answered(parts, now), "", now)
+}
+
+// RecordWhole records a whole answer to a request.
+func (st *State) RecordWhole(s Subjects, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	changes := st.requests.Answered(s.requests(), now)
+	if len(changes) > 0 {
+		st.notifyChanged()
+	}
+	st.noteRequestChanges(changes, "", now)
+}
+
+// crashOf returns the end of an endpoint under a request.
+func crashOf(assigned Assignment, account string, now time.Time) quarantine.Crash {
+	return quarantine.Crash{
+		Endpoint: assigned.Endpoint.ID, Incarnation: assigned.Endpoint.StartMillis, Account: account, At: now,
+	}
 }
 
 // RecordCrash records that an endpoint ended under a request with the given parts, before its answer
@@ -75,22 +151,42 @@
 func (st *State) RecordCrash(assigned Assignment, account string, parts []string, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	crash := quarantine.Crash{
-		Endpoint: assigned.Endpoint.ID, Incarnation: assigned.Endpoint.StartMillis, Account: account, At: now,
-	}
-	changes := st.quarantine.Crashed(parts, crash)
+	changes := st.parts.Crashed(parts, crashOf(assigned, account, now))
 	st.notifyChanged()
-	st.noteChanges(changes, "", now)
+	st.notePartChanges(changes, "", now)
 }
 
-// MergeCases adds the cases against parts of prompts that another entry reports.
-func (st *State) MergeCases(cases []quarantine.Case, from string, now time.Time) {
+// RecordEnd records that an endpoint ended under a request, whose caller had some time left. It
+// returns what is known against the request.
+func (st *State) RecordEnd(assigned Assignment, s Subjects, left time.Duration, now time.Time) quarantine.Case {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for _, c := range cases {
-		st.noteChanges(st.quarantine.Merge(c, now), from, now)
+	crash := crashOf(assigned, s.Account, now)
+	crash.CallerLeft = left
+	changes := st.requests.Crashed(s.requests(), crash)
+	st.notifyChanged()
+	st.noteRequestChanges(changes, "", now)
+	return st.requests.Known(s.Fingerprint)
+}
+
+// KnownOfRequest returns what is known against a request.
+func (st *State) KnownOfRequest(fingerprint string) quarantine.Case {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.requests.Known(fingerprint)
+}
+
+// MergeCases adds the cases that another entry reports.
+func (st *State) MergeCases(cases Cases, from string, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, c := range cases.Parts {
+		st.notePartChanges(st.parts.Merge(c, now), from, now)
 	}
-	if len(st.quarantine.Recent(now)) > 0 {
+	for _, c := range cases.Requests {
+		st.noteRequestChanges(st.requests.Merge(c, now), from, now)
+	}
+	if !st.recentCases(now).Empty() {
 		st.notifyChanged()
 	}
 }
@@ -99,96 +195,126 @@
 func (st *State) OrderPart(part string, refuse bool, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	order := st.quarantine.Lift
+	st.notePartChanges(order(&st.parts, part, refuse, now), "operator", now)
+	st.notifyChanged()
+}
+
+// OrderRequest has a request refused, or lifts what is held against it, by order of an operator.
+func (st *State) OrderRequest(fingerprint string, refuse bool, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.noteRequestChanges(order(&st.requests, fingerprint, refuse, now), "operator", now)
+	st.notifyChanged()
+}
+
+func order(t *quarantine.Table, subject string, refuse bool, now time.Time) []quarantine.Change {
 	if refuse {
-		order = st.quarantine.Order
+		return t.Order(subject, now)
 	}
-	st.noteChanges(order(part, now), "operator", now)
-	st.notifyChanged()
+	return t.Lift(subject, now)
 }
 
 // RecentCases returns the cases that this entry has just changed, to be passed on at once.
-func (st *State) RecentCases(now time.Time) []quarantine.Case {
+func (st *State) RecentCases(now time.Time) Cases {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.Recent(now)
+	return st.recentCases(now)
+}
+
+func (st *State) recentCases(now time.Time) Cases {
+	return Cases{Parts: st.parts.Recent(now), Requests: st.requests.Recent(now)}
 }
 
-// Cases returns the cases that hold something against parts of prompts.
-func (st *State) Cases() []quarantine.Case {
+// Cases returns the cases that hold something against their subjects.
+func (st *State) Cases() Cases {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.Cases()
+	return Cases{Parts: st.parts.Cases(), Requests: st.requests.Cases()}
 }
 
 // ReplyToCases returns the cases for an entry that has told of others.
-func (st *State) ReplyToCases(told []quarantine.Case) []quarantine.Case {
+func (st *State) ReplyToCases(told Cases) Cases {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.Reply(told)
+	return Cases{Parts: st.parts.Reply(told.Parts), Requests: st.requests.Reply(told.Requests)}
 }
 
-// RestoreCase adds a case that was stored before this entry started. It has no effect if this entry
-// knows the part.
+// RestoreCase adds a case against a part that was stored before this entry started. It has no effect
+// if this entry knows the part.
 func (st *State) RestoreCase(c quarantine.Case, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.noteChanges(st.quarantine.Restore(c, now), "store", now)
+	st.notePartChanges(st.parts.Restore(c, now), "store", now)
 }
 
 // LastingCases returns the cases of parts that are refused until something changes.
 func (st *State) LastingCases(now time.Time) []quarantine.Case {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.Lasting(now)
+	return st.parts.Lasting(now)
 }
 
 // KeepsPart reports whether this entry is the one that stores whether a part is refused.
-func (st *State) KeepsPart(part string) bool {
+func (st *State) KeepsPart(part string) bool { return st.Keeper(part) == st.Name }
+
+// PartRefused reports whether requests with a part are refused to some account.
+func (st *State) PartRefused(part string, now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.isTrialEntry(part)
+	return st.parts.IsRefused(part, now)
 }
 
-// PartRefused reports whether requests with a part are refused to some account.
-func (st *State) PartRefused(part string, now time.Time) bool {
+// RequestRefused reports whether requests with a fingerprint are refused.
+func (st *State) RequestRefused(fingerprint string, now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.IsRefused(part, now)
+	return st.requests.IsRefused(fingerprint, now)
 }
 
 // RefusedParts returns the number of parts of prompts that are refused to some account.
 func (st *State) RefusedParts(now time.Time) int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.quarantine.RefusedParts(now)
+	return st.parts.RefusedSubjects(now)
 }
 
-// expireCases forgets the parts that nobody asks for any more. mu must be held.
+// RefusedRequests returns the number of requests, by fingerprint, that are refused.
+func (st *State) RefusedRequests(now time.Time) int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.requests.RefusedSubjects(now)
+}
+
+// expireCases forgets what nobody asks for any more. mu must be held.
 func (st *State) expireCases(now time.Time) {
-	st.noteChanges(st.quarantine.Expire(now), "", now)
+	st.notePartChanges(st.parts.Expire(now), "", now)
+	st.noteRequestChanges(st.requests.Expire(now), "", now)
 }
 
-// noteChanges passes changes to OnPartChange, with the entry that reported them, and refuses the
+// notePartChanges passes changes to OnPartChange, with the entry that reported them, and refuses the
 // waiting requests with parts that are refused from now on. mu must be held.
-func (st *State) noteChanges(changes []quarantine.Change, from string, now time.Time) {
+func (st *State) notePartChanges(changes []quarantine.Change, from string, now time.Time) {
+	st.noteChanges(changes, st.OnPartChange, from, now)
+}
+
+// noteRequestChanges is notePartChanges for whole requests.
+func (st *State) noteRequestChanges(changes []quarantine.Change, from string, now time.Time) {
+	st.noteChanges(changes, st.OnRequestChange, from, now)
+}
+
+func (st *State) noteChanges(changes []quarantine.Change, note func(c quarantine.Change, from string, now time.Time), from string, now time.Time) {
 	for _, c := range changes {
-		if st.OnPartChange != nil {
-			st.OnPartChange(c, from, now)
+		if note != nil {
+			note(c, from, now)
 		}
-		if refused, ok := c.(quarantine.Refused); ok {
-			st.refuseWaitingWith(refused.Case.Part, now)
+		if _, ok := c.(quarantine.Refused); ok {
+			st.refuseWaitingSubjects(now)
 		}
 	}
 }
 
-// refuseWaitingWith refuses the waiting requests with a part that is refused from now on. Otherwise
-// they would be sent all at once when their group opens again. mu must be held.
-func (st *State) refuseWaitingWith(part string, now time.Time) {
-	st.refuseWaiting(func(req AdmitRequest) *result.Error {
-		if !st.quarantine.Refuses(req.Account, req.Parts, now) {
-			return nil
-		}
-		return quarantineRefusal("part " + part)
-	})
+// refuseWaitingSubjects refuses the waiting requests with a subject that is refused from now on.
+// Otherwise they would be sent all at once when their group opens again. mu must be held.
+func (st *State) refuseWaitingSubjects(now time.Time) {
+	st.refuseWaiting(func(req AdmitRequest) *result.Error { return st.refusalOf(req.Subjects, now) })
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
+	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -41,6 +42,9 @@
 	// change of an endpoint's limit.
 	Log     logrus.FieldLogger
 	Metrics *Metrics
+	// AnnounceEnd, if set, tells the other entries that an endpoint has ended under a request, and
+	// returns when they know.
+	AnnounceEnd func(ctx context.Context, c quarantine.Case)
 
 	// endLooks holds the looks that are under way whether an endpoint has ended, by its address.
 	endLooks  singleflight.Group
@@ -72,8 +76,10 @@
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline time.Time
 	attempts AttemptCounts
-	// requestFingerprint is the result of fingerprint.
+	// requestFingerprint identifies the work that the request asks for.
 	requestFingerprint string
+	// isTrial means that the request is let through although it is refused.
+	isTrial bool
 	// endedEndpoint means that an endpoint ended under an attempt of this request.
 	endedEndpoint bool
 	// tried lists the endpoints that were assigned to attempts of this request.
@@ -111,6 +117,9 @@
 	defer cancel()
 	w.SetContext(ctx)
 	j.run(ctx)
+	if j.isTrial && j.attempts.Sent == 0 {
+		r.State.trialUnsent(j.subjects())
+	}
 	r.Metrics.decRunning()
 }
 
@@ -140,10 +149,11 @@
 	if !now.Before(j.deadline) {
 		return result.New(result.DeadlinePassed, "")
 	}
-	if e := st.checkParts(j.accountName(), j.requestInfo.SharedParts, now); e != nil {
+	j.requestFingerprint = Fingerprint(j.accountName(), j.raw, j.requestInfo.Work)
+	var e *result.Error
+	if j.isTrial, e = st.checkSubjects(j.subjects(), now); e != nil {
 		return e
 	}
-	j.requestFingerprint = j.fingerprint()
 	j.lastEventID, _ = strconv.ParseInt(j.requestInfo.Resume, 10, 64)
 	return nil
 }
@@ -208,7 +218,9 @@
 		j.relay.State.Release(assigned, o, now)
 		j.relay.Metrics.countAttempt(o)
 		j.countAttempt(o)
-		suspect := j.noteLost(ctx, assigned, o)
+		j.noteWhole(o, now)
+		mayRepeat, refused := j.noteLost(ctx, assigned, o)
+		now = j.relay.Now()
 		if _, notRun := o.(NotRun); notRun {
 			j.logRefusing(assigned, now)
 		}
@@ -221,7 +233,11 @@
 			continue
 		}
 		budget := func() bool { return j.allowRetry(o, now) }
-		if suspect || NextDecision(j.route, j.attempts, o, left, budget) == End {
+		if refused != nil && !j.headerSent {
+			j.finish(nil, refused, now)
+			return
+		}
+		if !mayRepeat || NextDecision(j.route, j.attempts, o, left, budget) == End {
 			j.finish(o, nil, now)
 			return
 		}
@@ -266,7 +282,7 @@
 	if e := j.recheckKeyAge(next); e != nil {
 		return Assignment{}, e
 	}
-	if e := j.recheckParts(now); e != nil {
+	if e := j.relay.State.Refuses(j.subjects(), now); e != nil {
 		j.relay.State.Release(next, Unused{}, now)
 		return Assignment{}, e
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -94,6 +94,8 @@
 	// OnPartChange, if set, is called when what is held against a part of prompts changes, with the
 	// entry that reported it, or "" if this entry observed it. The same restrictions apply.
 	OnPartChange func(c quarantine.Change, from string, now time.Time)
+	// OnRequestChange is OnPartChange for what is held against whole requests.
+	OnRequestChange func(c quarantine.Change, from string, now time.Time)
 
 	mu           sync.Mutex // guards the fields below
 	retry        RetryBudget
@@ -126,9 +128,10 @@
 	rests    rests
 	refusing refusalStreaks
 	outages  outages
-	// quarantine holds what is known against parts of prompts.
-	quarantine quarantine.Table
-	latencies  answerLatencies
+	// parts holds what is known against parts of prompts, and requests what is known against requests
+	// by their fingerprint.
+	parts, requests quarantine.Table
+	latencies       answerLatencies
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
 	lastProbe map[string]time.Time
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
@@ -170,6 +173,7 @@
 	st.lateRunning = map[string]int{}
 	st.ready = make(chan struct{})
 	st.coldShares.Name, st.limitShares.Name = st.Name, st.Name
+	st.requests.Rules = quarantine.RequestRules{}
 	st.startedAt = now
 }
 
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -73,6 +73,7 @@
 	EntryFull          Code = 2021
 	EndpointResting    Code = 2022
 	PromptPartRefused  Code = 2023
+	RequestRefused     Code = 2024
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -175,6 +176,7 @@
 	EndpointResting:    {"endpointResting", NotRun, http.StatusServiceUnavailable, "all endpoints have asked this entry for a rest"},
 
 	PromptPartRefused: {"promptPartRefused", NotRun, http.StatusServiceUnavailable, "endpoints have crashed on a part of this prompt"},
+	RequestRefused:    {"requestRefused", NotRun, http.StatusServiceUnavailable, "endpoints have ended under this request"},
 
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
