Entries refuse a request under which three endpoints have fallen

Looked for elsewhere: the product's own entries repeat what may be repeated for as long as the caller waits and the retry budget lasts, without a bound on endpoints. One chat under which each engine falls took 12 of 12 engines away within 10 ms of one try, 15 falls in four tries (streamed and whole), and nothing connected the tries.

Left: entries do not tell each other, so each lets three endpoints fall.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,6 +43,7 @@
 	clock        timeline.Clock
 	ring         *timeline.Ring
 	client       *endpoint.Client
+	falls        falls
 	allowance    allowance.Allowance
 	attempts     table
 	incarnation  uint64
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	endedAt  time.Time
 	// holder and holderRequestID name the attempt that holds the claim.
 	holder, holderRequestID string
+	// falls are the numbers of the endpoint's falls while it worked on the attempt.
+	falls []uint64
 	// changed closes at the next change.
 	changed   chan struct{}
 	followers map[*follower]struct{}
@@ -92,6 +95,15 @@
 	a.notify()
 }
 
+// noteFall records that the endpoint fell while it worked on the attempt.
+func (a *attempt) noteFall(number uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.Contains(a.falls, number) {
+		a.falls = append(a.falls, number)
+	}
+}
+
 func (a *attempt) setHead(h *peerpb.Head) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -168,6 +180,7 @@
 	e.Bytes = a.total
 	e.Holder = a.holder
 	e.HolderRequestId = a.holderRequestID
+	e.EndpointFalls = a.falls
 	a.end = e
 	a.endedAt = now
 	a.notify()
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -107,6 +107,7 @@
 		Bytes:            e.GetBytes(),
 		Holder:           e.GetHolder(),
 		HolderRequestId:  e.GetHolderRequestId(),
+		EndpointFalls:    e.GetEndpointFalls(),
 		Load:             a.report(),
 	}
 }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -93,6 +93,7 @@
 			break
 		}
 		now = a.now()
+		at.noteFall(a.falls.note(now))
 		// All streams of a restarted engine break at once. Its allowance has to
 		// fall before the next request is admitted, not after this one is
 		// given up.
@@ -102,6 +103,9 @@
 		s.resumed = true
 		err = a.client.Do(ctx, call, s.take)
 	}
+	if fellUnder(err) {
+		at.noteFall(a.falls.note(a.now()))
+	}
 	// A falling endpoint drops the requests that it has just taken: their
 	// outcome is unknown, and the next one must already find it cold.
 	if result.CodeOf(err) == result.OutcomeUnknown && endpoint.ConnectionLost(err) {
--- a/internal/demo/ranks.go
+++ b/internal/demo/ranks.go
@@ -39,11 +39,15 @@
 // handler returns what serves at an engine's address: the engine, and its ranks
 // when it is in the group.
 func (s *System) handler(name string, e *engine.Engine) http.Handler {
+	h := http.Handler(e)
+	if s.WrapEngine != nil {
+		h = s.WrapEngine(e, h)
+	}
 	if s.Ranks == nil {
-		return e
+		return h
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", e)
+	mux.Handle("/", h)
 	s.Group.Engine(len(s.inGroup)).Handle(mux)
 	s.inGroup = append(s.inGroup, name)
 	return mux
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	Entries, Engines, Services int
 	// EngineSettings describe the engines.
 	EngineSettings engine.Settings
+	// WrapEngine, if not nil, wraps what serves at the address of each engine.
+	WrapEngine func(e *engine.Engine, h http.Handler) http.Handler
 	// Preset is put into force at the start.
 	Preset string
 	// Ranks, when set, makes all engines one group of ranks. Start fills in the
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -135,6 +135,7 @@
 
 // ended turns an agent's end into the attempt's outcome.
 func (e *Entry) ended(ctx context.Context, t *task, end *peerpb.End) *result.Error {
+	t.falls = end.GetEndpointFalls()
 	code := result.Code(end.GetCode())
 	if code == result.OK {
 		return t.relay.finish(end)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,7 @@
 	directory directory
 	shares    shares
 	spreading spreading
+	fatal     fatalRequests
 }
 
 func (e *Entry) now() time.Time { return time.Now() }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -43,6 +43,10 @@
 	relay    *relay
 	// serial names the present attempt at its agent, zero before it is known.
 	serial uint64
+	// fingerprint identifies the work that the request asks for, and falls are the numbers of the
+	// endpoint's falls under the present attempt.
+	fingerprint string
+	falls       []uint64
 	// mayHaveRun is the last attempt's error that does not mean not run.
 	mayHaveRun *result.Error
 }
@@ -109,6 +113,10 @@
 	if err != nil {
 		return nil, err
 	}
+	t.fingerprint = fingerprintOf(t.account, r)
+	if err := e.fatal.check(t.account, t.fingerprint, now); err != nil {
+		return nil, err
+	}
 	timeout := r.Timeout()
 	if timeout == 0 {
 		timeout = route.DefaultDeadline()
@@ -224,8 +232,14 @@
 		t.attempts++
 		t.began = e.now()
 		e.ring.Add(timeline.Placed, t.request.ID(), t.choice.Endpoint, "", uint64(t.attempts), t.began)
+		t.falls = nil
 		err := e.attempt(ctx, t)
-		if err == nil || !e.mayRetry(ctx, t, err) {
+		if err == nil {
+			e.fatal.answered(t.fingerprint, e.now())
+			return nil
+		}
+		refused := e.noteFalls(t)
+		if refused != nil || !e.mayRetry(ctx, t, err) {
 			return t.final(err)
 		}
 		t.note(err)
