--- a/internal/frontend/fatalrequest_test.go
+++ b/internal/frontend/fatalrequest_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -19,6 +20,8 @@
 	mostEnds = 3
 	// fatalTries is how often the caller of a fatal request sends it.
 	fatalTries = 8
+	// callerTime is the time that a caller has for all its tries, unless its test says otherwise.
+	callerTime = 8 * time.Second
 	// fatalQuery is the part of the target that tells the fatal request from sound ones.
 	fatalQuery = "?fatal"
 )
@@ -30,6 +33,8 @@
 	pause time.Duration
 	// copies is the number of callers that send the request, and repeat it, at the same time.
 	copies int
+	// callerTime is the time that each caller has for all its tries; zero means the constant.
+	callerTime time.Duration
 	// events is the number of events that each endpoint sends before it ends.
 	events int
 }
@@ -40,11 +45,12 @@
 // It returns the responses.
 func (s *crashingSystem) sendFatal(q fatalRequest, copyNumber int) []response {
 	var all []response
-	received := ""
+	received, givesUpAt := "", time.Now().Add(cmp.Or(q.callerTime, callerTime))
 	for try := range fatalTries {
 		e := s.entries[(try+copyNumber)%len(s.entries)]
 		h := http.Header{}
 		h.Set("X-Hyssoprelay-Prompt-Prefix", "f1:40,c1:400,77777:200")
+		h.Set("X-Hyssoprelay-Deadline-Ms", fmt.Sprint(time.Until(givesUpAt).Milliseconds()))
 		if received != "" {
 			h.Set("Last-Event-Id", received)
 		}
@@ -150,11 +156,31 @@
 
 // The same in a fleet whose entries hear of each other through hubs.
 func TestRequestThatEndsEndpointsIsSentToThreeInALargerFleet(t *testing.T) {
+	t.Parallel()
 	q := fatalRequest{path: "/stream/1", copies: 1, events: 2}
 	s := newFatalSystem(t, q, fanout.MaxDirectEntries+2, false)
 	s.wantEndsBounded(q, s.playFatal(q))
 }
 
+// The endpoints are the engines of one group, which each end closes for some time. Guards against ending
+// one engine after the other whenever the group has opened.
+func TestRequestThatEndsEnginesOfAGroupIsSentToThree(t *testing.T) {
+	t.Parallel()
+	q := fatalRequest{path: "/stream/1", copies: 1, events: 2, pause: 800 * time.Millisecond, callerTime: time.Minute}
+	s := newFatalSystem(t, q, 3, true)
+	last := response{}
+	for i := range 2 {
+		all := s.sendFatal(q, i)
+		last = all[len(all)-1]
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.crashedAt); n != mostEnds {
+		t.Errorf("%d engines ended, want %d", n, mostEnds)
+	}
+	s.wantRefusedAsNotRun(last)
+}
+
 // A look-up that many callers ask for is at work wherever endpoints end for other reasons. Guards
 // against taking it for the cause and refusing it.
 func TestPopularRequestIsServedWhereEndpointsEndForOtherReasons(t *testing.T) {
