Count the trials that failed, not the crashes, before a refused part is tried no more

A flood of requests with a fatal part ends more than six endpoints within a second. From six crashes on no request was let through as a trial, so that a sound part which had been in all of them was refused for as long as anyone asked for it. The test failed before: a request without the fatal part was not tried. What ends endpoints is tried three times as before (TestRefusedPartIsTriedSeldom).

--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// maxCrashes is the greatest number of crashes of a case that are kept. It is also the number
-	// from which on no further request with the part is let through as a trial.
+	// maxCrashes is the greatest number of crashes of a case that are kept.
 	maxCrashes = 6
 	// clockTolerance is by how much a time that another entry reports must be later than the known
 	// one to replace it. Each report is off by the time of its transfer; without the tolerance, two
@@ -45,7 +44,7 @@
 	// AskedAt is when a request with the subject was last refused, and TriedAt when one was last let
 	// through although it is refused.
 	AskedAt, TriedAt time.Time
-	// FailedTrials counts the trials of a request under which another endpoint ended.
+	// FailedTrials counts the trials under which another endpoint ended.
 	FailedTrials int
 	// OrderedAt is when operators ordered that the subject be refused, and LiftedAt when they lifted
 	// whatever was known against it.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -167,6 +167,22 @@
 	wantRefused(t, table, 4300, true, "fatal")
 }
 
+// A flood of requests ends more endpoints than are kept of a case. Guards against a sound part that is
+// refused for good because it was in all of them.
+func TestSoundCompanionIsClearedAfterAFlood(t *testing.T) {
+	table := &Table{}
+	for i := range 2 * maxCrashes {
+		table.Crashed([]string{"sound", "fatal"}, end(i, i*100))
+	}
+	const ms = 5000
+	if c, _ := table.Check("a", []string{"sound"}, always, at(ms)); c != nil {
+		t.Error("a request without the fatal part was not tried")
+	}
+	table.Answered([]string{"sound"}, at(ms+100))
+	wantRefused(t, table, ms+100, false, "sound")
+	wantRefused(t, table, ms+100, true, "fatal")
+}
+
 // A part is refused by mistake and no other explains the ends. Guards against a refusal for ever, and
 // against trials that end more endpoints than the part itself was allowed to.
 func TestRefusedPartIsTriedSeldom(t *testing.T) {
--- a/internal/quarantine/rules.go
+++ b/internal/quarantine/rules.go
@@ -44,9 +44,11 @@
 	// minRequestTrialInterval is the least time after which a refused request is tried.
 	minRequestTrialInterval = time.Second
 	// requestTrialFactor is by how much longer the next trial of a request waits after one that ended
-	// another endpoint, and maxFailedTrials the number of such trials after which there is none.
+	// another endpoint.
 	requestTrialFactor = 4
-	maxFailedTrials    = 3
+	// maxFailedTrials is the number of trials under which another endpoint ended after which there is
+	// none.
+	maxFailedTrials = 3
 )
 
 // isOfRequests reports whether the subjects of the table are whole requests.
@@ -87,14 +89,14 @@
 
 // mayTry reports whether one request with a refused subject may be let through now.
 func (t *Table) mayTry(r *record, account string, subjects []string, now time.Time) bool {
-	if r.ordered() {
+	if r.ordered() || r.FailedTrials >= maxFailedTrials {
 		return false
 	}
-	since := now.Sub(later(r.lastCrash(), r.lastTrial()))
+	interval := partTrialInterval(t.explained(r, account, subjects, now))
 	if t.isOfRequests() {
-		return r.FailedTrials < maxFailedTrials && since >= r.requestTrialInterval()
+		interval = r.requestTrialInterval()
 	}
-	return len(r.Crashes) < maxCrashes && since >= partTrialInterval(t.explained(r, account, subjects, now))
+	return now.Sub(later(r.lastCrash(), r.lastTrial())) >= interval
 }
 
 func partTrialInterval(explained bool) time.Duration {
@@ -128,7 +130,7 @@
 
 // failsTrial reports whether a crash is the first since a request was let through as a trial.
 func (r *record) failsTrial(crash Crash) bool {
-	return r.TriedAt.After(r.failedTrial) && crash.At.After(r.TriedAt)
+	return r.TriedAt.After(r.failedTrial) && !crash.At.Before(r.TriedAt)
 }
 
 // explained reports whether another refused part, which is not among parts, was in the requests of
