--- a/internal/frontend/ended_test.go
+++ b/internal/frontend/ended_test.go
@@ -12,9 +12,12 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
 	"github.com/hyssoprelay/hyssoprelay/internal/relay"
+	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -119,6 +122,41 @@
 	}
 }
 
+// Three endpoints end under a request. Guards against announcements that grow with what callers send, and
+// against a sender whose messages grow with the fleet: it tells one entry of each subgroup.
+func TestAnnouncementOfAnEndIsBounded(t *testing.T) {
+	const maxBytes = 300
+	now := boottime.Now()
+	st := &relay.State{Name: "entry0"}
+	st.Init(now)
+	for i := range mostEndsAnnounced {
+		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}
+		s := relay.Subjects{Account: "account", Fingerprint: testFingerprint}
+		c := st.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Second, now)
+		q := &fleetpb.EndedRequest{RequestCases: encodeCases([]quarantine.Case{c}, now), To: fleetpb.Passing_SUBGROUP}
+		t.Logf("%d ends: %d bytes", len(c.Crashes), proto.Size(q))
+		if n := proto.Size(q); n > maxBytes {
+			t.Errorf("%d bytes, want at most %d", n, maxBytes)
+		}
+	}
+	for n, want := range map[int]int{36: 5, 107: 5, 532: 10, 1064: 20} {
+		f := fleetOf(n)
+		if got := len(f.subgroupDelegates()); got != want {
+			t.Errorf("%d entries: %d are told, want %d", n, got, want)
+		}
+	}
+}
+
+// fleetOf returns an entry that knows n entries in five data centres, itself included.
+func fleetOf(n int) *Frontend {
+	f := &Frontend{Settings: &settings.Relay{Process: settings.Process{Name: "e0000", DataCentre: "dc0"}}}
+	f.workReporter = newWorkReporter(f)
+	for i := range n {
+		f.members.put(fleet.Member{Name: fmt.Sprintf("e%04d", i), DataCentre: fmt.Sprint("dc", i%5)})
+	}
+	return f
+}
+
 // A thousand requests lose the endpoints that they had. Guards against messages between entries that
 // grow with the number of requests.
 func TestSizeOfManyRequestCasesIsBounded(t *testing.T) {
