Cases of requests under which one endpoint ended are brief and not exchanged; shorter steps in the relay's run

An endpoint that ends leaves a case for each request that it had; most are never repeated. They were exchanged each second, 16 of them, for the ten minutes that a case is kept: 3.6 kB/s of the 7 kB/s that control may have, after any crash. One end is reported at once (for 0.5 s) and kept for a minute; from two on a case is exchanged and kept as before. Found when reading the whole change; the test failed before (one case exchanged after one end).

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -54,12 +54,12 @@
 	return clones(lasting)
 }
 
-// Cases returns the cases that hold something against their subjects, the most crashes first. Their
-// number is bounded by maxExchanged.
+// Cases returns the cases that hold something against their subjects, the most crashes first, for an
+// exchange with another entry. Their number is bounded by maxExchanged.
 func (t *Table) Cases() []Case {
 	var held []*record
 	for _, r := range t.cases {
-		if r.weight() > 0 {
+		if r.weight() > 0 && t.lasts(r) {
 			held = append(held, r)
 		}
 	}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -2,12 +2,12 @@
 
 import "strings"
 
-// maxPartID is the greatest number of digits of the ID of a part.
-const maxPartID = 32
+// maxID is the greatest number of digits of an ID.
+const maxID = 32
 
-// ValidID reports whether id may be the ID of a part: a hexadecimal number in lower case. IDs come
-// from callers.
+// ValidID reports whether id may be the ID of a part, which callers choose, or a fingerprint: a
+// hexadecimal number in lower case.
 func ValidID(id string) bool {
 	const digits = "0123456789abcdef"
-	return id != "" && len(id) <= maxPartID && strings.Trim(id, digits) == ""
+	return id != "" && len(id) <= maxID && strings.Trim(id, digits) == ""
 }
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -137,3 +137,26 @@
 		}
 	}
 }
+
+// An endpoint ends with the requests that it had, most of which nobody repeats. Guards against exchanging
+// a case for each of them every second for minutes, and against forgetting one that a second end follows.
+func TestCaseOfOneEndIsBrief(t *testing.T) {
+	table := requestTable(1)
+	if got := len(table.Cases()); got != 0 || len(table.Recent(at(200))) != 1 {
+		t.Errorf("%d cases are exchanged after one end, %d reported", got, len(table.Recent(at(200))))
+	}
+	brief := 100 + int(briefCaseTTL.Milliseconds())
+	table.Expire(at(brief))
+	if len(table.Known("r").Crashes) != 1 {
+		t.Error("forgotten too soon")
+	}
+	table.Expire(at(brief + 1))
+	if len(table.Known("r").Crashes) != 0 {
+		t.Error("kept")
+	}
+	table = requestTable(crashesToShare)
+	table.Expire(at(brief + 1000))
+	if len(table.Cases()) != 1 {
+		t.Error("a case of two ends is not exchanged and kept")
+	}
+}
--- a/internal/quarantine/rules.go
+++ b/internal/quarantine/rules.go
@@ -24,6 +24,9 @@
 	// crashesToRefuse is the number of endpoints that must have ended under a request, or under a part
 	// which no answer is known to have had. One or two may be coincidence.
 	crashesToRefuse = 3
+	// crashesToShare is the number of endpoints that must have ended under a request for its case to be
+	// exchanged and kept like one against a part. Each request that an endpoint had has one when it ends.
+	crashesToShare = 2
 	// crashesToRefuseAnswered is the same for a part that was answered before. Requests that share
 	// their first part with most others are on every endpoint that ends.
 	crashesToRefuseAnswered = 5
@@ -57,6 +60,11 @@
 	return ok
 }
 
+// lasts reports whether a case is exchanged, and kept for caseTTL. Others are kept for briefCaseTTL.
+func (t *Table) lasts(r *record) bool {
+	return !t.isOfRequests() || r.weight() >= crashesToShare
+}
+
 // crashesToRefuse returns the number of crashes from which on the subject is refused.
 func (t *Table) crashesToRefuse(r *record) int {
 	if t.isOfRequests() || r.AnsweredAt.IsZero() {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -11,6 +11,8 @@
 	// caseTTL is how long a case is kept after its last event: a subject that nobody asks for any more
 	// is forgotten.
 	caseTTL = 10 * time.Minute
+	// briefCaseTTL is the same for a request under which one endpoint ended, or that was cleared.
+	briefCaseTTL = time.Minute
 	// maxCases bounds the number of subjects with a case. The IDs come from callers.
 	maxCases = 256
 )
@@ -250,7 +252,7 @@
 		changes = append(changes, t.refusalChange(r, now)...)
 	}
 	maps.DeleteFunc(t.cases, func(_ string, r *record) bool {
-		expired := !r.ordered() && now.Sub(r.latest()) > caseTTL
+		expired := !r.ordered() && now.Sub(r.latest()) > t.ttl(r)
 		if expired && r.refusalReported {
 			changes = append(changes, Cleared{Case: r.clone()})
 		}
@@ -259,6 +261,14 @@
 	return changes
 }
 
+// ttl returns for how long a case is kept after its last event.
+func (t *Table) ttl(r *record) time.Duration {
+	if t.lasts(r) {
+		return caseTTL
+	}
+	return briefCaseTTL
+}
+
 // update applies f to a case and returns what it changed.
 func (t *Table) update(r *record, now time.Time, f func()) []Change {
 	before := len(r.Crashes)
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -113,13 +113,6 @@
 	return Subjects{Account: j.accountName(), Parts: j.requestInfo.SharedParts, Fingerprint: j.requestFingerprint}
 }
 
-// noteWhole records a whole answer to the request, which clears it: it is not what endpoints end under.
-func (j *job) noteWhole(o Outcome, now time.Time) {
-	if _, ok := o.(Delivered); ok {
-		j.relay.State.RecordWhole(j.subjects(), now)
-	}
-}
-
 // endedUnderRequest reports whether the endpoint ended under a request.
 // An endpoint that still accepts connections has not: a reset of one connection, or a group that
 // cuts off what it runs because another rank is missing, says nothing about the request.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -206,38 +206,24 @@
 func (j *job) run(ctx context.Context) {
 	next := Assignment{}
 	for {
-		now := j.relay.Now()
-		assigned, e := j.nextAssignment(ctx, next, now)
+		assigned, e := j.nextAssignment(ctx, next, j.relay.Now())
 		if e != nil {
 			j.finish(nil, e, j.relay.Now())
 			return
 		}
 		var o Outcome
 		o, next = j.runMovable(ctx, assigned)
-		now = j.relay.Now()
-		j.relay.State.Release(assigned, o, now)
-		j.relay.Metrics.countAttempt(o)
-		j.countAttempt(o)
-		j.noteWhole(o, now)
-		mayRepeat, refused := j.noteLost(ctx, assigned, o)
-		now = j.relay.Now()
-		if _, notRun := o.(NotRun); notRun {
-			j.logRefusing(assigned, now)
-		}
-		left := j.deadline.Sub(now)
-		if ctx.Err() != nil {
-			left = 0
-		}
+		mayRepeat, refused := j.noteOutcome(ctx, assigned, o)
+		now := j.relay.Now()
 		if _, moved := o.(Moved); moved {
 			j.logAttempt(assigned, o, now)
 			continue
 		}
-		budget := func() bool { return j.allowRetry(o, now) }
 		if refused != nil && !j.headerSent {
 			j.finish(nil, refused, now)
 			return
 		}
-		if !mayRepeat || NextDecision(j.route, j.attempts, o, left, budget) == End {
+		if !mayRepeat || j.decide(ctx, o, now) == End {
 			j.finish(o, nil, now)
 			return
 		}
@@ -245,6 +231,32 @@
 	}
 }
 
+// noteOutcome records how an attempt ended and gives its assignment back. Its results are those of
+// noteLost.
+func (j *job) noteOutcome(ctx context.Context, assigned Assignment, o Outcome) (mayRepeat bool, refused *result.Error) {
+	now := j.relay.Now()
+	j.relay.State.Release(assigned, o, now)
+	j.relay.Metrics.countAttempt(o)
+	j.countAttempt(o)
+	switch o.(type) {
+	case Delivered:
+		j.relay.State.RecordWhole(j.subjects(), now)
+	case NotRun:
+		j.logRefusing(assigned, now)
+	}
+	return j.noteLost(ctx, assigned, o)
+}
+
+// decide decides whether the request is sent to another endpoint after an attempt.
+func (j *job) decide(ctx context.Context, o Outcome, now time.Time) Decision {
+	left := j.deadline.Sub(now)
+	if ctx.Err() != nil {
+		left = 0
+	}
+	budget := func() bool { return j.allowRetry(o, now) }
+	return NextDecision(j.route, j.attempts, o, left, budget)
+}
+
 // allowRetry reports whether the retry budget allows one more attempt. It spends the budget, except
 // after an attempt that was not run: such a request waits to be assigned first, and spends the
 // budget then.
