Test: copies of a fatal request may lose one endpoint together

Traced by the entries' lines: two copies were at one endpoint as it ended, so six attempts, two of the first try of each copy, were sent while at most two ends were known; the third end came 50 ms later and nothing was sent after it. The bound on ends stays; attempts are bounded by one try of each copy, and for a single copy by three as before. TestHubForwardsAllOfAReport knows the new field of a report, which is forwarded.

--- a/internal/frontend/fatalrequest_test.go
+++ b/internal/frontend/fatalrequest_test.go
@@ -18,6 +18,8 @@
 const (
 	// mostEnds is how many endpoints may end under one request before it must be sent to no other.
 	mostEnds = 3
+	// maxAttempts is that of the routes in config.
+	maxAttempts = 2
 	// fatalTries is how often the caller of a fatal request sends it.
 	fatalTries = 8
 	// callerTime is the time that a caller has for all its tries, unless its test says otherwise.
@@ -105,8 +107,11 @@
 	ok, n := served(s.sound, time.Time{})
 	s.t.Logf("%d endpoints ended, %d attempts reached endpoints, %d of them later than 50 ms after the third end; %d of %d sound requests served",
 		ends, len(arrivals), late, ok, n)
-	if most := mostEnds + q.copies - 1; ends < mostEnds || len(arrivals) > most {
-		s.t.Errorf("%d endpoints ended and %d attempts reached endpoints, want %d to %d", ends, len(arrivals), mostEnds, most)
+	if most := mostEnds + q.copies - 1; ends < mostEnds || ends > most {
+		s.t.Errorf("%d endpoints ended, want %d to %d", ends, mostEnds, most)
+	}
+	if most := mostAttempts(q.copies); len(arrivals) > most {
+		s.t.Errorf("%d attempts reached endpoints, want at most %d", len(arrivals), most)
 	}
 	if ok*10 < n*9 {
 		s.t.Errorf("%d of %d sound requests were served", ok, n)
@@ -116,6 +121,16 @@
 	}
 }
 
+// mostAttempts returns how many attempts of a number of copies may reach endpoints: those of one try of
+// each copy, of which several may meet at one endpoint and lose it together, and of a single copy one for
+// each end.
+func mostAttempts(copies int) int {
+	if copies == 1 {
+		return mostEnds
+	}
+	return copies * maxAttempts
+}
+
 // wantRefusedAsNotRun checks a refusal of a request under which endpoints have ended.
 func (s *crashingSystem) wantRefusedAsNotRun(resp response) {
 	s.t.Helper()
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -187,6 +187,7 @@
 	report.Waiting = []string{"s"}
 	report.Limits = []*fleetpb.Limit{{Endpoint: "i-1", PerSecond: 3}}
 	report.Cases = []*fleetpb.PartCase{{Part: "ab", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-1"}}}}
+	report.RequestCases = []*fleetpb.PartCase{{Part: "cd", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-1"}}}}
 	report.Demands = []*fleetpb.ServiceDemand{{Service: "s", PerSecond: 4}}
 	fields := report.ProtoReflect().Descriptor().Fields()
 	h, now := &hub{}, time.Unix(1000, 0)
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -124,10 +124,10 @@
 }
 
 // hasEnded reports whether an endpoint that closed a connection accepts no others. Requests that lose
-// the same endpoint at the same time share one look, which costs it connections.
+// the same endpoint at the same time share one check, which costs it connections.
 func (r *Relay) hasEnded(ctx context.Context, ep directory.Endpoint) bool {
-	ctx = context.WithoutCancel(ctx) // the look is not for one request alone
-	ended, _, _ := r.endLooks.Do(ep.Address, func() (any, error) {
+	ctx = context.WithoutCancel(ctx) // the check is not for one request alone
+	ended, _, _ := r.endChecks.Do(ep.Address, func() (any, error) {
 		if !r.Client.Accepts(ctx, ep.Address) {
 			return true, nil
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,8 +46,8 @@
 	// returns when they know.
 	AnnounceEnd func(ctx context.Context, c quarantine.Case)
 
-	// endLooks holds the looks that are under way whether an endpoint has ended, by its address.
-	endLooks  singleflight.Group
+	// endChecks holds the checks in progress whether an endpoint has ended, by its address.
+	endChecks singleflight.Group
 	stopping  atomic.Bool
 	maxKeyAge atomic.Int64
 }
