One refusal, one set of thresholds and one decoding for cases against requests

Read again, no behaviour changed. Relays and entries each had the constructor and the Retry-After of a refused request; both call quarantine.RequestRefusal. The frontend repeated two of the quarantine's thresholds as figures of its own. Cases that an entry passes on to its subgroup were decoded twice; messages with cases of both kinds were decoded field by field in three places; members other than this entry were collected in two. For a refused request the search for another part that explains its ends ran and was dropped. The entry's table gets its rules once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,6 +90,7 @@
 	e.conns.TLS = e.TLS.Client
 	e.conns.Dial = e.Dial
 	e.scheduler.init()
+	e.fatal.init()
 	e.scheduler.balancer.DataCentre = e.Settings.DataCentre
 	e.scheduler.balancer.Seed = seedOf(e.Settings.Name)
 	e.scheduler.admission.MaxWaiting = e.Settings.Limits.QueueLength
--- a/internal/entry/fatal.go
+++ b/internal/entry/fatal.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -12,12 +11,8 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// refusedRetry is the Retry-After time of a request under which endpoints have fallen. The refusal
-// does not pass by itself while the request is asked for.
-const refusedRetry = time.Minute
-
-// fatalRequests holds what this entry knows against requests under which endpoints have fallen. Its
-// zero value is empty.
+// fatalRequests holds what this entry knows against requests under which endpoints have fallen. Call
+// init first.
 type fatalRequests struct {
 	mu    sync.Mutex // guards table
 	table quarantine.Table
@@ -28,50 +23,42 @@
 	return quarantine.Fingerprint(account, r.Body(), r.Route(), r.Method(), r.Path(), r.ContentType(), r.IdempotencyKey())
 }
 
-// use calls f with the table.
-func (q *fatalRequests) use(f func(table *quarantine.Table)) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.Rules = quarantine.RequestRules{}
-	f(&q.table)
-}
+func (q *fatalRequests) init() { q.table.Rules = quarantine.RequestRules{} }
 
 // check returns why a request is refused because endpoints have fallen under it, or nil.
-func (q *fatalRequests) check(account, fingerprint string, now time.Time) (refused *result.Error) {
+func (q *fatalRequests) check(account, fingerprint string, now time.Time) *result.Error {
 	thisEntry := func(string) bool { return true }
-	q.use(func(table *quarantine.Table) {
-		table.Expire(now)
-		if c, _ := table.Check(account, []string{fingerprint}, thisEntry, now); c != nil {
-			refused = requestRefused(fingerprint)
-		}
-	})
-	return refused
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Expire(now)
+	if c, _ := q.table.Check(account, []string{fingerprint}, thisEntry, now); c != nil {
+		return quarantine.RequestRefusal(fingerprint)
+	}
+	return nil
 }
 
 // fell records that the endpoint of an attempt fell under it, and returns why the request is refused
 // from now on, or nil.
-func (q *fatalRequests) fell(t *task, now time.Time) (refused *result.Error) {
+func (q *fatalRequests) fell(t *task, now time.Time) *result.Error {
 	subjects := []string{t.fingerprint}
-	q.use(func(table *quarantine.Table) {
-		for _, fall := range t.falls {
-			table.Crashed(subjects, quarantine.Crash{
-				Endpoint: t.choice.Endpoint, Incarnation: fall, Account: t.account, At: now, CallerLeft: max(0, t.deadline.Sub(now)),
-			})
-		}
-		if table.Refuses(t.account, subjects, now) {
-			refused = requestRefused(t.fingerprint)
-		}
-	})
-	return refused
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, fall := range t.falls {
+		q.table.Crashed(subjects, quarantine.Crash{
+			Endpoint: t.choice.Endpoint, Incarnation: fall, Account: t.account, At: now, CallerLeft: max(0, t.deadline.Sub(now)),
+		})
+	}
+	if !q.table.Refuses(t.account, subjects, now) {
+		return nil
+	}
+	return quarantine.RequestRefusal(t.fingerprint)
 }
 
 // answered records a whole answer to a request, which clears it.
 func (q *fatalRequests) answered(fingerprint string, now time.Time) {
-	q.use(func(table *quarantine.Table) { table.Answered([]string{fingerprint}, now) })
-}
-
-func requestRefused(fingerprint string) *result.Error {
-	return result.New(result.RequestRefused, "fingerprint "+fingerprint).WithRetryAfter(refusedRetry)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Answered([]string{fingerprint}, now)
 }
 
 // noteFalls records the falls of the endpoint under the last attempt, and returns why the request may
@@ -82,7 +69,7 @@
 	}
 	refused := e.fatal.fell(t, e.now())
 	e.Log.WithFields(logrus.Fields{
-		"request": t.request.ID(), "account": t.account, "endpoint": t.choice.Endpoint, "falls": slices.Clone(t.falls),
+		"request": t.request.ID(), "account": t.account, "endpoint": t.choice.Endpoint, "falls": t.falls,
 		"fingerprint": t.fingerprint, "refused": refused != nil,
 	}).Info("endpoint fell under request")
 	return refused
--- a/internal/frontend/casecodec.go
+++ b/internal/frontend/casecodec.go
@@ -5,6 +5,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
+	"github.com/hyssoprelay/hyssoprelay/internal/relay"
 )
 
 func encodeCases(cases []quarantine.Case, now time.Time) []*fleetpb.PartCase {
@@ -48,6 +49,17 @@
 	return out
 }
 
+// casesMessage is a message with cases of both kinds.
+type casesMessage interface {
+	GetCases() []*fleetpb.PartCase
+	GetRequestCases() []*fleetpb.PartCase
+}
+
+// decodeBoth is decodeCases for all cases of a message.
+func decodeBoth(m casesMessage, sent time.Time) relay.Cases {
+	return relay.Cases{Parts: decodeCases(m.GetCases(), sent), Requests: decodeCases(m.GetRequestCases(), sent)}
+}
+
 // maxCallerLeft bounds the time that a message says a caller had left. It limits for how long a refused
 // request waits for a trial.
 const maxCallerLeft = 10 * time.Minute
--- a/internal/frontend/cases.go
+++ b/internal/frontend/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,8 +20,8 @@
 )
 
 const (
-	// casesInterval is the time between two exchanges of cases, and the timeout of each. They reach the entries that missed the messages about a change: those that
-	// were cut off.
+	// casesInterval is the time between two exchanges of cases, and the timeout of each. They reach the
+	// entries that missed the messages about a change: those that were cut off.
 	casesInterval = time.Second
 	// firstCasesInterval is the first interval after the start. It doubles up to casesInterval.
 	firstCasesInterval = 50 * time.Millisecond
@@ -82,11 +83,11 @@
 		return
 	}
 	sent := timeOfAge(e.GetAgeMicros(), now)
-	f.state.MergeCases(relay.Cases{Parts: decodeCases(e.GetCases(), sent), Requests: decodeCases(e.GetRequestCases(), sent)}, e.GetName(), now)
+	f.state.MergeCases(decodeBoth(e, sent), e.GetName(), now)
 }
 
-// exchangeCases exchanges all cases with one other entry at a time, as long
-// as this entry knows any, until ctx is done. An entry that has started asks another one in any case.
+// exchangeCases exchanges all cases with one other entry at a time, as long as this entry knows any,
+// until ctx is done. An entry that has started asks another one in any case.
 func (f *Frontend) exchangeCases(ctx context.Context) error {
 	asked := false
 	for interval := firstCasesInterval; ; interval = min(2*interval, casesInterval) {
@@ -109,12 +110,11 @@
 
 // anyOther returns another entry, selected at random, or false if none is known.
 func (f *Frontend) anyOther() (fleet.Member, bool) {
-	for name, m := range f.members.all() {
-		if name != f.Settings.Name {
-			return m, true // the order of map iteration is random
-		}
+	others := f.otherEntries()
+	if len(others) == 0 {
+		return fleet.Member{}, false
 	}
-	return fleet.Member{}, false
+	return others[rand.IntN(len(others))], true
 }
 
 // exchangeCasesWith exchanges cases with another entry and reports whether it answered.
@@ -133,7 +133,7 @@
 		return false
 	}
 	now = boottime.Now()
-	f.state.MergeCases(relay.Cases{Parts: decodeCases(reply.GetCases(), now), Requests: decodeCases(reply.GetRequestCases(), now)}, m.Name, now)
+	f.state.MergeCases(decodeBoth(reply, now), m.Name, now)
 	return true
 }
 
@@ -143,7 +143,7 @@
 	if o := q.GetOrder(); o != nil && !quarantine.ValidID(o.GetPart()) {
 		return nil, status.Error(codes.InvalidArgument, result.New(result.MalformedOrder, "part").Error())
 	}
-	told := relay.Cases{Parts: decodeCases(q.GetCases(), now), Requests: decodeCases(q.GetRequestCases(), now)}
+	told := decodeBoth(q, now)
 	st.MergeCases(told, "", now)
 	if o := q.GetOrder(); o != nil && o.GetRequest() {
 		st.OrderRequest(o.GetPart(), o.GetRefuse(), now)
@@ -171,7 +171,9 @@
 func (f *Frontend) reportCases(w *fleetpb.EntryWork, now time.Time) {
 	cases := f.state.RecentCases(now)
 	if f.members.count() > fanout.MaxDirectEntries {
-		cases.Requests = slices.DeleteFunc(cases.Requests, func(c quarantine.Case) bool { return len(c.Crashes) == 1 })
+		cases.Requests = slices.DeleteFunc(cases.Requests, func(c quarantine.Case) bool {
+			return len(c.Crashes) > 0 && len(c.Crashes) < quarantine.CrashesToShare
+		})
 	}
 	w.Cases, w.RequestCases = encodeCases(cases.Parts, now), encodeCases(cases.Requests, now)
 }
--- a/internal/frontend/ended.go
+++ b/internal/frontend/ended.go
@@ -27,9 +27,6 @@
 	// silentPause is for how long an entry that did not answer in time is told without being waited
 	// for.
 	silentPause = 3 * time.Second
-	// mostEndsAnnounced is the number of ends under a request up to which each is announced. Beyond it
-	// all entries refuse the request, and the reports that they exchange anyway are soon enough.
-	mostEndsAnnounced = 3
 )
 
 // silentEntries holds the entries that did not answer in time, by name.
@@ -66,10 +63,10 @@
 // The caller's next attempt comes to another entry as soon as this one answers, sooner than any report
 // that is sent in turn. In a larger fleet the first end is told to one entry, which the request selects,
 // so that a failure of many endpoints costs one message for each request; it is the second end that
-// all entries are told of.
+// all entries are told of. Beyond the end from which on all refuse the request, the reports that they
+// exchange anyway are soon enough.
 func (f *Frontend) announceEnd(ctx context.Context, c quarantine.Case) {
-	ends := len(c.Crashes)
-	if ends == 0 || ends > mostEndsAnnounced {
+	if ends := len(c.Crashes); ends == 0 || ends > quarantine.CrashesToRefuse {
 		return
 	}
 	others := f.otherEntries()
@@ -77,9 +74,9 @@
 		f.tellEnded(ctx, others, c, fleetpb.Passing_NOBODY)
 		return
 	}
-	if ends == 1 {
+	if len(c.Crashes) < quarantine.CrashesToShare {
 		f.tellEnded(ctx, f.keeperOf(c.Subject, others), c, fleetpb.Passing_NOBODY)
-		if c = f.state.KnownOfRequest(c.Subject); len(c.Crashes) <= 1 {
+		if c = f.state.KnownOfRequest(c.Subject); len(c.Crashes) < quarantine.CrashesToShare {
 			return
 		}
 	}
@@ -124,7 +121,12 @@
 		}
 		go func() {
 			// The others are to know of it even if the caller has left meanwhile.
-			f.tellEntryEnded(context.WithoutCancel(ctx), m, q)
+			ctx := context.WithoutCancel(ctx)
+			if m.Name == f.Settings.Name {
+				f.forwardEnded(ctx, []quarantine.Case{c})
+			} else {
+				f.tellEntryEnded(ctx, m, q)
+			}
 			if isWaitedFor {
 				done <- struct{}{}
 			}
@@ -139,12 +141,8 @@
 	}
 }
 
-// tellEntryEnded tells one entry, or lets this one tell its subgroup.
+// tellEntryEnded tells one other entry.
 func (f *Frontend) tellEntryEnded(ctx context.Context, m fleet.Member, q *fleetpb.EndedRequest) {
-	if m.Name == f.Settings.Name {
-		f.forwardEnded(ctx, q)
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
 	defer cancel()
 	conn, err := f.peerConns.Get(m.Address)
@@ -165,12 +163,12 @@
 	}
 }
 
-// forwardEnded tells the other entries of this entry's subgroup.
-func (f *Frontend) forwardEnded(ctx context.Context, q *fleetpb.EndedRequest) {
+// forwardEnded tells the other entries of this entry's subgroup of cases.
+func (f *Frontend) forwardEnded(ctx context.Context, cases []quarantine.Case) {
 	ctx, cancel := context.WithTimeout(ctx, endedForwardTimeout)
 	defer cancel()
 	others := slices.DeleteFunc(slices.Clone(f.workReporter.subgroup()), func(m fleet.Member) bool { return m.Name == f.Settings.Name })
-	for _, c := range decodeCases(q.GetRequestCases(), boottime.Now()) {
+	for _, c := range cases {
 		f.tellEnded(ctx, others, c, fleetpb.Passing_NOBODY)
 	}
 }
@@ -181,7 +179,7 @@
 	told := decodeCases(q.GetRequestCases(), now)
 	f.state.MergeCases(relay.Cases{Requests: told}, "", now)
 	if q.GetTo() == fleetpb.Passing_SUBGROUP {
-		f.forwardEnded(ctx, q)
+		f.forwardEnded(ctx, told)
 	}
 	known := make([]quarantine.Case, 0, len(told))
 	for _, c := range told {
--- a/internal/frontend/ended_test.go
+++ b/internal/frontend/ended_test.go
@@ -129,7 +129,7 @@
 	now := boottime.Now()
 	st := &relay.State{Name: "entry0"}
 	st.Init(now)
-	for i := range mostEndsAnnounced {
+	for i := range quarantine.CrashesToRefuse {
 		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}
 		s := relay.Subjects{Account: "account", Fingerprint: testFingerprint}
 		c := st.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Second, now)
--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -126,9 +126,8 @@
 		w := queued.work
 		out = append(out, &fleetpb.EntryWork{
 			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(),
-			Limits: w.GetLimits(),
-			Cases:  w.GetCases(),
-
+			Limits:       w.GetLimits(),
+			Cases:        w.GetCases(),
 			RequestCases: w.GetRequestCases(),
 			Demands:      w.GetDemands(),
 			AgeMicros:    ageMicros(queued.asOf, now),
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -109,7 +109,7 @@
 // Guards against a refusal that nothing ends.
 func TestAnswerClearsThePart(t *testing.T) {
 	table, other := &Table{}, &Table{}
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"p"}, end(i, i*1000))
 		other.Crashed([]string{"p"}, end(i, i*1000))
 	}
@@ -126,7 +126,7 @@
 func TestOthersKnowWhatWasAnswered(t *testing.T) {
 	restarted, other := &Table{}, &Table{}
 	other.Answered([]string{"first"}, at(0))
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		ms := 1000 + i*1000
 		restarted.Crashed([]string{"first"}, end(i, ms))
 		for _, c := range restarted.Recent(at(ms)) {
@@ -143,7 +143,7 @@
 // against refusing those others for long.
 func TestSoundCompanionOfAFatalPartIsCleared(t *testing.T) {
 	table := &Table{}
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"sound", "fatal"}, end(i, i*1000))
 	}
 	refused := func(ms int, mayTry func(string) bool, parts ...string) bool {
@@ -187,7 +187,7 @@
 // against trials that end more endpoints than the part itself was allowed to.
 func TestRefusedPartIsTriedSeldom(t *testing.T) {
 	table := &Table{}
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"fatal"}, end(i, i*1000))
 	}
 	tried := 0
@@ -197,7 +197,7 @@
 			table.Crashed([]string{"fatal"}, end(100+tried, ms))
 		}
 	}
-	if want := maxCrashes - crashesToRefuse; tried != want {
+	if want := maxCrashes - CrashesToRefuse; tried != want {
 		t.Errorf("%d trials in an hour, want %d", tried, want)
 	}
 }
@@ -241,7 +241,7 @@
 // against forgetting a refused part for them.
 func TestCasesAreBounded(t *testing.T) {
 	table := &Table{}
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"fatal"}, end(i, i*1000))
 	}
 	for i := range 10 * maxCases {
@@ -285,12 +285,12 @@
 	if c, _ := table.Check("a", []string{"p"}, always, at(3600*1000)); c == nil {
 		t.Error("a part that operators refuse was tried")
 	}
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"p"}, end(i, i*1000))
 	}
 	table.Lift("p", at(4000))
 	wantRefused(t, table, 4000, false, "p")
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"p"}, end(10+i, 5000+i*1000))
 	}
 	wantRefused(t, table, 8000, true, "p")
@@ -330,7 +330,7 @@
 			}
 		}
 		tables[0].Answered([]string{"sound"}, at(100))
-		for i := range crashesToRefuse {
+		for i := range CrashesToRefuse {
 			table := tables[rng.IntN(len(tables))]
 			table.Crashed([]string{"fatal", "sound"}, end(i, 1000+i*1000))
 		}
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -38,7 +38,7 @@
 func TestRequestIsRefusedFromTheThirdEndOn(t *testing.T) {
 	for ends := range 5 {
 		table := requestTable(ends)
-		wantRefused(t, table, 100*ends, ends >= crashesToRefuse, "r")
+		wantRefused(t, table, 100*ends, ends >= CrashesToRefuse, "r")
 		wantRefused(t, table, 100*ends, false, "other")
 	}
 }
@@ -48,7 +48,7 @@
 func TestEarlierAnswerDoesNotClearTheRequest(t *testing.T) {
 	table := &Table{Rules: RequestRules{}}
 	table.Answered([]string{"r"}, at(0))
-	for i := range crashesToRefuse {
+	for i := range CrashesToRefuse {
 		table.Crashed([]string{"r"}, requestEnd(i, 100*(i+1)))
 	}
 	wantRefused(t, table, 400, true, "r")
@@ -59,11 +59,11 @@
 func TestWholeAnswerClearsTheRequestEverywhere(t *testing.T) {
 	for seed := range uint64(50) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		answering, late := requestTable(crashesToRefuse), requestTable(1)
+		answering, late := requestTable(CrashesToRefuse), requestTable(1)
 		answering.Answered([]string{"r"}, at(310))
 		answering.Answered([]string{"r"}, at(1200))
 		for ms := 400; ms < 2000; ms += 50 {
-			late.Merge(delayed(requestTable(crashesToRefuse).Known("r"), time.Duration(rng.IntN(40))*time.Millisecond), at(ms))
+			late.Merge(delayed(requestTable(CrashesToRefuse).Known("r"), time.Duration(rng.IntN(40))*time.Millisecond), at(ms))
 			for _, c := range answering.Recent(at(ms)) {
 				late.Merge(delayed(c, time.Duration(rng.IntN(40))*time.Millisecond), at(ms))
 			}
@@ -78,7 +78,7 @@
 // good what was lost with endpoints that ended together, and against ending one endpoint after the
 // other by trials.
 func TestRefusedRequestIsTriedOnceItsCallersHaveGivenUp(t *testing.T) {
-	table := requestTable(crashesToRefuse)
+	table := requestTable(CrashesToRefuse)
 	left := int(callerTime.Milliseconds())
 	wantTried(t, table, 300+left-1, false)
 	wantTried(t, table, 300+left, true)
@@ -104,7 +104,7 @@
 
 // A trial finds no endpoint. Guards against waiting for the next one as if it had been sent.
 func TestTrialThatWasNotSentIsGivenBack(t *testing.T) {
-	table := requestTable(crashesToRefuse)
+	table := requestTable(CrashesToRefuse)
 	ms := 300 + int(callerTime.Milliseconds())
 	wantTried(t, table, ms, true)
 	table.TrialUnsent([]string{"r"})
@@ -114,7 +114,7 @@
 
 // A trial is answered. Guards against a refusal that goes on.
 func TestTrialThatIsAnsweredClearsTheRequest(t *testing.T) {
-	table := requestTable(crashesToRefuse)
+	table := requestTable(CrashesToRefuse)
 	ms := 300 + int(callerTime.Milliseconds())
 	wantTried(t, table, ms, true)
 	table.Answered([]string{"r"}, at(ms+20))
@@ -123,7 +123,7 @@
 
 // Other entries' reports must not make more of a trial that failed than one entry does.
 func TestFailedTrialsAreMerged(t *testing.T) {
-	table, other := requestTable(crashesToRefuse), requestTable(crashesToRefuse)
+	table, other := requestTable(CrashesToRefuse), requestTable(CrashesToRefuse)
 	ms := 300 + int(callerTime.Milliseconds())
 	wantTried(t, table, ms, true)
 	table.Crashed([]string{"r"}, requestEnd(10, ms+50))
@@ -132,7 +132,7 @@
 		table.Merge(other.Known("r"), at(ms+70))
 	}
 	for name, c := range map[string]Case{"its own": table.Known("r"), "another's": other.Known("r")} {
-		if c.FailedTrials != 1 || len(c.Crashes) != crashesToRefuse+1 {
+		if c.FailedTrials != 1 || len(c.Crashes) != CrashesToRefuse+1 {
 			t.Errorf("%s: %+v", name, c)
 		}
 	}
@@ -154,7 +154,7 @@
 	if len(table.Known("r").Crashes) != 0 {
 		t.Error("kept")
 	}
-	table = requestTable(crashesToShare)
+	table = requestTable(CrashesToShare)
 	table.Expire(at(brief + 1000))
 	if len(table.Cases()) != 1 {
 		t.Error("a case of two ends is not exchanged and kept")
--- a/internal/quarantine/rules.go
+++ b/internal/quarantine/rules.go
@@ -21,12 +21,12 @@
 func (RequestRules) rules() {}
 
 const (
-	// crashesToRefuse is the number of endpoints that must have ended under a request, or under a part
+	// CrashesToRefuse is the number of endpoints that must have ended under a request, or under a part
 	// which no answer is known to have had. One or two may be coincidence.
-	crashesToRefuse = 3
-	// crashesToShare is the number of endpoints that must have ended under a request for its case to be
+	CrashesToRefuse = 3
+	// CrashesToShare is the number of endpoints that must have ended under a request for its case to be
 	// exchanged and kept like one against a part. Each request that an endpoint had has one when it ends.
-	crashesToShare = 2
+	CrashesToShare = 2
 	// crashesToRefuseAnswered is the same for a part that was answered before. Requests that share
 	// their first part with most others are on every endpoint that ends.
 	crashesToRefuseAnswered = 5
@@ -62,13 +62,13 @@
 
 // lasts reports whether a case is exchanged, and kept for caseTTL. Others are kept for briefCaseTTL.
 func (t *Table) lasts(r *record) bool {
-	return !t.isOfRequests() || r.weight() >= crashesToShare
+	return !t.isOfRequests() || r.weight() >= CrashesToShare
 }
 
 // crashesToRefuse returns the number of crashes from which on the subject is refused.
 func (t *Table) crashesToRefuse(r *record) int {
 	if t.isOfRequests() || r.AnsweredAt.IsZero() {
-		return crashesToRefuse
+		return CrashesToRefuse
 	}
 	return crashesToRefuseAnswered
 }
@@ -100,18 +100,15 @@
 	if r.ordered() || r.FailedTrials >= maxFailedTrials {
 		return false
 	}
-	interval := partTrialInterval(t.explained(r, account, subjects, now))
-	if t.isOfRequests() {
-		interval = r.requestTrialInterval()
-	}
-	return now.Sub(later(r.lastCrash(), r.lastTrial())) >= interval
-}
-
-func partTrialInterval(explained bool) time.Duration {
-	if explained {
-		return explainedTrialInterval
+	since := now.Sub(later(r.lastCrash(), r.lastTrial()))
+	switch {
+	case t.isOfRequests():
+		return since >= r.requestTrialInterval()
+	case t.explained(r, account, subjects, now):
+		return since >= explainedTrialInterval
+	default:
+		return since >= trialInterval
 	}
-	return trialInterval
 }
 
 // requestTrialInterval returns the time without a crash or a trial after which a refused request is
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -9,10 +9,6 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// retryAfterQuarantine is the Retry-After time of a request under which, or under a part of whose
-// prompt, endpoints end. The refusal does not pass by itself while the request is asked for.
-const retryAfterQuarantine = time.Minute
-
 // Subjects is what a request may be refused for because endpoints end under it.
 type Subjects struct {
 	Account string
@@ -31,16 +27,6 @@
 // Empty reports whether there are no cases.
 func (c Cases) Empty() bool { return len(c.Parts) == 0 && len(c.Requests) == 0 }
 
-// partRefusal returns the refusal of a request with a part that endpoints crash on.
-func partRefusal(part string) *result.Error {
-	return result.New(result.PromptPartRefused, "part "+part).WithRetryAfter(retryAfterQuarantine)
-}
-
-// requestRefusal returns the refusal of a request under which endpoints end.
-func requestRefusal(fingerprint string) *result.Error {
-	return result.New(result.RequestRefused, "fingerprint "+fingerprint).WithRetryAfter(retryAfterQuarantine)
-}
-
 // checkSubjects returns why a request is refused because endpoints end under it, or nil. isTrial means
 // that it is let through although the request is refused.
 func (st *State) checkSubjects(s Subjects, now time.Time) (isTrial bool, e *result.Error) {
@@ -49,12 +35,12 @@
 	c, changes := st.parts.Check(s.Account, s.Parts, st.isTrialEntry, now)
 	st.notePartChanges(changes, "", now)
 	if c != nil {
-		return false, partRefusal(c.Subject)
+		return false, quarantine.PartRefusal(c.Subject)
 	}
 	c, changes = st.requests.Check(s.Account, s.requests(), st.isTrialEntry, now)
 	st.noteRequestChanges(changes, "", now)
 	if c != nil {
-		return false, requestRefusal(c.Subject)
+		return false, quarantine.RequestRefusal(c.Subject)
 	}
 	return len(changes) > 0, nil
 }
@@ -102,11 +88,11 @@
 func (st *State) refusalOf(s Subjects, now time.Time) *result.Error {
 	for _, part := range s.Parts {
 		if st.parts.Refuses(s.Account, []string{part}, now) {
-			return partRefusal(part)
+			return quarantine.PartRefusal(part)
 		}
 	}
 	if st.requests.Refuses(s.Account, s.requests(), now) {
-		return requestRefusal(s.Fingerprint)
+		return quarantine.RequestRefusal(s.Fingerprint)
 	}
 	return nil
 }
