One function lists the hosts of a data centre

Frontend.relistHosts repeated the first half of fleet.ListHosts. ListHosts lists them now, and ListHostsOrEntries, which it was, asks for all entries where there are none. No behaviour changed.

--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -18,17 +18,24 @@
 	ListStale(ctx context.Context, prefix string) ([]platform.KeyValue, error)
 }
 
-// ListHosts returns the hosts of a data centre, or all entries of the fleet if there are none: they
-// become hosts if they are asked. onError is called with the error of each key that can't be read.
+// ListHosts returns the hosts of a data centre. onError is called with the error of each key that
+// can't be read.
 func ListHosts(ctx context.Context, store Lister, dataCentre string, onError func(error)) ([]Member, error) {
 	kvs, err := store.ListStale(ctx, HostsPrefix(dataCentre))
 	if err != nil {
 		return nil, err
 	}
-	if hosts := DecodeHosts(kvs, onError); len(hosts) > 0 {
-		return hosts, nil
+	return decodeHosts(kvs, onError), nil
+}
+
+// ListHostsOrEntries returns what ListHosts does, or all entries of the fleet if there are no hosts:
+// they become hosts if they are asked.
+func ListHostsOrEntries(ctx context.Context, store Lister, dataCentre string, onError func(error)) ([]Member, error) {
+	hosts, err := ListHosts(ctx, store, dataCentre, onError)
+	if err != nil || len(hosts) > 0 {
+		return hosts, err
 	}
-	kvs, err = store.ListStale(ctx, KindPrefix(Entry))
+	kvs, err := store.ListStale(ctx, KindPrefix(Entry))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -31,7 +31,7 @@
 	onError := func(err error) { t.Error(err) }
 	want := func(dataCentre string, names ...string) {
 		t.Helper()
-		listed, err := ListHosts(t.Context(), f.store, dataCentre, onError)
+		listed, err := ListHostsOrEntries(t.Context(), f.store, dataCentre, onError)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -65,7 +65,7 @@
 // Guards against a key that names another host, which would be asked in its place.
 func TestMalformedHostsAreReported(t *testing.T) {
 	reported := 0
-	listed := DecodeHosts([]platform.KeyValue{
+	listed := decodeHosts([]platform.KeyValue{
 		platform.NewKeyValue(HostsPrefix("a")+"h", []byte(`{"kind":"entry","name":"other","dataCentre":"a"}`), 1, 0),
 		platform.NewKeyValue(HostsPrefix("a")+"i", []byte(`{`), 1, 0),
 	}, func(error) { reported++ })
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -70,9 +70,9 @@
 // HostKey returns the key by which processes of its data centre find the member if it is a host.
 func (m Member) HostKey() string { return HostsPrefix(m.DataCentre) + m.Name }
 
-// DecodeHosts decodes the hosts among items of the store. onError is called with the error of each
+// decodeHosts decodes the hosts among items of the store. onError is called with the error of each
 // that can't be read.
-func DecodeHosts(items []platform.KeyValue, onError func(error)) []Member {
+func decodeHosts(items []platform.KeyValue, onError func(error)) []Member {
 	var out []Member
 	for _, item := range items {
 		var m Member
--- a/internal/frontend/start.go
+++ b/internal/frontend/start.go
@@ -112,7 +112,7 @@
 // once.
 func (f *Frontend) discoverEntries(ctx context.Context) {
 	for retryDelay := minDiscoveryRetry; f.aloneUntil.Load() == nil && ctx.Err() == nil; retryDelay = min(2*retryDelay, maxDiscoveryRetry) {
-		listed, err := fleet.ListHosts(ctx, f.store, f.Settings.DataCentre, f.logMalformed)
+		listed, err := fleet.ListHostsOrEntries(ctx, f.store, f.Settings.DataCentre, f.logMalformed)
 		if err != nil {
 			f.storeFailed(err)
 			pause.For(ctx, retryDelay)
@@ -131,12 +131,12 @@
 
 // relistHosts replaces the hosts by those that the store lists now.
 func (f *Frontend) relistHosts(ctx context.Context) {
-	kvs, err := f.store.ListStale(ctx, fleet.HostsPrefix(f.Settings.DataCentre))
+	hosts, err := fleet.ListHosts(ctx, f.store, f.Settings.DataCentre, f.logMalformed)
 	if err != nil {
 		f.callFailed(err)
 		return
 	}
-	f.setListed(fleet.DecodeHosts(kvs, f.logMalformed))
+	f.setListed(hosts)
 }
 
 // setListed replaces what is known of the entries, while this one has no state, by what the store
--- a/internal/ranker/register.go
+++ b/internal/ranker/register.go
@@ -61,7 +61,7 @@
 // are none. If the store doesn't answer, it returns those that it last listed: it may answer one of
 // them.
 func (r *Ranker) listedEntries(ctx context.Context) []fleet.Member {
-	listed, err := fleet.ListHosts(ctx, r.store, r.Settings.DataCentre, r.logMalformed)
+	listed, err := fleet.ListHostsOrEntries(ctx, r.store, r.Settings.DataCentre, r.logMalformed)
 	if err != nil {
 		r.logStoreFailure(err)
 		return r.lastListed
