--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -104,12 +104,13 @@
 		err = a.client.Do(ctx, call, s.take)
 	}
 	if fellUnder(err) {
-		at.noteFall(a.falls.note(a.now()))
-	}
-	// A falling endpoint drops the requests that it has just taken: their
-	// outcome is unknown, and the next one must already find it cold.
-	if result.CodeOf(err) == result.OutcomeUnknown && endpoint.ConnectionLost(err) {
-		a.restarted(allowance.ConnectionLost, a.now())
+		now = a.now()
+		at.noteFall(a.falls.note(now))
+		// A falling endpoint drops the requests that it has just taken: their
+		// outcome is unknown, and the next one must already find it cold.
+		if result.CodeOf(err) == result.OutcomeUnknown {
+			a.restarted(allowance.ConnectionLost, now)
+		}
 	}
 	a.recordRest(err, a.now())
 	return ranError(ctx, err)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -94,10 +94,10 @@
 		return
 	}
 	isNew := rec == nil || e.StartMillis != rec.endpoint.StartMillis
+	if rec != nil {
+		d.unindex(rec.endpoint.Entry)
+	}
 	if isNew {
-		if rec != nil {
-			d.unindex(rec.endpoint.Entry)
-		}
 		rec = &record{}
 		d.entries[e.ID] = rec
 	}
@@ -106,7 +106,6 @@
 	if isNew && d.listed {
 		coldUntil = latest(coldUntil, now.Add(d.coldStart(e.Service)))
 	}
-	d.unindex(rec.endpoint.Entry)
 	rec.endpoint.Entry = e
 	d.index(e)
 	rec.endpoint.ColdUntil = latest(rec.endpoint.ColdUntil, coldUntil)
