--- a/internal/frontend/ended_test.go
+++ b/internal/frontend/ended_test.go
@@ -11,23 +11,20 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/caller"
-	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fanout"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
 	"github.com/hyssoprelay/hyssoprelay/internal/relay"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
-	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
 const testFingerprint = "0123456789abcdef0123456789abcdef"
 
 // endUnder has an entry record and announce that the i-th endpoint ended under a request.
 func (e *entry) endUnder(i int) {
-	ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}
 	s := relay.Subjects{Account: "t1", Fingerprint: testFingerprint}
-	e.announceEnd(context.Background(), e.state.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Minute, boottime.Now()))
+	e.announceEnd(context.Background(), e.state.RecordEnd(goneEndpoint(i), s, time.Minute, boottime.Now()))
 }
 
 // waitUntilAllKnown waits until each entry knows all.
@@ -77,25 +74,11 @@
 func TestWaitingCopyOfARefusedRequestIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, 1)
-	s.endpoints[0].Behave(standin.Hangs)
 	e := s.start("entry0", s.store.Addr())
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	const slots = 10 // six, and four in the endpoint's queue
-	for i := range slots {
-		go e.request(ctx, "/look/other", fmt.Sprint("busy", i), "k1")
-	}
-	s.eventually("all slots are taken", func() bool { return len(s.endpoints[0].Arrivals()) == slots })
-	done := make(chan response, 1)
-	go func() { done <- e.request(context.Background(), "/look/1", "q", "k1") }()
-	s.eventually("the request waits", func() bool { return len(e.state.WaitingServices()) == 1 })
 	raw := &caller.RawRequest{Method: http.MethodGet, Host: "h", Target: "/look/1"}
-	e.state.OrderRequest(relay.Fingerprint("t1", raw, "\n\n"), true, boottime.Now())
-	resp := <-done
-	s.wantStatus(resp, http.StatusServiceUnavailable)
-	if code := resp.header.Get("X-Result-Code"); code != "2024" || s.runs("q") != 0 {
-		t.Errorf("code %s, %d runs", code, s.runs("q"))
-	}
+	send := func() response { return e.request(context.Background(), "/look/1", "q", "k1") }
+	refuse := func() { e.state.OrderRequest(relay.Fingerprint("t1", raw, "\n\n"), true, boottime.Now()) }
+	s.wantRefusedWhileItWaits(e, send, refuse, "2024")
 }
 
 // An operator has a request refused at one entry, and lifts that at another. Guards against entries that
@@ -105,8 +88,7 @@
 	s := newSystem(t, 1)
 	entries := s.startEntries(2)
 	order := func(e *entry, refuse bool) {
-		o := &fleetpb.PartOrder{Part: testFingerprint, Refuse: refuse, Request: true}
-		if _, err := (&service{frontend: e.Frontend}).Parts(context.Background(), &fleetpb.PartsRequest{Order: o}); err != nil {
+		if err := e.give(&fleetpb.PartOrder{Part: testFingerprint, Refuse: refuse, Request: true}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -130,9 +112,8 @@
 	st := &relay.State{Name: "entry0"}
 	st.Init(now)
 	for i := range quarantine.CrashesToRefuse {
-		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}
 		s := relay.Subjects{Account: "account", Fingerprint: testFingerprint}
-		c := st.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Second, now)
+		c := st.RecordEnd(longNamedEndpoint(i, now), s, time.Second, now)
 		q := &fleetpb.EndedRequest{RequestCases: encodeCases([]quarantine.Case{c}, now), To: fleetpb.Passing_SUBGROUP}
 		t.Logf("%d ends: %d bytes", len(c.Crashes), proto.Size(q))
 		if n := proto.Size(q); n > maxBytes {
@@ -165,9 +146,8 @@
 	st := &relay.State{Name: "entry0"}
 	st.Init(now)
 	for i := range 1000 {
-		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}
 		s := relay.Subjects{Account: "account", Fingerprint: fmt.Sprintf("%032x", i%100)}
-		st.RecordEnd(relay.Assignment{Endpoint: ep}, s, time.Second, now.Add(time.Duration(i)*time.Millisecond/4))
+		st.RecordEnd(longNamedEndpoint(i, now), s, time.Second, now.Add(time.Duration(i)*time.Millisecond/4))
 	}
 	now = now.Add(250 * time.Millisecond)
 	if n := proto.Size(&fleetpb.EntryWork{RequestCases: encodeCases(st.RecentCases(now).Requests, now)}); n > maxWorkBytes || n == 0 {
--- a/internal/frontend/parts_test.go
+++ b/internal/frontend/parts_test.go
@@ -23,10 +23,48 @@
 
 // order gives an operator's order about a part to an entry.
 func (e *entry) order(part string, refuse bool) error {
-	_, err := (&service{frontend: e.Frontend}).Parts(context.Background(), &fleetpb.PartsRequest{Order: &fleetpb.PartOrder{Part: part, Refuse: refuse}})
+	return e.give(&fleetpb.PartOrder{Part: part, Refuse: refuse})
+}
+
+// give gives an operator's order to an entry.
+func (e *entry) give(o *fleetpb.PartOrder) error {
+	_, err := (&service{frontend: e.Frontend}).Parts(context.Background(), &fleetpb.PartsRequest{Order: o})
 	return err
 }
 
+// goneEndpoint returns an assignment to the i-th of endpoints that have ended.
+func goneEndpoint(i int) relay.Assignment {
+	return relay.Assignment{Endpoint: directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}}
+}
+
+// longNamedEndpoint is goneEndpoint for endpoints with IDs as long as those of the platform.
+func longNamedEndpoint(i int, now time.Time) relay.Assignment {
+	return relay.Assignment{Endpoint: directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}}
+}
+
+// wantRefusedWhileItWaits checks that a request that send sends, under the ID q, and that waits for a
+// slot, is refused as not run with a code once refuse is called.
+func (s *system) wantRefusedWhileItWaits(e *entry, send func() response, refuse func(), code string) {
+	s.t.Helper()
+	s.endpoints[0].Behave(standin.Hangs)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const slots = 10 // six, and four in the endpoint's queue
+	for i := range slots {
+		go e.request(ctx, "/look/busy", fmt.Sprint("busy", i), "k1")
+	}
+	s.eventually("all slots are taken", func() bool { return len(s.endpoints[0].Arrivals()) == slots })
+	done := make(chan response, 1)
+	go func() { done <- send() }()
+	s.eventually("the request waits", func() bool { return len(e.state.WaitingServices()) == 1 })
+	refuse()
+	resp := <-done
+	s.wantStatus(resp, http.StatusServiceUnavailable)
+	if got := resp.header.Get("X-Result-Code"); got != code || s.runs("q") != 0 {
+		s.t.Errorf("code %s, %d runs", got, s.runs("q"))
+	}
+}
+
 // wantPartRefused checks that a request with the part is refused as not run.
 func (s *system) wantPartRefused(e *entry, id string) {
 	s.t.Helper()
@@ -85,26 +123,16 @@
 func TestWaitingRequestsWithARefusedPartAreRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, 1)
-	s.endpoints[0].Behave(standin.Hangs)
 	e := s.start("entry0", s.store.Addr())
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	const slots = 10 // six, and four in the endpoint's queue
-	for i := range slots {
-		go e.request(ctx, "/look/1", fmt.Sprint("busy", i), "k1")
-	}
-	s.eventually("all slots are taken", func() bool { return len(s.endpoints[0].Arrivals()) == slots })
-	done := make(chan response, 1)
-	go func() { done <- e.requestWithPrompt(context.Background(), "/look/1", "q", "k1", promptWithPart) }()
-	s.eventually("the request waits", func() bool { return len(e.state.WaitingServices()) == 1 })
-	if err := e.order("bad1", true); err != nil {
-		t.Fatal(err)
+	send := func() response {
+		return e.requestWithPrompt(context.Background(), "/look/1", "q", "k1", promptWithPart)
 	}
-	resp := <-done
-	s.wantStatus(resp, http.StatusServiceUnavailable)
-	if code := resp.header.Get("X-Result-Code"); code != "2023" || s.runs("q") != 0 {
-		t.Errorf("code %s, %d runs", code, s.runs("q"))
+	refuse := func() {
+		if err := e.order("bad1", true); err != nil {
+			t.Fatal(err)
+		}
 	}
+	s.wantRefusedWhileItWaits(e, send, refuse, "2023")
 }
 
 // A thousand endpoints end within a second under requests with many parts. Guards against messages
@@ -115,9 +143,8 @@
 	st := &relay.State{Name: "entry0"}
 	st.Init(now)
 	for i := range 1000 {
-		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprintf("i-%010x", i*7919), StartMillis: uint64(now.UnixMilli())}}
 		parts := []string{fmt.Sprintf("%016x", i), fmt.Sprintf("%016x", i%7), "fatal"}
-		st.RecordCrash(relay.Assignment{Endpoint: ep}, "account", parts, now.Add(time.Duration(i)*time.Millisecond/4))
+		st.RecordCrash(longNamedEndpoint(i, now), "account", parts, now.Add(time.Duration(i)*time.Millisecond/4))
 	}
 	now = now.Add(250 * time.Millisecond)
 	one := st.Cases().Parts[:1]
@@ -137,8 +164,7 @@
 	entries := s.startEntries(2)
 	now := boottime.Now()
 	for i := range 3 {
-		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}
-		entries[i%2].state.RecordCrash(relay.Assignment{Endpoint: ep}, "t1", []string{"bad1"}, now.Add(time.Duration(i-3)*time.Second))
+		entries[i%2].state.RecordCrash(goneEndpoint(i), "t1", []string{"bad1"}, now.Add(time.Duration(i-3)*time.Second))
 	}
 	stored := func() int { return len(s.store.Keys(refusedPartPrefix)) }
 	s.eventually("the part is stored", func() bool { return stored() == 1 })
@@ -164,8 +190,7 @@
 	entries := s.startEntries(n)
 	now := boottime.Now()
 	for i := range 3 {
-		ep := directory.Endpoint{Entry: directory.Entry{ID: fmt.Sprint("gone-", i), StartMillis: uint64(i)}}
-		entries[i*4].state.RecordCrash(relay.Assignment{Endpoint: ep}, "t1", []string{"bad1"}, now.Add(time.Duration(i-3)*time.Second))
+		entries[i*4].state.RecordCrash(goneEndpoint(i), "t1", []string{"bad1"}, now.Add(time.Duration(i-3)*time.Second))
 	}
 	for _, e := range entries {
 		s.eventually("each entry refuses the part", func() bool { return e.state.RefusedParts(boottime.Now()) == 1 })
