--- a/internal/caller/admission/request.go
+++ b/internal/caller/admission/request.go
@@ -17,6 +17,8 @@
 	// Worth is the worth of a complete answer by the deadline. Zero or less
 	// means the default worth of the account.
 	Worth float64
+	// Class is the priority class of the request on its route; 0 is the most urgent.
+	Class int
 	// Priority orders the requests of one account, highest first. It gives no
 	// precedence over other accounts.
 	Priority int
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -34,7 +34,7 @@
 	at := timeOfAge(q.GetAgeMicros(), now)
 	loads := make([]relay.EndpointLoad, 0, len(targets))
 	for i, target := range targets {
-		l := relay.EndpointLoad{Address: target.GetEndpoint(), Slowdown: 1, Closed: q.GetClosed(), Forming: q.GetForming(), At: at}
+		l := relay.EndpointLoad{Address: target.GetEndpoint(), Slowdown: 1, Closed: q.GetClosed(), Forming: q.GetForming(), Group: q.GetList(), At: at}
 		l.Running = int(valueOr(q.GetRunning(), i, 0))
 		l.Queued = int(valueOr(q.GetQueued(), i, 0))
 		l.Slowdown = float64(valueOr(q.GetPace(), i, 100)) / 100
--- a/internal/frontend/work_test.go
+++ b/internal/frontend/work_test.go
@@ -185,6 +185,7 @@
 	report.Born = 7
 	report.Works = []*fleetpb.Work{{Endpoint: "i-1", Running: 2}}
 	report.Waiting = []string{"s"}
+	report.ServiceWaiting = []*fleetpb.ServiceWaiting{{Service: "s", ByClass: []uint32{1}}}
 	report.Limits = []*fleetpb.Limit{{Endpoint: "i-1", PerSecond: 3}}
 	report.Cases = []*fleetpb.PartCase{{Part: "ab", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-1"}}}}
 	report.RequestCases = []*fleetpb.PartCase{{Part: "cd", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-1"}}}}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -57,8 +57,8 @@
 	// AbandonAt is when the caller gives up if no part of the answer has arrived; zero means at
 	// Deadline.
 	AbandonAt time.Time
-	// Priority orders the requests of one account; 0 is the highest priority.
-	Priority int
+	// Class is the request's class among those of its service.
+	Class routing.Class
 }
 
 // Admit assigns a request to an endpoint, after waiting in the queue if necessary, or returns why
@@ -202,7 +202,7 @@
 	req := w.req
 	first := max(st.latencies.quick(req.Service.Name, req.TargetLatency, now), minFirstPartTime)
 	r := admission.Request{
-		ID: req.ID, Account: req.Account, Route: req.Service.Name, Worth: 1, Priority: -req.Priority,
+		ID: req.ID, Account: req.Account, Route: req.Service.Name, Worth: 1, Class: int(req.Class),
 		Deadline: req.FirstPartDeadline, ExpectedRunTime: first,
 	}
 	if w.late {
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -59,7 +59,7 @@
 	}
 	req := AdmitRequest{
 		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: j.accountName(), Subjects: j.subjects(),
-		FirstPartDeadline: j.firstPartDeadline(), Deadline: j.deadline, Priority: j.urgency(),
+		FirstPartDeadline: j.firstPartDeadline(), Deadline: j.deadline, Class: j.class(),
 		TargetLatency: j.route.TargetLatency, AskedBefore: j.askedBefore(), AbandonAt: j.abandonTime(),
 	}
 	assigned, e := st.Admit(ctx, req, j.relay.Now)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -111,15 +111,22 @@
 	return id == "" || id == j.requestInfo.ID
 }
 
-// maxUrgency is the least urgent value that endpoints accept.
-const maxUrgency = 9
+// class returns the request's class by the configuration with which it arrived.
+func (j *job) class() routing.Class {
+	return j.table.Class(j.service.Name, j.route, j.account)
+}
 
+// urgency returns the urgency for the endpoint. For a service with classes it is the class, so that
+// endpoints and the queue order requests alike.
 func (j *job) urgency() int {
+	if j.table.HasClasses(j.service.Name) {
+		return int(j.class())
+	}
 	p := j.route.Priority
 	if j.account != nil && j.account.Priority >= 0 {
 		p = j.account.Priority
 	}
-	return min(max(p, 0), maxUrgency)
+	return min(max(p, 0), int(routing.MaxClass))
 }
 
 // lostOutcome returns the outcome of an exchange that failed before its answer was complete.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -58,6 +58,8 @@
 	// Closed means that the endpoint's group accepts no requests, and Forming that the group is
 	// about to accept them.
 	Closed, Forming bool
+	// Group identifies the group of engines that work in lockstep; zero means unknown.
+	Group uint64
 	// At is when the load was measured, by this process's clock.
 	At time.Time
 }
@@ -71,6 +73,9 @@
 	Running map[string]int
 	// Waiting lists the services with waiting requests.
 	Waiting []string
+	// WaitingByClass holds the number of waiting requests that can meet their target, by service and
+	// then by class.
+	WaitingByClass map[string][]int
 	// Demand holds the requests per second by service, for services whose endpoints accept a limited
 	// rate.
 	Demand map[string]float64
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -159,6 +159,8 @@
 	accounts map[string]*Account
 	keys     map[string]*Account
 	limits   Limits
+	// classes holds the classes of the services that have them.
+	classes map[string][]classKey
 }
 
 // AccountKeys is an account together with its keys.
@@ -176,6 +178,7 @@
 		routes:   len(routes),
 		services: make(map[string]*Service, len(services)),
 		limits:   limits,
+		classes:  serviceClasses(routes, accounts),
 	}
 	for _, r := range routes {
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
