--- a/internal/frontend/hub.go
+++ b/internal/frontend/hub.go
@@ -125,7 +125,7 @@
 		queued := all[name]
 		w := queued.work
 		out = append(out, &fleetpb.EntryWork{
-			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(),
+			Name: w.GetName(), Born: w.GetBorn(), Number: w.GetNumber(), Works: w.GetWorks(), Waiting: w.GetWaiting(), ServiceWaiting: w.GetServiceWaiting(),
 			Limits:       w.GetLimits(),
 			Cases:        w.GetCases(),
 			RequestCases: w.GetRequestCases(),
