Order waiting requests by priority class

Requests of all accounts competed by worth and fair share alone, so an urgent request could wait behind a batch of another account. Each route now has a queue per class with the former order within it; the most urgent class goes first, and a tenth of the work goes to the classes below it, evenly. A full queue displaces the least urgent requests down to a floor for each class. With classes in the configuration, services share the queue equally, late requests go last and callers that have come back go first within their class. Waits and retry times are estimated per class.

--- a/internal/caller/admission/controller.go
+++ b/internal/caller/admission/controller.go
@@ -37,12 +37,14 @@
 	nextRoute     int
 	items         map[string]*item
 	byLatestStart itemHeap
-	displaceable  itemHeap
-	waiting       int
-	running       int
-	protected     int
-	seq           uint64
-	draining      bool
+	// shares holds the places of each service in the queue, and under the empty
+	// name those of all routes without a configuration.
+	shares    []*places
+	waiting   int
+	running   int
+	protected int
+	seq       uint64
+	draining  bool
 }
 
 func (c *Controller) init() {
@@ -53,7 +55,6 @@
 	c.routes = make(map[string]*route)
 	c.items = make(map[string]*item)
 	c.byLatestStart = itemHeap{less: latestStartBefore, heapIndex: heapLatestStart}
-	c.displaceable = itemHeap{less: displacedBefore, heapIndex: heapDisplaceable}
 	if c.MaxWaiting <= 0 {
 		c.MaxWaiting = DefaultMaxWaiting
 	}
@@ -110,7 +111,11 @@
 	}
 	delete(c.accounts, name)
 	for _, r := range c.routes {
-		delete(r.flows, name)
+		for _, q := range r.classes {
+			if q != nil {
+				delete(q.flows, name)
+			}
+		}
 	}
 }
 
@@ -118,9 +123,10 @@
 // the limits have changed.
 func (c *Controller) recomputeWeights() {
 	for _, r := range c.routes {
-		r.activeWeight = 0
-		for _, f := range r.byVirtualTime.flows {
-			r.activeWeight += f.account.limits.Weight
+		for _, q := range r.classes {
+			if q != nil {
+				q.recomputeWeight()
+			}
 		}
 	}
 }
@@ -139,7 +145,7 @@
 }
 
 // Arrive decides about a new request. It calls place at most once, and only if
-// nothing is waiting on the same route. The result is a Start, Wait or Refused.
+// nothing of the same or a more urgent class is waiting on the same route. The result is a Start, Wait or Refused.
 func (c *Controller) Arrive(req Request, now time.Time, place Placer) Decision {
 	c.init()
 	a, code := c.validate(&req)
@@ -147,7 +153,7 @@
 		return Refused{Code: code, RetryAfter: c.shutdownRetryAfter(code, req.ID)}
 	}
 	r := c.routeFor(req.Route)
-	r.drain.advance(now, r.waiting > 0)
+	r.drain.advance(now, r.mostUrgentWaiting())
 	it := c.newItem(req, a, r, now)
 	if refusal, ok := c.checkDeadline(it, r, now); !ok {
 		return refusal
@@ -155,9 +161,9 @@
 	if refusal, ok := c.checkLimits(it, now); !ok {
 		return refusal
 	}
-	if r.waiting == 0 && place(&it.req) {
+	if r.startsAtOnce(it.flow.class.number) && place(&it.req) {
 		c.admit(it)
-		r.arrivals.add(it.band, it.work, now)
+		r.countArrival(it, now)
 		c.start(it, r, false, false, now)
 		return Start{}
 	}
@@ -192,7 +198,7 @@
 func (c *Controller) routeFor(name string) *route {
 	r := c.routes[name]
 	if r == nil {
-		r = newRoute()
+		r = &route{places: c.placesFor("")}
 		c.routes[name] = r
 		c.routeOrder = append(c.routeOrder, r)
 	}
@@ -207,7 +213,7 @@
 		req.Deadline = now.Add(c.DefaultDeadline)
 	}
 	c.seq++
-	it := &item{req: req, account: a, seq: c.seq, arrivedAt: now, flow: r.flowFor(a, c.seq)}
+	it := &item{req: req, account: a, seq: c.seq, arrivedAt: now, flow: r.class(req.Class).flowFor(a, c.seq)}
 	it.work = c.expectedWork(req, r)
 	it.band = densityBand(req.Worth, it.work)
 	it.latestStart = req.Deadline.Add(-toDuration(it.work * r.runTimes.currentOverrun(now)))
@@ -238,9 +244,6 @@
 	c.running++
 	r.running++
 	r.charge(it, c.FairFraction, fair, queued)
-	if queued {
-		r.drain.work += it.work
-	}
 }
 
 // SkipDrainTime advances the drain meter of a route to now without counting the
@@ -248,7 +251,7 @@
 // request could have started, however fast the endpoints are.
 func (c *Controller) SkipDrainTime(name string, now time.Time) {
 	c.init()
-	c.routeFor(name).drain.advance(now, false)
+	c.routeFor(name).drain.advance(now, numClasses)
 }
 
 // Done records that a running request has ended at its endpoint, with or
@@ -260,7 +263,7 @@
 		return
 	}
 	r := c.routeFor(it.req.Route)
-	r.drain.advance(now, r.waiting > 0)
+	r.drain.advance(now, r.mostUrgentWaiting())
 	if !it.running {
 		c.dequeue(it, r)
 		c.removeItem(it, r)
@@ -268,7 +271,7 @@
 	}
 	actual := now.Sub(it.startedAt).Seconds()
 	r.runTimes.observe(actual, it.work, it.req.ExpectedRunTime > 0, now)
-	r.correctCharge(it, actual)
+	it.flow.class.correctCharge(it, actual)
 	c.removeItem(it, r)
 }
 
--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -32,16 +32,19 @@
 // are waiting. It counts starts rather than completions, so that a freed slot
 // counts in the same way whether its request completed, failed or was
 // cancelled.
+//
+// It measures each class together with the more urgent ones, while one of these
+// waits: the index of a figure is the least urgent class that it includes.
 type drainMeter struct {
 	// work is the work started from the queue, and waitingTime the time with
 	// waiting requests, both in seconds and with exponential decay.
-	work, waitingTime float64
+	work, waitingTime [numClasses]float64
 	updatedAt         time.Time
 }
 
-// advance moves the meter to now. waiting reports whether requests were waiting
-// since the last call.
-func (m *drainMeter) advance(now time.Time, waiting bool) {
+// advance moves the meter to now. mostUrgent is the most urgent class of which
+// requests were waiting since the last call, or numClasses if none were.
+func (m *drainMeter) advance(now time.Time, mostUrgent int) {
 	if m.updatedAt.IsZero() {
 		m.updatedAt = now
 	}
@@ -50,18 +53,55 @@
 		return
 	}
 	m.updatedAt = now
-	if !waiting {
+	if mostUrgent >= numClasses {
 		return
 	}
 	decay := math.Exp(-dt / drainTimeConstant.Seconds())
-	m.work *= decay
-	m.waitingTime = m.waitingTime*decay + dt
+	for i := mostUrgent; i < numClasses; i++ {
+		m.work[i] *= decay
+		m.waitingTime[i] = m.waitingTime[i]*decay + dt
+	}
+}
+
+// start counts work of a class that started while requests waited. A negative
+// amount takes back work that was counted before.
+func (m *drainMeter) start(class int, work float64) {
+	for i := class; i < numClasses; i++ {
+		m.work[i] = math.Max(0, m.work[i]+work)
+	}
+}
+
+// rate returns the drain rate of a class and the more urgent ones in work per
+// second. Without measurements it assumes that each running request completes
+// one second of work per second.
+func (m *drainMeter) rate(class, running int) float64 {
+	return (m.work[class] + drainPriorWeight*float64(running)) / (m.waitingTime[class] + drainPriorWeight)
+}
+
+// classMeter measures the rate of admitted work per class.
+type classMeter struct {
+	work      [numClasses]float64
+	updatedAt time.Time
 }
 
-// rate returns the drain rate in work per second. Without measurements it
-// assumes that each running request completes one second of work per second.
-func (m *drainMeter) rate(running int) float64 {
-	return (m.work + drainPriorWeight*float64(running)) / (m.waitingTime + drainPriorWeight)
+func (m *classMeter) add(class int, work float64, now time.Time) {
+	if dt := now.Sub(m.updatedAt).Seconds(); dt > 0 {
+		decay := math.Exp(-dt / drainTimeConstant.Seconds())
+		for i := range m.work {
+			m.work[i] *= decay
+		}
+		m.updatedAt = now
+	}
+	m.work[class] += work / drainTimeConstant.Seconds()
+}
+
+// above returns the admitted work per second in classes that are more urgent
+// than class.
+func (m *classMeter) above(class int) (sum float64) {
+	for _, w := range m.work[:class] {
+		sum += w
+	}
+	return sum
 }
 
 // arrivalMeter measures the rate of admitted work per density band.
@@ -161,8 +201,18 @@
 	updatedAt time.Time
 }
 
-// retryAfter returns the delay after which the caller of request id should
-// retry.
+// add counts a refusal.
+func (t *refusalTracker) add(now time.Time) {
+	dt := now.Sub(t.updatedAt).Seconds()
+	if dt > 0 {
+		t.recent *= math.Exp(-dt / refusalTimeConstant.Seconds())
+		t.updatedAt = now
+	}
+	t.recent++
+}
+
+// retryAfter counts a refusal and returns the delay after which the caller of
+// request id should retry.
 //
 // Callers that are refused at the same moment and retry at the same moment
 // would be refused again, repeatedly and in lockstep. Retries are therefore
@@ -170,12 +220,7 @@
 // that each second of this window receives as many retries as can be served in
 // it. The offset in the window is a hash of id and is the same at each entry.
 func (t *refusalTracker) retryAfter(id string, minDelay time.Duration, serviceRate float64, now time.Time) time.Duration {
-	dt := now.Sub(t.updatedAt).Seconds()
-	if dt > 0 {
-		t.recent *= math.Exp(-dt / refusalTimeConstant.Seconds())
-		t.updatedAt = now
-	}
-	t.recent++
+	t.add(now)
 	window := 2 * MinRetryAfter.Seconds()
 	if serviceRate > 0 {
 		window = math.Max(window, t.recent/serviceRate)
@@ -185,6 +230,17 @@
 	return min(max(delay, MinRetryAfter), MaxRetryAfter)
 }
 
+// classRefusals counts the recent refusals of each class together with those of
+// the more urgent ones, whose retries are served first.
+type classRefusals [numClasses]refusalTracker
+
+func (t *classRefusals) retryAfter(class int, id string, minDelay time.Duration, serviceRate float64, now time.Time) time.Duration {
+	for i := class + 1; i < numClasses; i++ {
+		t[i].add(now)
+	}
+	return t[class].retryAfter(id, minDelay, serviceRate, now)
+}
+
 // hashFraction maps id to [0, 1) by hashing.
 func hashFraction(id string) float64 {
 	const bits = 53
--- a/internal/caller/admission/queue.go
+++ b/internal/caller/admission/queue.go
@@ -7,9 +7,13 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// displacedBefore orders the waiting requests that may be displaced: lowest
-// value density first, then largest weighted depth, then newest.
+// displacedBefore orders the waiting requests of one rank that may be displaced:
+// those of callers that have not asked before first, whose retry may still be
+// served, then lowest value density, then largest weighted depth, then newest.
 func displacedBefore(a, b *item) bool {
+	if a.req.AskedBefore != b.req.AskedBefore {
+		return b.req.AskedBefore
+	}
 	if a.band != b.band {
 		return a.band < b.band
 	}
@@ -37,7 +41,11 @@
 	if r.waiting > 0 {
 		expectedWait = r.estimateWait(it.flow, it.band, c.FairFraction)
 	}
-	if time.Duration(waitDiscount*float64(expectedWait)) <= slack && slack >= 0 {
+	likelyWait := expectedWait
+	if r.mostUrgentWaiting() < it.flow.class.number {
+		likelyWait = min(expectedWait, r.floorWait(it.flow.class))
+	}
+	if time.Duration(waitDiscount*float64(likelyWait)) <= slack && slack >= 0 {
 		return Refused{}, true
 	}
 	return c.refuse(it, r, result.DeadlineUnmeetable, expectedWait-max(slack, 0), now), false
@@ -59,10 +67,12 @@
 	return Refused{}, true
 }
 
-// refuse returns a refusal with a retry delay derived from the drain rate.
+// refuse returns a refusal with a retry delay derived from the drain rate of the
+// request's class.
 func (c *Controller) refuse(it *item, r *route, code result.Code, minDelay time.Duration, now time.Time) Refused {
-	serviceRate := r.drain.rate(r.running) / it.work
-	retryAfter := r.refusals.retryAfter(it.req.ID, minDelay, serviceRate, now)
+	class := it.flow.class.number
+	serviceRate := r.drain.rate(class, r.running) / it.work
+	retryAfter := r.refusals.retryAfter(class, it.req.ID, minDelay, serviceRate, now)
 	return Refused{Code: code, RetryAfter: retryAfter}
 }
 
@@ -70,31 +80,33 @@
 // another item or refuses this one.
 func (c *Controller) enqueue(it *item, r *route, now time.Time) Decision {
 	expectedWait := r.estimateWait(it.flow, it.band, c.FairFraction)
-	it.protected = c.mayProtect(it.account, r)
+	it.protected = c.mayProtect(it.account, it.flow.class)
 	it.weightedDepth = float64(it.account.waiting+1) / it.account.limits.Weight
 	var displaced []QueuedRefusal
 	if c.waiting >= c.MaxWaiting {
-		victim := c.displaceable.head()
-		if victim == nil || !(it.protected || displacedBefore(victim, it)) {
+		victim := c.victimFor(it)
+		if victim == nil {
 			return c.refuse(it, r, result.QueueFull, expectedWait, now)
 		}
-		displaced = append(displaced, c.evict(victim, result.Displaced, now))
+		refusal := c.evict(victim, result.Displaced, now)
+		refusal.ByRoute, refusal.ByClass = it.req.Route, it.flow.class.number
+		displaced = append(displaced, refusal)
 	}
 	c.admit(it)
-	r.arrivals.add(it.band, it.work, now)
+	r.countArrival(it, now)
 	c.insert(it, r)
 	return Wait{Expected: expectedWait, Displaced: displaced}
 }
 
 // mayProtect reports whether one more waiting request of a can be protected
 // from displacement. This guards against one account that floods the queue with
-// work of high worth: the accounts with waiting requests on the route divide
+// work of high worth: the accounts with waiting requests of the class divide
 // FairFraction of MaxWaiting by weight, and each may have as many protected
 // requests as its part of that, but at least one. Fair share thus always finds
 // requests of the other accounts. It reports false while half of MaxWaiting
 // requests, over all accounts, are protected.
-func (c *Controller) mayProtect(a *account, r *route) bool {
-	weight := r.activeWeight
+func (c *Controller) mayProtect(a *account, q *classQueue) bool {
+	weight := q.activeWeight
 	if a.waiting == 0 {
 		weight += a.limits.Weight
 	}
@@ -109,9 +121,8 @@
 	if it.protected {
 		c.protected++
 		it.account.protected++
-	} else {
-		c.displaceable.add(it)
 	}
+	r.places.add(it)
 	c.byLatestStart.add(it)
 	r.add(it)
 }
@@ -120,12 +131,11 @@
 func (c *Controller) dequeue(it *item, r *route) {
 	c.waiting--
 	it.account.waiting--
+	r.places.remove(it)
 	if it.protected {
 		c.protected--
 		it.account.protected--
 		it.protected = false
-	} else {
-		c.displaceable.remove(it)
 	}
 	c.byLatestStart.remove(it)
 	r.remove(it)
@@ -145,26 +155,33 @@
 // refuses those that can no longer meet their deadline. Call it after Done,
 // Arrive and Requeue, when a load report shows free slots, and at the time that
 // NextRefusal returns. The route that is served first rotates, because routes
-// may share endpoints.
+// may share endpoints; those for late requests are served last.
 func (c *Controller) Next(now time.Time, place Placer) (started []Request, refused []QueuedRefusal) {
 	c.init()
 	refused = c.expire(now)
+	started = c.startRoutes(false, nil, now, place)
+	started = c.startRoutes(true, started, now, place)
+	c.nextRoute++
+	return started, refused
+}
+
+// startRoutes starts requests of the routes for late requests, or of the others.
+func (c *Controller) startRoutes(late bool, started []Request, now time.Time, place Placer) []Request {
 	for i := range c.routeOrder {
 		r := c.routeOrder[(c.nextRoute+i)%len(c.routeOrder)]
-		if r.waiting == 0 {
+		if r.waiting == 0 || r.late != late {
 			continue
 		}
-		r.drain.advance(now, true)
+		r.drain.advance(now, r.mostUrgentWaiting())
 		started = c.startRoute(r, started, now, place)
 	}
-	c.nextRoute++
-	return started, refused
+	return started
 }
 
 func (c *Controller) startRoute(r *route, started []Request, now time.Time, place Placer) []Request {
 	for {
-		it, fair := r.pick()
-		if it == nil || !place(&it.req) {
+		it, fair := r.next(place)
+		if it == nil {
 			return started
 		}
 		c.dequeue(it, r)
@@ -212,9 +229,9 @@
 		return Refused{Code: result.MalformedRequest}
 	}
 	r := c.routeFor(it.req.Route)
-	r.drain.advance(now, r.waiting > 0)
-	r.correctCharge(it, 0)
-	r.drain.work = math.Max(0, r.drain.work-it.work)
+	r.drain.advance(now, r.mostUrgentWaiting())
+	it.flow.class.correctCharge(it, 0)
+	r.drain.start(it.flow.class.number, -it.work)
 	it.running = false
 	c.running--
 	r.running--
--- a/internal/caller/admission/request.go
+++ b/internal/caller/admission/request.go
@@ -17,7 +17,8 @@
 	// Worth is the worth of a complete answer by the deadline. Zero or less
 	// means the default worth of the account.
 	Worth float64
-	// Class is the priority class of the request on its route; 0 is the most urgent.
+	// Class is the priority class of the request on its route; 0 is the most
+	// urgent. It holds across accounts.
 	Class int
 	// Priority orders the requests of one account, highest first. It gives no
 	// precedence over other accounts.
@@ -32,6 +33,9 @@
 	// RunOnce marks a request that must not be run more than once. The
 	// Controller does not use it and passes it to the Placer.
 	RunOnce bool
+	// AskedBefore means that the caller was refused before and has come back. Of
+	// the requests of one class, it goes before those that have not.
+	AskedBefore bool
 	// Tokens is the number of prompt tokens plus expected output tokens. The
 	// Controller does not use it and passes it to the Placer.
 	Tokens int
@@ -77,4 +81,8 @@
 type QueuedRefusal struct {
 	ID string
 	Refused
+	// ByRoute and ByClass are the route and the class of the request that took
+	// the place. They are set only for result.Displaced.
+	ByRoute string
+	ByClass int
 }
--- a/internal/caller/admission/route.go
+++ b/internal/caller/admission/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -27,7 +28,7 @@
 const (
 	heapFlow = iota
 	heapLatestStart
-	heapDisplaceable
+	heapPlaces
 	numItemHeaps
 )
 
@@ -45,9 +46,9 @@
 	latestStart time.Time
 	startedAt   time.Time
 	running     bool
-	// protected reports that the item may not be displaced. weightedDepth is
-	// the number of requests that its account had waiting on arrival, this one
-	// included, divided by the account's weight.
+	// protected reports that requests of the same class may not displace the
+	// item. weightedDepth is the number of requests that its account had waiting
+	// on arrival, this one included, divided by the account's weight.
 	protected     bool
 	weightedDepth float64
 	// index holds the position of the item in each heap that contains it.
@@ -59,6 +60,9 @@
 	if a.req.Priority != b.req.Priority {
 		return a.req.Priority > b.req.Priority
 	}
+	if a.req.AskedBefore != b.req.AskedBefore {
+		return a.req.AskedBefore
+	}
 	if a.band != b.band {
 		return a.band > b.band
 	}
@@ -75,191 +79,101 @@
 	return a.seq < b.seq
 }
 
-// Indices into flow.index, one for each heap that a flow can be in.
-const (
-	heapVirtualTime = iota
-	heapDensity
-	numFlowHeaps
-)
-
-// flow is the queue of one account on one route.
-type flow struct {
-	account *account
-	queue   itemHeap
-	// work is the sum of the work of the waiting requests.
-	work float64
-	// virtualTime is the work started for the account divided by its weight.
-	virtualTime float64
-	seq         uint64
-	// index holds the position of the flow in each heap that contains it.
-	index [numFlowHeaps]int
-}
-
-func virtualTimeBefore(a, b *flow) bool {
-	if a.virtualTime != b.virtualTime {
-		return a.virtualTime < b.virtualTime
-	}
-	return a.seq < b.seq
-}
-
-func densityBefore(a, b *flow) bool {
-	x, y := a.queue.head(), b.queue.head()
-	if x.band != y.band {
-		return x.band > y.band
-	}
-	return virtualTimeBefore(a, b)
-}
-
-// route is the queue of one model or service, which consists of the flows of its
-// accounts, with the measurements of that queue.
+// route is the queue of one model or service, which consists of the queues of its
+// classes, with the measurements of the whole.
 type route struct {
-	flows         map[string]*flow
-	byVirtualTime flowHeap
-	byDensity     flowHeap
-	// virtualTime never decreases. An account that becomes active again starts
-	// no earlier than this, so that idle time earns no credit.
-	virtualTime float64
-	// fairCredit is the work that is due to picks by fair share.
-	fairCredit float64
-	// bandWork is the waiting work by band, and activeWeight the sum of the
-	// weights of flows with waiting requests.
-	bandWork     [bandCount]float64
-	arrivals     arrivalMeter
-	activeWeight float64
-	waiting      int
-	running      int
-	drain        drainMeter
-	runTimes     runStats
-	refusals     refusalTracker
-}
-
-func newRoute() *route {
-	return &route{
-		flows:         make(map[string]*flow),
-		byVirtualTime: flowHeap{less: virtualTimeBefore, heapIndex: heapVirtualTime},
-		byDensity:     flowHeap{less: densityBefore, heapIndex: heapDensity},
-	}
-}
-
-// flowFor returns the flow of a, creating it if needed.
-func (r *route) flowFor(a *account, seq uint64) *flow {
-	f := r.flows[a.limits.Account]
-	if f == nil {
-		f = &flow{account: a, seq: seq, queue: itemHeap{less: beforeInFlow, heapIndex: heapFlow}}
-		r.flows[a.limits.Account] = f
-	}
-	return f
+	// classes holds the queues of the classes that have had requests.
+	// waitingClasses has the bit of each class with waiting requests set.
+	classes        [numClasses]*classQueue
+	waitingClasses uint32
+	// floorCredit is the work that is due to classes below the most urgent one
+	// that waits, and floorTime the greatest classQueue.floorTime of a start
+	// that used it.
+	floorCredit, floorTime float64
+	// arrivals measures the admitted work by class.
+	arrivals classMeter
+	places   *places
+	// late reports that the requests of the route can no longer meet their
+	// latency target.
+	late     bool
+	waiting  int
+	running  int
+	drain    drainMeter
+	runTimes runStats
+	refusals classRefusals
+}
+
+// class returns the queue of a class, creating it if needed.
+func (r *route) class(class int) *classQueue {
+	class = min(max(class, 0), MaxClass)
+	if r.classes[class] == nil {
+		r.classes[class] = newClassQueue(r, class)
+	}
+	return r.classes[class]
 }
 
 func (r *route) add(it *item) {
-	f := it.flow
-	wasEmpty := f.queue.Len() == 0
-	f.queue.add(it)
-	f.work += it.work
-	r.bandWork[it.band] += it.work
+	q := it.flow.class
+	q.add(it)
+	r.waitingClasses |= 1 << q.number
 	r.waiting++
-	if !wasEmpty {
-		r.byDensity.fix(f)
-		return
-	}
-	f.virtualTime = math.Max(f.virtualTime, r.virtualTime)
-	r.activeWeight += f.account.limits.Weight
-	r.byVirtualTime.add(f)
-	r.byDensity.add(f)
 }
 
 func (r *route) remove(it *item) {
-	f := it.flow
-	f.queue.remove(it)
-	f.work -= it.work
-	r.bandWork[it.band] = math.Max(0, r.bandWork[it.band]-it.work)
+	q := it.flow.class
+	q.remove(it)
 	r.waiting--
-	if f.queue.Len() > 0 {
-		r.byDensity.fix(f)
-		return
+	if q.waiting == 0 {
+		r.waitingClasses &^= 1 << q.number
 	}
-	f.work = 0
-	r.byVirtualTime.remove(f)
-	// The empty flow has no head request to compare, so it is removed by index.
-	r.removeEmptyFlow(f)
-	r.resetWeightIfEmpty()
 }
 
-// removeEmptyFlow removes a flow with an empty queue from byDensity.
-func (r *route) removeEmptyFlow(f *flow) {
-	h := &r.byDensity
-	i, last := f.index[heapDensity], len(h.flows)-1
-	h.Swap(i, last)
-	h.flows[last] = nil
-	h.flows = h.flows[:last]
-	if i < last {
-		h.fix(h.flows[i])
-	}
+// countArrival counts an admitted request.
+func (r *route) countArrival(it *item, now time.Time) {
+	q := it.flow.class
+	q.arrivals.add(it.band, it.work, now)
+	r.arrivals.add(q.number, it.work, now)
 }
 
-// resetWeightIfEmpty discards accumulated rounding errors when no flow is
-// waiting.
-func (r *route) resetWeightIfEmpty() {
-	if len(r.byVirtualTime.flows) == 0 {
-		r.activeWeight = 0
-	}
+// mostUrgentWaiting returns the number of the most urgent class with waiting
+// requests, or numClasses if there is none.
+func (r *route) mostUrgentWaiting() int {
+	return min(bits.TrailingZeros32(r.waitingClasses), numClasses)
 }
 
-// pick returns the request to start next, or nil.
-//
-// Under sustained saturation, picking by value density alone would starve
-// accounts of low worth, and picking by fair share alone would spend scarce
-// capacity on work of low worth. A fixed fraction of the work is picked by fair
-// share, which bounds both effects.
-func (r *route) pick() (it *item, fair bool) {
+// startsAtOnce reports whether an arriving request of the class may start before
+// the waiting ones: all of them are less urgent.
+func (r *route) startsAtOnce(class int) bool { return class < r.mostUrgentWaiting() }
+
+// next assigns a slot to the request that goes next and returns it, or nil if
+// place assigns none. fair reports that it was picked by fair share.
+func (r *route) next(place Placer) (it *item, fair bool) {
 	if r.waiting == 0 {
 		return nil, false
 	}
-	if r.fairCredit >= 0 {
-		return r.byVirtualTime.flows[0].queue.head(), true
+	if q := r.floorClass(); q != nil {
+		if it, fair := q.pick(); place(&it.req) {
+			return it, fair
+		}
+		// The endpoints' free slots may be reserved for more urgent requests.
+	}
+	if it, fair = r.classes[r.mostUrgentWaiting()].pick(); place(&it.req) {
+		return it, fair
 	}
-	return r.byDensity.flows[0].queue.head(), false
+	return nil, false
 }
 
 // charge accounts for the start of an item, which must have left the queue.
 func (r *route) charge(it *item, fairFraction float64, fair, queued bool) {
-	f := it.flow
-	if f.queue.Len() == 0 {
-		f.virtualTime = math.Max(f.virtualTime, r.virtualTime)
-	}
-	r.virtualTime = math.Max(r.virtualTime, r.minVirtualTime(f))
-	f.virtualTime += it.work / f.account.limits.Weight
-	if f.queue.Len() > 0 {
-		r.byVirtualTime.fix(f)
-		r.byDensity.fix(f)
-	}
-	if !queued {
-		return
-	}
-	r.fairCredit += fairFraction * it.work
-	if fair {
-		r.fairCredit -= it.work
-	}
-}
-
-// minVirtualTime returns the minimum virtual time of f and the waiting flows.
-func (r *route) minVirtualTime(f *flow) float64 {
-	if len(r.byVirtualTime.flows) == 0 {
-		return f.virtualTime
-	}
-	return math.Min(f.virtualTime, r.byVirtualTime.flows[0].virtualTime)
-}
-
-// correctCharge replaces the expected running time by the actual one in the
-// charge to the account, so that accounts gain nothing from estimates that are
-// too low.
-func (r *route) correctCharge(it *item, actual float64) {
-	const maxRatio = 4 // bounds the charge if an endpoint stalls, which is not the account's fault
-	f := it.flow
-	f.virtualTime += (math.Min(actual, maxRatio*it.work) - it.work) / f.account.limits.Weight
-	if f.queue.Len() > 0 {
-		r.byVirtualTime.fix(f)
-		r.byDensity.fix(f)
+	q := it.flow.class
+	r.chargeFloor(q, it.work)
+	q.charge(it, fairFraction, fair, queued)
+	switch {
+	case queued:
+		r.drain.start(q.number, it.work)
+	case r.waiting > 0:
+		// It took a slot that less urgent requests wait for.
+		r.drain.start(r.mostUrgentWaiting(), it.work)
 	}
 }
 
@@ -267,33 +181,42 @@
 // waits: the lesser of its wait by value density and its wait by fair share. It
 // returns zero if the drain rate is unknown.
 //
-// By value density, the waiting work in the same and higher bands goes first,
-// and so does work that arrives in higher bands meanwhile. minResidualFraction
-// limits the effect of such arrivals, because bursts end. If all requests are
-// of equal worth, the estimate counts a subset of the waiting work and never
-// exceeds the wait in a FIFO queue.
+// By value density, the waiting work in more urgent classes and in the same and
+// higher bands of the class goes first, and so does work that arrives in them
+// meanwhile. minResidualFraction limits the effect of such arrivals, because
+// bursts end. If all requests are of equal worth and class, the estimate counts
+// a subset of the waiting work and never exceeds the wait in a FIFO queue.
 //
 // By fair share, the account's own waiting work goes first, except its next
 // request: that one is served when the account has the least virtual time,
-// however many other requests are waiting.
+// however many other requests of the class are waiting.
+//
+// The drain rate is that of the class and the more urgent ones. The total rate
+// would count starts of less urgent requests that these do not wait for.
 func (r *route) estimateWait(f *flow, band int, fairFraction float64) time.Duration {
-	rate := r.drain.rate(r.running)
+	q := f.class
+	rate := r.drain.rate(q.number, r.running)
 	if rate <= 0 {
 		return 0
 	}
-	var workAhead float64
-	for _, w := range r.bandWork[band:] {
-		workAhead += w
-	}
-	workAhead /= math.Max(minResidualFraction, 1-r.arrivals.above(band)/rate)
-	weight := r.activeWeight
-	if f.queue.Len() == 0 {
-		weight += f.account.limits.Weight
-	}
-	accountWork := f.work
-	if h := f.queue.head(); h != nil {
-		accountWork -= h.work
+	above, arriving := r.workAbove(q.number), r.arrivals.above(q.number)
+	bandWork := (above + q.workFrom(band)) / residual(arriving+q.arrivals.above(band), rate)
+	fairWork := (above + q.fairWork(f, fairFraction)) / residual(arriving, rate)
+	return toDuration(math.Min(bandWork, fairWork) / rate)
+}
+
+// residual returns the fraction of the drain rate that work which arrives at
+// another rate, and goes first, leaves to a request.
+func residual(arriving, rate float64) float64 {
+	return math.Max(minResidualFraction, 1-arriving/rate)
+}
+
+// workAbove returns the waiting work in classes that are more urgent than class.
+func (r *route) workAbove(class int) (sum float64) {
+	for _, q := range r.classes[:class] {
+		if q != nil {
+			sum += q.work
+		}
 	}
-	fairWork := accountWork * weight / (f.account.limits.Weight * fairFraction)
-	return toDuration(math.Min(workAhead, fairWork) / rate)
+	return sum
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -197,6 +197,24 @@
 // for the others.
 const lateRouteSuffix = " late"
 
+// queueRoutes returns the routes of the queue for which services share it equally. Without services
+// that have classes there are none, and requests of all services compete by worth alone.
+func queueRoutes(t *routing.Table) []admission.RouteConfig {
+	var routes []admission.RouteConfig
+	classes := false
+	for _, s := range t.Services() {
+		has := t.HasClasses(s.Name)
+		classes = classes || has
+		routes = append(routes,
+			admission.RouteConfig{Route: s.Name, Service: s.Name},
+			admission.RouteConfig{Route: s.Name + lateRouteSuffix, Service: s.Name, Late: has})
+	}
+	if !classes {
+		return nil
+	}
+	return routes
+}
+
 // admissionRequest describes a request to the queue.
 func (st *State) admissionRequest(w *waiter, now time.Time) admission.Request {
 	req := w.req
@@ -204,6 +222,7 @@
 	r := admission.Request{
 		ID: req.ID, Account: req.Account, Route: req.Service.Name, Worth: 1, Class: int(req.Class),
 		Deadline: req.FirstPartDeadline, ExpectedRunTime: first,
+		AskedBefore: req.AskedBefore && st.table.HasClasses(req.Service.Name),
 	}
 	if w.late {
 		r.Route, r.Worth, r.Deadline = req.Service.Name+lateRouteSuffix, lateWeight, st.latestStart(req, now).Add(first)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -226,6 +226,7 @@
 		// Only the account names are configured, and they are distinct.
 		panic(err)
 	}
+	st.queue.ConfigureRoutes(queueRoutes(t))
 	return true
 }
 
