Batch limits of groups follow the pauses of their streams

The batch of an engine was limited for a skew of 1.7. Each jump of expert popularity raises the skew to between 2.3 and 3.5, and full batches then make passes longer than callers tolerate.

An entry estimates for each group, from the pauses between events of its streams, how far the longest passes of the last seconds stretch the work for decoding requests, and limits batches so that such a pass stays within the tolerated pause. For services with classes only. Without observations the limit returns to batch.MaxBatch.

--- a/internal/endpoint/batch/batch.go
+++ b/internal/endpoint/batch/batch.go
@@ -21,9 +21,9 @@
 	// and allowances would change with every reported tenth of slowdown, for no
 	// benefit.
 	SlowdownThreshold = 1.2
-	// deliveryMargin is the part of the longest tolerated pause that is
+	// DeliveryMargin is the part of the longest tolerated pause that is
 	// reserved for delivery to the caller and for prefill of other prompts.
-	deliveryMargin = 10 * time.Millisecond
+	DeliveryMargin = 10 * time.Millisecond
 )
 
 // PassDuration returns the duration of one pass, which is e.Stride token steps, over
@@ -38,7 +38,7 @@
 }
 
 // MaxBatch returns the largest batch for which a pass takes at most maxPause less
-// deliveryMargin at an imbalance of DesignSkew. The result is at most e.Slots, but
+// DeliveryMargin at an imbalance of DesignSkew. The result is at most e.Slots, but
 // at least 1. A maxPause of zero means no bound.
 //
 // Each request added to a batch lengthens every pass on all ranks of the group.
@@ -51,14 +51,14 @@
 		return max(1, e.Slots)
 	}
 	n := 1
-	for n < e.Slots && PassDuration(e, n+1, DesignSkew) <= maxPause-deliveryMargin {
+	for n < e.Slots && PassDuration(e, n+1, DesignSkew) <= maxPause-DeliveryMargin {
 		n++
 	}
 	return n
 }
 
 // MaxBatchAtSlowdown returns the largest batch for which a pass takes at most
-// maxPause less deliveryMargin at an imbalance of PlannedSkew, on an engine that is
+// maxPause less DeliveryMargin at an imbalance of PlannedSkew, on an engine that is
 // slower than usual by the factor slowdown. It may be 0. A maxPause of zero means no
 // bound.
 func MaxBatchAtSlowdown(e *routing.Engine, maxPause time.Duration, slowdown float64) int {
@@ -66,7 +66,7 @@
 		return e.Slots
 	}
 	n := 0
-	for n < e.Slots && float64(PassDuration(e, n+1, PlannedSkew))*slowdown <= float64(maxPause-deliveryMargin) {
+	for n < e.Slots && float64(PassDuration(e, n+1, PlannedSkew))*slowdown <= float64(maxPause-DeliveryMargin) {
 		n++
 	}
 	return n
--- a/internal/endpoint/batch/batch_test.go
+++ b/internal/endpoint/batch/batch_test.go
@@ -35,7 +35,7 @@
 		if n > 1 && PassDuration(e, n, DesignSkew) > maxPause {
 			t.Errorf("a pass over %d requests takes %v, the bound is %v", n, PassDuration(e, n, DesignSkew), maxPause)
 		}
-		if n < e.Slots && PassDuration(e, n+1, DesignSkew) <= maxPause-deliveryMargin {
+		if n < e.Slots && PassDuration(e, n+1, DesignSkew) <= maxPause-DeliveryMargin {
 			t.Errorf("got a batch of %d, one more request fits into %v", n, maxPause)
 		}
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -263,9 +263,31 @@
 	j.relay.State.PartReceived(assigned, now)
 }
 
+// observePause records the time since the last event for the batch limit of the endpoint's group.
+// The first event of an attempt ends no pause: the prompt was read before it.
+//
+// Of two successive pauses the shorter one counts. An event that is delivered late, by the network or
+// by this process, makes one pause longer and the next one shorter, while a change in expert
+// popularity makes several passes longer.
+func (j *job) observePause(assigned Assignment, first bool, now time.Time) {
+	if !j.table.HasClasses(j.service.Name) {
+		return
+	}
+	pause := now.Sub(j.lastPartAt)
+	if first {
+		pause = 0
+	}
+	if both := min(pause, j.lastPause); both > 0 {
+		j.relay.State.ObservePause(assigned, both, now)
+	}
+	j.lastPause = pause
+}
+
 func (j *job) forwardEvent(assigned Assignment, resp *direct.Response, ev direct.Event) error {
 	now := j.relay.Now()
+	first := !j.answerBegan
 	j.partReceived(assigned, resp.Status, now)
+	j.observePause(assigned, first, now)
 	if pause := now.Sub(j.lastPartAt); j.headerSent && pause > j.longestPause {
 		j.longestPause, j.pauseEndedAt = pause, now
 	}
--- /dev/null
+++ b/internal/relay/batchlimit_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+)
+
+const (
+	// fullBatch is the batch that the model engine runs without a limit, and longPause a pause with
+	// eight requests for each engine that is longer than callers tolerate.
+	fullBatch = 12
+	longPause = 140 * time.Millisecond
+)
+
+// classesState returns the state of an entry with twelve engines, in two groups of six, of a service
+// whose routes have the given priorities.
+func classesState(priorities ...int) *State {
+	e := testEngine()
+	e.PrefillRate, e.PrefillChunk = 74800, 512
+	s := &routing.Service{Name: "quotes", Engine: e}
+	var routes []*routing.Route
+	for _, p := range priorities {
+		routes = append(routes, &routing.Route{
+			Name: fmt.Sprint("r", p), Host: "h", Prefix: fmt.Sprint("/", p), Priority: p, MaxGap: 120 * time.Millisecond,
+			Splits: []routing.Split{{Service: "quotes", Weight: 1}},
+		})
+	}
+	st := &State{Name: "me", DataCentre: "a", Seed: 1, Freshness: &Freshness{}}
+	st.Init(start)
+	st.SetTable(routing.NewTable(1, routes, []*routing.Service{s}, nil, routing.Limits{}), start)
+	listEndpoints(st, 12, "quotes")
+	st.refresh(start)
+	reportGroup(st, 1, 0, 6, false, start)
+	reportGroup(st, 2, 6, 12, false, start)
+	return st
+}
+
+// reportGroup reports the engines from first up to last, which run eight requests each, as a group.
+func reportGroup(st *State, group uint64, first, last int, closed bool, at time.Time) {
+	loads := newLoads(last, at)[first:]
+	for i := range loads {
+		loads[i].Running, loads[i].Group, loads[i].Closed = 8, group, closed
+	}
+	st.SetLoads(loads, at)
+}
+
+// observePauses has a stream of each engine of the first group pause for the given time, for a
+// second, and returns the time after it.
+func observePauses(st *State, pause time.Duration, from time.Time) time.Time {
+	now := from
+	for now.Sub(from) < time.Second {
+		now = now.Add(pause)
+		reportGroup(st, 1, 0, 6, false, now)
+		for i := range 6 {
+			st.ObservePause(Assignment{Endpoint: st.endpoints[fmt.Sprint("e", i)]}, pause, now)
+		}
+	}
+	return now
+}
+
+func assertBatch(t *testing.T, st *State, engine, least, most int) {
+	t.Helper()
+	n, _ := st.endpointCapacity(st.endpoints[fmt.Sprint("e", engine)])
+	if n < least || n > most {
+		t.Errorf("engine %d may run %d requests, want %d to %d", engine, n, least, most)
+	}
+}
+
+// Guards against batches with which passes stay longer than callers tolerate, and against a limit
+// where none is called for: in another group, or for a service without classes.
+func TestBatchLimitFollowsPausesOfItsGroup(t *testing.T) {
+	t.Run("classes", func(t *testing.T) {
+		st := classesState(0, 1)
+		observePauses(st, longPause, start)
+		assertBatch(t, st, 0, 5, 7)
+		assertBatch(t, st, 6, fullBatch, fullBatch)
+	})
+	t.Run("no classes", func(t *testing.T) {
+		st := classesState(1)
+		observePauses(st, longPause, start)
+		assertBatch(t, st, 0, fullBatch, fullBatch)
+	})
+	t.Run("short pauses", func(t *testing.T) {
+		st := classesState(0, 1)
+		observePauses(st, longPause/2, start)
+		assertBatch(t, st, 0, fullBatch, fullBatch)
+	})
+}
+
+// Guards against a limit that outlives what it was derived from, and against one that is lost
+// because a leader's report lacks a rank.
+func TestBatchLimitOutlivesOnlyOpenGroup(t *testing.T) {
+	t.Run("reopened", func(t *testing.T) {
+		st := classesState(0, 1)
+		now := observePauses(st, longPause, start)
+		reportGroup(st, 1, 0, 6, true, now.Add(time.Millisecond))
+		reportGroup(st, 1, 0, 6, false, now.Add(2*time.Millisecond))
+		st.ObservePause(Assignment{Endpoint: st.endpoints["e0"]}, longPause/2, now.Add(longPause))
+		assertBatch(t, st, 0, fullBatch, fullBatch)
+	})
+	t.Run("report lacks a rank", func(t *testing.T) {
+		st := classesState(0, 1)
+		now := observePauses(st, longPause, start)
+		reportGroup(st, 3, 0, 5, false, now.Add(time.Millisecond))
+		assertBatch(t, st, 0, 5, 7)
+		reportGroup(st, 1, 0, 6, false, now.Add(2*time.Millisecond))
+		assertBatch(t, st, 5, 5, 7)
+	})
+	t.Run("no observations", func(t *testing.T) {
+		st := classesState(0, 1)
+		now := observePauses(st, longPause, start)
+		for range 2 {
+			now = now.Add(reportInterval)
+			st.refresh(now)
+		}
+		assertBatch(t, st, 0, 5, 7)
+		now = now.Add(reportInterval)
+		st.refresh(now)
+		assertBatch(t, st, 0, 7, fullBatch-2)
+		for range 3 {
+			now = now.Add(reportInterval)
+			st.refresh(now)
+		}
+		assertBatch(t, st, 0, fullBatch, fullBatch)
+	})
+}
+
+// BenchmarkObservePause measures what each event of a stream costs.
+func BenchmarkObservePause(b *testing.B) {
+	st := classesState(0, 1)
+	assigned, now := Assignment{Endpoint: st.endpoints["e0"]}, start
+	b.ReportAllocs()
+	for range b.N {
+		now = now.Add(3 * time.Millisecond)
+		st.ObservePause(assigned, 70*time.Millisecond, now)
+	}
+}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -14,10 +14,12 @@
 	defer st.mu.Unlock()
 	for _, l := range loads {
 		ep, ok := st.addresses[l.Address]
-		if old, known := st.loads[ep.ID]; !ok || known && !l.At.After(old.At) {
+		old, known := st.loads[ep.ID]
+		if !ok || known && !l.At.After(old.At) {
 			continue
 		}
 		st.loads[ep.ID] = l
+		st.noteGroup(ep, old, l)
 		if l.Closed {
 			st.outages.markDown(ep.Service, now)
 		}
@@ -104,7 +106,7 @@
 		return slots, slots
 	}
 	if s := st.table.Service(ep.Service); s != nil && s.Engine != nil {
-		n := min(slots, batch.MaxBatch(s.Engine, st.maxGaps[ep.Service]))
+		n := st.batchLimit(ep, min(slots, batch.MaxBatch(s.Engine, st.maxGaps[ep.Service])))
 		return st.slowAllowance(ep, n), n
 	}
 	return slots + extraQueue, slots
@@ -166,6 +168,7 @@
 	st.rests.expire(now)
 	st.limits.expire(now)
 	st.expireCases(now)
+	st.advanceBatchLimits(now)
 	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
 	for _, ep := range st.dir.Endpoints(now) {
 		usable[ep.ID], addresses[ep.Address] = ep, ep
@@ -177,6 +180,7 @@
 			st.coldShares.Forget(id)
 			delete(st.loads, id)
 			delete(st.failures, id)
+			delete(st.batchLimits.groups, id)
 			st.refusing.forget(id)
 			delete(st.recentStarts.starts, id)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,6 +100,9 @@
 	lastPartAt   time.Time
 	longestPause time.Duration
 	pauseEndedAt time.Time
+	// lastPause is the pause before the last event of the current attempt, or zero if it was the
+	// first one.
+	lastPause time.Duration
 }
 
 // Forward implements caller.Forwarder.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -137,6 +137,7 @@
 	// by their fingerprint.
 	parts, requests quarantine.Table
 	latencies       answerLatencies
+	batchLimits     batchLimits
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
 	lastProbe map[string]time.Time
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
@@ -222,6 +223,7 @@
 	st.signalReady()
 	st.dirty = true
 	st.maxGaps = t.MaxGaps()
+	st.configureBatchLimits()
 	if err := st.queue.Configure(accountLimits(t), now); err != nil {
 		// Only the account names are configured, and they are distinct.
 		panic(err)
