--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -14,15 +14,18 @@
 	defer st.mu.Unlock()
 	for _, l := range loads {
 		ep, ok := st.addresses[l.Address]
-		if old, known := st.loads[ep.ID]; !ok || known && !l.At.After(old.At) {
+		old, known := st.loads[ep.ID]
+		if !ok || known && !l.At.After(old.At) {
 			continue
 		}
 		st.loads[ep.ID] = l
+		st.noteGroup(ep, old, l)
 		if l.Closed {
 			st.outages.markDown(ep.Service, now)
 		}
 		st.updateReport(ep, now)
 	}
+	st.quotas.markStale()
 	st.refresh(now)
 	st.moveOffSlowEngines(now)
 	st.dispatchWaiting(now)
@@ -40,11 +43,13 @@
 			continue
 		}
 		st.entryLoads[l.Entry] = l
+		st.clock.observe(l)
 		st.addEntryLoad(old, -1)
 		st.addEntryLoad(l, 1)
 		markDifferences(changed, old.Running, l.Running)
 		markDifferences(changed, l.Running, old.Running)
 	}
+	st.quotas.markStale()
 	for id := range changed {
 		if ep, ok := st.endpoints[id]; ok {
 			st.updateReport(ep, now)
@@ -104,7 +109,7 @@
 		return slots, slots
 	}
 	if s := st.table.Service(ep.Service); s != nil && s.Engine != nil {
-		n := min(slots, batch.MaxBatch(s.Engine, st.maxGaps[ep.Service]))
+		n := st.batchLimit(ep, min(slots, batch.MaxBatch(s.Engine, st.maxGaps[ep.Service])))
 		return st.slowAllowance(ep, n), n
 	}
 	return slots + extraQueue, slots
@@ -166,6 +171,7 @@
 	st.rests.expire(now)
 	st.limits.expire(now)
 	st.expireCases(now)
+	st.advanceBatchLimits(now)
 	usable, addresses := map[string]directory.Endpoint{}, map[string]directory.Endpoint{}
 	for _, ep := range st.dir.Endpoints(now) {
 		usable[ep.ID], addresses[ep.Address] = ep, ep
@@ -177,11 +183,13 @@
 			st.coldShares.Forget(id)
 			delete(st.loads, id)
 			delete(st.failures, id)
+			delete(st.batchLimits.groups, id)
 			st.refusing.forget(id)
-			delete(st.recentStarts.starts, id)
+			delete(st.quotas.unreported, id)
 		}
 	}
 	st.endpoints, st.addresses = usable, addresses
+	st.quotas.markStale()
 	st.refreshDemands(now)
 	st.limitShares.Retain(func(id string) bool { return st.limits.newest[id] != (RateLimit{}) })
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -66,13 +66,13 @@
 
 // EntryLoad is what another entry reports of its requests at endpoints.
 type EntryLoad struct {
-	// Entry is the entry's name. Incarnation and Sequence order its messages.
+	// Entry is the entry's name. Incarnation and Sequence order its messages. Incarnation is the time of
+	// the process's start by the VM's clock, in nanoseconds, and Sequence the number of microseconds from
+	// then to the reading of the sender's fleetClock.
 	Entry                 string
 	Incarnation, Sequence uint64
 	// Running holds the number of running requests by endpoint ID.
 	Running map[string]int
-	// Waiting lists the services with waiting requests.
-	Waiting []string
 	// WaitingByClass holds the number of waiting requests that can meet their target, by service and
 	// then by class.
 	WaitingByClass map[string][]int
@@ -126,7 +126,8 @@
 	maxGaps map[string]time.Duration
 	// longestTimeLeft is the most time that a caller has had left, by route.
 	longestTimeLeft map[string]time.Duration
-	recentStarts    startHistory
+	quotas          quotas
+	clock           fleetClock
 	// failures counts the consecutive failures that each endpoint reported.
 	failures map[string]int
 	limits   limits
@@ -137,6 +138,7 @@
 	// by their fingerprint.
 	parts, requests quarantine.Table
 	latencies       answerLatencies
+	batchLimits     batchLimits
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
 	lastProbe map[string]time.Time
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
@@ -222,10 +224,12 @@
 	st.signalReady()
 	st.dirty = true
 	st.maxGaps = t.MaxGaps()
+	st.configureBatchLimits()
 	if err := st.queue.Configure(accountLimits(t), now); err != nil {
 		// Only the account names are configured, and they are distinct.
 		panic(err)
 	}
+	st.queue.ConfigureRoutes(queueRoutes(t))
 	return true
 }
 
