--- a/internal/relay/closed.go
+++ b/internal/relay/closed.go
@@ -101,5 +101,51 @@
 	if req.AskedBefore && slack > 0 && (c.forming || c.downFor <= slack) {
 		return nil
 	}
-	return st.refusal(req.Service.Name, result.GroupClosed, now)
+	return st.closedRefusal(req, now)
+}
+
+// maxClassDelay bounds by how much later than the most urgent callers others are asked to come back.
+// The group is expected to have opened when the most urgent ones do, and slots may be free then.
+const maxClassDelay = time.Second
+
+// closedRefusals counts the callers of a service that were recently refused because its groups are
+// closed, by class.
+type closedRefusals [routing.MaxClass + 1]arrivalRate
+
+// closedRefusal refuses a request because the groups of its service are closed.
+//
+// Callers of all classes would otherwise come back together when the group opens, with more requests
+// than it can start in time. The less urgent ones are asked to come back later by the time in which
+// this entry can start those of the more urgent ones. The Retry-After time stays within the part of
+// the caller's time that is allowed for it.
+func (st *State) closedRefusal(req AdmitRequest, now time.Time) *result.Error {
+	e := st.refusal(req.Service.Name, result.GroupClosed, now)
+	if !st.table.HasClasses(req.Service.Name) {
+		return e
+	}
+	refused := st.closedRefusals[req.Service.Name]
+	if refused == nil {
+		refused = &closedRefusals{}
+		st.closedRefusals[req.Service.Name] = refused
+	}
+	refused[req.Class].add(now)
+	delay := st.classDelay(req, refused, now)
+	if delay <= 0 {
+		return e
+	}
+	least := req.Deadline.Sub(now) / minClosedRetryAfterDivisor
+	return e.WithRetryAfter(max(e.RetryAfter(), least) + delay)
+}
+
+// classDelay returns how long this entry's share of a service's slots takes to start the requests of
+// the callers of more urgent classes that were refused.
+func (st *State) classDelay(req AdmitRequest, refused *closedRefusals, now time.Time) time.Duration {
+	moreUrgent := 0.0
+	for class := range refused[:req.Class] {
+		r := &refused[class]
+		r.decay(now)
+		moreUrgent += r.count
+	}
+	slots := max(1, st.slotShare(req.Service))
+	return min(maxClassDelay, time.Duration(moreUrgent*float64(st.usualSlotTime(req.Service, now))/slots))
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -82,7 +82,7 @@
 func (st *State) queueRefusal(w *waiter, r admission.Refused, now time.Time) *result.Error {
 	state, closed := st.groupState(w.req.Service, now)
 	if closed {
-		return st.refusal(w.req.Service.Name, result.GroupClosed, now)
+		return st.closedRefusal(w.req, now)
 	}
 	if left := st.serviceRest(w.req.Service, state.closedEngines, now); left > 0 {
 		return restRefusal(left)
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -77,6 +77,17 @@
 // would become late behind them. With it, an entry works off the late requests over about two
 // seconds and serves the others as usual.
 func (st *State) lateSlots(s *routing.Service, now time.Time) int {
+	share := st.slotShare(s)
+	a := st.arrivals[s.Name]
+	if a == nil {
+		return max(minLateSlots, int(share))
+	}
+	needed := a.rate(now) * st.usualSlotTime(s, now).Seconds()
+	return max(minLateSlots, int(share-reservedFraction*needed))
+}
+
+// slotShare returns this entry's equal share of the slots of a service.
+func (st *State) slotShare(s *routing.Service) float64 {
 	slots := 0
 	for _, ep := range st.endpoints {
 		if ep.Service == s.Name {
@@ -84,13 +95,7 @@
 			slots += n
 		}
 	}
-	share := float64(slots) / float64(st.listedEntries())
-	a := st.arrivals[s.Name]
-	if a == nil {
-		return max(minLateSlots, int(share))
-	}
-	needed := a.rate(now) * st.usualSlotTime(s, now).Seconds()
-	return max(minLateSlots, int(share-reservedFraction*needed))
+	return float64(slots) / float64(st.listedEntries())
 }
 
 // usualSlotTime returns how long a request usually holds its slot. Until enough requests have been
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -144,6 +144,8 @@
 	arrivals    map[string]*arrivalRate
 	demands     demands
 	lateRunning map[string]int
+	// closedRefusals counts the requests refused because groups are closed, by service.
+	closedRefusals map[string]*closedRefusals
 	// movable holds the running attempts that may be moved, by endpoint. attemptSeq is the number
 	// of the last one.
 	movable         map[string]map[*movableAttempt]bool
@@ -176,6 +178,7 @@
 	st.lastProbe = map[string]time.Time{}
 	st.arrivals = map[string]*arrivalRate{}
 	st.lateRunning = map[string]int{}
+	st.closedRefusals = map[string]*closedRefusals{}
 	st.ready = make(chan struct{})
 	st.coldShares.Name, st.limitShares.Name = st.Name, st.Name
 	st.requests.Rules = quarantine.RequestRules{}
