--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -63,11 +63,17 @@
 	}
 }
 
-// start counts work of a class that started while requests waited. A negative
-// amount takes back work that was counted before.
+// start counts work of a class that started while requests waited.
 func (m *drainMeter) start(class int, work float64) {
 	for i := class; i < numClasses; i++ {
-		m.work[i] = math.Max(0, m.work[i]+work)
+		m.work[i] += work
+	}
+}
+
+// takeBack takes back work that start has counted.
+func (m *drainMeter) takeBack(class int, work float64) {
+	for i := class; i < numClasses; i++ {
+		m.work[i] = math.Max(0, m.work[i]-work)
 	}
 }
 
@@ -201,46 +207,59 @@
 	updatedAt time.Time
 }
 
-// add counts a refusal.
-func (t *refusalTracker) add(now time.Time) {
+// retryAfter counts a refusal and returns the delay after which the caller of
+// request id should retry.
+func (t *refusalTracker) retryAfter(id string, minDelay time.Duration, serviceRate float64, now time.Time) time.Duration {
 	dt := now.Sub(t.updatedAt).Seconds()
 	if dt > 0 {
 		t.recent *= math.Exp(-dt / refusalTimeConstant.Seconds())
 		t.updatedAt = now
 	}
 	t.recent++
+	return spreadRetry(id, minDelay, t.recent, serviceRate)
 }
 
-// retryAfter counts a refusal and returns the delay after which the caller of
-// request id should retry.
+// classRefusals counts the recent refusals of each class together with those of
+// the more urgent ones, whose retries are served first.
+type classRefusals struct {
+	recent    [numClasses]float64
+	updatedAt time.Time
+}
+
+// retryAfter is refusalTracker.retryAfter for a request of a class.
+func (t *classRefusals) retryAfter(class int, id string, minDelay time.Duration, serviceRate float64, now time.Time) time.Duration {
+	dt := now.Sub(t.updatedAt).Seconds()
+	if dt > 0 {
+		decay := math.Exp(-dt / refusalTimeConstant.Seconds())
+		for i := range t.recent {
+			t.recent[i] *= decay
+		}
+		t.updatedAt = now
+	}
+	for i := class; i < numClasses; i++ {
+		t.recent[i]++
+	}
+	return spreadRetry(id, minDelay, t.recent[class], serviceRate)
+}
+
+// spreadRetry returns the delay after which the caller of request id should
+// retry, after a number of recent refusals.
 //
 // Callers that are refused at the same moment and retry at the same moment
 // would be refused again, repeatedly and in lockstep. Retries are therefore
 // spread over the time that serving the recently refused requests takes, so
 // that each second of this window receives as many retries as can be served in
 // it. The offset in the window is a hash of id and is the same at each entry.
-func (t *refusalTracker) retryAfter(id string, minDelay time.Duration, serviceRate float64, now time.Time) time.Duration {
-	t.add(now)
+func spreadRetry(id string, minDelay time.Duration, recent, serviceRate float64) time.Duration {
 	window := 2 * MinRetryAfter.Seconds()
 	if serviceRate > 0 {
-		window = math.Max(window, t.recent/serviceRate)
+		window = math.Max(window, recent/serviceRate)
 	}
 	window = math.Min(window, MaxRetryAfter.Seconds())
 	delay := minDelay + toDuration(window*hashFraction(id))
 	return min(max(delay, MinRetryAfter), MaxRetryAfter)
 }
 
-// classRefusals counts the recent refusals of each class together with those of
-// the more urgent ones, whose retries are served first.
-type classRefusals [numClasses]refusalTracker
-
-func (t *classRefusals) retryAfter(class int, id string, minDelay time.Duration, serviceRate float64, now time.Time) time.Duration {
-	for i := class + 1; i < numClasses; i++ {
-		t[i].add(now)
-	}
-	return t[class].retryAfter(id, minDelay, serviceRate, now)
-}
-
 // hashFraction maps id to [0, 1) by hashing.
 func hashFraction(id string) float64 {
 	const bits = 53
--- a/internal/caller/admission/queue.go
+++ b/internal/caller/admission/queue.go
@@ -231,7 +231,7 @@
 	r := c.routeFor(it.req.Route)
 	r.drain.advance(now, r.mostUrgentWaiting())
 	it.flow.class.correctCharge(it, 0)
-	r.drain.start(it.flow.class.number, -it.work)
+	r.drain.takeBack(it.flow.class.number, it.work)
 	it.running = false
 	c.running--
 	r.running--
