--- a/internal/caller/admission/doc.go
+++ b/internal/caller/admission/doc.go
@@ -13,7 +13,13 @@
 // octave count as equal, so that fair share rather than noise decides between
 // similar requests.
 //
-// Queue order: a fraction of the running time (FairFraction) goes to the
+// Classes: requests of a route have priority classes, which hold across accounts.
+// The most urgent class with waiting requests goes first, and a tenth of the work
+// goes to the classes below it, split evenly. A full queue displaces the least
+// urgent requests. Waits are estimated from the drain rate of the request's class
+// and the more urgent ones. ConfigureRoutes divides the queue between services.
+//
+// Queue order within a class: a fraction of the running time (FairFraction) goes to the
 // account that has received the least work for its weight, by start-time fair
 // queueing (Goyal, Vin and Cheng, SIGCOMM 1996). The rest goes to the highest
 // value density, with ties broken by the same fair-queueing order. The fair
