--- a/internal/caller/admission/controller.go
+++ b/internal/caller/admission/controller.go
@@ -39,7 +39,9 @@
 	byLatestStart itemHeap
 	// shares holds the places of each service in the queue, and under the empty
 	// name those of all routes without a configuration.
-	shares    []*places
+	shares []*places
+	// displaced is the memory of Wait.Displaced.
+	displaced [1]QueuedRefusal
 	waiting   int
 	running   int
 	protected int
--- a/internal/caller/admission/queue.go
+++ b/internal/caller/admission/queue.go
@@ -88,9 +88,9 @@
 		if victim == nil {
 			return c.refuse(it, r, result.QueueFull, expectedWait, now)
 		}
-		refusal := c.evict(victim, result.Displaced, now)
-		refusal.ByRoute, refusal.ByClass = it.req.Route, it.flow.class.number
-		displaced = append(displaced, refusal)
+		c.displaced[0] = c.evict(victim, result.Displaced, now)
+		c.displaced[0].ByRoute, c.displaced[0].ByClass = it.req.Route, it.flow.class.number
+		displaced = c.displaced[:]
 	}
 	c.admit(it)
 	r.countArrival(it, now)
--- a/internal/caller/admission/request.go
+++ b/internal/caller/admission/request.go
@@ -60,7 +60,7 @@
 	// Expected is the estimated time until the request starts.
 	Expected time.Duration
 	// Displaced lists the waiting requests that were removed to make room for
-	// this one.
+	// this one. It is valid until the next call of a method.
 	Displaced []QueuedRefusal
 }
 
