slotshare: what nobody claims is divided evenly

An entry without claims could take one unclaimed slot of each endpoint, and so could an entry with late requests only, which claim nothing: all such entries at once. Now each slot has exactly one owner. A request that is newer than its entry's report waits at most until the next one if its entry owns none.

--- a/internal/endpoint/slotshare/slotshare.go
+++ b/internal/endpoint/slotshare/slotshare.go
@@ -15,7 +15,7 @@
 }
 
 // Claim is the number of requests that wait at one entry, by class; class 0 is the most urgent. An
-// entry without waiting requests is listed too, as it takes part in what nobody claims.
+// entry without waiting requests is listed too, as it has a part of what nobody claims.
 type Claim struct {
 	Entry   string
 	ByClass []int
@@ -64,8 +64,8 @@
 // different endpoints. One more or one less claim or slot in v adds at most one owner to each endpoint
 // and removes at most one.
 //
-// Slots that nobody claims are divided evenly. An entry that claims none may take one of them at each
-// endpoint in any case: its waiting requests are newer than its report.
+// Slots that nobody claims are divided evenly among all entries in v, for requests that are newer than
+// the reports. If all could take them at once, an endpoint would get one request of each entry.
 func (a *Allocator) Own(v View, own string, out []int) []int {
 	a.begin(v)
 	base := len(out)
@@ -176,16 +176,8 @@
 	if index < 0 {
 		return
 	}
-	claimsNone := a.claimants[index].served == 0
 	for i, s := range a.slots {
-		if s.left == 0 {
-			continue
-		}
-		n := Part(s.left, index, len(a.claimants), s.hash+period)
-		if claimsNone {
-			n = max(n, 1)
-		}
-		out[i] += n
+		out[i] += Part(s.left, index, len(a.claimants), s.hash+period)
 	}
 }
 
