--- a/internal/frontend/work.go
+++ b/internal/frontend/work.go
@@ -76,6 +76,8 @@
 		case <-timer.C:
 		}
 		r.report(ctx, boottime.Now())
+		// What has been reported counts in this entry's own quotas from now on.
+		r.frontend.state.DispatchWaiting(boottime.Now())
 		timer.Reset(maxReportInterval)
 		pause.For(ctx, minReportInterval)
 	}
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/slotshare"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
@@ -13,9 +14,10 @@
 	// quotaPeriod is how long an order of the entries lasts. Within it, an entry of the same data centre
 	// learns that this one has started a request: two intervals between messages and the latency.
 	quotaPeriod = 50 * time.Millisecond
-	// quotaInterval is the least time between two computations of a service's quotas. Entries of a large
-	// fleet report 1,500 times a second together.
-	quotaInterval = 5 * time.Millisecond
+	// quotaInterval is the least time between two computations of a service's quota because of what
+	// others report or because a request ends, of which there are more than 1,000 a second. A
+	// computation takes 7 to 260 us.
+	quotaInterval = 10 * time.Millisecond
 )
 
 // quotas holds this entry's quotas of the free slots of endpoints, by service.
@@ -41,7 +43,7 @@
 	// quotaInterval is over.
 	stale bool
 	// limited means that other entries may want the free slots. left is then the number of slots that
-	// this entry may still take, by endpoint; endpoints that are not in it have none for it.
+	// this entry may still take, by endpoint. It does not bound endpoints that are not in it.
 	limited bool
 	left    map[string]int
 }
@@ -53,7 +55,9 @@
 	}
 	t.unreported[endpoint]++
 	if s := t.services[service]; s != nil {
-		s.left[endpoint]--
+		if left, ok := s.left[endpoint]; ok {
+			s.left[endpoint] = left - 1
+		}
 	}
 }
 
@@ -80,13 +84,13 @@
 // isCurrent reports whether the quota need not be computed again.
 func (s *serviceQuota) isCurrent(period uint64, now time.Time) bool {
 	age := now.Sub(s.computedAt)
-	return !s.computedAt.IsZero() && s.period == period && (!s.stale || age < quotaInterval) && age < quotaPeriod
+	return !s.computedAt.IsZero() && s.period == period && age < quotaPeriod && (!s.stale || age < quotaInterval)
 }
 
 // ReportWaiting returns the number of waiting requests that can meet their target, by service and
 // class, to be reported to the other entries. Late requests claim no share of the slots. From now on
 // this entry claims slots for these requests: what it claims and what the others know that it claims
-// must be the same.
+// must be the same. Call DispatchWaiting when the report has been sent.
 func (st *State) ReportWaiting() map[string][]int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -101,7 +105,9 @@
 	}
 	st.quotas.reported = out
 	clear(st.quotas.unreported)
-	st.quotas.markStale()
+	for _, s := range st.quotas.services {
+		s.computedAt = time.Time{}
+	}
 	return out
 }
 
@@ -160,7 +166,7 @@
 	if !s.limited {
 		return s
 	}
-	st.collectFreeSlots(service.Name, now)
+	st.collectFreeSlots(service, now)
 	st.computeShares(period, now)
 	clear(s.left)
 	for i, id := range st.quotas.ids {
@@ -217,19 +223,29 @@
 }
 
 // collectFreeSlots fills the view with the slots of a service's endpoints that were free at this
-// entry's last report, as it has claimed slots for the requests that it has started since.
-func (st *State) collectFreeSlots(service string, now time.Time) {
+// entry's last report, as it has claimed slots for the requests that it has started since. Cold
+// endpoints are left out: their rate is divided by coldShares.
+func (st *State) collectFreeSlots(service *routing.Service, now time.Time) {
 	t := &st.quotas
 	t.ids, t.view.Endpoints = t.ids[:0], t.view.Endpoints[:0]
 	for id, ep := range st.endpoints {
-		if ep.Service != service {
+		if ep.Service != service.Name || service.ColdRate > 0 && ep.ColdAt(now) {
 			continue
 		}
-		allowance, _ := st.endpointCapacity(ep)
-		running, _ := st.running(ep, now)
 		t.ids = append(t.ids, id)
-		t.view.Endpoints = append(t.view.Endpoints, slotshare.Endpoint{ID: id, Free: allowance - running + t.unreported[id]})
+		t.view.Endpoints = append(t.view.Endpoints, slotshare.Endpoint{ID: id, Free: st.freeSlots(ep, now)})
+	}
+}
+
+// freeSlots returns the number of an endpoint's free slots for collectFreeSlots. An endpoint that takes
+// no requests has none: claims that own its slots would own none of another one.
+func (st *State) freeSlots(ep directory.Endpoint, now time.Time) int {
+	if l := st.loads[ep.ID]; l.Closed && now.Sub(l.At) < maxLeaderReportAge || st.rests.left(ep, now) > 0 {
+		return 0
 	}
+	allowance, _ := st.endpointCapacity(ep)
+	running, _ := st.running(ep, now)
+	return allowance - running + st.quotas.unreported[ep.ID]
 }
 
 // computeShares fills shares with this entry's quota of each endpoint in the view. An entry that no
