--- a/internal/relay/fleetclock.go
+++ b/internal/relay/fleetclock.go
@@ -19,10 +19,13 @@
 	return uint64(max(0, c.read(now).UnixNano()) / int64(quotaPeriod))
 }
 
+// maxAhead bounds how far a reading may be ahead. VMs don't run for longer; without the bound, one
+// corrupt report would stop the clocks of all entries at the end of their range.
+const maxAhead = 10 * 365 * 24 * time.Hour
+
 // observe advances the clock to the reading that a report tells.
 func (c *fleetClock) observe(l EntryLoad) {
-	const maxMicros = uint64(1) << 62 / uint64(time.Microsecond)
-	if l.Incarnation > 1<<62 || l.Sequence > maxMicros {
+	if l.Incarnation > uint64(maxAhead) || l.Sequence > uint64(maxAhead/time.Microsecond) {
 		return
 	}
 	reading := time.Unix(0, int64(l.Incarnation)).Add(time.Duration(l.Sequence) * time.Microsecond)
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -250,6 +250,14 @@
 	if least, most := slices.Min(periods), slices.Max(periods); most-least > 1 {
 		t.Fatalf("the periods are %v", periods)
 	}
+	e := m.entries[0].st
+	for _, l := range []EntryLoad{{Incarnation: 1 << 63}, {Incarnation: 1, Sequence: 1<<64 - 1}, {Incarnation: 1 << 62, Sequence: 1 << 62}} {
+		l.Entry, l.At = "corrupt", m.at(m.entries[0])
+		e.SetEntryLoads([]EntryLoad{l}, l.At)
+	}
+	if p := e.clock.period(m.at(m.entries[0])); p != periods[0] {
+		t.Fatalf("period %d after a corrupt report, before %d", p, periods[0])
+	}
 }
 
 // restart replaces an entry by a new process on a new VM.
