Heads of endpoints' responses are limited

An endpoint that sent a header line, header lines, a status line, informational responses or bytes of no protocol without end was read until the deadline of the request: net/http has no limit on the head of a response that it reads from a connection of the caller's own. Now a head and the informational responses before it may have 32 KB, 200 lines and 8 responses.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,6 +29,8 @@
 	writer    *writer
 	complete  bool
 	stopAbort func() bool
+	// held is the number of bytes that are counted by the client's Memory.
+	held int64
 }
 
 // exchange writes req and reads the header of the response to it, skipping up to
@@ -39,8 +40,9 @@
 	if r.writer.sent == 0 && r.writer.err != nil {
 		return &NotSentError{cause: r.writer.err}
 	}
+	r.conn.guard.begin(r.holdBuffer)
 	for range maxStaleResponses + 1 {
-		resp, err := readResponse(r.conn.br, req.Method)
+		resp, err := r.conn.guard.readResponse(r.conn.br, req.Method)
 		if err != nil && r.writer.stalled.Load() {
 			return ErrEndpointStalled
 		}
@@ -65,23 +67,6 @@
 	return ErrMismatchedResponse
 }
 
-// readResponse reads the header of the next response, skipping informational (1xx)
-// ones.
-func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, ErrUnexpectedUpgrade
-		}
-	}
-}
-
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
@@ -98,6 +83,7 @@
 // the connection can be reused, and closes it otherwise.
 func (r *Response) Close() {
 	active := r.stopAbort()
+	_ = r.hold(0, 0) // releases all
 	if !active || !r.reusable() {
 		r.closeAfterWrite(active)
 		return
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -51,6 +51,8 @@
 	// StallTimeout is how long an endpoint may read nothing of a long request. Zero
 	// selects the default of 3 s. Set it before the first call.
 	StallTimeout time.Duration
+	// Memory bounds the bytes that are buffered for responses.
+	Memory Memory
 
 	mu    sync.Mutex // guards all below
 	idle  map[string][]*conn
--- /dev/null
+++ b/internal/endpoint/direct/guard.go
@@ -0,0 +1,98 @@
+package direct
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+)
+
+// guard reads the bytes of a connection. While a head is being parsed it enforces the limits on heads,
+// because net/http has none for responses.
+type guard struct {
+	net.Conn
+	// received is the number of bytes of this exchange.
+	received int64
+	// parsing means that a head is being parsed. headBytes and headLines are those of all heads of
+	// the exchange so far.
+	parsing              bool
+	headBytes, headLines int
+	// lineEmpty means that the current line is empty, and ended that the blank line after the head
+	// has been seen.
+	lineEmpty, ended bool
+	// hold is called with the number of bytes that are buffered for the head.
+	hold func(n int) error
+}
+
+// begin starts an exchange.
+func (g *guard) begin(hold func(n int) error) {
+	g.received, g.headBytes, g.headLines, g.hold = 0, 0, 0, hold
+}
+
+// Read implements io.Reader.
+func (g *guard) Read(p []byte) (int, error) {
+	n, err := g.Conn.Read(p)
+	g.received += int64(n)
+	if g.parsing {
+		// The parser asks for more, so the head has not ended.
+		g.ended = false
+		if limitErr := g.scan(p[:n]); limitErr != nil {
+			return 0, limitErr
+		}
+	}
+	return n, err
+}
+
+// scan counts the bytes and lines in b up to the end of the head.
+func (g *guard) scan(b []byte) error {
+	for _, c := range b {
+		if g.ended {
+			break
+		}
+		g.headBytes++
+		switch c {
+		case '\n':
+			g.headLines++
+			g.ended, g.lineEmpty = g.lineEmpty, true
+		case '\r':
+		default:
+			g.lineEmpty = false
+		}
+	}
+	switch {
+	case g.headBytes > maxHeadBytes:
+		return g.limitError(LimitHeadBytes)
+	case g.headLines > maxHeadLines:
+		return g.limitError(LimitHeadLines)
+	}
+	return g.hold(g.headBytes)
+}
+
+func (g *guard) limitError(l Limit) error { return &LimitError{Limit: l, Bytes: g.received} }
+
+// readHead parses the next head, of which br may hold some bytes.
+func (g *guard) readHead(br *bufio.Reader, method string) (*http.Response, error) {
+	g.parsing, g.ended, g.lineEmpty = true, false, false
+	defer func() { g.parsing = false }()
+	buffered, _ := br.Peek(br.Buffered()) // doesn't read
+	if err := g.scan(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(br, &http.Request{Method: method})
+}
+
+// readResponse reads the head of the next response, skipping informational (1xx) ones.
+func (g *guard) readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+	for range maxInformational + 1 {
+		resp, err := g.readHead(br, method)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, ErrUnexpectedUpgrade
+		}
+	}
+	return nil, g.limitError(LimitInformational)
+}
--- /dev/null
+++ b/internal/endpoint/direct/limits.go
@@ -0,0 +1,55 @@
+package direct
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Limits on what one response may contain. A faulty endpoint may send bytes without end, at the speed
+// of the network, and all of its connections do so at the same time.
+//
+// An entry has at most 2,500 requests in progress and from 184 MB of memory on. What is kept for each
+// response without being counted (uncountedBytes) must fit into that memory for all of them together;
+// what exceeds it is counted by Memory.
+const (
+	// maxHeadBytes and maxHeadLines bound the head of a response together with the informational
+	// (1xx) responses before it, and maxInformational the number of these. A head usually fits into
+	// the read buffer.
+	maxHeadBytes     = 32 << 10
+	maxHeadLines     = 200
+	maxInformational = 8
+	// uncountedBytes is what each response may buffer without being counted by Memory.
+	uncountedBytes = 2 * readBufferSize
+)
+
+// Limit names a limit on responses.
+type Limit string
+
+// The limits. LimitMemory is that of Memory.
+const (
+	LimitHeadBytes     Limit = "headBytes"
+	LimitHeadLines     Limit = "headLines"
+	LimitInformational Limit = "informational"
+	LimitMemory        Limit = "memory"
+)
+
+// LimitError reports a response that exceeds a limit. The connection must be closed.
+type LimitError struct {
+	Limit Limit
+	// Bytes is how many bytes of the response the endpoint had sent.
+	Bytes int64
+}
+
+// Error implements the error interface.
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("direct: response exceeds the limit %s after %d bytes", e.Limit, e.Bytes)
+}
+
+// AsLimitError returns the LimitError in err, or nil if there is none.
+func AsLimitError(err error) *LimitError {
+	var e *LimitError
+	if errors.As(err, &e) {
+		return e
+	}
+	return nil
+}
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -43,6 +43,8 @@
 // conn is a connection. It is owned either by the pool or by one Response.
 type conn struct {
 	net.Conn
+	guard *guard
+	// br reads from guard.
 	br   *bufio.Reader
 	addr string
 	// expires is when the pool closes the connection if it is still idle.
@@ -90,7 +92,8 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr, stallTimeout: cmp.Or(c.StallTimeout, bodyStallTimeout)}, nil
+	g := &guard{Conn: nc}
+	return &conn{Conn: nc, guard: g, br: bufio.NewReaderSize(g, readBufferSize), addr: addr, stallTimeout: cmp.Or(c.StallTimeout, bodyStallTimeout)}, nil
 }
 
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -62,8 +62,11 @@
 	// callerMemoryShare is the part of the VM's memory that may be held for callers, and
 	// processMemoryShare the size of the whole process, also as a part, from which on
 	// the garbage collector runs more often in place of letting the process grow.
-	callerMemoryShare  = 0.25
-	processMemoryShare = 0.75
+	// responseMemoryShare is the part that may be buffered for endpoints' responses that don't
+	// tell their length: 5.8 MB of the smallest VM.
+	callerMemoryShare   = 0.25
+	processMemoryShare  = 0.75
+	responseMemoryShare = 1.0 / 32
 	// readTimeout limits the time to receive a request; the configuration gives callers
 	// three seconds for its header.
 	readTimeout = 20 * time.Second
@@ -266,7 +269,7 @@
 	f.documentSender.Pacer = &document.Pacer{BytesPerSecond: documentBandwidthShare * s.LineRate}
 	f.mirror.Peer = f.followPeer
 	f.relay = &relay.Relay{
-		State: f.state, Client: &direct.Client{}, HeaderCodec: platform.HeaderCodec{},
+		State: f.state, Client: f.newClient(), HeaderCodec: platform.HeaderCodec{},
 		Now: boottime.Now, Log: f.Log.Logger,
 		Metrics: relay.NewMetrics(f.Registry), AnnounceEnd: f.announceEnd,
 	}
@@ -277,6 +280,13 @@
 	f.applyBounds(s.Bounds)
 }
 
+// newClient returns the client that calls endpoints.
+func (f *Frontend) newClient() *direct.Client {
+	c := &direct.Client{}
+	c.Memory.Limit = int64(responseMemoryShare * float64(f.Settings.Memory))
+	return c
+}
+
 // Run serves until ctx is done, then drains without interrupting requests.
 func (f *Frontend) Run(ctx context.Context) error {
 	f.host.Self = f.member().Key()
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -60,12 +60,23 @@
 	if errors.Is(o.Cause, direct.ErrEndpointStalled) {
 		return result.New(result.EndpointStalled, "")
 	}
+	if limit := direct.AsLimitError(o.Cause); limit != nil {
+		return result.New(limitCode(limit), limit.Error())
+	}
 	if !now.Before(j.deadline) {
 		return result.New(result.DeadlineExceeded, "")
 	}
 	return result.Newf(result.OutcomeUnknown, "%v", o.Cause)
 }
 
+// limitCode returns the result code of an answer that exceeded a limit.
+func limitCode(e *direct.LimitError) result.Code {
+	if e.Limit == direct.LimitMemory {
+		return result.ResponseMemory
+	}
+	return result.ResponseLimit
+}
+
 // correctEffect keeps a refusal from reporting "not run" if an earlier attempt may have run.
 func (j *job) correctEffect(e *result.Error) *result.Error {
 	if j.attempts.MayHaveRun && e.Code().Effect() == result.NotRun {
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -17,8 +17,8 @@
 const endingTime = 30 * time.Millisecond
 
 // lostCause returns why the connection of an attempt ended before the answer was complete, or nil
-// if it did not. An attempt that ran out of time, or at an endpoint that did not read its request,
-// is none: nothing says that the endpoint has ended.
+// if it did not. An attempt that ran out of time, at an endpoint that did not read its request, or
+// whose answer exceeded a limit is none: nothing says that the endpoint has ended.
 func lostCause(o Outcome) error {
 	var cause error
 	switch o := o.(type) {
@@ -27,7 +27,7 @@
 	case Interrupted:
 		cause = o.Cause
 	}
-	if errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, direct.ErrEndpointStalled) {
+	if errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, direct.ErrEndpointStalled) || direct.AsLimitError(cause) != nil {
 		return nil
 	}
 	return cause
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -83,6 +83,8 @@
 	AnswerLost       Code = 3006
 	CallerStalled    Code = 3007
 	EndpointStalled  Code = 3008
+	ResponseLimit    Code = 3009
+	ResponseMemory   Code = 3010
 
 	BadToken           Code = 4001
 	Conflict           Code = 4002
@@ -186,6 +188,8 @@
 	AnswerLost:       {"answerLost", Ran, http.StatusGone, "the request was run before and its answer is no longer kept"},
 	CallerStalled:    {"callerStalled", Unknown, statusClosedRequest, "the caller did not read its answer and was cut off"},
 	EndpointStalled:  {"endpointStalled", Unknown, http.StatusBadGateway, "the endpoint did not read the request and was cut off"},
+	ResponseLimit:    {"responseLimit", Unknown, http.StatusBadGateway, "the endpoint's response exceeded a limit and its connection was closed"},
+	ResponseMemory:   {"responseMemory", Unknown, http.StatusBadGateway, "the response needed more memory than the entry has for responses, and its connection was closed"},
 
 	BadToken:           {"badToken", NotApplicable, http.StatusUnauthorized, "the operator token is missing or wrong"},
 	Conflict:           {"conflict", NotApplicable, http.StatusConflict, "another operator's change came first; read and decide again"},
