Bodies that are discarded are limited

A refusal (not run) whose body had no end, and a response to another request, were read until the deadline. Now at most 64 KB are read, for at most 0.1 s; a longer body costs its connection. The refusal stays a refusal, because its head has said so.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -60,22 +59,17 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return ErrMismatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := r.Discard(); err != nil {
 			return err
 		}
+		if !r.complete {
+			return ErrMismatchedResponse
+		}
+		r.complete = false
 	}
 	return ErrMismatchedResponse
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete.
-func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.resp.Body.Read(p)
-	if err == io.EOF {
-		r.complete = true
-	}
-	return n, err
-}
-
 // Complete reports whether the body has been read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
--- a/internal/endpoint/direct/limits.go
+++ b/internal/endpoint/direct/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Limits on what one response may contain. A faulty endpoint may send bytes without end, at the speed
@@ -18,6 +19,10 @@
 	maxHeadBytes     = 32 << 10
 	maxHeadLines     = 200
 	maxInformational = 8
+	// maxDiscardedBytes bounds a body that is read only to use its connection again, and
+	// discardTimeout the time for it. Both cost less than a new connection.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 100 * time.Millisecond
 	// uncountedBytes is what each response may buffer without being counted by Memory.
 	uncountedBytes = 2 * readBufferSize
 )
@@ -30,6 +35,7 @@
 	LimitHeadBytes     Limit = "headBytes"
 	LimitHeadLines     Limit = "headLines"
 	LimitInformational Limit = "informational"
+	LimitDiscarded     Limit = "discarded"
 	LimitMemory        Limit = "memory"
 )
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,8 +52,8 @@
 		j.recordAvailability(assigned, info)
 	}
 	if info.NotRun {
-		_, _ = io.Copy(io.Discard, resp)
-		return NotRun{Sent: true, Code: notRunCode(info, resp.Status)}
+		// The head has said so, whatever the body contains.
+		return NotRun{Sent: true, Code: notRunCode(info, resp.Status), Cause: resp.Discard()}
 	}
 	if err := j.checkAnswer(resp, info); err != nil {
 		return Unknown{Cause: err}
