Bodies of unknown length share a bound on memory

Each body was buffered up to 8 MB, so that an endpoint that sends bodies without end took 8 MB for each of its connections, and more in discarded buffers. Now bodies of unknown length are counted by direct.Memory beyond 64 KB each; the response that needs more than there is, or than one endpoint may have, is ended.

--- a/internal/endpoint/direct/limits.go
+++ b/internal/endpoint/direct/limits.go
@@ -23,8 +23,12 @@
 	// discardTimeout the time for it. Both cost less than a new connection.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 100 * time.Millisecond
+	// MaxAnswerBytes bounds a body that is buffered until it is complete.
+	MaxAnswerBytes = 8 << 20
 	// uncountedBytes is what each response may buffer without being counted by Memory.
 	uncountedBytes = 2 * readBufferSize
+	// uncountedBodyBytes is the same for a body, whose bytes are also counted as held for its caller.
+	uncountedBodyBytes = 64 << 10
 )
 
 // Limit names a limit on responses.
@@ -36,6 +40,7 @@
 	LimitHeadLines     Limit = "headLines"
 	LimitInformational Limit = "informational"
 	LimitDiscarded     Limit = "discarded"
+	LimitAnswer        Limit = "answer"
 	LimitMemory        Limit = "memory"
 )
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,9 +13,6 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// maxAnswerBytes bounds the size of an answer that is buffered until it is complete.
-const maxAnswerBytes = 8 << 20
-
 // BufferedAnswer is a complete buffered answer.
 type BufferedAnswer struct {
 	Status int
@@ -27,7 +24,6 @@
 	errUnsigned          = errors.New("relay: a success without the endpoint's signature")
 	errEncoded           = errors.New("relay: the body is encoded, which nobody asked for")
 	errRequestIDMismatch = errors.New("relay: a success that doesn't name its request")
-	errAnswerTooLarge    = errors.New("relay: the answer is too long")
 	errEventOrder        = errors.New("relay: events are missing or out of order")
 )
 
@@ -181,10 +177,7 @@
 // forwardBuffered reads the complete answer before it forwards any of it, so that the request can
 // still be sent to another endpoint if the answer is cut off.
 func (j *job) forwardBuffered(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
-	body, err := io.ReadAll(heldReader{r: io.LimitReader(resp, maxAnswerBytes+1), reply: j.reply})
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
+	body, err := resp.ReadAll(j.reply.Hold)
 	if err != nil {
 		return j.readErrorOutcome(ctx, err)
 	}
@@ -201,21 +194,6 @@
 	return Delivered{}
 }
 
-// heldReader counts what is read as held for a request.
-type heldReader struct {
-	r     io.Reader
-	reply *caller.Reply
-}
-
-// Read implements io.Reader.
-func (h heldReader) Read(p []byte) (int, error) {
-	n, err := h.r.Read(p)
-	if holdErr := h.reply.Hold(n); holdErr != nil {
-		return n, holdErr
-	}
-	return n, err
-}
-
 // readErrorOutcome returns the outcome of an answer that failed while it was read.
 func (j *job) readErrorOutcome(ctx context.Context, err error) Outcome {
 	if ctx.Err() != nil {
