Streams are limited in what they send besides events

Comments and blank lines without end were passed to the caller until the deadline, and began its answer, so that no other endpoint could take over. Events that the caller had received were skipped without end, and one event could have 1 MB. Comments before the first event are left out. Reading a block no longer allocates.

--- a/internal/endpoint/direct/events.go
+++ b/internal/endpoint/direct/events.go
@@ -4,18 +4,14 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 )
 
-// maxEventSize bounds one event, in bytes. Events usually carry a few tokens.
-const maxEventSize = 1 << 20
-
 // ErrPartialEvent reports a stream that ended inside an event.
 var ErrPartialEvent = errors.New("direct: stream ended inside an event")
 
-var errEventTooLong = errors.New("direct: event is too long")
-
-// Event is one complete server-sent event.
+// Event is one complete server-sent event, or another part of a stream that a blank line ends.
 type Event struct {
 	// Raw is the event as received, with the blank line that ends it. It is
 	// valid until the next call to Next.
@@ -24,6 +20,8 @@
 	// has an id that is an integer.
 	ID    int64
 	HasID bool
+	// Other means that this is no event: it has neither data nor an id or a type.
+	Other bool
 }
 
 // EventReader splits a stream into complete events, independent of how its bytes
@@ -34,18 +32,27 @@
 	buf   []byte
 	start int
 	err   error
+	// other and repeated are the bytes since the last event that were no events, and events that the
+	// caller had received before.
+	other, repeated int
+	received        int64
+	// hold, if set, is called with the size of the buffer.
+	hold func(n int) error
 }
 
 // NewEventReader returns an EventReader that reads from r.
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{r: r} }
 
+// Events returns an EventReader for the body.
+func (r *Response) Events() *EventReader { return &EventReader{r: r, hold: r.holdBuffer} }
+
 // Next returns the next event. It returns io.EOF at the end of the stream,
 // ErrPartialEvent if the stream ended inside an event, and otherwise the error of
-// the reader or an error for an event that is too long.
+// the reader or a LimitError.
 func (e *EventReader) Next() (Event, error) {
 	for {
 		if ev, ok := e.takeEvent(); ok {
-			return ev, nil
+			return ev, e.countOther(ev)
 		}
 		if e.err != nil {
 			if e.err == io.EOF && len(bytes.TrimSpace(e.buf[e.start:])) > 0 {
@@ -57,6 +64,30 @@
 	}
 }
 
+// countOther counts what is no event, up to the next event.
+func (e *EventReader) countOther(ev Event) error {
+	if !ev.Other {
+		e.other = 0
+		return nil
+	}
+	e.other += len(ev.Raw)
+	return e.checkLimit(e.other, maxOtherBytes, LimitOther)
+}
+
+// CountRepeated counts an event that the caller has received before. It returns a LimitError if the
+// stream contains too many of them.
+func (e *EventReader) CountRepeated(ev Event) error {
+	e.repeated += len(ev.Raw)
+	return e.checkLimit(e.repeated, maxRepeatedBytes, LimitRepeated)
+}
+
+func (e *EventReader) checkLimit(n, limit int, name Limit) error {
+	if n <= limit {
+		return nil
+	}
+	return &LimitError{Limit: name, Bytes: e.received}
+}
+
 // Buffered reports whether another complete event is buffered.
 func (e *EventReader) Buffered() bool { return eventEnd(e.buf[e.start:]) > 0 }
 
@@ -66,14 +97,19 @@
 		e.buf = append(e.buf[:0], e.buf[e.start:]...)
 		e.start = 0
 	}
-	if len(e.buf) > maxEventSize {
-		e.err = errEventTooLong
+	n := len(e.buf)
+	if e.err = e.checkLimit(n, maxEventBytes, LimitEvent); e.err != nil {
 		return
 	}
-	n := len(e.buf)
-	e.buf = append(e.buf, make([]byte, readBufferSize)...)
-	m, err := e.r.Read(e.buf[n:])
+	e.buf = slices.Grow(e.buf, readBufferSize)
+	if e.hold != nil {
+		if e.err = e.hold(cap(e.buf)); e.err != nil {
+			return
+		}
+	}
+	m, err := e.r.Read(e.buf[n : n+readBufferSize])
 	e.buf = e.buf[:n+m]
+	e.received += int64(m)
 	e.err = err
 }
 
@@ -85,9 +121,8 @@
 	}
 	raw := e.buf[e.start : e.start+n]
 	e.start += n
-	ev := Event{Raw: raw}
-	ev.ID, ev.HasID = eventID(raw)
-	return ev, true
+	id, hasID, isEvent := inspect(raw)
+	return Event{Raw: raw, ID: id, HasID: hasID, Other: !isEvent}, true
 }
 
 // eventEnd returns the length of the first event in b, including the blank line
@@ -110,16 +145,31 @@
 	}
 }
 
-// eventID returns the value of the first id field of an event, and whether it
-// is an integer.
-func eventID(raw []byte) (int64, bool) {
-	for _, line := range bytes.Split(raw, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
+// inspect returns the value of the first id field of a block, whether it is an integer, and whether
+// the block is an event: it has data, an id or a type, and not only comments, blank lines and unknown
+// fields. It doesn't allocate, because a faulty endpoint may send millions of blocks per second.
+func inspect(raw []byte) (id int64, hasID, isEvent bool) {
+	seen := false
+	for len(raw) > 0 {
+		var line []byte
+		line, raw, _ = bytes.Cut(raw, lineBreak)
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, carriageReturn), colon)
+		switch string(name) {
+		case "data", "event":
+			isEvent = true
+		case "id":
+			isEvent = true
+			if !seen {
+				n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+				id, hasID, seen = n, err == nil, true
+			}
 		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return n, err == nil
 	}
-	return 0, false
+	return id, hasID, isEvent
 }
+
+var (
+	lineBreak      = []byte("\n")
+	carriageReturn = []byte("\r")
+	colon          = []byte(":")
+)
--- a/internal/endpoint/direct/limits.go
+++ b/internal/endpoint/direct/limits.go
@@ -25,6 +25,14 @@
 	discardTimeout    = 100 * time.Millisecond
 	// MaxAnswerBytes bounds a body that is buffered until it is complete.
 	MaxAnswerBytes = 8 << 20
+	// maxEventBytes bounds one event of a stream. Events usually carry a few tokens.
+	maxEventBytes = 256 << 10
+	// maxOtherBytes bounds what a stream contains between two events that is no event: comments,
+	// blank lines and unknown fields. A keep-alive comment has a few bytes a second.
+	maxOtherBytes = 64 << 10
+	// maxRepeatedBytes bounds the events of a stream that the caller has received before. An endpoint
+	// that ignores from where a stream is to be resumed sends all of them again.
+	maxRepeatedBytes = 256 << 10
 	// uncountedBytes is what each response may buffer without being counted by Memory.
 	uncountedBytes = 2 * readBufferSize
 	// uncountedBodyBytes is the same for a body, whose bytes are also counted as held for its caller.
@@ -41,6 +49,9 @@
 	LimitInformational Limit = "informational"
 	LimitDiscarded     Limit = "discarded"
 	LimitAnswer        Limit = "answer"
+	LimitEvent         Limit = "event"
+	LimitOther         Limit = "noEvent"
+	LimitRepeated      Limit = "repeatedEvents"
 	LimitMemory        Limit = "memory"
 )
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -205,7 +205,7 @@
 // forwardStream forwards events as they arrive. The header is sent to the caller with the first
 // event, so that another endpoint can take over if this one fails before that.
 func (j *job) forwardStream(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
-	events := direct.NewEventReader(resp)
+	events := resp.Events()
 	for {
 		ev, err := events.Next()
 		if err == io.EOF && !j.answerBegan && !resp.Framed() {
@@ -220,6 +220,15 @@
 			return j.readErrorOutcome(ctx, err)
 		}
 		if ev.HasID && ev.ID <= j.lastEventID {
+			if err := events.CountRepeated(ev); err != nil {
+				return j.readErrorOutcome(ctx, err)
+			}
+			continue
+		}
+		if ev.Other {
+			if err := j.forwardOther(ev); err != nil {
+				return Disconnected{Cause: err}
+			}
 			continue
 		}
 		if ev.HasID && ev.ID != j.lastEventID+1 {
@@ -231,6 +240,15 @@
 	}
 }
 
+// forwardOther forwards what a stream contains besides events, such as comments, once the answer has
+// begun. Before that it is left out, so that another endpoint can take over.
+func (j *job) forwardOther(ev direct.Event) error {
+	if !j.headerSent {
+		return nil
+	}
+	return j.reply.WriteChunk(ev.Raw)
+}
+
 // partReceived records that the attempt has received a part of its answer, which has the given
 // status.
 func (j *job) partReceived(assigned Assignment, status int, now time.Time) {
