Chunk headers and trailers that exceed net/http's limits have a result code

net/http already bounds the lines of chunk headers, their sum and trailers, but the attempt failed as if its connection had been lost, so that the endpoint was checked for its end. The errors now are a LimitError like the others.

--- a/internal/endpoint/direct/body.go
+++ b/internal/endpoint/direct/body.go
@@ -12,11 +12,15 @@
 	maxPart = 256 << 10
 )
 
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Read reads the body. It returns io.EOF only if the body is complete, and a LimitError if its
+// encoding exceeds a limit.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		r.complete = true
+	case err != nil && exceedsFraming(err):
+		err = r.conn.guard.limitError(LimitFraming)
 	}
 	return n, err
 }
--- a/internal/endpoint/direct/limits.go
+++ b/internal/endpoint/direct/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -42,7 +43,9 @@
 // Limit names a limit on responses.
 type Limit string
 
-// The limits. LimitMemory is that of Memory.
+// The limits. LimitFraming bounds chunk extensions and trailers. It is a limit of net/http, which
+// reads a line of a chunk header and a trailer only as far as they fit into the read buffer, and
+// allows 16 KB of chunk headers in excess of the data. LimitMemory is that of Memory.
 const (
 	LimitHeadBytes     Limit = "headBytes"
 	LimitHeadLines     Limit = "headLines"
@@ -52,6 +55,7 @@
 	LimitEvent         Limit = "event"
 	LimitOther         Limit = "noEvent"
 	LimitRepeated      Limit = "repeatedEvents"
+	LimitFraming       Limit = "framing"
 	LimitMemory        Limit = "memory"
 )
 
@@ -75,3 +79,15 @@
 	}
 	return nil
 }
+
+// Texts of errors of net/http that have no variable.
+const (
+	textChunkOverhead = "chunked encoding contains too much non-data"
+	textLongTrailer   = "http: suspiciously long trailer after chunked body"
+)
+
+// exceedsFraming reports whether a body's error means that net/http's limits on chunk headers or
+// trailers are exceeded.
+func exceedsFraming(err error) bool {
+	return errors.Is(err, http.ErrLineTooLong) || err.Error() == textChunkOverhead || err.Error() == textLongTrailer
+}
