Endpoints whose responses exceed limits are excluded, logged and counted

One response that exceeds a limit excluded its endpoint, and a refusal with such a body did not at all. Now the second in a row does, as for reported failures, and the endpoint is probed after the existing pauses. The log line "response exceeds a limit" names the limit, the bytes and the endpoint; relay.answers.exceeded counts. The rows of TestEndlessResponsesAreCutOff check the limit in the log.

--- a/internal/frontend/endless_test.go
+++ b/internal/frontend/endless_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
 	logs "github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
@@ -146,29 +147,30 @@
 	var stops sync.WaitGroup
 	for _, c := range []struct {
 		element logs.Endless
+		limit   direct.Limit
 		paths   []string
 	}{
-		{logs.HeaderLine, []string{"/look/1", "/order/1"}},
-		{logs.HeaderLines, []string{"/look/1"}},
-		{logs.StatusLine, []string{"/look/1"}},
-		{logs.Informational, []string{"/look/1", "/stream/1"}},
-		{logs.NoProtocol, []string{"/look/1", "/stream/1"}},
-		{logs.StreamHead, []string{"/stream/1"}},
-		{logs.Body, []string{"/look/1", "/order/1"}},
-		{logs.ChunkedBody, []string{"/look/1"}},
-		{logs.Failure, []string{"/look/1", "/order/1"}},
-		{logs.Refusal, []string{"/look/1", "/order/1", "/stream/1"}},
-		{logs.OtherResponse, []string{"/look/1"}},
-		{logs.Comments, []string{"/stream/1"}},
-		{logs.BlankLines, []string{"/stream/1"}},
-		{logs.Event, []string{"/stream/1"}},
-		{logs.RepeatedEvents, []string{"/stream/1"}},
-		{logs.ChunkExtension, []string{"/look/1"}},
-		{logs.Extensions, []string{"/look/1"}},
-		{logs.Trailer, []string{"/look/1"}},
+		{logs.HeaderLine, "headBytes", []string{"/look/1", "/order/1"}},
+		{logs.HeaderLines, "headLines", []string{"/look/1"}},
+		{logs.StatusLine, "headBytes", []string{"/look/1"}},
+		{logs.Informational, "informational", []string{"/look/1", "/stream/1"}},
+		{logs.NoProtocol, "headBytes", []string{"/look/1", "/stream/1"}},
+		{logs.StreamHead, "headBytes", []string{"/stream/1"}},
+		{logs.Body, "memory", []string{"/look/1", "/order/1"}},
+		{logs.ChunkedBody, "memory", []string{"/look/1"}},
+		{logs.Failure, "memory", []string{"/look/1", "/order/1"}},
+		{logs.Refusal, "discarded", []string{"/look/1", "/order/1", "/stream/1"}},
+		{logs.OtherResponse, "discarded", []string{"/look/1"}},
+		{logs.Comments, "noEvent", []string{"/stream/1"}},
+		{logs.BlankLines, "noEvent", []string{"/stream/1"}},
+		{logs.Event, "event", []string{"/stream/1"}},
+		{logs.RepeatedEvents, "repeatedEvents", []string{"/stream/1"}},
+		{logs.ChunkExtension, "framing", []string{"/look/1"}},
+		{logs.Extensions, "framing", []string{"/look/1"}},
+		{logs.Trailer, "framing", []string{"/look/1"}},
 	} {
 		for _, path := range c.paths {
-			sub := func(t2 *testing.T) { stops.Go(checkElement(t, t2, c.element, path)) }
+			sub := func(t2 *testing.T) { stops.Go(checkElement(t, t2, c.element, c.limit, path)) }
 			t.Run(string(c.element)+path, sub)
 		}
 	}
@@ -177,7 +179,7 @@
 
 // checkElement sends requests while an endpoint sends the element without end. It returns what stops
 // the entry.
-func checkElement(parent, t *testing.T, element logs.Endless, path string) (stop func()) {
+func checkElement(parent, t *testing.T, element logs.Endless, limit direct.Limit, path string) (stop func()) {
 	sender := &logs.EndlessSender{Element: element, Rate: endlessRate}
 	s := newEndlessSystem(parent, t, sender)
 	o := s.entry.sendAll(path)
@@ -191,6 +193,7 @@
 	if o.heap > maxEndlessHeap || o.slowest > maxEndlessWait || sender.Open() > 0 {
 		t.Error("a faulty endpoint costs too much")
 	}
+	s.eventually("the log names the limit", func() bool { return s.entry.log.Has(fmt.Sprintf(`"limit":%q`, limit)) })
 	s.t = parent
 	return s.entry.stop
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -21,6 +21,8 @@
 	// lostBegun and lostUnbegun count the exchanges that were lost after and before their answer had
 	// begun, and lostEnded those of both whose endpoint ended.
 	lostBegun, lostUnbegun, lostEnded metrics.Counter
+	// exceeded counts the answers that exceeded a limit.
+	exceeded metrics.Counter
 }
 
 // NewMetrics registers the metrics in r.
@@ -34,6 +36,8 @@
 		lostBegun:   metrics.GetOrRegisterCounter("relay.lost.begun", r),
 		lostUnbegun: metrics.GetOrRegisterCounter("relay.lost.unbegun", r),
 		lostEnded:   metrics.GetOrRegisterCounter("relay.lost.ended", r),
+
+		exceeded: metrics.GetOrRegisterCounter("relay.answers.exceeded", r),
 	}
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -175,6 +175,10 @@
 	if _, whole := o.(Delivered); whole {
 		st.latencies.recordWhole(assigned.Endpoint.Service, now.Sub(assigned.assignedAt), now)
 	}
+	if limitErrorOf(o) != nil {
+		st.recordFailure(assigned, now)
+		return
+	}
 	switch o := o.(type) {
 	case NotRun:
 		if o.Code == result.EndpointBusy {
@@ -201,8 +205,8 @@
 	}
 }
 
-// recordFailure ends an attempt for which the endpoint reported a failure in a complete answer, or
-// did not answer within the request's time. Some kinds of requests fail for reasons of their own,
+// recordFailure ends an attempt for which the endpoint reported a failure in a complete answer, did
+// not answer within the request's time, or sent an answer that exceeds a limit. Some kinds of requests fail for reasons of their own,
 // up to one in seven, and excluding an endpoint after each of them costs capacity: when it was the
 // last endpoint of its service, callers were refused meanwhile. So only consecutive failures, from
 // the second on, count against the endpoint.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -244,6 +244,7 @@
 	case NotRun:
 		j.logRefusing(assigned, now)
 	}
+	j.noteExceeded(assigned, o)
 	return j.noteLost(ctx, assigned, o)
 }
 
