Agents' attempts and orders to engines are limited in what is dropped

An agent bounded what it holds of an answer, but not what it drops: interim responses, header lines, comments, the body of a failed answer, chunk headers, and the sum of the chunks of an answer. An engine that sent them without end occupied the attempt until its deadline. Now each has a limit, and an event has at most 256 KB in place of MaxAnswerBytes. The body of a failed answer is cut at 64 KB and the answer counts as failed. The results stay outcomeUnknown and answerIncomplete with the limit as detail, because entries decide by them whether a request is repeated.

--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -170,6 +170,7 @@
 // advance parses data and passes on what became whole.
 func (c *Client) advance(cn *conn, resp *response, data []byte, sink func(Event) error) error {
 	err := cn.parser.Parse(data)
+	resp.received(len(data))
 	for _, e := range resp.takeEvents() {
 		if err := sink(e); err != nil {
 			return result.Newf(result.Cancelled, "the answer was not taken: %v", err)
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -44,6 +44,12 @@
 	events       []Event
 	failedDetail []byte
 	fault        error
+
+	// headBytes, headLines and interims are those of the head so far. rawBytes are the bytes after
+	// it, bodyBytes those of its parts, and bodyGrew means that a part came with the last bytes.
+	headBytes, headLines, interims int
+	rawBytes, bodyBytes            int
+	bodyGrew                       bool
 }
 
 func (r *response) fail(format string, args ...any) {
@@ -87,6 +93,7 @@
 // OnHeader implements nbhttp.Processor.
 func (r *response) OnHeader(_ *nbhttp.Parser, key, value string) {
 	value = strings.TrimSpace(value)
+	r.countHeadLine()
 	switch key {
 	case "Content-Type":
 		r.contentType = value
@@ -169,7 +176,7 @@
 	kind, _, err := mime.ParseMediaType(r.contentType)
 	isStream := err == nil && kind == eventStreamType
 	if isStream {
-		r.stream = &splitter{limit: r.limit}
+		r.stream = &splitter{limit: min(r.limit, maxEventBytes)}
 		return
 	}
 	if r.wantStream && r.status == http.StatusOK {
@@ -179,12 +186,16 @@
 
 // OnBody implements nbhttp.Processor. The parser reuses data, so it is copied.
 func (r *response) OnBody(_ *nbhttp.Parser, data []byte) error {
+	if r.fault == nil && !r.failed() {
+		r.countBody(len(data))
+	}
 	switch {
 	case r.fault != nil:
 		return r.fault
 	case r.failed():
-		n := min(len(data), detailLimit-len(r.failedDetail))
-		r.failedDetail = append(r.failedDetail, data[:n]...)
+		r.bodyGrew = true
+		r.bodyBytes += len(data)
+		r.addDetail(data)
 		return nil
 	case r.stream != nil:
 		if err := r.stream.feed(data, r.emit); err != nil {
@@ -202,12 +213,15 @@
 }
 
 // OnTrailerHeader implements nbhttp.Processor.
-func (r *response) OnTrailerHeader(*nbhttp.Parser, string, string) {}
+func (r *response) OnTrailerHeader(*nbhttp.Parser, string, string) { r.countHeadLine() }
 
 // OnComplete implements nbhttp.Processor.
 func (r *response) OnComplete(*nbhttp.Parser) {
 	if r.interim() {
 		r.status, r.length, r.contentType = 0, "", ""
+		if r.interims++; r.interims > maxInterim {
+			r.fail("%w", errTooManyInterim)
+		}
 		return
 	}
 	if r.stream != nil && r.fault == nil {
--- a/internal/endpoint/sse.go
+++ b/internal/endpoint/sse.go
@@ -33,6 +33,8 @@
 	data    []byte
 	hasData bool
 	done    []byte
+	// other is the number of bytes without data since the last event.
+	other int
 }
 
 // feed takes the next bytes and calls emit with each whole event. The end
@@ -55,6 +57,9 @@
 		if bytes.HasSuffix(s.block[s.line:], eventLineBreak) {
 			s.endLine(emit)
 		}
+		if s.other > maxOtherBytes {
+			return errOtherTooLong
+		}
 	}
 	return nil
 }
@@ -81,6 +86,10 @@
 
 // endEvent handles the blank line that closes an event.
 func (s *splitter) endEvent(emit func([]byte)) {
+	s.other += len(s.block)
+	if s.hasData {
+		s.other = 0
+	}
 	switch {
 	case !s.hasData:
 	case string(s.data) == doneMarker:
--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -61,6 +62,8 @@
 	Rate int
 	// Refused is the header line of a request that was not run, with its line break.
 	Refused string
+	// Chunked has the bodies of streams sent in chunks.
+	Chunked bool
 
 	open, sent atomic.Int64
 }
@@ -89,6 +92,11 @@
 	defer s.open.Add(-1)
 	s.sent.Add(1)
 	first, repeated := s.Element.text(lines, s.Refused)
+	if s.Chunked && s.Element.isStream() {
+		head, body, _ := strings.Cut(first, "\r\n\r\n")
+		first = head + "\r\n" + chunkedLine + "\r\n" + chunk(body)
+		repeated = chunk(repeated)
+	}
 	size := max(len(repeated), s.Rate*int(endlessPeriod)/int(time.Second))
 	block := []byte(strings.Repeat(repeated, size/len(repeated)))
 	if _, err := io.WriteString(conn, first); err != nil {
@@ -132,6 +140,18 @@
 	return t[0], t[1]
 }
 
+func (e Endless) isStream() bool {
+	return slices.Contains([]Endless{Comments, BlankLines, Event, RepeatedEvents}, e)
+}
+
+// chunk returns text as a chunk, or nothing if it is empty.
+func chunk(text string) string {
+	if text == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+}
+
 // changeValues returns header lines with other values.
 func changeValues(lines string) string {
 	all := strings.SplitAfter(lines, "\r\n")
