Lists of the store that have no end fail

ListPages followed pages for as long as the service announced more. Now a list of more than 32 MB is a read error. TestListWithoutEndIsCutOff announces more pages without end.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -247,3 +247,17 @@
 		}
 	}
 }
+
+// The service announces pages without end. Guards against a list that is read for ever.
+func TestListWithoutEndIsCutOff(t *testing.T) {
+	page, calls := platform.NewRangeReply(1, []platform.KeyValue{platform.NewKeyValue("p/1", make([]byte, 1<<20), 1, 0)}, true), 0
+	_, _, err := platform.ListPages(func(string) (platform.RangeReply, error) {
+		if calls++; calls > 100 {
+			t.Fatal("the list goes on")
+		}
+		return page, nil
+	})
+	if err == nil {
+		t.Error("a part of the list is taken for the whole")
+	}
+}
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -1,6 +1,10 @@
 package platform
 
-import "github.com/hyssoprelay/hyssoprelay/internal/platform/etcdpb"
+import (
+	"fmt"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/etcdpb"
+)
 
 // KeyValue is a key with its value.
 type KeyValue struct {
@@ -150,15 +154,32 @@
 // holds the keys that they name as they are in the store.
 func NewFailedTxnReply(current []KeyValue) TxnReply { return TxnReply{current: current} }
 
+// maxListBytes bounds the keys and values of one list in bytes, since a service may announce pages
+// without end.
+const maxListBytes = 32 << 20
+
+// size returns the bytes of the keys and values.
+func (r RangeReply) size() int {
+	n := 0
+	for _, kv := range r.KVs() {
+		n += len(kv.Key()) + len(kv.Value())
+	}
+	return n
+}
+
 // ListPages calls list for one page of keys after the other, each after the last key of the
 // page before it, and returns all keys with the revision of the first page. If a call fails, it
 // returns the keys so far with the error.
 func ListPages(list func(after string) (RangeReply, error)) (kvs []KeyValue, revision int64, err error) {
+	size := 0
 	for after := ""; ; after = kvs[len(kvs)-1].Key() {
 		page, err := list(after)
 		if err != nil {
 			return kvs, revision, err
 		}
+		if size += page.size(); size > maxListBytes {
+			return kvs, revision, NewReadError(fmt.Sprintf("the list has more than %d bytes", maxListBytes))
+		}
 		if revision == 0 {
 			revision = page.Revision()
 		}
