--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -73,6 +73,9 @@
 	return cc, nil
 }
 
+// maxHeaderBytes bounds the headers and trailers of a reply. grpc-go allows 16 MB.
+const maxHeaderBytes = 64 << 10
+
 func (p *ConnPool) options() []grpc.DialOption {
 	creds := insecure.NewCredentials()
 	if p.TLS != nil {
@@ -87,6 +90,7 @@
 		grpc.WithInitialWindowSize(streamWindowBytes),
 		grpc.WithInitialConnWindowSize(connWindowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithMaxHeaderListSize(maxHeaderBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.WithDisableServiceConfig(),
 	}
--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -21,6 +21,9 @@
 	maxReconnectDelay = time.Second
 )
 
+// maxHeaderBytes bounds the headers and trailers of a reply. grpc-go allows 16 MB.
+const maxHeaderBytes = 64 << 10
+
 // A connection that carries a watch is probed every keepaliveInterval, the shortest
 // interval that the service allows, and closed if no reply arrives within
 // keepaliveTimeout. Otherwise, if a network partition drops packets, a watch stays
@@ -41,6 +44,7 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: maxReconnectDelay}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithMaxHeaderListSize(maxHeaderBytes),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
--- a/internal/platform/vmlist/client.go
+++ b/internal/platform/vmlist/client.go
@@ -17,6 +17,9 @@
 // ErrInvalidConfig is returned by Client.Run if Addr, Period or Timeout is not set.
 var ErrInvalidConfig = errors.New("vmlist: Client needs Addr, Period and Timeout")
 
+// MaxHeadBytes bounds the head of a response. net/http allows 10 MB.
+const MaxHeadBytes = 32 << 10
+
 // Client polls the list of VMs. Set the exported fields before calling Run. A Client
 // is safe for concurrent use.
 type Client struct {
@@ -25,7 +28,7 @@
 	// Period is the time between polls, and Timeout bounds each request.
 	Period  time.Duration
 	Timeout time.Duration
-	// HTTP sends the requests; nil means http.DefaultTransport.
+	// HTTP sends the requests; nil means a transport with a limit on heads.
 	HTTP http.RoundTripper
 	// Log receives a message when polls begin to fail and when they succeed again; nil
 	// means the standard logger.
@@ -48,7 +51,7 @@
 		c.changed = make(chan struct{}, 1)
 		c.vms = make(map[string]VM)
 		if c.HTTP == nil {
-			c.HTTP = http.DefaultTransport
+			c.HTTP = &http.Transport{MaxResponseHeaderBytes: MaxHeadBytes}
 		}
 		if c.Log == nil {
 			c.Log = logrus.StandardLogger()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -76,6 +76,8 @@
 	if d != nil {
 		c.HTTP = &http.Transport{
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return d(ctx, addr) },
+
+			MaxResponseHeaderBytes: vmlist.MaxHeadBytes,
 		}
 	}
 	return c
