The operator's command limits the head of an answer

nbhttp's client has no limit on heads, so that a command read one without end until its time-out. It uses net/http's transport now, with heads of at most 32 KB. A body beyond the limit is an error, as before.

--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,11 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	httptls "github.com/lesismal/llib/std/crypto/tls"
-	"github.com/lesismal/nbio/logging"
-	"github.com/lesismal/nbio/nbhttp"
-
-	"github.com/hyssoprelay/hyssoprelay/internal/eventloop"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -24,6 +21,8 @@
 const (
 	// maxAnswer bounds an answer: a time line of all processes.
 	maxAnswer = 256 << 20
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 32 << 10
 	// connectTimeout bounds how long an address that does not answer keeps
 	// the next one waiting.
 	connectTimeout = 2 * time.Second
@@ -60,7 +59,7 @@
 type client struct {
 	addrs   []string
 	token   string
-	tls     *httptls.Config
+	tls     *tls.Config
 	timeout time.Duration
 }
 
@@ -83,8 +82,6 @@
 		}
 		c.tls = cfg
 	}
-	// The library's own lines would stand between those of the command.
-	logging.SetLevel(logging.LevelNone)
 	return c, nil
 }
 
@@ -106,46 +103,27 @@
 
 // ask sends one request to one address.
 //
-// nbhttp's client adds the connection to the engine by itself, so that no Gate can hold it back.
-// Therefore the engine serves this connection alone.
+// nbhttp's client has no limit on the head of an answer, so net/http's is used. RoundTrip follows no
+// redirect, and each call has a connection of its own.
 func (c *client) ask(ctx context.Context, addr string, r call) reply {
 	req, err := c.request(addr, r)
 	if err != nil {
 		return unreached{err}
 	}
-	engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 1, MaxHTTPBodySize: maxAnswer, ReadLimit: maxAnswer})
-	gate := &eventloop.Gate{}
-	if err := gate.StartHTTP(engine); err != nil {
-		return unreached{err}
-	}
-	defer gate.Stop()
 	var connected atomic.Bool
-	h := &nbhttp.Client{
-		Engine:          engine,
-		Timeout:         c.timeout,
-		TLSClientConfig: c.tls,
-		Dial: func(string, string) (net.Conn, error) {
+	t := &http.Transport{
+		TLSClientConfig: c.tls, DisableKeepAlives: true, DisableCompression: true,
+		ResponseHeaderTimeout: c.timeout, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			conn, err := net.DialTimeout("tcp", addr, min(connectTimeout, c.timeout))
 			connected.Store(err == nil)
 			return conn, err
 		},
 	}
-	defer h.Close()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+connectTimeout)
 	defer cancel()
-	got := make(chan reply, 1)
-	h.Do(req, func(res *http.Response, _ net.Conn, err error) {
-		select {
-		case got <- read(res, err, connected.Load()):
-		default:
-		}
-	})
-	select {
-	case a := <-got:
-		return a
-	case <-ctx.Done():
-		return lost{ctx.Err()}
-	}
+	res, err := t.RoundTrip(req.WithContext(ctx))
+	return read(res, err, connected.Load())
 }
 
 func (c *client) request(addr string, r call) (*http.Request, error) {
@@ -166,7 +144,7 @@
 		return nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
-	req.Header.Set("Connection", "close")
+	req.Close = true
 	return req, nil
 }
 
@@ -177,8 +155,11 @@
 	if err != nil {
 		return lost{err}
 	}
-	body, err := io.ReadAll(res.Body)
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = result.Newf(result.ResponseLimit, "more than %d bytes", maxAnswer)
+	}
+	if err = errors.Join(err, res.Body.Close()); err != nil {
 		return lost{err}
 	}
 	if res.StatusCode < http.StatusMultipleChoices {
--- a/internal/operator/command/tls.go
+++ b/internal/operator/command/tls.go
@@ -1,18 +1,17 @@
 package command
 
 import (
+	"crypto/tls"
 	"crypto/x509"
 	"os"
 
-	httptls "github.com/lesismal/llib/std/crypto/tls"
-
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 // tlsConfig returns a configuration that checks entries by the certificates of
 // a file, or by those of the operating system when none is named.
-func tlsConfig(ca string) (*httptls.Config, error) {
-	cfg := &httptls.Config{MinVersion: httptls.VersionTLS12}
+func tlsConfig(ca string) (*tls.Config, error) {
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12}
 	if ca == "" {
 		return cfg, nil
 	}
