--- a/cmd/hyssoprelay/soak_chaos_test.go
+++ b/cmd/hyssoprelay/soak_chaos_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	base "github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/internal/standin/line"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
@@ -25,6 +26,9 @@
 type chaos struct {
 	s   *soakSystem
 	rng *rand.Rand
+	// endless chooses the endpoints that send without end. It is apart from rng, so that the other
+	// faults of a seed stay as they are.
+	endless *rand.Rand
 	// busy names what a fault is on.
 	busy  map[string]bool
 	later []undo
@@ -47,6 +51,7 @@
 		c.checkAlive()
 		if !now.Before(due) {
 			c.inject(now)
+			c.sendEndless(now)
 			due = now.Add(time.Duration(c.rng.Int64N(int64(mostBetween))))
 		}
 		time.Sleep(chaosTick)
@@ -165,6 +170,22 @@
 	}
 }
 
+// endlessBytes is how many bytes per second an endpoint sends on each connection without end.
+const endlessBytes = 20e6
+
+// sendEndless has an endpoint send some element of a response without end, in one of four turns.
+func (c *chaos) sendEndless(now time.Time) {
+	if c.endless.IntN(4) != 0 {
+		return
+	}
+	i, all := c.endless.IntN(len(c.s.desks)), base.AllEndless()
+	desk, element := c.s.desks[i], all[c.endless.IntN(len(all))]
+	d := 200*time.Millisecond + time.Duration(c.endless.Int64N(int64(3*time.Second)))
+	if c.take("endless", fmt.Sprint("desk", i), now, d, func() { desk.AnswerEndless(nil) }) {
+		desk.AnswerEndless(&base.EndlessSender{Element: element, Rate: endlessBytes, Chunked: c.endless.IntN(2) == 0})
+	}
+}
+
 // keys takes the lost key away, for longer than the bound now and then. In half
 // of all cases no relay reaches the store meanwhile, so that none hears of it.
 func (c *chaos) keys(now time.Time) {
--- a/cmd/hyssoprelay/soak_test.go
+++ b/cmd/hyssoprelay/soak_test.go
@@ -25,7 +25,7 @@
 
 // The relays and rankers run as separate processes while connections to the
 // store and to endpoints are slowed, broken, cut one way and silenced, the store
-// misbehaves, endpoints fail, leave and return, keys are taken away, and
+// misbehaves, endpoints fail, send without end, leave and return, keys are taken away, and
 // processes are stopped, frozen, killed and started again, in series and at once.
 // Callers keep their connections until they are closed. What callers and
 // endpoints see must keep the promises, and when the faults have ended everything
@@ -54,7 +54,7 @@
 	s := newSoakSystem(t)
 	s.awaitServed()
 	callers := s.startCallers(seed)
-	c := &chaos{s: s, rng: rand.New(rand.NewPCG(seed, 1)), busy: map[string]bool{}}
+	c := &chaos{s: s, rng: rand.New(rand.NewPCG(seed, 1)), endless: rand.New(rand.NewPCG(seed, 2)), busy: map[string]bool{}}
 	c.run(*soakTime)
 	s.awaitServed()
 	callers.stop()
