--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,9 +13,6 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// maxAnswerBytes bounds the size of an answer that is buffered until it is complete.
-const maxAnswerBytes = 8 << 20
-
 // BufferedAnswer is a complete buffered answer.
 type BufferedAnswer struct {
 	Status int
@@ -27,7 +24,6 @@
 	errUnsigned          = errors.New("relay: a success without the endpoint's signature")
 	errEncoded           = errors.New("relay: the body is encoded, which nobody asked for")
 	errRequestIDMismatch = errors.New("relay: a success that doesn't name its request")
-	errAnswerTooLarge    = errors.New("relay: the answer is too long")
 	errEventOrder        = errors.New("relay: events are missing or out of order")
 )
 
@@ -52,8 +48,8 @@
 		j.recordAvailability(assigned, info)
 	}
 	if info.NotRun {
-		_, _ = io.Copy(io.Discard, resp)
-		return NotRun{Sent: true, Code: notRunCode(info, resp.Status)}
+		// The head has said so, whatever the body contains.
+		return NotRun{Sent: true, Code: notRunCode(info, resp.Status), Cause: resp.Discard()}
 	}
 	if err := j.checkAnswer(resp, info); err != nil {
 		return Unknown{Cause: err}
@@ -181,10 +177,7 @@
 // forwardBuffered reads the complete answer before it forwards any of it, so that the request can
 // still be sent to another endpoint if the answer is cut off.
 func (j *job) forwardBuffered(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
-	body, err := io.ReadAll(heldReader{r: io.LimitReader(resp, maxAnswerBytes+1), reply: j.reply})
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
+	body, err := resp.ReadAll(j.reply.Hold)
 	if err != nil {
 		return j.readErrorOutcome(ctx, err)
 	}
@@ -201,21 +194,6 @@
 	return Delivered{}
 }
 
-// heldReader counts what is read as held for a request.
-type heldReader struct {
-	r     io.Reader
-	reply *caller.Reply
-}
-
-// Read implements io.Reader.
-func (h heldReader) Read(p []byte) (int, error) {
-	n, err := h.r.Read(p)
-	if holdErr := h.reply.Hold(n); holdErr != nil {
-		return n, holdErr
-	}
-	return n, err
-}
-
 // readErrorOutcome returns the outcome of an answer that failed while it was read.
 func (j *job) readErrorOutcome(ctx context.Context, err error) Outcome {
 	if ctx.Err() != nil {
@@ -227,7 +205,7 @@
 // forwardStream forwards events as they arrive. The header is sent to the caller with the first
 // event, so that another endpoint can take over if this one fails before that.
 func (j *job) forwardStream(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
-	events := direct.NewEventReader(resp)
+	events := resp.Events()
 	for {
 		ev, err := events.Next()
 		if err == io.EOF && !j.answerBegan && !resp.Framed() {
@@ -242,6 +220,15 @@
 			return j.readErrorOutcome(ctx, err)
 		}
 		if ev.HasID && ev.ID <= j.lastEventID {
+			if err := events.CountRepeated(ev); err != nil {
+				return j.readErrorOutcome(ctx, err)
+			}
+			continue
+		}
+		if ev.Other {
+			if err := j.forwardOther(ev); err != nil {
+				return Disconnected{Cause: err}
+			}
 			continue
 		}
 		if ev.HasID && ev.ID != j.lastEventID+1 {
@@ -253,6 +240,15 @@
 	}
 }
 
+// forwardOther forwards what a stream contains besides events, such as comments, once the answer has
+// begun. Before that it is left out, so that another endpoint can take over.
+func (j *job) forwardOther(ev direct.Event) error {
+	if !j.headerSent {
+		return nil
+	}
+	return j.reply.WriteChunk(ev.Raw)
+}
+
 // partReceived records that the attempt has received a part of its answer, which has the given
 // status.
 func (j *job) partReceived(assigned Assignment, status int, now time.Time) {
