--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -74,6 +74,7 @@
 	EndpointResting    Code = 2022
 	PromptPartRefused  Code = 2023
 	RequestRefused     Code = 2024
+	HeldBack           Code = 2025
 
 	OutcomeUnknown   Code = 3001
 	EndpointFailed   Code = 3002
@@ -177,6 +178,7 @@
 
 	PromptPartRefused: {"promptPartRefused", NotRun, http.StatusServiceUnavailable, "endpoints have crashed on a part of this prompt"},
 	RequestRefused:    {"requestRefused", NotRun, http.StatusServiceUnavailable, "endpoints have ended under this request"},
+	HeldBack:          {"heldBack", NotRun, http.StatusServiceUnavailable, "operators hold back this class of requests or this account"},
 
 	OutcomeUnknown:   {"outcomeUnknown", Unknown, http.StatusBadGateway, "the request may have been run; ask again with the same key or fetch the answer"},
 	EndpointFailed:   {"endpointFailed", Ran, http.StatusBadGateway, "the endpoint ran the request and failed"},
