Relay refuses requests that operators hold back

Change: an arrival is checked before it is queued, against an immutable set that is read without the lock, and again with the lock when it is queued; a new order refuses the waiting requests that it covers. Running attempts, and repeats of what may have run, are not affected.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -95,6 +95,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.refresh(now)
+	if e := st.refuseHeldBack(w.req); e != nil {
+		return false, e
+	}
 	if st.waiters[w.req.ID] != nil || w.req.ID == "" {
 		// The queue is keyed by the caller's request ID. A request without an ID, or with an ID
 		// that is in use, is assigned or refused at once.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -57,6 +57,7 @@
 	gauge("relay.loadAge", func() int64 { return st.LoadAge(now()).Milliseconds() })
 	gauge("relay.partsRefused", func() int64 { return int64(st.RefusedParts(now())) })
 	gauge("relay.requestsRefused", func() int64 { return int64(st.RefusedRequests(now())) })
+	gauge("relay.holds", func() int64 { return int64(len(st.Holds())) })
 	gauge("relay.waiting", func() int64 { return int64(len(st.WaitingServices())) })
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -149,6 +149,9 @@
 	if !now.Before(j.deadline) {
 		return result.New(result.DeadlinePassed, "")
 	}
+	if e := st.heldBack(j.service.Name, j.class(), j.accountName()); e != nil {
+		return e
+	}
 	j.requestFingerprint = Fingerprint(j.accountName(), j.raw, j.requestInfo.Work)
 	var e *result.Error
 	if j.isTrial, e = st.checkSubjects(j.subjects(), now); e != nil {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -4,11 +4,13 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/holdback"
 	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -136,7 +138,11 @@
 	// parts holds what is known against parts of prompts, and requests what is known against requests
 	// by their fingerprint.
 	parts, requests quarantine.Table
-	latencies       answerLatencies
+	// holds holds the operators' orders that hold requests back. holdsInForce is what follows from
+	// them; it is read without mu.
+	holds        holdback.Table
+	holdsInForce atomic.Pointer[holdback.InForce]
+	latencies    answerLatencies
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
 	lastProbe map[string]time.Time
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
