--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -70,6 +70,7 @@
 	for _, key := range u.Deleted {
 		f.applyRemove(key, now)
 	}
+	f.applyHolds(u)
 	if u.Complete {
 		f.applyListing(facts, now)
 	}
@@ -99,7 +100,7 @@
 func unused(key string) bool {
 	kind, _, ok := fleet.KeyOf(key)
 	_, isPart := storedPart(key)
-	return strings.HasPrefix(key, fleet.Prefix) && !isPart && (!ok || kind != fleet.Entry)
+	return strings.HasPrefix(key, fleet.Prefix) && !isPart && !isHold(key) && (!ok || kind != fleet.Entry)
 }
 
 // origin returns the entry that received an update directly from the store.
@@ -146,7 +147,9 @@
 		f.restorePart(item, now)
 		return
 	}
-	f.putMember(item, now)
+	if !isHold(item.Key()) {
+		f.putMember(item, now)
+	}
 }
 
 func (f *Frontend) setOutOfService(fact platform.OutFact, now time.Time) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -161,6 +161,8 @@
 	callersLost metrics.Counter
 	// callersUnread counts those that were closed unread.
 	callersUnread metrics.Counter
+	// holdsMalformed counts the orders in the store that could not be read.
+	holdsMalformed metrics.Counter
 	// leaseSuspect is raised when leases in the store may have expired.
 	leaseSuspect wake.Signal
 }
@@ -236,6 +238,7 @@
 	}
 	f.callersLost = metrics.GetOrRegisterCounter("relay.callersLost", f.Registry)
 	f.callersUnread = metrics.GetOrRegisterCounter("relay.callersUnread", f.Registry)
+	f.holdsMalformed = metrics.GetOrRegisterCounter("relay.holdsMalformed", f.Registry)
 	now := boottime.Now()
 	pollWait := readers.Wait(s.Bounds.ChangeApply)
 	f.store = &platform.Store{
--- a/internal/routing/class.go
+++ b/internal/routing/class.go
@@ -73,6 +73,12 @@
 // HasClasses reports whether requests for a service have different classes.
 func (t *Table) HasClasses(service string) bool { return len(t.classes[service]) > 0 }
 
+// Classes returns the number of classes of the requests for a service: 1 for a service without
+// classes, and MaxClass+1 at most.
+func (t *Table) Classes(service string) int {
+	return min(max(1, len(t.classes[service])), int(MaxClass)+1)
+}
+
 // Class returns the class of an account's requests on a route for a service. The account is nil for
 // requests without one. All requests for a service without classes have class 0.
 func (t *Table) Class(service string, r *Route, a *Account) Class {
