--- a/internal/operator/command/parts_test.go
+++ b/internal/operator/command/parts_test.go
@@ -32,8 +32,8 @@
 	}}, RequestCases: []*fleetpb.PartCase{{Part: "0f0f0f0f", Crashes: []*fleetpb.PartCrash{{Endpoint: "i-3"}}}}}, nil
 }
 
-// startPartServer returns the address of a relay's stand-in.
-func startPartServer(t *testing.T, s *partServer) string {
+// startEntryServer returns the address of a relay's stand-in.
+func startEntryServer(t *testing.T, s fleetpb.EntryServer) string {
 	t.Helper()
 	srv := &peer.Server{Addr: "127.0.0.1:0", Register: func(g grpc.ServiceRegistrar) { fleetpb.RegisterEntryServer(g, s) }}
 	if err := srv.Listen(); err != nil {
@@ -53,7 +53,7 @@
 
 func TestParts(t *testing.T) {
 	s := &partServer{}
-	addr := startPartServer(t, s)
+	addr := startEntryServer(t, s)
 	t.Run("list", func(t *testing.T) {
 		assertOutcome(t, runLine(t, nil, "parts", "list", "--peer", deadAddress(t), "--peer", addr), exitDone, "5c1e07a2", "yes", "4s ago", "2s ago", "i-1,i-2")
 	})
