Metrics and log fields by priority class

Cause: under overload neither metrics nor log lines told which class waited, on what, or who displaced it. Change: relay.class.SERVICE.N.* (waiting, started, refused, displaced, late), the ages of other entries' reports, the ten accounts with the most waiting requests; 'request ended' has class, waitedFor (the limit, or queue if others were always before it) and displacedBy. The pattern of families in TestMetricsPageIsComplete names the two new families.

--- a/internal/frontend/holds_test.go
+++ b/internal/frontend/holds_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
@@ -134,6 +136,29 @@
 	s.wantRefusedWhileItWaits(e, send, refuse, "2025")
 }
 
+// A request waits for a slot in vain. Guards against metrics and log lines that don't tell its class
+// and on what it waited.
+func TestClassIsCountedAndLogged(t *testing.T) {
+	t.Parallel()
+	s := newClassSystem(t, 1)
+	e := s.start("entry0", s.store.Addr())
+	s.eventually("the classes are known", func() bool { return e.state.Table().Classes("s") == 3 })
+	count := func(name string) int64 { return e.Registry.Get("relay.class.s." + name).(metrics.Counter).Count() }
+	refuse := func() {
+		if n := e.Registry.Get("relay.class.s.2.waiting").(metrics.Gauge).Value(); n != 1 {
+			t.Errorf("%d wait", n)
+		}
+		if code := e.hold(t, heldClass(2), false); code != result.OK {
+			t.Fatal(code)
+		}
+	}
+	send := func() response { return e.request(context.Background(), "/order/1", "q", "k1") }
+	s.wantRefusedWhileItWaits(e, send, refuse, "2025")
+	s.eventually("requests are counted", func() bool { return count("1.started") == 10 && count("2.refused") == 1 && count("2.started") == 0 })
+	line := regexp.MustCompile(`"class":2,[^\n]*"request":"q"[^\n]*"waited":[0-9]+,"waitedFor":"endpointBusy"`)
+	s.eventually("the line is logged", func() bool { return line.MatchString(e.log.Text()) })
+}
+
 // The store is unavailable while an order is in force, and while one is given and one released.
 // Guards against an order that ends with the store, and against an operator who is told that an order
 // was made, or not made, when it was the other way round.
--- a/internal/frontend/metrics_test.go
+++ b/internal/frontend/metrics_test.go
@@ -34,8 +34,8 @@
 	for _, path := range []string{"/order/1", "/look/1", "/stream/1", "/nowhere"} {
 		e.request(context.Background(), path, "m"+path, "k1")
 	}
-	// Names that contain a result, an outcome, a kind or a service are listed once.
-	family := regexp.MustCompile(`^(relay\.(?:results|attempts|kind|service)|platform\.(?:calls|bytes)|peer\.(?:sent|received))\..*$`)
+	// Names that contain a result, an outcome, a kind, a service or an account are listed once.
+	family := regexp.MustCompile(`^(relay\.(?:results|attempts|kind|service|class|accounts)|platform\.(?:calls|bytes)|peer\.(?:sent|received))\..*$`)
 	page, shown := documentedMetrics(t), map[string]bool{}
 	e.Registry.Each(func(name string, _ any) { shown[family.ReplaceAllString(name, "$1.*")] = true })
 	for name := range shown {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -59,6 +59,8 @@
 	AbandonAt time.Time
 	// Class is the request's class among those of its service.
 	Class routing.Class
+	// Wait, if set, receives why the request waited.
+	Wait *Wait
 }
 
 // Admit assigns a request to an endpoint, after waiting in the queue if necessary, or returns why
@@ -137,6 +139,7 @@
 		case admission.Start:
 			return true
 		case admission.Wait:
+			st.noteDisplaced(d.Displaced, w.req.Class)
 			st.handleRefusals(d.Displaced, now)
 			if !isTransient(w.assignErr) {
 				// Waiting can't resolve the reason.
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -47,6 +47,7 @@
 		return Assignment{}, e
 	}
 	j.tried = append(j.tried, assigned.Endpoint.ID)
+	j.countStarted()
 	return assigned, nil
 }
 
@@ -60,8 +61,10 @@
 	req := AdmitRequest{
 		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: j.accountName(), Subjects: j.subjects(),
 		FirstPartDeadline: j.firstPartDeadline(), Deadline: j.deadline, Class: j.class(),
-		TargetLatency: j.route.TargetLatency, AskedBefore: j.askedBefore(), AbandonAt: j.abandonTime(),
+		TargetLatency: j.route.TargetLatency, AskedBefore: j.askedBefore(), AbandonAt: j.abandonTime(), Wait: &j.wait,
 	}
+	// Shows the metrics of the class while its first request waits.
+	j.relay.Metrics.classOf(j.serviceClass())
 	assigned, e := st.Admit(ctx, req, j.relay.Now)
 	finished := j.relay.Now()
 	if waited := finished.Sub(now); waited > 0 {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -15,12 +15,14 @@
 		service := w.req.Service
 		if w.late && st.lateRunning[service.Name] >= st.lateSlots(service, now) {
 			w.assignErr = result.New(result.EndpointBusy, "").WithRetryAfter(retryAfterBusy)
+			w.noteLimit(w.assignErr)
 			return false
 		}
 		assigned, e := st.choose(service, w.req.Query, now)
 		w.assigned, w.assignErr = assigned, e
 		if e != nil {
 			st.noteShareWait(e, now)
+			w.noteLimit(e)
 			return false
 		}
 		w.assigned.requestID, w.assigned.late = r.ID, w.late
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -21,6 +21,7 @@
 	// lostBegun and lostUnbegun count the exchanges that were lost after and before their answer had
 	// begun, and lostEnded those of both whose endpoint ended.
 	lostBegun, lostUnbegun, lostEnded metrics.Counter
+	classes                           classMetrics
 }
 
 // NewMetrics registers the metrics in r.
@@ -58,6 +59,7 @@
 	gauge("relay.partsRefused", func() int64 { return int64(st.RefusedParts(now())) })
 	gauge("relay.requestsRefused", func() int64 { return int64(st.RefusedRequests(now())) })
 	gauge("relay.holds", func() int64 { return int64(len(st.Holds())) })
+	m.registerClassGauges(st, now)
 	gauge("relay.waiting", func() int64 { return int64(len(st.WaitingServices())) })
 }
 
@@ -139,6 +141,10 @@
 	if j.route != nil {
 		f["route"], f["service"] = j.route.Name, service
 	}
+	if j.service != nil {
+		f["class"] = int(j.class())
+		j.countEnd(code)
+	}
 	if len(j.tried) > 0 {
 		f["endpoints"], f["sent"] = j.tried, j.attempts.Sent
 	}
@@ -149,9 +155,7 @@
 		f["longestPause"] = j.longestPause.Milliseconds()
 		f["pauseEnded"] = j.pauseEndedAt.Sub(j.raw.ReceivedAt).Milliseconds()
 	}
-	if j.waited > 0 {
-		f["waited"] = j.waited.Milliseconds()
-	}
+	j.waitFields(f)
 	if j.lastEventID > 0 {
 		f["lastEvent"] = j.lastEventID
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,8 +91,9 @@
 	headerSent  bool
 	// answerBegan means that the current attempt has received a part of its answer.
 	answerBegan bool
-	// waited is the total time that the request waited to be assigned.
+	// waited is the total time that the request waited to be assigned, and wait why it last did.
 	waited time.Duration
+	wait   Wait
 	// firstPartAt is when the first part of the answer was forwarded.
 	firstPartAt time.Time
 	// lastPartAt is when the last part was forwarded, longestPause the longest time between two
