--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -164,6 +164,8 @@
 	callersLost metrics.Counter
 	// callersUnread counts those that were closed unread.
 	callersUnread metrics.Counter
+	// holdsMalformed counts the orders in the store that could not be read.
+	holdsMalformed metrics.Counter
 	// leaseSuspect is raised when leases in the store may have expired.
 	leaseSuspect wake.Signal
 }
@@ -239,6 +241,7 @@
 	}
 	f.callersLost = metrics.GetOrRegisterCounter("relay.callersLost", f.Registry)
 	f.callersUnread = metrics.GetOrRegisterCounter("relay.callersUnread", f.Registry)
+	f.holdsMalformed = metrics.GetOrRegisterCounter("relay.holdsMalformed", f.Registry)
 	now := boottime.Now()
 	pollWait := readers.Wait(s.Bounds.ChangeApply)
 	f.store = &platform.Store{
@@ -292,7 +295,7 @@
 	f.host.Self = f.member().Key()
 	registrar := &fleet.Registrar{Store: f.store, OnError: f.callFailed, RenewNow: &f.leaseSuspect, Member: f.member, Hosts: f.registrationHosts}
 	parts := []process.Part{
-		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.saveParts, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns,
+		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.saveParts, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns, f.relay.ReportAccounts,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		func(ctx context.Context) error { return process.LogTraffic(ctx, f.Log, f.Registry) },
 		f.stopServers,
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -23,6 +23,7 @@
 	lostBegun, lostUnbegun, lostEnded metrics.Counter
 	// exceeded counts the answers that exceeded a limit.
 	exceeded metrics.Counter
+	classes  classMetrics
 }
 
 // NewMetrics registers the metrics in r.
@@ -61,6 +62,8 @@
 	gauge("relay.loadAge", func() int64 { return st.LoadAge(now()).Milliseconds() })
 	gauge("relay.partsRefused", func() int64 { return int64(st.RefusedParts(now())) })
 	gauge("relay.requestsRefused", func() int64 { return int64(st.RefusedRequests(now())) })
+	gauge("relay.holds", func() int64 { return int64(len(st.Holds())) })
+	m.registerClassGauges(st, now)
 	gauge("relay.waiting", func() int64 { return int64(len(st.WaitingServices())) })
 }
 
@@ -142,6 +145,10 @@
 	if j.route != nil {
 		f["route"], f["service"] = j.route.Name, service
 	}
+	if j.service != nil {
+		f["class"] = int(j.class())
+		j.countEnd(code)
+	}
 	if len(j.tried) > 0 {
 		f["endpoints"], f["sent"] = j.tried, j.attempts.Sent
 	}
@@ -152,9 +159,7 @@
 		f["longestPause"] = j.longestPause.Milliseconds()
 		f["pauseEnded"] = j.pauseEndedAt.Sub(j.raw.ReceivedAt).Milliseconds()
 	}
-	if j.waited > 0 {
-		f["waited"] = j.waited.Milliseconds()
-	}
+	j.waitFields(f)
 	if j.lastEventID > 0 {
 		f["lastEvent"] = j.lastEventID
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,8 +91,9 @@
 	headerSent  bool
 	// answerBegan means that the current attempt has received a part of its answer.
 	answerBegan bool
-	// waited is the total time that the request waited to be assigned.
+	// waited is the total time that the request waited to be assigned, and wait why it last did.
 	waited time.Duration
+	wait   Wait
 	// firstPartAt is when the first part of the answer was forwarded.
 	firstPartAt time.Time
 	// lastPartAt is when the last part was forwarded, longestPause the longest time between two
@@ -152,6 +153,9 @@
 	if !now.Before(j.deadline) {
 		return result.New(result.DeadlinePassed, "")
 	}
+	if e := st.heldBack(j.service.Name, j.class(), j.accountName()); e != nil {
+		return e
+	}
 	j.requestFingerprint = Fingerprint(j.accountName(), j.raw, j.requestInfo.Work)
 	var e *result.Error
 	if j.isTrial, e = st.checkSubjects(j.subjects(), now); e != nil {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -4,11 +4,13 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/holdback"
 	"github.com/hyssoprelay/hyssoprelay/internal/quarantine"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
@@ -139,6 +141,10 @@
 	parts, requests quarantine.Table
 	latencies       answerLatencies
 	batchLimits     batchLimits
+	// holds holds the operators' orders that hold requests back. holdsInForce is what follows from
+	// them; it is read without mu.
+	holds        holdback.Table
+	holdsInForce atomic.Pointer[holdback.InForce]
 	// lastProbe is when a request was last sent to probe whether a service's group is open.
 	lastProbe map[string]time.Time
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
