Comments before the first event of a stream are delivered with it

A stream's comments before its first event were dropped, so that the answer was not the endpoint's whole one. They are kept, counted as held, until the first event comes. Test: TestCommentBeforeTheFirstEventIsDelivered

--- a/internal/frontend/unframed_test.go
+++ b/internal/frontend/unframed_test.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// A stream begins with a comment. Guards against answers that lack what precedes the first event.
+func TestCommentBeforeTheFirstEventIsDelivered(t *testing.T) {
+	t.Parallel()
+	const text = ": comment\n\nid: 1\ndata: x\n\n"
+	s, e := newUnframedSystem(t, true, &standin.Unframed{Events: -1, Text: text})
+	s.requestsToFirst(e, "/stream/1", 2, func(resp response) {
+		if resp.body != text {
+			t.Errorf("body %q", resp.body)
+		}
+	})
+}
+
 // An endpoint's stream without chunks ends too early: before the first event, inside an event, or
 // with a reset. Guards against passing it on as complete, and against not resuming it.
 func TestBrokenStreamsWithoutLengthAreNotComplete(t *testing.T) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -30,7 +30,7 @@
 // attempt sends the request to one endpoint and forwards its answer.
 func (j *job) attempt(ctx context.Context, assigned Assignment) Outcome {
 	r := j.relay
-	j.answerBegan = false
+	j.answerBegan, j.beforeFirst = false, nil
 	req := j.endpointRequest(assigned)
 	resp, err := r.Client.Do(ctx, assigned.Endpoint.Address, req)
 	if err != nil {
@@ -240,13 +240,14 @@
 	}
 }
 
-// forwardOther forwards what a stream contains besides events, such as comments, once the answer has
-// begun. Before that it is left out, so that another endpoint can take over.
+// forwardOther forwards what a stream contains besides events, such as comments. Before the first
+// event it is kept until that event arrives, so that another endpoint can still take over.
 func (j *job) forwardOther(ev direct.Event) error {
-	if !j.headerSent {
-		return nil
+	if j.headerSent {
+		return j.reply.WriteChunk(ev.Raw)
 	}
-	return j.reply.WriteChunk(ev.Raw)
+	j.beforeFirst = append(j.beforeFirst, ev.Raw...)
+	return j.reply.Hold(len(ev.Raw))
 }
 
 // partReceived records that the attempt has received a part of its answer, which has the given
@@ -289,8 +290,8 @@
 	}
 	j.lastPartAt = now
 	if !j.headerSent {
-		j.headerSent, j.firstPartAt = true, now
-		if err := j.reply.BeginRawStream(resp.Status, caller.EndToEndHeaders(resp.Header)); err != nil {
+		j.firstPartAt = now
+		if err := j.beginStream(resp); err != nil {
 			return err
 		}
 	}
@@ -300,12 +301,23 @@
 	return j.reply.WriteChunk(ev.Raw)
 }
 
+// beginStream sends the header of a stream and what was received before its first event.
+func (j *job) beginStream(resp *direct.Response) error {
+	j.headerSent = true
+	if err := j.reply.BeginRawStream(resp.Status, caller.EndToEndHeaders(resp.Header)); err != nil {
+		return err
+	}
+	if len(j.beforeFirst) == 0 {
+		return nil
+	}
+	return j.reply.WriteChunk(j.beforeFirst)
+}
+
 func (j *job) endStream(resp *direct.Response) Outcome {
 	if !j.headerSent {
-		if err := j.reply.BeginRawStream(resp.Status, caller.EndToEndHeaders(resp.Header)); err != nil {
+		if err := j.beginStream(resp); err != nil {
 			return Disconnected{Cause: err}
 		}
-		j.headerSent = true
 	}
 	if err := j.reply.EndStream(); err != nil {
 		return Disconnected{Cause: err}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,8 +89,10 @@
 	// lastEventID is the number of the last event that the caller has received.
 	lastEventID int64
 	headerSent  bool
-	// answerBegan means that the current attempt has received a part of its answer.
+	// answerBegan means that the current attempt has received a part of its answer. beforeFirst is what
+	// it received before its first event, if nothing was forwarded yet.
 	answerBegan bool
+	beforeFirst []byte
 	// waited is the total time that the request waited to be assigned, and wait why it last did.
 	waited time.Duration
 	wait   Wait
