Test: a complete listing of the store keeps a hold whose key can't be read

Cause: the test removed a key after the history was dropped, but the entry polled from the newest revision, so it never listed the store. Change: the store is busy meanwhile, and the test waits for the listing.

--- a/internal/frontend/holds_test.go
+++ b/internal/frontend/holds_test.go
@@ -249,9 +249,15 @@
 	}
 	s.wantHeldBack(e, "/look/1", "l1", "k1")
 	s.wantServed(e, "/order/1", "o1", "k1")
-	s.store.Compact()
+	// The entry misses a release and lists the store.
+	listings := strings.Count(e.log.Text(), "full store listing applied")
+	s.store.SetFault(standin.Busy)
 	s.store.Remove(holdKey(holdback.Account{Name: "t2"}))
+	s.store.Compact()
+	s.store.SetFault(standin.Well)
 	s.awaitHolds("class/s/1", e)
+	s.eventually("the store is listed", func() bool { return strings.Count(e.log.Text(), "full store listing applied") > listings })
+	s.wantHeldBack(e, "/look/1", "l2", "k1")
 	s.store.Remove(holdPrefix + "class/s/1")
 	s.awaitHolds("", e)
 }
