--- a/internal/holdback/table.go
+++ b/internal/holdback/table.go
@@ -72,7 +72,7 @@
 		changes = t.releaseUnlisted(u)
 	}
 	for _, o := range u.Held {
-		if t.isNews(o, u.Complete) {
+		if t.isNewer(o, u.Complete) {
 			t.orders[o.Target] = o
 			delete(t.released, o.Target)
 			changes = append(changes, Held{Order: o})
@@ -85,9 +85,9 @@
 	return changes
 }
 
-// isNews reports whether an order is newer than what is known of its target. A complete update says
+// isNewer reports whether an order is newer than what is known of its target. A complete update says
 // what the store holds, whatever was known before.
-func (t *Table) isNews(o Order, complete bool) bool {
+func (t *Table) isNewer(o Order, complete bool) bool {
 	known, held := t.orders[o.Target]
 	if complete {
 		return !held || known.Revision != o.Revision
