Batch limit by two successive pauses over ten seconds; model of both engines

The first version took the longest stretch of five seconds and grew by one request in four seconds. In the model it followed the size of each jump (7 to 11 on C) and took the pass after a standstill, in which all new prompts are read, for a large batch.

The shorter of two successive pauses counts, a pause that no batch explains discards both, the window is ten seconds, and the limit grows in proportion to its distance from the target. The base of a pass has no prompts: their work grows with the batch, as the measured passes do.

Tests of internal/relay pass.

--- a/internal/endpoint/concurrency/bounds.go
+++ b/internal/endpoint/concurrency/bounds.go
@@ -38,7 +38,7 @@
 	}
 	b := Bounds{
 		Max:        batch.MaxBatch(e, maxPause),
-		Base:       batch.PassDuration(e, 0, 1) + readingTime(e, e.MeanPrompt),
+		Base:       batch.PassDuration(e, 0, 1),
 		PerRequest: perRequest,
 		Pause:      maxPause - batch.DeliveryMargin,
 	}
--- a/internal/endpoint/concurrency/limit.go
+++ b/internal/endpoint/concurrency/limit.go
@@ -6,13 +6,13 @@
 	// sliceLength is the length of the slices into which the window of observations is divided. Two
 	// adjacent slices are evaluated together.
 	sliceLength = 500 * time.Millisecond
-	// sliceCount slices of observations are kept, five seconds. Popularity jumps every 3 to 4 s, so
-	// that the last jump is among them.
-	sliceCount = 10
+	// sliceCount slices of observations are kept, ten seconds. Popularity jumps every 3 to 4 s, so
+	// that the last two or three jumps are among them. With the last one alone, the limit follows the
+	// size of each jump and is too high at every greater one.
+	sliceCount = 20
 	// quantile is the quantile of the stretch within two slices that counts. A jump lengthens 3 to 4
-	// of the 10 to 25 passes in that time, and one pass that is long for another reason is below
-	// the remaining tenth.
-	quantile = 0.9
+	// of the 10 to 25 passes in that time. Few pauses that are long for another reason stay above it.
+	quantile = 0.95
 	// minObservations is the number of observations from which two slices are evaluated: one
 	// stream's pauses in that time.
 	minObservations = 10
@@ -25,8 +25,10 @@
 	// staleGrowth requests per second.
 	staleAfter  = 2500 * time.Millisecond
 	staleGrowth = 2
-	// growth is how fast the limit grows, in requests per second: by about one between two jumps.
-	growth = 0.25
+	// The limit grows by the part growth of what it is below its target each second, but by minGrowth
+	// requests at least.
+	growth    = 0.1
+	minGrowth = 0.05
 	// stretchBins bins of stretchStep cover the stretches that are told apart.
 	stretchBins = 64
 	stretchStep = 0.1
@@ -65,11 +67,20 @@
 	}
 }
 
-// Observe records a pause between two events of a stream, while each engine of the group had the
-// given mean number of decoding requests. It ignores pauses that no batch can explain, such as
-// those of a stalled connection, a frozen process or a group that stands still.
-func (l *Limit) Observe(pause time.Duration, decoding float64, now time.Time) {
-	if !l.bounds.limited() || decoding < minDecoding || pause <= 0 || pause > l.bounds.Longest {
+// Observe records two successive pauses between the events of a stream, while each engine of the
+// group had the given mean number of decoding requests. A previous pause of zero means that there
+// was none.
+//
+// The shorter pause counts. An event that is delivered late, by the network or by this process, makes
+// one pause longer and the next one shorter, while a change in expert popularity lengthens several
+// passes. Pauses are ignored if no batch can explain one of them, as those of a stalled connection, of
+// a frozen process, or of a group that stands still and reads all new prompts in the next pass.
+func (l *Limit) Observe(previous, pause time.Duration, decoding float64, now time.Time) {
+	if !l.bounds.limited() || decoding < minDecoding || max(previous, pause) > l.bounds.Longest {
+		return
+	}
+	pause = min(previous, pause)
+	if pause <= 0 {
 		return
 	}
 	l.rotate(now)
@@ -115,7 +126,8 @@
 	}
 	l.rotate(now)
 	if l.stretch = l.longestStretch(); l.stretch > 0 {
-		l.approach(l.target(), growth*elapsed.Seconds())
+		target := l.target()
+		l.approach(target, max(minGrowth, growth*(target-l.value))*elapsed.Seconds())
 	}
 	return l.Requests() != before
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -265,20 +265,17 @@
 
 // observePause records the time since the last event for the batch limit of the endpoint's group.
 // The first event of an attempt ends no pause: the prompt was read before it.
-//
-// Of two successive pauses the shorter one counts. An event that is delivered late, by the network or
-// by this process, makes one pause longer and the next one shorter, while a change in expert
-// popularity makes several passes longer.
 func (j *job) observePause(assigned Assignment, first bool, now time.Time) {
 	if !j.table.HasClasses(j.service.Name) {
 		return
 	}
-	pause := now.Sub(j.lastPartAt)
 	if first {
-		pause = 0
+		j.lastPause = 0
+		return
 	}
-	if both := min(pause, j.lastPause); both > 0 {
-		j.relay.State.ObservePause(assigned, both, now)
+	pause := now.Sub(j.lastPartAt)
+	if j.lastPause > 0 {
+		j.relay.State.ObservePauses(assigned, j.lastPause, pause, now)
 	}
 	j.lastPause = pause
 }
--- a/internal/relay/batchlimit.go
+++ b/internal/relay/batchlimit.go
@@ -35,8 +35,8 @@
 	return float64(g.running) / float64(g.engines)
 }
 
-// ObservePause records a pause between two events of an attempt's stream.
-func (st *State) ObservePause(assigned Assignment, pause time.Duration, now time.Time) {
+// ObservePauses records two successive pauses between events of an attempt's stream.
+func (st *State) ObservePauses(assigned Assignment, previous, pause time.Duration, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	ep, ok := st.endpoints[assigned.Endpoint.ID]
@@ -50,7 +50,7 @@
 		}
 	}
 	st.countBatches(now)
-	g.Observe(pause, g.decoding(), now)
+	g.Observe(previous, pause, g.decoding(), now)
 	st.advanceBatchLimit(g, now)
 }
 
--- a/internal/relay/batchlimit_test.go
+++ b/internal/relay/batchlimit_test.go
@@ -55,7 +55,7 @@
 		now = now.Add(pause)
 		reportGroup(st, 1, 0, 6, false, now)
 		for i := range 6 {
-			st.ObservePause(Assignment{Endpoint: st.endpoints[fmt.Sprint("e", i)]}, pause, now)
+			st.ObservePauses(Assignment{Endpoint: st.endpoints[fmt.Sprint("e", i)]}, pause, pause, now)
 		}
 	}
 	return now
@@ -98,7 +98,7 @@
 		now := observePauses(st, longPause, start)
 		reportGroup(st, 1, 0, 6, true, now.Add(time.Millisecond))
 		reportGroup(st, 1, 0, 6, false, now.Add(2*time.Millisecond))
-		st.ObservePause(Assignment{Endpoint: st.endpoints["e0"]}, longPause/2, now.Add(longPause))
+		st.ObservePauses(Assignment{Endpoint: st.endpoints["e0"]}, longPause/2, longPause/2, now.Add(longPause))
 		assertBatch(t, st, 0, fullBatch, fullBatch)
 	})
 	t.Run("report lacks a rank", func(t *testing.T) {
@@ -128,13 +128,13 @@
 	})
 }
 
-// BenchmarkObservePause measures what each event of a stream costs.
-func BenchmarkObservePause(b *testing.B) {
+// BenchmarkObservePauses measures what each event of a stream costs.
+func BenchmarkObservePauses(b *testing.B) {
 	st := classesState(0, 1)
 	assigned, now := Assignment{Endpoint: st.endpoints["e0"]}, start
 	b.ReportAllocs()
 	for range b.N {
 		now = now.Add(3 * time.Millisecond)
-		st.ObservePause(assigned, 70*time.Millisecond, now)
+		st.ObservePauses(assigned, 70*time.Millisecond, 70*time.Millisecond, now)
 	}
 }
