Endpoint choice spreads prompts that are read at the same time

All ranks of a group wait in each pass for the rank that reads most. Among endpoints with equally many streams the one with the fewest prompt tokens in progress is chosen: those of this entry's attempts without a part of an answer, and an estimate of those that other entries have just started. For engines of services with classes only. Tests of internal/endpoint/placement pass.

--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -7,7 +7,9 @@
 	endpoint    *endpoint
 	incarnation uint64
 	tokens      int
-	started     time.Time
+	// promptTokens counts as in progress until the first part of the response.
+	promptTokens float64
+	started      time.Time
 	// lastProgress is when the last part of the response arrived, or started if
 	// none has.
 	lastProgress time.Time
@@ -58,11 +60,12 @@
 		return nil
 	}
 	a := &Attempt{
-		endpoint: e, incarnation: e.incarnation, tokens: max(0, q.Tokens),
+		endpoint: e, incarnation: e.incarnation, tokens: max(0, q.Tokens), promptTokens: float64(max(0, q.PromptTokens)),
 		started: now, lastProgress: now, route: b.routes[q.Route],
 	}
 	b.observeTokens(a.tokens)
 	e.attempts.add(a)
+	e.prompts.own += a.promptTokens
 	e.addOwnLoad(1, a.tokens, now)
 	return a
 }
@@ -85,6 +88,7 @@
 	b.Accept(a)
 	if !a.responded {
 		a.responded = true
+		e.prompts.own -= a.promptTokens
 		e.consecutiveFailures = 0
 		e.observeLatency(now.Sub(a.started).Seconds(), a)
 	}
@@ -100,6 +104,9 @@
 		return
 	}
 	a.ended = true
+	if !a.responded {
+		a.endpoint.prompts.own -= a.promptTokens
+	}
 	a.endpoint.attempts.remove(a)
 	a.endpoint.addOwnLoad(-1, -a.tokens, now)
 }
--- a/internal/endpoint/placement/choose.go
+++ b/internal/endpoint/placement/choose.go
@@ -53,6 +53,7 @@
 	if !e.hasRecentReport(now, b.StaleAfter) {
 		streams = math.Max(streams, unknownLoad*capacity)
 	}
+	streams += b.readingScore(e, q, now)
 	score := (streams + tokenWeight*tokens/b.meanTokens) / (capacity * b.slowStartFraction(e, now))
 	score *= e.slowdown(rt, now)
 	if !e.local {
--- a/internal/endpoint/placement/endpoint.go
+++ b/internal/endpoint/placement/endpoint.go
@@ -34,6 +34,7 @@
 	ownStreams int
 	ownTokens  int
 	history    loadHistory
+	prompts    promptLoad
 	attempts   attemptList
 
 	// availableSince is when the endpoint last became available.
--- a/internal/endpoint/placement/picture.go
+++ b/internal/endpoint/placement/picture.go
@@ -117,7 +117,11 @@
 		return false
 	}
 	wasUnavailable := e.unavailable()
+	before := e.otherStreams
 	e.applyReport(r, b.DataCentre)
+	if n := e.otherStreams - before; n > 0 {
+		e.prompts.noteOthers(n, b.meanTokens, now)
+	}
 	e.configuredOut = b.outEndpoints[r.Endpoint] || b.outDataCentres[r.DataCentre]
 	if wasUnavailable && !e.unavailable() {
 		e.availableSince = now
--- a/internal/endpoint/placement/report.go
+++ b/internal/endpoint/placement/report.go
@@ -37,6 +37,9 @@
 	Route string
 	// Tokens is the number of prompt tokens plus expected output tokens.
 	Tokens int
+	// PromptTokens is the number of prompt tokens if endpoints with equally many streams are told apart
+	// by the prompt tokens that they have in progress, or zero.
+	PromptTokens int
 	// Prefix identifies the prefix of the prompt; zero means that none is known.
 	Prefix uint64
 	// Excluded names the endpoints that must not be selected, for example because
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -10,11 +10,15 @@
 
 // query returns the placement query for the next attempt.
 func (j *job) query() placement.Query {
-	return placement.Query{
+	q := placement.Query{
 		Tokens:   j.requestInfo.PromptTokens + j.requestInfo.OutputTokens,
 		Excluded: j.tried,
 		RunOnce:  !j.route.MayRetry(),
 	}
+	if j.table.HasClasses(j.service.Name) && lockstep(j.service) {
+		q.PromptTokens = j.requestInfo.PromptTokens
+	}
+	return q
 }
 
 // recheckKeyAge gives an assignment back, and returns an error, if the known keys have become too
