Gauges of the batch limit and its inputs by service

The gauges show the most limited group of each service with classes, once a second. Pauses of a single stream suffice for the limit: five within a second. Tests of batch limits and of the metrics page pass.

--- a/internal/endpoint/concurrency/limit.go
+++ b/internal/endpoint/concurrency/limit.go
@@ -13,9 +13,9 @@
 	// quantile is the quantile of the stretch within two slices that counts. A jump lengthens 3 to 4
 	// of the 10 to 25 passes in that time. Few pauses that are long for another reason stay above it.
 	quantile = 0.95
-	// minObservations is the number of observations from which two slices are evaluated: one
-	// stream's pauses in that time.
-	minObservations = 10
+	// minObservations is the number of observations from which two slices are evaluated: those
+	// of one stream in long passes.
+	minObservations = 5
 	// minDecoding is the least number of decoding requests for each engine from which a pause says
 	// something about the cost of one. Below it the reading of prompts outweighs them.
 	minDecoding = 2
@@ -184,3 +184,11 @@
 
 // Stretch returns the estimated stretch of the longest passes, or zero if it is unknown.
 func (l *Limit) Stretch() float64 { return l.stretch }
+
+// ObservationAge returns the age of the last observation, or zero if there is none.
+func (l *Limit) ObservationAge(now time.Time) time.Duration {
+	if l.observedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(l.observedAt)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -314,7 +314,8 @@
 	return Delivered{}
 }
 
-// CloseIdleConns closes the idle connections that have expired, once a second until ctx ends.
+// CloseIdleConns closes the idle connections that have expired, and brings the gauges of batch
+// limits up to date, once a second until ctx ends.
 func (r *Relay) CloseIdleConns(ctx context.Context) error {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
@@ -324,6 +325,7 @@
 			return nil
 		case now := <-t.C:
 			r.Client.CloseExpired(now)
+			r.Metrics.updateBatchGauges(r.State.BatchStates(r.Now()))
 		}
 	}
 }
--- a/internal/relay/batchlimit_test.go
+++ b/internal/relay/batchlimit_test.go
@@ -128,6 +128,62 @@
 	})
 }
 
+// newJob returns a job whose stream of an engine of the first group has had its first event.
+func newJob(st *State) (*job, Assignment) {
+	assigned := Assignment{Endpoint: st.endpoints["e0"]}
+	j := &job{relay: &Relay{State: st}, table: st.Table(), service: st.Table().Service("quotes"), lastPartAt: start}
+	j.observePause(assigned, true, start)
+	return j, assigned
+}
+
+// Guards against a limit that falls because events are delivered late, or because a stream was moved
+// or resumed, whose first event follows the reading of its prompt.
+func TestLateDeliveriesDoNotLowerBatchLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		pauses  []time.Duration
+		resumed bool
+		limited bool
+	}{
+		"long passes":     {pauses: []time.Duration{longPause, longPause}, limited: true},
+		"late deliveries": {pauses: []time.Duration{longPause, longPause / 4}},
+		"resumed streams": {pauses: []time.Duration{longPause, longPause}, resumed: true},
+		"stalled streams": {pauses: []time.Duration{time.Second, longPause}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := classesState(0, 1)
+			j, assigned := newJob(st)
+			now := start
+			for i := range 40 {
+				now = now.Add(c.pauses[i%len(c.pauses)])
+				reportGroup(st, 1, 0, 6, false, now)
+				j.observePause(assigned, c.resumed && i%2 == 0, now)
+				j.lastPartAt = now
+			}
+			if c.limited {
+				assertBatch(t, st, 0, 5, 7)
+			} else {
+				assertBatch(t, st, 0, fullBatch, fullBatch)
+			}
+		})
+	}
+}
+
+// Guards against gauges that show no limit while one is in force, or one for a service without
+// classes.
+func TestBatchGauges(t *testing.T) {
+	st := classesState(0, 1)
+	if s := st.BatchStates(start)["quotes"]; s != (BatchState{Limit: fullBatch}) {
+		t.Errorf("%+v without observations", s)
+	}
+	now := observePauses(st, longPause, start)
+	if s := st.BatchStates(now)["quotes"]; s.Limit > 7 || s.Stretch < 3 || s.Decoding != 8 || s.PauseAge != 0 {
+		t.Errorf("%+v after long pauses", s)
+	}
+	if states := classesState(1).BatchStates(start); len(states) > 0 {
+		t.Errorf("%+v without classes", states)
+	}
+}
+
 // BenchmarkObservePauses measures what each event of a stream costs.
 func BenchmarkObservePauses(b *testing.B) {
 	st := classesState(0, 1)
