All engines of a group have its batch limit, also those without own streams

Only endpoints with an observed stream of this entry had the limit and were counted, and groups that were first unknown stayed one. Endpoints now get the limit of their group from load reports and from the directory; groups that become known are told apart.

--- a/internal/endpoint/concurrency/bounds.go
+++ b/internal/endpoint/concurrency/bounds.go
@@ -20,9 +20,8 @@
 type Bounds struct {
 	// Min and Max bound the limit, in requests for each engine.
 	Min, Max int
-	// Base is the duration of a pass without decoding requests in which a prompt of mean size is
-	// read, and PerRequest is what one decoding request on each engine adds when the ranks are
-	// evenly loaded.
+	// Base is the duration of a pass without decoding requests, and PerRequest is what one decoding
+	// request on each engine adds when the ranks are evenly loaded.
 	Base, PerRequest time.Duration
 	// Pause is the longest pass that callers tolerate, and Longest the longest pass that a batch can
 	// explain.
@@ -44,15 +43,10 @@
 	}
 	b.Min = min(b.Max, (e.Slots+minSlotsDivisor-1)/minSlotsDivisor)
 	b.Longest = batch.PassDuration(e, 0, 1) + readingTime(e, e.Stride*e.PrefillChunk) +
-		time.Duration(float64(e.Slots)*b.stretchAt(maxSkew, e)*float64(perRequest))
+		time.Duration(float64(e.Slots)*(1+e.Experts.Share*(maxSkew-1))*float64(perRequest))
 	return b
 }
 
-// stretchAt returns the factor by which a skew stretches the work for decoding requests.
-func (b Bounds) stretchAt(skew float64, e *routing.Engine) float64 {
-	return 1 + e.Experts.Share*(skew-1)
-}
-
 // readingTime returns how long an engine takes to read prompt tokens.
 func readingTime(e *routing.Engine, tokens int) time.Duration {
 	if e.PrefillRate <= 0 {
--- a/internal/relay/batchlimit.go
+++ b/internal/relay/batchlimit.go
@@ -41,15 +41,9 @@
 func (st *State) ObservePauses(assigned Assignment, previous, pause time.Duration, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	ep, ok := st.endpoints[assigned.Endpoint.ID]
-	if !ok {
-		return
-	}
-	g := st.batchLimits.groups[ep.ID]
+	g := st.batchLimits.groups[assigned.Endpoint.ID]
 	if g == nil {
-		if g = st.joinGroup(ep); g == nil {
-			return
-		}
+		return
 	}
 	st.countBatches(now)
 	g.Observe(previous, pause, g.decoding(), now)
@@ -88,42 +82,52 @@
 }
 
 // joinGroup assigns an endpoint the batch limit of its group: that of another endpoint with the same
-// group identifier, or else its present one, or else a new one without history. It returns nil if
-// the service has no batch limits.
-//
-// The identifier changes when a leader's report lacks a rank for a moment. The limit must not be
-// lost then: for as long as the group stays open, it remains that of the same engines.
-func (st *State) joinGroup(ep directory.Endpoint) *groupLimit {
+// group identifier, or else present, or else a new one without history. Endpoints of services without
+// batch limits are assigned none.
+func (st *State) joinGroup(ep directory.Endpoint, present *groupLimit) {
 	bounds, ok := st.batchBounds(ep.Service)
 	if !ok {
-		return nil
+		return
 	}
 	b := &st.batchLimits
 	if b.groups == nil {
 		b.groups = map[string]*groupLimit{}
 	}
-	g := b.groups[ep.ID]
 	for id, other := range b.groups {
 		if id != ep.ID && st.endpoints[id].Service == ep.Service && st.loads[id].Group == st.loads[ep.ID].Group {
-			g = other
-			break
+			b.groups[ep.ID] = other
+			return
 		}
 	}
-	if g == nil {
-		g = &groupLimit{Limit: concurrency.New(bounds)}
+	if present == nil {
+		present = &groupLimit{Limit: concurrency.New(bounds)}
+	}
+	b.groups[ep.ID] = present
+}
+
+// joinGroups assigns batch limits to the endpoints of open groups that have none.
+func (st *State) joinGroups() {
+	for id, ep := range st.endpoints {
+		if st.batchLimits.groups[id] == nil && !st.loads[id].Closed {
+			st.joinGroup(ep, nil)
+		}
 	}
-	b.groups[ep.ID] = g
-	return g
 }
 
 // noteGroup follows a change of the load report of an endpoint. A group that closes loses its
 // history: when it opens again, its engines may hold other expert maps.
+//
+// The group identifier changes when a leader's report lacks a rank for a moment. The limit must not
+// be lost then: for as long as the group stays open, it remains that of the same engines. Engines
+// whose groups were unknown may belong to different ones.
 func (st *State) noteGroup(ep directory.Endpoint, old, l EndpointLoad) {
 	switch {
 	case l.Closed:
 		delete(st.batchLimits.groups, ep.ID)
-	case l.Group != old.Group && st.batchLimits.groups[ep.ID] != nil:
-		st.joinGroup(ep)
+	case old.Group == 0 && l.Group != 0:
+		st.joinGroup(ep, nil)
+	case l.Group != old.Group:
+		st.joinGroup(ep, st.batchLimits.groups[ep.ID])
 	}
 }
 
--- a/internal/relay/batchlimit_test.go
+++ b/internal/relay/batchlimit_test.go
@@ -15,9 +15,9 @@
 	longPause = 140 * time.Millisecond
 )
 
-// classesState returns the state of an entry with twelve engines, in two groups of six, of a service
-// whose routes have the given priorities.
-func classesState(priorities ...int) *State {
+// unreportedState returns the state of an entry with twelve engines, whose groups are unknown, of a
+// service whose routes have the given priorities.
+func unreportedState(priorities ...int) *State {
 	e := testEngine()
 	e.PrefillRate, e.PrefillChunk = 74800, 512
 	s := &routing.Service{Name: "quotes", Engine: e}
@@ -33,6 +33,12 @@
 	st.SetTable(routing.NewTable(1, routes, []*routing.Service{s}, nil, routing.Limits{}), start)
 	listEndpoints(st, 12, "quotes")
 	st.refresh(start)
+	return st
+}
+
+// classesState returns unreportedState with the engines in two groups of six.
+func classesState(priorities ...int) *State {
+	st := unreportedState(priorities...)
 	reportGroup(st, 1, 0, 6, false, start)
 	reportGroup(st, 2, 6, 12, false, start)
 	return st
@@ -47,14 +53,14 @@
 	st.SetLoads(loads, at)
 }
 
-// observePauses has a stream of each engine of the first group pause for the given time, for a
-// second, and returns the time after it.
+// observePauses has a stream of each of three engines of the first group pause for the given time, for
+// a second, and returns the time after it.
 func observePauses(st *State, pause time.Duration, from time.Time) time.Time {
 	now := from
 	for now.Sub(from) < time.Second {
 		now = now.Add(pause)
 		reportGroup(st, 1, 0, 6, false, now)
-		for i := range 6 {
+		for i := range 3 {
 			st.ObservePauses(Assignment{Endpoint: st.endpoints[fmt.Sprint("e", i)]}, pause, pause, now)
 		}
 	}
@@ -77,6 +83,7 @@
 		now := observePauses(st, longPause, start)
 		st.ObservePauses(Assignment{Endpoint: st.endpoints["e6"]}, longPause/2, longPause/2, now)
 		assertBatch(t, st, 0, 5, 7)
+		assertBatch(t, st, 5, 5, 7)
 		assertBatch(t, st, 6, fullBatch, fullBatch)
 	})
 	t.Run("no classes", func(t *testing.T) {
@@ -84,6 +91,19 @@
 		observePauses(st, longPause, start)
 		assertBatch(t, st, 0, fullBatch, fullBatch)
 	})
+	t.Run("groups unknown", func(t *testing.T) {
+		st := unreportedState(0, 1)
+		running := map[string]int{}
+		for i := range 12 {
+			running[fmt.Sprint("e", i)] = 8
+		}
+		st.SetEntryLoads([]EntryLoad{{Entry: "other", Sequence: 1, Running: running, At: start}}, start)
+		for at := longPause; at < time.Second; at += longPause {
+			st.ObservePauses(Assignment{Endpoint: st.endpoints["e0"]}, longPause, longPause, start.Add(at))
+		}
+		assertBatch(t, st, 0, 5, 7)
+		assertBatch(t, st, 11, 5, 7)
+	})
 	t.Run("short pauses", func(t *testing.T) {
 		st := classesState(0, 1)
 		observePauses(st, longPause/2, start)
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -186,6 +186,7 @@
 		}
 	}
 	st.endpoints, st.addresses = usable, addresses
+	st.joinGroups()
 	st.refreshDemands(now)
 	st.limitShares.Retain(func(id string) bool { return st.limits.newest[id] != (RateLimit{}) })
 }
