--- a/internal/relay/batchlimit_test.go
+++ b/internal/relay/batchlimit_test.go
@@ -121,6 +121,9 @@
 		reportGroup(st, 1, 0, 6, false, now.Add(2*time.Millisecond))
 		st.ObservePauses(Assignment{Endpoint: st.endpoints["e0"]}, longPause/2, longPause/2, now.Add(longPause))
 		assertBatch(t, st, 0, fullBatch, fullBatch)
+		st.refresh(now.Add(reportInterval))
+		observePauses(st, longPause, now.Add(reportInterval))
+		assertBatch(t, st, 0, 5, 7)
 	})
 	t.Run("report lacks a rank", func(t *testing.T) {
 		st := classesState(0, 1)
