--- a/internal/endpoint/concurrency/limit.go
+++ b/internal/endpoint/concurrency/limit.go
@@ -6,27 +6,31 @@
 	// sliceLength is the length of the slices into which the window of observations is divided. Two
 	// adjacent slices are evaluated together.
 	sliceLength = 500 * time.Millisecond
-	// sliceCount slices of observations are kept, five seconds. Popularity jumps every 3 to 4 s, so
-	// that the last jump is among them.
-	sliceCount = 10
+	// sliceCount slices of observations are kept, ten seconds. Popularity jumps every 3 to 4 s, so
+	// that the last two or three jumps are among them. With the last one alone, the limit follows the
+	// size of each jump and is too high at every greater one.
+	sliceCount = 20
 	// quantile is the quantile of the stretch within two slices that counts. A jump lengthens 3 to 4
-	// of the 10 to 25 passes in that time, and one pass that is long for another reason is below
-	// the remaining tenth.
-	quantile = 0.9
-	// minObservations is the number of observations from which two slices are evaluated: one
-	// stream's pauses in that time.
-	minObservations = 10
+	// of the 10 to 25 passes in that time. Few pauses that are long for another reason stay above it.
+	quantile = 0.95
+	// minObservations is the number of observations from which two slices are evaluated: those
+	// of one stream in long passes.
+	minObservations = 5
 	// minDecoding is the least number of decoding requests for each engine from which a pause says
 	// something about the cost of one. Below it the reading of prompts outweighs them.
 	minDecoding = 2
 	// evaluationInterval is the least time between two evaluations.
 	evaluationInterval = 100 * time.Millisecond
+	// maxStep is the longest time between two evaluations for which the limit grows.
+	maxStep = time.Second
 	// staleAfter is the age of the last observation from which the limit returns to its maximum, at
 	// staleGrowth requests per second.
 	staleAfter  = 2500 * time.Millisecond
 	staleGrowth = 2
-	// growth is how fast the limit grows, in requests per second: by about one between two jumps.
-	growth = 0.25
+	// The limit grows by the part growth of what it is below its target each second, but by minGrowth
+	// requests at least.
+	growth    = 0.1
+	minGrowth = 0.05
 	// stretchBins bins of stretchStep cover the stretches that are told apart.
 	stretchBins = 64
 	stretchStep = 0.1
@@ -65,11 +69,20 @@
 	}
 }
 
-// Observe records a pause between two events of a stream, while each engine of the group had the
-// given mean number of decoding requests. It ignores pauses that no batch can explain, such as
-// those of a stalled connection, a frozen process or a group that stands still.
-func (l *Limit) Observe(pause time.Duration, decoding float64, now time.Time) {
-	if !l.bounds.limited() || decoding < minDecoding || pause <= 0 || pause > l.bounds.Longest {
+// Observe records two successive pauses between the events of a stream, while each engine of the
+// group had the given mean number of decoding requests. A previous pause of zero means that there
+// was none.
+//
+// The shorter pause counts. An event that is delivered late, by the network or by this process, makes
+// one pause longer and the next one shorter, while a change in expert popularity lengthens several
+// passes. Pauses are ignored if no batch can explain one of them, as those of a stalled connection, of
+// a frozen process, or of a group that stands still and reads all new prompts in the next pass.
+func (l *Limit) Observe(previous, pause time.Duration, decoding float64, now time.Time) {
+	if !l.bounds.limited() || decoding < minDecoding || max(previous, pause) > l.bounds.Longest {
+		return
+	}
+	pause = min(previous, pause)
+	if pause <= 0 {
 		return
 	}
 	l.rotate(now)
@@ -95,29 +108,29 @@
 	}
 }
 
-// Advance brings the limit up to date and reports whether it has changed. It does nothing if it was
-// called less than evaluationInterval ago.
-func (l *Limit) Advance(now time.Time) bool {
+// Advance brings the limit up to date. It does nothing if it was called less than evaluationInterval
+// ago.
+func (l *Limit) Advance(now time.Time) {
 	elapsed := now.Sub(l.evaluatedAt)
 	if !l.bounds.limited() || elapsed < evaluationInterval {
-		return false
+		return
 	}
-	first := l.evaluatedAt.IsZero()
-	l.evaluatedAt = now
-	if first {
-		return false
+	if l.evaluatedAt.IsZero() {
+		elapsed = 0
 	}
-	before := l.Requests()
+	// A process that was frozen must not raise the limit by more than one step when it goes on.
+	elapsed = min(elapsed, maxStep)
+	l.evaluatedAt = now
 	if now.Sub(l.observedAt) >= staleAfter {
 		l.slices, l.stretch = [sliceCount]slice{}, 0
 		l.approach(float64(l.bounds.Max), staleGrowth*elapsed.Seconds())
-		return l.Requests() != before
+		return
 	}
 	l.rotate(now)
 	if l.stretch = l.longestStretch(); l.stretch > 0 {
-		l.approach(l.target(), growth*elapsed.Seconds())
+		target := l.target()
+		l.approach(target, max(minGrowth, growth*(target-l.value))*elapsed.Seconds())
 	}
-	return l.Requests() != before
 }
 
 // approach sets the limit to target, but raises it by at most maxRise.
@@ -172,3 +185,11 @@
 
 // Stretch returns the estimated stretch of the longest passes, or zero if it is unknown.
 func (l *Limit) Stretch() float64 { return l.stretch }
+
+// ObservationAge returns the age of the last observation, or zero if there is none.
+func (l *Limit) ObservationAge(now time.Time) time.Duration {
+	if l.observedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(l.observedAt)
+}
