--- a/internal/endpoint/direct/doc.go
+++ b/internal/endpoint/direct/doc.go
@@ -8,6 +8,10 @@
 // it resends some requests on its own when a reused connection breaks, which would
 // run a request twice and bypass the retry budget.
 //
+// net/http bounds neither the head of a response that is read in this way nor what is discarded, and a
+// faulty endpoint may send either without end. The limits are in limits.go; a response that exceeds
+// one ends with a LimitError, and its connection is reset.
+//
 // A NotSentError guarantees that the endpoint didn't receive the request. After any
 // other error the outcome of the request is unknown.
 package direct
