--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -160,6 +160,3 @@
 	}
 	return strings.Join(all, "")
 }
-
-// IsEndless reports whether an element has the name.
-func IsEndless(name string) bool { return slices.Contains(AllEndless(), Endless(name)) }
