--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -139,7 +139,6 @@
 		case admission.Start:
 			return true
 		case admission.Wait:
-			st.noteDisplaced(d.Displaced, w.req.Class)
 			st.handleRefusals(d.Displaced, now)
 			if !isTransient(w.assignErr) {
 				// Waiting can't resolve the reason.
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"fmt"
-	"strings"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/caller/admission"
@@ -89,25 +87,6 @@
 	return result.New(r.Code, "").WithRetryAfter(r.RetryAfter)
 }
 
-// displacedBy holds the detail of a refusal by the class of the request that took the place.
-var displacedBy [routing.MaxClass + 1]string
-
-func init() {
-	for class := range displacedBy {
-		displacedBy[class] = fmt.Sprintf("by a request of class %d", class)
-	}
-}
-
-// displacedRefusal returns the refusal of a displaced request, whose detail names the class of the
-// request that took its place, and the service if it is another one.
-func displacedRefusal(w *waiter, r admission.QueuedRefusal) *result.Error {
-	detail := displacedBy[r.ByClass]
-	if service := strings.TrimSuffix(r.ByRoute, lateRouteSuffix); service != w.req.Service.Name {
-		detail += " for " + service
-	}
-	return result.New(r.Code, detail).WithRetryAfter(r.RetryAfter)
-}
-
 // excludeFromDrainRate keeps the time up to now out of the drain rate that the queue measures for a
 // service.
 func (st *State) excludeFromDrainRate(s *routing.Service, now time.Time) {
@@ -141,10 +120,8 @@
 			continue
 		}
 		if !w.markLate(r.Code) {
+			w.noteDisplaced(r)
 			w.refusal = st.queueRefusal(w, r.Refused, now)
-			if w.refusal.Code() == result.Displaced {
-				w.refusal = displacedRefusal(w, r)
-			}
 		} else if st.enqueue(w, now) {
 			w.queued = false
 			w.done <- nil
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,6 +20,8 @@
 	// displaced means that a request of class displacedBy took the place in the queue.
 	displaced   bool
 	displacedBy routing.Class
+	// displacedFor is the service of that request if it is another one, or "".
+	displacedFor string
 }
 
 // noteLimit records why the request could not be assigned. The State's mu must be held.
@@ -28,12 +31,15 @@
 	}
 }
 
-// noteDisplaced records which class displaced waiting requests. mu must be held.
-func (st *State) noteDisplaced(refused []admission.QueuedRefusal, by routing.Class) {
-	for _, r := range refused {
-		if w := st.waiters[r.ID]; w != nil && w.req.Wait != nil && r.Code == result.Displaced {
-			w.req.Wait.displaced, w.req.Wait.displacedBy = true, by
-		}
+// noteDisplaced records which request took the place of this one, if one did. The State's mu must be
+// held.
+func (w *waiter) noteDisplaced(r admission.QueuedRefusal) {
+	if w.req.Wait == nil || r.Code != result.Displaced {
+		return
+	}
+	w.req.Wait.displaced, w.req.Wait.displacedBy = true, routing.Class(r.ByClass)
+	if service := strings.TrimSuffix(r.ByRoute, lateRouteSuffix); service != w.req.Service.Name {
+		w.req.Wait.displacedFor = service
 	}
 }
 
@@ -41,6 +47,9 @@
 func (j *job) waitFields(f logrus.Fields) {
 	if j.wait.displaced {
 		f["displacedBy"] = int(j.wait.displacedBy)
+		if j.wait.displacedFor != "" {
+			f["displacedFor"] = j.wait.displacedFor
+		}
 	}
 	if j.waited <= 0 {
 		return
