A repeat waits for a free slot for a moment instead of failing at once

Callers saw cut streams and failed look-ups although they had time left: when an endpoint fails, its requests need slots of the others at the same moment, and a request that may have run bypasses the queue, so that it failed if all were busy just then. It now tries again for half a second.

--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -55,12 +56,37 @@
 	return assigned, nil
 }
 
-// admit assigns the next attempt to an endpoint through the queue. An attempt that follows one
-// which may have run bypasses the queue, since its request has waited already.
+const (
+	// maxRepeatWait bounds how long a request that may have run waits for a free slot. Callers of
+	// streams leave after a pause of 2 s, and the new endpoint has to read the prompt meanwhile.
+	maxRepeatWait = 500 * time.Millisecond
+	// repeatInterval is the pause between two tries to find one.
+	repeatInterval = 10 * time.Millisecond
+)
+
+// chooseAgain assigns an attempt that follows one which may have run. It bypasses the queue, since its
+// request has waited already, but waits for a moment while all endpoints are busy: when an endpoint
+// fails, its requests need the slots of the others at the same time.
+func (j *job) chooseAgain(ctx context.Context, q placement.Query, now time.Time) (Assignment, *result.Error) {
+	st, giveUpAt := j.relay.State, now.Add(maxRepeatWait)
+	for {
+		assigned, e := st.Choose(j.service, q, now)
+		if e == nil || e.Code() != result.EndpointBusy || !now.Add(repeatInterval).Before(giveUpAt) {
+			return assigned, e
+		}
+		if !pause.For(ctx, repeatInterval) {
+			return assigned, e
+		}
+		now = j.relay.Now()
+	}
+}
+
+// admit assigns the next attempt to an endpoint through the queue, unless it follows one which may have
+// run.
 func (j *job) admit(ctx context.Context, q placement.Query, now time.Time) (Assignment, *result.Error) {
 	st := j.relay.State
 	if j.attempts.MayHaveRun {
-		return st.Choose(j.service, q, now)
+		return j.chooseAgain(ctx, q, now)
 	}
 	req := AdmitRequest{
 		Service: j.service, Query: q, ID: j.requestInfo.ID, Account: j.accountName(), Subjects: j.subjects(),
