--- a/internal/standin/line/faulty.go
+++ b/internal/standin/line/faulty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -75,11 +76,20 @@
 
 func (l *Faulty) closeAll() {
 	for c := range l.conns {
-		_ = c.Close()
+		reset(c)
 	}
 	clear(l.conns)
 }
 
+// reset closes a connection with a TCP reset. An orderly close would end an answer without a length
+// as if it were complete.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is already closed
+	}
+	_ = c.Close()
+}
+
 // Run passes connections on until ctx ends and closes them then.
 func (l *Faulty) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.ln.Close() })
@@ -124,22 +134,26 @@
 func (l *Faulty) pass(from, to net.Conn, up bool) {
 	const piece = 16 << 10
 	b := make([]byte, piece)
-	for {
-		n, err := from.Read(b)
+	var err error
+	for err == nil {
+		var n int
+		n, err = from.Read(b)
 		if l.await(up) && n > 0 {
 			if _, werr := to.Write(b[:n]); werr != nil {
 				err = werr
 			}
 		}
-		if err != nil {
-			break
-		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, from)
 	delete(l.conns, to)
 	// The copy of the other direction ends with it.
+	if err != io.EOF {
+		reset(from)
+		reset(to)
+		return
+	}
 	_, _ = from.Close(), to.Close()
 }
 
