One copy of what the merged parts wrote twice

The merge left twins: two counts of the waiting requests that can meet their target, two readings of which priority is in force, two decays of rates by class and by band, and gauges of batch limits that were updated where idle connections are closed. Each has one place now.

--- a/internal/caller/admission/meters.go
+++ b/internal/caller/admission/meters.go
@@ -84,6 +84,23 @@
 	return (m.work[class] + drainPriorWeight*float64(running)) / (m.waitingTime[class] + drainPriorWeight)
 }
 
+// decayWork decays rates of work from the time of their last update, which is zero
+// before the first one, to now. It returns the time of the new update.
+func decayWork(work []float64, updatedAt, now time.Time) time.Time {
+	if updatedAt.IsZero() {
+		return now
+	}
+	dt := now.Sub(updatedAt).Seconds()
+	if dt <= 0 {
+		return updatedAt
+	}
+	decay := math.Exp(-dt / drainTimeConstant.Seconds())
+	for i := range work {
+		work[i] *= decay
+	}
+	return now
+}
+
 // classMeter measures the rate of admitted work per class.
 type classMeter struct {
 	work      [numClasses]float64
@@ -91,13 +108,7 @@
 }
 
 func (m *classMeter) add(class int, work float64, now time.Time) {
-	if dt := now.Sub(m.updatedAt).Seconds(); dt > 0 {
-		decay := math.Exp(-dt / drainTimeConstant.Seconds())
-		for i := range m.work {
-			m.work[i] *= decay
-		}
-		m.updatedAt = now
-	}
+	m.updatedAt = decayWork(m.work[:], m.updatedAt, now)
 	m.work[class] += work / drainTimeConstant.Seconds()
 }
 
@@ -117,16 +128,7 @@
 }
 
 func (m *arrivalMeter) add(b int, work float64, now time.Time) {
-	if m.updatedAt.IsZero() {
-		m.updatedAt = now
-	}
-	if dt := now.Sub(m.updatedAt).Seconds(); dt > 0 {
-		decay := math.Exp(-dt / drainTimeConstant.Seconds())
-		for i := range m.work {
-			m.work[i] *= decay
-		}
-		m.updatedAt = now
-	}
+	m.updatedAt = decayWork(m.work[:], m.updatedAt, now)
 	m.work[b] += work / drainTimeConstant.Seconds()
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -118,11 +118,7 @@
 	if j.table.HasClasses(j.service.Name) {
 		return int(j.class())
 	}
-	p := j.route.Priority
-	if j.account != nil && j.account.Priority >= 0 {
-		p = j.account.Priority
-	}
-	return min(max(p, 0), int(routing.MaxClass))
+	return min(routing.PriorityInForce(j.route, j.account), int(routing.MaxClass))
 }
 
 // lostOutcome returns the outcome of an exchange that failed before its answer was complete.
@@ -322,8 +318,7 @@
 	return Delivered{}
 }
 
-// CloseIdleConns closes the idle connections that have expired, and brings the gauges of batch
-// limits up to date, once a second until ctx ends.
+// CloseIdleConns closes the idle connections that have expired, once a second until ctx ends.
 func (r *Relay) CloseIdleConns(ctx context.Context) error {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
@@ -333,7 +328,6 @@
 			return nil
 		case now := <-t.C:
 			r.Client.CloseExpired(now)
-			r.Metrics.updateBatchGauges(r.State.BatchStates(r.Now()))
 		}
 	}
 }
--- a/internal/relay/classmetrics.go
+++ b/internal/relay/classmetrics.go
@@ -18,9 +18,9 @@
 	// maxAccountMetrics bounds the accounts with metrics of their own. There may be thousands of
 	// accounts, and an overload is mostly due to a few.
 	maxAccountMetrics = 10
-	// accountMetricsInterval is how often the accounts with metrics are determined anew. Collectors
+	// metricsInterval is how often metrics that need a look at the whole state are updated. Collectors
 	// read metrics at most about once a second.
-	accountMetricsInterval = time.Second
+	metricsInterval = time.Second
 )
 
 // serviceClass is one priority class of the requests for a service.
@@ -142,10 +142,10 @@
 	return out[:min(n, len(out))]
 }
 
-// ReportAccounts keeps the metrics of the accounts with the most waiting requests up to date until
-// ctx is done.
-func (r *Relay) ReportAccounts(ctx context.Context) error {
-	t := time.NewTicker(accountMetricsInterval)
+// UpdateMetrics keeps the metrics of the accounts with the most waiting requests, and those of batch
+// limits, up to date until ctx is done.
+func (r *Relay) UpdateMetrics(ctx context.Context) error {
+	t := time.NewTicker(metricsInterval)
 	defer t.Stop()
 	var shown []accountWaiting
 	for {
@@ -154,6 +154,7 @@
 			return nil
 		case <-t.C:
 			shown = r.Metrics.showAccounts(shown, r.State.mostWaiting(maxAccountMetrics))
+			r.Metrics.updateBatchGauges(r.State.BatchStates(r.Now()))
 		}
 	}
 }
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -94,15 +94,7 @@
 func (st *State) ReportWaiting() map[string][]int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	out := map[string][]int{}
-	if st.queue.Waiting() > 0 {
-		for _, w := range st.waiters {
-			if w.queued && !w.late {
-				name := w.req.Service.Name
-				out[name] = addClass(out[name], w.req.Class)
-			}
-		}
-	}
+	out := st.waitingOnTime()
 	st.quotas.reported = out
 	clear(st.quotas.unreported)
 	for _, s := range st.quotas.services {
@@ -111,6 +103,22 @@
 	return out
 }
 
+// waitingOnTime returns the number of waiting requests that can meet their target, by service and
+// class. mu must be held.
+func (st *State) waitingOnTime() map[string][]int {
+	out := map[string][]int{}
+	if st.queue.Waiting() == 0 {
+		return out
+	}
+	for _, w := range st.waiters {
+		if w.queued && !w.late {
+			name := w.req.Service.Name
+			out[name] = addClass(out[name], w.req.Class)
+		}
+	}
+	return out
+}
+
 // addClass counts one more request of a class.
 func addClass(byClass []int, c routing.Class) []int {
 	c = min(max(c, 0), routing.MaxClass)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -273,21 +273,12 @@
 	return st.longestTimeLeft[route]
 }
 
-// WaitingServices returns the services with waiting requests that can meet their target. Late
-// requests claim no share of the slots.
+// WaitingServices returns the services with waiting requests that can meet their target, in
+// unspecified order.
 func (st *State) WaitingServices() []string {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	var out []string
-	if st.queue.Waiting() == 0 {
-		return out
-	}
-	for _, w := range st.waiters {
-		if w.queued && !w.late && !slices.Contains(out, w.req.Service.Name) {
-			out = append(out, w.req.Service.Name)
-		}
-	}
-	return out
+	return slices.Collect(maps.Keys(st.waitingOnTime()))
 }
 
 // OwnRunning returns the number of this entry's running requests by endpoint ID.
--- a/internal/routing/class.go
+++ b/internal/routing/class.go
@@ -28,11 +28,17 @@
 // precedence over the route's, which still orders the requests of accounts with equal priorities.
 // Otherwise the priorities of routes would have no effect where each account states one.
 func newClassKey(r *Route, a *Account) classKey {
-	k := classKey{priority: max(0, r.Priority), routePriority: max(0, r.Priority)}
+	return classKey{priority: PriorityInForce(r, a), routePriority: max(0, r.Priority)}
+}
+
+// PriorityInForce returns the priority of an account's requests on a route: the account's if it states
+// one, or else the route's. The account is nil for requests without one. A negative priority of a
+// route counts as 0.
+func PriorityInForce(r *Route, a *Account) int {
 	if a != nil && a.Priority >= 0 {
-		k.priority = a.Priority
+		return a.Priority
 	}
-	return k
+	return max(0, r.Priority)
 }
 
 // serviceClasses returns the keys of the classes of each service with classes, most urgent first.
