--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -23,10 +23,11 @@
 	CouldNot = 2
 )
 
-// relaySettings has the keys of platform/relay.ini.tmpl, with the bounds of katalogtryck.
+// relaySettings has the keys of platform/relay.ini.tmpl, with the bounds that the sites of the
+// scripts share.
 const relaySettings = `[process]
 name = %s
-dataCentre = uppsala
+dataCentre = %s
 peerAddress = %s
 metricsAddress = %s
 platformAddresses = %s
@@ -41,7 +42,7 @@
 changeApply = 2000ms
 keyRevoke = 5000ms
 retryShare = 0.2
-retrySlack = 90
+retrySlack = %d
 retryWindow = 10s
 grace = 8s
 
@@ -49,10 +50,29 @@
 insecure = true
 `
 
+// rankerSettings has the keys of platform/ranker.ini.tmpl.
+const rankerSettings = `[process]
+name = %s
+dataCentre = %s
+peerAddress = %s
+metricsAddress = %s
+platformAddresses = %s
+logFormat = json
+
+[endpoint]
+address = %s
+service = %s
+fencing = checked
+
+[tls]
+insecure = true
+`
+
 const (
-	// relayProgram is the program of deploy/system.toml and relayRole its argument.
-	relayProgram = "target/hyssoprelay"
-	relayRole    = "relay"
+	// program is the program of deploy/system.toml, and relayRole and rankerRole are its arguments.
+	program    = "target/hyssoprelay"
+	relayRole  = "relay"
+	rankerRole = "ranker"
 	// settingsVariable names the settings file of a process.
 	settingsVariable = "HYSSOPRELAY_CONFIG"
 	readyPath        = "/api/ready"
@@ -89,52 +109,66 @@
 // Close closes the file.
 func (r *Record) Close() error { return r.file.Close() }
 
+// Site is what the sites of the scripts don't share.
+type Site struct {
+	Zone       string
+	RetrySlack int
+}
+
 // World is a store and the processes of the product that use it.
 type World struct {
 	Store  *standin.Store
 	Record *Record
 
-	dir    string
-	relays []*Relay
+	site      Site
+	dir       string
+	processes []*process
+}
+
+// process is a process of the product.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 // NewWorld starts a store with the operators' configuration. Close ends it.
-func NewWorld(r *Record, configuration string) (*World, error) {
+func NewWorld(r *Record, site Site, configuration string) (*World, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	w := &World{Store: standin.NewStore(), Record: r, dir: dir}
+	w := &World{Store: standin.NewStore(), Record: r, site: site, dir: dir}
 	w.Store.Put("op/config", []byte(configuration))
 	return w, nil
 }
 
 // Close kills the processes that still run and removes their settings.
 func (w *World) Close() error {
-	for _, r := range w.relays {
-		r.kill()
+	for _, p := range w.processes {
+		p.kill()
 	}
 	w.Store.Close()
 	return os.RemoveAll(w.dir)
 }
 
-// StartReplica serves handler at a loopback address and registers it as a replica of the service.
-func (w *World) StartReplica(id, service string, slots int, handler http.Handler) error {
+// StartReplica serves handler at a loopback address, which it returns, and registers it as a replica
+// of the service.
+func (w *World) StartReplica(id, service string, slots int, handler http.Handler) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: startTimeout}
 	go func() { _ = server.Serve(ln) }() // serves until the process ends
 	entry, err := json.Marshal(map[string]any{
-		"service": service, "address": ln.Addr().String(), "zone": "uppsala", "version": "v1", "slots": slots,
+		"service": service, "address": ln.Addr().String(), "zone": w.site.Zone, "version": "v1", "slots": slots,
 		"state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
-		return err
+		return "", err
 	}
 	w.Store.Put("servers/"+id, entry)
-	return nil
+	return ln.Addr().String(), nil
 }
 
 // Relay is a process with the role relay.
@@ -142,9 +176,8 @@
 	// Name is its name, and Callers the address for clients.
 	Name, Callers string
 
+	*process
 	ready string
-	cmd   *exec.Cmd
-	ended chan struct{}
 }
 
 // StartRelay starts a relay and waits until it says that it is ready.
@@ -153,24 +186,43 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Name: name, Callers: addresses[0], ready: addresses[1], ended: make(chan struct{})}
+	r := &Relay{Name: name, Callers: addresses[0], ready: addresses[1]}
+	text := fmt.Sprintf(relaySettings, name, w.site.Zone, addresses[2], addresses[3], w.Store.Addr(), r.Callers, r.ready, w.site.RetrySlack)
+	if r.process, err = w.start(name, relayRole, text); err != nil {
+		return nil, err
+	}
+	return r, r.awaitReady()
+}
+
+// StartRanker starts a ranker beside the replica at an address.
+func (w *World) StartRanker(name, service, replica string) error {
+	addresses, err := freeAddresses(2)
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf(rankerSettings, name, w.site.Zone, addresses[0], addresses[1], w.Store.Addr(), replica, service)
+	_, err = w.start(name, rankerRole, text)
+	return err
+}
+
+// start starts a process with the given settings.
+func (w *World) start(name, role, settings string) (*process, error) {
 	file := filepath.Join(w.dir, name+".ini")
-	text := fmt.Sprintf(relaySettings, name, addresses[2], addresses[3], w.Store.Addr(), r.Callers, r.ready)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	r.cmd = exec.Command(relayProgram, relayRole)
-	r.cmd.Env = append(os.Environ(), settingsVariable+"="+file)
-	if err := r.cmd.Start(); err != nil {
+	p := &process{cmd: exec.Command(program, role), ended: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), settingsVariable+"="+file)
+	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
-	w.relays = append(w.relays, r)
+	w.processes = append(w.processes, p)
 	go func() {
-		err := r.cmd.Wait()
+		err := p.cmd.Wait()
 		w.Record.Printf("%s ended: %v", name, exitText(err))
-		close(r.ended)
+		close(p.ended)
 	}()
-	return r, r.awaitReady()
+	return p, nil
 }
 
 func exitText(err error) string {
@@ -198,14 +250,14 @@
 func (r *Relay) Terminate() error { return r.cmd.Process.Signal(syscall.SIGTERM) }
 
 // kill ends the process at once, if it runs.
-func (r *Relay) kill() {
+func (p *process) kill() {
 	select {
-	case <-r.ended:
+	case <-p.ended:
 		return
 	default:
 	}
-	_ = r.cmd.Process.Kill() // fails only if it has just ended
-	<-r.ended
+	_ = p.cmd.Process.Kill() // fails only if it has just ended
+	<-p.ended
 }
 
 // freeAddresses returns n free loopback addresses.
