--- a/review/1/case_test.go
+++ b/review/1/case_test.go
@@ -1,4 +1,4 @@
-package review1
+package main
 
 import (
 	"os"
@@ -8,10 +8,12 @@
 	"testing"
 )
 
-// benchVariable and siteVariable name the bench's program and the folder of the site files.
+// benchVariable and siteVariable name the bench's program and the folder of the site files, and
+// scriptsVariable is set where the deploy file and review/build.sh have been built.
 const (
-	benchVariable = "REVIEW_BENCH"
-	siteVariable  = "REVIEW_SITES"
+	benchVariable   = "REVIEW_BENCH"
+	siteVariable    = "REVIEW_SITES"
+	scriptsVariable = "REVIEW_SCRIPTS"
 )
 
 // A stream is moved off a slow engine, and the next engine answers 500. Shows a caller that gets a
@@ -31,3 +33,13 @@
 		t.Errorf("the day breaks MIXED: %s", out)
 	}
 }
+
+// Shows the same with stand-ins for the engines and on the real clock.
+func TestReviewCase1Script(t *testing.T) {
+	if os.Getenv(scriptsVariable) == "" {
+		t.Skipf("%s is not set", scriptsVariable)
+	}
+	if out, err := exec.Command("./run.sh").CombinedOutput(); err != nil {
+		t.Errorf("%v: %s", err, out)
+	}
+}
