--- a/review/1/main.go
+++ b/review/1/main.go
@@ -19,7 +19,7 @@
 
 const (
 	recordFile = "review/1/record.txt"
-	service    = "assistant-llm"
+	service    = "engines"
 	engines    = 8
 	relays     = 4
 	// clients is the number of clients of each relay, which send one stream after another.
@@ -44,15 +44,15 @@
 )
 
 const configuration = `{"version":7,"routes":[
-	{"name":"quote-draft","hostname":"quotes.example","prefix":"/quote/","kind":"streaming","timeoutMs":8000,
-	 "targetLatencyMs":500,"gapTargetMs":120,"priority":1,"service":"assistant-llm","maxAttempts":2,"resumable":true,
+	{"name":"draft","hostname":"draft.example","prefix":"/draft/","kind":"streaming","timeoutMs":8000,
+	 "targetLatencyMs":500,"gapTargetMs":120,"priority":1,"service":"engines","maxAttempts":2,"resumable":true,
 	 "sessionAffinity":true}],
-	"services":[{"name":"assistant-llm","healthPath":"/health","maxConnections":418,"coldStartS":3,"coldPerS":38,
+	"services":[{"name":"engines","healthPath":"/health","maxConnections":418,"coldStartS":3,"coldPerS":38,
 	 "engine":{"slots":12,"kvCapacityTokens":280000,"linkMbps":180000,"stride":4,"step_ms":4.55,"per_seq_ms":0.905,
 	 "context_per_k":0.0183,"read_per_s":61400,"chunk":512,"report_lag_ms":200,"usual":{"prompt":835,"answer":97},
 	 "sets":4,"experts":72,"placements":12,"spare":3,"expertMb":2200,"expertShare":0.85}}],
 	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":10000},
-	"tenants":[{"name":"clinic","apiKeys":["k1"]}]}`
+	"tenants":[{"name":"account","apiKeys":["k1"]}]}`
 
 // engine is a replica that is a rank of a group.
 type engine struct {
@@ -190,7 +190,7 @@
 }
 
 func send(w io.Writer, id string) error {
-	_, err := fmt.Fprintf(w, "POST /quote/1 HTTP/1.1\r\nHost: quotes.example\r\nX-Hyssoprelay-Attempt-Id: %s\r\n"+
+	_, err := fmt.Fprintf(w, "POST /draft/1 HTTP/1.1\r\nHost: draft.example\r\nX-Hyssoprelay-Attempt-Id: %s\r\n"+
 		"X-Hyssoprelay-Model: m\r\nX-Hyssoprelay-Token-Counts: 714,97\r\nX-Hyssoprelay-Prompt-Prefix: 5c1e07a2:40,%s:674\r\n"+
 		"X-Hyssoprelay-Deadline-Ms: %d\r\nX-Api-Key: k1\r\nContent-Length: 2\r\n\r\nhi", id, id, timeBudget.Milliseconds())
 	return err
@@ -219,7 +219,7 @@
 		e.pace.Store(1)
 		address, err := w.StartReplica(e.id, service, 12, e)
 		if err == nil {
-			err = w.StartRanker(fmt.Sprint("side-alm-a-", i), service, address)
+			err = w.StartRanker(fmt.Sprint("side-zone-a-", i), service, address)
 		}
 		if err != nil {
 			return nil, nil, err
@@ -228,7 +228,7 @@
 	}
 	var rs []*harness.Relay
 	for i := range relays {
-		r, err := w.StartRelay(fmt.Sprint("front-alm-a-", i+1))
+		r, err := w.StartRelay(fmt.Sprint("front-zone-a-", i+1))
 		if err != nil {
 			return nil, nil, err
 		}
@@ -255,7 +255,7 @@
 }
 
 func try(record *harness.Record, trouble bool) (res *result, err error) {
-	w, err := harness.NewWorld(record, harness.Site{Zone: "alm-a", RetrySlack: 94}, configuration)
+	w, err := harness.NewWorld(record, harness.Site{Zone: "zone-a", RetrySlack: 94}, configuration)
 	if err != nil {
 		return nil, err
 	}
