Logs and counters that tell answers of other requests from failures within a stream

Callers saw: bytes that are no answer within a stream. Logs could not say whether a part had gone out before a failure, on which connection an attempt was, or that an endpoint's answer was skipped.

Change: the lines of attempts and requests have connection, requestsBefore, answerStatus, skipped and begun; stray answers and stray bytes have a line and a counter each. No decision changes.

Run: go test ./internal/relay ./internal/endpoint/direct. Measured: pass.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -27,6 +27,7 @@
 	resp      *http.Response
 	writer    *writer
 	complete  bool
+	skipped   int
 	stopAbort func() bool
 	// held is the number of bytes that are counted by the client's Memory.
 	held int64
@@ -53,6 +54,8 @@
 		if req.Matches == nil || req.Matches(resp.Header) {
 			return nil
 		}
+		r.skipped, r.Status = r.skipped+1, 0
+		r.client.reportStray(r.conn, Stray{Status: resp.StatusCode, Header: resp.Header})
 		// An endpoint may respond to a request twice, and the duplicate is read
 		// as the response to the next request. The id in its header shows that;
 		// the right response follows on the same connection.
@@ -78,11 +81,14 @@
 func (r *Response) Close() {
 	active := r.stopAbort()
 	_ = r.hold(0, 0) // releases all
+	if n := r.conn.br.Buffered(); r.complete && n > 0 {
+		r.client.reportStray(r.conn, Stray{Bytes: n})
+	}
 	if !active || !r.reusable() {
 		r.closeAfterWrite(active)
 		return
 	}
-	r.conn.used = true
+	r.conn.requests++
 	r.client.release(r.conn, idleTimeout(r.resp.Header))
 }
 
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -43,6 +43,8 @@
 	// timeout. It is for requests that must not run twice: if the endpoint closes
 	// the connection while such a request is in flight, its outcome is unknown.
 	AvoidExpiring bool
+	// Exchange, if not nil, is set by Do, also if it fails.
+	Exchange *Exchange
 }
 
 // Client sends requests to endpoints over pooled connections. Its zero value is
@@ -53,6 +55,9 @@
 	StallTimeout time.Duration
 	// Memory bounds the bytes that are buffered for responses.
 	Memory Memory
+	// OnStray, if not nil, is called when an endpoint sends what belongs to no request in progress.
+	// It must not block. Set it before the first call.
+	OnStray func(Stray)
 
 	mu    sync.Mutex // guards all below
 	idle  map[string][]*conn
@@ -79,7 +84,9 @@
 	}
 	r := &Response{client: c, conn: cn}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
-	if err := r.exchange(req); err != nil {
+	err = r.exchange(req)
+	r.recordExchange(req)
+	if err != nil {
 		r.Close()
 		if ctx.Err() != nil && !IsNotSent(err) {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -47,9 +47,12 @@
 	// br reads from guard.
 	br   *bufio.Reader
 	addr string
+	// serial numbers the client's connections, and requests counts the requests that were answered
+	// on this one.
+	serial   int64
+	requests int
 	// expires is when the pool closes the connection if it is still idle.
 	expires time.Time
-	used    bool
 	// stallTimeout is how long the endpoint may read nothing of a request.
 	stallTimeout time.Duration
 }
@@ -69,7 +72,7 @@
 // acquire returns a pooled connection that is still open, or dials a new one.
 func (c *Client) acquire(ctx context.Context, addr string, avoidExpiring bool) (*conn, error) {
 	for cn := c.takeIdle(addr); cn != nil; cn = c.takeIdle(addr) {
-		if cn.br.Buffered() == 0 && isIdle(cn.Conn) && (!avoidExpiring || time.Until(cn.expires) > idleTimeoutMargin) {
+		if c.isIdle(cn) && (!avoidExpiring || time.Until(cn.expires) > idleTimeoutMargin) {
 			return cn, nil
 		}
 		_ = cn.Conn.Close()
@@ -91,9 +94,10 @@
 	}
 	c.mu.Lock()
 	c.dials++
+	serial := c.dials
 	c.mu.Unlock()
 	g := &guard{Conn: nc}
-	return &conn{Conn: nc, guard: g, br: bufio.NewReaderSize(g, readBufferSize), addr: addr, stallTimeout: cmp.Or(c.StallTimeout, bodyStallTimeout)}, nil
+	return &conn{Conn: nc, guard: g, serial: serial, br: bufio.NewReaderSize(g, readBufferSize), addr: addr, stallTimeout: cmp.Or(c.StallTimeout, bodyStallTimeout)}, nil
 }
 
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
@@ -107,25 +111,41 @@
 	return errors.Join(err, optErr)
 }
 
-// isIdle reports whether nc is open and has no data to read. Data that arrives
+// maxPeek is how many bytes are looked at that arrived while no response was due.
+const maxPeek = 256
+
+// isIdle reports whether cn is open and has no data to read. Data that arrives
 // on an idle connection belongs to no request, so the connection can't be reused.
-func isIdle(nc net.Conn) bool {
+func (c *Client) isIdle(cn *conn) bool {
+	if n := cn.br.Buffered(); n > 0 {
+		c.reportStray(cn, Stray{Bytes: n})
+		return false
+	}
+	n, err := peek(cn.Conn)
+	if n > 0 {
+		c.reportStray(cn, Stray{Bytes: n})
+	}
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peek returns how many bytes, up to maxPeek, can be read from nc. The error is EAGAIN if nc is open
+// and there are none, and nil with no bytes if the peer has closed it.
+func peek(nc net.Conn) (n int, err error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	idle := false
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(e, unix.EAGAIN)
+		var b [maxPeek]byte
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && idle
+	return max(0, n), errors.Join(err, peekErr)
 }
 
 // takeIdle removes the most recently used connection to addr from the pool and
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -276,6 +276,7 @@
 		Now: boottime.Now, Log: f.Log.Logger,
 		Metrics: relay.NewMetrics(f.Registry), AnnounceEnd: f.announceEnd,
 	}
+	f.relay.Client.OnStray = f.relay.LogStray
 	f.relay.Metrics.RegisterGauges(f.state, boottime.Now)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(processMemoryShare * float64(s.Memory)))
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -30,7 +30,7 @@
 // attempt sends the request to one endpoint and forwards its answer.
 func (j *job) attempt(ctx context.Context, assigned Assignment) Outcome {
 	r := j.relay
-	j.answerBegan, j.beforeFirst = false, nil
+	j.answerBegan, j.beforeFirst, j.exchange = false, nil, direct.Exchange{}
 	req := j.endpointRequest(assigned)
 	resp, err := r.Client.Do(ctx, assigned.Endpoint.Address, req)
 	if err != nil {
@@ -98,6 +98,7 @@
 		Method: j.raw.Method, Target: j.raw.Target, Host: j.raw.Host, Header: h, Body: j.raw.Body,
 		Matches:       j.isOwnAnswer,
 		AvoidExpiring: !j.route.MayRetry(),
+		Exchange:      &j.exchange,
 	}
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -23,7 +23,10 @@
 	lostBegun, lostUnbegun, lostEnded metrics.Counter
 	// exceeded counts the answers that exceeded a limit.
 	exceeded metrics.Counter
-	classes  classMetrics
+	// strayAnswers counts the responses that name another request, and strayBytes how often bytes
+	// arrived while no response was due.
+	strayAnswers, strayBytes metrics.Counter
+	classes                  classMetrics
 }
 
 // NewMetrics registers the metrics in r.
@@ -39,6 +42,9 @@
 		lostEnded:   metrics.GetOrRegisterCounter("relay.lost.ended", r),
 
 		exceeded: metrics.GetOrRegisterCounter("relay.answers.exceeded", r),
+
+		strayAnswers: metrics.GetOrRegisterCounter("relay.stray.answers", r),
+		strayBytes:   metrics.GetOrRegisterCounter("relay.stray.bytes", r),
 	}
 }
 
@@ -152,6 +158,7 @@
 	if len(j.tried) > 0 {
 		f["endpoints"], f["sent"] = j.tried, j.attempts.Sent
 	}
+	j.exchangeFields(f)
 	if !j.firstPartAt.IsZero() {
 		f["firstPart"] = j.firstPartAt.Sub(j.raw.ReceivedAt).Milliseconds()
 	}
@@ -182,6 +189,7 @@
 		"sent": j.attempts.Sent, "unsent": j.attempts.Unsent, "left": j.deadline.Sub(now).Milliseconds(),
 	}
 	f["outcome"] = outcomeName(o)
+	j.exchangeFields(f)
 	switch o := o.(type) {
 	case NotRun:
 		f["result"] = o.Code.String()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,6 +82,8 @@
 	isTrial bool
 	// endedEndpoint means that an endpoint ended under an attempt of this request.
 	endedEndpoint bool
+	// exchange describes the last attempt's exchange.
+	exchange direct.Exchange
 	// tried lists the endpoints that were assigned to attempts of this request.
 	tried []string
 	// lastFailure is the last complete failure that an endpoint reported.
