Failing tests: a resumed or moved stream whose next engine answers with another status

Callers saw: bytes that are no answer within a stream. Run: go test -run 'TestFailureOf|TestStreamGoesOn' ./internal/frontend on this commit.

--- /dev/null
+++ b/internal/frontend/begunstream_test.go
@@ -0,0 +1,139 @@
+package frontend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+// statusesWithinAStream are the statuses of answers that can't go on with a stream.
+var statusesWithinAStream = []int{
+	http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusNotFound,
+	http.StatusFound, http.StatusCreated, http.StatusNoContent,
+}
+
+// rawStream requests a stream and returns the bytes that the caller receives: a complete answer, or
+// all until the entry closes the connection.
+func (s *system) rawStream(e *entry, id string) string {
+	s.t.Helper()
+	c, err := net.Dial("tcp", e.CallerAddress())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /stream/1 HTTP/1.1\r\nHost: h\r\nX-Hyssoprelay-Attempt-Id: %s\r\n"+
+		"X-Hyssoprelay-Deadline-Ms: 6000\r\nX-Api-Key: k1\r\nContent-Length: 0\r\n\r\n", id)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second)) // ends a test that hangs
+	var raw bytes.Buffer
+	br := bufio.NewReader(io.TeeReader(c, &raw))
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+		return raw.String()
+	}
+	if _, err := io.Copy(io.Discard, br); err != nil {
+		s.t.Errorf("the connection stays open: %v", err)
+	}
+	return raw.String()
+}
+
+// wantBrokenOff checks that a caller has a part of a stream, and that nothing follows which could pass
+// for the rest or the end.
+func (s *system) wantBrokenOff(raw string) {
+	s.t.Helper()
+	if n := strings.Count(raw, "HTTP/1."); n != 1 || !strings.Contains(raw, "id: 1\n") {
+		s.t.Errorf("%d heads in the answer: %q", n, raw)
+	}
+	if strings.HasSuffix(raw, "0\r\n\r\n") {
+		s.t.Errorf("the broken stream looks complete: %q", raw)
+	}
+}
+
+// An engine breaks off a stream, and the next one answers with a failure. Guards against a second
+// head within the body that the caller is reading.
+func TestFailureOfAResumedStreamBreaksItOff(t *testing.T) {
+	t.Parallel()
+	for _, status := range statusesWithinAStream {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 2)
+			e := s.start("entry1", s.store.Addr())
+			s.endpoints[0].Behave(standin.Tears)
+			s.endpoints[1].FailWith(status)
+			for i := 0; ; i++ {
+				id := fmt.Sprint("s", i)
+				raw := s.rawStream(e, id)
+				if strings.Contains(raw, "seal-i-0") && s.endpoints[1].Runs(id) > 0 {
+					s.wantBrokenOff(raw)
+					return
+				}
+				if i == 100 {
+					t.Fatal("no stream went on at the failing engine")
+				}
+			}
+		})
+	}
+}
+
+// A stream is moved off a slow engine, and the next one answers with a failure. Guards against the
+// same second head.
+func TestFailureOfAMovedStreamBreaksItOff(t *testing.T) {
+	t.Parallel()
+	for _, status := range statusesWithinAStream {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			s, e := newGroupOfTwo(t)
+			received := make(chan string, 1)
+			go func() { received <- s.rawStream(e, "s1") }()
+			s.eventually("an event was sent", func() bool { return s.endpoints[0].SentEvents()+s.endpoints[1].SentEvents() > 0 })
+			for _, ep := range s.endpoints {
+				if ep.Runs("s1") == 0 {
+					ep.FailWith(status)
+				}
+			}
+			s.moveStream(e, "s1")
+			s.wantBrokenOff(<-received)
+		})
+	}
+}
+
+// The second engine of a broken stream answers with a failure, and a third one is sound. Guards
+// against breaking off a stream that may go on elsewhere.
+func TestStreamGoesOnAfterAFailure(t *testing.T) {
+	t.Parallel()
+	for _, status := range statusesWithinAStream {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 3)
+			s.store.Put("op/config", bytes.Replace(config(2, `"k1"`), []byte(`"maxAttempts":2,"resumable"`), []byte(`"maxAttempts":3,"resumable"`), 1))
+			e := s.start("entry1", s.store.Addr())
+			s.endpoints[0].Behave(standin.Tears)
+			s.endpoints[1].FailWith(status)
+			for i := 0; ; i++ {
+				id := fmt.Sprint("s", i)
+				resp := e.request(context.Background(), "/stream/1", id, "k1")
+				if resp.header.Get("X-Hyssoprelay-Replica-Seal") == "seal-i-0" && s.endpoints[1].Runs(id) > 0 {
+					s.wantWholeStream(resp, 5)
+					return
+				}
+				if i == 100 {
+					t.Fatal("no stream met both engines")
+				}
+			}
+		})
+	}
+}
--- a/internal/frontend/streams_test.go
+++ b/internal/frontend/streams_test.go
@@ -54,20 +54,35 @@
 // of the stream.
 func TestStreamIsMovedOffASlowEngine(t *testing.T) {
 	t.Parallel()
+	s, e := newGroupOfTwo(t)
+	responses := make(chan response, 1)
+	go func() { responses <- e.request(context.Background(), "/stream/1", "s1", "k1") }()
+	s.moveStream(e, "s1")
+	s.wantWholeStream(<-responses, 5)
+	s.eventually("the move is logged", func() bool { return e.log.Has(`"outcome":"moved"`) })
+}
+
+// newGroupOfTwo starts an entry and two engines of one group, which pause for 200 ms between events.
+func newGroupOfTwo(t *testing.T) (*system, *entry) {
+	t.Helper()
 	s := newSystem(t, 2)
 	s.store.Put("op/config", bytes.Replace(config(2, `"k1"`), []byte(`"maxConnections":100`),
 		[]byte(`"maxConnections":100,"engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"expertShare":0.85}`), 1))
 	for _, ep := range s.endpoints {
 		ep.Pause = 200 * time.Millisecond
 	}
-	e := s.start("entry1", s.store.Addr())
-	responses := make(chan response, 1)
-	go func() { responses <- e.request(context.Background(), "/stream/1", "s1", "k1") }()
-	s.eventually("an engine serves the stream", func() bool { return s.runs("s1") == 1 })
+	return s, s.start("entry1", s.store.Addr())
+}
+
+// moveStream waits until a stream runs, reports its engine as twelve times slower, and returns when
+// the stream has reached the other engine.
+func (s *system) moveStream(e *entry, id string) {
+	s.t.Helper()
+	s.eventually("an engine serves the stream", func() bool { return s.runs(id) == 1 })
 	q := &fleetpb.LoadsRequest{List: 1}
 	for _, ep := range s.endpoints {
 		pace, running := uint32(100), uint32(0)
-		if ep.Runs("s1") > 0 {
+		if ep.Runs(id) > 0 {
 			pace, running = 1200, 1
 		}
 		q.Targets = append(q.Targets, &fleetpb.Target{Endpoint: ep.Addr()})
@@ -76,12 +91,10 @@
 	svc := &service{frontend: e.Frontend}
 	s.eventually("the other engine serves the stream", func() bool {
 		if _, err := svc.Loads(context.Background(), q); err != nil {
-			t.Error(err)
+			s.t.Error(err)
 		}
-		return s.endpoints[0].Runs("s1") == 1 && s.endpoints[1].Runs("s1") == 1
+		return s.endpoints[0].Runs(id) == 1 && s.endpoints[1].Runs(id) == 1
 	})
-	s.wantWholeStream(<-responses, 5)
-	s.eventually("the move is logged", func() bool { return e.log.Has(`"outcome":"moved"`) })
 }
 
 // A caller disconnects. Guards against an engine that goes on generating output that
