A stream that has begun gets no second head

Callers saw: within a stream that was moved off a slow engine, or that went on after its engine broke it off, the next engine's answer (500, but also 404, 302, 201, 204) as a status line and head behind the events, and a connection that stayed open.

Cause: attempts passed each answer that wasn't 200 to the way of buffered answers, which writes a head whatever has been sent; finish() looked at what had been sent for two outcomes only; caller.Reply took a second head, and then marked the response complete.

Unusable is the outcome of an answer that can't go on with a stream; it is tried elsewhere, or the stream is broken off. caller.Reply has one state and refuses what it doesn't allow.

Why it holds: the writer has one place that sends a head, and it fails once one was sent, whoever calls it.

--- a/internal/caller/raw.go
+++ b/internal/caller/raw.go
@@ -87,17 +87,13 @@
 	return kept
 }
 
-// SendRaw sends a complete response with the given headers.
+// SendRaw sends a complete response with the given headers. It fails if a response has been begun.
 func (w *Reply) SendRaw(status int, h http.Header, body []byte) error {
 	head := w.rawHead(status, h)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
-	w.started = true
-	w.done = true
-	err := w.send(append([]byte(head+"\r\n"), body...))
-	w.truncated = err != nil
-	return err
+	return w.begin(replyComplete, append([]byte(head+"\r\n"), body...))
 }
 
 // BeginRawStream begins a response of unknown length with the given headers. It returns an error
@@ -106,15 +102,12 @@
 	if w.protoMinor == 0 {
 		return result.New(result.MalformedRequest, "streamed answers need HTTP/1.1")
 	}
-	w.started = true
-	w.streaming = true
-	w.truncated = true
-	return w.send([]byte(w.rawHead(status, h) + "Transfer-Encoding: chunked\r\n\r\n"))
+	return w.begin(replyStreaming, []byte(w.rawHead(status, h)+"Transfer-Encoding: chunked\r\n\r\n"))
 }
 
 // Abort aborts a response that cannot be completed. Its connection closes without the end of the
 // body, so that the caller does not treat the partial response as complete.
-func (w *Reply) Abort() { w.truncated = true }
+func (w *Reply) Abort() { w.state = replyAborted }
 
 func (w *Reply) rawHead(status int, h http.Header) string {
 	var b strings.Builder
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -29,7 +31,29 @@
 	flushTimeout = 5 * time.Second
 )
 
-// Reply writes one response. It must not be used by several goroutines at the same time.
+// replyState says what has been sent of a response, and so what may follow.
+type replyState int
+
+const (
+	// replyUnsent means that any response may be sent.
+	replyUnsent replyState = iota
+	// replyStreaming means that the head and perhaps a part of the body have been sent. Only more of
+	// the body or its end may follow.
+	replyStreaming
+	// replyComplete means that nothing may follow.
+	replyComplete
+	// replyAborted means that the response can't be completed.
+	replyAborted
+)
+
+var (
+	errResponseBegun = eris.New("caller: a response has been begun")
+	errNotStreaming  = eris.New("caller: no streamed response is in progress")
+)
+
+// Reply writes one response. What it sends is one response or the beginning of one, whatever is
+// called: a second head within a body would be read as a part of it, or as the response to the
+// caller's next request. A connection whose response is not complete is closed. It must not be used by several goroutines at the same time.
 type Reply struct {
 	netConn    net.Conn
 	conn       *conn
@@ -37,12 +61,7 @@
 	requestID  string
 	protoMinor int
 	closeAfter bool
-	started    bool
-	streaming  bool
-	done       bool
-	// truncated is set while part of a response has been sent and its end has not. The connection
-	// must then close, which signals this to the caller.
-	truncated bool
+	state      replyState
 	// prevDone is closed when the connection's earlier requests have been answered. ownDone is
 	// closed when this request has been answered.
 	prevDone, ownDone chan struct{}
@@ -57,17 +76,30 @@
 func (w *Reply) SetContext(ctx context.Context) { w.ctx = ctx }
 
 // Started reports whether part of a response has been sent.
-func (w *Reply) Started() bool { return w.started }
+func (w *Reply) Started() bool { return w.state != replyUnsent }
+
+// begin sends the head of a response, with its whole body if next is replyComplete. It fails if a
+// response has been begun, and aborts it if it is not complete.
+func (w *Reply) begin(next replyState, b []byte) error {
+	if w.state != replyUnsent {
+		if w.state == replyStreaming {
+			w.state = replyAborted
+		}
+		return errResponseBegun
+	}
+	w.state = next
+	if err := w.send(b); err != nil {
+		w.state = replyAborted
+		return err
+	}
+	return nil
+}
 
 // Send sends a complete response.
-func (w *Reply) Send(status int, contentType, fetchID string, body []byte) {
+func (w *Reply) Send(status int, contentType, fetchID string, body []byte) error {
 	head := w.head(status, contentType, fetchID, result.OK)
 	head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	w.started = true
-	w.done = true
-	if err := w.send(append([]byte(head), body...)); err != nil {
-		w.truncated = true
-	}
+	return w.begin(replyComplete, append([]byte(head), body...))
 }
 
 // BeginStream begins a response of unknown length. It returns an error for a request over
@@ -78,16 +110,16 @@
 	}
 	head := w.head(status, contentType, fetchID, result.OK)
 	head += "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n"
-	w.started = true
-	w.streaming = true
-	w.truncated = true
-	return w.send([]byte(head))
+	return w.begin(replyStreaming, []byte(head))
 }
 
 // WriteChunk sends b as one chunk of a streamed response. It blocks while the caller reads slowly
 // and returns an error if the caller has disconnected, or if the reply's context is done while it
 // blocks.
 func (w *Reply) WriteChunk(b []byte) error {
+	if w.state != replyStreaming {
+		return errNotStreaming
+	}
 	if len(b) == 0 {
 		return nil
 	}
@@ -101,11 +133,13 @@
 
 // EndStream completes a streamed response.
 func (w *Reply) EndStream() error {
+	if w.state != replyStreaming {
+		return errNotStreaming
+	}
 	if err := w.send([]byte("0\r\n\r\n")); err != nil {
 		return err
 	}
-	w.truncated = false
-	w.done = true
+	w.state = replyComplete
 	return nil
 }
 
@@ -114,16 +148,13 @@
 // the response is streamed, and the connection closes without the end of the body, so that no
 // client treats the partial response as complete.
 func (w *Reply) Fail(e *result.Error) {
-	if w.done {
-		return
-	}
-	w.done = true
 	body := errorBody(e)
-	if w.started {
-		w.truncated = true
-		if w.streaming {
-			_ = w.WriteChunk([]byte("event: error\ndata: " + string(body) + "\n\n"))
-		}
+	switch w.state {
+	case replyComplete, replyAborted:
+		return
+	case replyStreaming:
+		_ = w.WriteChunk([]byte("event: error\ndata: " + string(body) + "\n\n"))
+		w.state = replyAborted
 		return
 	}
 	info, _ := result.Lookup(e.Code())
@@ -136,10 +167,7 @@
 		head += "Retry-After: " + strconv.Itoa(ceilSeconds(d)) + "\r\n"
 	}
 	head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	w.started = true
-	if err := w.send(append([]byte(head), body...)); err != nil {
-		w.truncated = true
-	}
+	_ = w.begin(replyComplete, append([]byte(head), body...))
 }
 
 // ceilSeconds rounds d up to seconds, the unit of Retry-After, because a caller that retries
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -362,10 +362,10 @@
 	s.finishReply(w)
 }
 
-// finishReply closes the connection if required, and otherwise sets the idle timeout if no further
+// finishReply closes the connection if required, also if the response is not complete, and otherwise sets the idle timeout if no further
 // request is waiting.
 func (s *Server) finishReply(w *Reply) {
-	if w.closeAfter || w.truncated {
+	if w.closeAfter || w.state != replyComplete {
 		w.closeAfterFlush()
 		return
 	}
@@ -396,7 +396,8 @@
 	}
 	switch r.Kind().(type) {
 	case Health:
-		w.Send(http.StatusOK, "text/plain", "", []byte("ok\n"))
+		// Whether the response was sent shows in the state of w.
+		_ = w.Send(http.StatusOK, "text/plain", "", []byte("ok\n"))
 	case Readiness:
 		s.serveReadiness(w)
 	default:
@@ -417,5 +418,5 @@
 		w.Fail(result.Of(err))
 		return
 	}
-	w.Send(http.StatusOK, "text/plain", "", []byte("ready\n"))
+	_ = w.Send(http.StatusOK, "text/plain", "", []byte("ready\n"))
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -88,12 +88,16 @@
 	if e.GetPieces() != r.next || !sized || r.head == nil {
 		return result.Newf(result.AnswerIncomplete, "%d pieces of %d arrived", r.next, e.GetPieces())
 	}
-	if !r.w.Started() {
-		r.w.Send(int(r.head.GetStatus()), r.head.GetContentType(), r.fetchID, r.body)
-		return nil
-	}
-	if err := r.w.EndStream(); err != nil {
+	if err := r.end(); err != nil {
 		return result.New(result.Cancelled, "")
 	}
 	return nil
 }
+
+// end sends the answer, or the end of one that has begun.
+func (r *relay) end() error {
+	if r.w.Started() {
+		return r.w.EndStream()
+	}
+	return r.w.Send(int(r.head.GetStatus()), r.head.GetContentType(), r.fetchID, r.body)
+}
--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -74,17 +74,17 @@
 			e := s.start("entry1", s.store.Addr())
 			s.endpoints[0].Behave(standin.Tears)
 			s.endpoints[1].FailWith(status)
-			for i := 0; ; i++ {
-				id := fmt.Sprint("s", i)
+			n := 0
+			s.eventually("a stream goes on at the failing engine", func() bool {
+				n++
+				id := fmt.Sprint("s", n)
 				raw := s.rawStream(e, id)
-				if strings.Contains(raw, "seal-i-0") && s.endpoints[1].Runs(id) > 0 {
+				met := strings.Contains(raw, "seal-i-0") && s.endpoints[1].Runs(id) > 0
+				if met {
 					s.wantBrokenOff(raw)
-					return
 				}
-				if i == 100 {
-					t.Fatal("no stream went on at the failing engine")
-				}
-			}
+				return met
+			})
 		})
 	}
 }
@@ -123,17 +123,17 @@
 			e := s.start("entry1", s.store.Addr())
 			s.endpoints[0].Behave(standin.Tears)
 			s.endpoints[1].FailWith(status)
-			for i := 0; ; i++ {
-				id := fmt.Sprint("s", i)
+			n := 0
+			s.eventually("a stream meets both engines", func() bool {
+				n++
+				id := fmt.Sprint("s", n)
 				resp := e.request(context.Background(), "/stream/1", id, "k1")
-				if resp.header.Get("X-Hyssoprelay-Replica-Seal") == "seal-i-0" && s.endpoints[1].Runs(id) > 0 {
+				met := resp.header.Get("X-Hyssoprelay-Replica-Seal") == "seal-i-0" && s.endpoints[1].Runs(id) > 0
+				if met {
 					s.wantWholeStream(resp, 5)
-					return
 				}
-				if i == 100 {
-					t.Fatal("no stream met both engines")
-				}
-			}
+				return met
+			})
 		})
 	}
 }
--- a/internal/relay/exceed.go
+++ b/internal/relay/exceed.go
@@ -12,6 +12,8 @@
 		return direct.AsLimitError(o.Cause)
 	case Unknown:
 		return direct.AsLimitError(o.Cause)
+	case Unusable:
+		return direct.AsLimitError(o.Cause)
 	case Interrupted:
 		return direct.AsLimitError(o.Cause)
 	default:
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -14,7 +14,7 @@
 	if x.Conn == 0 {
 		return
 	}
-	f["connection"], f["requestsBefore"], f["begun"] = x.Conn, x.Earlier, j.headerSent
+	f["connection"], f["requestsBefore"], f["begun"] = x.Conn, x.Earlier, j.progress != NothingSent
 	if x.Status != 0 {
 		f["answerStatus"] = x.Status
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -11,48 +11,49 @@
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
-// finish completes the request: it sends the final answer to the caller, or breaks off the one that
-// has begun, and logs the result.
+// finish completes the request: it sends the caller what it still gets, and logs the result. e is the
+// error with which the request is refused if o is nil.
 func (j *job) finish(o Outcome, e *result.Error, now time.Time) {
-	switch o := o.(type) {
-	case Delivered:
+	switch c := Conclude(j.progress, o, j.refusal(o, e, now), j.lastFailure).(type) {
+	case Complete:
 		j.log(result.OK, http.StatusOK, now, nil)
-		return
-	case Disconnected:
+	case PassOn:
+		j.deliverFailure(c.Answer, now)
+	case Refuse:
+		j.refuse(c.Err, now)
+	case BreakOff:
 		j.reply.Abort()
-		j.logDisconnected(o, now)
-		return
-	case Interrupted:
-		j.reply.Abort()
-		j.log(result.AnswerIncomplete, 0, now, o.Cause)
-		return
-	case Failed:
-		j.deliverFailure(o.Answer, now)
-		return
+		j.logBrokenOff(o, c.Cause, now)
+	}
+}
+
+// refusal returns the error of this process for a request whose last attempt ended with o, or that is
+// refused with e if o is nil.
+func (j *job) refusal(o Outcome, e *result.Error, now time.Time) *result.Error {
+	switch o := o.(type) {
+	case nil:
 	case NotRun:
 		e = j.relay.State.Refusal(j.service, o.Code, now)
 	case Unknown:
 		e = j.unknownResult(o, now)
+	default:
+		e = result.New(result.OutcomeUnknown, "")
 	}
-	if j.headerSent {
-		j.reply.Abort()
-		j.log(result.AnswerIncomplete, 0, now, e)
-		return
-	}
-	if j.lastFailure != nil {
-		j.deliverFailure(j.lastFailure, now)
-		return
-	}
-	j.refuse(j.correctEffect(e), now)
+	return j.correctEffect(e)
 }
 
-// logDisconnected logs the end of a request whose caller left or was cut off.
-func (j *job) logDisconnected(o Disconnected, now time.Time) {
+// logBrokenOff logs the end of a request whose caller left or was cut off, or has only a part of the
+// answer.
+func (j *job) logBrokenOff(o Outcome, cause error, now time.Time) {
+	if _, disconnected := o.(Disconnected); !disconnected {
+		j.log(result.AnswerIncomplete, 0, now, cause)
+		return
+	}
 	if cut := j.reply.CutCause(); cut != nil {
 		j.log(cut.Code(), 0, now, cut)
 		return
 	}
-	j.log(result.Cancelled, 0, now, o.Cause)
+	j.log(result.Cancelled, 0, now, cause)
 }
 
 // unknownResult returns the result of a request that may have run.
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/caller"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
+)
+
+// forwardWhole reads the complete answer before it forwards any of it, so that the request can still
+// be sent to another endpoint if the answer is cut off.
+func (j *job) forwardWhole(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
+	body, err := resp.ReadAll(j.reply.Hold)
+	if err != nil {
+		return j.readErrorOutcome(ctx, err)
+	}
+	now := j.relay.Now()
+	j.partReceived(assigned, resp.Status, now)
+	answer := &BufferedAnswer{Status: resp.Status, Header: caller.EndToEndHeaders(resp.Header), Body: body}
+	if resp.Status >= http.StatusInternalServerError {
+		return Failed{Answer: answer}
+	}
+	j.firstPartAt = now
+	if err := j.reply.SendRaw(answer.Status, answer.Header, body); err != nil {
+		return Disconnected{Cause: err}
+	}
+	j.progress = WholeSent
+	return Delivered{}
+}
+
+// readErrorOutcome returns the outcome of an answer that failed while it was read.
+func (j *job) readErrorOutcome(ctx context.Context, err error) Outcome {
+	if ctx.Err() != nil {
+		err = errors.Join(ctx.Err(), err)
+	}
+	return j.lostOutcome(err)
+}
+
+// forwardStream forwards events as they arrive. The header is sent to the caller with the first
+// event, so that another endpoint can take over if this one fails before that.
+func (j *job) forwardStream(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
+	events := resp.Events()
+	for {
+		ev, err := events.Next()
+		if err == io.EOF && !j.answerBegan && !resp.Framed() {
+			// Only its connection's end marks the end of this answer, and that is also how an endpoint
+			// ends that crashes before the first event.
+			err = io.ErrUnexpectedEOF
+		}
+		if err == io.EOF {
+			return j.endStream(resp)
+		}
+		if err != nil {
+			return j.readErrorOutcome(ctx, err)
+		}
+		if ev.HasID && ev.ID <= j.lastEventID {
+			if err := events.CountRepeated(ev); err != nil {
+				return j.readErrorOutcome(ctx, err)
+			}
+			continue
+		}
+		if ev.Other {
+			if err := j.forwardOther(ev); err != nil {
+				return Disconnected{Cause: err}
+			}
+			continue
+		}
+		if ev.HasID && ev.ID != j.lastEventID+1 {
+			return j.readErrorOutcome(ctx, errEventOrder)
+		}
+		if err := j.forwardEvent(assigned, resp, ev); err != nil {
+			return Disconnected{Cause: err}
+		}
+	}
+}
+
+// forwardOther forwards what a stream contains besides events, such as comments. Before the first
+// event it is kept until that event arrives, so that another endpoint can still take over.
+func (j *job) forwardOther(ev direct.Event) error {
+	if j.progress == PartSent {
+		return j.reply.WriteChunk(ev.Raw)
+	}
+	j.beforeFirst = append(j.beforeFirst, ev.Raw...)
+	return j.reply.Hold(len(ev.Raw))
+}
+
+// partReceived records that the attempt has received a part of its answer, which has the given
+// status.
+func (j *job) partReceived(assigned Assignment, status int, now time.Time) {
+	if !j.answerBegan && status/100 == 2 {
+		j.clearParts(now)
+	}
+	j.answerBegan = true
+	j.relay.State.PartReceived(assigned, now)
+}
+
+// observePause records the time since the last event for the batch limit of the endpoint's group.
+// The first event of an attempt ends no pause: the prompt was read before it.
+func (j *job) observePause(assigned Assignment, first bool, now time.Time) {
+	if !j.table.HasClasses(j.service.Name) {
+		return
+	}
+	if first {
+		j.lastPause = 0
+		return
+	}
+	pause := now.Sub(j.lastPartAt)
+	if j.lastPause > 0 {
+		j.relay.State.ObservePauses(assigned, j.lastPause, pause, now)
+	}
+	j.lastPause = pause
+}
+
+func (j *job) forwardEvent(assigned Assignment, resp *direct.Response, ev direct.Event) error {
+	now := j.relay.Now()
+	first := !j.answerBegan
+	j.partReceived(assigned, resp.Status, now)
+	j.observePause(assigned, first, now)
+	if pause := now.Sub(j.lastPartAt); j.progress == PartSent && pause > j.longestPause {
+		j.longestPause, j.pauseEndedAt = pause, now
+	}
+	j.lastPartAt = now
+	if j.progress == NothingSent {
+		j.firstPartAt = now
+		if err := j.beginStream(resp); err != nil {
+			return err
+		}
+	}
+	if ev.HasID {
+		j.lastEventID = ev.ID
+	}
+	return j.reply.WriteChunk(ev.Raw)
+}
+
+// beginStream sends the header of a stream and what was received before its first event.
+func (j *job) beginStream(resp *direct.Response) error {
+	j.progress, j.contentType = PartSent, resp.Header.Get("Content-Type")
+	if err := j.reply.BeginRawStream(resp.Status, caller.EndToEndHeaders(resp.Header)); err != nil {
+		return err
+	}
+	if len(j.beforeFirst) == 0 {
+		return nil
+	}
+	return j.reply.WriteChunk(j.beforeFirst)
+}
+
+func (j *job) endStream(resp *direct.Response) Outcome {
+	if j.progress == NothingSent {
+		if err := j.beginStream(resp); err != nil {
+			return Disconnected{Cause: err}
+		}
+	}
+	if err := j.reply.EndStream(); err != nil {
+		return Disconnected{Cause: err}
+	}
+	j.progress = WholeSent
+	return Delivered{}
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -101,6 +101,8 @@
 		return "notRun"
 	case Failed:
 		return "failed"
+	case Unusable:
+		return "unusable"
 	case Unknown:
 		return "unknown"
 	case Interrupted:
@@ -174,7 +176,7 @@
 		f["fingerprint"] = j.requestFingerprint
 	}
 	if code == result.CallerStalled {
-		f["resumable"] = j.headerSent && j.route.RetrySemantics == routing.Stream && j.route.Resumable
+		f["resumable"] = j.progress == PartSent && j.route.RetrySemantics == routing.Stream && j.route.Resumable
 	}
 	if cause != nil {
 		f["cause"] = cause.Error()
@@ -196,6 +198,9 @@
 		addCause(f, o.Cause)
 	case Failed:
 		f["status"] = o.Answer.Status
+	case Unusable:
+		f["lastEvent"] = j.lastEventID
+		addCause(f, o.Cause)
 	case Unknown:
 		addCause(f, o.Cause)
 	case Interrupted:
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -67,7 +67,7 @@
 // began. It reports whether one more end has one of the parts refused.
 func (j *job) recordPartCrash(assigned Assignment) (suspect bool) {
 	parts := j.requestInfo.SharedParts
-	if len(parts) == 0 || j.answerBegan || j.headerSent {
+	if len(parts) == 0 || j.answerBegan || j.progress != NothingSent {
 		return false
 	}
 	j.relay.State.RecordCrash(assigned, j.accountName(), parts, j.relay.Now())
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -162,7 +162,7 @@
 		return o, Assignment{}
 	}
 	switch o.(type) {
-	case Delivered, Failed, NotRun:
+	case Delivered, Failed, Unusable, NotRun:
 		// The attempt completed at the moment at which it was moved.
 	default:
 		if ctx.Err() == nil {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -199,7 +199,7 @@
 		st.balancer.Fail(assigned.attempt, now)
 	case Interrupted:
 		st.balancer.Fail(assigned.attempt, now)
-	case Failed:
+	case Failed, Unusable:
 		st.recordFailure(assigned, now)
 	default:
 		delete(st.failures, assigned.Endpoint.ID)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,7 +90,10 @@
 	lastFailure *BufferedAnswer
 	// lastEventID is the number of the last event that the caller has received.
 	lastEventID int64
-	headerSent  bool
+	// progress is how much of an answer the caller has received, and contentType that of a stream of
+	// which it has a part.
+	progress    Progress
+	contentType string
 	// answerBegan means that the current attempt has received a part of its answer. beforeFirst is what
 	// it received before its first event, if nothing was forwarded yet.
 	answerBegan bool
@@ -230,7 +233,7 @@
 			j.logAttempt(assigned, o, now)
 			continue
 		}
-		if refused != nil && !j.headerSent {
+		if refused != nil && j.progress == NothingSent {
 			j.finish(nil, refused, now)
 			return
 		}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -8,7 +8,7 @@
 )
 
 // Outcome is how one attempt at an endpoint ended: Delivered, NotRun, Failed, Unknown,
-// Interrupted, Moved, Disconnected or Unused.
+// Unusable, Interrupted, Moved, Disconnected or Unused.
 type Outcome interface{ outcome() }
 
 // Delivered means that the caller has the complete answer.
@@ -25,6 +25,13 @@
 // Failed holds a complete answer that reports a failure.
 type Failed struct{ Answer *BufferedAnswer }
 
+// Unusable means that the endpoint ran the request, and that its answer can't follow the part of a stream
+// that the caller has received. Cause is why the rest of the answer was not read, or nil.
+type Unusable struct {
+	Status int
+	Cause  error
+}
+
 // Unknown means that the request may have run and that no part of its answer was forwarded.
 type Unknown struct{ Cause error }
 
@@ -44,6 +51,7 @@
 func (Delivered) outcome()    {}
 func (NotRun) outcome()       {}
 func (Failed) outcome()       {}
+func (Unusable) outcome()     {}
 func (Unknown) outcome()      {}
 func (Interrupted) outcome()  {}
 func (Moved) outcome()        {}
@@ -101,7 +109,7 @@
 		return retryIf(r.MayRetry() && counts.Sent < r.MaxAttempts && budget())
 	case Unknown:
 		return retryIf(r.MayRetry() && counts.Sent < r.MaxAttempts && budget())
-	case Interrupted:
+	case Interrupted, Unusable:
 		return retryIf(r.RetrySemantics == routing.Stream && r.Resumable && counts.Sent < r.MaxAttempts && budget())
 	default:
 		return End
