Long model tests of the relay run in parallel

Change: six model tests, which have no clock, run in parallel, and the two plays of one of them at the same time. Checks, seeds and bounds are as before; the cases of TestLimitOfAnEndpointIsKeptByAllEntriesTogether are subtests. Run: go test -race ./internal/relay at load 21.

--- a/internal/relay/classload_test.go
+++ b/internal/relay/classload_test.go
@@ -295,6 +295,7 @@
 // Three kinds of streams arrive in bursts at an entry with too few slots. Guards against an urgent
 // kind that is late or refused behind less urgent ones, and against a kind that is starved.
 func TestUrgentKindsAreServedInBursts(t *testing.T) {
+	t.Parallel()
 	with, without := sumTallies(true), sumTallies(false)
 	for i, k := range loadKinds {
 		t.Logf("%-10s earned %.3f with classes %+v", k.name, with[i].earned(k), with[i])
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -121,6 +122,7 @@
 // that go on sending as before or that each use the whole limit, and against an endpoint that gets
 // no requests afterwards.
 func TestLimitOfAnEndpointIsKeptByAllEntriesTogether(t *testing.T) {
+	t.Parallel()
 	engines := &routing.Service{Name: "quotes", Engine: testEngine()}
 	plain := &routing.Service{Name: "quotes"}
 	for _, c := range []struct {
@@ -133,21 +135,24 @@
 		{service: engines, entries: 36, endpoints: 64, rate: 230, perSecond: 1.4, headerAfter: 120 * time.Millisecond, endAfter: 700 * time.Millisecond},
 		{service: plain, entries: 8, endpoints: 3, rate: 10, perSecond: 1, headerAfter: 50 * time.Millisecond, endAfter: 60 * time.Millisecond},
 	} {
-		for seed := range uint64(4) {
-			from := start.Add(entryRetention + time.Second)
-			w := newLimitModel(c.entries, c.endpoints, c.perSecond, c.service, from)
-			w.from, w.until = from.Add(3*time.Second), from.Add(23*time.Second)
-			w.run(rand.New(rand.NewPCG(seed, 5)), from, 34*time.Second, c.rate, c.headerAfter, c.endAfter)
-			allowed := overrunFactor*overrunSpan.Seconds()*c.perSecond + overrunBase
-			for _, at := range [][]time.Time{w.sentInformed, w.sentAll} {
-				if n := maxWithin(at, overrunSpan); float64(n) > allowed {
-					t.Errorf("%d entries, seed %d: %d requests in %v, %.1f are allowed", c.entries, seed, n, overrunSpan, allowed)
+		t.Run(fmt.Sprintf("%d entries", c.entries), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				from := start.Add(entryRetention + time.Second)
+				w := newLimitModel(c.entries, c.endpoints, c.perSecond, c.service, from)
+				w.from, w.until = from.Add(3*time.Second), from.Add(23*time.Second)
+				w.run(rand.New(rand.NewPCG(seed, 5)), from, 34*time.Second, c.rate, c.headerAfter, c.endAfter)
+				allowed := overrunFactor*overrunSpan.Seconds()*c.perSecond + overrunBase
+				for _, at := range [][]time.Time{w.sentInformed, w.sentAll} {
+					if n := maxWithin(at, overrunSpan); float64(n) > allowed {
+						t.Errorf("%d entries, seed %d: %d requests in %v, %.1f are allowed", c.entries, seed, n, overrunSpan, allowed)
+					}
+				}
+				if mean := c.rate / float64(c.endpoints) * 8; float64(w.sentAfter) < mean/2 {
+					t.Errorf("%d entries, seed %d: %d requests in the 8 s after the limit, other endpoints get %.0f", c.entries, seed, w.sentAfter, mean)
 				}
 			}
-			if mean := c.rate / float64(c.endpoints) * 8; float64(w.sentAfter) < mean/2 {
-				t.Errorf("%d entries, seed %d: %d requests in the 8 s after the limit, other endpoints get %.0f", c.entries, seed, w.sentAfter, mean)
-			}
-		}
+		})
 	}
 }
 
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 // free slots that go to less urgent requests while more urgent ones wait at other entries, as with the
 // even division, and against slots that idle for longer than with it.
 func TestUrgentRequestsWaitLessThanWithEvenDivision(t *testing.T) {
+	t.Parallel()
 	measure := func(even bool) *quotaStats {
 		m := newQuotaModel(1, 18, 40, 1.4*40/64)
 		m.even = even
@@ -23,7 +25,11 @@
 		t.Logf("even division: %v\n%v", even, &m.stats)
 		return &m.stats
 	}
-	before, now := measure(true), measure(false)
+	var before, now *quotaStats
+	var wg sync.WaitGroup
+	wg.Go(func() { before = measure(true) })
+	wg.Go(func() { now = measure(false) })
+	wg.Wait()
 	if now.meanWait(0) > before.meanWait(0)*8/10 {
 		t.Errorf("the most urgent wait %v, with the even division %v", now.meanWait(0), before.meanWait(0))
 	}
@@ -52,6 +58,7 @@
 // Guards against slots that idle because an entry that does not run claims them, and against entries
 // that fill endpoints because they know less.
 func TestQuotasWhileEntriesFreezeAndStart(t *testing.T) {
+	t.Parallel()
 	m := newQuotaModel(2, 12, 24, 1.4*24/64)
 	m.lost, m.duplicated = 0.1, 0.1
 	m.run(4 * time.Second)
--- a/internal/relay/skew_test.go
+++ b/internal/relay/skew_test.go
@@ -118,6 +118,7 @@
 // Most new connections go to one entry. Guards against an entry that refuses requests because what
 // it may use of cold or limited endpoints is still shared out to the others.
 func TestOneEntryGetsMostRequests(t *testing.T) {
+	t.Parallel()
 	engines := &routing.Service{Name: "quotes", Engine: testEngine()}
 	for name, c := range map[string]struct {
 		service            *routing.Service
@@ -135,6 +136,7 @@
 		"limited plain service": {service: &routing.Service{Name: "quotes"}, entries: 9, endpoints: 3, rate: 8, limit: 4, lasts: 60 * time.Millisecond, seeds: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range c.seeds {
 				from := start.Add(entryRetention + time.Second)
 				w := newSkewModel(c.entries, c.endpoints, c.service, from)
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -71,6 +71,7 @@
 // each, so six per engine), and entries learn of each other's work up to 25 ms late. Guards against
 // an uneven distribution.
 func TestEntriesFillEnginesEvenly(t *testing.T) {
+	t.Parallel()
 	const entries, engines, rate, lasts = 9, 12, 56.0, 1300 * time.Millisecond
 	for seed := range uint64(5) {
 		rng := rand.New(rand.NewPCG(seed, 3))
