A stop delivers the answers that callers are reading

Callers saw: a relay that got SIGTERM ended some 3 s later, of 8 s of grace, and cut off all answers that were still being read; the orders among them had run.

Cause: a request stopped counting as running, and the idle timeout began, when the answer had been handed over to the event loop, which takes any number of bytes and drops them when it stops. Only answers behind which the connection closes waited until they had been sent.

Change: a request ends when the last byte of its answer has been sent. A caller that reads nothing of a complete answer is cut off after the idle timeout, as before, and after the stall timeout once the server is about to stop. The drain logs how many answers it cuts off at the end of the grace time.

Why it holds: the count that relays and entries wait for is that of the server, which waits behind each answer; nobody else needs to know of it. Idle connections have no request. The memory held for the request is released before the wait. The bytes that TLS adds are counted exactly.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -45,6 +45,9 @@
 	writable wake.Signal
 	// lastDone is closed when the newest request of the connection has been answered.
 	lastDone chan struct{}
+	// handedOver is the lastDone of the newest request whose complete answer the event loop holds or
+	// has sent.
+	handedOver chan struct{}
 	// unparsedBytes counts the bytes received since the last complete request.
 	unparsedBytes atomic.Int64
 	// unusedTimer fires when the connection was opened and nothing was received.
@@ -112,11 +115,12 @@
 	return prevDone, ownDone
 }
 
-// isLast reports whether no request has been enqueued after the one that owns ownDone.
-func (c *conn) isLast(ownDone chan struct{}) bool {
+// awaitsRequest reports whether no request has been enqueued, or has begun to arrive, after the one
+// that owns ownDone.
+func (c *conn) awaitsRequest(ownDone chan struct{}) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastDone == ownDone
+	return c.lastDone == ownDone && c.unparsedBytes.Load() == 0
 }
 
 // isIdle reports whether no request is being received or answered.
@@ -203,13 +207,36 @@
 	}
 }
 
+// waitSent blocks until the complete answer of the request that owns ownDone has been sent. It
+// returns an error if the connection is closed first.
+func (c *conn) waitSent(ownDone chan struct{}) error {
+	c.mu.Lock()
+	c.handedOver = ownDone
+	c.mu.Unlock()
+	return c.waitPendingBelow(context.Background(), 1, c.server.maxReadPause)
+}
+
+// maxStall returns how long a caller may read nothing of an answer that an endpoint may be held up
+// by, or whose connection is to be closed.
+func (s *Server) maxStall() time.Duration { return s.StallTimeout }
+
+// maxReadPause returns how long a caller may read nothing of a complete answer. No endpoint is held
+// up, so it may pause for as long as an idle caller, unless the server is about to stop.
+func (s *Server) maxReadPause() time.Duration {
+	if s.draining.Load() {
+		return s.StallTimeout
+	}
+	return max(s.StallTimeout, s.IdleTimeout)
+}
+
 // waitPendingBelow blocks until fewer than limit bytes are pending. It cuts the connection off if
-// the caller reads nothing for the server's StallTimeout. It returns an error if the connection is
-// closed, or if ctx is done first.
-func (c *conn) waitPendingBelow(ctx context.Context, limit int) error {
+// the caller reads nothing for the time that maxPause returns, which may change. It returns an error
+// if the connection is closed, or if ctx is done first.
+func (c *conn) waitPendingBelow(ctx context.Context, limit int, maxPause func() time.Duration) error {
 	for {
+		pause := maxPause()
 		c.mu.Lock()
-		err, full, stallAt := c.closedError(), c.pending >= limit, c.progressAt.Add(c.server.StallTimeout)
+		err, full, stallAt := c.closedError(), c.pending >= limit, c.progressAt.Add(pause)
 		c.mu.Unlock()
 		if err != nil {
 			return err
@@ -219,10 +246,11 @@
 		}
 		now := time.Now()
 		if !now.Before(stallAt) {
-			c.cut(result.Newf(result.CallerStalled, "nothing read for %v", c.server.StallTimeout), now)
+			c.cut(result.Newf(result.CallerStalled, "nothing read for %v", pause), now)
 			continue
 		}
-		if !c.writable.Wait(ctx, stallAt.Sub(now)) && ctx.Err() != nil {
+		// StallTimeout is the least that maxPause returns.
+		if !c.writable.Wait(ctx, min(stallAt.Sub(now), c.server.StallTimeout)) && ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
@@ -231,7 +259,7 @@
 // write sends b to the caller. It blocks while maxPendingBytes or more are pending, or while the
 // server holds as many bytes for all callers as it may.
 func (c *conn) write(ctx context.Context, w net.Conn, b []byte) error {
-	if err := c.waitPendingBelow(ctx, maxPendingBytes); err != nil {
+	if err := c.waitPendingBelow(ctx, maxPendingBytes, c.server.maxStall); err != nil {
 		return err
 	}
 	n := wireSize(w, len(b))
--- a/internal/caller/lost.go
+++ b/internal/caller/lost.go
@@ -41,7 +41,8 @@
 	select {
 	case <-c.lastDone:
 	default:
-		l.Answering = true
+		// The goroutine that serves the request may not have seen yet that its answer was sent.
+		l.Answering = c.handedOver != c.lastDone || c.pending > 0
 	}
 	return l, l.Answering || l.Received > 0
 }
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -150,6 +150,19 @@
 	return slowest != nil && slowest.cut(result.New(result.CallerStalled, "the memory held for callers is used up"), now)
 }
 
+// PendingBytes returns the number of bytes of answers that have not been sent to callers.
+func (s *Server) PendingBytes() int {
+	n := 0
+	s.conns.Range(func(_, value any) bool {
+		c := value.(*conn)
+		c.mu.Lock()
+		n += c.pending
+		c.mu.Unlock()
+		return true
+	})
+	return n
+}
+
 // HeldBytes returns the number of bytes that the server holds for its callers.
 func (s *Server) HeldBytes() int64 { return s.memory.held.Load() }
 
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -239,7 +239,7 @@
 func (w *Reply) closeAfterFlush() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	_ = w.conn.waitPendingBelow(ctx, 1)
+	_ = w.conn.waitPendingBelow(ctx, 1, w.conn.server.maxStall)
 	_ = w.netConn.Close()
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -87,14 +87,16 @@
 	// MaxConns is the maximum number of callers' connections. It must be positive.
 	MaxConns int
 	// ReadTimeout bounds the time from the first to the last byte of a request, and IdleTimeout
-	// the time between requests. Zero or less selects the default of 30 s.
+	// the time between requests. A caller may also read nothing of a complete answer for
+	// IdleTimeout, unless its connection is to be closed or the server is about to stop. Zero or
+	// less selects the default of 30 s.
 	ReadTimeout time.Duration
 	IdleTimeout time.Duration
 	// MemoryLimit bounds the bytes that are held for all callers together: requests, and answers
 	// that have not been read. Zero or less means no bound.
 	MemoryLimit int64
-	// StallTimeout is how long a caller may read nothing while an answer waits for it before its
-	// connection is closed. Zero or less selects the default of 3 s.
+	// StallTimeout is how long a caller may otherwise read nothing while an answer waits for it
+	// before its connection is closed. Zero or less selects the default of 3 s.
 	StallTimeout time.Duration
 	// OnCutOff, if not nil, is called when a connection is closed because its caller does not read.
 	// It must not block.
@@ -172,7 +174,8 @@
 // Address returns the address that the server listens on, as IP:port.
 func (s *Server) Address() string { return s.Addr }
 
-// ActiveRequests returns the number of requests that have not been fully answered.
+// ActiveRequests returns the number of requests whose answers have not been computed or have not been
+// sent to their callers to the last byte.
 func (s *Server) ActiveRequests() int { return s.activeRequests.Running() }
 
 // OpenConns returns the number of open connections.
@@ -359,17 +362,21 @@
 	w.ctx = ctx
 	w.closeAfter = w.closeAfter || s.draining.Load()
 	serve(ctx)
+	w.releaseHeld() // the answer itself is counted as pending by now
 	s.finishReply(w)
 }
 
-// finishReply closes the connection if required, also if the response is not complete, and otherwise sets the idle timeout if no further
-// request is waiting.
+// finishReply waits until the response has been sent. It closes the connection if required, also if
+// the response is not complete, and otherwise sets the idle timeout if no further request has begun.
+//
+// A request ends here and not when its answer has been handed over to the event loop: the event loop
+// drops what it holds when the server stops or the idle timeout elapses.
 func (s *Server) finishReply(w *Reply) {
 	if w.closeAfter || w.state != replyComplete {
 		w.closeAfterFlush()
 		return
 	}
-	if w.conn.isLast(w.ownDone) {
+	if w.conn.waitSent(w.ownDone) == nil && w.conn.awaitsRequest(w.ownDone) {
 		_ = w.netConn.SetReadDeadline(time.Now().Add(s.IdleTimeout))
 	}
 }
--- a/internal/caller/tls_test.go
+++ b/internal/caller/tls_test.go
@@ -47,6 +47,50 @@
 	}
 }
 
+// Guards against a kept-open connection over TLS on which the next request is not served, because
+// more bytes of the answer are expected to be sent than TLS makes of it.
+func TestKeptConnectionOverTLSServesFurtherRequests(t *testing.T) {
+	certServer := httptest.NewTLSServer(nil)
+	defer certServer.Close()
+	pool := x509.NewCertPool()
+	pool.AddCert(certServer.Certificate())
+	sizes := []int{0, 1, maxRecordBytes - 200, maxRecordBytes, maxRecordBytes + 1, 3*maxRecordBytes + 1, 1 << 20}
+	for name, c := range map[string]*stdtls.Config{
+		"TLS 1.3":           {MinVersion: stdtls.VersionTLS13},
+		"TLS 1.2, GCM":      {MaxVersion: stdtls.VersionTLS12, CipherSuites: []uint16{stdtls.TLS_ECDHE_RSA_WITH_AES_128_GCM_SHA256}},
+		"TLS 1.2, ChaCha20": {MaxVersion: stdtls.VersionTLS12, CipherSuites: []uint16{stdtls.TLS_ECDHE_RSA_WITH_CHACHA20_POLY1305}},
+		"TLS 1.2, CBC":      {MaxVersion: stdtls.VersionTLS12, CipherSuites: []uint16{stdtls.TLS_ECDHE_RSA_WITH_AES_128_CBC_SHA}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			next := 0
+			s := startTLS(t, certServer.TLS.Certificates[0], func(_ context.Context, _ *Request, w *Reply) {
+				_ = w.Send(http.StatusOK, "text/plain", "", make([]byte, sizes[next]))
+				next++
+			})
+			c.RootCAs, c.ServerName = pool, "example.com"
+			conn, err := stdtls.Dial("tcp", s.Address(), c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			br := bufio.NewReader(conn)
+			for _, size := range sizes {
+				if _, err := fmt.Fprintf(conn, "GET %so/ HTTP/1.1\r\nHost: x\r\n\r\n", PathServices); err != nil {
+					t.Fatal(err)
+				}
+				res, err := http.ReadResponse(br, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if n, err := io.Copy(io.Discard, res.Body); err != nil || int(n) != size {
+					t.Errorf("%d of %d bytes, %v", n, size, err)
+				}
+				eventually(t, "nothing is pending", func() bool { return s.PendingBytes() == 0 })
+			}
+		})
+	}
+}
+
 func startTLS(t *testing.T, c stdtls.Certificate, h handlerFunc) *Server {
 	t.Helper()
 	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 64, Handler: h, TLS: &tls.Config{
--- a/internal/frontend/leave.go
+++ b/internal/frontend/leave.go
@@ -1,6 +1,10 @@
 package frontend
 
-import "time"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 const (
 	// drainAcceptTime is how long a draining entry still accepts requests as usual: the
@@ -10,7 +14,8 @@
 	// time until the process is killed, whereas another entry serves its caller
 	// immediately.
 	drainAcceptTime = 2800 * time.Millisecond
-	// minIdleTime is the minimum time without any request before the process ends.
+	// minIdleTime is the minimum time without any request, or answer that is being read, before the
+	// process ends.
 	minIdleTime = 500 * time.Millisecond
 	// graceMargin is the part, at the end of the time that the platform allows before it
 	// kills the process, that the drain leaves unused.
@@ -20,7 +25,8 @@
 
 // drain stops the process without interrupting a request: it reports not ready, asks
 // callers in each answer to connect elsewhere, accepts requests until the balancer
-// has noticed, and returns when no request is running or the grace time is used up.
+// has noticed, and returns when all answers have been sent or the grace time is used up. The callers'
+// server closes idle connections, and cuts off callers that read nothing, so that it waits for neither.
 func (f *Frontend) drain() {
 	start := time.Now()
 	f.stopping.Store(true)
@@ -44,5 +50,16 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	f.Log.WithField("running", f.callerServer.ActiveRequests()).Info("relay stopping")
+	f.logDrainEnd()
+}
+
+// logDrainEnd logs that the process stops, and how many answers it cuts off.
+func (f *Frontend) logDrainEnd() {
+	running := f.callerServer.ActiveRequests()
+	if running > 0 {
+		f.Log.WithFields(logrus.Fields{
+			"answers": running, "pending": f.callerServer.PendingBytes(),
+		}).Warn("answers cut off, the grace time is used up")
+	}
+	f.Log.WithField("running", running).Info("relay stopping")
 }
--- a/internal/operator/command/explain.go
+++ b/internal/operator/command/explain.go
@@ -28,6 +28,7 @@
 	"dependency lost", "dependency regained", "configuration in force", "data centre order in force",
 	"endpoint entry removed", "freshness of keys confirmed by another entry", "settings reloaded", "full store listing applied",
 	"group leadership acquired", "group leadership lost", "relay started", "relay draining", "relay stopping",
+	"answers cut off, the grace time is used up",
 	"lease renewed by another entry", "reports need more of the line than a hub may use",
 	"log lines left out", "log lines lost, the output is not read", "agent does not answer, its engine is asked directly",
 }
