An answer before Connection: close is delivered whole

Callers saw: an answer behind which the connection closes (the request says Connection: close, or the process is about to stop) was cut off when it was still being read 5 s after the process had it.

Cause: the wait for the end of such an answer had a limit of its own, which took no account of whether the caller read.

Change: the limit is gone. The stall timeout, which acted there already, cuts off a caller that reads nothing.

Why it holds: the wait ends when all bytes have been sent, the caller has disconnected or has read nothing for the stall timeout, or when the server stops after its drain time.

Run: TestAnswerBeforeCloseIsDelivered before and after; ./internal/caller; 'Drain|AnswerCut|StopsReading|Status|Served' of ./internal/frontend. The new TestCallerThatReadsNothingBeforeCloseIsCutOff passed before, too.

--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -25,10 +25,6 @@
 	HeaderResultCode = "X-Result-Code"
 
 	contentJSON = "application/json"
-
-	// flushTimeout bounds the wait for a caller to read the end of a response before its
-	// connection is closed.
-	flushTimeout = 5 * time.Second
 )
 
 // replyState says what has been sent of a response, and so what may follow.
@@ -234,12 +230,10 @@
 	return w.conn.write(w.ctx, w.netConn, b)
 }
 
-// closeAfterFlush closes the connection once all pending bytes have been sent or flushTimeout has
-// passed.
+// closeAfterFlush closes the connection once all pending bytes have been sent, or the caller has
+// read nothing for the server's StallTimeout.
 func (w *Reply) closeAfterFlush() {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
-	defer cancel()
-	_ = w.conn.waitPendingBelow(ctx, 1, w.conn.server.maxStall)
+	_ = w.conn.waitPendingBelow(context.Background(), 1, w.conn.server.maxStall)
 	_ = w.netConn.Close()
 }
 
--- a/internal/caller/unread_test.go
+++ b/internal/caller/unread_test.go
@@ -38,8 +38,9 @@
 	stopped chan error
 }
 
-// startUnread starts s, sends it a request and returns once the answer has been handed over.
-func startUnread(t *testing.T, s *Server) *unread {
+// startUnread starts s, sends it a request with the given header lines and returns once the answer has
+// been handed over.
+func startUnread(t *testing.T, s *Server, header string) *unread {
 	t.Helper()
 	u := &unread{Server: s, handed: make(chan struct{}, 1), cutOffs: make(chan CutOff, 1), stopped: make(chan error, 1)}
 	s.Addr, s.BodyLimit, s.MaxConns = "127.0.0.1:0", testBodyLimit, 64
@@ -64,13 +65,13 @@
 		cancel()
 		<-ended
 	})
-	u.request(t)
+	u.request(t, header)
 	<-u.handed
 	return u
 }
 
 // request sends a request from a caller whose kernel holds little of the answer.
-func (u *unread) request(t *testing.T) {
+func (u *unread) request(t *testing.T, header string) {
 	t.Helper()
 	c, err := net.Dial("tcp", u.Address())
 	if err != nil {
@@ -80,7 +81,7 @@
 	if err := c.(*net.TCPConn).SetReadBuffer(readPiece); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := fmt.Fprintf(c, "GET %so/ HTTP/1.1\r\nHost: h\r\n\r\n", PathServices); err != nil {
+	if _, err := fmt.Fprintf(c, "GET %so/ HTTP/1.1\r\nHost: h\r\n%s\r\n", PathServices, header); err != nil {
 		t.Fatal(err)
 	}
 	u.caller = c
@@ -117,7 +118,7 @@
 // its caller reads it, and against one that waits for the kept-open connection after that.
 func TestStopDeliversAnswersThatAreBeingRead(t *testing.T) {
 	t.Parallel()
-	u := startUnread(t, &Server{})
+	u := startUnread(t, &Server{}, "")
 	u.stop()
 	u.wantWhole(t, 2*time.Millisecond)
 	if err := <-u.stopped; err != nil {
@@ -129,7 +130,7 @@
 // time is over.
 func TestStopCutsOffCallersThatReadNothing(t *testing.T) {
 	t.Parallel()
-	u := startUnread(t, &Server{StallTimeout: 100 * time.Millisecond})
+	u := startUnread(t, &Server{StallTimeout: 100 * time.Millisecond}, "")
 	u.stop()
 	u.wantCutOff(t)
 	if err := <-u.stopped; err != nil {
@@ -140,7 +141,7 @@
 // Guards against an idle timeout that begins while the answer is still being read, and cuts it off.
 func TestIdleTimeoutBeginsAfterTheAnswerIsRead(t *testing.T) {
 	t.Parallel()
-	u := startUnread(t, &Server{IdleTimeout: 50 * time.Millisecond})
+	u := startUnread(t, &Server{IdleTimeout: 50 * time.Millisecond}, "")
 	u.wantWhole(t, 5*time.Millisecond)
 	if n, err := u.caller.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the idle connection was not closed: %d, %v", n, err)
@@ -150,7 +151,22 @@
 // Guards against a caller that reads nothing of a complete answer and holds its memory without end.
 func TestCallerThatReadsNothingOfACompleteAnswerIsCutOff(t *testing.T) {
 	t.Parallel()
-	u := startUnread(t, &Server{IdleTimeout: 50 * time.Millisecond, StallTimeout: 100 * time.Millisecond})
+	u := startUnread(t, &Server{IdleTimeout: 50 * time.Millisecond, StallTimeout: 100 * time.Millisecond}, "")
+	u.wantCutOff(t)
+}
+
+// Guards against an answer to a request with Connection: close that is cut off some seconds after it has
+// been handed over, while its caller reads it.
+func TestAnswerBeforeCloseIsDelivered(t *testing.T) {
+	t.Parallel()
+	u := startUnread(t, &Server{}, "Connection: close\r\n")
+	u.wantWhole(t, 150*time.Millisecond)
+}
+
+// Guards against a caller that reads nothing of such an answer and holds its connection without end.
+func TestCallerThatReadsNothingBeforeCloseIsCutOff(t *testing.T) {
+	t.Parallel()
+	u := startUnread(t, &Server{StallTimeout: 100 * time.Millisecond}, "Connection: close\r\n")
 	u.wantCutOff(t)
 }
 
