--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -87,14 +87,16 @@
 	// MaxConns is the maximum number of callers' connections. It must be positive.
 	MaxConns int
 	// ReadTimeout bounds the time from the first to the last byte of a request, and IdleTimeout
-	// the time between requests. Zero or less selects the default of 30 s.
+	// the time between requests. A caller may also read nothing of a complete answer for
+	// IdleTimeout, unless its connection is to be closed or the server is about to stop. Zero or
+	// less selects the default of 30 s.
 	ReadTimeout time.Duration
 	IdleTimeout time.Duration
 	// MemoryLimit bounds the bytes that are held for all callers together: requests, and answers
 	// that have not been read. Zero or less means no bound.
 	MemoryLimit int64
-	// StallTimeout is how long a caller may read nothing while an answer waits for it before its
-	// connection is closed. Zero or less selects the default of 3 s.
+	// StallTimeout is how long a caller may otherwise read nothing while an answer waits for it
+	// before its connection is closed. Zero or less selects the default of 3 s.
 	StallTimeout time.Duration
 	// OnCutOff, if not nil, is called when a connection is closed because its caller does not read.
 	// It must not block.
@@ -172,7 +174,8 @@
 // Address returns the address that the server listens on, as IP:port.
 func (s *Server) Address() string { return s.Addr }
 
-// ActiveRequests returns the number of requests that have not been fully answered.
+// ActiveRequests returns the number of requests whose answers have not been computed or have not been
+// sent to their callers to the last byte.
 func (s *Server) ActiveRequests() int { return s.activeRequests.Running() }
 
 // OpenConns returns the number of open connections.
@@ -286,137 +289,3 @@
 		v.(*conn).markWritten(n, time.Now())
 	}
 }
-
-// handleHTTP copies the request out of nbhttp's buffers, hijacks its connection and serves it in a
-// new goroutine.
-func (s *Server) handleHTTP(w http.ResponseWriter, hr *http.Request) {
-	h, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	nc, _, err := h.Hijack()
-	if err != nil {
-		return
-	}
-	v, ok := s.conns.Load(underlying(nc))
-	if !ok {
-		return
-	}
-	_ = nc.SetReadDeadline(time.Time{})
-	c := v.(*conn)
-	if s.Forwarder != nil {
-		s.handleRaw(hr, nc, c)
-		return
-	}
-	r, parseErr := s.parseRequest(hr)
-	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close, protoMinor: hr.ProtoMinor}
-	reply.prevDone, reply.ownDone = c.enqueue()
-	c.markRequestRead()
-	s.activeRequests.Begin()
-	go s.serveRequest(r, parseErr, reply)
-}
-
-// handleRaw serves the request with Forwarder in a new goroutine.
-func (s *Server) handleRaw(hr *http.Request, nc net.Conn, c *conn) {
-	raw, err := s.readRaw(hr)
-	c.markRequestRead()
-	held := 0
-	if err == nil && s.tryAcquire(len(raw.Body), time.Now()) {
-		held = len(raw.Body)
-	} else if err == nil {
-		err = result.New(result.EntryFull, "").WithRetryAfter(retryAfterFull)
-	}
-	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close || err != nil, protoMinor: hr.ProtoMinor, held: held}
-	reply.prevDone, reply.ownDone = c.enqueue()
-	s.activeRequests.Begin()
-	go s.serveRaw(raw, err, reply)
-}
-
-// serveRaw serves one request with Forwarder.
-func (s *Server) serveRaw(raw *RawRequest, err error, w *Reply) {
-	s.serveInOrder(w, func(ctx context.Context) {
-		w.draining = &s.draining
-		if err != nil {
-			w.Fail(result.Of(err))
-			return
-		}
-		s.Forwarder.Forward(ctx, raw, w)
-	})
-}
-
-// serveInOrder calls serve once the connection's earlier requests have been answered, because
-// HTTP/1.1 requires responses in the order of the requests. The context of serve is cancelled when
-// the caller disconnects.
-func (s *Server) serveInOrder(w *Reply, serve func(ctx context.Context)) {
-	defer s.activeRequests.End()
-	defer close(w.ownDone)
-	defer w.releaseHeld()
-	<-w.prevDone
-	defer w.conn.unbindCancel()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	w.conn.bindCancel(cancel)
-	w.ctx = ctx
-	w.closeAfter = w.closeAfter || s.draining.Load()
-	serve(ctx)
-	s.finishReply(w)
-}
-
-// finishReply closes the connection if required, also if the response is not complete, and otherwise sets the idle timeout if no further
-// request is waiting.
-func (s *Server) finishReply(w *Reply) {
-	if w.closeAfter || w.state != replyComplete {
-		w.closeAfterFlush()
-		return
-	}
-	if w.conn.isLast(w.ownDone) {
-		_ = w.netConn.SetReadDeadline(time.Now().Add(s.IdleTimeout))
-	}
-}
-
-// serveRequest serves one request. Pipelined requests on the same connection are served in order.
-func (s *Server) serveRequest(r *Request, parseErr error, w *Reply) {
-	s.serveInOrder(w, func(ctx context.Context) {
-		if r != nil {
-			w.requestID = r.ID()
-		}
-		s.dispatch(ctx, r, parseErr, w)
-	})
-}
-
-func (s *Server) dispatch(ctx context.Context, r *Request, parseErr error, w *Reply) {
-	if parseErr != nil {
-		w.Fail(result.Of(parseErr))
-		return
-	}
-	if s.OpenConns() > s.MaxConns {
-		w.closeAfter = true
-		w.Fail(result.New(result.TooManyConnections, "").WithRetryAfter(time.Second))
-		return
-	}
-	switch r.Kind().(type) {
-	case Health:
-		// Whether the response was sent shows in the state of w.
-		_ = w.Send(http.StatusOK, "text/plain", "", []byte("ok\n"))
-	case Readiness:
-		s.serveReadiness(w)
-	default:
-		if s.rejecting.Load() {
-			w.Fail(result.New(result.ShuttingDown, "").WithRetryAfter(time.Second))
-			return
-		}
-		s.Handler.Serve(ctx, r, w)
-	}
-}
-
-func (s *Server) serveReadiness(w *Reply) {
-	if s.draining.Load() {
-		w.Fail(result.New(result.ShuttingDown, ""))
-		return
-	}
-	if err := s.Handler.Ready(); err != nil {
-		w.Fail(result.Of(err))
-		return
-	}
-	_ = w.Send(http.StatusOK, "text/plain", "", []byte("ready\n"))
-}
