Requests to endpoints name their ID instead of a predicate

direct.Request had a function that tells whether a response is its own. The client could not tell a response that names the request from one that names none, nor compare the requests of a connection. It now has the ID and a function that reads the ID of a response. Behaviour is unchanged: go test ./internal/endpoint/direct ./internal/relay passes.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -51,7 +51,7 @@
 		}
 		r.writer.answered.Store(true)
 		r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
-		if req.Matches == nil || req.Matches(resp.Header) {
+		if isOwn(req, resp.Header) {
 			return nil
 		}
 		r.skipped, r.Status = r.skipped+1, 0
@@ -73,6 +73,15 @@
 	return ErrMismatchedResponse
 }
 
+// isOwn reports whether a response with the header h belongs to req: it names the request, or none.
+func isOwn(req *Request, h http.Header) bool {
+	if req.ResponseID == nil {
+		return true
+	}
+	id := req.ResponseID(h)
+	return id == "" || id == req.ID
+}
+
 // Complete reports whether the body has been read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -36,9 +36,10 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
-	// Matches reports whether a response with the given header belongs to this
-	// request. If it is nil, every response is accepted.
-	Matches func(http.Header) bool
+	// ID identifies the request among those that a connection carries, and ResponseID returns the ID
+	// that a response names, or "" if it names none. If ResponseID is nil, every response is accepted.
+	ID         string
+	ResponseID func(http.Header) string
 	// AvoidExpiring excludes pooled connections that are close to their idle
 	// timeout. It is for requests that must not run twice: if the endpoint closes
 	// the connection while such a request is in flight, its outcome is unknown.
--- a/internal/endpoint/direct/client_test.go
+++ b/internal/endpoint/direct/client_test.go
@@ -58,7 +58,7 @@
 func request(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/x?y=1", Host: "h", Header: http.Header{"X-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		ID: id, ResponseID: func(h http.Header) string { return h.Get("X-Id") },
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -105,16 +105,16 @@
 	j.relay.HeaderCodec.WriteRequest(h, info)
 	return &direct.Request{
 		Method: j.raw.Method, Target: j.raw.Target, Host: j.raw.Host, Header: h, Body: j.raw.Body,
-		Matches:       j.isOwnAnswer,
+		ID:            j.requestInfo.ID,
+		ResponseID:    j.relay.answerID,
 		AvoidExpiring: !j.route.MayRetry(),
 		Exchange:      &j.exchange,
 	}
 }
 
-// isOwnAnswer reports whether an answer carries this request's ID, or none.
-func (j *job) isOwnAnswer(h http.Header) bool {
-	id := j.relay.HeaderCodec.ReadAnswer(http.StatusOK, h).ID
-	return id == "" || id == j.requestInfo.ID
+// answerID returns the ID of the request that an answer names, or "" if it names none.
+func (r *Relay) answerID(h http.Header) string {
+	return r.HeaderCodec.ReadAnswer(http.StatusOK, h).ID
 }
 
 // class returns the request's class by the configuration with which it arrived.
