A second response within a body breaks the answer off

Callers saw: the head of a second response, and its body, as a part of a successful answer, where an endpoint answers twice and only the close of the connection ends its answers. In a stream the head came as a block between events.

Cause: the body of such an answer is all that the connection still brings. A late response to an earlier request between the head and the body of an answer of known length is likewise read as its body.

Change: a body, or a block of a stream, that contains a status line and header lines of which one names a request that the connection carried ends with ErrSecondResponse; so does a block that begins with a status line, which is no field of an event. The relay treats it as an answer that was broken off: a look-up is sent elsewhere, a stream is resumed or broken off, the outcome of an order is unknown.

Why it holds: the check sees whole bodies and whole blocks, and a block ends where a head ends, so it doesn't depend on how the bytes arrive. A body that quotes a head names no request of its connection, and data lines begin with the name of their field. What remains: a second response that is cut off before its ID, or whose head lies beyond the length of the body, is not recognized.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -24,6 +24,7 @@
 
 	client    *Client
 	conn      *conn
+	req       *Request
 	resp      *http.Response
 	writer    *writer
 	complete  bool
@@ -51,7 +52,7 @@
 		}
 		r.writer.answered.Store(true)
 		r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
-		if isOwn(req, resp.Header) {
+		if r.isOwn(resp.Header) {
 			return nil
 		}
 		r.skipped, r.Status = r.skipped+1, 0
@@ -73,13 +74,18 @@
 	return ErrMismatchedResponse
 }
 
-// isOwn reports whether a response with the header h belongs to req: it names the request, or none.
-func isOwn(req *Request, h http.Header) bool {
-	if req.ResponseID == nil {
-		return true
+// isOwn reports whether a response with the header h belongs to the request: it names the request, or none.
+func (r *Response) isOwn(h http.Header) bool {
+	id := r.responseID(h)
+	return id == "" || id == r.req.ID
+}
+
+// responseID returns the ID of the request that a response with the header h names, or "".
+func (r *Response) responseID(h http.Header) string {
+	if r.req.ResponseID == nil {
+		return ""
 	}
-	id := req.ResponseID(h)
-	return id == "" || id == req.ID
+	return r.req.ResponseID(h)
 }
 
 // Complete reports whether the body has been read to its end.
--- a/internal/endpoint/direct/body.go
+++ b/internal/endpoint/direct/body.go
@@ -27,7 +27,7 @@
 
 // ReadAll reads the whole body and calls hold, which may fail, with the size of each part. It
 // returns a LimitError if the body is too long, or a body of unknown length needs more memory than
-// there is.
+// there is, and ErrSecondResponse if another response begins within the body.
 func (r *Response) ReadAll(hold func(n int) error) ([]byte, error) {
 	if r.Length > MaxAnswerBytes {
 		return nil, &LimitError{Limit: LimitAnswer, Bytes: r.conn.guard.received}
@@ -46,7 +46,7 @@
 			return nil, holdErr
 		}
 		if err == io.EOF {
-			return join(parts), nil
+			return r.checkBody(join(parts))
 		}
 		if err != nil {
 			return nil, err
@@ -55,6 +55,15 @@
 	}
 }
 
+// checkBody returns the whole body, or ErrSecondResponse if another response begins within it.
+func (r *Response) checkBody(body []byte) ([]byte, error) {
+	if i := r.secondResponse(body); i >= 0 {
+		r.reportSecond(body[i:])
+		return nil, ErrSecondResponse
+	}
+	return body, nil
+}
+
 // firstPart returns the size of the first part, which is the whole body if it is small and of known
 // length.
 func (r *Response) firstPart() int {
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -83,7 +83,8 @@
 	if err != nil {
 		return nil, &NotSentError{cause: err}
 	}
-	r := &Response{client: c, conn: cn}
+	cn.begin(req.ID)
+	r := &Response{client: c, conn: cn, req: req}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
 	err = r.exchange(req)
 	r.recordExchange(req)
--- a/internal/endpoint/direct/events.go
+++ b/internal/endpoint/direct/events.go
@@ -38,21 +38,25 @@
 	received        int64
 	// hold, if set, is called with the size of the buffer.
 	hold func(n int) error
+	// foreign, if set, reports whether a block belongs to another response.
+	foreign func(block []byte) bool
 }
 
 // NewEventReader returns an EventReader that reads from r.
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{r: r} }
 
 // Events returns an EventReader for the body.
-func (r *Response) Events() *EventReader { return &EventReader{r: r, hold: r.holdBuffer} }
+func (r *Response) Events() *EventReader {
+	return &EventReader{r: r, hold: r.holdBuffer, foreign: r.beginsResponse}
+}
 
 // Next returns the next event. It returns io.EOF at the end of the stream,
-// ErrPartialEvent if the stream ended inside an event, and otherwise the error of
-// the reader or a LimitError.
+// ErrPartialEvent if the stream ended inside an event, ErrSecondResponse if another
+// response begins within it, and otherwise the error of the reader or a LimitError.
 func (e *EventReader) Next() (Event, error) {
 	for {
 		if ev, ok := e.takeEvent(); ok {
-			return ev, e.countOther(ev)
+			return ev, e.check(ev)
 		}
 		if e.err != nil {
 			if e.err == io.EOF && len(bytes.TrimSpace(e.buf[e.start:])) > 0 {
@@ -64,6 +68,14 @@
 	}
 }
 
+// check returns an error for a block that belongs to another response, or that exceeds a limit.
+func (e *EventReader) check(ev Event) error {
+	if e.foreign != nil && e.foreign(ev.Raw) {
+		return ErrSecondResponse
+	}
+	return e.countOther(ev)
+}
+
 // countOther counts what is no event, up to the next event.
 func (e *EventReader) countOther(ev Event) error {
 	if !ev.Other {
--- a/internal/endpoint/direct/exchange.go
+++ b/internal/endpoint/direct/exchange.go
@@ -22,7 +22,7 @@
 	Conn    int64
 	Earlier int
 	// Status and Header are those of a response that names another request. Status is zero if bytes
-	// arrived while no response was due.
+	// arrived while no response was due, or another response within the body of one.
 	Status int
 	Header http.Header
 	// Bytes is how many such bytes were seen, which may be fewer than the endpoint sent.
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -51,6 +51,7 @@
 	// on this one.
 	serial   int64
 	requests int
+	recent   recent
 	// expires is when the pool closes the connection if it is still idle.
 	expires time.Time
 	// stallTimeout is how long the endpoint may read nothing of a request.
--- a/internal/frontend/streams_test.go
+++ b/internal/frontend/streams_test.go
@@ -17,6 +17,9 @@
 func (s *system) wantWholeStream(resp response, events int) {
 	s.t.Helper()
 	s.wantStatus(resp, http.StatusOK)
+	if strings.Contains(resp.body, "HTTP/1.") {
+		s.t.Fatalf("a head within the stream:\n%s", resp.body)
+	}
 	for i := 1; i <= events; i++ {
 		if n := strings.Count(resp.body, fmt.Sprintf("id: %d\n", i)); n != 1 {
 			s.t.Fatalf("event %d arrived %d times:\n%s", i, n, resp.body)
--- a/internal/frontend/unframed_test.go
+++ b/internal/frontend/unframed_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
@@ -32,7 +34,7 @@
 		if i == 4000 {
 			s.t.Fatal("the first endpoint gets no requests")
 		}
-		id := fmt.Sprint("q", i)
+		id := fmt.Sprint("q", strings.ReplaceAll(path, "/", "-"), i)
 		resp := e.request(context.Background(), path, id, "k1")
 		if s.endpoints[0].Runs(id) > 0 {
 			reached++
@@ -136,3 +138,34 @@
 		s.wantStatus(e.request(context.Background(), "/look/1", fmt.Sprint("l", i), "k1"), http.StatusOK)
 	}
 }
+
+// An endpoint answers twice, and only the end of the connection marks the end of its answers. Guards
+// against passing on the second answer as a part of the first one, and against reporting that an order
+// that ran did not.
+func TestSecondAnswerIsNoPartOfAnAnswerWithoutLength(t *testing.T) {
+	t.Parallel()
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond} {
+		twice := &standin.Unframed{Twice: true, CopyDelay: delay}
+		t.Run(fmt.Sprint("resumable, ", delay), func(t *testing.T) {
+			t.Parallel()
+			s, e := newUnframedSystem(t, true, twice)
+			s.requestsToFirst(e, "/look/1", 2, func(resp response) {
+				s.wantStatus(resp, http.StatusOK)
+				if resp.body != "answer of i-1" {
+					t.Errorf("body %q", resp.body)
+				}
+			})
+			s.requestsToFirst(e, "/order/1", 2, func(resp response) { s.wantStatus(resp, http.StatusBadGateway) })
+			s.requestsToFirst(e, "/stream/1", 2, func(resp response) { s.wantWholeStream(resp, 5) })
+		})
+		t.Run(fmt.Sprint("not resumable, ", delay), func(t *testing.T) {
+			t.Parallel()
+			s, e := newUnframedSystem(t, false, twice)
+			s.requestsToFirst(e, "/stream/1", 2, func(resp response) {
+				if resp.err == nil || strings.Contains(resp.body, "HTTP/1.") {
+					t.Errorf("%v, body %q", resp.err, resp.body)
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -24,7 +24,7 @@
 	// exceeded counts the answers that exceeded a limit.
 	exceeded metrics.Counter
 	// strayAnswers counts the responses that name another request, and strayBytes how often bytes
-	// arrived while no response was due.
+	// arrived while no response was due, or another response within the body of one.
 	strayAnswers, strayBytes metrics.Counter
 	classes                  classMetrics
 }
