A repeated request doesn't use the connection of its first attempt

Callers saw: 503 (not run) for an order that had run. The order was sent to an endpoint ID at whose address another endpoint answers 421, and then to the other endpoint, on the same connection. A late copy of the 421 arrived before the answer. The second endpoint was then also taken for gone.

Cause: the ID of a request is the same in all its attempts, so a response to an earlier attempt on the same connection can't be told from that to the present one. The relay excludes endpoints by ID, not by address. Where the start times of the two endpoints differ, the directory uses only the later one, so they have to be equal, or the entry of the second has to arrive between the two attempts. A caller that uses an ID twice meets the same.

Change: a pooled connection isn't used for a request whose ID it has carried among its last 32, nor, once it has carried any request, for one without an ID.

Why it holds: the client decides it by what the connection carried, whoever sends the request again. Late responses arrive some milliseconds late, and a connection carries one request at a time, so an older one has been met before 32 others are answered.

--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -79,7 +79,7 @@
 // returned Response must be closed. When ctx is done, the connection is reset,
 // also while the body is being read.
 func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, addr, req.AvoidExpiring)
+	cn, err := c.acquire(ctx, addr, req)
 	if err != nil {
 		return nil, &NotSentError{cause: err}
 	}
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -70,10 +71,10 @@
 	_ = c.Conn.Close()
 }
 
-// acquire returns a pooled connection that is still open, or dials a new one.
-func (c *Client) acquire(ctx context.Context, addr string, avoidExpiring bool) (*conn, error) {
-	for cn := c.takeIdle(addr); cn != nil; cn = c.takeIdle(addr) {
-		if c.isIdle(cn) && (!avoidExpiring || time.Until(cn.expires) > idleTimeoutMargin) {
+// acquire returns a pooled connection that is still open and may carry req, or dials a new one.
+func (c *Client) acquire(ctx context.Context, addr string, req *Request) (*conn, error) {
+	for cn := c.takeIdle(addr, req); cn != nil; cn = c.takeIdle(addr, req) {
+		if c.isIdle(cn) && (!req.AvoidExpiring || time.Until(cn.expires) > idleTimeoutMargin) {
 			return cn, nil
 		}
 		_ = cn.Conn.Close()
@@ -149,19 +150,20 @@
 	return max(0, n), errors.Join(err, peekErr)
 }
 
-// takeIdle removes the most recently used connection to addr from the pool and
+// takeIdle removes from the pool the most recently used connection to addr that may carry req, and
 // returns it, or nil if there is none. It is the least likely one to be closed by
 // the endpoint.
-func (c *Client) takeIdle(addr string) *conn {
+func (c *Client) takeIdle(addr string, req *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.idle[addr]
-	if len(idle) == 0 {
-		return nil
+	for i, cn := range slices.Backward(idle) {
+		if cn.mayCarry(req) {
+			c.idle[addr] = slices.Delete(idle, i, i+1)
+			return cn
+		}
 	}
-	cn := idle[len(idle)-1]
-	c.idle[addr] = idle[:len(idle)-1]
-	return cn
+	return nil
 }
 
 // release puts cn into the pool for the given time. It closes cn if the time is
--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -70,6 +70,11 @@
 // Serve starts an HTTP server at an address that Listen opens; Close ends it. It panics if
 // there is none, as httptest.NewServer does.
 func Serve(h http.Handler) *httptest.Server {
+	return ServeWith(h, func(*http.Server) {})
+}
+
+// ServeWith is Serve for a server that configure changes before it starts.
+func ServeWith(h http.Handler, configure func(s *http.Server)) *httptest.Server {
 	ln, err := Listen()
 	if err != nil {
 		panic(err)
@@ -77,6 +82,7 @@
 	s := httptest.NewUnstartedServer(h)
 	_ = s.Listener.Close()
 	s.Listener = ln
+	configure(s.Config)
 	s.Start()
 	return s
 }
