A response that names no request is accepted only on a new connection

Callers could see: another request's refusal or failure as their own answer, and with it 'not run' for a request that runs.

Cause: a response without an ID counted as the request's own on each connection, also where the connection had carried other requests, one of which the endpoint may answer twice.

Change: such a response is the request's own if its connection has carried no other request. Else the connection is closed and the outcome is unknown (ErrMismatchedResponse); it isn't skipped, because it may be the own response, after which none follows. A request without an ID is sent on a new connection only. The line about the response says that it names no request.

Why it holds: nothing but a response to this request can arrive on a connection that carries it alone.

Effect on endpoints that name no request in refusals on kept connections: an order that they refuse ends with 502 instead of 503; a request that may be repeated is sent elsewhere as before. Endpoints are to name it.

Run: go test -race -count=2 ./internal/endpoint/direct; TestRequestsAreServed, TestRefused*, TestIdempotent*, TestUnknown* of ./internal/frontend. Without the change TestResponseThatNamesNoRequest fails: the unnamed 503 is delivered.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -52,7 +52,8 @@
 		}
 		r.writer.answered.Store(true)
 		r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
-		if r.isOwn(resp.Header) {
+		id := r.responseID(resp.Header)
+		if r.isOwn(id) {
 			return nil
 		}
 		r.skipped, r.Status = r.skipped+1, 0
@@ -60,7 +61,8 @@
 		// An endpoint may respond to a request twice, and the duplicate is read
 		// as the response to the next request. The id in its header shows that;
 		// the right response follows on the same connection.
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		// One without an id may as well be the right one, after which none follows.
+		if id == "" || !hasFraming(resp) {
 			return ErrMismatchedResponse
 		}
 		if err := r.Discard(); err != nil {
@@ -74,10 +76,18 @@
 	return ErrMismatchedResponse
 }
 
-// isOwn reports whether a response with the header h belongs to the request: it names the request, or none.
-func (r *Response) isOwn(h http.Header) bool {
-	id := r.responseID(h)
-	return id == "" || id == r.req.ID
+// isOwn reports whether a response that names the request with the given ID belongs to this request. A
+// response that names none does if the connection has carried no other request: else it may be a late
+// response to that one, which may say that the request did not run although this one does.
+func (r *Response) isOwn(id string) bool {
+	switch {
+	case r.req.ResponseID == nil:
+		return true
+	case id == "":
+		return r.conn.requests == 0
+	default:
+		return id == r.req.ID
+	}
 }
 
 // responseID returns the ID of the request that a response with the header h names, or "".
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -24,7 +24,8 @@
 	return errors.As(err, &e)
 }
 
-// ErrMismatchedResponse reports a response that belongs to another request.
+// ErrMismatchedResponse reports a response that belongs to another request, or that names none and may
+// belong to another one.
 var ErrMismatchedResponse = errors.New("direct: response belongs to another request")
 
 // ErrUnexpectedUpgrade reports a 101 Switching Protocols response, which can't be
--- a/internal/endpoint/direct/exchange.go
+++ b/internal/endpoint/direct/exchange.go
@@ -10,7 +10,7 @@
 	Earlier int
 	// Status is the status of the response, or zero if none has arrived.
 	Status int
-	// Skipped is the number of responses before it that name another request.
+	// Skipped is the number of responses before it that name another request, or none.
 	Skipped int
 }
 
@@ -21,7 +21,7 @@
 	// Conn and Earlier are those of Exchange.
 	Conn    int64
 	Earlier int
-	// Status and Header are those of a response that names another request. Status is zero if bytes
+	// Status and Header are those of a response that names another request, or none. Status is zero if bytes
 	// arrived while no response was due, or another response within the body of one.
 	Status int
 	Header http.Header
--- a/internal/endpoint/direct/late_test.go
+++ b/internal/endpoint/direct/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -34,3 +35,67 @@
 	wantBody(t, c, addr, "1", "one")
 	c.closeIdle()
 }
+
+// An answer names no request. Guards against taking a late answer to an earlier request for the own
+// one, and against rejecting an answer that can be no other.
+func TestResponseThatNamesNoRequest(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+	t.Run("on a connection that carried another request", func(t *testing.T) {
+		var strays []Stray
+		addr := serve(t, func(t *testing.T, c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			_, _ = io.WriteString(c, responseFor("1", "one"))
+			readRequest(t, br)
+			_, _ = io.WriteString(c, unnamed)
+			_, _ = br.ReadByte() // until the client closes the connection
+		})
+		c := &Client{OnStray: func(s Stray) { strays = append(strays, s) }}
+		wantBody(t, c, addr, "1", "one")
+		if body, err := doAll(c, addr, request("2")); !errors.Is(err, ErrMismatchedResponse) {
+			t.Errorf("body %q, %v", body, err)
+		}
+		if len(strays) != 1 || strays[0].Status != http.StatusServiceUnavailable {
+			t.Errorf("reported: %+v", strays)
+		}
+	})
+	t.Run("on a new connection", func(t *testing.T) {
+		addr := answer(t, unnamed)
+		if body, err := doAll(&Client{}, addr, request("2")); err != nil {
+			t.Errorf("body %q, %v", body, err)
+		}
+	})
+	t.Run("to a request without an ID", func(t *testing.T) {
+		addr := serve(t,
+			func(t *testing.T, c net.Conn, br *bufio.Reader) {
+				readRequest(t, br)
+				_, _ = io.WriteString(c, responseFor("1", "one"))
+				_, _ = br.ReadByte() // until the test ends
+			},
+			func(t *testing.T, c net.Conn, br *bufio.Reader) {
+				readRequest(t, br)
+				_, _ = io.WriteString(c, unnamed)
+			})
+		c := &Client{}
+		wantBody(t, c, addr, "1", "one")
+		done := make(chan error, 1)
+		go func() {
+			_, err := doAll(c, addr, request(""))
+			done <- err
+		}()
+		c.awaitDials(t, 2)
+		c.closeIdle()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// awaitDials waits until the client has opened n connections.
+func (c *Client) awaitDials(t *testing.T, n int64) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); c.Dials() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections", c.Dials())
+		}
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -33,6 +33,12 @@
 		return
 	}
 	r.Metrics.strayAnswers.Inc(1)
-	f["answerStatus"], f["names"] = s.Status, r.HeaderCodec.ReadAnswer(s.Status, s.Header).ID
+	f["answerStatus"] = s.Status
+	id := r.answerID(s.Header)
+	if id == "" {
+		r.Log.WithFields(f).Info("response from endpoint names no request")
+		return
+	}
+	f["names"] = id
 	r.Log.WithFields(f).Info("response from endpoint names another request")
 }
