Late responses around HEAD requests end their connection

Callers could see: the end of their answer as the whole of it. A late response to an earlier HEAD request was skipped together with the bytes that its length names, which are the beginning of the next answer; and the body of a late response that arrives after a HEAD request was read as the head of the next one.

Cause: whether a body follows a head depends on the method of the request that it answers, and a response was read with the method of the present one.

Change: a connection isn't used again after a HEAD request, and a response to another request that arrives after one ends the connection with an unknown outcome.

Why it holds: no response is skipped whose body could have been meant for another method.

Run: go test -race -count=3 ./internal/endpoint/direct. Measured: pass. Before, TestLateResponseToHeadRequest ('body inner') and TestLateResponseBeforeHeadRequest failed. They use bodies that quote a response; other bodies end the exchange with an error.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -61,8 +61,9 @@
 		// An endpoint may respond to a request twice, and the duplicate is read
 		// as the response to the next request. The id in its header shows that;
 		// the right response follows on the same connection.
-		// One without an id may as well be the right one, after which none follows.
-		if id == "" || !hasFraming(resp) {
+		// One without an id may as well be the right one, after which none follows, and
+		// after a HEAD request it isn't known whether a body follows.
+		if id == "" || !hasFraming(resp) || req.Method == http.MethodHead {
 			return ErrMismatchedResponse
 		}
 		if err := r.Discard(); err != nil {
@@ -119,9 +120,11 @@
 
 // reusable reports whether the connection can carry another request: request
 // and response are complete, no data follows, and the endpoint doesn't close
-// the connection.
+// the connection. A late response to a HEAD request could not be skipped: it names a
+// length, but no body follows.
 func (r *Response) reusable() bool {
-	return r.complete && r.resp != nil && !r.resp.Close && r.conn.br.Buffered() == 0 && r.writer.finished() == nil && hasFraming(r.resp)
+	return r.complete && r.resp != nil && !r.resp.Close && r.conn.br.Buffered() == 0 && r.writer.finished() == nil &&
+		hasFraming(r.resp) && r.req.Method != http.MethodHead
 }
 
 // Framed reports whether the end of the body is marked by its length or by chunked encoding, not by
--- a/internal/endpoint/direct/late_test.go
+++ b/internal/endpoint/direct/late_test.go
@@ -99,3 +99,54 @@
 		}
 	}
 }
+
+// A late answer to a HEAD request names a length but has no body. Guards against taking the beginning
+// of the next answer for its body.
+func TestLateResponseToHeadRequest(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 48\r\n\r\n"
+	own := responseFor("2", responseFor("2", "inner"))
+	addr := serve(t,
+		func(t *testing.T, c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			_, _ = io.WriteString(c, head)
+			go func() {
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(c, head+own)
+				}
+			}()
+		},
+		func(t *testing.T, c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			_, _ = io.WriteString(c, own)
+		})
+	c := &Client{}
+	req := request("1")
+	req.Method = http.MethodHead
+	if _, err := doAll(c, addr, req); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := doAll(c, addr, request("2")); err == nil && body != responseFor("2", "inner") {
+		t.Errorf("body %q", body)
+	}
+	c.closeIdle()
+}
+
+// A late answer to an earlier request arrives after a HEAD request, which is read as one without a body.
+// Guards against taking its body for the next answer.
+func TestLateResponseBeforeHeadRequest(t *testing.T) {
+	inner := responseFor("2", "")
+	addr := serve(t, func(t *testing.T, c net.Conn, br *bufio.Reader) {
+		readRequest(t, br)
+		_, _ = io.WriteString(c, responseFor("1", inner))
+		readRequest(t, br)
+		_, _ = io.WriteString(c, responseFor("1", inner))
+		_, _ = br.ReadByte() // until the client closes the connection
+	})
+	c := &Client{}
+	wantBody(t, c, addr, "1", inner)
+	req := request("2")
+	req.Method = http.MethodHead
+	if _, err := doAll(c, addr, req); !errors.Is(err, ErrMismatchedResponse) {
+		t.Errorf("%v", err)
+	}
+}
