A late response that the length of a body cuts in two is recognized

Callers saw: 'HTTP/1.1 200 OK' as the whole body of a successful answer, where a late response to an earlier request arrives between the head and the body of an answer that is shorter than a head.

Cause: ErrSecondResponse needs a header line that names a request, and the length of the body ends before it.

Change: what the connection has buffered behind a body is looked at together with the end of the body. A response that begins behind the body is still none of its parts.

Why it holds: a response that is written at once is read at once as far as it fits into the read buffer. A copy of which the rest arrives after the body has been read isn't recognized.

--- a/internal/endpoint/direct/body.go
+++ b/internal/endpoint/direct/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"time"
 )
 
@@ -61,9 +62,29 @@
 		r.reportSecond(body[i:])
 		return nil, ErrSecondResponse
 	}
+	if r.endsWithinHead(body) {
+		return nil, ErrSecondResponse
+	}
 	return body, nil
 }
 
+// endsWithinHead reports whether the length of the body cuts the head of another response in two, of
+// which the second part follows the body. A response that begins behind the body is none of its parts.
+func (r *Response) endsWithinHead(body []byte) bool {
+	next, _ := r.conn.br.Peek(r.conn.br.Buffered()) // doesn't read
+	if len(next) == 0 {
+		return false
+	}
+	end := body[max(0, len(body)-maxHeadBytes):]
+	seen := slices.Concat(end, next)
+	i := r.secondResponse(seen)
+	if i < 0 || i >= len(end) {
+		return false
+	}
+	r.reportSecond(seen[i:])
+	return true
+}
+
 // firstPart returns the size of the first part, which is the whole body if it is small and of known
 // length.
 func (r *Response) firstPart() int {
--- a/internal/endpoint/direct/second_test.go
+++ b/internal/endpoint/direct/second_test.go
@@ -94,20 +94,38 @@
 }
 
 // A late answer to an earlier request arrives between the head of an answer and its body, whose length
-// is known. Guards against passing it on as the body.
+// is known. Guards against passing it on as the body, also if the length ends within its head.
 func TestLateResponseIsNoPartOfABodyWithLength(t *testing.T) {
 	late := responseFor("1", "one")
-	own := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: %d\r\n\r\n", len(late)+4)
-	addr := serve(t, func(t *testing.T, c net.Conn, br *bufio.Reader) {
-		readRequest(t, br)
-		_, _ = io.WriteString(c, responseFor("1", "one"))
-		readRequest(t, br)
-		_, _ = io.WriteString(c, own+late+strings.Repeat("x", len(late)+4))
-	})
-	c := &Client{}
-	wantBody(t, c, addr, "1", "one")
-	if body, err := doAll(c, addr, request("2")); !errors.Is(err, ErrSecondResponse) {
-		t.Errorf("body %q, %v", body, err)
+	for _, length := range []int{3, 14, 16, 20, len(late) - 3, len(late) + 4} {
+		t.Run(fmt.Sprint(length, " bytes"), func(t *testing.T) {
+			own := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: %d\r\n\r\n", length)
+			addr := serve(t, func(t *testing.T, c net.Conn, br *bufio.Reader) {
+				readRequest(t, br)
+				_, _ = io.WriteString(c, responseFor("1", "one"))
+				readRequest(t, br)
+				_, _ = io.WriteString(c, own+late+strings.Repeat("x", length))
+			})
+			c := &Client{}
+			wantBody(t, c, addr, "1", "one")
+			if body, err := doAll(c, addr, request("2")); !errors.Is(err, ErrSecondResponse) {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+}
+
+// A second answer follows a body whose end is known. Guards against rejecting the first one for it.
+func TestResponseBehindABodyIsNoPartOfIt(t *testing.T) {
+	for name, text := range map[string]string{
+		"with a length": responseFor("1", "HTTP/1.1 200"),
+		"in chunks":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nHTTP/1.1 200\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if body, err := doAll(&Client{}, answer(t, text+text), request("1")); err != nil || body != "HTTP/1.1 200" {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
 	}
 }
 
