A connection whose response named no request isn't used again

Callers saw: a refusal's head as a part of a successful answer. The refusal named no request, its connection was used again, and its late copy arrived within the next answer.

Cause: a copy of a response that names no request can't be told from what belongs to the next one.

Change: such a response ends its connection once it is complete.

Why it holds: each response that a reused connection has carried names its request, and so do their copies.

TestEndpointThatAnswersTwice discards the bodies of refusals, as the relay does, so that their connections are used again, and compares what callers were told with what ran when the endpoint has read all requests: a copy may be read before the endpoint has begun to run the request.

Run: go test -race ./internal/endpoint/direct; TestEndpointThatAnswersTwice 15 times.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -120,11 +120,18 @@
 
 // reusable reports whether the connection can carry another request: request
 // and response are complete, no data follows, and the endpoint doesn't close
-// the connection. A late response to a HEAD request could not be skipped: it names a
-// length, but no body follows.
+// the connection.
 func (r *Response) reusable() bool {
 	return r.complete && r.resp != nil && !r.resp.Close && r.conn.br.Buffered() == 0 && r.writer.finished() == nil &&
-		hasFraming(r.resp) && r.req.Method != http.MethodHead
+		hasFraming(r.resp) && r.copyIsRecognized()
+}
+
+// copyIsRecognized reports whether a late copy of the response would be told from the response to the
+// next request. One that names no request would not be. One to a HEAD request could not be skipped: it
+// has a length, but no body follows.
+func (r *Response) copyIsRecognized() bool {
+	named := r.req.ResponseID == nil || r.responseID(r.Header) != ""
+	return named && r.req.Method != http.MethodHead
 }
 
 // Framed reports whether the end of the body is marked by its length or by chunked encoding, not by
--- a/internal/endpoint/direct/late_test.go
+++ b/internal/endpoint/direct/late_test.go
@@ -150,3 +150,32 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A refusal names no request, and its copy arrives within the answer to the next request. Guards against
+// passing the copy on as a part of that answer.
+func TestConnectionOfAnUnnamedResponseIsNotReused(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+	addr := serve(t,
+		func(t *testing.T, c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			_, _ = io.WriteString(c, unnamed)
+			go func() {
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\ntwo"+unnamed)
+				}
+				_ = c.Close()
+			}()
+		},
+		func(t *testing.T, c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			_, _ = io.WriteString(c, responseFor("2", "two"))
+		})
+	c := &Client{}
+	if _, err := doAll(c, addr, request("1")); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := doAll(c, addr, request("2")); err != nil || body != "two" {
+		t.Errorf("body %q, %v", body, err)
+	}
+	c.closeIdle()
+}
--- a/internal/endpoint/direct/stutter_test.go
+++ b/internal/endpoint/direct/stutter_test.go
@@ -16,10 +16,14 @@
 // stutterer is an endpoint that answers in various ways, often twice, the second time late. Its copies
 // are whole and come between answers, or within one that it sends in two parts.
 type stutterer struct {
+	conns sync.WaitGroup
+
 	mu  sync.Mutex // guards all below
 	rng *rand.Rand
-	// ran has the attempts that it ran, as the request's ID and the attempt's number.
-	ran map[string]bool
+	// ran has the attempts that it ran, as the request's ID and the attempt's number, and notRun those of
+	// which a caller was told that they did not run.
+	ran    map[string]bool
+	notRun []string
 }
 
 // listen serves until the test ends, and returns the address.
@@ -36,7 +40,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			s.conns.Go(func() { s.serve(c) })
 		}
 	}()
 	return ln.Addr().String()
@@ -115,10 +119,24 @@
 	return a
 }
 
-func (s *stutterer) hasRun(id, attempt string) bool {
+// noteNotRun records that a caller was told that an attempt did not run.
+func (s *stutterer) noteNotRun(id, attempt string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ran[id+"/"+attempt]
+	s.notRun = append(s.notRun, id+"/"+attempt)
+}
+
+// checkNotRun checks what callers were told, when the endpoint has read all requests.
+func (s *stutterer) checkNotRun(t *testing.T) {
+	t.Helper()
+	s.conns.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, attempt := range s.notRun {
+		if s.ran[attempt] {
+			t.Errorf("%s ran, and was reported as not run", attempt)
+		}
+	}
 }
 
 // checkAttempt sends an attempt of a request and checks that the answer, if there is one, is its own
@@ -138,9 +156,8 @@
 	}
 	defer r.Close()
 	if r.Header.Get("X-Not-Run") != "" {
-		if s.hasRun(id, attempt) {
-			t.Errorf("%s/%s ran, and is reported as not run", id, attempt)
-		}
+		s.noteNotRun(id, attempt)
+		_ = r.Discard() // for the sake of the connection alone
 		return r.Status
 	}
 	body, err := r.ReadAll(func(int) error { return nil })
@@ -168,6 +185,7 @@
 			}
 			callers.Wait()
 			c.closeIdle()
+			s.checkNotRun(t)
 		})
 	}
 }
