--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -24,6 +24,7 @@
 
 	client    *Client
 	conn      *conn
+	req       *Request
 	resp      *http.Response
 	writer    *writer
 	complete  bool
@@ -51,7 +52,8 @@
 		}
 		r.writer.answered.Store(true)
 		r.resp, r.Status, r.Header, r.Length = resp, resp.StatusCode, resp.Header, resp.ContentLength
-		if req.Matches == nil || req.Matches(resp.Header) {
+		id := r.responseID(resp.Header)
+		if r.isOwn(id) {
 			return nil
 		}
 		r.skipped, r.Status = r.skipped+1, 0
@@ -59,7 +61,9 @@
 		// An endpoint may respond to a request twice, and the duplicate is read
 		// as the response to the next request. The id in its header shows that;
 		// the right response follows on the same connection.
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		// One without an id may as well be the right one, after which none follows, and
+		// after a HEAD request it isn't known whether a body follows.
+		if id == "" || !hasFraming(resp) || req.Method == http.MethodHead {
 			return ErrMismatchedResponse
 		}
 		if err := r.Discard(); err != nil {
@@ -73,6 +77,28 @@
 	return ErrMismatchedResponse
 }
 
+// isOwn reports whether a response that names the request with the given ID belongs to this request. A
+// response that names none does if the connection has carried no other request: else it may be a late
+// response to that one, which may say that the request did not run although this one does.
+func (r *Response) isOwn(id string) bool {
+	switch {
+	case r.req.ResponseID == nil:
+		return true
+	case id == "":
+		return r.conn.requests == 0
+	default:
+		return id == r.req.ID
+	}
+}
+
+// responseID returns the ID of the request that a response with the header h names, or "".
+func (r *Response) responseID(h http.Header) string {
+	if r.req.ResponseID == nil {
+		return ""
+	}
+	return r.req.ResponseID(h)
+}
+
 // Complete reports whether the body has been read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
@@ -96,7 +122,16 @@
 // and response are complete, no data follows, and the endpoint doesn't close
 // the connection.
 func (r *Response) reusable() bool {
-	return r.complete && r.resp != nil && !r.resp.Close && r.conn.br.Buffered() == 0 && r.writer.finished() == nil && hasFraming(r.resp)
+	return r.complete && r.resp != nil && !r.resp.Close && r.conn.br.Buffered() == 0 && r.writer.finished() == nil &&
+		hasFraming(r.resp) && r.copyIsRecognized()
+}
+
+// copyIsRecognized reports whether a late copy of the response would be told from the response to the
+// next request. One that names no request would not be. One to a HEAD request could not be skipped: it
+// has a length, but no body follows.
+func (r *Response) copyIsRecognized() bool {
+	named := r.req.ResponseID == nil || r.responseID(r.Header) != ""
+	return named && r.req.Method != http.MethodHead
 }
 
 // Framed reports whether the end of the body is marked by its length or by chunked encoding, not by
--- a/internal/endpoint/direct/body.go
+++ b/internal/endpoint/direct/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"time"
 )
 
@@ -27,7 +28,7 @@
 
 // ReadAll reads the whole body and calls hold, which may fail, with the size of each part. It
 // returns a LimitError if the body is too long, or a body of unknown length needs more memory than
-// there is.
+// there is, and ErrSecondResponse if another response begins within the body.
 func (r *Response) ReadAll(hold func(n int) error) ([]byte, error) {
 	if r.Length > MaxAnswerBytes {
 		return nil, &LimitError{Limit: LimitAnswer, Bytes: r.conn.guard.received}
@@ -46,7 +47,7 @@
 			return nil, holdErr
 		}
 		if err == io.EOF {
-			return join(parts), nil
+			return r.checkBody(join(parts))
 		}
 		if err != nil {
 			return nil, err
@@ -55,6 +56,35 @@
 	}
 }
 
+// checkBody returns the whole body, or ErrSecondResponse if another response begins within it.
+func (r *Response) checkBody(body []byte) ([]byte, error) {
+	if i := r.secondResponse(body); i >= 0 {
+		r.reportSecond(body[i:])
+		return nil, ErrSecondResponse
+	}
+	if r.endsWithinHead(body) {
+		return nil, ErrSecondResponse
+	}
+	return body, nil
+}
+
+// endsWithinHead reports whether the length of the body cuts the head of another response in two, of
+// which the second part follows the body. A response that begins behind the body is none of its parts.
+func (r *Response) endsWithinHead(body []byte) bool {
+	next, _ := r.conn.br.Peek(r.conn.br.Buffered()) // doesn't read
+	if len(next) == 0 {
+		return false
+	}
+	end := body[max(0, len(body)-maxHeadBytes):]
+	seen := slices.Concat(end, next)
+	i := r.secondResponse(seen)
+	if i < 0 || i >= len(end) {
+		return false
+	}
+	r.reportSecond(seen[i:])
+	return true
+}
+
 // firstPart returns the size of the first part, which is the whole body if it is small and of known
 // length.
 func (r *Response) firstPart() int {
--- a/internal/endpoint/direct/client.go
+++ b/internal/endpoint/direct/client.go
@@ -24,7 +24,8 @@
 	return errors.As(err, &e)
 }
 
-// ErrMismatchedResponse reports a response that belongs to another request.
+// ErrMismatchedResponse reports a response that belongs to another request, or that names none and may
+// belong to another one.
 var ErrMismatchedResponse = errors.New("direct: response belongs to another request")
 
 // ErrUnexpectedUpgrade reports a 101 Switching Protocols response, which can't be
@@ -36,9 +37,10 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
-	// Matches reports whether a response with the given header belongs to this
-	// request. If it is nil, every response is accepted.
-	Matches func(http.Header) bool
+	// ID identifies the request among those that a connection carries, and ResponseID returns the ID
+	// that a response names, or "" if it names none. If ResponseID is nil, every response is accepted.
+	ID         string
+	ResponseID func(http.Header) string
 	// AvoidExpiring excludes pooled connections that are close to their idle
 	// timeout. It is for requests that must not run twice: if the endpoint closes
 	// the connection while such a request is in flight, its outcome is unknown.
@@ -78,11 +80,12 @@
 // returned Response must be closed. When ctx is done, the connection is reset,
 // also while the body is being read.
 func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, addr, req.AvoidExpiring)
+	cn, err := c.acquire(ctx, addr, req)
 	if err != nil {
 		return nil, &NotSentError{cause: err}
 	}
-	r := &Response{client: c, conn: cn}
+	cn.begin(req.ID)
+	r := &Response{client: c, conn: cn, req: req}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
 	err = r.exchange(req)
 	r.recordExchange(req)
