A lost part ends a streamed response

Callers saw: nothing yet; found in review. A stream of which one chunk was not sent, because the context was done while the caller read slowly, could go on with the next chunk and its end, and looked complete.

Cause: only the head's write aborted the response. A chunk or an end that could not be written left the reply in the state in which more may follow.

Change: send, through which everything goes, aborts the response when it fails.

Why it holds: no later call is allowed in that state, and the connection is closed without the end of the body.

Run: go test ./internal/caller ./internal/entry. Measured: pass. TestLostPartEndsTheResponse failed before ("the stream goes on behind the part that was lost").

--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -53,7 +53,8 @@
 
 // Reply writes one response. What it sends is one response or the beginning of one, whatever is
 // called: a second head within a body would be read as a part of it, or as the response to the
-// caller's next request. A connection whose response is not complete is closed. It must not be used by several goroutines at the same time.
+// caller's next request. A connection whose response is not complete is closed. It must not be used by
+// several goroutines at the same time.
 type Reply struct {
 	netConn    net.Conn
 	conn       *conn
@@ -88,11 +89,7 @@
 		return errResponseBegun
 	}
 	w.state = next
-	if err := w.send(b); err != nil {
-		w.state = replyAborted
-		return err
-	}
-	return nil
+	return w.send(b)
 }
 
 // Send sends a complete response.
@@ -136,11 +133,8 @@
 	if w.state != replyStreaming {
 		return errNotStreaming
 	}
-	if err := w.send([]byte("0\r\n\r\n")); err != nil {
-		return err
-	}
 	w.state = replyComplete
-	return nil
+	return w.send([]byte("0\r\n\r\n"))
 }
 
 // Fail sends the error response for a request that has no complete response yet, and otherwise
@@ -230,8 +224,14 @@
 	b.WriteString("\r\n")
 }
 
+// send sends a part of the response. If it fails, nothing may follow: the response would look complete
+// without that part.
 func (w *Reply) send(b []byte) error {
-	return w.conn.write(w.ctx, w.netConn, b)
+	err := w.conn.write(w.ctx, w.netConn, b)
+	if err != nil {
+		w.state = replyAborted
+	}
+	return err
 }
 
 // closeAfterFlush closes the connection once all pending bytes have been sent or flushTimeout has
--- a/internal/caller/reply_test.go
+++ b/internal/caller/reply_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -97,3 +98,42 @@
 	}
 	return text, true
 }
+
+// TestLostPartEndsTheResponse guards against a stream that looks complete although a part of it was not
+// sent because the context was done while the write was blocked.
+func TestLostPartEndsTheResponse(t *testing.T) {
+	lost := make(chan struct{})
+	s := startServer(t, func(_ context.Context, _ *Request, w *Reply) {
+		defer close(lost)
+		if err := w.BeginRawStream(http.StatusOK, nil); err != nil {
+			t.Error(err)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		w.SetContext(ctx)
+		part := make([]byte, maxPendingBytes)
+		for w.WriteChunk(part) == nil {
+		}
+		w.SetContext(context.Background())
+		if w.WriteChunk([]byte("rest")) == nil || w.EndStream() == nil {
+			t.Error("the stream goes on behind the part that was lost")
+		}
+	})
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second)) // ends a test that hangs
+	if _, err := fmt.Fprint(c, "GET /v1/services/o/ HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-lost // nothing is read before, so that the writes block
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Errorf("the response looks complete after %d bytes", n)
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -362,8 +362,8 @@
 	s.finishReply(w)
 }
 
-// finishReply closes the connection if required, also if the response is not complete, and otherwise sets the idle timeout if no further
-// request is waiting.
+// finishReply closes the connection if required, also if the response is not complete, and otherwise
+// sets the idle timeout if no further request is waiting.
 func (s *Server) finishReply(w *Reply) {
 	if w.closeAfter || w.state != replyComplete {
 		w.closeAfterFlush()
