Responses to HEAD, and those with status 204 or 304, have no body

Callers saw: nothing yet; found in review. The response to a HEAD request had a body (a refusal's text, an error's JSON, the chunks and the end of a stream), and so had one with status 204 or 304 that a handler gave a body. The caller reads these bytes as the response to its next request on the connection: bytes that are no answer.

Cause: caller.Reply did not know the request's method, and SendRaw alone left out the length of a 204 or 304, but not its body.

Change: begin, through which each head goes, decides by method and status whether the response has a body. Chunks and the end of a stream without one send nothing. Such a response has no length of zero that was only assumed.

Why it holds: whatever a handler passes on, nothing follows the head.

Run: go test ./internal/caller ./internal/entry ./internal/operator. Measured: pass. All 17 cases of TestResponsesWithoutBodyEndWithTheirHead failed before.

--- a/internal/caller/raw.go
+++ b/internal/caller/raw.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sort"
-	"strconv"
 	"strings"
 	"time"
 
@@ -89,11 +88,7 @@
 
 // SendRaw sends a complete response with the given headers. It fails if a response has been begun.
 func (w *Reply) SendRaw(status int, h http.Header, body []byte) error {
-	head := w.rawHead(status, h)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
-		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
-	}
-	return w.begin(replyComplete, append([]byte(head+"\r\n"), body...))
+	return w.begin(replyComplete, status, w.rawHead(status, h)+w.lengthHeader(status, body), body)
 }
 
 // BeginRawStream begins a response of unknown length with the given headers. It returns an error
@@ -102,7 +97,7 @@
 	if w.protoMinor == 0 {
 		return result.New(result.MalformedRequest, "streamed answers need HTTP/1.1")
 	}
-	return w.begin(replyStreaming, []byte(w.rawHead(status, h)+"Transfer-Encoding: chunked\r\n\r\n"))
+	return w.begin(replyStreaming, status, w.rawHead(status, h)+chunkedHeader(status), nil)
 }
 
 // Abort aborts a response that cannot be completed. Its connection closes without the end of the
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -63,6 +63,9 @@
 	protoMinor int
 	closeAfter bool
 	state      replyState
+	// isHead means that the request's method is HEAD, and noBody that the response has begun and has no
+	// body.
+	isHead, noBody bool
 	// prevDone is closed when the connection's earlier requests have been answered. ownDone is
 	// closed when this request has been answered.
 	prevDone, ownDone chan struct{}
@@ -79,24 +82,49 @@
 // Started reports whether part of a response has been sent.
 func (w *Reply) Started() bool { return w.state != replyUnsent }
 
-// begin sends the head of a response, with its whole body if next is replyComplete. It fails if a
-// response has been begun, and aborts it if it is not complete.
-func (w *Reply) begin(next replyState, b []byte) error {
+// begin sends the head of a response and then body, if the response has one. It fails if a response
+// has been begun, and aborts it if it is not complete.
+func (w *Reply) begin(next replyState, status int, head string, body []byte) error {
 	if w.state != replyUnsent {
 		if w.state == replyStreaming {
 			w.state = replyAborted
 		}
 		return errResponseBegun
 	}
-	w.state = next
-	return w.send(b)
+	w.state, w.noBody = next, w.isHead || forbidsBody(status)
+	if w.noBody {
+		body = nil
+	}
+	return w.send(append([]byte(head+"\r\n"), body...))
+}
+
+// forbidsBody reports whether responses with the given status have no body. What is sent as one would
+// be read as the response to the caller's next request, and so would the body of a response to HEAD.
+func forbidsBody(status int) bool {
+	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// lengthHeader returns the header line for the length of a complete response's body. There is none for
+// an unknown length: the response to HEAD says how long that to GET would be.
+func (w *Reply) lengthHeader(status int, body []byte) string {
+	if forbidsBody(status) || w.isHead && len(body) == 0 {
+		return ""
+	}
+	return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+}
+
+// chunkedHeader returns the header line for a streamed body.
+func chunkedHeader(status int) string {
+	if forbidsBody(status) {
+		return ""
+	}
+	return "Transfer-Encoding: chunked\r\n"
 }
 
 // Send sends a complete response.
 func (w *Reply) Send(status int, contentType, fetchID string, body []byte) error {
-	head := w.head(status, contentType, fetchID, result.OK)
-	head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	return w.begin(replyComplete, append([]byte(head), body...))
+	head := w.head(status, contentType, fetchID, result.OK) + w.lengthHeader(status, body)
+	return w.begin(replyComplete, status, head, body)
 }
 
 // BeginStream begins a response of unknown length. It returns an error for a request over
@@ -106,8 +134,8 @@
 		return result.New(result.MalformedRequest, "streamed answers need HTTP/1.1")
 	}
 	head := w.head(status, contentType, fetchID, result.OK)
-	head += "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n"
-	return w.begin(replyStreaming, []byte(head))
+	head += "Cache-Control: no-store\r\n" + chunkedHeader(status)
+	return w.begin(replyStreaming, status, head, nil)
 }
 
 // WriteChunk sends b as one chunk of a streamed response. It blocks while the caller reads slowly
@@ -117,7 +145,7 @@
 	if w.state != replyStreaming {
 		return errNotStreaming
 	}
-	if len(b) == 0 {
+	if len(b) == 0 || w.noBody {
 		return nil
 	}
 	chunk := make([]byte, 0, len(b)+16)
@@ -134,6 +162,9 @@
 		return errNotStreaming
 	}
 	w.state = replyComplete
+	if w.noBody {
+		return nil
+	}
 	return w.send([]byte("0\r\n\r\n"))
 }
 
@@ -160,8 +191,8 @@
 	if d := e.RetryAfter(); d > 0 {
 		head += "Retry-After: " + strconv.Itoa(ceilSeconds(d)) + "\r\n"
 	}
-	head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	_ = w.begin(replyComplete, append([]byte(head), body...))
+	head += w.lengthHeader(status, body)
+	_ = w.begin(replyComplete, status, head, body)
 }
 
 // ceilSeconds rounds d up to seconds, the unit of Retry-After, because a caller that retries
--- a/internal/caller/reply_test.go
+++ b/internal/caller/reply_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -58,7 +59,7 @@
 					}
 				}
 			})
-			raw, closed := exchangeRaw(t, s)
+			raw, closed := exchangeRaw(t, s, chatRequest)
 			heads := min(1, len(c.contains))
 			if strings.Count(raw, "HTTP/1.1 ") != heads || !strings.Contains(raw, c.contains) {
 				t.Errorf("received %q", raw)
@@ -73,9 +74,12 @@
 	}
 }
 
+// chatRequest is a request of a chat, as its bytes.
+var chatRequest = fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", PathChat, len(chatBodyText), chatBodyText)
+
 // exchangeRaw sends a request and returns the bytes that come before the answer to a request for
 // /healthz that follows on the same connection, or all bytes if the connection is closed before.
-func exchangeRaw(t *testing.T, s *Server) (raw string, closed bool) {
+func exchangeRaw(t *testing.T, s *Server, request string) (raw string, closed bool) {
 	t.Helper()
 	c, err := net.Dial("tcp", s.Address())
 	if err != nil {
@@ -83,8 +87,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second)) // ends a test that hangs
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s"+
-		"GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", PathChat, len(chatBodyText), chatBodyText)
+	_, err = fmt.Fprint(c, request+"GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,3 +140,51 @@
 		t.Errorf("the response looks complete after %d bytes", n)
 	}
 }
+
+// TestResponsesWithoutBodyEndWithTheirHead guards against a body behind the response to HEAD, or one with
+// status 204 or 304, which callers read as the response to their next request.
+func TestResponsesWithoutBodyEndWithTheirHead(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		status int
+	}{
+		{http.MethodHead, http.StatusOK},
+		{http.MethodHead, http.StatusNotFound},
+		{http.MethodGet, http.StatusNoContent},
+		{http.MethodGet, http.StatusNotModified},
+	} {
+		body := []byte("body")
+		for name, answer := range map[string]func(w *Reply) error{
+			"SendRaw": func(w *Reply) error { return w.SendRaw(c.status, nil, body) },
+			"Send":    func(w *Reply) error { return w.Send(c.status, "text/plain", "", body) },
+			"a stream": func(w *Reply) error {
+				return errors.Join(w.BeginStream(c.status, "text/plain", ""), w.WriteChunk(body), w.EndStream())
+			},
+			"a raw stream": func(w *Reply) error {
+				return errors.Join(w.BeginRawStream(c.status, nil), w.WriteChunk(body), w.EndStream())
+			},
+		} {
+			t.Run(fmt.Sprint(c.method, " ", c.status, " ", name), func(t *testing.T) {
+				s := startServer(t, func(_ context.Context, _ *Request, w *Reply) {
+					if err := answer(w); err != nil {
+						t.Error(err)
+					}
+				})
+				wantHeadAlone(t, s, c.method)
+			})
+		}
+	}
+	t.Run("an error", func(t *testing.T) {
+		s := startServer(t, func(_ context.Context, _ *Request, w *Reply) { w.Fail(result.New(result.EntryFull, "")) })
+		wantHeadAlone(t, s, http.MethodHead)
+	})
+}
+
+// wantHeadAlone checks that a request is answered with a head alone, and that the connection stays open.
+func wantHeadAlone(t *testing.T, s *Server, method string) {
+	t.Helper()
+	raw, closed := exchangeRaw(t, s, method+" /v1/services/o/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, rest, found := strings.Cut(raw, "\r\n\r\n"); !found || rest != "" || closed {
+		t.Errorf("closed: %t, received %q", closed, raw)
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -309,7 +309,7 @@
 		return
 	}
 	r, parseErr := s.parseRequest(hr)
-	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close, protoMinor: hr.ProtoMinor}
+	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close, protoMinor: hr.ProtoMinor, isHead: hr.Method == http.MethodHead}
 	reply.prevDone, reply.ownDone = c.enqueue()
 	c.markRequestRead()
 	s.activeRequests.Begin()
@@ -326,7 +326,10 @@
 	} else if err == nil {
 		err = result.New(result.EntryFull, "").WithRetryAfter(retryAfterFull)
 	}
-	reply := &Reply{netConn: nc, conn: c, closeAfter: hr.Close || err != nil, protoMinor: hr.ProtoMinor, held: held}
+	reply := &Reply{
+		netConn: nc, conn: c, closeAfter: hr.Close || err != nil, protoMinor: hr.ProtoMinor,
+		isHead: hr.Method == http.MethodHead, held: held,
+	}
 	reply.prevDone, reply.ownDone = c.enqueue()
 	s.activeRequests.Begin()
 	go s.serveRaw(raw, err, reply)
