Requests behind the last response of a connection are not served

Callers saw: nothing yet; found in review. A request that was pipelined behind one with "Connection: close", behind a stream that was broken off, or that was refused as too slow (408, which promises that it never runs) and arrived in full meanwhile, was served on the closed connection. An order then ran without an answer, and its caller sends it again.

Cause: the order of answers was kept, but nobody recorded that the last one had been sent. The next request waited for its turn and was served in any case.

Change: a connection that closes behind a response records it before its next request gets its turn; that one is not served. The same holds for a connection that is already closed.

Why it holds: the record is made before ownDone closes, for which the next request waits.

Run: go test ./internal/caller ./internal/entry ./internal/demo; the new tests 20 times with the race detector. Measured: pass. All three cases of TestRequestBehindTheLastResponseIsNotServed and TestRequestRefusedAsTooSlowIsNotServed failed before.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -38,6 +38,8 @@
 	// progressAt is when the caller last read something, or when pending began to grow.
 	progressAt   time.Time
 	disconnected bool
+	// closing means that the last response has been sent. Further requests are not served.
+	closing bool
 	// cutCause is why the server closed the connection, or nil.
 	cutCause *result.Error
 	cancel   context.CancelFunc
@@ -131,6 +133,20 @@
 	return c.readTimer == nil && c.cancel == nil && c.unparsedBytes.Load() == 0 && c.pending == 0
 }
 
+// markClosing records that the connection closes behind the response that was sent last.
+func (c *conn) markClosing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
+// mayAnswer reports whether a further response can be sent.
+func (c *conn) mayAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closing && c.closedError() == nil
+}
+
 // bindCancel arranges that cancel is called when the connection closes, or at once if it has
 // closed.
 func (c *conn) bindCancel(cancel context.CancelFunc) {
--- /dev/null
+++ b/internal/caller/pipeline_test.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// dialRaw opens a connection to s.
+func dialRaw(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second)) // ends a test that hangs
+	return c
+}
+
+func writeRaw(t *testing.T, c net.Conn, request string) {
+	t.Helper()
+	if _, err := fmt.Fprint(c, request); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const (
+	orderPath    = "/order"
+	orderRequest = "POST " + PathServices + "o" + orderPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+)
+
+// TestRequestBehindTheLastResponseIsNotServed guards against an order that is run although its connection
+// has been closed behind an earlier response. Its caller gets no answer, and sends it again.
+func TestRequestBehindTheLastResponseIsNotServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		header string
+		answer func(w *Reply) error
+	}{
+		"the caller asks for the close": {"Connection: close\r\n", func(w *Reply) error { return w.SendRaw(http.StatusOK, nil, []byte("whole")) }},
+		"a broken stream":               {"", func(w *Reply) error { return w.BeginRawStream(http.StatusOK, nil) }},
+		"no response":                   {"", func(*Reply) error { return nil }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s *Server
+			s = startServer(t, func(_ context.Context, r *Request, w *Reply) {
+				if r.Path() == orderPath {
+					t.Error("the order is served")
+					return
+				}
+				for s.ActiveRequests() < 2 {
+					time.Sleep(time.Millisecond) // until the order has arrived
+				}
+				if err := c.answer(w); err != nil {
+					t.Error(err)
+				}
+			})
+			conn := dialRaw(t, s)
+			writeRaw(t, conn, "GET "+PathServices+"o/first HTTP/1.1\r\nHost: h\r\n"+c.header+"\r\n"+orderRequest)
+			if _, err := io.Copy(io.Discard, conn); err != nil {
+				t.Errorf("the connection stays open: %v", err)
+			}
+			waitIdle(t, s)
+		})
+	}
+}
+
+// TestRequestRefusedAsTooSlowIsNotServed guards against an order that is run although its caller is told
+// that it came too slowly and was not run.
+func TestRequestRefusedAsTooSlowIsNotServed(t *testing.T) {
+	s := startServer(t, func(_ context.Context, r *Request, w *Reply) {
+		if r.Path() == orderPath {
+			t.Error("the order is served")
+			return
+		}
+		// Its caller reads it late, so that the refusal behind it waits.
+		if err := w.SendRaw(http.StatusOK, nil, make([]byte, 8<<20)); err != nil {
+			t.Error(err)
+		}
+	})
+	nc := dialRaw(t, s)
+	writeRaw(t, nc, "GET "+PathServices+"o/first HTTP/1.1\r\nHost: h\r\n\r\n")
+	var c *conn
+	eventually(t, "the first request is answered", func() bool {
+		c = onlyConn(s)
+		return c != nil && unread(c) > 0 && !answering(c)
+	})
+	const part = len(orderRequest) / 2
+	writeRaw(t, nc, orderRequest[:part])
+	eventually(t, "a part of the order has arrived", func() bool { return c.unparsedBytes.Load() > 0 })
+	go s.handleReadTimeout(c.netConn, c)
+	eventually(t, "the order is being refused", func() bool { return answering(c) })
+	writeRaw(t, nc, orderRequest[part:])
+	eventually(t, "the order has arrived", func() bool { return s.ActiveRequests() == 1 })
+	if _, err := io.Copy(io.Discard, nc); err != nil {
+		t.Errorf("the connection stays open: %v", err)
+	}
+	waitIdle(t, s)
+}
+
+// onlyConn returns the only connection of s, or nil if there is none.
+func onlyConn(s *Server) *conn {
+	var c *conn
+	s.conns.Range(func(_, v any) bool {
+		c = v.(*conn)
+		return false
+	})
+	return c
+}
+
+// unread returns how many bytes of answers wait for the caller.
+func unread(c *conn) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending
+}
+
+// answering reports whether a request on c is being answered.
+func answering(c *conn) bool {
+	l, _ := c.lost(io.EOF, time.Now())
+	return l.Answering
+}
+
+// waitIdle waits until no request is being served.
+func waitIdle(t *testing.T, s *Server) {
+	t.Helper()
+	eventually(t, "no request is being served", func() bool { return s.ActiveRequests() == 0 })
+}
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -266,8 +266,9 @@
 }
 
 // closeAfterFlush closes the connection once all pending bytes have been sent or flushTimeout has
-// passed.
+// passed. Requests behind this one are not served.
 func (w *Reply) closeAfterFlush() {
+	w.conn.markClosing()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	_ = w.conn.waitPendingBelow(ctx, 1)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -349,12 +349,16 @@
 
 // serveInOrder calls serve once the connection's earlier requests have been answered, because
 // HTTP/1.1 requires responses in the order of the requests. The context of serve is cancelled when
-// the caller disconnects.
+// the caller disconnects. A request behind the last response of its connection is not served: it would
+// run although nobody gets its response, and callers take it for one that was not read.
 func (s *Server) serveInOrder(w *Reply, serve func(ctx context.Context)) {
 	defer s.activeRequests.End()
 	defer close(w.ownDone)
 	defer w.releaseHeld()
 	<-w.prevDone
+	if !w.conn.mayAnswer() {
+		return
+	}
 	defer w.conn.unbindCancel()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
