Tests of streams that have begun: no race with the first event, and failures with a body

TestFailureOfAMovedStreamBreaksItOff waited until an engine had sent an event, not until the caller had it. A stream that was moved in between has no part yet, and its caller rightly gets the failure as a whole.

Change: the test waits until the caller has the head of the answer, which is sent with the first event.

--- a/internal/caller/pipeline_test.go
+++ b/internal/caller/pipeline_test.go
@@ -46,13 +46,12 @@
 		"no response":                   {"", func(*Reply) error { return nil }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var s *Server
-			s = startServer(t, func(_ context.Context, r *Request, w *Reply) {
+			s := startServer(t, func(_ context.Context, r *Request, w *Reply) {
 				if r.Path() == orderPath {
 					t.Error("the order is served")
 					return
 				}
-				for s.ActiveRequests() < 2 {
+				for w.conn.server.ActiveRequests() < 2 {
 					time.Sleep(time.Millisecond) // until the order has arrived
 				}
 				if err := c.answer(w); err != nil {
--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -22,8 +22,8 @@
 }
 
 // rawStream requests a stream and returns the bytes that the caller receives: a complete answer, or
-// all until the entry closes the connection.
-func (s *system) rawStream(e *entry, id string) string {
+// all until the entry closes the connection. It closes begun, if it is not nil, once the answer has begun.
+func (s *system) rawStream(e *entry, id string, begun chan<- struct{}) string {
 	s.t.Helper()
 	c, err := net.Dial("tcp", e.CallerAddress())
 	if err != nil {
@@ -42,6 +42,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if begun != nil {
+		close(begun)
+	}
 	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 		return raw.String()
 	}
@@ -61,6 +64,9 @@
 	if strings.HasSuffix(raw, "0\r\n\r\n") {
 		s.t.Errorf("the broken stream looks complete: %q", raw)
 	}
+	if strings.Contains(raw, standin.FailureText) {
+		s.t.Errorf("the failure's body is within the stream: %q", raw)
+	}
 }
 
 // An engine breaks off a stream, and the next one answers with a failure. Guards against a second
@@ -78,7 +84,7 @@
 			s.eventually("a stream goes on at the failing engine", func() bool {
 				n++
 				id := fmt.Sprint("s", n)
-				raw := s.rawStream(e, id)
+				raw := s.rawStream(e, id, nil)
 				met := strings.Contains(raw, "seal-i-0") && s.endpoints[1].Runs(id) > 0
 				if met {
 					s.wantBrokenOff(raw)
@@ -97,9 +103,17 @@
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
 			t.Parallel()
 			s, e := newGroupOfTwo(t)
-			received := make(chan string, 1)
-			go func() { received <- s.rawStream(e, "s1") }()
-			s.eventually("an event was sent", func() bool { return s.endpoints[0].SentEvents()+s.endpoints[1].SentEvents() > 0 })
+			received, begun := make(chan string, 1), make(chan struct{})
+			go func() { received <- s.rawStream(e, "s1", begun) }()
+			// A stream that is moved before has no part yet, and its caller gets the whole failure.
+			s.eventually("the answer has begun", func() bool {
+				select {
+				case <-begun:
+					return true
+				default:
+					return false
+				}
+			})
 			for _, ep := range s.endpoints {
 				if ep.Runs("s1") == 0 {
 					ep.FailWith(status)
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -18,9 +18,16 @@
 
 // allOutcomes has one value of each Outcome. nil stands for a request without an attempt.
 var allOutcomes = []Outcome{
-	nil, Delivered{}, NotRun{Sent: true, Cause: errLostForTest}, Failed{Answer: &BufferedAnswer{Status: http.StatusInternalServerError}},
-	Unusable{Status: http.StatusNotFound}, Unknown{Cause: errLostForTest}, Interrupted{Cause: errLostForTest},
-	Moved{}, Disconnected{Cause: errLostForTest}, Unused{},
+	nil,
+	Delivered{},
+	NotRun{Sent: true, Cause: errLostForTest},
+	Failed{Answer: &BufferedAnswer{Status: http.StatusInternalServerError}},
+	Unusable{Status: http.StatusNotFound},
+	Unknown{Cause: errLostForTest},
+	Interrupted{Cause: errLostForTest},
+	Moved{},
+	Disconnected{Cause: errLostForTest},
+	Unused{},
 }
 
 // TestAllOutcomesAreListed guards against an outcome for which nobody decided what its caller gets.
