A stream with events without a number goes on nowhere else

Callers saw: nothing yet; found in review. Of a stream that an engine broke off, or that was moved, events without an integer ID came twice: the next engine is told the last number, and what has none is sent again or can't be recognised as a repeat.

Cause: only numbered events are compared with what the caller has received.

Change: once such an event has been forwarded, the stream is neither retried nor moved; if it breaks, it is broken off. An attempt that has been moved already doesn't forward it, because the next engine will.

Why it holds: pin and move decide under the same lock, so that the event is forwarded, or the stream moved, and never both.

Run: go test ./internal/relay; the tests of streams in ./internal/frontend. Measured: pass. The five cases of TestStreamWithUnnumberedEventsIsNotResumed failed before ("2 times", two runs).

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -151,3 +151,32 @@
 		})
 	}
 }
+
+// Both engines break off a stream that has events without a number. Guards against resuming it, which
+// gives the caller these events twice.
+func TestStreamWithUnnumberedEventsIsNotResumed(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"before the first number":  "data: unnumbered\n\nid: 1\ndata: x\n\nid: 2\nda",
+		"between two numbers":      "id: 1\ndata: x\n\ndata: unnumbered\n\nid: 2\ndata: x\n\nid: 3\nda",
+		"behind the last number":   "id: 1\ndata: x\n\ndata: unnumbered\n\nid: 2\nda",
+		"without any number":       "data: unnumbered\n\nda",
+		"an ID that is no integer": "id: a\ndata: unnumbered\n\nid: b\nda",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 2)
+			for _, ep := range s.endpoints {
+				ep.AnswerUnframed(&standin.Unframed{Events: -1, Text: text})
+			}
+			e := s.start("entry1", s.store.Addr())
+			resp := e.request(context.Background(), "/stream/1", "s1", "k1")
+			if n := strings.Count(resp.body, "unnumbered"); resp.err == nil || n != 1 {
+				t.Errorf("%d times, %v: %q", n, resp.err, resp.body)
+			}
+			if n := s.runs("s1"); n != 1 {
+				t.Errorf("the stream ran %d times", n)
+			}
+		})
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -116,6 +116,9 @@
 }
 
 func (j *job) forwardEvent(assigned Assignment, resp *direct.Response, ev direct.Event) error {
+	if !ev.HasID && !j.keepHere() {
+		return errMoved // the next endpoint sends the event
+	}
 	now := j.relay.Now()
 	first := !j.answerBegan
 	j.partReceived(assigned, resp.Status, now)
@@ -136,6 +139,16 @@
 	return j.reply.WriteChunk(ev.Raw)
 }
 
+// keepHere keeps a stream that has events without a number from going on elsewhere. It returns false if
+// the stream has been moved already.
+func (j *job) keepHere() bool {
+	if j.movable != nil && !j.relay.State.pin(j.movable) {
+		return false
+	}
+	j.unnumbered = true
+	return true
+}
+
 // beginStream sends the header of a stream and what was received before its first event.
 func (j *job) beginStream(resp *direct.Response) error {
 	j.progress, j.contentType = PartSent, resp.Header.Get("Content-Type")
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -35,9 +35,18 @@
 	seq      uint64
 	deadline time.Time
 	cancel   context.CancelCauseFunc
-	// next is the assignment with which the request continues, if moved is true.
-	next  Assignment
-	moved bool
+	// next is the assignment with which the request continues, if moved is true. State.mu guards it
+	// and the fields below. pinned means that the attempt may no longer be moved.
+	next          Assignment
+	moved, pinned bool
+}
+
+// pin keeps an attempt from being moved. It returns false if it has been moved already.
+func (st *State) pin(r *movableAttempt) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	r.pinned = !r.moved
+	return r.pinned
 }
 
 // registerMovable registers an attempt that may be moved, until unregisterMovable.
@@ -118,7 +127,7 @@
 	}
 	out := make([]*movableAttempt, 0, len(attempts))
 	for r := range attempts {
-		if !r.moved {
+		if !r.moved && !r.pinned {
 			out = append(out, r)
 		}
 	}
@@ -156,7 +165,9 @@
 	defer cancel(nil)
 	movable := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, deadline: j.deadline, cancel: cancel}
 	st.registerMovable(movable)
+	j.movable = movable
 	o := j.attempt(attemptCtx, assigned)
+	j.movable = nil
 	next, moved := st.unregisterMovable(movable)
 	if !moved {
 		return o, Assignment{}
@@ -176,5 +187,5 @@
 // mayMove reports whether the request may continue at another endpoint once more.
 func (j *job) mayMove() bool {
 	r := j.route
-	return r.RetrySemantics == routing.Stream && r.Resumable && j.attempts.Sent+1 < r.MaxAttempts
+	return r.RetrySemantics == routing.Stream && r.Resumable && j.attempts.Sent+1 < r.MaxAttempts && !j.unnumbered
 }
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -140,3 +140,31 @@
 		}
 	})
 }
+
+// The only streams of a slow engine have events without a number. Guards against moving them, which gives
+// their callers these events twice.
+func TestPinnedStreamsAreNotMoved(t *testing.T) {
+	g := newSlowGroup(t, 24)
+	for _, r := range g.attempts {
+		if !g.st.pin(r) {
+			t.Fatal("an attempt that was not moved can't be pinned")
+		}
+	}
+	g.report(start, 1, 1, 12, 1)
+	if off, _ := g.moved(t); len(off) != 0 {
+		t.Fatalf("moved off %v", off)
+	}
+}
+
+// A stream is moved, and then an event without a number arrives. Guards against forwarding it, because the
+// next engine sends it again.
+func TestMovedStreamCannotBePinned(t *testing.T) {
+	g := newSlowGroup(t, 24)
+	g.report(start, 1, 1, 12, 1)
+	for _, r := range g.attempts {
+		j := &job{relay: &Relay{State: g.st}, movable: r}
+		if kept := j.keepHere(); kept == r.moved || j.unnumbered == r.moved {
+			t.Errorf("moved %t, kept %t, unnumbered %t", r.moved, kept, j.unnumbered)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,11 @@
 	lastFailure *BufferedAnswer
 	// lastEventID is the number of the last event that the caller has received.
 	lastEventID int64
+	// unnumbered means that the caller has received an event without a number. Such a stream goes on
+	// nowhere else: the caller would get the event twice.
+	unnumbered bool
+	// movable is the current attempt if it may be moved, or nil.
+	movable *movableAttempt
 	// progress is how much of an answer the caller has received, and contentType that of a stream of
 	// which it has a part.
 	progress    Progress
@@ -264,6 +269,9 @@
 
 // decide decides whether the request is sent to another endpoint after an attempt.
 func (j *job) decide(ctx context.Context, o Outcome, now time.Time) Decision {
+	if j.unnumbered {
+		return End
+	}
 	left := j.deadline.Sub(now)
 	if ctx.Err() != nil {
 		left = 0
