What a resumed stream has before its next event is not forwarded at once

Comments and other blocks with which the answer of a second engine began went into the caller's stream as they arrived, also where that attempt then failed and a third engine went on, and where they stood between events that the caller had.

Cause: such blocks were kept up to the first event of the request, not up to the first event of the attempt.

Change: they are kept up to the first event that the attempt adds, and left out if it adds none, or if an event that the caller has follows them.

Run: go test -run 'TestBlocksBefore|TestComment|Unframed|WithoutLength|Endless' ./internal/frontend.

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -180,3 +180,35 @@
 		})
 	}
 }
+
+// An engine breaks off a stream, and the next one sends blocks that are no events and breaks off as well,
+// or begins with the events that the caller has. Guards against parts of its answer within the stream
+// that belong to no event of it.
+func TestBlocksBeforeTheNextEventAreNotForwarded(t *testing.T) {
+	t.Parallel()
+	const block = ": other run\n\n"
+	for name, text := range map[string]string{
+		"broken off behind them":  block + "da",
+		"ended behind them":       block,
+		"between repeated events": "id: 1\ndata: x\n\n" + block + "id: 2\ndata: x\n\nid: 3\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 2)
+			e := s.start("entry1", s.store.Addr())
+			s.endpoints[0].Behave(standin.Tears)
+			s.endpoints[1].AnswerUnframed(&standin.Unframed{Events: -1, Text: text})
+			n := 0
+			s.eventually("a stream meets both engines", func() bool {
+				n++
+				id := fmt.Sprint("s", n)
+				raw := s.rawStream(e, id, nil)
+				met := s.endpoints[1].Resumes(id) > 0
+				if met && strings.Contains(raw, block) {
+					t.Errorf("received %q", raw)
+				}
+				return met
+			})
+		})
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -61,6 +61,7 @@
 			if err := events.CountRepeated(ev); err != nil {
 				return j.readErrorOutcome(ctx, err)
 			}
+			j.beforeFirst = nil // it belongs to events that the caller has
 			continue
 		}
 		if ev.Other {
@@ -78,10 +79,11 @@
 	}
 }
 
-// forwardOther forwards what a stream contains besides events, such as comments. Before the first
-// event it is kept until that event arrives, so that another endpoint can still take over.
+// forwardOther forwards what a stream contains besides events, such as comments. Before the attempt's
+// first event it is kept until that event arrives, so that another endpoint can still take over, and so
+// that nothing of an attempt that has no event for the caller gets into a stream that has begun.
 func (j *job) forwardOther(ev direct.Event) error {
-	if j.progress == PartSent {
+	if j.answerBegan {
 		return j.reply.WriteChunk(ev.Raw)
 	}
 	j.beforeFirst = append(j.beforeFirst, ev.Raw...)
@@ -133,6 +135,11 @@
 			return err
 		}
 	}
+	if first {
+		if err := j.reply.WriteChunk(j.beforeFirst); err != nil {
+			return err
+		}
+	}
 	if ev.HasID {
 		j.lastEventID = ev.ID
 	}
@@ -149,21 +156,15 @@
 	return true
 }
 
-// beginStream sends the header of a stream and what was received before its first event.
+// beginStream sends the header of a stream.
 func (j *job) beginStream(resp *direct.Response) error {
 	j.progress, j.contentType = PartSent, resp.Header.Get("Content-Type")
-	if err := j.reply.BeginRawStream(resp.Status, caller.EndToEndHeaders(resp.Header)); err != nil {
-		return err
-	}
-	if len(j.beforeFirst) == 0 {
-		return nil
-	}
-	return j.reply.WriteChunk(j.beforeFirst)
+	return j.reply.BeginRawStream(resp.Status, caller.EndToEndHeaders(resp.Header))
 }
 
 func (j *job) endStream(resp *direct.Response) Outcome {
 	if j.progress == NothingSent {
-		if err := j.beginStream(resp); err != nil {
+		if err := errors.Join(j.beginStream(resp), j.reply.WriteChunk(j.beforeFirst)); err != nil {
 			return Disconnected{Cause: err}
 		}
 	}
