A shorter stream does not end a longer one

Callers saw: nothing yet; found in review. A stream broke off, and the next engine began anew instead of going on, and ended before the last event that the caller had. Its events were skipped as repeats, and its end was passed on, so that the caller's part looked complete. The same held for a caller that resumes a stream itself: it got an empty, complete answer.

Cause: the number that an attempt had reached was not compared with that of the caller's part when the attempt's answer ended.

Change: the end of an attempt that has sent numbers, and none as high as the caller's last, is an interruption.

Run: the tests of streams in ./internal/frontend. Measured: pass. TestShorterStreamDoesNotEndALongerOne failed before ("the broken stream looks complete").

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -212,3 +212,24 @@
 		})
 	}
 }
+
+// An engine breaks off a stream, and the next one begins anew and ends before the last event that the
+// caller has. Guards against taking the end of another stream for that of this one.
+func TestShorterStreamDoesNotEndALongerOne(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	e := s.start("entry1", s.store.Addr())
+	s.endpoints[0].Behave(standin.Tears)
+	s.endpoints[1].BeginAnew(1)
+	n := 0
+	s.eventually("a stream meets both engines", func() bool {
+		n++
+		id := fmt.Sprint("s", n)
+		raw := s.rawStream(e, id, nil)
+		met := s.endpoints[1].Resumes(id) > 0
+		if met {
+			s.wantBrokenOff(raw)
+		}
+		return met
+	})
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -24,12 +24,13 @@
 	errEncoded           = errors.New("relay: the body is encoded, which nobody asked for")
 	errRequestIDMismatch = errors.New("relay: a success that doesn't name its request")
 	errEventOrder        = errors.New("relay: events are missing or out of order")
+	errShorterStream     = errors.New("relay: the stream begins anew and ends before what the caller has")
 )
 
 // attempt sends the request to one endpoint and forwards its answer.
 func (j *job) attempt(ctx context.Context, assigned Assignment) Outcome {
 	r := j.relay
-	j.answerBegan, j.beforeFirst, j.exchange = false, nil, direct.Exchange{}
+	j.answerBegan, j.beforeFirst, j.attemptEventID, j.exchange = false, nil, 0, direct.Exchange{}
 	req := j.endpointRequest(assigned)
 	resp, err := r.Client.Do(ctx, assigned.Endpoint.Address, req)
 	if err != nil {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -46,17 +46,18 @@
 	events := resp.Events()
 	for {
 		ev, err := events.Next()
-		if err == io.EOF && !j.answerBegan && !resp.Framed() {
-			// Only its connection's end marks the end of this answer, and that is also how an endpoint
-			// ends that crashes before the first event.
-			err = io.ErrUnexpectedEOF
-		}
 		if err == io.EOF {
-			return j.endStream(resp)
+			err = j.checkEnd(resp)
+			if err == nil {
+				return j.endStream(resp)
+			}
 		}
 		if err != nil {
 			return j.readErrorOutcome(ctx, err)
 		}
+		if ev.HasID {
+			j.attemptEventID = ev.ID
+		}
 		if ev.HasID && ev.ID <= j.lastEventID {
 			if err := events.CountRepeated(ev); err != nil {
 				return j.readErrorOutcome(ctx, err)
@@ -79,6 +80,20 @@
 	}
 }
 
+// checkEnd returns an error if the end of an attempt's answer may not be the end of the stream.
+func (j *job) checkEnd(resp *direct.Response) error {
+	switch {
+	case !j.answerBegan && !resp.Framed():
+		// Only its connection's end marks the end of this answer, and that is also how an endpoint
+		// ends that crashes before the first event.
+		return io.ErrUnexpectedEOF
+	case j.attemptEventID > 0 && j.attemptEventID < j.lastEventID:
+		return errShorterStream
+	default:
+		return nil
+	}
+}
+
 // forwardOther forwards what a stream contains besides events, such as comments. Before the attempt's
 // first event it is kept until that event arrives, so that another endpoint can still take over, and so
 // that nothing of an attempt that has no event for the caller gets into a stream that has begun.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,6 +103,9 @@
 	// it received before its first event, if nothing was forwarded yet.
 	answerBegan bool
 	beforeFirst []byte
+	// attemptEventID is the number of the last event that the current attempt has received, also of one
+	// that the caller had, or zero.
+	attemptEventID int64
 	// waited is the total time that the request waited to be assigned, and wait why it last did.
 	waited time.Duration
 	wait   Wait
