A resume number that can't be read skips no events

Callers saw: nothing yet; found in review. A caller's number of its last event beyond 64 bits was taken for the greatest number, so that each event counted as a repeat; one below zero made the first event count as out of order. The stream then failed (502) or was empty.

Cause: the error of strconv.ParseInt was dropped, which returns the nearest number of its range.

Change: a number that can't be read, or is below zero, is none; spaces around it are left out. It stands in a file of its own with its counterpart.

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -233,3 +233,16 @@
 		return met
 	})
 }
+
+// A caller resumes a stream with a number that no stream has, and the engine begins anew. Guards against
+// skipping events that the caller doesn't have.
+func TestUnreadableResumeNumberSkipsNothing(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 1)
+	s.endpoints[0].BeginAnew(3)
+	e := s.start("entry1", s.store.Addr())
+	for i, number := range []string{"99999999999999999999", "-5", "abc"} {
+		h := http.Header{"Last-Event-Id": {number}}
+		s.wantWholeStream(e.requestWithHeader(context.Background(), "/stream/1", fmt.Sprint("s", i), "k1", h), 3)
+	}
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -133,8 +132,6 @@
 	}
 }
 
-func formatEventID(id int64) string { return strconv.FormatInt(id, 10) }
-
 // log writes the log line of a completed request.
 func (j *job) log(code result.Code, status int, now time.Time, cause error) {
 	service, kind := "", ""
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -176,7 +175,7 @@
 	if j.isTrial, e = st.checkSubjects(j.subjects(), now); e != nil {
 		return e
 	}
-	j.lastEventID, _ = strconv.ParseInt(j.requestInfo.Resume, 10, 64)
+	j.lastEventID = parseEventID(j.requestInfo.Resume)
 	return nil
 }
 
