Headers whose name is no token are not forwarded

Callers saw: nothing yet; found in review. An endpoint's "Transfer-Encoding : chunked" or "Content-Length : 3", with a space before the colon, was passed on beside the length with which the answer is sent. A reader that ignores the space ends the answer elsewhere, and takes the rest for the next one.

Cause: net/http keeps such names in responses, with the space, and the list of hop-by-hop headers was compared with them as they are.

Change: EndToEndHeaders leaves out names that are no tokens, and compares canonical names.

Run: TestEndToEndHeadersHaveNoOtherFraming and the tests of internal/caller's replies. Measured: pass; the test failed before (all five such names were kept).

--- a/internal/caller/raw.go
+++ b/internal/caller/raw.go
@@ -68,8 +68,8 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
 }
 
-// EndToEndHeaders returns the headers of h that are forwarded, without hop-by-hop headers and
-// those that Connection lists. The values are shared with h.
+// EndToEndHeaders returns the headers of h that are forwarded, without hop-by-hop headers, those that
+// Connection lists and those whose name is no token. The values are shared with h.
 func EndToEndHeaders(h http.Header) http.Header {
 	dropped := map[string]bool{}
 	for _, v := range h.Values("Connection") {
@@ -79,13 +79,28 @@
 	}
 	kept := make(http.Header, len(h))
 	for k, v := range h {
-		if !hopByHopHeaders[k] && !dropped[k] {
+		name := http.CanonicalHeaderKey(k)
+		if isToken(k) && !hopByHopHeaders[name] && !dropped[name] {
 			kept[k] = v
 		}
 	}
 	return kept
 }
 
+// isToken reports whether s is a token of RFC 9110, as each header's name is. net/http accepts spaces in
+// a response's names, and a reader that ignores them finds a length or an encoding in such a header.
+func isToken(s string) bool {
+	const marks = "!#$%&'*+-.^_`|~"
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && strings.IndexByte(marks, c) < 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
 // SendRaw sends a complete response with the given headers. It fails if a response has been begun.
 func (w *Reply) SendRaw(status int, h http.Header, body []byte) error {
 	return w.begin(replyComplete, status, w.rawHead(status, h)+w.lengthHeader(status, body), body)
