--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -18,7 +18,7 @@
 	s := &Server{
 		Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 256, ReadTimeout: readTimeout, IdleTimeout: time.Hour,
 		Handler: handlerFunc(func(_ context.Context, _ *Request, w *Reply) {
-			w.Send(http.StatusOK, contentJSON, "", []byte(`{"served":true}`))
+			_ = w.Send(http.StatusOK, contentJSON, "", []byte(`{"served":true}`))
 		}),
 	}
 	if err := s.Listen(); err != nil {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -87,7 +87,7 @@
 	var got *Request
 	s := startServer(t, func(_ context.Context, r *Request, w *Reply) {
 		got = r
-		w.Send(http.StatusOK, "text/plain", "f", r.Body())
+		_ = w.Send(http.StatusOK, "text/plain", "f", r.Body())
 	})
 	t.Run("chat", func(t *testing.T) {
 		_, body := post(t, s, PathChat, chatBodyText, headerRequestID, "r1", headerDeadline, "1500", headerAuthorization, "Bearer k")
@@ -244,7 +244,7 @@
 
 func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
 	s := startServer(t, func(_ context.Context, r *Request, w *Reply) {
-		w.Send(http.StatusOK, "text/plain", "", r.Body())
+		_ = w.Send(http.StatusOK, "text/plain", "", r.Body())
 	})
 	c, err := net.Dial("tcp", s.Address())
 	if err != nil {
@@ -273,7 +273,7 @@
 // must be told of the limit and when to retry.
 func TestConnectionsBeyondLimitAreRefused(t *testing.T) {
 	s := &Server{Addr: "127.0.0.1:0", BodyLimit: testBodyLimit, MaxConns: 2, Handler: handlerFunc(func(_ context.Context, _ *Request, w *Reply) {
-		w.Send(http.StatusOK, "text/plain", "", nil)
+		_ = w.Send(http.StatusOK, "text/plain", "", nil)
 	})}
 	runServer(t, s)
 	for range 2 {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -88,9 +88,9 @@
 	}
 	switch o := o.(type) {
 	case Disconnected:
-		return BreakOff{Cause: o.Cause}
+		return BreakOff(o)
 	case Failed:
-		return PassOn{Answer: o.Answer}
+		return PassOn(o)
 	}
 	if lastFailure != nil {
 		return PassOn{Answer: lastFailure}
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -79,9 +79,9 @@
 func unsentConclusion(o Outcome, refusal *result.Error, last *BufferedAnswer) Conclusion {
 	switch o := o.(type) {
 	case Disconnected:
-		return BreakOff{Cause: o.Cause}
+		return BreakOff(o)
 	case Failed:
-		return PassOn{Answer: o.Answer}
+		return PassOn(o)
 	}
 	if last != nil {
 		return PassOn{Answer: last}
