Operators' server: responses to HEAD have no body

Operators saw: nothing yet; found in review. The response to a HEAD request had the body of that to GET, which the other side reads as the next response.

Cause: nbhttp sends what a handler writes, whatever the method, and the routes of GET also take HEAD.

Change: the listener leaves out what is written as the body.

Run: go test ./internal/operator. Measured: pass. Both cases of TestResponseToHeadHasNoBody failed before.

--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -142,9 +142,19 @@
 	}
 	r.Close = false
 	w.Header().Set("Connection", "close")
+	if r.Method == http.MethodHead {
+		w = headWriter{w}
+	}
 	l.handler.ServeHTTP(w, r)
 }
 
+// headWriter leaves out the body of a response to HEAD, which nbhttp would send: the other side would
+// read it as the next response.
+type headWriter struct{ http.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (headWriter) Write(b []byte) (int, error) { return len(b), nil }
+
 // run serves until ctx ends, then waits for the orders that are being carried
 // out, and stops.
 func (l *listener) run(ctx context.Context) {
