Operators' server: a connection carries one request

Operators saw: nothing yet; found in review. The server says with each answer that the connection carries no further request, and served a further one in any case. Its order would be carried out although the sender has to take it for unread.

Cause: the first request of a connection was recorded for the count alone.

Change: a further request gets 400 malformedOrder, and its order is not carried out.

Run: go test ./internal/operator. Measured: pass. TestSecondRequestOfAConnectionIsRefused failed before (status 200).

--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -135,16 +135,26 @@
 // operator's order in a closed connection when the entry stops. So nothing is
 // closed here; the answer asks the other side to close, and a request counts as
 // running until that side, which has read the whole answer then, has closed.
-// Whoever does not close runs into the listener's timeout.
+// Whoever does not close runs into the listener's timeout. A further request on
+// the connection is refused: its order would be carried out although the other
+// side has been told that nothing behind the first is read.
 func (l *listener) serve(w http.ResponseWriter, r *http.Request) {
-	if v, ok := l.byAddr.Load(r.RemoteAddr); ok && !v.(*meter).asked.Swap(true) {
-		l.running.Begin()
+	further := false
+	if v, ok := l.byAddr.Load(r.RemoteAddr); ok {
+		further = v.(*meter).asked.Swap(true)
+		if !further {
+			l.running.Begin()
+		}
 	}
 	r.Close = false
 	w.Header().Set("Connection", "close")
 	if r.Method == http.MethodHead {
 		w = headWriter{w}
 	}
+	if further {
+		writeError(w, result.New(result.MalformedOrder, "a connection carries one request"))
+		return
+	}
 	l.handler.ServeHTTP(w, r)
 }
 
--- a/internal/operator/single_test.go
+++ b/internal/operator/single_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -32,3 +33,23 @@
 		})
 	}
 }
+
+// TestSecondRequestOfAConnectionIsRefused guards against an order that is carried out behind an answer that
+// says that the connection carries no further request.
+func TestSecondRequestOfAConnectionIsRefused(t *testing.T) {
+	addr := listen(t, newServer(newDocument(t, newService(t))), requestTimeout)
+	c := dial(t, addr)
+	if _, err := io.WriteString(c, strings.Repeat(requestText(http.MethodGet, "/admin/presets"), 2)); err != nil {
+		t.Fatal(err)
+	}
+	br := bufio.NewReader(c)
+	for i, want := range []int{http.StatusOK, http.StatusBadRequest} {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != want {
+			t.Errorf("response %d: status %d, want %d, %v", i+1, resp.StatusCode, want, err)
+		}
+	}
+}
