Agents take no late second answer for the answer to another call

Callers saw (in tests): where an endpoint answers a request twice, the second time when its connection carries the next request, the next caller gets the answer of the one before. An order to the engine (model, role, ranks) counts as carried out, or as refused, by the answer to an earlier one. Where the late answer bears an ID, the next request ended with outcomeUnknown although its own answer followed.

Cause: an answer without an ID passed as the request's own on a kept connection too; orders and reports had no IDs at all. Connection state is looked at before a request is written, and a late answer may come after that.

Change: a connection is kept only after an answer that names its request. On a connection that has carried other calls, an answer to another one is skipped (two at most), and one without a name is passed on to nobody (outcomeUnknown). To an endpoint whose answers name no request, each call gets a connection of its own; the last one stays open unused, because its end is how a restart is noticed. Counters endpoint.stray.answers and endpoint.stray.bytes, and a line for each.

Why it holds: on a new connection there is no earlier request to answer, and on any other the ID decides. A second attempt with the same ID can't meet a late failure of the first: a connection is closed after a failure.

Tests: TestClosedWhileWritingIsNotARefusal, TestAnswerByteByByte and TestConnectionsAreBounded counted connections that were kept after answers without an ID; their answers now have one, and they check the same.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -77,6 +78,8 @@
 	control  *pool
 	cancels  chan string
 	counters counters
+	// controlCalls counts the calls besides requests, to name them.
+	controlCalls atomic.Uint64
 }
 
 func (c *Client) prepare() {
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -36,6 +36,8 @@
 	// usedAt is when the last answer ended. It belongs to whoever holds the
 	// connection: the pool or one call.
 	usedAt time.Time
+	// requests is how many calls the connection has carried before the present one.
+	requests int
 
 	// ready holds one token when there is something new to look at.
 	ready chan struct{}
@@ -173,13 +175,21 @@
 	return data, nil
 }
 
-// idle says that the connection is open and has sent nothing unasked.
+// idle says that the connection is open and has sent nothing unasked. Bytes may still wait in the
+// socket or arrive later; they are told apart by the ID that an answer has to name (response).
 func (c *conn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.closed && len(c.pending) == 0
 }
 
+// unasked returns how many bytes wait on a connection on which no answer is due.
+func (c *conn) unasked() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
 // write hands the request to the kernel. It returns false only when not a
 // single byte was accepted.
 func (c *conn) write(raw []byte) (bool, error) {
--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -19,7 +19,8 @@
 // The result codes are true about the request's effect: EndpointDown,
 // DeadlinePassed and MalformedRequest say that no byte of it was sent. An
 // endpoint that fails with 500 gives EndpointFailed; 429, 502, 503 and 504 give
-// OutcomeUnknown, because who wrote them can't be known.
+// OutcomeUnknown, because who wrote them can't be known. An answer that may be
+// one to an earlier request gives OutcomeUnknown too.
 func (c *Client) Do(ctx context.Context, call Call, sink func(Event) error) error {
 	if err := c.running(ctx); err != nil {
 		return err
@@ -63,15 +64,16 @@
 		cn.close()
 		return true, result.Newf(result.OutcomeUnknown, "the connection broke while the request was sent: %v", err)
 	}
+	resp.reused = cn.requests > 0
 	err = c.receive(ctx, cn, resp, sink)
-	if resp.cut && (resp.headDone || cn.usedAt.IsZero()) {
+	if resp.cut && (resp.headDone || !resp.reused) {
 		err = lostError{err: err}
 	}
-	if resp.reusable() && err == nil {
-		p.keep(cn, time.Now())
-	} else {
-		cn.close()
+	c.reportStrays(cn, resp)
+	if resp.unnamed && p.noteUnnamed() {
+		c.reportUnnamed(cn, resp)
 	}
+	p.putBack(cn, resp, err, time.Now())
 	return true, err
 }
 
@@ -224,5 +226,8 @@
 	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		code = result.OutcomeUnknown
 	}
+	if resp.foreign() {
+		code = result.OutcomeUnknown
+	}
 	return result.Newf(code, "status %d: %s", resp.status, resp.failedDetail).WithRetryAfter(resp.retryAfter)
 }
--- a/internal/endpoint/limits.go
+++ b/internal/endpoint/limits.go
@@ -34,6 +34,9 @@
 // received enforces the limits after n bytes have been parsed. A head that ends within them counts
 // only with what came before.
 func (r *response) received(n int) {
+	if r.countStray(n) {
+		return
+	}
 	switch {
 	case !r.headDone:
 		if r.headBytes += n; r.headBytes > maxHeadBytes {
--- a/internal/endpoint/metrics.go
+++ b/internal/endpoint/metrics.go
@@ -13,6 +13,10 @@
 	byCode         map[result.Code]metrics.Counter
 	cancelsDropped metrics.Counter
 	cancelsFailed  metrics.Counter
+	// strayAnswers counts the answers that name another request than the one that was sent last, and
+	// those without a name on a connection that has carried other requests. strayBytes counts how often
+	// bytes came while no answer was due.
+	strayAnswers, strayBytes metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -22,6 +26,8 @@
 		byCode:         map[result.Code]metrics.Counter{},
 		cancelsDropped: metrics.GetOrRegisterCounter("endpoint.cancelsDropped", r),
 		cancelsFailed:  metrics.GetOrRegisterCounter("endpoint.cancelsFailed", r),
+		strayAnswers:   metrics.GetOrRegisterCounter("endpoint.stray.answers", r),
+		strayBytes:     metrics.GetOrRegisterCounter("endpoint.stray.bytes", r),
 	}
 	for _, code := range result.Codes() {
 		if info, _ := result.Lookup(code); info.Effect() != result.NotApplicable && code != result.OK {
--- a/internal/endpoint/orders.go
+++ b/internal/endpoint/orders.go
@@ -129,12 +129,15 @@
 	if err := c.running(ctx); err != nil {
 		return err
 	}
-	call := Call{Method: method, Path: path, Body: body, FencingToken: token, ContentType: "application/json"}
+	call := Call{
+		RequestID: c.nextControlID(), Method: method, Path: path, Body: body, FencingToken: token,
+		ContentType: "application/json",
+	}
 	raw, err := call.encode(c.Addr)
 	if err != nil {
 		return err
 	}
-	resp := &response{limit: c.MaxAnswerBytes, control: true}
+	resp := &response{requestID: call.RequestID, limit: c.MaxAnswerBytes, control: true}
 	if out == nil {
 		out = &bytes.Buffer{}
 	}
@@ -150,6 +153,12 @@
 	return orderRefused(resp, out)
 }
 
+// nextControlID returns a request ID by which the answer to a call is told from late answers to
+// earlier ones. It is unique on the client's connections.
+func (c *Client) nextControlID() string {
+	return "control-" + strconv.FormatUint(c.controlCalls.Add(1), 10)
+}
+
 // orderRefused returns the error behind a status of an order.
 func orderRefused(resp *response, out *bytes.Buffer) error {
 	detail := fmt.Sprintf("status %d: %.200s", resp.status, out.Bytes())
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -18,10 +18,17 @@
 	idleTimeout time.Duration
 	limits      *nbhttp.Engine
 	slots       chan struct{}
+	// reportUnasked is told of bytes that came while no answer was due.
+	reportUnasked func(c *conn, n int)
 
 	mu     sync.Mutex
 	free   []*conn
 	closed bool
+	// unnamed says that the endpoint has given an answer that names no request, so that no connection
+	// carries a second one.
+	unnamed bool
+	// watched is a connection that is kept open without use.
+	watched *conn
 }
 
 func newPool(c *Client, l *loop, size int) *pool {
@@ -32,6 +39,8 @@
 		idleTimeout: c.IdleTimeout,
 		limits:      &nbhttp.Engine{Config: nbhttp.Config{ReadLimit: c.MaxAnswerBytes}},
 		slots:       make(chan struct{}, size),
+
+		reportUnasked: c.reportUnasked,
 	}
 }
 
@@ -49,22 +58,47 @@
 
 // idleConn returns the idle connection used last, or nil.
 func (p *pool) idleConn(now time.Time) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.free) > 0 {
-		c := p.free[len(p.free)-1]
-		p.free = p.free[:len(p.free)-1]
+	for {
+		c, unnamed := p.takeFree()
+		if c == nil {
+			return nil
+		}
 		c.setKept(false, now)
-		if c.idle() && now.Sub(c.usedAt) < p.idleTimeout {
+		if !unnamed && c.idle() && now.Sub(c.usedAt) < p.idleTimeout {
 			return c
 		}
-		c.close()
+		p.discard(c)
 	}
-	return nil
 }
 
-// dial opens a connection.
+// takeFree takes the idle connection used last, or nil, and reports whether the endpoint has given an
+// answer that names no request.
+func (p *pool) takeFree() (c *conn, unnamed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last := len(p.free) - 1; last >= 0 {
+		c = p.free[last]
+		p.free = p.free[:last]
+	}
+	return c, p.unnamed
+}
+
+// discard closes an idle connection, which may be nil.
+func (p *pool) discard(c *conn) {
+	if c == nil {
+		return
+	}
+	if n := c.unasked(); n > 0 {
+		p.reportUnasked(c, n)
+	}
+	c.close()
+}
+
+// dial opens a connection. The one that is watched is closed if there would be more than size.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
+	if len(p.slots) == cap(p.slots) {
+		p.discard(p.watch(nil))
+	}
 	c, err := dial(ctx, p.loop, p.addr, p.dialTimeout)
 	if err != nil {
 		return nil, err
@@ -73,17 +107,53 @@
 	return c, nil
 }
 
-// keep takes back a connection whose answer is whole.
-func (p *pool) keep(c *conn, now time.Time) {
+// putBack takes back a connection after the response to a call that ended with err.
+func (p *pool) putBack(c *conn, resp *response, err error, now time.Time) {
 	c.usedAt = now
+	c.requests++
+	switch {
+	case err != nil || !resp.open():
+		c.close()
+	case resp.reusable() && p.keep(c, now):
+	default:
+		// The connection goes on without use, because the endpoint closes it when it restarts, which
+		// loop.tellLost reports.
+		c.setKept(true, now)
+		p.discard(p.watch(c))
+	}
+}
+
+// keep keeps a connection for another call. It returns false if none may carry a second one.
+func (p *pool) keep(c *conn, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		c.close()
-		return
+	if p.unnamed || p.closed {
+		return false
 	}
 	c.setKept(true, now)
 	p.free = append(p.free, c)
+	return true
+}
+
+// watch replaces the connection that is kept open without use, and returns the one to be closed, or nil.
+func (p *pool) watch(c *conn) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return c
+	}
+	old := p.watched
+	p.watched = c
+	return old
+}
+
+// noteUnnamed notes that an answer names no request, and reports whether it is the first.
+func (p *pool) noteUnnamed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.unnamed
+	p.unnamed = true
+	return first
 }
 
 // closeIdle closes idle connections; those in use are closed by their users.
@@ -95,4 +165,8 @@
 		c.close()
 	}
 	p.free = nil
+	if p.watched != nil {
+		p.watched.close()
+		p.watched = nil
+	}
 }
--- a/internal/endpoint/raw_test.go
+++ b/internal/endpoint/raw_test.go
@@ -13,6 +13,8 @@
 type rawServer struct {
 	// answer writes to conn and says whether to go on with the connection.
 	answer func(conn net.Conn, r *http.Request, n int) bool
+	// answerAll makes the answer of each connection; it may be nil.
+	answerAll func() func(conn net.Conn, r *http.Request, n int) bool
 	// body reads a request's body; nil takes it as it comes.
 	body func(io.Reader) error
 
@@ -60,6 +62,10 @@
 func (s *rawServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
+	answer := s.answer
+	if s.answerAll != nil {
+		answer = s.answerAll()
+	}
 	for {
 		r, err := http.ReadRequest(br)
 		if err != nil {
@@ -68,7 +74,7 @@
 		if s.readBody(r.Body) != nil {
 			return
 		}
-		if !s.answer(conn, r, s.arrived(r)) {
+		if !answer(conn, r, s.arrived(r)) {
 			return
 		}
 	}
--- a/internal/endpoint/refusal_test.go
+++ b/internal/endpoint/refusal_test.go
@@ -20,9 +20,9 @@
 // ship. The service closes a kept connection just as the next order is written
 // to it: the order was read and run, only its answer is lost.
 func TestClosedWhileWritingIsNotARefusal(t *testing.T) {
-	s := &rawServer{answer: func(conn net.Conn, _ *http.Request, n int) bool {
+	s := &rawServer{answer: func(conn net.Conn, r *http.Request, n int) bool {
 		if n == 0 {
-			send(conn, jsonAnswer)
+			send(conn, named(jsonAnswer, r.Header.Get("X-Request-Id")))
 			return true
 		}
 		return false
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -27,7 +27,9 @@
 	wantStream bool
 	// control marks an order or a report, which are answered at once.
 	control bool
-	limit   int
+	// reused says that the connection has carried other calls.
+	reused bool
+	limit  int
 
 	status       int
 	contentType  string
@@ -45,6 +47,15 @@
 	failedDetail []byte
 	fault        error
 
+	// named says that the answer names the request, and unnamed that one which is no failure doesn't.
+	named, unnamed bool
+	// stray describes the answer that is read now if it is one to another request, which is skipped.
+	// strays are those that were skipped, and strayEnded means that one ended in the last bytes.
+	stray      *strayAnswer
+	strays     []strayAnswer
+	strayBytes int
+	strayEnded bool
+
 	// headBytes, headLines and interims are those of the head so far. rawBytes are the bytes after
 	// it, bodyBytes those of its parts, and bodyGrew means that a part came with the last bytes.
 	headBytes, headLines, interims int
@@ -115,16 +126,6 @@
 	}
 }
 
-// checkRequestID guards against an answer to another request: an endpoint that
-// sends an answer late, on a connection that has been given to the next
-// request, shows as a request id that differs. Endpoints that echo no id are
-// covered by closing each connection whose answer is not whole.
-func (r *response) checkRequestID(id string) {
-	if r.requestID != "" && id != r.requestID {
-		r.fail("answer to request %q", id)
-	}
-}
-
 // OnContentLength implements nbhttp.Processor; it comes after the last header.
 func (r *response) OnContentLength(_ *nbhttp.Parser, n int) {
 	if r.interim() {
@@ -137,7 +138,8 @@
 		r.fail("status %d", r.status)
 	}
 	r.checkFraming(n)
-	if r.fault != nil {
+	r.checkOwner()
+	if r.fault != nil || r.stray != nil {
 		return
 	}
 	r.headDone = true
@@ -186,12 +188,14 @@
 
 // OnBody implements nbhttp.Processor. The parser reuses data, so it is copied.
 func (r *response) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if r.fault == nil && !r.failed() {
+	if r.fault == nil && r.stray == nil && !r.failed() {
 		r.countBody(len(data))
 	}
 	switch {
 	case r.fault != nil:
 		return r.fault
+	case r.stray != nil:
+		return nil
 	case r.failed():
 		r.bodyGrew = true
 		r.bodyBytes += len(data)
@@ -219,11 +223,16 @@
 func (r *response) OnComplete(*nbhttp.Parser) {
 	if r.interim() {
 		r.status, r.length, r.contentType = 0, "", ""
+		r.named, r.stray = false, nil
 		if r.interims++; r.interims > maxInterim {
 			r.fail("%w", errTooManyInterim)
 		}
 		return
 	}
+	if r.stray != nil {
+		r.skipStray()
+		return
+	}
 	if r.stream != nil && r.fault == nil {
 		r.endStream()
 	}
@@ -255,7 +264,11 @@
 // whole says that the answer has arrived to its last byte.
 func (r *response) whole() bool { return r.complete && r.fault == nil }
 
+// open says that the endpoint may keep the connection open.
+func (r *response) open() bool { return r.whole() && !r.closing && !r.overrun }
+
 // reusable says that the next request may use the connection.
-func (r *response) reusable() bool {
-	return r.whole() && !r.closing && !r.overrun
-}
+func (r *response) reusable() bool { return r.open() && r.named }
+
+// foreign says that the answer may be one to an earlier request of the connection.
+func (r *response) foreign() bool { return r.reused && !r.named }
--- a/internal/endpoint/slow_test.go
+++ b/internal/endpoint/slow_test.go
@@ -137,8 +137,8 @@
 // to take.
 func TestConnectionsAreBounded(t *testing.T) {
 	const most, callers = 3, 20
-	s := &rawServer{answer: func(conn net.Conn, _ *http.Request, _ int) bool {
-		send(conn, jsonAnswer)
+	s := &rawServer{answer: func(conn net.Conn, r *http.Request, _ int) bool {
+		send(conn, named(jsonAnswer, r.Header.Get("X-Request-Id")))
 		return true
 	}}
 	c := client(t, s.start(t), func(c *endpoint.Client) { c.MaxConns = most })
--- a/internal/endpoint/whole_test.go
+++ b/internal/endpoint/whole_test.go
@@ -67,7 +67,8 @@
 func TestAnswerByteByByte(t *testing.T) {
 	for name, text := range map[string]string{"json": jsonAnswer, "chunked": chunkedAnswer, "stream": streamAnswer} {
 		t.Run(name, func(t *testing.T) {
-			s := &rawServer{answer: func(conn net.Conn, _ *http.Request, _ int) bool {
+			s := &rawServer{answer: func(conn net.Conn, r *http.Request, _ int) bool {
+				text := named(text, r.Header.Get("X-Request-Id"))
 				for i := range len(text) {
 					send(conn, text[i:i+1])
 				}
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -65,7 +65,6 @@
 		return
 	}
 	go e.compute(s, f)
-	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Incarnation", e.incarnation())
 	time.Sleep(millis(f.StallMillis))
 	if q.Stream {
@@ -194,7 +193,6 @@
 	case err != nil || from < 0 || from > s.total:
 		standin.WriteJSON(w, http.StatusRequestedRangeNotSatisfiable, map[string]string{"error": "no such piece"})
 	default:
-		w.Header().Set("X-Request-Id", s.id)
 		w.Header().Set("X-Incarnation", e.incarnation())
 		e.writeStream(w, s, from, e.currentFaults())
 	}
