An entry takes no rest of another attempt's answer

Seen (in tests): after the connection to an agent broke, the entry fetches the rest of the answer; where that belongs to another attempt, or comes with another status or content type, the caller gets both halves as one whole answer.

Cause: agents compare the serial of the attempt, and entries relied on that alone: receive() compares the request ID, Accepted overwrote the serial, and a second head was passed over.

An answer that a caller fetches by its fetch id is held to the serial in it. No present agent was found that sends such replies (cmd/hyssoprelay: TestRestIsNotFetchedFromAnotherAttempt passed before).

Tests: headed() in relay_test.go sets the head itself, since takeHead may fail now.

Run: go test -run 'Rest|Replies' ./internal/entry before and after; the package with -race twice; 'TestRestIsNot|TestEntryDies|Claim|Held' in ./cmd/hyssoprelay.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -120,12 +120,9 @@
 func (e *Entry) take(t *task, r *peerpb.RunReply, now time.Time) error {
 	switch k := r.GetKind().(type) {
 	case *peerpb.RunReply_Accepted:
-		e.scheduler.accepted(t.job)
-		t.serial = k.Accepted.GetSerial()
-		t.relay.fetchID = caller.FetchID(t.request.ID(), t.choice.Endpoint, t.serial)
-		e.ring.Add(timeline.Accepted, t.request.ID(), k.Accepted.GetEndpoint(), "", k.Accepted.GetIncarnation(), now)
+		return e.takeAccepted(t, k.Accepted, now)
 	case *peerpb.RunReply_Head:
-		t.relay.takeHead(k.Head)
+		return t.relay.takeHead(k.Head)
 	case *peerpb.RunReply_Piece:
 		e.scheduler.piece(t.job, now)
 		return t.relay.takePiece(k.Piece)
@@ -133,6 +130,23 @@
 	return nil
 }
 
+// takeAccepted notes which attempt the replies belong to.
+//
+// Guard: what is fetched after the connection broke may belong to another attempt of the same request,
+// at an agent that doesn't compare serials. Its pieces would follow those of the first one, and the two
+// texts would read as one answer.
+func (e *Entry) takeAccepted(t *task, a *peerpb.Accepted, now time.Time) error {
+	if t.serial != 0 && a.GetSerial() != t.serial {
+		e.counters.strays.Inc(1)
+		return result.Newf(result.AnswerIncomplete, "the agent sent attempt %d in place of %d", a.GetSerial(), t.serial)
+	}
+	e.scheduler.accepted(t.job)
+	t.serial = a.GetSerial()
+	t.relay.fetchID = caller.FetchID(t.request.ID(), t.choice.Endpoint, t.serial)
+	e.ring.Add(timeline.Accepted, t.request.ID(), a.GetEndpoint(), "", a.GetIncarnation(), now)
+	return nil
+}
+
 // ended turns an agent's end into the attempt's outcome.
 func (e *Entry) ended(ctx context.Context, t *task, end *peerpb.End) *result.Error {
 	t.falls = end.GetEndpointFalls()
@@ -169,7 +183,7 @@
 		Account:   t.account,
 	})
 	joined := *t
-	joined.request = t.request.WithID(id)
+	joined.request, joined.serial = t.request.WithID(id), 0
 	held, err := e.receive(&joined, stream, err)
 	if err != nil {
 		return unknown
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -57,7 +57,7 @@
 		From:      f.FirstPiece(),
 		Serial:    f.AttemptSerial(),
 	})
-	t := &task{job: &job{}, request: r, account: account, relay: &relay{w: w, next: f.FirstPiece(), stream: true}}
+	t := &task{job: &job{}, request: r, account: account, serial: f.AttemptSerial(), relay: &relay{w: w, next: f.FirstPiece(), stream: true}}
 	t.relay.skipped = f.FirstPiece() > 0
 	end, err := e.receive(t, stream, err)
 	if err != nil {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,10 +39,17 @@
 	r.body = nil
 }
 
-func (r *relay) takeHead(h *peerpb.Head) {
-	if r.head == nil {
+// takeHead takes the head of the answer. One that comes again with the rest of the answer must be the
+// same.
+func (r *relay) takeHead(h *peerpb.Head) error {
+	switch {
+	case r.head == nil:
 		r.head = h
+	case h.GetStatus() != r.head.GetStatus() || h.GetContentType() != r.head.GetContentType():
+		return result.Newf(result.AnswerIncomplete, "status %d and %q came in place of %d and %q",
+			h.GetStatus(), h.GetContentType(), r.head.GetStatus(), r.head.GetContentType())
 	}
+	return nil
 }
 
 // takePiece checks a piece's number and passes it on. A gap or a repeat means
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -13,7 +13,7 @@
 
 func headed(r *relay) *relay {
 	r.w = &caller.Reply{}
-	r.takeHead(&peerpb.Head{Status: 200})
+	r.head = &peerpb.Head{Status: 200}
 	return r
 }
 
