The fetch id of an answer names the agent that has it

Seen (in tests): an order whose idempotency key is held by an attempt at another agent is answered with a fetch id that names the agent that refused it, with the serial of the other one. Who fetches by it gets answerNotFound.

Cause: the fetch id was made of the endpoint that the entry chose, not of the one that the replies come from.

Run: go test -run FetchIDNames ./internal/entry before and after. Measured: before, "r@a-engine-0@5, want r@b-engine-3@5"; passes after.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -142,7 +143,7 @@
 	}
 	e.scheduler.accepted(t.job)
 	t.serial = a.GetSerial()
-	t.relay.fetchID = caller.FetchID(t.request.ID(), t.choice.Endpoint, t.serial)
+	t.relay.fetchID = caller.FetchID(t.request.ID(), cmp.Or(a.GetEndpoint(), t.choice.Endpoint), t.serial)
 	e.ring.Add(timeline.Accepted, t.request.ID(), a.GetEndpoint(), "", a.GetIncarnation(), now)
 	return nil
 }
--- a/internal/entry/late_test.go
+++ b/internal/entry/late_test.go
@@ -114,3 +114,15 @@
 		t.Errorf("%d stray replies counted, want 4", n)
 	}
 }
+
+// Guards against a fetch id that names the agent that refused a request whose idempotency key another
+// agent holds, where the answer can't be fetched.
+func TestFetchIDNamesTheAgentThatHasTheAnswer(t *testing.T) {
+	e, task := receiver()
+	if _, err := e.receive(task, from("r", accepted("b-engine-3", 5), head(200, ""), end(0, 0)), nil); err != nil {
+		t.Fatal(err)
+	}
+	if want := caller.FetchID("r", "b-engine-3", 5); task.relay.fetchID != want {
+		t.Errorf("%q, want %q", task.relay.fetchID, want)
+	}
+}
