Client: a refusal of another request is no promise

Seen (in tests): a late refusal that names another request, or a retryable one that names none, counts as "not run" of the present request, which may have run. An order without a key is sent again, and is run twice.

Cause: only answers were held to their request ID, refusals were not.

Change: refusals are held to it, too, and give outcomeUnknown. Those without an ID are taken where an entry could not read the request; none of these is sent again.

Run: go test -run Refusal ./pkg/client before and after; the package. Measured: before, the four cases of TestRefusalOfAnotherRequestIsNoPromise fail (two of them with a second sending); all pass after.

--- a/pkg/client/exchange.go
+++ b/pkg/client/exchange.go
@@ -127,15 +127,32 @@
 // check returns the error that the response carries, if any. An endpoint's own
 // 4xx is an answer; a refusal of the system names its result code; anything
 // else above 400 comes from something between, which knows nothing.
+//
+// Guard: a refusal that comes late, on a connection that carries the next
+// request, would promise that this one was not run. Only the refusal of a request
+// that the entry could not read names none, and that is not sent again.
 func check(resp *http.Response, requestID string) error {
 	code, err := strconv.Atoi(resp.Header.Get(headerResult))
 	if err != nil && resp.StatusCode >= http.StatusBadRequest {
 		return result.Newf(result.OutcomeUnknown, "status %d without a result code", resp.StatusCode)
 	}
-	if code != int(result.OK) {
-		return refusal(resp, result.Code(code))
+	id := resp.Header.Get(headerRequestID)
+	if code == int(result.OK) {
+		return checkID(id, requestID)
 	}
-	if id := resp.Header.Get(headerRequestID); id != requestID {
+	refused := refusal(resp, result.Code(code))
+	if id == "" && !retryable(refused, true) {
+		return refused
+	}
+	if err := checkID(id, requestID); err != nil {
+		return err
+	}
+	return refused
+}
+
+// checkID compares the request that a response names with the one that was sent.
+func checkID(id, requestID string) error {
+	if id != requestID {
 		return result.Newf(result.OutcomeUnknown, "the answer is to request %q", id)
 	}
 	return nil
--- /dev/null
+++ b/pkg/client/late_test.go
@@ -0,0 +1,47 @@
+package client
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
+)
+
+type answerFunc = func(http.ResponseWriter, *http.Request)
+
+// naming has an answer name the request id, or none.
+func naming(id string, f answerFunc) answerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Del(headerRequestID)
+		if id != "" {
+			w.Header().Set(headerRequestID, id)
+		}
+		f(w, r)
+	}
+}
+
+// Guards against an order that is shipped twice: it may have run, and a late refusal of another request
+// says that it was not run.
+func TestRefusalOfAnotherRequestIsNoPromise(t *testing.T) {
+	for name, first := range map[string]answerFunc{
+		"names another request":    naming("other", refusing(result.EndpointCold)),
+		"names no request":         naming("", refusing(result.EndpointCold)),
+		"is refused for good":      naming("other", refusing(result.UnknownRoute)),
+		"ran, for another request": naming("other", refusing(result.EndpointFailed)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{answers: []answerFunc{first, saying("done")}}
+			_, err := s.client(t).Service(t.Context(), order)
+			requireCode(t, err, result.OutcomeUnknown)
+			s.requireSeen(t, orderSeen)
+		})
+	}
+}
+
+// Guards against a caller who doesn't learn what is wrong with a request that the entry could not read,
+// so that it names none.
+func TestRefusalOfAnUnreadableRequestIsPassedOn(t *testing.T) {
+	s := &script{answers: []answerFunc{naming("", refusing(result.BadHeader))}}
+	_, err := s.client(t).Service(t.Context(), order)
+	requireCode(t, err, result.BadHeader)
+}
