Client: the rest of a stream comes from the answer that began it

Seen (in a test): after a stream broke, the response to the fetch of its rest belongs to another attempt, and its events follow those of the first.

Cause: the fetch id of each response replaced the one before.

Change: once events have been passed on, a response with another fetch id gives answerIncomplete. Entries refuse such fetches by the serial in the fetch id, so no present entry was found that sends one.

Run: go test -run RestOf ./pkg/client before and after; the package. Measured: before, "got ok, want answerIncomplete"; passes after.

--- a/pkg/client/late_test.go
+++ b/pkg/client/late_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"io"
 	"net/http"
 	"testing"
 
@@ -45,3 +46,19 @@
 	_, err := s.client(t).Service(t.Context(), order)
 	requireCode(t, err, result.BadHeader)
 }
+
+// Guards against a stream of two texts: what is fetched as the rest belongs to another attempt.
+func TestRestOfAnotherAttemptIsNotTaken(t *testing.T) {
+	another := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerResult, "0")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(headerFetchID, "r1@e1@8")
+		_, _ = io.WriteString(w, "data: x\n\ndata: [DONE]\n\n")
+	}
+	s := &script{answers: []answerFunc{streaming(true, "data: a"), another}}
+	text, err := collect(t, s)
+	requireCode(t, err, result.AnswerIncomplete)
+	if text != "a" {
+		t.Errorf("got %q", text)
+	}
+}
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -85,6 +85,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }() // What was read is judged already.
 	if id := resp.Header.Get(headerFetchID); id != "" {
+		if s.next > 0 && s.fetchID != "" && id != s.fetchID {
+			return result.Newf(result.AnswerIncomplete, "the rest is that of another answer, %q", id)
+		}
 		s.fetchID = id
 	}
 	if kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type")); err != nil || kind != "text/event-stream" {
