Client: an answer of unknown length does not count as whole

Seen (in a test): where something between client and entry sends an answer with neither length nor chunks, a connection that breaks half-way gives half an answer that counts as whole. Entries always send one or the other.

Change: such an answer over HTTP/1 gives answerIncomplete, except to HEAD.

Run: go test -run UnknownLength ./pkg/client before and after; the package with -race three times. Measured: before, "got ok, want answerIncomplete" for POST; the HEAD case fails without its exception. All pass after.

--- a/pkg/client/exchange.go
+++ b/pkg/client/exchange.go
@@ -183,8 +183,18 @@
 	return b.result()
 }
 
+// framed reports whether the end of the body can be told from the end of a
+// connection that broke. Only HTTP/1 has bodies without length and chunks.
+func framed(resp *http.Response) bool {
+	bodiless := resp.Request.Method == http.MethodHead
+	return bodiless || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1 || resp.Uncompressed
+}
+
 // whole reads an answer to its end.
 func whole(resp *http.Response, requestID string) (*Answer, error) {
+	if !framed(resp) {
+		return nil, result.New(result.AnswerIncomplete, "answer of unknown length")
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, result.Newf(result.AnswerIncomplete, "%v", err)
--- a/pkg/client/late_test.go
+++ b/pkg/client/late_test.go
@@ -62,3 +62,26 @@
 		t.Errorf("got %q", text)
 	}
 }
+
+// Guards against half an answer that passes for whole, because something between client and entry sends
+// it without length and chunks, so that only the end of the connection marks its end.
+func TestAnswerOfUnknownLengthIsNotWhole(t *testing.T) {
+	unframed := func(w http.ResponseWriter, r *http.Request) {
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = buf.WriteString("HTTP/1.1 200 OK\r\n" + headerResult + ": 0\r\n" + headerRequestID + ": " + r.Header.Get(headerRequestID) + "\r\n\r\nhal")
+		_ = buf.Flush()
+	}
+	for method, want := range map[string]result.Code{http.MethodPost: result.AnswerIncomplete, http.MethodHead: result.OK} {
+		t.Run(method, func(t *testing.T) {
+			s := &script{answers: []answerFunc{unframed}}
+			call := order
+			call.Method = method
+			_, err := s.client(t).Service(t.Context(), call)
+			requireCode(t, err, want)
+		})
+	}
+}
