--- a/internal/endpoint/doc.go
+++ b/internal/endpoint/doc.go
@@ -8,6 +8,9 @@
 // error carries a result code that is true: EndpointDown is said only when no
 // byte of the request can have reached the endpoint.
 //
+// A connection carries a second call only if the answer to the first one named its
+// request: an endpoint may answer twice, and the ID is all that tells the answers apart.
+//
 // Reading is driven by the sink. The event loop copies what the socket holds
 // into a bounded buffer and then stops listening to that connection until the
 // sink has taken it, so a slow sink makes the endpoint wait and holds up
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -113,9 +113,7 @@
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.once.Do(e.routes)
-	if id := r.Header.Get("X-Request-Id"); id != "" {
-		w.Header().Set("X-Request-Id", id)
-	}
+	standin.EchoRequestID(w, r)
 	e.mux.ServeHTTP(w, r)
 }
 
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -64,3 +64,10 @@
 		f.Flush()
 	}
 }
+
+// EchoRequestID has the response name the request as the request names itself.
+func EchoRequestID(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
+}
--- a/internal/standin/ranks/http.go
+++ b/internal/standin/ranks/http.go
@@ -12,11 +12,17 @@
 
 // Handle makes the endpoint's ranks take their orders over HTTP on mux.
 func (e *Engine) Handle(mux *http.ServeMux) {
-	mux.HandleFunc("POST "+endpoint.PathRanksStage, e.serveStage)
-	mux.HandleFunc("POST "+endpoint.PathRanksActivate, e.serveActivate)
-	mux.HandleFunc("POST "+endpoint.PathRanksAllow, e.serveAllow)
-	mux.HandleFunc("GET "+endpoint.PathRanksState, e.serveState)
-	mux.HandleFunc("GET "+endpoint.PathRanksCounts, e.serveCounts)
+	handle := func(pattern string, serve http.HandlerFunc) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			standin.EchoRequestID(w, r)
+			serve(w, r)
+		})
+	}
+	handle("POST "+endpoint.PathRanksStage, e.serveStage)
+	handle("POST "+endpoint.PathRanksActivate, e.serveActivate)
+	handle("POST "+endpoint.PathRanksAllow, e.serveAllow)
+	handle("GET "+endpoint.PathRanksState, e.serveState)
+	handle("GET "+endpoint.PathRanksCounts, e.serveCounts)
 }
 
 func (e *Engine) serveStage(w http.ResponseWriter, r *http.Request) {
