An attempt is sent after the cancel of the one before it

Seen (in a test): a caller asks anew under the same request ID while the cancel of its first attempt waits, because the engine is slow to take cancels. The cancel bears the same ID, reaches the engine after the second attempt and ends it.

Cause: cancels are queued, and nothing ordered them with later requests.

Change: the client notes pending cancels by request ID, and sends a request only when none is pending for it, within the request's own deadline.

Run: go test -run CancelComes ./internal/endpoint before (3 times) and after (20 times, -race); the package with -race twice, ./internal/agent three times, ./internal/demo once.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -77,6 +77,7 @@
 	requests *pool
 	control  *pool
 	cancels  chan string
+	pending  pendingCancels
 	counters counters
 	// controlCalls counts the calls besides requests, to name them.
 	controlCalls atomic.Uint64
@@ -147,12 +148,16 @@
 	}
 	select {
 	case <-c.ended:
-		return result.New(result.ShuttingDown, "the endpoint client has stopped")
+		return errStopped()
 	default:
 		return nil
 	}
 }
 
+func errStopped() error {
+	return result.New(result.ShuttingDown, "the endpoint client has stopped")
+}
+
 // notSent returns the result of a call that ended before its first byte.
 func notSent(ctx context.Context) error {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.awaitCancel(ctx, call.RequestID); err != nil {
+		return err
+	}
 	resp := &response{requestID: call.RequestID, wantStream: call.Stream, limit: c.MaxAnswerBytes}
 	sent, err := c.exchange(ctx, c.requests, raw, resp, sink)
 	if sent && abandoned(err) && !c.Service {
