--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -113,6 +113,7 @@
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.once.Do(e.routes)
+	standin.EchoRequestID(w, r)
 	e.mux.ServeHTTP(w, r)
 }
 
