Test: late responses of all forms around an answer

Response.skip holds what exchange did with a response to another request. The test covers responses that arrive before, between and within the parts of an answer: informational ones, without a body, too long, too many, in chunks, and of a wrong length.

Run: go test -race -count=5 ./internal/endpoint/direct.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -56,27 +56,35 @@
 		if r.isOwn(id) {
 			return nil
 		}
-		r.skipped, r.Status = r.skipped+1, 0
-		r.client.reportStray(r.conn, Stray{Status: resp.StatusCode, Header: resp.Header})
-		// An endpoint may respond to a request twice, and the duplicate is read
-		// as the response to the next request. The id in its header shows that;
-		// the right response follows on the same connection.
-		// One without an id may as well be the right one, after which none follows, and
-		// after a HEAD request it isn't known whether a body follows.
-		if id == "" || !hasFraming(resp) || req.Method == http.MethodHead {
-			return ErrMismatchedResponse
-		}
-		if err := r.Discard(); err != nil {
+		if err := r.skip(id); err != nil {
 			return err
 		}
-		if !r.complete {
-			return ErrMismatchedResponse
-		}
-		r.complete = false
 	}
 	return ErrMismatchedResponse
 }
 
+// skip skips a response that names another request, with the given ID, or none.
+//
+// An endpoint may respond to a request twice, and the duplicate is read as the response to the next
+// request; the right response follows on the same connection. One that names no request may as well be
+// the right one, after which none follows, and after a HEAD request it isn't known whether a body
+// follows.
+func (r *Response) skip(id string) error {
+	r.skipped, r.Status = r.skipped+1, 0
+	r.client.reportStray(r.conn, Stray{Status: r.resp.StatusCode, Header: r.resp.Header})
+	if id == "" || !hasFraming(r.resp) || r.req.Method == http.MethodHead {
+		return ErrMismatchedResponse
+	}
+	if err := r.Discard(); err != nil {
+		return err
+	}
+	if !r.complete {
+		return ErrMismatchedResponse
+	}
+	r.complete = false
+	return nil
+}
+
 // isOwn reports whether a response that names the request with the given ID belongs to this request. A
 // response that names none does if the connection has carried no other request: else it may be a late
 // response to that one, which may say that the request did not run although this one does.
--- a/internal/endpoint/direct/late_test.go
+++ b/internal/endpoint/direct/late_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -179,3 +180,47 @@
 	}
 	c.closeIdle()
 }
+
+// Late answers to an earlier request arrive before and within an answer, in each form that answers have.
+// Guards against passing on any of their bytes.
+func TestLateResponsesOfAllForms(t *testing.T) {
+	const head, own = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n", "HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n"
+	const end = "0\r\n\r\n"
+	late := responseFor("1", "one")
+	long := responseFor("1", strings.Repeat("x", maxDiscardedBytes+1))
+	for name, c := range map[string]struct {
+		text string
+		// arrives means that the own answer is received, not an error.
+		arrives bool
+	}{
+		"as many as are skipped":    {strings.Repeat(late, maxStaleResponses) + own + end, true},
+		"more than are skipped":     {strings.Repeat(late, maxStaleResponses+1) + own + end, false},
+		"in chunks":                 {head + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n" + own + end, true},
+		"without length":            {head + "\r\none" + own + end, false},
+		"with status 204":           {"HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n" + own + end, true},
+		"with status 304":           {"HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\n\r\n" + own + end, true},
+		"after an informational":    {"HTTP/1.1 102 Processing\r\n\r\n" + late + own + end, true},
+		"before an informational":   {late + "HTTP/1.1 102 Processing\r\n\r\n" + own + end, true},
+		"longer than is discarded":  {long + own + end, false},
+		"between the chunks":        {own + late + end, false},
+		"within a chunk":            {strings.TrimSuffix(own, "o\r\n") + late + "o\r\n" + end, false},
+		"with more than its length": {late + "x" + own + end, false},
+		"with less than its length": {strings.TrimSuffix(late, "ne") + own + end, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(t *testing.T, conn net.Conn, br *bufio.Reader) {
+				readRequest(t, br)
+				_, _ = io.WriteString(conn, responseFor("1", "one"))
+				readRequest(t, br)
+				_, _ = io.WriteString(conn, c.text)
+				_ = conn.Close()
+			})
+			client := &Client{}
+			wantBody(t, client, addr, "1", "one")
+			body, err := doAll(client, addr, request("2"))
+			if err == nil && body != "two" || (err == nil) != c.arrives {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+}
