A request that comes too slowly is refused behind an answer that is being read

Cause: since requests end when their answers have been sent, an answer that is being read looked like one that has not been given. Change: the refusal follows an answer that is complete at the entry. Run: go test ./internal/caller. Measured: TestRequestRefusedAsTooSlowIsNotServed failed before ("not: the order has arrived", the connection was closed) and passes. Its conditions are told by what was handed over, and it now checks the whole answer and the refusal behind it, which it did not before.

--- a/internal/caller/pipeline_test.go
+++ b/internal/caller/pipeline_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -69,15 +70,17 @@
 }
 
 // TestRequestRefusedAsTooSlowIsNotServed guards against an order that is run although its caller is told
-// that it came too slowly and was not run.
+// that it came too slowly and was not run, and against an answer that is cut off because the request behind
+// it comes too slowly.
 func TestRequestRefusedAsTooSlowIsNotServed(t *testing.T) {
+	const answerSize = 8 << 20
 	s := startServer(t, func(_ context.Context, r *Request, w *Reply) {
 		if r.Path() == orderPath {
 			t.Error("the order is served")
 			return
 		}
 		// Its caller reads it late, so that the refusal behind it waits.
-		if err := w.SendRaw(http.StatusOK, nil, make([]byte, 8<<20)); err != nil {
+		if err := w.SendRaw(http.StatusOK, nil, make([]byte, answerSize)); err != nil {
 			t.Error(err)
 		}
 	})
@@ -86,18 +89,22 @@
 	var c *conn
 	eventually(t, "the first request is answered", func() bool {
 		c = onlyConn(s)
-		return c != nil && unreadBytes(c) > 0 && !answering(c)
+		return c != nil && unreadBytes(c) > 0 && isHandedOver(c)
 	})
 	const part = len(orderRequest) / 2
 	writeRaw(t, nc, orderRequest[:part])
 	eventually(t, "a part of the order has arrived", func() bool { return c.unparsedBytes.Load() > 0 })
 	go s.handleReadTimeout(c.netConn, c)
-	eventually(t, "the order is being refused", func() bool { return answering(c) })
+	eventually(t, "the order is being refused", func() bool { return !isHandedOver(c) })
 	writeRaw(t, nc, orderRequest[part:])
-	eventually(t, "the order has arrived", func() bool { return s.ActiveRequests() == 1 })
-	if _, err := io.Copy(io.Discard, nc); err != nil {
+	eventually(t, "the order has arrived", func() bool { return s.ActiveRequests() == 2 })
+	b, err := io.ReadAll(nc)
+	if err != nil {
 		t.Errorf("the connection stays open: %v", err)
 	}
+	if len(b) < answerSize || !bytes.Contains(b[answerSize:], []byte("HTTP/1.1 408 ")) {
+		t.Errorf("the answer and the refusal behind it have %d bytes", len(b))
+	}
 	waitIdle(t, s)
 }
 
@@ -118,10 +125,12 @@
 	return c.pending
 }
 
-// answering reports whether a request on c is being answered.
-func answering(c *conn) bool {
-	l, _ := c.lost(io.EOF, time.Now())
-	return l.Answering
+// isHandedOver reports whether the newest request on c has been answered, though perhaps not to its
+// caller.
+func isHandedOver(c *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handedOver == c.lastDone
 }
 
 // waitIdle waits until no request is being served.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -263,8 +263,9 @@
 	return fits && total <= s.BodyLimit*readLimitFactor+maxHeaderBytes
 }
 
-// handleReadTimeout refuses a request that was not received completely in time. If an earlier
-// request of the connection is still being answered, it only closes the connection.
+// handleReadTimeout refuses a request that was not received completely in time. The refusal follows
+// a complete answer that is still being read. If an earlier request of the connection has no complete
+// answer yet, the connection is only closed.
 func (s *Server) handleReadTimeout(w *nbio.Conn, c *conn) {
 	p, ok := w.Session().(*nbhttp.Parser)
 	if !ok {
@@ -272,9 +273,7 @@
 	}
 	prevDone, ownDone := c.enqueue()
 	defer close(ownDone)
-	select {
-	case <-prevDone:
-	default:
+	if !c.isAnswered(prevDone) {
 		_ = w.Close()
 		return
 	}
