A poll whose answer is too long isn't repeated as it was

Callers saw: after 25 versions of a configuration of 708,000 bytes within 2 s, all relays kept to an older one (404 for the added route) and from some 5 s on refused each request with a key, until the store dropped its history 20 s later. No relay learnt of leaving endpoints meanwhile.

Cause: the store's answer to a poll holds each version of each key since the last one and has no bound. The client refused more than 4 MB, and the mirror took that for a store that doesn't answer and repeated the same poll, whose answer had grown.

Why it holds: what is read is one version of each key, however many were written. The call isn't a failure of the store, so no endpoint is kept as if lost in an outage, and no other relay turns to the store.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -34,6 +34,22 @@
 	}).Warn("dependency lost")
 }
 
+// logTooLong logs that the store's answer to a poll is too long.
+func (f *Frontend) logTooLong(cause error) {
+	f.logUnavailable(cause, "store changes too long, the configuration is read apart")
+}
+
+// logRelist logs that the complete state is read from the store in place of the changes.
+func (f *Frontend) logRelist(cause error) {
+	f.logUnavailable(cause, "store changes unavailable, the complete state is read")
+}
+
+func (f *Frontend) logUnavailable(cause error, message string) {
+	f.Log.WithFields(logrus.Fields{
+		"dependency": "store", "cause": cause.Error(), "knownAge": f.freshness.Age(boottime.Now()).Milliseconds(),
+	}).Warn(message)
+}
+
 // callFailed logs that another call to the store failed.
 func (f *Frontend) callFailed(err error) {
 	f.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
--- a/internal/frontend/document_test.go
+++ b/internal/frontend/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -45,3 +46,26 @@
 		}
 	}
 }
+
+// Twenty-five versions of a configuration of 700 kB are written at once, and an endpoint leaves. Guards
+// against a poll of the store whose answer is too long and which is repeated as it was: no entry would
+// learn of anything, and all would refuse keys, until the store drops its history.
+func TestStormOfLargeConfigurationsDoesNotStopUpdates(t *testing.T) {
+	const routes, versions, last = 3500, 25, 60
+	s := newSystem(t, 2)
+	entries := s.startEntries(3)
+	for v := range versions {
+		s.store.Put("op/config", largeConfig(2+v, routes+v, `"k1"`))
+	}
+	s.put(s.endpoints[0], "a", "draining")
+	for _, e := range entries {
+		s.eventually("the newest configuration is in force", func() bool { return e.hasVersion(1 + versions) })
+		s.eventually("the draining endpoint is known", func() bool { return e.log.Has(`"draining":true,"endpoint":"i-0"`) })
+	}
+	s.store.Put("op/config", largeConfig(last, routes, `"k2"`))
+	for i, e := range entries {
+		s.eventually("a key of the newest configuration is accepted", func() bool {
+			return e.hasVersion(last) && e.request(t.Context(), "/look/1", fmt.Sprint("storm", i), "k2").status == http.StatusOK
+		})
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -246,7 +246,7 @@
 	pollWait := readers.Wait(s.Bounds.ChangeApply)
 	f.store = &platform.Store{
 		Addr: s.PlatformAddresses[0].String(), Timeout: storeTimeout,
-		Budget: kv.RateLimiter{PerSecond: storeCallsPerSecond}, Metrics: f.Registry,
+		Budget: kv.RateLimiter{PerSecond: storeCallsPerSecond}, Metrics: f.Registry, OnTooLong: f.logTooLong,
 	}
 	f.store.Open()
 	f.state = &relay.State{
@@ -260,7 +260,7 @@
 	f.state.Init(now)
 	f.mirror = &mirror.Mirror{
 		Reader: f.store, Wait: pollWait, OnRequest: f.storeStatus.NoteRequest, Settle: changeBatchDelay, MaxSettle: maxChangeBatchDelay, StartupPeriod: startupPeriod,
-		Now: boottime.Now, Apply: f.apply, OnError: f.storeFailed,
+		Now: boottime.Now, Apply: f.apply, OnError: f.storeFailed, OnRelist: f.logRelist,
 	}
 	f.sourceSelector.Self, f.starter.Self = s.Name, s.Name
 	f.firstSources = map[string]string{}
--- a/internal/platform/mirror/copy_test.go
+++ b/internal/platform/mirror/copy_test.go
@@ -121,6 +121,8 @@
 			case rng.IntN(20) == 0:
 				*f = follower{}
 				continue
+			case rng.IntN(10) == 0:
+				f.apply(h.since(0, false, now), now)
 			default:
 				if u, ok := from.copy.Since(Request{After: f.revision, Known: f.known}); ok {
 					f.apply(u.Update, now)
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -13,6 +13,10 @@
 // ErrCompacted reports that the service no longer keeps the requested changes.
 var ErrCompacted = errors.New("mirror: requested revision has been compacted")
 
+// ErrTooLong reports that the requested changes take more bytes than an answer may have, or
+// than arrive in time.
+var ErrTooLong = errors.New("mirror: the changes since the requested revision are too long")
+
 // Reader is the part of the key-value service that a Mirror uses.
 type Reader interface {
 	// List returns a page of the keys with the prefix, starting behind the key
@@ -20,7 +24,8 @@
 	List(ctx context.Context, prefix, after string, limit int) (platform.RangeReply, error)
 	// Poll returns the changes made to the keys with the prefix after a revision,
 	// as soon as there are any, or no changes once wait has passed. It returns
-	// ErrCompacted if the service no longer keeps these changes.
+	// ErrCompacted if the service no longer keeps these changes, and ErrTooLong if it
+	// can't pass them on.
 	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Changed, error)
 }
 
@@ -33,6 +38,10 @@
 	// an outage of 10 s costs each process about 25 calls.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 450 * time.Millisecond
+	// minRelistInterval is the shortest time between two readings of the complete state because
+	// changes are too long. All of it is sent on to each process that follows this one. It
+	// leaves the other half of the time that the configuration allows for a change.
+	minRelistInterval = time.Second
 )
 
 // Update holds the content of one answer of the service or of a peer.
@@ -113,6 +122,9 @@
 	Apply func(Update)
 	// OnError, if set, is called with the error of each failed call.
 	OnError func(error)
+	// OnRelist, if set, is called with ErrCompacted or ErrTooLong before the complete
+	// state is read in place of the changes.
+	OnRelist func(cause error)
 }
 
 // Run follows the prefix until ctx ends. It always returns nil.
@@ -126,6 +138,7 @@
 	// from a peer.
 	knownAt, unconfirmed := time.Time{}, false
 	startupEnd := m.Now().Add(m.StartupPeriod)
+	relistAfter := time.Time{}
 	for ctx.Err() == nil {
 		u, err := m.fetch(ctx, received, pollFrom, m.pollWait(m.Now().Sub(knownAt), unconfirmed))
 		switch {
@@ -157,6 +170,15 @@
 			}
 		case errors.Is(err, ErrCompacted):
 			pollFrom.known = false
+			m.reportRelist(err)
+		case errors.Is(err, ErrTooLong):
+			// The changes since pollFrom only become more, so that the same poll would
+			// fail as long as the service keeps them. The pages of a list are bounded.
+			// The call is not a failure: the service has answered.
+			pollFrom.known = false
+			m.reportRelist(err)
+			pause.For(ctx, relistAfter.Sub(m.Now()))
+			relistAfter = m.Now().Add(minRelistInterval)
 		case errors.Is(err, errPollAborted):
 			failed = true
 		default:
@@ -193,6 +215,12 @@
 	}
 }
 
+func (m *Mirror) reportRelist(cause error) {
+	if m.OnRelist != nil {
+		m.OnRelist(cause)
+	}
+}
+
 func (m *Mirror) fetch(ctx context.Context, received, pollFrom position, wait time.Duration) (Update, error) {
 	if m.Peer != nil {
 		if u, ok := m.Peer(ctx, received.revision, received.known); ok {
--- a/internal/ranker/members.go
+++ b/internal/ranker/members.go
@@ -53,7 +53,7 @@
 			r.applyMembers(u)
 			once.Do(func() { close(ready) })
 		},
-		OnError: r.logStoreFailure,
+		OnError: r.logStoreFailure, OnRelist: r.logRelist,
 	}
 	done := make(chan error, 1)
 	go func() { done <- m.Run(ctx) }()
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -171,6 +171,11 @@
 	r.Log.WithFields(logrus.Fields{"dependency": "store", "cause": err.Error()}).Warn("call failed")
 }
 
+// logRelist logs that the fleet's members are read from the store anew in place of their changes.
+func (r *Ranker) logRelist(cause error) {
+	r.Log.WithFields(logrus.Fields{"dependency": "store", "cause": cause.Error()}).Warn("store changes unavailable, the complete state is read")
+}
+
 // awaitGroup returns the group of the agent's engine, or "" when ctx ends first.
 func (r *Ranker) awaitGroup(ctx context.Context) string {
 	select {
