--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// resumedStream requests streams until one has gone on at the second endpoint, and returns the bytes that
+// its caller has received.
+func (s *system) resumedStream(e *entry) (raw string) {
+	s.t.Helper()
+	n := 0
+	s.eventually("a stream goes on at the second endpoint", func() bool {
+		n++
+		id := fmt.Sprint("s", n)
+		raw = s.rawStream(e, id, nil)
+		return s.endpoints[1].Resumes(id) > 0
+	})
+	return raw
+}
+
 // An engine breaks off a stream, and the next one answers with a failure. Guards against a second
 // head within the body that the caller is reading.
 func TestFailureOfAResumedStreamBreaksItOff(t *testing.T) {
@@ -80,17 +94,7 @@
 			e := s.start("entry1", s.store.Addr())
 			s.endpoints[0].Behave(standin.Tears)
 			s.endpoints[1].FailWith(status)
-			n := 0
-			s.eventually("a stream goes on at the failing engine", func() bool {
-				n++
-				id := fmt.Sprint("s", n)
-				raw := s.rawStream(e, id, nil)
-				met := s.endpoints[1].Resumes(id) > 0
-				if met {
-					s.wantBrokenOff(raw)
-				}
-				return met
-			})
+			s.wantBrokenOff(s.resumedStream(e))
 		})
 	}
 }
@@ -198,17 +202,9 @@
 			e := s.start("entry1", s.store.Addr())
 			s.endpoints[0].Behave(standin.Tears)
 			s.endpoints[1].AnswerUnframed(&standin.Unframed{Events: -1, Text: text})
-			n := 0
-			s.eventually("a stream meets both engines", func() bool {
-				n++
-				id := fmt.Sprint("s", n)
-				raw := s.rawStream(e, id, nil)
-				met := s.endpoints[1].Resumes(id) > 0
-				if met && strings.Contains(raw, block) {
-					t.Errorf("received %q", raw)
-				}
-				return met
-			})
+			if raw := s.resumedStream(e); strings.Contains(raw, block) {
+				t.Errorf("received %q", raw)
+			}
 		})
 	}
 }
@@ -221,17 +217,7 @@
 	e := s.start("entry1", s.store.Addr())
 	s.endpoints[0].Behave(standin.Tears)
 	s.endpoints[1].BeginAnew(1)
-	n := 0
-	s.eventually("a stream meets both engines", func() bool {
-		n++
-		id := fmt.Sprint("s", n)
-		raw := s.rawStream(e, id, nil)
-		met := s.endpoints[1].Resumes(id) > 0
-		if met {
-			s.wantBrokenOff(raw)
-		}
-		return met
-	})
+	s.wantBrokenOff(s.resumedStream(e))
 }
 
 // A caller resumes a stream with a number that no stream has, and the engine begins anew. Guards against
