Comment of beforeFirst says what holds for resumed streams too

Read again: the comment was from before blocks of a resumed attempt were held until its first event for the caller. No code changes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,7 +99,7 @@
 	progress    Progress
 	contentType string
 	// answerBegan means that the current attempt has received a part of its answer. beforeFirst is what
-	// it received before its first event, if nothing was forwarded yet.
+	// it received before its first event for the caller, and is not forwarded before that.
 	answerBegan bool
 	beforeFirst []byte
 	// attemptEventID is the number of the last event that the current attempt has received, also of one
