A stream stays at its engine if the next one can't go on with it

The engine that had the stream was slow, but sound, and would have ended it.

Cause: a move cancelled the running attempt and only then asked the next engine. The routes of these streams have two attempts, so a next engine that failed (500, 404, 503, 302, another type, a reset) left nothing but to break the stream off.

Change: the next engine is asked while the running attempt goes on. The attempt forwards no event meanwhile, so that the next one goes on behind the last event that the caller has. A stream that becomes complete meanwhile ends where it is, and a caller that leaves during a move is no longer counted as moved.

--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -78,6 +78,9 @@
 // Started reports whether part of a response has been sent.
 func (w *Reply) Started() bool { return w.state != replyUnsent }
 
+// Aborted reports whether the response can't be completed.
+func (w *Reply) Aborted() bool { return w.state == replyAborted }
+
 // begin sends the head of a response and then body, if the response has one. It fails if a response
 // has been begun, and aborts it if it is not complete.
 func (w *Reply) begin(next replyState, status int, head string, body []byte) error {
--- /dev/null
+++ b/internal/frontend/movedstream_test.go
@@ -0,0 +1,122 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/platform/standin"
+)
+
+// startMove requests a stream, waits until it has begun, and has it moved to the other engine, which
+// behaves as set by behave. The channel receives the bytes that the caller gets.
+func (s *system) startMove(e *entry, behave func(next *standin.Endpoint)) <-chan string {
+	s.t.Helper()
+	received, begun := make(chan string, 1), make(chan struct{})
+	go func() { received <- s.rawStream(e, "s1", begun) }()
+	// A stream that is moved before has no part yet.
+	s.eventually("the answer has begun", func() bool {
+		select {
+		case <-begun:
+			return true
+		default:
+			return false
+		}
+	})
+	for _, ep := range s.endpoints {
+		if ep.Runs("s1") == 0 {
+			behave(ep)
+		}
+	}
+	s.moveStream(e, "s1")
+	return received
+}
+
+// wantWholeRaw checks that the bytes are one complete stream, with each event once and in order.
+func (s *system) wantWholeRaw(raw string, events int) {
+	s.t.Helper()
+	var got, want []string
+	for _, line := range strings.Split(raw, "\n") {
+		if strings.HasPrefix(line, "id: ") {
+			got = append(got, line)
+		}
+	}
+	for i := 1; i <= events; i++ {
+		want = append(want, fmt.Sprint("id: ", i))
+	}
+	if n := strings.Count(raw, "HTTP/1."); n != 1 || !slices.Equal(got, want) || !strings.HasSuffix(raw, "0\r\n\r\n") {
+		s.t.Errorf("%d heads, events %q: %q", n, got, raw)
+	}
+}
+
+// A stream is to be moved off a slow engine, and the next one fails it, refuses it or breaks off at once.
+// Guards against breaking off a stream that the slow engine would have ended.
+func TestStreamGoesOnWhereItWasIfTheNextEngineFails(t *testing.T) {
+	t.Parallel()
+	failures := map[string]func(*standin.Endpoint){
+		"resets": func(ep *standin.Endpoint) { ep.Behave(standin.Resets) },
+	}
+	for _, status := range statusesWithinAStream {
+		failures[fmt.Sprint(status)] = func(ep *standin.Endpoint) { ep.FailWith(status) }
+	}
+	for name, fail := range failures {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, e := newGroupOfTwo(t)
+			s.wantWholeRaw(<-s.startMove(e, fail), 5)
+			s.eventually("the failed move is logged", func() bool { return e.log.Has("stream is not moved") })
+		})
+	}
+}
+
+// A stream is moved off a slow engine, and the next one answers with a failure when the slow one has been
+// left. Guards against a second head within the body that the caller is reading.
+func TestFailureOfAMovedStreamBreaksItOff(t *testing.T) {
+	t.Parallel()
+	const afterHandover = 500 * time.Millisecond
+	for _, status := range statusesWithinAStream {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			s, e := newGroupOfTwo(t)
+			s.wantBrokenOff(<-s.startMove(e, func(ep *standin.Endpoint) { ep.FailLate(status, afterHandover) }))
+		})
+	}
+}
+
+// The next engine of a moved stream is slow to answer. Guards against events of the engine that is left
+// beside those of the next one, and against events that are lost between them.
+func TestStreamMovesToAnEngineThatAnswersLate(t *testing.T) {
+	t.Parallel()
+	s, e := newGroupOfTwo(t)
+	for _, ep := range s.endpoints {
+		ep.Work = 300 * time.Millisecond
+	}
+	s.wantWholeRaw(<-s.startMove(e, func(*standin.Endpoint) {}), 5)
+}
+
+// The caller of a stream leaves while the stream is being moved. Guards against engines that go on
+// working for nobody.
+func TestCallerThatLeavesDuringAMoveFreesBothEngines(t *testing.T) {
+	t.Parallel()
+	s, e := newGroupOfTwo(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan response, 1)
+	go func() { ended <- e.request(ctx, "/stream/1", "s1", "k1") }()
+	s.eventually("an engine serves the stream", func() bool { return s.runs("s1") == 1 })
+	var next *standin.Endpoint
+	for _, ep := range s.endpoints {
+		if ep.Runs("s1") == 0 {
+			next = ep
+			ep.Behave(standin.Hangs)
+		}
+	}
+	s.moveStream(e, "s1")
+	cancel()
+	<-ended
+	s.eventually("the next engine was left", func() bool { return next.Left() == 1 })
+	s.eventually("the request has ended", func() bool { return e.log.Has(`"msg":"request ended"`) })
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,16 +27,55 @@
 	errShorterStream     = errors.New("relay: the stream begins anew and ends before what the caller has")
 )
 
-// attempt sends the request to one endpoint and forwards its answer.
-func (j *job) attempt(ctx context.Context, assigned Assignment) Outcome {
-	r := j.relay
+// attempt sends the request to one endpoint and forwards its answer. from is the move with which the
+// request was sent already, or nil.
+func (j *job) attempt(ctx context.Context, assigned Assignment, from *handover) Outcome {
 	j.answerBegan, j.beforeFirst, j.attemptEventID, j.exchange = false, nil, 0, direct.Exchange{}
-	req := j.endpointRequest(assigned)
-	resp, err := r.Client.Do(ctx, assigned.Endpoint.Address, req)
+	head := j.head(ctx, assigned, from)
+	defer head.close()
+	switch {
+	case head.outcome != nil:
+		return head.outcome
+	case head.use == ForwardEvents:
+		return j.forwardStream(ctx, assigned, head.resp)
+	default:
+		return j.forwardWhole(ctx, assigned, head.resp)
+	}
+}
+
+// answerHead is the head of an endpoint's answer and how the answer may be forwarded. outcome is set if
+// no part of it may be.
+type answerHead struct {
+	resp    *direct.Response
+	use     AnswerUse
+	outcome Outcome
+}
+
+// close gives the connection of the answer back, if there is an answer.
+func (a answerHead) close() {
+	if a.resp != nil {
+		a.resp.Close()
+	}
+}
+
+// head returns the head of the answer to the request, which it sends unless the move from has done so.
+func (j *job) head(ctx context.Context, assigned Assignment, from *handover) answerHead {
+	if from == nil {
+		return j.ask(ctx, assigned, j.position(), &j.exchange)
+	}
+	<-from.answered
+	j.exchange = from.exchange
+	return from.head
+}
+
+// ask sends the request to one endpoint and reads the head of its answer. p is what the caller has
+// received. It may run beside another attempt of the request.
+func (j *job) ask(ctx context.Context, assigned Assignment, p position, x *direct.Exchange) answerHead {
+	r := j.relay
+	resp, err := r.Client.Do(ctx, assigned.Endpoint.Address, j.endpointRequest(assigned, p, x))
 	if err != nil {
-		return j.lostOutcome(err)
+		return answerHead{outcome: lostOutcome(p.progress, err)}
 	}
-	defer resp.Close()
 	info := r.HeaderCodec.ReadAnswer(resp.Status, resp.Header)
 	if info.Cold > 0 {
 		r.State.SetCold(assigned.Endpoint.ID, info.Cold, r.Now())
@@ -49,24 +88,26 @@
 	}
 	if info.NotRun {
 		// The head has said so, whatever the body contains.
-		return NotRun{Sent: true, Code: notRunCode(info, resp.Status), Cause: resp.Discard()}
+		return answerHead{resp: resp, outcome: NotRun{Sent: true, Code: notRunCode(info, resp.Status), Cause: resp.Discard()}}
 	}
 	if err := j.checkAnswer(resp, info); err != nil {
-		return Unknown{Cause: err}
+		return answerHead{resp: resp, outcome: Unknown{Cause: err}}
 	}
-	switch UseOf(j.progress, j.route.RetrySemantics, resp.Status, resp.Header.Get("Content-Type") == j.contentType) {
-	case ForwardEvents:
-		return j.forwardStream(ctx, assigned, resp)
-	case ForwardWhole:
-		return j.forwardWhole(ctx, assigned, resp)
-	default:
-		return j.discardUnusable(assigned, resp)
+	sameType := resp.Header.Get("Content-Type") == p.contentType
+	use := UseOf(p.progress, j.route.RetrySemantics, resp.Status, sameType)
+	if use == ForwardNothing {
+		return answerHead{resp: resp, outcome: j.discardUnusable(assigned, resp)}
 	}
+	return answerHead{resp: resp, use: use}
 }
 
 // discardUnusable reads an answer that can't be forwarded for the sake of its connection alone.
 func (j *job) discardUnusable(assigned Assignment, resp *direct.Response) Outcome {
-	j.partReceived(assigned, resp.Status, j.relay.Now())
+	now := j.relay.Now()
+	if resp.Status/100 == 2 {
+		j.clearParts(now)
+	}
+	j.relay.State.PartReceived(assigned, now)
 	return Unusable{Status: resp.Status, Cause: resp.Discard()}
 }
 
@@ -93,15 +134,16 @@
 	j.relay.State.RecordRest(assigned, info.Rest, now)
 }
 
-// endpointRequest returns the caller's request as it is sent to the endpoint.
-func (j *job) endpointRequest(assigned Assignment) *direct.Request {
+// endpointRequest returns the caller's request as it is sent to the endpoint. p is what the caller has
+// received. The exchange is described in x.
+func (j *job) endpointRequest(assigned Assignment, p position, x *direct.Exchange) *direct.Request {
 	h := caller.EndToEndHeaders(j.raw.Header)
 	info := EndpointInfo{Endpoint: assigned.Endpoint.ID, TimeLeft: j.deadline.Sub(j.relay.Now()), Urgency: j.urgency()}
 	if j.account != nil {
 		info.Account = j.account.Name
 	}
-	if j.progress == PartSent {
-		info.Resume = formatEventID(j.lastEventID)
+	if p.progress == PartSent {
+		info.Resume = formatEventID(p.lastEventID)
 	}
 	j.relay.HeaderCodec.WriteRequest(h, info)
 	return &direct.Request{
@@ -109,7 +151,7 @@
 		ID:            j.requestInfo.ID,
 		ResponseID:    j.relay.answerID,
 		AvoidExpiring: !j.route.MayRetry(),
-		Exchange:      &j.exchange,
+		Exchange:      x,
 	}
 }
 
@@ -132,28 +174,21 @@
 	return min(routing.PriorityInForce(j.route, j.account), int(routing.MaxClass))
 }
 
-// lostOutcome returns the outcome of an exchange that failed before its answer was complete.
-func (j *job) lostOutcome(err error) Outcome {
+// lostOutcome returns the outcome of an exchange that failed before its answer was complete. p is what
+// the caller has received.
+func lostOutcome(p Progress, err error) Outcome {
 	switch {
 	case direct.IsNotSent(err):
 		return NotRun{Code: result.EndpointDown, Cause: err}
-	case j.progress == PartSent:
-		return j.interruptedOutcome(err)
 	case errors.Is(err, context.Canceled):
 		return Disconnected{Cause: err}
+	case p == PartSent:
+		return Interrupted{Cause: err}
 	default:
 		return Unknown{Cause: err}
 	}
 }
 
-// interruptedOutcome returns the outcome of a stream that failed after a part of it was forwarded.
-func (j *job) interruptedOutcome(err error) Outcome {
-	if errors.Is(err, context.Canceled) {
-		return Disconnected{Cause: err}
-	}
-	return Interrupted{Cause: err}
-}
-
 // notRunCode returns the result code for a request that an endpoint did not run.
 func notRunCode(info AnswerInfo, status int) result.Code {
 	switch {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -24,6 +24,9 @@
 	if resp.Status >= http.StatusInternalServerError {
 		return Failed{Answer: answer}
 	}
+	if !j.mayEnd() {
+		return Disconnected{Cause: errMoved}
+	}
 	j.firstPartAt = now
 	if err := j.reply.SendRaw(answer.Status, answer.Header, body); err != nil {
 		return Disconnected{Cause: err}
@@ -37,7 +40,7 @@
 	if ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
 	}
-	return j.lostOutcome(err)
+	return lostOutcome(j.progress, err)
 }
 
 // forwardStream forwards events as they arrive. The header is sent to the caller with the first
@@ -48,6 +51,9 @@
 		ev, err := events.Next()
 		if err == io.EOF {
 			err = j.checkEnd(resp)
+			if err == nil && !j.mayEnd() {
+				err = errMoved
+			}
 			if err == nil {
 				return j.endStream(resp)
 			}
@@ -66,7 +72,7 @@
 			continue
 		}
 		if ev.Other {
-			if err := j.forwardOther(ev); err != nil {
+			if err := j.forwardOther(ctx, ev); err != nil {
 				return Disconnected{Cause: err}
 			}
 			continue
@@ -74,7 +80,7 @@
 		if ev.HasID && ev.ID != j.lastEventID+1 {
 			return j.readErrorOutcome(ctx, errEventOrder)
 		}
-		if err := j.forwardEvent(assigned, resp, ev); err != nil {
+		if err := j.forwardEvent(ctx, assigned, resp, ev); err != nil {
 			return Disconnected{Cause: err}
 		}
 	}
@@ -97,8 +103,11 @@
 // forwardOther forwards what a stream contains besides events, such as comments. Before the attempt's
 // first event it is kept until that event arrives, so that another endpoint can still take over, and so
 // that nothing of an attempt that has no event for the caller gets into a stream that has begun.
-func (j *job) forwardOther(ev direct.Event) error {
+func (j *job) forwardOther(ctx context.Context, ev direct.Event) error {
 	if j.answerBegan {
+		if !j.awaitHandover(ctx) {
+			return errMoved
+		}
 		return j.reply.WriteChunk(ev.Raw)
 	}
 	j.beforeFirst = append(j.beforeFirst, ev.Raw...)
@@ -132,8 +141,8 @@
 	j.lastPause = pause
 }
 
-func (j *job) forwardEvent(assigned Assignment, resp *direct.Response, ev direct.Event) error {
-	if !ev.HasID && !j.keepHere() {
+func (j *job) forwardEvent(ctx context.Context, assigned Assignment, resp *direct.Response, ev direct.Event) error {
+	if !j.mayForward(ctx, resp.Header.Get("Content-Type"), ev) {
 		return errMoved // the next endpoint sends the event
 	}
 	now := j.relay.Now()
@@ -161,8 +170,20 @@
 	return j.reply.WriteChunk(ev.Raw)
 }
 
+// mayForward reports whether an event may be forwarded. If it returns true, a move that begins from now
+// on goes on behind that event. It blocks while a move is in progress.
+func (j *job) mayForward(ctx context.Context, contentType string, ev direct.Event) bool {
+	at := position{progress: PartSent, lastEventID: ev.ID, contentType: contentType}
+	for j.awaitHandover(ctx) {
+		if ev.HasID && j.movable.advance(at) || !ev.HasID && j.keepHere() {
+			return true
+		}
+	}
+	return false
+}
+
 // keepHere keeps a stream that has events without a number from going on elsewhere. It returns false if
-// the stream has been moved already.
+// the stream is being moved already.
 func (j *job) keepHere() bool {
 	if j.movable != nil && !j.relay.State.pin(j.movable) {
 		return false
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -25,7 +25,9 @@
 	// strayAnswers counts the responses that name another request, and strayBytes how often bytes
 	// arrived while no response was due, or another response within the body of one.
 	strayAnswers, strayBytes metrics.Counter
-	classes                  classMetrics
+	// notMoved counts the streams that were to be moved and went on or ended where they were.
+	notMoved metrics.Counter
+	classes  classMetrics
 }
 
 // NewMetrics registers the metrics in r.
@@ -42,6 +44,8 @@
 
 		exceeded: metrics.GetOrRegisterCounter("relay.answers.exceeded", r),
 
+		notMoved: metrics.GetOrRegisterCounter("relay.moves.turnedDown", r),
+
 		strayAnswers: metrics.GetOrRegisterCounter("relay.stray.answers", r),
 		strayBytes:   metrics.GetOrRegisterCounter("relay.stray.bytes", r),
 	}
@@ -192,22 +196,43 @@
 	switch o := o.(type) {
 	case NotRun:
 		f["result"] = o.Code.String()
-		addCause(f, o.Cause)
 	case Failed:
 		f["status"] = o.Answer.Status
-	case Unusable:
+	case Unusable, Interrupted, Moved:
 		f["lastEvent"] = j.lastEventID
-		addCause(f, o.Cause)
+	}
+	addCause(f, causeOf(o))
+	j.relay.Log.WithFields(f).Info("another attempt follows")
+}
+
+// logNotMoved writes the log line of an attempt that was to go on with a stream and did not, so that the
+// stream goes on or ends where it was.
+func (j *job) logNotMoved(next Assignment, o Outcome) {
+	f := j.endpointFields(next)
+	f["outcome"], f["lastEvent"], f["sent"] = outcomeName(o), j.lastEventID, j.attempts.Sent
+	j.exchangeFields(f)
+	addCause(f, causeOf(o))
+	j.relay.Log.WithFields(f).Info("stream is not moved")
+}
+
+// causeOf returns the cause of an outcome, or nil if it has none.
+func causeOf(o Outcome) error {
+	switch o := o.(type) {
+	case NotRun:
+		return o.Cause
+	case Unusable:
+		return o.Cause
 	case Unknown:
-		addCause(f, o.Cause)
+		return o.Cause
 	case Interrupted:
-		f["lastEvent"] = j.lastEventID
-		addCause(f, o.Cause)
+		return o.Cause
+	case Disconnected:
+		return o.Cause
 	case Moved:
-		f["lastEvent"] = j.lastEventID
-		addCause(f, errMoved)
+		return errMoved
+	default:
+		return nil
 	}
-	j.relay.Log.WithFields(f).Info("another attempt follows")
 }
 
 func addCause(f logrus.Fields, err error) {
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
@@ -34,14 +35,52 @@
 	// seq orders attempts by their start, and deadline is that of the request.
 	seq      uint64
 	deadline time.Time
-	cancel   context.CancelCauseFunc
-	// next is the assignment with which the request continues, if moved is true. State.mu guards it
-	// and the fields below. pinned means that the attempt may no longer be moved.
-	next          Assignment
+	// begin begins to move the attempt to the endpoint of an assignment. It is called with State.mu held.
+	begin func(next Assignment)
+	// moved means that the attempt is being moved, and pinned that it may no longer be. State.mu guards
+	// both.
 	moved, pinned bool
+
+	mu sync.Mutex // guards the fields below; it may be locked while State.mu is held
+	// at is what the caller has received, and handover the move in progress, or nil.
+	at       position
+	handover *handover
+}
+
+// startHandover begins a move and returns what the caller has received.
+func (r *movableAttempt) startHandover(h *handover) position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handover = h
+	return r.at
 }
 
-// pin keeps an attempt from being moved. It returns false if it has been moved already.
+// currentHandover returns the move in progress, or nil. The attempt r may be nil.
+func (r *movableAttempt) currentHandover() *handover {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.handover
+}
+
+// advance records what the caller is about to receive. It returns false if a move is in progress, during
+// which nothing may be forwarded. The attempt r may be nil.
+func (r *movableAttempt) advance(at position) bool {
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.handover != nil {
+		return false
+	}
+	r.at = at
+	return true
+}
+
+// pin keeps an attempt from being moved. It returns false if it is being moved already.
 func (st *State) pin(r *movableAttempt) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -65,9 +104,8 @@
 	st.movable[id][r] = true
 }
 
-// unregisterMovable removes an attempt and returns whether it was moved, and if so the next
-// assignment.
-func (st *State) unregisterMovable(r *movableAttempt) (Assignment, bool) {
+// unregisterMovable removes an attempt and returns whether it is being moved.
+func (st *State) unregisterMovable(r *movableAttempt) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	id := r.assigned.Endpoint.ID
@@ -75,7 +113,17 @@
 	if len(st.movable[id]) == 0 {
 		delete(st.movable, id)
 	}
-	return r.next, r.moved
+	return r.moved
+}
+
+// keep ends the move of an attempt that goes on where it is. again means that it may be moved once more,
+// with the query q.
+func (st *State) keep(r *movableAttempt, q placement.Query, again bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.query, r.moved, r.pinned, r.handover = q, false, !again, nil
 }
 
 // moveOffSlowEngines moves requests off engines that hold up their group. mu must be held.
@@ -87,7 +135,9 @@
 // continues at another engine after its prompt has been read again there.
 //
 // Only resumable streams with an attempt and a second left are moved, within the retry budget, and
-// only to an engine with a free slot. So no stream is lost by being moved.
+// only to an engine with a free slot. A stream goes on where it is if the next engine turns it down
+// within handoverTime; if that engine fails later, the stream is resumed or broken off as after any
+// other failure.
 func (st *State) moveOffSlowEngines(now time.Time) {
 	for id, attempts := range st.movable {
 		ep, ok := st.endpoints[id]
@@ -113,13 +163,26 @@
 	}
 	supported := batch.MaxBatchAtSlowdown(s.Engine, st.maxGaps[ep.Service], slowdown)
 	running, _ := st.running(ep, now)
+	leaving := st.beingMoved(ep.ID)
+	running -= leaving
 	if running <= supported || running <= 0 {
 		return 0
 	}
-	mine := st.ownRunning[ep.ID]
+	mine := st.ownRunning[ep.ID] - leaving
 	return mine - mine*supported/running
 }
 
+// beingMoved returns how many of this entry's requests are being moved off an endpoint.
+func (st *State) beingMoved(id string) int {
+	n := 0
+	for r := range st.movable[id] {
+		if r.moved {
+			n++
+		}
+	}
+	return n
+}
+
 // newest returns the n attempts that started last, which have the most output left to produce.
 func newest(attempts map[*movableAttempt]bool, n int) []*movableAttempt {
 	if n <= 0 {
@@ -135,8 +198,8 @@
 	return out[:min(n, len(out))]
 }
 
-// move assigns a request to another engine and cancels its attempt. It returns false if no further
-// request can be moved now.
+// move begins to move a request to another engine. It returns false if no further request can be moved
+// now.
 func (st *State) move(r *movableAttempt, now time.Time) bool {
 	if r.deadline.Sub(now) < minTimeToMove {
 		return true
@@ -149,39 +212,58 @@
 		return false
 	}
 	st.budget(r.service.Name, now).TrySpend(now)
-	r.next, r.moved = assigned, true
-	r.cancel(errMoved)
+	r.moved = true
+	r.begin(assigned)
 	return true
 }
 
-// runMovable runs an attempt, which may be moved meanwhile if the request permits it. It returns
-// the assignment with which the request continues if it was moved.
-func (j *job) runMovable(ctx context.Context, assigned Assignment) (Outcome, Assignment) {
+// runMovable runs an attempt, which may be moved meanwhile if the request permits it. from is the move
+// with which it began, or nil. It returns the move with which the request goes on, or nil.
+func (j *job) runMovable(ctx context.Context, assigned Assignment, from *handover) (Outcome, *handover) {
+	attemptCtx, cancel := j.attemptContext(ctx, from)
+	defer cancel(nil)
 	if !j.mayMove() {
-		return j.attempt(ctx, assigned), Assignment{}
+		return j.attempt(attemptCtx, assigned, from), nil
 	}
 	st := j.relay.State
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	movable := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, deadline: j.deadline, cancel: cancel}
-	st.registerMovable(movable)
-	j.movable = movable
-	o := j.attempt(attemptCtx, assigned)
+	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, deadline: j.deadline, at: j.position()}
+	r.begin = j.beginHandover(ctx, r, cancel)
+	st.registerMovable(r)
+	j.movable = r
+	o := j.attempt(attemptCtx, assigned, from)
 	j.movable = nil
-	next, moved := st.unregisterMovable(movable)
-	if !moved {
-		return o, Assignment{}
+	if !st.unregisterMovable(r) {
+		return o, nil
+	}
+	next := j.endHandover(ctx, r.currentHandover())
+	if next != nil && errors.Is(context.Cause(attemptCtx), errMoved) {
+		return movedOutcome(o), next
 	}
+	return o, next
+}
+
+// movedOutcome returns the outcome of an attempt that was ended for a move, and otherwise ended with o.
+func movedOutcome(o Outcome) Outcome {
 	switch o.(type) {
-	case Delivered, Failed, Unusable, NotRun:
-		// The attempt completed at the moment at which it was moved.
+	case Failed, Unusable, NotRun:
+		return o // it had ended before
 	default:
-		if ctx.Err() == nil {
-			return Moved{}, next
-		}
+		return Moved{}
+	}
+}
+
+// attemptContext returns the context of an attempt. That of one which began with a move is that of the
+// move.
+func (j *job) attemptContext(ctx context.Context, from *handover) (context.Context, context.CancelCauseFunc) {
+	if from != nil {
+		return from.ctx, from.cancel
 	}
-	st.Release(next, Unused{}, j.relay.Now())
-	return o, Assignment{}
+	return context.WithCancelCause(ctx)
+}
+
+// position returns what the caller has received.
+func (j *job) position() position {
+	return position{progress: j.progress, lastEventID: j.lastEventID, contentType: j.contentType}
 }
 
 // mayMove reports whether the request may continue at another endpoint once more.
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -100,6 +100,8 @@
 		return End
 	}
 	switch o := o.(type) {
+	case Unused:
+		return Retry
 	case NotRun:
 		if !o.Sent {
 			return retryIf(counts.Unsent < maxUnsentAttempts)
