The event loop reaches its pollers whichever descriptor numbers are free

Cause: which poller a connection belongs to follows from its descriptor's number. The start opened eight connections a poller and gave up. Where many numbers of one poller are free, all of them are of that poller: the surplus ones stay open until the others get their turn, which takes as many connections as there are such numbers. A process at its very start has none of them; one that starts further servers, as tests do, may.

Change: the number of connections is not bounded any more, but the time is (2 s; one takes about 0.1 ms).

--- a/internal/eventloop/gate.go
+++ b/internal/eventloop/gate.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// maxProbesPerPoller bounds the connections that Gate opens to reach all pollers, as a multiple
-	// of the number of pollers.
-	maxProbesPerPoller = 8
+	// reachTimeout bounds the time for which Gate opens connections to reach all pollers. How many it
+	// takes depends on which numbers are free in the process, and changes while others are opened and
+	// closed; one takes about 0.1 ms.
+	reachTimeout = 2 * time.Second
 	// replaceRetryDelay is the delay between two attempts to replace a probe's connection.
 	replaceRetryDelay = 50 * time.Millisecond
 	// dialTimeout bounds the opening of one connection within the process.
@@ -143,9 +144,9 @@
 			err = errors.Join(err, c.Close())
 		}
 	}()
-	for range maxProbesPerPoller * g.engine.NPoller {
-		if len(missing) == 0 {
-			return nil
+	for end := time.Now().Add(reachTimeout); len(missing) > 0; {
+		if time.Now().After(end) {
+			return errPollerNotReached
 		}
 		client, server, err := dialPair(ln)
 		if err != nil {
@@ -164,9 +165,6 @@
 		}
 		delete(missing, p.poller)
 	}
-	if len(missing) > 0 {
-		return errPollerNotReached
-	}
 	return nil
 }
 
