Streams are not moved to an engine whose last answer was a failure

What callers saw: nothing by this alone, since a stream that is turned down goes on where it was.

Cause: the choice of the next engine leaves an engine out after two failures in a row, because requests may fail for reasons of their own and capacity is scarce. A move is never necessary, so it need not take that risk.

TestStreamsAreNotMovedToAnEngineThatJustFailed failed before (six of six streams are spread over e0, e1 and e3) and covers an engine that has answered since.

--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -207,7 +207,9 @@
 	if !st.budget(r.service.Name, now).CanRetry(now) {
 		return false
 	}
-	assigned, e := st.choose(r.service, r.query, now)
+	q := r.query
+	q.Excluded = slices.Concat(q.Excluded, st.lastFailed(r.service.Name))
+	assigned, e := st.choose(r.service, q, now)
 	if e != nil {
 		return false
 	}
@@ -217,6 +219,18 @@
 	return true
 }
 
+// lastFailed returns the endpoints of a service whose last answer to this entry was a failure. A move is
+// never necessary, so it does not take the risk of another one.
+func (st *State) lastFailed(service string) []string {
+	var ids []string
+	for id, n := range st.failures {
+		if n > 0 && st.endpoints[id].Service == service {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // runMovable runs an attempt, which may be moved meanwhile if the request permits it. from is the move
 // with which it began, or nil. It returns the move with which the request goes on, or nil.
 func (j *job) runMovable(ctx context.Context, assigned Assignment, from *handover) (Outcome, *handover) {
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -172,3 +172,22 @@
 		}
 	}
 }
+
+// One engine fails a part of its requests. Guards against moving streams to it, each of which loses an
+// attempt there, and against leaving it out when it has answered since.
+func TestStreamsAreNotMovedToAnEngineThatJustFailed(t *testing.T) {
+	for _, answeredSince := range []bool{false, true} {
+		t.Run(fmt.Sprintf("answered since %t", answeredSince), func(t *testing.T) {
+			g := newSlowGroup(t, 24)
+			g.st.recordFailure(assignedTo("e1"), start)
+			if answeredSince {
+				delete(g.st.failures, "e1")
+			}
+			g.report(start, 1, 1, 12, 1)
+			off, onto := g.moved(t)
+			if off["e2"] == 0 || onto["e1"] > 0 != answeredSince {
+				t.Errorf("moved off %v, onto %v", off, onto)
+			}
+		})
+	}
+}
