A stream goes on with a content type that differs in its parameters

What callers saw: a stream was broken off although the next engine went on with it, where one of the two names the charset of its events and the other doesn't, as two versions of an engine may during a release.

Cause: the content types were compared as text. Events are in UTF-8 whether a charset is named or not, so the media types decide.

TestStreamGoesOnWithAnotherCharsetParameter failed before: the stream ended behind the events of the first engine.

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// An engine breaks off a stream, and the next one names the charset of its events. Guards against breaking
+// off a stream that goes on there.
+func TestStreamGoesOnWithAnotherCharsetParameter(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	s.endpoints[0].Behave(standin.Tears)
+	s.endpoints[1].ContentType = "text/event-stream; charset=utf-8"
+	s.wantWholeRaw(s.resumedStream(s.start("entry1", s.store.Addr())), 5)
+}
+
 // Both engines break off a stream that has events without a number. Guards against resuming it, which
 // gives the caller these events twice.
 func TestStreamWithUnnumberedEventsIsNotResumed(t *testing.T) {
--- a/internal/frontend/movedstream_test.go
+++ b/internal/frontend/movedstream_test.go
@@ -38,12 +38,7 @@
 // wantWholeRaw checks that the bytes are one complete stream, with each event once and in order.
 func (s *system) wantWholeRaw(raw string, events int) {
 	s.t.Helper()
-	var got, want []string
-	for _, line := range strings.Split(raw, "\n") {
-		if strings.HasPrefix(line, "id: ") {
-			got = append(got, line)
-		}
-	}
+	got, want := eventNumbers(raw), []string(nil)
 	for i := 1; i <= events; i++ {
 		want = append(want, fmt.Sprint("id: ", i))
 	}
@@ -52,6 +47,17 @@
 	}
 }
 
+// eventNumbers returns the lines with the numbers of a stream's events.
+func eventNumbers(body string) []string {
+	var out []string
+	for _, line := range strings.Split(body, "\n") {
+		if strings.HasPrefix(line, "id: ") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // A stream is to be moved off a slow engine, and the next one fails it, refuses it or breaks off at once.
 // Guards against breaking off a stream that the slow engine would have ended.
 func TestStreamGoesOnWhereItWasIfTheNextEngineFails(t *testing.T) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -93,7 +93,7 @@
 	if err := j.checkAnswer(resp, info); err != nil {
 		return answerHead{resp: resp, outcome: Unknown{Cause: err}}
 	}
-	sameType := resp.Header.Get("Content-Type") == p.contentType
+	sameType := sameMediaType(resp.Header.Get("Content-Type"), p.contentType)
 	use := UseOf(p.progress, j.route.RetrySemantics, resp.Status, sameType)
 	if use == ForwardNothing {
 		return answerHead{resp: resp, outcome: j.discardUnusable(assigned, resp)}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"mime"
 	"net/http"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
@@ -51,6 +52,17 @@
 	}
 }
 
+// sameMediaType reports whether two content types name the same type. Their parameters may differ:
+// engines of two versions may name the charset or not, and events are in UTF-8 in either case.
+func sameMediaType(a, b string) bool {
+	typeOfA, _, errA := mime.ParseMediaType(a)
+	typeOfB, _, errB := mime.ParseMediaType(b)
+	if errA != nil || errB != nil {
+		return a == b
+	}
+	return typeOfA == typeOfB
+}
+
 // Conclusion is what the caller still gets when no attempt follows: Complete, PassOn, Refuse or
 // BreakOff.
 type Conclusion interface{ conclusion() }
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -135,3 +135,26 @@
 		t.Errorf("a stream that may run only once: decision %d", got)
 	}
 }
+
+// TestContentTypesThatDifferInParameters guards against a stream that is broken off because the next
+// engine names the charset and the first one did not, and against going on with another type.
+func TestContentTypesThatDifferInParameters(t *testing.T) {
+	for _, c := range []struct {
+		a, b string
+		same bool
+	}{
+		{"text/event-stream", "text/event-stream", true},
+		{"text/event-stream", "text/event-stream; charset=utf-8", true},
+		{"text/event-stream;charset=UTF-8", "Text/Event-Stream", true},
+		{"text/event-stream", "text/plain", false},
+		{"text/event-stream", "", false},
+		{"", "", true},
+		{"text/event-stream; =", "text/event-stream", false},
+	} {
+		t.Run(fmt.Sprintf("%q, %q", c.a, c.b), func(t *testing.T) {
+			if got := sameMediaType(c.a, c.b); got != c.same {
+				t.Errorf("same type %t, want %t", got, c.same)
+			}
+		})
+	}
+}
