HEAD on a route of streams is run once and answered

What callers saw: 502 for a HEAD request on a route of streams, behind two runs at two engines.

Cause: the missing body was taken for a stream that ended before its first event, that is for an engine that broke off. The answer to HEAD has no events: it is forwarded whole, as that of any other route.

TestHeadOfAStreamIsRunOnce failed before: status 502, 2 runs.

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -233,3 +233,24 @@
 		t.Fatalf("%v, %v, %d runs", resp, err, s.runs("s1"))
 	}
 }
+
+// A caller asks for the head of a stream's answer. Guards against taking the missing body for a stream that
+// was broken off, which runs the request twice and answers 502.
+func TestHeadOfAStreamIsRunOnce(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, 2)
+	e := s.start("entry1", s.store.Addr())
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodHead, "http://"+e.CallerAddress()+"/stream/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header = http.Header{"X-Hyssoprelay-Attempt-Id": {"s1"}, "X-Api-Key": {"k1"}}
+	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := resp.Body.Close(); err != nil || resp.StatusCode != http.StatusOK || s.runs("s1") != 1 {
+		t.Errorf("status %d, %d runs, %v", resp.StatusCode, s.runs("s1"), err)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -94,13 +94,18 @@
 		return answerHead{resp: resp, outcome: Unknown{Cause: err}}
 	}
 	sameType := sameMediaType(resp.Header.Get("Content-Type"), p.contentType)
-	use := UseOf(p.progress, j.route.RetrySemantics, resp.Status, sameType)
+	use := UseOf(p.progress, j.isStreamed(), resp.Status, sameType)
 	if use == ForwardNothing {
 		return answerHead{resp: resp, outcome: j.discardUnusable(assigned, resp)}
 	}
 	return answerHead{resp: resp, use: use}
 }
 
+// isStreamed reports whether the request asks for a stream. The answer to HEAD has no events.
+func (j *job) isStreamed() bool {
+	return j.route.RetrySemantics == routing.Stream && j.raw.Method != http.MethodHead
+}
+
 // discardUnusable reads an answer that can't be forwarded for the sake of its connection alone.
 func (j *job) discardUnusable(assigned Assignment, resp *direct.Response) Outcome {
 	now := j.relay.Now()
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -6,7 +6,6 @@
 	"mime"
 	"net/http"
 
-	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
@@ -36,10 +35,11 @@
 	ForwardNothing
 )
 
-// UseOf returns how an answer of the given status may be forwarded. sameType means that its content
-// type is that of the stream of which the caller has a part.
-func UseOf(p Progress, semantics routing.RetrySemantics, status int, sameType bool) AnswerUse {
-	events := semantics == routing.Stream && status == http.StatusOK
+// UseOf returns how an answer of the given status may be forwarded. streamed means that the request asks
+// for a stream, and sameType that the answer's content type is that of the stream of which the caller has
+// a part.
+func UseOf(p Progress, streamed bool, status int, sameType bool) AnswerUse {
+	events := streamed && status == http.StatusOK
 	switch {
 	case p == NothingSent && events:
 		return ForwardEvents
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -100,9 +100,9 @@
 // on with.
 func TestUseOfAnswersFitsWhatWasSent(t *testing.T) {
 	for _, status := range []int{200, 201, 204, 206, 302, 400, 404, 429, 500, 503} {
-		for _, semantics := range []routing.RetrySemantics{routing.Idempotent, routing.RunOnce, routing.Stream} {
+		for _, streamed := range []bool{true, false} {
 			for _, sameType := range []bool{true, false} {
-				events := semantics == routing.Stream && status == http.StatusOK
+				events := streamed && status == http.StatusOK
 				unsent, part := ForwardWhole, ForwardNothing
 				if events {
 					unsent = ForwardEvents
@@ -111,8 +111,8 @@
 					part = ForwardEvents
 				}
 				for p, want := range map[Progress]AnswerUse{NothingSent: unsent, PartSent: part, WholeSent: ForwardNothing} {
-					if got := UseOf(p, semantics, status, sameType); got != want {
-						t.Errorf("progress %d, %v, status %d, same type %t: got %d, want %d", p, semantics, status, sameType, got, want)
+					if got := UseOf(p, streamed, status, sameType); got != want {
+						t.Errorf("progress %d, streamed %t, status %d, same type %t: got %d, want %d", p, streamed, status, sameType, got, want)
 					}
 				}
 			}
