A stream that isn't resumable is forwarded as its endpoint sends it

What callers saw: a caller that named the last event that it has, on a route whose streams can't be resumed, lost the first events of a stream that began anew, and couldn't tell: the answer had its end.

Cause: the number with which a caller resumes had events skipped on each route, although the endpoint of such a route need not know it. The entry now skips nothing there and accepts either beginning, event 1 or the one behind that number.

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -234,6 +235,32 @@
 	}
 }
 
+// A caller names the last event that it has on a route whose streams can't be resumed. Guards against
+// leaving out events that the endpoint sends, and against breaking off an answer that goes on behind them.
+func TestStreamThatIsNotResumableIsForwardedAsSent(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		anew int
+		want []string
+	}{
+		"begins anew": {4, []string{"id: 1", "id: 2", "id: 3", "id: 4"}},
+		"goes on":     {0, []string{"id: 3", "id: 4", "id: 5"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 1)
+			s.store.Put("op/config", bytes.Replace(config(2, `"k1"`), []byte(`"resumable":true,`), nil, 1))
+			s.endpoints[0].BeginAnew(c.anew)
+			e := s.start("entry1", s.store.Addr())
+			resp := e.requestWithHeader(context.Background(), "/stream/1", "s1", "k1", http.Header{"Last-Event-Id": {"2"}})
+			s.wantStatus(resp, http.StatusOK)
+			if got := eventNumbers(resp.body); !slices.Equal(got, c.want) || resp.err != nil {
+				t.Errorf("events %q, want %q, %v", got, c.want, resp.err)
+			}
+		})
+	}
+}
+
 // A caller asks for the head of a stream's answer. Guards against taking the missing body for a stream that
 // was broken off, which runs the request twice and answers 502.
 func TestHeadOfAStreamIsRunOnce(t *testing.T) {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -77,7 +77,7 @@
 			}
 			continue
 		}
-		if ev.HasID && ev.ID != j.lastEventID+1 {
+		if ev.HasID && !j.isNext(ev.ID) {
 			return j.readErrorOutcome(ctx, errEventOrder)
 		}
 		if err := j.forwardEvent(ctx, assigned, resp, ev); err != nil {
@@ -86,6 +86,12 @@
 	}
 }
 
+// isNext reports whether an event with the number id may follow what the caller has. A stream that isn't
+// resumable is forwarded as the endpoint sends it, whether it goes on where the caller asked or begins anew.
+func (j *job) isNext(id int64) bool {
+	return id == j.lastEventID+1 || j.progress == NothingSent && j.resumed > 0 && id == j.resumed+1
+}
+
 // checkEnd returns an error if the end of an attempt's answer may not be the end of the stream.
 func (j *job) checkEnd(resp *direct.Response) error {
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,6 +89,8 @@
 	lastFailure *BufferedAnswer
 	// lastEventID is the number of the last event that the caller has received.
 	lastEventID int64
+	// resumed is the number of the event behind which the caller asks to go on, or zero.
+	resumed int64
 	// unnumbered means that the caller has received an event without a number. Such a stream goes on
 	// nowhere else: the caller would get the event twice.
 	unnumbered bool
@@ -178,7 +180,10 @@
 	if j.isTrial, e = st.checkSubjects(j.subjects(), now); e != nil {
 		return e
 	}
-	j.lastEventID = parseEventID(j.requestInfo.Resume)
+	j.resumed = parseEventID(j.requestInfo.Resume)
+	if j.route.Resumable {
+		j.lastEventID = j.resumed
+	}
 	return nil
 }
 
