A late request is refused with 503 while its deadline has not passed

Cause: the queue's deadline of a late request is the time by which it must start to be whole in time, and its refusal behind that was passed on as if the caller's own deadline had passed.

Change: it is refused as deadlineUnmeetable (503, not run) while the caller's deadline lies ahead. There is no Retry-After, as before: a later start can't be in time.

TestRefusalClaimsNoDeadlineThatHasNotPassed failed before in its first case.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -84,7 +84,17 @@
 	if left := st.serviceRest(w.req.Service, state.closedEngines, now); left > 0 {
 		return restRefusal(left)
 	}
-	return result.New(r.Code, "").WithRetryAfter(r.RetryAfter)
+	return result.New(refusalCode(r.Code, w.req.Deadline, now), "").WithRetryAfter(r.RetryAfter)
+}
+
+// refusalCode returns the code with which a caller is refused that the queue refused with code. The
+// queue's deadline of a late request is the time by which it must start, so the caller's own deadline may
+// not have passed: such a caller is told that its request was not run, which 504 doesn't promise.
+func refusalCode(code result.Code, deadline, now time.Time) result.Code {
+	if code == result.DeadlinePassed && now.Before(deadline) {
+		return result.DeadlineUnmeetable
+	}
+	return code
 }
 
 // excludeFromDrainRate keeps the time up to now out of the drain rate that the queue measures for a
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -354,3 +354,25 @@
 func startedOnly(started []admission.Request, _ []admission.QueuedRefusal) []admission.Request {
 	return started
 }
+
+// TestRefusalClaimsNoDeadlineThatHasNotPassed guards against 504 for a late request that was never run and
+// whose caller still has time: it doesn't promise that the request was not run, as 503 does.
+func TestRefusalClaimsNoDeadlineThatHasNotPassed(t *testing.T) {
+	st, s := newGroup(2)
+	for _, c := range []struct {
+		left time.Duration
+		code result.Code
+		want result.Code
+	}{
+		{time.Second, result.DeadlinePassed, result.DeadlineUnmeetable},
+		{0, result.DeadlinePassed, result.DeadlinePassed},
+		{-time.Second, result.DeadlinePassed, result.DeadlinePassed},
+		{time.Second, result.DeadlineUnmeetable, result.DeadlineUnmeetable},
+		{time.Second, result.Displaced, result.Displaced},
+	} {
+		t.Run(fmt.Sprintf("%v left, %v", c.left, c.code), func(t *testing.T) {
+			w := &waiter{req: AdmitRequest{Service: s, Deadline: start.Add(c.left)}}
+			wantCode(t, st.queueRefusal(w, admission.Refused{Code: c.code}, start), c.want)
+		})
+	}
+}
