A failure with a long body turns a move down at once

What callers would see: a stream broken off as before, if the engine to which it is to be moved fails it with a body that takes 100 ms or more.

Cause: in the move that waits for the next engine, the body of an unusable answer was read before the verdict, for the sake of its connection; its time limit is that of the move.

Change: the head decides, and the body is read behind that. The new case of TestStreamGoesOnWhereItWasIfTheNextEngineFails (a failure whose body has no end) failed before in 3 of 3 runs and passes now. A result that errcheck missed is dropped with its reason.

--- a/internal/frontend/movedstream_test.go
+++ b/internal/frontend/movedstream_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	base "github.com/hyssoprelay/hyssoprelay/internal/standin"
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
@@ -64,6 +65,9 @@
 	t.Parallel()
 	failures := map[string]func(*standin.Endpoint){
 		"resets": func(ep *standin.Endpoint) { ep.Behave(standin.Resets) },
+		"a failure whose body has no end": func(ep *standin.Endpoint) {
+			ep.AnswerEndless(&base.EndlessSender{Element: base.Failure, Rate: 1000})
+		},
 	}
 	for _, status := range statusesWithinAStream {
 		failures[fmt.Sprint(status)] = func(ep *standin.Endpoint) { ep.FailWith(status) }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -58,10 +58,26 @@
 	}
 }
 
+// discard reads the body of an answer of which no part may be forwarded, for the sake of its connection
+// alone, and returns the head with why it could not be read, if it could not.
+func (a answerHead) discard() answerHead {
+	switch o := a.outcome.(type) {
+	case NotRun:
+		if o.Sent {
+			o.Cause = a.resp.Discard()
+		}
+		a.outcome = o
+	case Unusable:
+		o.Cause = a.resp.Discard()
+		a.outcome = o
+	}
+	return a
+}
+
 // head returns the head of the answer to the request, which it sends unless the move from has done so.
 func (j *job) head(ctx context.Context, assigned Assignment, from *handover) answerHead {
 	if from == nil {
-		return j.ask(ctx, assigned, j.position(), &j.exchange)
+		return j.ask(ctx, assigned, j.position(), &j.exchange).discard()
 	}
 	<-from.answered
 	j.exchange = from.exchange
@@ -88,7 +104,7 @@
 	}
 	if info.NotRun {
 		// The head has said so, whatever the body contains.
-		return answerHead{resp: resp, outcome: NotRun{Sent: true, Code: notRunCode(info, resp.Status), Cause: resp.Discard()}}
+		return answerHead{resp: resp, outcome: NotRun{Sent: true, Code: notRunCode(info, resp.Status)}}
 	}
 	if err := j.checkAnswer(resp, info); err != nil {
 		return answerHead{resp: resp, outcome: Unknown{Cause: err}}
@@ -96,7 +112,8 @@
 	sameType := sameMediaType(resp.Header.Get("Content-Type"), p.contentType)
 	use := UseOf(p.progress, j.isStreamed(), resp.Status, sameType)
 	if use == ForwardNothing {
-		return answerHead{resp: resp, outcome: j.discardUnusable(assigned, resp)}
+		j.recordUnusable(assigned, resp.Status)
+		return answerHead{resp: resp, outcome: Unusable{Status: resp.Status}}
 	}
 	return answerHead{resp: resp, use: use}
 }
@@ -106,14 +123,13 @@
 	return j.route.RetrySemantics == routing.Stream && j.raw.Method != http.MethodHead
 }
 
-// discardUnusable reads an answer that can't be forwarded for the sake of its connection alone.
-func (j *job) discardUnusable(assigned Assignment, resp *direct.Response) Outcome {
+// recordUnusable records an answer of the given status that can't be forwarded.
+func (j *job) recordUnusable(assigned Assignment, status int) {
 	now := j.relay.Now()
-	if resp.Status/100 == 2 {
+	if status/100 == 2 {
 		j.clearParts(now)
 	}
 	j.relay.State.PartReceived(assigned, now)
-	return Unusable{Status: resp.Status, Cause: resp.Discard()}
 }
 
 // recordLimit records the request rate that the endpoint accepts according to its answer. An answer
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -130,15 +130,16 @@
 			endRunning(errMoved)
 		}
 	})
-	h.head = j.askNext(h)
+	head := j.askNext(h)
 	overdue.Stop()
 	next := NextUsable
-	if h.head.outcome != nil || h.head.use != ForwardEvents {
+	if head.outcome != nil || head.use != ForwardEvents {
 		next = NextUnusable
 	}
 	if h.decide(Running, next) && next == NextUsable {
 		endRunning(errMoved)
 	}
+	h.head = head.discard() // behind the verdict, as the body of a failure may take its time
 }
 
 // askNext sends the request to the next endpoint, unless it is refused by now.
@@ -209,7 +210,7 @@
 	// What is recorded of the last attempt is that of the running one.
 	began, exchange := j.answerBegan, j.exchange
 	j.answerBegan, j.exchange = false, h.exchange
-	j.noteOutcome(ctx, h.next, o)
+	_, _ = j.noteOutcome(ctx, h.next, o) // the running attempt is no repeat
 	j.relay.Metrics.notMoved.Inc(1)
 	j.logNotMoved(h.next, o)
 	j.answerBegan, j.exchange = began, exchange
