A stream moves when the next engine has sent an event of it

Cause: the head of the next answer was taken for the stream.

An answer that breaks off or ends before it turns the move down, and the running attempt goes on.

Two new cases of TestStreamGoesOnWhereItWasIfTheNextEngineFails (breaks off within an event, ends without one) failed before.

--- a/internal/endpoint/direct/events.go
+++ b/internal/endpoint/direct/events.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// Await blocks until Next has a block to return, and returns the error of Next if there is none.
+func (e *EventReader) Await() error {
+	for !e.Buffered() {
+		if e.err != nil {
+			return e.err
+		}
+		e.fill()
+	}
+	return nil
+}
+
 // check returns an error for a block that belongs to another response, or that exceeds a limit.
 func (e *EventReader) check(ev Event) error {
 	if e.foreign != nil && e.foreign(ev.Raw) {
--- a/internal/frontend/movedstream_test.go
+++ b/internal/frontend/movedstream_test.go
@@ -65,6 +65,10 @@
 	t.Parallel()
 	failures := map[string]func(*standin.Endpoint){
 		"resets": func(ep *standin.Endpoint) { ep.Behave(standin.Resets) },
+		"breaks off within an event": func(ep *standin.Endpoint) {
+			ep.AnswerUnframed(&standin.Unframed{Events: -1, Text: "id: 2\ndata: pa"})
+		},
+		"ends without an event": func(ep *standin.Endpoint) { ep.AnswerUnframed(&standin.Unframed{Events: -1}) },
 		"a failure whose body has no end": func(ep *standin.Endpoint) {
 			ep.AnswerEndless(&base.EndlessSender{Element: base.Failure, Rate: 1000})
 		},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -37,16 +37,17 @@
 	case head.outcome != nil:
 		return head.outcome
 	case head.use == ForwardEvents:
-		return j.forwardStream(ctx, assigned, head.resp)
+		return j.forwardStream(ctx, assigned, head)
 	default:
 		return j.forwardWhole(ctx, assigned, head.resp)
 	}
 }
 
 // answerHead is the head of an endpoint's answer and how the answer may be forwarded. outcome is set if
-// no part of it may be.
+// no part of it may be. events reads the events, or is nil if none has been read.
 type answerHead struct {
 	resp    *direct.Response
+	events  *direct.EventReader
 	use     AnswerUse
 	outcome Outcome
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -45,8 +45,11 @@
 
 // forwardStream forwards events as they arrive. The header is sent to the caller with the first
 // event, so that another endpoint can take over if this one fails before that.
-func (j *job) forwardStream(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
-	events := resp.Events()
+func (j *job) forwardStream(ctx context.Context, assigned Assignment, head answerHead) Outcome {
+	resp, events := head.resp, head.events
+	if events == nil {
+		events = resp.Events()
+	}
 	for {
 		ev, err := events.Next()
 		if err == io.EOF {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -45,7 +47,7 @@
 	NextAsked NextState = iota
 	// NextOverdue means that there was no answer for handoverTime.
 	NextOverdue
-	// NextUsable means that the answer goes on with the stream.
+	// NextUsable means that the answer goes on with the stream, of which the first event is there.
 	NextUsable
 	// NextUnusable means that the stream can't go on there.
 	NextUnusable
@@ -130,7 +132,7 @@
 			endRunning(errMoved)
 		}
 	})
-	head := j.askNext(h)
+	head := awaitEvent(h, j.askNext(h))
 	overdue.Stop()
 	next := NextUsable
 	if head.outcome != nil || head.use != ForwardEvents {
@@ -151,6 +153,26 @@
 	return j.ask(h.ctx, h.next, h.from, &h.exchange)
 }
 
+// awaitEvent waits for the first event of an answer that may go on with a stream. One that ends before that,
+// or within the event, does not.
+func awaitEvent(h *handover, head answerHead) answerHead {
+	if head.outcome != nil || head.use != ForwardEvents {
+		return head
+	}
+	head.events = head.resp.Events()
+	err := head.events.Await()
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF) && head.resp.Framed():
+		head.outcome = Unusable{Status: head.resp.Status}
+	case h.ctx.Err() != nil:
+		head.outcome = lostOutcome(h.from.progress, errors.Join(h.ctx.Err(), err))
+	default:
+		head.outcome = lostOutcome(h.from.progress, err)
+	}
+	return head
+}
+
 // awaitHandover blocks while the stream is being moved. It returns false if it goes on elsewhere.
 func (j *job) awaitHandover(ctx context.Context) bool {
 	for {
