--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -78,8 +78,9 @@
 // handover is the move of a stream to the next endpoint. The running attempt forwards nothing until its
 // verdict is known, so that the next one goes on behind the last event that the caller has.
 type handover struct {
-	next   Assignment
-	from   position
+	next Assignment
+	from position
+	// ctx is the context of the next attempt, which begins before the running one ends.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// answered is closed when the next endpoint is no longer asked. head and exchange may be read then.
@@ -119,20 +120,20 @@
 		h := &handover{next: next, answered: make(chan struct{}), decided: make(chan struct{})}
 		h.ctx, h.cancel = context.WithCancelCause(ctx)
 		h.from = r.startHandover(h)
-		go j.runHandover(h, endRunning)
+		go j.runHandover(h.ctx, h, endRunning)
 	}
 }
 
 // runHandover asks the next endpoint, and ends the running attempt if the stream is to go on there. It
 // closes h.answered at its end.
-func (j *job) runHandover(h *handover, endRunning context.CancelCauseFunc) {
+func (j *job) runHandover(ctx context.Context, h *handover, endRunning context.CancelCauseFunc) {
 	defer close(h.answered)
 	overdue := time.AfterFunc(handoverTime, func() {
 		if h.decide(Running, NextOverdue) {
 			endRunning(errMoved)
 		}
 	})
-	head := awaitEvent(h, j.askNext(h))
+	head := awaitEvent(ctx, h.from.progress, j.askNext(ctx, h))
 	overdue.Stop()
 	next := NextUsable
 	if head.outcome != nil || head.use != ForwardEvents {
@@ -145,17 +146,17 @@
 }
 
 // askNext sends the request to the next endpoint, unless it is refused by now.
-func (j *job) askNext(h *handover) answerHead {
+func (j *job) askNext(ctx context.Context, h *handover) answerHead {
 	now := j.relay.Now()
 	if j.account != nil && j.checkKeyAge(now) != nil || j.relay.State.Refuses(j.subjects(), now) != nil {
 		return answerHead{outcome: Unused{}}
 	}
-	return j.ask(h.ctx, h.next, h.from, &h.exchange)
+	return j.ask(ctx, h.next, h.from, &h.exchange)
 }
 
 // awaitEvent waits for the first event of an answer that may go on with a stream. One that ends before that,
-// or within the event, does not.
-func awaitEvent(h *handover, head answerHead) answerHead {
+// or within the event, does not. p is what the caller has received.
+func awaitEvent(ctx context.Context, p Progress, head answerHead) answerHead {
 	if head.outcome != nil || head.use != ForwardEvents {
 		return head
 	}
@@ -165,10 +166,10 @@
 	case err == nil:
 	case errors.Is(err, io.EOF) && head.resp.Framed():
 		head.outcome = Unusable{Status: head.resp.Status}
-	case h.ctx.Err() != nil:
-		head.outcome = lostOutcome(h.from.progress, errors.Join(h.ctx.Err(), err))
+	case ctx.Err() != nil:
+		head.outcome = lostOutcome(p, errors.Join(ctx.Err(), err))
 	default:
-		head.outcome = lostOutcome(h.from.progress, err)
+		head.outcome = lostOutcome(p, err)
 	}
 	return head
 }
