Tests of moves don't depend on how fast the next engine answers

The time is a field of Relay now, with the same default; tests in which the next engine fails at once wait a minute for it, and those in which it fails late don't wait.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -71,6 +71,8 @@
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 	// maxHostWait, when set, is the MaxHostWait of entries.
 	maxHostWait time.Duration
+	// handoverTime, when set, is the HandoverTime of the entries' relays.
+	handoverTime time.Duration
 }
 
 func newSystem(t *testing.T, endpoints int) *system {
@@ -131,6 +133,7 @@
 		s.t.Fatal(err)
 	}
 	f.peerConns.Dial = s.dial
+	f.relay.HandoverTime = s.handoverTime
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	begin := func() { go func() { done <- f.Run(ctx) }() }
--- a/internal/frontend/movedstream_test.go
+++ b/internal/frontend/movedstream_test.go
@@ -12,6 +12,9 @@
 	"github.com/hyssoprelay/hyssoprelay/platform/standin"
 )
 
+// noOverdueMove is a time to wait for the next engine that no test reaches.
+const noOverdueMove = time.Minute
+
 // startMove requests a stream, waits until it has begun, and has it moved to the other engine, which
 // behaves as set by behave. The channel receives the bytes that the caller gets.
 func (s *system) startMove(e *entry, behave func(next *standin.Endpoint)) <-chan string {
@@ -79,7 +82,7 @@
 	for name, fail := range failures {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s, e := newGroupOfTwo(t)
+			s, e := newGroupOfTwo(t, noOverdueMove)
 			s.wantWholeRaw(<-s.startMove(e, fail), 5)
 			s.eventually("the failed move is logged", func() bool { return e.log.Has("stream is not moved") })
 		})
@@ -90,11 +93,11 @@
 // left. Guards against a second head within the body that the caller is reading.
 func TestFailureOfAMovedStreamBreaksItOff(t *testing.T) {
 	t.Parallel()
-	const afterHandover = 500 * time.Millisecond
+	const handoverTime, afterHandover = time.Millisecond, 500 * time.Millisecond
 	for _, status := range statusesWithinAStream {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
 			t.Parallel()
-			s, e := newGroupOfTwo(t)
+			s, e := newGroupOfTwo(t, handoverTime)
 			s.wantBrokenOff(<-s.startMove(e, func(ep *standin.Endpoint) { ep.FailLate(status, afterHandover) }))
 		})
 	}
@@ -104,7 +107,7 @@
 // beside those of the next one, and against events that are lost between them.
 func TestStreamMovesToAnEngineThatAnswersLate(t *testing.T) {
 	t.Parallel()
-	s, e := newGroupOfTwo(t)
+	s, e := newGroupOfTwo(t, 0)
 	for _, ep := range s.endpoints {
 		ep.Work = 300 * time.Millisecond
 	}
@@ -115,7 +118,7 @@
 // working for nobody.
 func TestCallerThatLeavesDuringAMoveFreesTheNextEngine(t *testing.T) {
 	t.Parallel()
-	s, e := newGroupOfTwo(t)
+	s, e := newGroupOfTwo(t, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan response, 1)
--- a/internal/frontend/streams_test.go
+++ b/internal/frontend/streams_test.go
@@ -57,7 +57,7 @@
 // of the stream.
 func TestStreamIsMovedOffASlowEngine(t *testing.T) {
 	t.Parallel()
-	s, e := newGroupOfTwo(t)
+	s, e := newGroupOfTwo(t, 0)
 	responses := make(chan response, 1)
 	go func() { responses <- e.request(context.Background(), "/stream/1", "s1", "k1") }()
 	s.moveStream(e, "s1")
@@ -65,10 +65,12 @@
 	s.eventually("the move is logged", func() bool { return e.log.Has(`"outcome":"moved"`) })
 }
 
-// newGroupOfTwo starts an entry and two engines of one group, which pause for 200 ms between events.
-func newGroupOfTwo(t *testing.T) (*system, *entry) {
+// newGroupOfTwo starts an entry and two engines of one group, which pause for 200 ms between events. A
+// moved stream waits for the other engine for handoverTime, or as usual if it is zero.
+func newGroupOfTwo(t *testing.T, handoverTime time.Duration) (*system, *entry) {
 	t.Helper()
 	s := newSystem(t, 2)
+	s.handoverTime = handoverTime
 	s.store.Put("op/config", bytes.Replace(config(2, `"k1"`), []byte(`"maxConnections":100`),
 		[]byte(`"maxConnections":100,"engine":{"slots":4,"stride":4,"step_ms":5,"per_seq_ms":1,"expertShare":0.85}`), 1))
 	for _, ep := range s.endpoints {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -10,10 +11,10 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/direct"
 )
 
-// handoverTime is how long a moved stream waits for the answer of the next endpoint before its running
-// attempt ends. Endpoints that fail or refuse a request at once do so within a few round trips. A sound
-// engine answers when it has read the prompt, and until the running attempt ends, it holds up its group.
-const handoverTime = 100 * time.Millisecond
+// defaultHandoverTime is the default of Relay.HandoverTime. Endpoints that fail or refuse a request at once
+// do so within a few round trips. A sound engine answers when it has read the prompt, and until the running
+// attempt ends, it holds up its group.
+const defaultHandoverTime = 100 * time.Millisecond
 
 // Verdict says which of two attempts goes on with a stream that is being moved.
 type Verdict int
@@ -45,7 +46,7 @@
 const (
 	// NextAsked means that there is no answer yet.
 	NextAsked NextState = iota
-	// NextOverdue means that there was no answer for handoverTime.
+	// NextOverdue means that there was no answer for Relay.HandoverTime.
 	NextOverdue
 	// NextUsable means that the answer goes on with the stream, of which the first event is there.
 	NextUsable
@@ -128,7 +129,7 @@
 // closes h.answered at its end.
 func (j *job) runHandover(ctx context.Context, h *handover, endRunning context.CancelCauseFunc) {
 	defer close(h.answered)
-	overdue := time.AfterFunc(handoverTime, func() {
+	overdue := time.AfterFunc(cmp.Or(j.relay.HandoverTime, defaultHandoverTime), func() {
 		if h.decide(Running, NextOverdue) {
 			endRunning(errMoved)
 		}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -136,7 +136,7 @@
 //
 // Only resumable streams with an attempt and a second left are moved, within the retry budget, and
 // only to an engine with a free slot. A stream goes on where it is if the next engine turns it down
-// within handoverTime; if that engine fails later, the stream is resumed or broken off as after any
+// within Relay.HandoverTime; if that engine fails later, the stream is resumed or broken off as after any
 // other failure.
 func (st *State) moveOffSlowEngines(now time.Time) {
 	for id, attempts := range st.movable {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,9 @@
 	// change of an endpoint's limit.
 	Log     logrus.FieldLogger
 	Metrics *Metrics
+	// HandoverTime is how long a moved stream waits for an event of the next endpoint before its running
+	// attempt ends. Zero selects the default of 100 ms.
+	HandoverTime time.Duration
 	// AnnounceEnd, if set, tells the other entries that an endpoint has ended under a request, and
 	// returns when they know.
 	AnnounceEnd func(ctx context.Context, c quarantine.Case)
