The test of a frozen agent waits until the agent has stopped

Cause, from the records that it left: SIGSTOP was sent before 18.9034 s; the agent still accepted the order (18.9056) and passed it to its service, which ran it (18.9073), and then stopped with the claim. An order that may have run is not run again, so each later attempt ended with 'an earlier attempt holds the claim and its agent doesn't answer' until the test's time was over. That is what the product promises; the story of the test is an agent that is frozen when the order comes.

Change: the test waits until the kernel says that all threads have stopped. It asks for the same answers and runs as before.

--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -97,6 +97,17 @@
 	}
 }
 
+// freeze stops the process and returns when all of its threads have stopped. On a busy machine they run on
+// for some milliseconds after the signal, in which the process may take a request.
+func (p *proc) freeze(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	if _, err := syscall.Wait4(p.cmd.Process.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
+		t.Fatalf("not stopped: status %v, %v", status, err)
+	}
+}
+
 func (p *proc) kill() {
 	if p.cmd != nil && p.cmd.ProcessState == nil {
 		p.signal(syscall.SIGCONT)
@@ -458,7 +469,7 @@
 		f.agents[0].start()
 	})
 	t.Run("an agent is frozen", func(t *testing.T) {
-		f.agents[3].signal(syscall.SIGSTOP)
+		f.agents[3].freeze(t)
 		for i := range 4 {
 			key := fmt.Sprintf("frozen-%d", i)
 			f.eventually("order "+key+" is answered", func() bool {
