Handover: shared pieces of the head and the events of an answer

No behaviour changes; the tests of internal/relay, internal/endpoint/direct and internal/frontend pass.

--- a/internal/endpoint/direct/events.go
+++ b/internal/endpoint/direct/events.go
@@ -54,29 +54,35 @@
 // ErrPartialEvent if the stream ended inside an event, ErrSecondResponse if another
 // response begins within it, and otherwise the error of the reader or a LimitError.
 func (e *EventReader) Next() (Event, error) {
-	for {
-		if ev, ok := e.takeEvent(); ok {
-			return ev, e.check(ev)
-		}
-		if e.err != nil {
-			if e.err == io.EOF && len(bytes.TrimSpace(e.buf[e.start:])) > 0 {
-				return Event{}, ErrPartialEvent
-			}
-			return Event{}, e.err
-		}
-		e.fill()
+	n, err := e.await()
+	if err == io.EOF && len(bytes.TrimSpace(e.buf[e.start:])) > 0 {
+		err = ErrPartialEvent
+	}
+	if err != nil {
+		return Event{}, err
 	}
+	ev := e.takeEvent(n)
+	return ev, e.check(ev)
 }
 
-// Await blocks until Next has a block to return, and returns the error of Next if there is none.
+// Await blocks until Next has a block to return. It returns the error of the reader, or a LimitError, if
+// none comes.
 func (e *EventReader) Await() error {
-	for !e.Buffered() {
+	_, err := e.await()
+	return err
+}
+
+// await reads until the first block is complete, and returns its length.
+func (e *EventReader) await() (int, error) {
+	for {
+		if n := eventEnd(e.buf[e.start:]); n > 0 {
+			return n, nil
+		}
 		if e.err != nil {
-			return e.err
+			return 0, e.err
 		}
 		e.fill()
 	}
-	return nil
 }
 
 // check returns an error for a block that belongs to another response, or that exceeds a limit.
@@ -111,9 +117,6 @@
 	return &LimitError{Limit: name, Bytes: e.received}
 }
 
-// Buffered reports whether another complete event is buffered.
-func (e *EventReader) Buffered() bool { return eventEnd(e.buf[e.start:]) > 0 }
-
 // fill reads more bytes into the buffer and records the error, if any.
 func (e *EventReader) fill() {
 	if e.start > 0 {
@@ -136,16 +139,12 @@
 	e.err = err
 }
 
-// takeEvent removes the first complete event from the buffer.
-func (e *EventReader) takeEvent() (Event, bool) {
-	n := eventEnd(e.buf[e.start:])
-	if n == 0 {
-		return Event{}, false
-	}
+// takeEvent removes the first event, which has n bytes, from the buffer.
+func (e *EventReader) takeEvent(n int) Event {
 	raw := e.buf[e.start : e.start+n]
 	e.start += n
 	id, hasID, isEvent := inspect(raw)
-	return Event{Raw: raw, ID: id, HasID: hasID, Other: !isEvent}, true
+	return Event{Raw: raw, ID: id, HasID: hasID, Other: !isEvent}
 }
 
 // eventEnd returns the length of the first event in b, including the blank line
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -36,7 +36,7 @@
 	switch {
 	case head.outcome != nil:
 		return head.outcome
-	case head.use == ForwardEvents:
+	case head.hasEvents():
 		return j.forwardStream(ctx, assigned, head)
 	default:
 		return j.forwardWhole(ctx, assigned, head.resp)
@@ -52,6 +52,9 @@
 	outcome Outcome
 }
 
+// hasEvents reports whether the events of the answer may be forwarded.
+func (a answerHead) hasEvents() bool { return a.outcome == nil && a.use == ForwardEvents }
+
 // close gives the connection of the answer back, if there is an answer.
 func (a answerHead) close() {
 	if a.resp != nil {
@@ -78,7 +81,7 @@
 // head returns the head of the answer to the request, which it sends unless the move from has done so.
 func (j *job) head(ctx context.Context, assigned Assignment, from *handover) answerHead {
 	if from == nil {
-		return j.ask(ctx, assigned, j.position(), &j.exchange).discard()
+		return j.ask(ctx, assigned, j.position, &j.exchange).discard()
 	}
 	<-from.answered
 	j.exchange = from.exchange
@@ -113,7 +116,7 @@
 	sameType := sameMediaType(resp.Header.Get("Content-Type"), p.contentType)
 	use := UseOf(p.progress, j.isStreamed(), resp.Status, sameType)
 	if use == ForwardNothing {
-		j.recordUnusable(assigned, resp.Status)
+		j.recordPart(assigned, resp.Status/100 == 2, r.Now())
 		return answerHead{resp: resp, outcome: Unusable{Status: resp.Status}}
 	}
 	return answerHead{resp: resp, use: use}
@@ -124,15 +127,6 @@
 	return j.route.RetrySemantics == routing.Stream && j.raw.Method != http.MethodHead
 }
 
-// recordUnusable records an answer of the given status that can't be forwarded.
-func (j *job) recordUnusable(assigned Assignment, status int) {
-	now := j.relay.Now()
-	if status/100 == 2 {
-		j.clearParts(now)
-	}
-	j.relay.State.PartReceived(assigned, now)
-}
-
 // recordLimit records the request rate that the endpoint accepts according to its answer. An answer
 // that has neither a limit nor the endpoint's signature says nothing about limits.
 func (j *job) recordLimit(assigned Assignment, info AnswerInfo) {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -16,7 +16,7 @@
 func (j *job) forwardWhole(ctx context.Context, assigned Assignment, resp *direct.Response) Outcome {
 	body, err := resp.ReadAll(j.reply.Hold)
 	if err != nil {
-		return j.readErrorOutcome(ctx, err)
+		return readErrorOutcome(ctx, j.progress, err)
 	}
 	now := j.relay.Now()
 	j.partReceived(assigned, resp.Status, now)
@@ -35,12 +35,13 @@
 	return Delivered{}
 }
 
-// readErrorOutcome returns the outcome of an answer that failed while it was read.
-func (j *job) readErrorOutcome(ctx context.Context, err error) Outcome {
+// readErrorOutcome returns the outcome of an answer that failed while it was read. p is what the caller
+// has received.
+func readErrorOutcome(ctx context.Context, p Progress, err error) Outcome {
 	if ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
 	}
-	return lostOutcome(j.progress, err)
+	return lostOutcome(p, err)
 }
 
 // forwardStream forwards events as they arrive. The header is sent to the caller with the first
@@ -62,14 +63,14 @@
 			}
 		}
 		if err != nil {
-			return j.readErrorOutcome(ctx, err)
+			return readErrorOutcome(ctx, j.progress, err)
 		}
 		if ev.HasID {
 			j.attemptEventID = ev.ID
 		}
 		if ev.HasID && ev.ID <= j.lastEventID {
 			if err := events.CountRepeated(ev); err != nil {
-				return j.readErrorOutcome(ctx, err)
+				return readErrorOutcome(ctx, j.progress, err)
 			}
 			j.beforeFirst = nil // it belongs to events that the caller has
 			continue
@@ -81,7 +82,7 @@
 			continue
 		}
 		if ev.HasID && !j.isNext(ev.ID) {
-			return j.readErrorOutcome(ctx, errEventOrder)
+			return readErrorOutcome(ctx, j.progress, errEventOrder)
 		}
 		if err := j.forwardEvent(ctx, assigned, resp, ev); err != nil {
 			return Disconnected{Cause: err}
@@ -126,10 +127,16 @@
 // partReceived records that the attempt has received a part of its answer, which has the given
 // status.
 func (j *job) partReceived(assigned Assignment, status int, now time.Time) {
-	if !j.answerBegan && status/100 == 2 {
+	j.recordPart(assigned, !j.answerBegan && status/100 == 2, now)
+	j.answerBegan = true
+}
+
+// recordPart records a part of an answer. sound means that a sound answer begins with it. It may run beside
+// another attempt of the request.
+func (j *job) recordPart(assigned Assignment, sound bool, now time.Time) {
+	if sound {
 		j.clearParts(now)
 	}
-	j.answerBegan = true
 	j.relay.State.PartReceived(assigned, now)
 }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -71,7 +71,8 @@
 // position is how much of an answer the caller has received.
 type position struct {
 	progress Progress
-	// lastEventID is the number of the last event, and contentType the type of the stream.
+	// lastEventID is the number of the last event, and contentType the type of a stream of which the caller
+	// has a part.
 	lastEventID int64
 	contentType string
 }
@@ -114,12 +115,18 @@
 	return h.verdict
 }
 
+// newHandover returns a handover without a verdict. ctx is that of the request.
+func newHandover(ctx context.Context, next Assignment) *handover {
+	h := &handover{next: next, answered: make(chan struct{}), decided: make(chan struct{})}
+	h.ctx, h.cancel = context.WithCancelCause(ctx)
+	return h
+}
+
 // beginHandover returns the function with which the State moves a running attempt. It asks the next
 // endpoint to go on with the stream.
 func (j *job) beginHandover(ctx context.Context, r *movableAttempt, endRunning context.CancelCauseFunc) func(Assignment) {
 	return func(next Assignment) {
-		h := &handover{next: next, answered: make(chan struct{}), decided: make(chan struct{})}
-		h.ctx, h.cancel = context.WithCancelCause(ctx)
+		h := newHandover(ctx, next)
 		h.from = r.startHandover(h)
 		go j.runHandover(h.ctx, h, endRunning)
 	}
@@ -136,9 +143,9 @@
 	})
 	head := awaitEvent(ctx, h.from.progress, j.askNext(ctx, h))
 	overdue.Stop()
-	next := NextUsable
-	if head.outcome != nil || head.use != ForwardEvents {
-		next = NextUnusable
+	next := NextUnusable
+	if head.hasEvents() {
+		next = NextUsable
 	}
 	if h.decide(Running, next) && next == NextUsable {
 		endRunning(errMoved)
@@ -158,7 +165,7 @@
 // awaitEvent waits for the first event of an answer that may go on with a stream. One that ends before that,
 // or within the event, does not. p is what the caller has received.
 func awaitEvent(ctx context.Context, p Progress, head answerHead) answerHead {
-	if head.outcome != nil || head.use != ForwardEvents {
+	if !head.hasEvents() {
 		return head
 	}
 	head.events = head.resp.Events()
@@ -167,10 +174,8 @@
 	case err == nil:
 	case errors.Is(err, io.EOF) && head.resp.Framed():
 		head.outcome = Unusable{Status: head.resp.Status}
-	case ctx.Err() != nil:
-		head.outcome = lostOutcome(p, errors.Join(ctx.Err(), err))
 	default:
-		head.outcome = lostOutcome(p, err)
+		head.outcome = readErrorOutcome(ctx, p, err)
 	}
 	return head
 }
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -52,11 +52,7 @@
 	}
 }
 
-func newTestHandover() *handover {
-	h := &handover{answered: make(chan struct{}), decided: make(chan struct{})}
-	h.ctx, h.cancel = context.WithCancelCause(context.Background())
-	return h
-}
+func newTestHandover() *handover { return newHandover(context.Background(), Assignment{}) }
 
 // movingJob returns a job with a move in progress.
 func movingJob(g *slowGroup) (*job, *handover) {
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -234,13 +234,13 @@
 // runMovable runs an attempt, which may be moved meanwhile if the request permits it. from is the move
 // with which it began, or nil. It returns the move with which the request goes on, or nil.
 func (j *job) runMovable(ctx context.Context, assigned Assignment, from *handover) (Outcome, *handover) {
-	attemptCtx, cancel := j.attemptContext(ctx, from)
+	attemptCtx, cancel := attemptContext(ctx, from)
 	defer cancel(nil)
 	if !j.mayMove() {
 		return j.attempt(attemptCtx, assigned, from), nil
 	}
 	st := j.relay.State
-	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, deadline: j.deadline, at: j.position()}
+	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, deadline: j.deadline, at: j.position}
 	r.begin = j.beginHandover(ctx, r, cancel)
 	st.registerMovable(r)
 	j.movable = r
@@ -268,18 +268,13 @@
 
 // attemptContext returns the context of an attempt. That of one which began with a move is that of the
 // move.
-func (j *job) attemptContext(ctx context.Context, from *handover) (context.Context, context.CancelCauseFunc) {
+func attemptContext(ctx context.Context, from *handover) (context.Context, context.CancelCauseFunc) {
 	if from != nil {
 		return from.ctx, from.cancel
 	}
 	return context.WithCancelCause(ctx)
 }
 
-// position returns what the caller has received.
-func (j *job) position() position {
-	return position{progress: j.progress, lastEventID: j.lastEventID, contentType: j.contentType}
-}
-
 // mayMove reports whether the request may continue at another endpoint once more.
 func (j *job) mayMove() bool {
 	r := j.route
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,8 +90,8 @@
 	tried []string
 	// lastFailure is the last complete failure that an endpoint reported.
 	lastFailure *BufferedAnswer
-	// lastEventID is the number of the last event that the caller has received.
-	lastEventID int64
+	// position is what the caller has received.
+	position
 	// resumed is the number of the event behind which the caller asks to go on, or zero.
 	resumed int64
 	// unnumbered means that the caller has received an event without a number. Such a stream goes on
@@ -99,10 +99,6 @@
 	unnumbered bool
 	// movable is the current attempt if it may be moved, or nil.
 	movable *movableAttempt
-	// progress is how much of an answer the caller has received, and contentType that of a stream of
-	// which it has a part.
-	progress    Progress
-	contentType string
 	// answerBegan means that the current attempt has received a part of its answer. beforeFirst is what
 	// it received before its first event for the caller, and is not forwarded before that.
 	answerBegan bool
