Silence of endpoints is measured, judged and logged

The verdict is logged and counted; "request ended" with result cancelled says how long the endpoint had been silent. Nothing follows from it yet.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -296,7 +296,7 @@
 	f.host.Self = f.member().Key()
 	registrar := &fleet.Registrar{Store: f.store, OnError: f.callFailed, RenewNow: &f.leaseSuspect, Member: f.member, Hosts: f.registrationHosts}
 	parts := []process.Part{
-		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.saveParts, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns, f.relay.UpdateMetrics,
+		f.mirror.Run, f.host.Run, registrar.Run, f.workReporter.run, f.forwardWork, f.refreshFromPeers, f.fetchDocuments, f.exchangeCases, f.saveParts, f.watchSettings, f.peerServer.Run, f.relay.CloseIdleConns, f.relay.WatchSilences, f.relay.UpdateMetrics,
 		func(ctx context.Context) error { return f.Log.Run(ctx, f.Output) },
 		func(ctx context.Context) error { return process.LogTraffic(ctx, f.Log, f.Registry) },
 		f.stopServers,
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -73,9 +73,11 @@
 				return readErrorOutcome(ctx, j.progress, err)
 			}
 			j.beforeFirst = nil // it belongs to events that the caller has
+			j.relay.State.heard(assigned, j.relay.Now())
 			continue
 		}
 		if ev.Other {
+			j.relay.State.heard(assigned, j.relay.Now())
 			if err := j.forwardOther(ctx, ev); err != nil {
 				return Disconnected{Cause: err}
 			}
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -12,6 +12,7 @@
 func (st *State) SetLoads(loads []EndpointLoad, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.recordSightings(loads)
 	for _, l := range loads {
 		ep, ok := st.addresses[l.Address]
 		old, known := st.loads[ep.ID]
@@ -31,6 +32,21 @@
 	st.dispatchWaiting(now)
 }
 
+// recordSightings records which endpoints the leader of a group has seen, according to a report that is
+// newer than the known ones.
+func (st *State) recordSightings(loads []EndpointLoad) {
+	var ids []string
+	for _, l := range loads {
+		ep, ok := st.addresses[l.Address]
+		if ok && l.At.After(st.loads[ep.ID].At) {
+			ids = append(ids, ep.ID)
+		}
+	}
+	if len(ids) > 0 {
+		st.silences.sightings.record(ids, loads[0].At)
+	}
+}
+
 // SetEntryLoads stores other entries' reports of their work. It ignores reports that are older than
 // the known ones.
 func (st *State) SetEntryLoads(entryLoads []EntryLoad, now time.Time) {
@@ -185,6 +201,7 @@
 			delete(st.failures, id)
 			delete(st.batchLimits.groups, id)
 			st.refusing.forget(id)
+			st.silences.forget(id)
 			delete(st.quotas.unreported, id)
 		}
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -65,6 +65,7 @@
 	gauge("relay.endpoints", func() int64 { return int64(st.Endpoints(now())) })
 	gauge("relay.endpointsLimited", func() int64 { return int64(st.LimitedEndpoints(now())) })
 	gauge("relay.endpointsResting", func() int64 { return int64(st.RestingEndpoints(now())) })
+	gauge("relay.endpointsSilent", func() int64 { return int64(st.SilentEndpoints()) })
 	gauge("relay.endpointsRefusing", func() int64 { return int64(st.RefusingEndpoints(now())) })
 	gauge("relay.entries", func() int64 { return int64(st.Entries(now())) })
 	gauge("relay.entriesHeard", func() int64 { return int64(st.ReportingEntries()) })
@@ -173,6 +174,9 @@
 	if j.lastEventID > 0 {
 		f["lastEvent"] = j.lastEventID
 	}
+	if code == result.Cancelled && len(j.tried) > 0 {
+		f["silence"] = j.relay.State.SilentFor(j.tried[len(j.tried)-1]).Milliseconds()
+	}
 	if j.endedEndpoint {
 		f["fingerprint"] = j.requestFingerprint
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -67,6 +67,7 @@
 		assigned.LoadAge = now.Sub(l.At)
 	}
 	st.ownRunning[ep.ID]++
+	st.silences.tracker.Sent(ep.ID, st.silences.groupName(ep.ID, ep.Service))
 	st.quotas.started(service.Name, ep.ID)
 	st.notifyChanged()
 	return assigned, nil
@@ -132,6 +133,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.balancer.Progress(assigned.attempt, now)
+	st.silences.tracker.Heard(assigned.Endpoint.ID, now)
 	st.refusing.forget(assigned.Endpoint.ID)
 	if st.releaseQueued(assigned) {
 		st.latencies.recordFirst(assigned.Endpoint.Service, now.Sub(assigned.assignedAt), now)
@@ -169,6 +171,10 @@
 	if assigned.late {
 		st.lateRunning[assigned.Endpoint.Service]--
 	}
+	if isHeard(o) {
+		st.silences.tracker.Heard(assigned.Endpoint.ID, now)
+	}
+	st.silences.tracker.Ended(assigned.Endpoint.ID)
 	st.quotas.markStale()
 	st.notifyChanged()
 	st.releaseQueued(assigned)
--- /dev/null
+++ b/internal/relay/silent.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/silence"
+)
+
+const (
+	// silenceInterval is how often silences are measured. Several fit into the shortest one that
+	// matters.
+	silenceInterval = 100 * time.Millisecond
+	// maxSilentTime is how long an endpoint counts as silent, if nobody reports that it is not seen,
+	// before one request tries it again.
+	maxSilentTime = 2 * time.Second
+)
+
+// silences is what this entry knows of endpoints that can't be heard. State.mu guards it.
+type silences struct {
+	tracker   silence.Tracker
+	sightings sightings
+	// marks holds the endpoints that are not audible, by ID.
+	marks map[string]silenceMark
+}
+
+// silenceMark is what is held against an endpoint.
+type silenceMark struct {
+	verdict silence.Verdict
+	// unseen means that its leader did not see it.
+	unseen bool
+	// since is when the verdict was first given.
+	since time.Time
+	// retried means that the endpoint was silent and may be sent one request, which tries it.
+	retried bool
+}
+
+// SilenceChange is a change of an endpoint's verdict.
+type SilenceChange struct {
+	Endpoint, Service string
+	// From and To are the verdicts.
+	From, To silence.Verdict
+	// Silence and Lag are those of silence.Observation, and Reported whether there are reports.
+	Silence, Lag time.Duration
+	Reported     bool
+	// Running is the number of this entry's requests at the endpoint.
+	Running int
+}
+
+// sightings holds when the leaders of groups last saw their engines, according to their load reports. A
+// report lists the engines that its leader has just seen.
+type sightings struct {
+	// group holds the group of each endpoint, which is kept while an engine is missing in reports.
+	group map[string]uint64
+	// endpoint and whole hold when an endpoint, and any of a group, was last seen.
+	endpoint map[string]time.Time
+	whole    map[uint64]time.Time
+	groups   uint64
+}
+
+// record records that a report lists these endpoints, which were seen at the time at.
+func (s *sightings) record(ids []string, at time.Time) {
+	if len(ids) == 0 {
+		return
+	}
+	if s.group == nil {
+		s.group, s.endpoint, s.whole = map[string]uint64{}, map[string]time.Time{}, map[uint64]time.Time{}
+	}
+	g := s.groupOf(ids)
+	for _, id := range ids {
+		s.group[id] = g
+		s.endpoint[id] = at
+	}
+	s.whole[g] = at
+}
+
+// groupOf returns the group to which most of the endpoints belong, or a new one.
+func (s *sightings) groupOf(ids []string) uint64 {
+	members, largest := map[uint64]int{}, uint64(0)
+	for _, id := range ids {
+		g, known := s.group[id]
+		if !known {
+			continue
+		}
+		if members[g]++; members[g] > members[largest] {
+			largest = g
+		}
+	}
+	if largest == 0 {
+		s.groups++ // groups are numbered from 1
+		largest = s.groups
+	}
+	return largest
+}
+
+// lag returns by how much longer ago than the others of its group an endpoint was seen, and whether its
+// group is reported at present.
+func (s *sightings) lag(id string, now time.Time) (lag time.Duration, reported bool) {
+	g, ok := s.group[id]
+	if !ok || now.Sub(s.whole[g]) >= maxLeaderReportAge {
+		return 0, false
+	}
+	return s.whole[g].Sub(s.endpoint[id]), true
+}
+
+func (s *sightings) forget(id string) {
+	delete(s.group, id)
+	delete(s.endpoint, id)
+}
+
+// groupName returns the name of the set of endpoints that go on or stand together with an endpoint of a
+// service: its group of engines, or else the whole service.
+func (s *silences) groupName(id, service string) string {
+	return service + "/" + strconv.FormatUint(s.sightings.group[id], 10)
+}
+
+// forget discards what is known of an endpoint that has gone.
+func (s *silences) forget(id string) {
+	s.tracker.Forget(id)
+	s.sightings.forget(id)
+	delete(s.marks, id)
+}
+
+// observe returns what is known of an endpoint of a service. mu must be held.
+func (st *State) observe(id, service string, now time.Time) silence.Observation {
+	o := silence.Observation{Silence: st.silences.tracker.Silence(id)}
+	o.Lag, o.Reported = st.silences.sightings.lag(id, now)
+	if o.Silence >= silence.MinUnconfirmed {
+		o.Usual, _ = st.latencies.usual(service, 0, now)
+	}
+	return o
+}
+
+// AdvanceSilences measures silences, judges all endpoints, and returns those whose verdict has changed. It
+// must be called each silenceInterval.
+func (st *State) AdvanceSilences(now time.Time) []SilenceChange {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	s := &st.silences
+	s.tracker.Advance(func(id string) bool {
+		return st.observe(id, st.endpoints[id].Service, now).Unseen()
+	}, now)
+	var changes []SilenceChange
+	for id, ep := range st.endpoints {
+		o := st.observe(id, ep.Service, now)
+		from := s.marks[id].verdict
+		to := s.mark(id, o, now)
+		if from != to {
+			changes = append(changes, SilenceChange{
+				Endpoint: id, Service: ep.Service, From: from, To: to, Silence: o.Silence, Lag: o.Lag,
+				Reported: o.Reported, Running: st.ownRunning[id],
+			})
+		}
+	}
+	return changes
+}
+
+// mark judges an endpoint and returns the verdict.
+func (s *silences) mark(id string, o silence.Observation, now time.Time) silence.Verdict {
+	if s.marks == nil {
+		s.marks = map[string]silenceMark{}
+	}
+	m := s.marks[id]
+	if m.retried && s.tracker.HeardAt(id).After(m.since) {
+		m.retried = false
+	}
+	verdict := silence.Judge(o)
+	seenAgain := m.unseen && o.Reported && !o.Unseen()
+	tooLong := verdict == silence.Silent && !o.Unseen() && now.Sub(m.since) >= maxSilentTime
+	if m.verdict == silence.Silent && (seenAgain || tooLong) {
+		s.tracker.Reset(id)
+		verdict, m.retried = silence.Audible, !seenAgain
+	}
+	if verdict != m.verdict {
+		m.verdict, m.since = verdict, now
+	}
+	m.unseen = o.Unseen()
+	if verdict == silence.Audible && !m.retried {
+		delete(s.marks, id)
+		return verdict
+	}
+	s.marks[id] = m
+	return verdict
+}
+
+// SilentFor returns for how long an endpoint has not been heard by this entry while it had requests of this
+// entry and others of its group were heard.
+func (st *State) SilentFor(id string) time.Duration {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.silences.tracker.Silence(id)
+}
+
+// SilentEndpoints returns the number of endpoints with the verdict silence.Silent.
+func (st *State) SilentEndpoints() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	n := 0
+	for _, m := range st.silences.marks {
+		if m.verdict == silence.Silent {
+			n++
+		}
+	}
+	return n
+}
+
+// heard records that something of an answer has arrived.
+func (st *State) heard(assigned Assignment, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.silences.tracker.Heard(assigned.Endpoint.ID, now)
+}
+
+// isHeard reports whether an attempt that ended with o got something from its endpoint.
+func isHeard(o Outcome) bool {
+	switch o := o.(type) {
+	case Delivered, Failed, Unusable:
+		return true
+	case NotRun:
+		return o.Sent
+	default:
+		return false
+	}
+}
+
+// WatchSilences measures silences until ctx ends, and logs the endpoints whose verdict changes.
+func (r *Relay) WatchSilences(ctx context.Context) error {
+	t := time.NewTicker(silenceInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			for _, c := range r.State.AdvanceSilences(r.Now()) {
+				r.logSilence(c)
+			}
+		}
+	}
+}
+
+// silenceTexts holds the messages of the log lines of changes, by the new verdict.
+var silenceTexts = map[silence.Verdict]string{
+	silence.Audible: "endpoint is no longer silent",
+	silence.Unseen:  "endpoint is not seen by its leader",
+	silence.Silent:  "endpoint is silent while others of its group answer",
+}
+
+func (r *Relay) logSilence(c SilenceChange) {
+	r.Log.WithFields(logrus.Fields{
+		"endpoint": c.Endpoint, "service": c.Service, "silence": c.Silence.Milliseconds(), "reported": c.Reported,
+		"reportLag": c.Lag.Milliseconds(), "running": c.Running,
+	}).Info(silenceTexts[c.To])
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -158,6 +158,7 @@
 	// of the last one.
 	movable         map[string]map[*movableAttempt]bool
 	attemptSeq      uint64
+	silences        silences
 	ownRunning      map[string]int
 	refreshedAt     time.Time
 	dirty           bool
