Streams leave an endpoint that can't be heard while its group goes on

Cause: an entry left its streams at an endpoint that nobody could hear, and sent it further ones. Requests moved off a slow engine only where its load report was fresh, so the engine that said nothing at all was the one that was left alone. Class: silence taken for health.

Change: an endpoint with the verdict silent (not heard by the entry for 250 ms while its leader doesn't see it either, or for 1 s and four usual first parts while others of its group are heard) gives up its resumable streams by the handover that exists, oldest first, within attempts, retry budget and free slots. The old attempt is kept until the next endpoint has an event, and goes on if it is heard before. New requests go elsewhere until the endpoint is seen again, or one request has tried it.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -38,6 +38,8 @@
 	RanWhole
 	// RanOut means that the attempt has ended in any other way.
 	RanOut
+	// Resumed means that an event has arrived from an endpoint that was taken for silent.
+	Resumed
 )
 
 // NextState is the state of the attempt that is to replace it.
@@ -59,7 +61,7 @@
 // has an answer, or is likely to have one.
 func DecideHandover(running RunningState, next NextState) Verdict {
 	switch {
-	case running == RanWhole, next == NextUnusable:
+	case running == RanWhole, running == Resumed, next == NextUnusable:
 		return KeepRunning
 	case running == RanOut, next == NextUsable, next == NextOverdue:
 		return SwitchOver
@@ -80,8 +82,9 @@
 // handover is the move of a stream to the next endpoint. The running attempt forwards nothing until its
 // verdict is known, so that the next one goes on behind the last event that the caller has.
 type handover struct {
-	next Assignment
-	from position
+	next   Assignment
+	reason MoveReason
+	from   position
 	// ctx is the context of the next attempt, which begins before the running one ends.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -116,17 +119,17 @@
 }
 
 // newHandover returns a handover without a verdict. ctx is that of the request.
-func newHandover(ctx context.Context, next Assignment) *handover {
-	h := &handover{next: next, answered: make(chan struct{}), decided: make(chan struct{})}
+func newHandover(ctx context.Context, next Assignment, reason MoveReason) *handover {
+	h := &handover{next: next, reason: reason, answered: make(chan struct{}), decided: make(chan struct{})}
 	h.ctx, h.cancel = context.WithCancelCause(ctx)
 	return h
 }
 
 // beginHandover returns the function with which the State moves a running attempt. It asks the next
 // endpoint to go on with the stream.
-func (j *job) beginHandover(ctx context.Context, r *movableAttempt, endRunning context.CancelCauseFunc) func(Assignment) {
-	return func(next Assignment) {
-		h := newHandover(ctx, next)
+func (j *job) beginHandover(ctx context.Context, r *movableAttempt, endRunning context.CancelCauseFunc) func(Assignment, MoveReason) {
+	return func(next Assignment, reason MoveReason) {
+		h := newHandover(ctx, next, reason)
 		h.from = r.startHandover(h)
 		go j.runHandover(h.ctx, h, endRunning)
 	}
@@ -136,13 +139,9 @@
 // closes h.answered at its end.
 func (j *job) runHandover(ctx context.Context, h *handover, endRunning context.CancelCauseFunc) {
 	defer close(h.answered)
-	overdue := time.AfterFunc(cmp.Or(j.relay.HandoverTime, defaultHandoverTime), func() {
-		if h.decide(Running, NextOverdue) {
-			endRunning(errMoved)
-		}
-	})
+	stopLimit := j.limitHandover(h, endRunning)
 	head := awaitEvent(ctx, h.from.progress, j.askNext(ctx, h))
-	overdue.Stop()
+	stopLimit()
 	next := NextUnusable
 	if head.hasEvents() {
 		next = NextUsable
@@ -153,6 +152,21 @@
 	h.head = head.discard() // behind the verdict, as the body of a failure may take its time
 }
 
+// limitHandover ends the running attempt of a move off a slow engine after HandoverTime, unless the
+// function that it returns is called before then. An endpoint that can't be heard holds up nobody, so its attempt
+// ends only when the next one has an event: it may be the first to be heard again.
+func (j *job) limitHandover(h *handover, endRunning context.CancelCauseFunc) (stop func()) {
+	if h.reason == EndpointSilent {
+		return func() {}
+	}
+	overdue := time.AfterFunc(cmp.Or(j.relay.HandoverTime, defaultHandoverTime), func() {
+		if h.decide(Running, NextOverdue) {
+			endRunning(errMoved)
+		}
+	})
+	return func() { overdue.Stop() }
+}
+
 // askNext sends the request to the next endpoint, unless it is refused by now.
 func (j *job) askNext(ctx context.Context, h *handover) answerHead {
 	now := j.relay.Now()
@@ -180,13 +194,17 @@
 	return head
 }
 
-// awaitHandover blocks while the stream is being moved. It returns false if it goes on elsewhere.
+// awaitHandover is called with something to forward from the running attempt, and blocks while the stream is
+// being moved. It returns false if it goes on elsewhere.
 func (j *job) awaitHandover(ctx context.Context) bool {
 	for {
 		h := j.movable.currentHandover()
 		if h == nil {
 			return true
 		}
+		if h.reason == EndpointSilent {
+			h.decide(Resumed, NextAsked)
+		}
 		if h.await() == SwitchOver {
 			return false
 		}
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -30,6 +30,10 @@
 		{RanOut, NextOverdue, SwitchOver},
 		{RanOut, NextUsable, SwitchOver},
 		{RanOut, NextUnusable, KeepRunning},
+		{Resumed, NextAsked, KeepRunning},
+		{Resumed, NextOverdue, KeepRunning},
+		{Resumed, NextUsable, KeepRunning},
+		{Resumed, NextUnusable, KeepRunning},
 	} {
 		t.Run(fmt.Sprintf("running %d, next %d", c.running, c.next), func(t *testing.T) {
 			if got := DecideHandover(c.running, c.next); got != c.want {
@@ -52,7 +56,7 @@
 	}
 }
 
-func newTestHandover() *handover { return newHandover(context.Background(), Assignment{}) }
+func newTestHandover() *handover { return newHandover(context.Background(), Assignment{}, EngineSlow) }
 
 // movingJob returns a job with a move in progress.
 func movingJob(g *slowGroup) (*job, *handover) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -202,8 +202,10 @@
 		f["result"] = o.Code.String()
 	case Failed:
 		f["status"] = o.Answer.Status
-	case Unusable, Interrupted, Moved:
+	case Unusable, Interrupted:
 		f["lastEvent"] = j.lastEventID
+	case Moved:
+		f["lastEvent"], f["reason"] = j.lastEventID, o.Reason.String()
 	}
 	addCause(f, causeOf(o))
 	j.relay.Log.WithFields(f).Info("another attempt follows")
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/batch"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/silence"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
 
@@ -25,7 +26,27 @@
 )
 
 // errMoved ends an attempt whose request continues at another endpoint.
-var errMoved = errors.New("relay: request moved off an engine that slows down its group")
+var errMoved = errors.New("relay: request moved to another endpoint")
+
+// MoveReason is why a request is moved to another endpoint.
+type MoveReason int
+
+const (
+	// EngineSlow means that the engine holds up its group.
+	EngineSlow MoveReason = iota
+	// EndpointSilent means that the endpoint can't be heard while others of its group can.
+	EndpointSilent
+)
+
+// String returns the reason as it is logged.
+func (r MoveReason) String() string {
+	switch r {
+	case EndpointSilent:
+		return "endpointSilent"
+	default:
+		return "engineSlow"
+	}
+}
 
 // movableAttempt is a running attempt that may be moved to another endpoint.
 type movableAttempt struct {
@@ -36,7 +57,7 @@
 	seq      uint64
 	deadline time.Time
 	// begin begins to move the attempt to the endpoint of an assignment. It is called with State.mu held.
-	begin func(next Assignment)
+	begin func(next Assignment, reason MoveReason)
 	// moved means that the attempt is being moved, and pinned that it may no longer be. State.mu guards
 	// both.
 	moved, pinned bool
@@ -145,7 +166,28 @@
 			continue
 		}
 		for _, r := range newest(attempts, st.excess(ep, now)) {
-			if !st.move(r, now) {
+			if !st.move(r, EngineSlow, now) {
+				break
+			}
+		}
+	}
+}
+
+// moveOffSilentEndpoints moves requests off endpoints that can't be heard while others of their group can, the
+// oldest first. mu must be held.
+//
+// Nothing ends such a request but its caller's patience, and nothing tells the endpoint that the caller has
+// left: on a VM that stood still for 3 s, eight callers waited for 2 s each, and their work went on after they
+// had left, while eleven other engines had free slots. The conditions are those of moveOffSlowEngines. The
+// attempt is kept until the next endpoint has an event of the stream; if it is heard before, the stream goes
+// on there.
+func (st *State) moveOffSilentEndpoints(now time.Time) {
+	for id, m := range st.silences.marks {
+		if m.verdict != silence.Silent {
+			continue
+		}
+		for _, r := range unmoved(st.movable[id]) {
+			if !st.move(r, EndpointSilent, now) {
 				break
 			}
 		}
@@ -188,19 +230,26 @@
 	if n <= 0 {
 		return nil
 	}
+	out := unmoved(attempts)
+	slices.Reverse(out)
+	return out[:min(n, len(out))]
+}
+
+// unmoved returns the attempts that can be moved, the oldest first.
+func unmoved(attempts map[*movableAttempt]bool) []*movableAttempt {
 	out := make([]*movableAttempt, 0, len(attempts))
 	for r := range attempts {
 		if !r.moved && !r.pinned {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *movableAttempt) int { return cmp.Compare(b.seq, a.seq) })
-	return out[:min(n, len(out))]
+	slices.SortFunc(out, func(a, b *movableAttempt) int { return cmp.Compare(a.seq, b.seq) })
+	return out
 }
 
-// move begins to move a request to another engine. It returns false if no further request can be moved
+// move begins to move a request to another endpoint. It returns false if no further request can be moved
 // now.
-func (st *State) move(r *movableAttempt, now time.Time) bool {
+func (st *State) move(r *movableAttempt, reason MoveReason, now time.Time) bool {
 	if r.deadline.Sub(now) < minTimeToMove {
 		return true
 	}
@@ -215,7 +264,7 @@
 	}
 	st.budget(r.service.Name, now).TrySpend(now)
 	r.moved = true
-	r.begin(assigned)
+	r.begin(assigned, reason)
 	return true
 }
 
@@ -251,18 +300,18 @@
 	}
 	next := j.endHandover(ctx, r.currentHandover())
 	if next != nil && errors.Is(context.Cause(attemptCtx), errMoved) {
-		return movedOutcome(o), next
+		return movedOutcome(o, next.reason), next
 	}
 	return o, next
 }
 
 // movedOutcome returns the outcome of an attempt that was ended for a move, and otherwise ended with o.
-func movedOutcome(o Outcome) Outcome {
+func movedOutcome(o Outcome, reason MoveReason) Outcome {
 	switch o.(type) {
 	case Failed, Unusable, NotRun:
 		return o // it had ended before
 	default:
-		return Moved{}
+		return Moved{Reason: reason}
 	}
 }
 
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -37,7 +37,7 @@
 			service: g.service, query: placement.Query{Excluded: []string{assigned.Endpoint.ID}}, assigned: assigned,
 			deadline: start.Add(8 * time.Second),
 		}
-		r.begin = func(next Assignment) { g.next[r] = next }
+		r.begin = func(next Assignment, _ MoveReason) { g.next[r] = next }
 		g.st.registerMovable(r)
 		g.attempts = append(g.attempts, r)
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -53,9 +53,10 @@
 	wait := st.excludeCold(service, &q, now)
 	limited := st.excludeLimited(service, &q, now)
 	refusing := st.excludeRefusing(service, &q, now)
+	silent := st.excludeSilent(service, &q, now)
 	c, ok, reason := st.balancer.Choose(q, now)
 	if !ok {
-		return Assignment{}, st.assignmentError(service, reason, wait, limited, refusing || beyondQuota, now)
+		return Assignment{}, st.assignmentError(service, reason, wait, limited, refusing || beyondQuota || silent, now)
 	}
 	ep := st.endpoints[c.Endpoint]
 	st.takeLimitShare(service, ep, now)
@@ -76,8 +77,8 @@
 // assignmentError returns the error for a request that can't be assigned, with a Retry-After time.
 // reason is the balancer's reason, which is NoEndpoint if there is no endpoint besides the excluded
 // ones. cold is the time until a cold endpoint may be sent a request, limited the effect of limits,
-// and busy means that endpoints were excluded that refuse requests, or of whose free slots this entry
-// has taken its quota.
+// and busy means that endpoints were excluded that refuse requests or can't be heard, or of whose free
+// slots this entry has taken its quota.
 func (st *State) assignmentError(service *routing.Service, reason result.Code, cold time.Duration, limited limitState, busy bool, now time.Time) *result.Error {
 	othersExist := reason != result.NoEndpoint
 	switch {
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -56,10 +56,10 @@
 		for range 8 {
 			var next Assignment
 			r := &movableAttempt{service: s, assigned: assignedTo("e2"), deadline: now.Add(8 * time.Second)}
-			r.begin = func(assigned Assignment) { next = assigned }
+			r.begin = func(assigned Assignment, _ MoveReason) { next = assigned }
 			st.mu.Lock()
 			st.refresh(now)
-			if moved := st.move(r, now); !moved {
+			if moved := st.move(r, EngineSlow, now); !moved {
 				t.Error("not moved")
 			}
 			st.mu.Unlock()
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -7,7 +7,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/silence"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
 
 const (
@@ -155,9 +157,38 @@
 			})
 		}
 	}
+	st.moveOffSilentEndpoints(now)
 	return changes
 }
 
+// excludeSilent excludes endpoints of a service that can't be heard, and reports whether it excluded any. mu
+// must be held.
+//
+// An endpoint whose requests have been moved elsewhere has no load, so it would get more requests than any
+// other one, and each would wait there.
+func (st *State) excludeSilent(service *routing.Service, q *placement.Query, now time.Time) bool {
+	excluded := false
+	for id, m := range st.silences.marks {
+		if st.endpoints[id].Service == service.Name && st.avoids(id, m, now) {
+			q.Excluded = append(q.Excluded, id)
+			excluded = true
+		}
+	}
+	return excluded
+}
+
+// avoids reports whether new requests go elsewhere than to an endpoint with a mark.
+func (st *State) avoids(id string, m silenceMark, now time.Time) bool {
+	switch m.verdict {
+	case silence.Silent:
+		return true
+	case silence.Unseen:
+		return now.Sub(st.silences.tracker.HeardAt(id)) >= silence.MinSilence
+	default:
+		return m.retried && st.ownRunning[id] > 0
+	}
+}
+
 // mark judges an endpoint and returns the verdict.
 func (s *silences) mark(id string, o silence.Observation, now time.Time) silence.Verdict {
 	if s.marks == nil {
--- /dev/null
+++ b/internal/relay/silent_test.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
+	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/silence"
+)
+
+// play advances the group by a time, in which the engines named are heard and those seen are reported.
+func (g *slowGroup) play(from time.Time, d time.Duration, heard, seen []int) time.Time {
+	now := from
+	for now.Before(from.Add(d)) {
+		now = now.Add(silenceInterval)
+		for _, r := range g.attempts {
+			for _, i := range heard {
+				if r.assigned.Endpoint.ID == fmt.Sprint("e", i) {
+					g.st.PartReceived(r.assigned, now)
+				}
+			}
+		}
+		var loads []EndpointLoad
+		for _, i := range seen {
+			loads = append(loads, EndpointLoad{Address: fmt.Sprintf("10.0.0.%d:1", i), Slowdown: 1, Group: uint64(len(seen)), At: now})
+		}
+		g.st.SetLoads(loads, now)
+		g.st.AdvanceSilences(now)
+	}
+	return now
+}
+
+// wantMoved checks how many streams are being moved off the engine e2, and that none goes there.
+func (g *slowGroup) wantMoved(t *testing.T, want int) {
+	t.Helper()
+	off, onto := g.moved(t)
+	if off["e2"] != want || onto["e2"] != 0 || len(off) > 1 {
+		t.Errorf("moved off %v, onto %v, want %d off e2", off, onto, want)
+	}
+}
+
+var (
+	allEngines  = []int{0, 1, 2, 3}
+	withoutE2   = []int{0, 1, 3}
+	noEngine    []int
+	whileSilent = 3 * time.Second
+)
+
+// An engine can't be heard while its group goes on. Guards against streams that stay there, and that are
+// moved for less: a group that stands as a whole, or an engine that only its leader doesn't see.
+func TestStreamsAreMovedOffASilentEngine(t *testing.T) {
+	for name, c := range map[string]struct {
+		heard, seen []int
+		lasting     time.Duration
+		want        int
+	}{
+		"silent and not seen":             {withoutE2, withoutE2, time.Second, 3},
+		"silent, nobody reports":          {withoutE2, noEngine, 2 * time.Second, 3},
+		"silent for a moment":             {withoutE2, noEngine, 800 * time.Millisecond, 0},
+		"the group stands":                {noEngine, allEngines, whileSilent, 0},
+		"nobody is heard":                 {noEngine, noEngine, whileSilent, 0},
+		"not seen, but heard":             {allEngines, withoutE2, whileSilent, 0},
+		"not seen while the group stands": {noEngine, withoutE2, time.Second, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newSlowGroup(t, 12)
+			now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+			g.play(now, c.lasting, c.heard, c.seen)
+			g.wantMoved(t, c.want)
+		})
+	}
+}
+
+// Guards against an engine that gets no requests although it can be heard again, and against one that gets
+// them at once although nothing has shown that it can.
+func TestSilentEngineIsAvoidedUntilItIsBack(t *testing.T) {
+	chosen := func(g *slowGroup, now time.Time) (n int) {
+		for range 8 {
+			if assigned, e := g.st.Choose(g.service, placement.Query{}, now); e == nil && assigned.Endpoint.ID == "e2" {
+				n++
+			}
+		}
+		return n
+	}
+	for name, c := range map[string]struct {
+		heard, seen []int
+		lasting     time.Duration
+		least, most int
+	}{
+		"still silent":            {withoutE2, withoutE2, 5 * time.Second, 0, 0},
+		"seen again":              {withoutE2, allEngines, 200 * time.Millisecond, 2, 8},
+		"nobody reports any more": {withoutE2, noEngine, 3 * time.Second, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newSlowGroup(t, 12)
+			now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+			now = g.play(now, time.Second, withoutE2, withoutE2)
+			g.leave("e2", now)
+			now = g.play(now, c.lasting, c.heard, c.seen)
+			if n := chosen(g, now); n < c.least || n > c.most {
+				t.Errorf("%d of 8 requests were sent to the engine", n)
+			}
+		})
+	}
+}
+
+// leave ends the streams of an engine, as if they had been moved.
+func (g *slowGroup) leave(id string, now time.Time) {
+	for _, r := range g.attempts {
+		if r.assigned.Endpoint.ID == id {
+			g.st.unregisterMovable(r)
+			g.st.Release(r.assigned, Moved{Reason: EndpointSilent}, now)
+		}
+	}
+}
+
+// The leader of one group of a service stands still while that of another one goes on. Guards against engines
+// that count as not seen since the other leader's reports lack them.
+func TestReportsOfAnotherGroupSayNothing(t *testing.T) {
+	var s sightings
+	s.record([]string{"a", "b"}, start)
+	s.record([]string{"c", "d"}, start)
+	now := start.Add(maxLeaderReportAge)
+	s.record([]string{"c", "d"}, now)
+	if lag, reported := s.lag("a", now); reported {
+		t.Errorf("a is reported with a lag of %v", lag)
+	}
+	s.record([]string{"c"}, now.Add(time.Second))
+	if lag, reported := s.lag("d", now.Add(time.Second)); !reported || lag != time.Second {
+		t.Errorf("lag of d %v, reported %t", lag, reported)
+	}
+}
+
+// Guards against an entry that keeps marks of endpoints that have gone.
+func TestMarksOfEndpointsThatAreGoneAreDropped(t *testing.T) {
+	g := newSlowGroup(t, 12)
+	now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+	g.play(now, time.Second, withoutE2, withoutE2)
+	if n := g.st.SilentEndpoints(); n != 1 {
+		t.Fatalf("%d endpoints are silent", n)
+	}
+	g.st.silences.forget("e2")
+	if n := g.st.SilentEndpoints(); n != 0 || g.st.silences.tracker.Silence("e2") != 0 {
+		t.Errorf("%d endpoints are silent", n)
+	}
+}
+
+// Guards against a change that is logged with a verdict that was not given.
+func TestChangesOfSilencesAreReported(t *testing.T) {
+	g := newSlowGroup(t, 12)
+	now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+	now = g.play(now, 200*time.Millisecond, withoutE2, withoutE2)
+	var got []silence.Verdict
+	for range 4 {
+		now = now.Add(silenceInterval)
+		for _, r := range g.attempts {
+			if r.assigned.Endpoint.ID != "e2" {
+				g.st.PartReceived(r.assigned, now)
+			}
+		}
+		g.st.SetLoads([]EndpointLoad{{Address: "10.0.0.0:1", At: now}, {Address: "10.0.0.1:1", At: now}, {Address: "10.0.0.3:1", At: now}}, now)
+		for _, c := range g.st.AdvanceSilences(now) {
+			if c.Endpoint != "e2" || c.From != silence.Audible || c.Running != 3 {
+				t.Errorf("change %+v", c)
+			}
+			got = append(got, c.To)
+		}
+	}
+	if len(got) != 1 || got[0] != silence.Silent {
+		t.Errorf("verdicts %v", got)
+	}
+}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -38,9 +38,8 @@
 // Interrupted means that a part of the answer was forwarded and the rest did not arrive.
 type Interrupted struct{ Cause error }
 
-// Moved means that the request continues at another endpoint, already assigned, because this one
-// holds up its group.
-type Moved struct{}
+// Moved means that the request continues at another endpoint, already assigned.
+type Moved struct{ Reason MoveReason }
 
 // Disconnected means that the caller disconnected or stopped reading.
 type Disconnected struct{ Cause error }
