Streams at a silent endpoint get free slots before waiting requests

The streams are now moved whenever slots may have become free, before the queue, and are reported to the other entries as waiting, so that they have a quota. An endpoint that can't be heard has no free slots in the quotas.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -57,7 +57,10 @@
 	}
 }
 
+// dispatchWaiting is DispatchWaiting with mu held. Streams that wait at an endpoint that can't be heard have
+// waited longest, and their callers leave first.
 func (st *State) dispatchWaiting(now time.Time) {
+	st.moveOffSilentEndpoints(now)
 	if st.queue.Waiting() == 0 {
 		return
 	}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -53,6 +53,7 @@
 	service  *routing.Service
 	query    placement.Query
 	assigned Assignment
+	class    routing.Class
 	// seq orders attempts by their start, and deadline is that of the request.
 	seq      uint64
 	deadline time.Time
@@ -289,7 +290,7 @@
 		return j.attempt(attemptCtx, assigned, from), nil
 	}
 	st := j.relay.State
-	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, deadline: j.deadline, at: j.position}
+	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, class: j.class(), deadline: j.deadline, at: j.position}
 	r.begin = j.beginHandover(ctx, r, cancel)
 	st.registerMovable(r)
 	j.movable = r
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -87,8 +87,9 @@
 	return !s.computedAt.IsZero() && s.period == period && age < quotaPeriod && (!s.stale || age < quotaInterval)
 }
 
-// ReportWaiting returns the number of waiting requests that can meet their target, by service and
-// class, to be reported to the other entries. Late requests claim no share of the slots. From now on
+// ReportWaiting returns the number of waiting requests that can meet their target, and of those that wait at
+// endpoints that can't be heard, by service and class, to be reported to the other entries. Late requests claim
+// no share of the slots. From now on
 // this entry claims slots for these requests: what it claims and what the others know that it claims
 // must be the same. Call DispatchWaiting when the report has been sent.
 func (st *State) ReportWaiting() map[string][]int {
@@ -103,10 +104,11 @@
 	return out
 }
 
-// waitingOnTime returns the number of waiting requests that can meet their target, by service and
-// class. mu must be held.
+// waitingOnTime returns the number of waiting requests that can meet their target, and of those that wait at
+// endpoints that can't be heard, by service and class. mu must be held.
 func (st *State) waitingOnTime() map[string][]int {
 	out := map[string][]int{}
+	st.addSilent(out)
 	if st.queue.Waiting() == 0 {
 		return out
 	}
@@ -248,7 +250,7 @@
 // freeSlots returns the number of an endpoint's free slots for collectFreeSlots. An endpoint that takes
 // no requests has none: claims that own its slots would own none of another one.
 func (st *State) freeSlots(ep directory.Endpoint, now time.Time) int {
-	if l := st.loads[ep.ID]; l.Closed && now.Sub(l.At) < maxLeaderReportAge || st.rests.left(ep, now) > 0 {
+	if l := st.loads[ep.ID]; l.Closed && now.Sub(l.At) < maxLeaderReportAge || st.rests.left(ep, now) > 0 || st.avoids(ep.ID, now) {
 		return 0
 	}
 	allowance, _ := st.endpointCapacity(ep)
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -141,10 +141,21 @@
 func (st *State) AdvanceSilences(now time.Time) []SilenceChange {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	s := &st.silences
-	s.tracker.Advance(func(id string) bool {
+	st.silences.tracker.Advance(func(id string) bool {
 		return st.observe(id, st.endpoints[id].Service, now).Unseen()
 	}, now)
+	changes := st.judgeSilences(now)
+	if len(changes) > 0 {
+		st.quotas.markStale()
+		st.notifyChanged()
+	}
+	st.dispatchWaiting(now)
+	return changes
+}
+
+// judgeSilences judges all endpoints and returns those whose verdict has changed. mu must be held.
+func (st *State) judgeSilences(now time.Time) []SilenceChange {
+	s := &st.silences
 	var changes []SilenceChange
 	for id, ep := range st.endpoints {
 		o := st.observe(id, ep.Service, now)
@@ -157,10 +168,22 @@
 			})
 		}
 	}
-	st.moveOffSilentEndpoints(now)
 	return changes
 }
 
+// addSilent adds the requests that wait at endpoints which can't be heard to counts by service and class. mu
+// must be held.
+func (st *State) addSilent(byService map[string][]int) {
+	for id, m := range st.silences.marks {
+		if m.verdict != silence.Silent {
+			continue
+		}
+		for _, r := range unmoved(st.movable[id]) {
+			byService[r.service.Name] = addClass(byService[r.service.Name], r.class)
+		}
+	}
+}
+
 // excludeSilent excludes endpoints of a service that can't be heard, and reports whether it excluded any. mu
 // must be held.
 //
@@ -168,8 +191,8 @@
 // other one, and each would wait there.
 func (st *State) excludeSilent(service *routing.Service, q *placement.Query, now time.Time) bool {
 	excluded := false
-	for id, m := range st.silences.marks {
-		if st.endpoints[id].Service == service.Name && st.avoids(id, m, now) {
+	for id := range st.silences.marks {
+		if st.endpoints[id].Service == service.Name && st.avoids(id, now) {
 			q.Excluded = append(q.Excluded, id)
 			excluded = true
 		}
@@ -177,8 +200,13 @@
 	return excluded
 }
 
-// avoids reports whether new requests go elsewhere than to an endpoint with a mark.
-func (st *State) avoids(id string, m silenceMark, now time.Time) bool {
+// avoids reports whether new requests go elsewhere than to an endpoint because it can't be heard. mu must be
+// held.
+func (st *State) avoids(id string, now time.Time) bool {
+	m, ok := st.silences.marks[id]
+	if !ok {
+		return false
+	}
 	switch m.verdict {
 	case silence.Silent:
 		return true
