A silent endpoint that answers is measured by pauses, not by first parts

Without its leader's reports, an endpoint counts as silent after four of the usual times to a first part. Where an answer has begun, the usual pause between parts counts instead (the 90th percentile of the last 10 s).

--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -23,6 +23,15 @@
 // Endpoint returns the name of the attempt's endpoint.
 func (a *Attempt) Endpoint() string { return a.endpoint.name }
 
+// Pause returns the time since the last part of the response arrived. It returns false if none has, or if a
+// is nil.
+func (a *Attempt) Pause(now time.Time) (time.Duration, bool) {
+	if a == nil || !a.responded {
+		return 0, false
+	}
+	return now.Sub(a.lastProgress), true
+}
+
 // attemptList is the list of the open attempts of an endpoint, ordered by
 // lastProgress, oldest first.
 type attemptList struct{ first, last *Attempt }
--- a/internal/endpoint/silence/judge.go
+++ b/internal/endpoint/silence/judge.go
@@ -12,8 +12,8 @@
 	// MinUnconfirmed is the least silence that counts without such reports: half of the time for which
 	// callers wait for an event.
 	MinUnconfirmed = time.Second
-	// usualUnconfirmed is how many times the usual time to the first part of an answer such a silence
-	// must last. An overloaded service answers after seconds.
+	// usualUnconfirmed is how many times the usual time to the next part of an answer such a silence
+	// must last. An overloaded service begins its answers after seconds.
 	usualUnconfirmed = 4
 )
 
@@ -21,7 +21,8 @@
 type Observation struct {
 	// Silence is for how long the endpoint has not been heard while others were.
 	Silence time.Duration
-	// Usual is the time that its service usually takes to the first part of an answer.
+	// Usual is the time that its service usually takes to the next part of an answer: the pause between
+	// two parts if an answer of the endpoint has begun, and else the time to the first part.
 	Usual time.Duration
 	// Reported means that someone else reports at present which endpoints of the group it sees, and Lag
 	// is by how much longer ago it saw this one than the others.
--- a/internal/endpoint/silence/silence_test.go
+++ b/internal/endpoint/silence/silence_test.go
@@ -78,16 +78,36 @@
 // Guards against an endpoint without requests that counts as silent because it has nothing to say.
 func TestIdleEndpointIsNotSilent(t *testing.T) {
 	tr := newTracker()
-	tr.Ended("a")
+	tr.Ended("a", false)
 	play(tr, start, 4*time.Second, "b", "c")
 	wantSilence(t, tr, "a", 0, 0)
 }
 
+// Guards against an endpoint that counts as answering when its answers have ended, and is then expected to
+// pause no longer than within an answer.
+func TestEndpointIsAnsweringWhileAnAnswerHasBegun(t *testing.T) {
+	tr := newTracker()
+	want := func(want bool) {
+		t.Helper()
+		if got := tr.Answering("a"); got != want {
+			t.Errorf("answering is %t", got)
+		}
+	}
+	want(false)
+	tr.Begun("a")
+	tr.Sent("a", "quotes")
+	want(true)
+	tr.Ended("a", false)
+	want(true)
+	tr.Ended("a", true)
+	want(false)
+}
+
 // Guards against an endpoint of which all is forgotten as soon as its requests were moved elsewhere.
 func TestSilenceIsKeptWhenTheRequestsHaveEnded(t *testing.T) {
 	tr := newTracker()
 	now := play(tr, start, time.Second, "b", "c")
-	tr.Ended("a")
+	tr.Ended("a", false)
 	play(tr, now, time.Second, "b", "c")
 	wantSilence(t, tr, "a", 900*time.Millisecond, time.Second)
 	tr.Reset("a")
--- a/internal/endpoint/silence/tracker.go
+++ b/internal/endpoint/silence/tracker.go
@@ -21,8 +21,9 @@
 // endpoint is what a Tracker knows of one endpoint.
 type endpoint struct {
 	group string
-	// open is the number of requests that the endpoint has.
-	open int
+	// open is the number of requests that the endpoint has, and begun of those that are being
+	// answered.
+	open, begun int
 	// heardAt is when a part of an answer last arrived, or zero.
 	heardAt time.Time
 	// heard means that this was after the last call of Advance.
@@ -47,20 +48,38 @@
 	e.open++
 }
 
-// Heard records that a part of an answer arrived.
+// Begun records that the answer to a request has begun. Heard records that its first part arrived.
+func (t *Tracker) Begun(id string) {
+	if e := t.endpoints[id]; e != nil {
+		e.begun++
+	}
+}
+
+// Heard records that something of an answer arrived.
 func (t *Tracker) Heard(id string, now time.Time) {
 	if e := t.endpoints[id]; e != nil {
 		e.heardAt, e.heard, e.silence = now, true, 0
 	}
 }
 
-// Ended records that a request has ended.
-func (t *Tracker) Ended(id string) {
-	if e := t.endpoints[id]; e != nil && e.open > 0 {
-		e.open--
+// Ended records that a request has ended. begun means that Begun was called for it.
+func (t *Tracker) Ended(id string, begun bool) {
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.open = max(0, e.open-1)
+	if begun {
+		e.begun = max(0, e.begun-1)
 	}
 }
 
+// Answering reports whether an endpoint has a request whose answer has begun.
+func (t *Tracker) Answering(id string) bool {
+	e := t.endpoints[id]
+	return e != nil && e.begun > 0
+}
+
 // Forget discards what is known of an endpoint that has gone.
 func (t *Tracker) Forget(id string) { delete(t.endpoints, id) }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -133,8 +133,8 @@
 func (st *State) PartReceived(assigned Assignment, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.recordHeard(assigned, now)
 	st.balancer.Progress(assigned.attempt, now)
-	st.silences.tracker.Heard(assigned.Endpoint.ID, now)
 	st.refusing.forget(assigned.Endpoint.ID)
 	if st.releaseQueued(assigned) {
 		st.latencies.recordFirst(assigned.Endpoint.Service, now.Sub(assigned.assignedAt), now)
@@ -175,7 +175,8 @@
 	if isHeard(o) {
 		st.silences.tracker.Heard(assigned.Endpoint.ID, now)
 	}
-	st.silences.tracker.Ended(assigned.Endpoint.ID)
+	_, begun := assigned.attempt.Pause(now)
+	st.silences.tracker.Ended(assigned.Endpoint.ID, begun)
 	st.quotas.markStale()
 	st.notifyChanged()
 	st.releaseQueued(assigned)
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -130,12 +130,30 @@
 func (st *State) observe(id, service string, now time.Time) silence.Observation {
 	o := silence.Observation{Silence: st.silences.tracker.Silence(id)}
 	o.Lag, o.Reported = st.silences.sightings.lag(id, now)
-	if o.Silence >= silence.MinUnconfirmed {
+	switch {
+	case o.Silence < silence.MinUnconfirmed: // of no account
+	case st.silences.tracker.Answering(id):
+		o.Usual = st.latencies.usualPause(service, now)
+	default:
 		o.Usual, _ = st.latencies.usual(service, 0, now)
 	}
 	return o
 }
 
+// recordHeard records that a part of an answer has arrived, before the balancer is told. mu must be held.
+func (st *State) recordHeard(assigned Assignment, now time.Time) {
+	id := assigned.Endpoint.ID
+	st.silences.tracker.Heard(id, now)
+	if assigned.attempt == nil {
+		return // the endpoint was removed meanwhile
+	}
+	if pause, begun := assigned.attempt.Pause(now); begun {
+		st.latencies.recordPause(assigned.Endpoint.Service, pause, now)
+		return
+	}
+	st.silences.tracker.Begun(id)
+}
+
 // AdvanceSilences measures silences, judges all endpoints, and returns those whose verdict has changed. It
 // must be called each silenceInterval.
 func (st *State) AdvanceSilences(now time.Time) []SilenceChange {
@@ -266,7 +284,7 @@
 	return n
 }
 
-// heard records that something of an answer has arrived.
+// heard records that something of an answer has arrived that is no part for the caller.
 func (st *State) heard(assigned Assignment, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/relay/times.go
+++ b/internal/relay/times.go
@@ -19,12 +19,13 @@
 	maxLatency    = time.Minute
 	latencyDigits = 2
 	// Percentiles of the observed latencies that count as the quick and the usual time to the first
-	// part, and as the usual time to the end of an answer. A request is worth trying if it meets
+	// part, as the usual time to the end of an answer, and as the usual pause between two parts. A request is worth trying if it meets
 	// its target when it is answered quickly. A late request is worth starting for as long as the
 	// usual latencies leave time for its answer.
 	quickFirstPercentile = 25
 	usualFirstPercentile = 75
 	usualWholePercentile = 75
+	usualPausePercentile = 90
 	// defaultFirstPartFraction is the assumed time to the first part of an answer, as a fraction of
 	// the latency target, until enough answers have been observed.
 	defaultFirstPartFraction = 0.4
@@ -41,8 +42,8 @@
 }
 
 type serviceLatencies struct {
-	first, whole *hdrhistogram.WindowedHistogram
-	rotatedAt    time.Time
+	first, whole, pause *hdrhistogram.WindowedHistogram
+	rotatedAt           time.Time
 }
 
 // forService returns the latencies of a service, without expired ones.
@@ -52,7 +53,7 @@
 	}
 	s := a.services[service]
 	if s == nil {
-		s = &serviceLatencies{first: newLatencyHistogram(), whole: newLatencyHistogram(), rotatedAt: now}
+		s = &serviceLatencies{first: newLatencyHistogram(), whole: newLatencyHistogram(), pause: newLatencyHistogram(), rotatedAt: now}
 		a.services[service] = s
 	}
 	s.rotate(now)
@@ -70,6 +71,7 @@
 		}
 		s.first.Rotate()
 		s.whole.Rotate()
+		s.pause.Rotate()
 		s.rotatedAt = s.rotatedAt.Add(latencyWindow / latencyWindowParts)
 	}
 	s.rotatedAt = now // all samples have expired
@@ -84,6 +86,17 @@
 	recordLatency(a.forService(service, now).whole, d)
 }
 
+// recordPause records the time between two parts of an answer.
+func (a *answerLatencies) recordPause(service string, d time.Duration, now time.Time) {
+	recordLatency(a.forService(service, now).pause, d)
+}
+
+// usualPause returns the usual time between two parts of an answer of a service, or zero before enough have
+// been observed.
+func (a *answerLatencies) usualPause(service string, now time.Time) time.Duration {
+	return quantile(a.forService(service, now).pause, usualPausePercentile, 0)
+}
+
 func recordLatency(h *hdrhistogram.WindowedHistogram, d time.Duration) {
 	// Values within the histogram's bounds are never rejected.
 	_ = h.Current.RecordValue(min(max(d, time.Millisecond), maxLatency).Milliseconds())
