A held step doesn't wait for the lease of a silent leader

Callers saw: a leader's VM froze while it held a step, and all streams of the group stood for 1.35 to 1.5 s, until the lease had lapsed (0.9 to 1.2 s) and the successor had seen all ranks.

Change: the agent of the rank that holds the step sees that its group stands there. If it has for 200 ms and the leader has not polled this agent for 400 ms, the agent ends the leader's lease and campaigns as usual.

--- a/cmd/hyssoprelay/process_test.go
+++ b/cmd/hyssoprelay/process_test.go
@@ -97,15 +97,28 @@
 	}
 }
 
-// freeze stops the process and returns when all of its threads have stopped. On a busy machine they run on
-// for some milliseconds after the signal, in which the process may take a request.
+// freeze stops the process and returns when all of its threads have stopped.
 func (p *proc) freeze(t *testing.T) {
 	t.Helper()
-	p.signal(syscall.SIGSTOP)
+	if err := freezeProcess(p.cmd.Process.Pid); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// freezeProcess stops a child process and returns when all of its threads have stopped. On a busy machine they
+// run on for some milliseconds after the signal, in which the process may take a request.
+func freezeProcess(pid int) error {
+	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
+		return err
+	}
 	var status syscall.WaitStatus
-	if _, err := syscall.Wait4(p.cmd.Process.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
-		t.Fatalf("not stopped: status %v, %v", status, err)
+	if _, err := syscall.Wait4(pid, &status, syscall.WUNTRACED, nil); err != nil {
+		return err
+	}
+	if !status.Stopped() {
+		return fmt.Errorf("not stopped: status %v", status)
 	}
+	return nil
 }
 
 func (p *proc) kill() {
--- a/cmd/hyssoprelay/ranker_test.go
+++ b/cmd/hyssoprelay/ranker_test.go
@@ -67,6 +67,34 @@
 	}
 }
 
+// The VM of a group's leader freezes while a step is held, and its lease does not lapse for an hour. Guards
+// against a group that stands until the lease has lapsed, which is most of the time that its callers wait.
+func TestHeldStepDoesNotWaitForTheLeaseOfAFrozenLeader(t *testing.T) {
+	store, group := standin.NewStore(), standin.StartGroup(3, 2, 9, 4)
+	t.Cleanup(store.Close)
+	t.Cleanup(group.Close)
+	store.GrantAtLeast(time.Hour)
+	store.Put("op/config", []byte(standin.GroupConfiguration))
+	r := newRankers(t, group, []string{store.Addr(), store.Addr(), store.Addr()})
+	frozen := make(chan int, 1)
+	r.group.OnHold(func() {
+		i := r.leader()
+		if err := freezeProcess(r.procs[i].cmd.Process.Pid); err != nil {
+			t.Error(err)
+		}
+		frozen <- i
+	})
+	old := <-frozen
+	lighten := r.group.Darken(old)
+	t.Cleanup(lighten)
+	r.runsOn()
+	lighten()
+	r.procs[old].signal(syscall.SIGCONT)
+	r.eventually("the old leader learns that its term has ended", func() bool { return r.procs[old].log.Has("group leadership lost") })
+	r.eventually("a map is in force", func() bool { return r.group.Version() > 0 })
+	r.runsOn()
+}
+
 // The VM of a group's leader freezes just after a step was held, and nobody
 // reaches the engine beside it, which goes on with its group. All callers of the
 // group waited until the VM was back; now its successor lets the step go, and
--- a/internal/rank/kvlease.go
+++ b/internal/rank/kvlease.go
@@ -139,6 +139,12 @@
 	return now.Add(ttl), nil
 }
 
+// End revokes the lease of another holder, whose key-value pair CurrentHolder has returned. That holder
+// learns of it when it next renews the lease.
+func (l *KVLease) End(ctx context.Context, holder platform.KeyValue) error {
+	return l.KV.Revoke(ctx, holder.Lease())
+}
+
 // Release revokes the lease, so that another holder need not wait until it
 // expires.
 func (l *KVLease) Release(ctx context.Context) error {
--- a/internal/rank/kvlease_test.go
+++ b/internal/rank/kvlease_test.go
@@ -62,6 +62,27 @@
 	}
 }
 
+// TestEndedLeaseIsFree guards against a holder whose lease another agent has ended and that goes on for as long
+// as the lease would have lasted.
+func TestEndedLeaseIsFree(t *testing.T) {
+	a, b := newLeases(t, &kv.Server{})
+	ctx := t.Context()
+	first, _, err := a.Acquire(ctx, time.Now())
+	assertErrorIs(t, err, nil)
+	held, ok, err := b.CurrentHolder(ctx)
+	if err != nil || !ok {
+		t.Fatal(ok, err)
+	}
+	assertErrorIs(t, b.End(ctx, held), nil)
+	second, _, err := b.Acquire(ctx, time.Now())
+	assertErrorIs(t, err, nil)
+	if second <= first {
+		t.Errorf("token %d after %d", second, first)
+	}
+	_, err = a.Renew(ctx, time.Now())
+	assertErrorIs(t, err, rank.ErrLeaseLost)
+}
+
 func awaitAcquire(ctx context.Context, t *testing.T, l *rank.KVLease) uint64 {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/internal/ranker/led.go
+++ b/internal/ranker/led.go
@@ -85,6 +85,13 @@
 	return l.leader, l.known
 }
 
+// silence returns how long ago an agent was last known to lead.
+func (l *leaderTracker) silence(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.lastSeen)
+}
+
 // shouldAsk reports whether the agent of the given rank, in a group of the given
 // size, should ask the store now which agent leads. If so, it records now as the time
 // of the query.
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -191,9 +191,10 @@
 // watchEngine polls the agent's own engine and campaigns for the lease of its group
 // when the group has no leader.
 func (r *Ranker) watchEngine(ctx context.Context) error {
+	var stand standstill
 	for ctx.Err() == nil {
 		// The next poll is due, or the group's leader has resigned.
-		r.leaderGone.Wait(ctx, ownPollInterval)
+		r.leaderGone.Wait(ctx, stand.pollInterval())
 		s, err := r.engine.State(ctx)
 		if err != nil || s.Group == "" {
 			continue // a starting engine has no group yet
@@ -202,7 +203,16 @@
 		r.group = s.Group
 		r.mu.Unlock()
 		r.groupKnownOnce.Do(func() { close(r.groupKnown) })
-		if !r.stopping.Load() && r.leader.shouldAsk(s.Rank, s.Size, boottime.Now()) {
+		if r.stopping.Load() {
+			continue
+		}
+		now := boottime.Now()
+		stood := stand.observe(s, now)
+		switch {
+		case mayEndLease(stood, r.leader.silence(now), r.Settings.FencingChecked):
+			r.leaseInDoubt.Raise()
+			r.takeOver(ctx, s, stood)
+		case r.leader.shouldAsk(s.Rank, s.Size, now):
 			// A leader that does not poll this agent may no longer see its key.
 			r.leaseInDoubt.Raise()
 			r.campaign(ctx, s)
@@ -211,10 +221,18 @@
 	return nil
 }
 
+// newLease returns the lease of the group of the agent's engine.
+func (r *Ranker) newLease(s lockstep.State) *rank.KVLease {
+	return &rank.KVLease{
+		KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: holderName(r.Settings.Name, s.Rank),
+		TTL: leaseTTL,
+	}
+}
+
 // campaign takes the group's lease if it is free and leads the group until the term
 // ends.
 func (r *Ranker) campaign(ctx context.Context, s lockstep.State) {
-	lease := &rank.KVLease{KV: r.store, Prefix: fleet.Prefix, Group: s.Group, Holder: holderName(r.Settings.Name, s.Rank), TTL: leaseTTL}
+	lease := r.newLease(s)
 	now := boottime.Now()
 	if !r.leaseIsFree(ctx, lease) {
 		return
--- /dev/null
+++ b/internal/ranker/takeover.go
@@ -0,0 +1,102 @@
+package ranker
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank"
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+)
+
+const (
+	// standPollInterval is how often an agent polls its own engine while the group stands at the step
+	// that this engine holds.
+	standPollInterval = 50 * time.Millisecond
+	// minStandTime is how long the group must have stood there, and maxLeaderSilence how long the
+	// leader must not have polled this agent, before its lease is ended. Leaders poll ten times a
+	// second, and release a step within some 50 ms.
+	minStandTime     = 200 * time.Millisecond
+	maxLeaderSilence = 400 * time.Millisecond
+)
+
+// standstill tracks for how long a group has stood at the step that the agent's own engine holds. A leader
+// gives the hold to the rank behind its own, whose agent is also the first in the order of succession.
+//
+// If the leader's VM freezes then, all streams of the group wait until its lease has lapsed, 0.9 to 1.2 s, and
+// for the successor's first orders. Callers who had asked just before left after 2 s, while their entries
+// could hardly tell yet which engine was the one that stood.
+type standstill struct {
+	step  uint64
+	since time.Time
+	// observedAt is when the engine was last polled.
+	observedAt time.Time
+}
+
+// observe records the state of the agent's engine at the time now, and returns for how long the group has
+// stood. The time for which the agent itself stood still does not count.
+func (h *standstill) observe(s lockstep.State, now time.Time) time.Duration {
+	stoodStill := now.Sub(h.observedAt) > 2*ownPollInterval
+	h.observedAt = now
+	if s.Held == nil || s.Step+1 != *s.Held {
+		h.since = time.Time{}
+		return 0
+	}
+	if h.since.IsZero() || h.step != *s.Held || stoodStill {
+		h.step, h.since = *s.Held, now
+	}
+	return now.Sub(h.since)
+}
+
+// pollInterval returns how long to wait before the engine is polled again.
+func (h *standstill) pollInterval() time.Duration {
+	if h.since.IsZero() {
+		return ownPollInterval
+	}
+	return standPollInterval
+}
+
+// mayEndLease reports whether an agent may end the lease of a leader that it last heard of that long ago,
+// when its group has stood for the time stood.
+//
+// Ending a lease is safe where engines check fencing tokens: a successor shows its token to each rank before
+// it decides, and from then on the ranks refuse what the old leader orders, whether that one is frozen or
+// not. Elsewhere only the lapse of its lease keeps an old leader from giving orders.
+func mayEndLease(stood, leaderSilence time.Duration, fencingChecked bool) bool {
+	return fencingChecked && stood >= minStandTime && leaderSilence >= maxLeaderSilence
+}
+
+// takeOver ends the lease of a leader that has left a step held, and campaigns for the group's lease.
+func (r *Ranker) takeOver(ctx context.Context, s lockstep.State, stood time.Duration) {
+	lease := r.newLease(s)
+	held, ok, err := lease.CurrentHolder(ctx)
+	if err != nil {
+		r.logStoreFailure(err)
+		return
+	}
+	if ok && !r.endLease(ctx, lease, held, s, stood) {
+		return
+	}
+	r.campaign(ctx, s)
+}
+
+// endLease ends the lease of the leader that this agent last heard of. It reports whether it did.
+func (r *Ranker) endLease(ctx context.Context, lease *rank.KVLease, held kv.KeyValue, s lockstep.State, stood time.Duration) bool {
+	holder, ok := parseHolder(held)
+	last, known := r.leader.last()
+	if !ok || !known || holder.Token != last.Token {
+		return false // another agent has just begun to lead
+	}
+	r.Log.WithFields(logrus.Fields{
+		"group": s.Group, "leader": last.name, "token": last.Token, "step": *s.Held, "stood": stood.Milliseconds(),
+		"silent": r.leader.silence(boottime.Now()).Milliseconds(),
+	}).Warn("the leader is silent while a step is held, its lease is ended")
+	if err := lease.End(ctx, held); err != nil {
+		r.logStoreFailure(err)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/ranker/takeover_test.go
@@ -0,0 +1,63 @@
+package ranker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+)
+
+// Guards against a lease that is ended while its leader is heard, during a short hold, or where only the lapse
+// of the lease keeps the old leader from giving orders.
+func TestLeaseIsEndedOnlyWhileAGroupStandsWithoutItsLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		stood, silence time.Duration
+		fencing, want  bool
+	}{
+		"stands, leader silent":            {minStandTime, maxLeaderSilence, true, true},
+		"held for a moment":                {minStandTime - 1, maxLeaderSilence, true, false},
+		"runs":                             {0, time.Hour, true, false},
+		"leader heard":                     {time.Hour, maxLeaderSilence - 1, true, false},
+		"engines ignore the fencing token": {time.Hour, time.Hour, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := mayEndLease(c.stood, c.silence, c.fencing); got != c.want {
+				t.Errorf("%t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a stand that counts several holds, or steps that are still to come, as one.
+func TestStandstillCountsOneHeldStep(t *testing.T) {
+	start := time.Unix(1000, 0)
+	state := func(step, held uint64) lockstep.State {
+		s := lockstep.State{Step: step}
+		if held > 0 {
+			s.Held = &held
+		}
+		return s
+	}
+	var h standstill
+	for _, c := range []struct {
+		after time.Duration
+		state lockstep.State
+		want  time.Duration
+	}{
+		{0, state(7, 0), 0},
+		{100, state(8, 10), 0},
+		{200, state(9, 10), 0},
+		{300, state(9, 10), 100},
+		{400, state(9, 10), 200},
+		{500, state(13, 14), 0},
+		{600, state(13, 14), 100},
+		{700, state(14, 0), 0},
+		{800, state(13, 14), 0},
+		{3800, state(13, 14), 0}, // the agent stood still
+		{3900, state(13, 14), 100},
+	} {
+		if got := h.observe(c.state, start.Add(c.after*time.Millisecond)); got != c.want*time.Millisecond {
+			t.Errorf("after %d ms the group has stood for %v, want %d ms", c.after, got, c.want)
+		}
+	}
+}
