--- a/internal/endpoint/placement/attempt.go
+++ b/internal/endpoint/placement/attempt.go
@@ -23,13 +23,12 @@
 // Endpoint returns the name of the attempt's endpoint.
 func (a *Attempt) Endpoint() string { return a.endpoint.name }
 
-// Pause returns the time since the last part of the response arrived. It returns false if none has, or if a
-// is nil.
-func (a *Attempt) Pause(now time.Time) (time.Duration, bool) {
+// LastPartAt returns when the last part of the response arrived. It returns false if none has, or if a is nil.
+func (a *Attempt) LastPartAt() (time.Time, bool) {
 	if a == nil || !a.responded {
-		return 0, false
+		return time.Time{}, false
 	}
-	return now.Sub(a.lastProgress), true
+	return a.lastProgress, true
 }
 
 // attemptList is the list of the open attempts of an endpoint, ordered by
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -54,9 +54,11 @@
 	query    placement.Query
 	assigned Assignment
 	class    routing.Class
-	// seq orders attempts by their start, and deadline is that of the request.
-	seq      uint64
-	deadline time.Time
+	// receivedAt is when the request arrived, seq orders attempts by their start, and deadline is that of
+	// the request.
+	receivedAt time.Time
+	seq        uint64
+	deadline   time.Time
 	// begin begins to move the attempt to the endpoint of an assignment. It is called with State.mu held.
 	begin func(next Assignment, reason MoveReason)
 	// moved means that the attempt is being moved, and pinned that it may no longer be. State.mu guards
@@ -69,6 +71,14 @@
 	handover *handover
 }
 
+// waitingSince returns since when the caller has waited for the next part of the answer. State.mu must be held.
+func (r *movableAttempt) waitingSince() time.Time {
+	if last, begun := r.assigned.attempt.LastPartAt(); begun {
+		return last
+	}
+	return r.receivedAt
+}
+
 // startHandover begins a move and returns what the caller has received.
 func (r *movableAttempt) startHandover(h *handover) position {
 	r.mu.Lock()
@@ -174,20 +184,22 @@
 	}
 }
 
-// moveOffSilentEndpoints moves requests off endpoints that can't be heard while others of their group can, the
-// oldest first. mu must be held.
+// moveOffSilentEndpoints moves requests off endpoints that can't be heard while others of their group can. mu
+// must be held.
 //
 // Nothing ends such a request but its caller's patience, and nothing tells the endpoint that the caller has
 // left: on a VM that stood still for 3 s, eight callers waited for 2 s each, and their work went on after they
 // had left, while eleven other engines had free slots. The conditions are those of moveOffSlowEngines. The
 // attempt is kept until the next endpoint has an event of the stream; if it is heard before, the stream goes
-// on there.
+// on there. Those go first whose callers have waited longest, as these leave first.
 func (st *State) moveOffSilentEndpoints(now time.Time) {
 	for id, m := range st.silences.marks {
 		if m.verdict != silence.Silent {
 			continue
 		}
-		for _, r := range unmoved(st.movable[id]) {
+		waiting := movableNow(st.movable[id])
+		slices.SortFunc(waiting, func(a, b *movableAttempt) int { return a.waitingSince().Compare(b.waitingSince()) })
+		for _, r := range waiting {
 			if !st.move(r, EndpointSilent, now) {
 				break
 			}
@@ -231,20 +243,19 @@
 	if n <= 0 {
 		return nil
 	}
-	out := unmoved(attempts)
-	slices.Reverse(out)
+	out := movableNow(attempts)
+	slices.SortFunc(out, func(a, b *movableAttempt) int { return cmp.Compare(b.seq, a.seq) })
 	return out[:min(n, len(out))]
 }
 
-// unmoved returns the attempts that can be moved, the oldest first.
-func unmoved(attempts map[*movableAttempt]bool) []*movableAttempt {
+// movableNow returns the attempts that can be moved, in unspecified order.
+func movableNow(attempts map[*movableAttempt]bool) []*movableAttempt {
 	out := make([]*movableAttempt, 0, len(attempts))
 	for r := range attempts {
 		if !r.moved && !r.pinned {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *movableAttempt) int { return cmp.Compare(a.seq, b.seq) })
 	return out
 }
 
@@ -290,7 +301,7 @@
 		return j.attempt(attemptCtx, assigned, from), nil
 	}
 	st := j.relay.State
-	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, class: j.class(), deadline: j.deadline, at: j.position}
+	r := &movableAttempt{service: j.service, query: j.query(), assigned: assigned, class: j.class(), receivedAt: j.raw.ReceivedAt, deadline: j.deadline, at: j.position}
 	r.begin = j.beginHandover(ctx, r, cancel)
 	st.registerMovable(r)
 	j.movable = r
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -14,8 +14,10 @@
 	st       *State
 	service  *routing.Service
 	attempts []*movableAttempt
-	// next holds the assignments of the attempts that are being moved.
-	next map[*movableAttempt]Assignment
+	// next holds the assignments of the attempts that are being moved, and order those attempts as their
+	// moves began.
+	next  map[*movableAttempt]Assignment
+	order []*movableAttempt
 }
 
 func newSlowGroup(t *testing.T, streams int) *slowGroup {
@@ -37,7 +39,7 @@
 			service: g.service, query: placement.Query{Excluded: []string{assigned.Endpoint.ID}}, assigned: assigned,
 			deadline: start.Add(8 * time.Second),
 		}
-		r.begin = func(next Assignment, _ MoveReason) { g.next[r] = next }
+		r.begin = func(next Assignment, _ MoveReason) { g.next[r], g.order = next, append(g.order, r) }
 		g.st.registerMovable(r)
 		g.attempts = append(g.attempts, r)
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -175,7 +175,7 @@
 	if isHeard(o) {
 		st.silences.tracker.Heard(assigned.Endpoint.ID, now)
 	}
-	_, begun := assigned.attempt.Pause(now)
+	_, begun := assigned.attempt.LastPartAt()
 	st.silences.tracker.Ended(assigned.Endpoint.ID, begun)
 	st.quotas.markStale()
 	st.notifyChanged()
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -147,8 +147,8 @@
 	if assigned.attempt == nil {
 		return // the endpoint was removed meanwhile
 	}
-	if pause, begun := assigned.attempt.Pause(now); begun {
-		st.latencies.recordPause(assigned.Endpoint.Service, pause, now)
+	if last, begun := assigned.attempt.LastPartAt(); begun {
+		st.latencies.recordPause(assigned.Endpoint.Service, now.Sub(last), now)
 		return
 	}
 	st.silences.tracker.Begun(id)
@@ -196,7 +196,7 @@
 		if m.verdict != silence.Silent {
 			continue
 		}
-		for _, r := range unmoved(st.movable[id]) {
+		for _, r := range movableNow(st.movable[id]) {
 			byService[r.service.Name] = addClass(byService[r.service.Name], r.class)
 		}
 	}
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,26 @@
 	}
 }
 
+// Guards against moving a stream first whose caller has waited less than others, who leave before the next slot
+// is free.
+func TestCallerThatHasWaitedLongestIsMovedFirst(t *testing.T) {
+	g := newSlowGroup(t, 12)
+	now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+	var want []*movableAttempt
+	for i := len(g.attempts) - 1; i >= 0; i-- {
+		if r := g.attempts[i]; r.assigned.Endpoint.ID == "e2" {
+			now = now.Add(10 * time.Millisecond)
+			g.st.PartReceived(r.assigned, now)
+			want = append(want, r)
+		}
+	}
+	g.play(now, time.Second, withoutE2, withoutE2)
+	g.wantMoved(t, 3)
+	if !slices.Equal(g.order, want) {
+		t.Errorf("order %v, want %v", g.order, want)
+	}
+}
+
 // Guards against an engine that gets no requests although it can be heard again, and against one that gets
 // them at once although nothing has shown that it can.
 func TestSilentEngineIsAvoidedUntilItIsBack(t *testing.T) {
