Silences cost the same at any size of fleet

Each step looked at all endpoints that an entry knows: 12,000 at the target size, ten times a second. It now looks at those with requests of this entry, with a mark, or missing in their leader's last report; what was sent to an endpoint is forgotten when it is idle. Groups of sightings follow their engines.

--- a/internal/endpoint/silence/silence_test.go
+++ b/internal/endpoint/silence/silence_test.go
@@ -128,6 +128,19 @@
 	wantSilence(t, tr, "a", 10*tick, 10*tick)
 }
 
+// Guards against a tracker whose cost grows with the endpoints of a fleet, of which an entry uses some at a time.
+func TestIdleEndpointsAreForgotten(t *testing.T) {
+	tr := newTracker()
+	tr.Ended("a", false)
+	play(tr, start, time.Second, "b", "c")
+	if n := len(tr.endpoints); n != 2 {
+		t.Errorf("%d endpoints are tracked", n)
+	}
+	if ids := tr.Silent(); len(ids) != 0 {
+		t.Errorf("%v are silent", ids)
+	}
+}
+
 // Guards against groups that are compared with each other.
 func TestOtherGroupsDoNotCount(t *testing.T) {
 	tr := newTracker()
--- a/internal/endpoint/silence/tracker.go
+++ b/internal/endpoint/silence/tracker.go
@@ -99,7 +99,21 @@
 			e.silence += step
 		}
 		e.heard = false
+		if e.open == 0 && e.silence == 0 && now.Sub(e.heardAt) > recent {
+			delete(t.endpoints, id) // nothing is expected of it, and it says nothing of others
+		}
+	}
+}
+
+// Silent returns the endpoints that have a silence.
+func (t *Tracker) Silent() []string {
+	var ids []string
+	for id, e := range t.endpoints {
+		if e.silence > 0 {
+			ids = append(ids, id)
+		}
 	}
+	return ids
 }
 
 // Silence returns for how long an endpoint with requests has not been heard while others of its group
@@ -111,7 +125,7 @@
 	return 0
 }
 
-// HeardAt returns when an endpoint was last heard, or the zero time.
+// HeardAt returns when an endpoint was last heard, or the zero time if that was not recently.
 func (t *Tracker) HeardAt(id string) time.Time {
 	if e := t.endpoints[id]; e != nil {
 		return e.heardAt
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"time"
 
@@ -52,71 +53,26 @@
 	Running int
 }
 
-// sightings holds when the leaders of groups last saw their engines, according to their load reports. A
-// report lists the engines that its leader has just seen.
-type sightings struct {
-	// group holds the group of each endpoint, which is kept while an engine is missing in reports.
-	group map[string]uint64
-	// endpoint and whole hold when an endpoint, and any of a group, was last seen.
-	endpoint map[string]time.Time
-	whole    map[uint64]time.Time
-	groups   uint64
+// groupName returns the name of the set of endpoints that go on or stand together with an endpoint of a
+// service: its group of engines, or else the whole service.
+func (s *silences) groupName(id, service string) string {
+	return service + "/" + strconv.FormatUint(s.sightings.group[id], 10)
 }
 
-// record records that a report lists these endpoints, which were seen at the time at.
-func (s *sightings) record(ids []string, at time.Time) {
-	if len(ids) == 0 {
-		return
+// suspects returns the endpoints that may be inaudible. Those of which nothing is expected are not among them,
+// of which a large fleet has many.
+func (s *silences) suspects() map[string]bool {
+	out := maps.Clone(s.sightings.missing)
+	if out == nil {
+		out = map[string]bool{}
 	}
-	if s.group == nil {
-		s.group, s.endpoint, s.whole = map[string]uint64{}, map[string]time.Time{}, map[uint64]time.Time{}
+	for id := range s.marks {
+		out[id] = true
 	}
-	g := s.groupOf(ids)
-	for _, id := range ids {
-		s.group[id] = g
-		s.endpoint[id] = at
+	for _, id := range s.tracker.Silent() {
+		out[id] = true
 	}
-	s.whole[g] = at
-}
-
-// groupOf returns the group to which most of the endpoints belong, or a new one.
-func (s *sightings) groupOf(ids []string) uint64 {
-	members, largest := map[uint64]int{}, uint64(0)
-	for _, id := range ids {
-		g, known := s.group[id]
-		if !known {
-			continue
-		}
-		if members[g]++; members[g] > members[largest] {
-			largest = g
-		}
-	}
-	if largest == 0 {
-		s.groups++ // groups are numbered from 1
-		largest = s.groups
-	}
-	return largest
-}
-
-// lag returns by how much longer ago than the others of its group an endpoint was seen, and whether its
-// group is reported at present.
-func (s *sightings) lag(id string, now time.Time) (lag time.Duration, reported bool) {
-	g, ok := s.group[id]
-	if !ok || now.Sub(s.whole[g]) >= maxLeaderReportAge {
-		return 0, false
-	}
-	return s.whole[g].Sub(s.endpoint[id]), true
-}
-
-func (s *sightings) forget(id string) {
-	delete(s.group, id)
-	delete(s.endpoint, id)
-}
-
-// groupName returns the name of the set of endpoints that go on or stand together with an endpoint of a
-// service: its group of engines, or else the whole service.
-func (s *silences) groupName(id, service string) string {
-	return service + "/" + strconv.FormatUint(s.sightings.group[id], 10)
+	return out
 }
 
 // forget discards what is known of an endpoint that has gone.
@@ -171,11 +127,15 @@
 	return changes
 }
 
-// judgeSilences judges all endpoints and returns those whose verdict has changed. mu must be held.
+// judgeSilences judges the endpoints and returns those whose verdict has changed. mu must be held.
 func (st *State) judgeSilences(now time.Time) []SilenceChange {
 	s := &st.silences
 	var changes []SilenceChange
-	for id, ep := range st.endpoints {
+	for id := range s.suspects() {
+		ep, ok := st.endpoints[id]
+		if !ok {
+			continue
+		}
 		o := st.observe(id, ep.Service, now)
 		from := s.marks[id].verdict
 		to := s.mark(id, o, now)
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/silence"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 )
 
 // play advances the group by a time, in which the engines named are heard and those seen are reported.
@@ -153,6 +154,48 @@
 	}
 }
 
+// Guards against groups that are kept for ever because their engines were replaced, and against an engine that
+// counts as missing in the group that it has left.
+func TestGroupsFollowTheirEngines(t *testing.T) {
+	var s sightings
+	s.record([]string{"a", "b"}, start)
+	s.record([]string{"c", "d", "e"}, start)
+	s.record([]string{"b", "c", "d", "e"}, start.Add(time.Second)) // b has moved
+	s.record([]string{"a"}, start.Add(time.Second))
+	if len(s.missing) != 0 {
+		t.Errorf("%v are missing", s.missing)
+	}
+	s.forget("a")
+	if len(s.members) != 1 || len(s.whole) != 1 {
+		t.Errorf("%d groups, of which %d were seen", len(s.members), len(s.whole))
+	}
+}
+
+// BenchmarkAdvanceSilences measures the cost of one step for an entry with requests at 12 endpoints.
+func BenchmarkAdvanceSilences(b *testing.B) {
+	for _, n := range []int{12, 630, 12_000} {
+		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
+			st := newState("me", &routing.Service{Name: "quotes", Engine: testEngine()})
+			listEndpoints(st, n, "quotes")
+			var loads []EndpointLoad
+			for i := range n {
+				loads = append(loads, EndpointLoad{Address: fmt.Sprintf("10.0.0.%d:1", i), Slowdown: 1, Group: 1, At: start})
+			}
+			st.SetLoads(loads, start)
+			for range 12 {
+				if _, e := st.Choose(st.Table().Service("quotes"), placement.Query{}, start); e != nil {
+					b.Fatal(e)
+				}
+			}
+			now := start
+			for b.Loop() {
+				now = now.Add(silenceInterval)
+				st.AdvanceSilences(now)
+			}
+		})
+	}
+}
+
 // Guards against an entry that keeps marks of endpoints that have gone.
 func TestMarksOfEndpointsThatAreGoneAreDropped(t *testing.T) {
 	g := newSlowGroup(t, 12)
