--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -201,7 +201,7 @@
 			delete(st.failures, id)
 			delete(st.batchLimits.groups, id)
 			st.refusing.forget(id)
-			st.silences.forget(id)
+			st.forgetSilence(id)
 			delete(st.quotas.unreported, id)
 		}
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -68,7 +68,7 @@
 		assigned.LoadAge = now.Sub(l.At)
 	}
 	st.ownRunning[ep.ID]++
-	st.silences.tracker.Sent(ep.ID, st.silences.groupName(ep.ID, ep.Service))
+	st.silences.sent(ep.ID, ep.Service)
 	st.quotas.started(service.Name, ep.ID)
 	st.notifyChanged()
 	return assigned, nil
@@ -177,6 +177,9 @@
 	}
 	_, begun := assigned.attempt.LastPartAt()
 	st.silences.tracker.Ended(assigned.Endpoint.ID, begun)
+	if _, listed := st.endpoints[assigned.Endpoint.ID]; !listed {
+		st.forgetSilence(assigned.Endpoint.ID)
+	}
 	st.quotas.markStale()
 	st.notifyChanged()
 	st.releaseQueued(assigned)
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -26,8 +26,10 @@
 type silences struct {
 	tracker   silence.Tracker
 	sightings sightings
-	// marks holds the endpoints that are not audible, by ID.
-	marks map[string]silenceMark
+	// marks holds the endpoints that are not audible, by ID, and services the services of those that were
+	// sent requests.
+	marks    map[string]silenceMark
+	services map[string]string
 }
 
 // silenceMark is what is held against an endpoint.
@@ -53,6 +55,15 @@
 	Running int
 }
 
+// sent records that a request was sent to an endpoint of a service.
+func (s *silences) sent(id, service string) {
+	if s.services == nil {
+		s.services = map[string]string{}
+	}
+	s.services[id] = service
+	s.tracker.Sent(id, s.groupName(id, service))
+}
+
 // groupName returns the name of the set of endpoints that go on or stand together with an endpoint of a
 // service: its group of engines, or else the whole service.
 func (s *silences) groupName(id, service string) string {
@@ -80,10 +91,20 @@
 	s.tracker.Forget(id)
 	s.sightings.forget(id)
 	delete(s.marks, id)
+	delete(s.services, id)
+}
+
+// forgetSilence discards what is known of an endpoint that is no longer listed, unless it has requests of this
+// entry: the listing of one whose VM stands still lapses too. mu must be held.
+func (st *State) forgetSilence(id string) {
+	if st.ownRunning[id] == 0 {
+		st.silences.forget(id)
+	}
 }
 
-// observe returns what is known of an endpoint of a service. mu must be held.
-func (st *State) observe(id, service string, now time.Time) silence.Observation {
+// observe returns what is known of an endpoint. mu must be held.
+func (st *State) observe(id string, now time.Time) silence.Observation {
+	service := st.silences.services[id]
 	o := silence.Observation{Silence: st.silences.tracker.Silence(id)}
 	o.Lag, o.Reported = st.silences.sightings.lag(id, now)
 	switch {
@@ -116,7 +137,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.silences.tracker.Advance(func(id string) bool {
-		return st.observe(id, st.endpoints[id].Service, now).Unseen()
+		return st.observe(id, now).Unseen()
 	}, now)
 	changes := st.judgeSilences(now)
 	if len(changes) > 0 {
@@ -132,16 +153,12 @@
 	s := &st.silences
 	var changes []SilenceChange
 	for id := range s.suspects() {
-		ep, ok := st.endpoints[id]
-		if !ok {
-			continue
-		}
-		o := st.observe(id, ep.Service, now)
+		o := st.observe(id, now)
 		from := s.marks[id].verdict
 		to := s.mark(id, o, now)
 		if from != to {
 			changes = append(changes, SilenceChange{
-				Endpoint: id, Service: ep.Service, From: from, To: to, Silence: o.Silence, Lag: o.Lag,
+				Endpoint: id, Service: s.services[id], From: from, To: to, Silence: o.Silence, Lag: o.Lag,
 				Reported: o.Reported, Running: st.ownRunning[id],
 			})
 		}
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/directory"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/placement"
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint/silence"
 	"github.com/hyssoprelay/hyssoprelay/internal/routing"
@@ -154,6 +155,23 @@
 	}
 }
 
+// The listing of a silent engine lapses while streams wait there. Guards against streams that stay since nothing is
+// known of the engine any more, and against knowledge that outlives them.
+func TestStreamsLeaveASilentEngineThatIsNoLongerListed(t *testing.T) {
+	g := newSlowGroup(t, 12)
+	now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+	g.st.UpdateDirectory(func(d *directory.Directory) { d.Remove("e2", now) })
+	now = g.play(now, 3*time.Second, withoutE2, withoutE2)
+	if _, listed := g.st.endpoints["e2"]; listed {
+		t.Fatal("the engine is still listed")
+	}
+	g.wantMoved(t, 3)
+	g.leave("e2", now)
+	if s := &g.st.silences; s.services["e2"] != "" || s.tracker.Silence("e2") != 0 || len(s.marks) != 0 {
+		t.Errorf("kept: service %q, silence %v, marks %v", s.services["e2"], s.tracker.Silence("e2"), s.marks)
+	}
+}
+
 // Guards against groups that are kept for ever because their engines were replaced, and against an engine that
 // counts as missing in the group that it has left.
 func TestGroupsFollowTheirEngines(t *testing.T) {
