Streams that leave a silent endpoint don't wait for free slots

Where no slot is free, each other endpoint may now get one such stream beyond its allowance, which it runs when its next slot is free. New requests are not assigned before the endpoint is below its allowance again.

TestStreamsLeaveASilentEngineAlsoIfTheOthersAreFull failed before (0 moved).

--- a/internal/endpoint/placement/choose.go
+++ b/internal/endpoint/placement/choose.go
@@ -105,6 +105,40 @@
 	return Choice{}, false, rejectionCodes[reason]
 }
 
+// ChooseBeyond is Choose for an attempt that may be placed on an endpoint which is full, but has less than extra
+// streams above its limit. It is meant for few attempts that must not wait for the free slots that others wait
+// for too.
+func (b *Balancer) ChooseBeyond(q Query, extra int, now time.Time) (c Choice, ok bool) {
+	rt := b.routes[q.Route]
+	if rt == nil {
+		return Choice{}, false
+	}
+	e, _ := b.scan(rt, &q, now, func(e *endpoint, rt *route, now time.Time) int {
+		st := b.state(e, rt, now)
+		if st == busy && b.isWithin(e, rt, extra, now) {
+			return eligible
+		}
+		return st
+	})
+	if e == nil {
+		return Choice{}, false
+	}
+	return b.recordChoice(e, false, false, now), true
+}
+
+// isWithin reports whether an endpoint is known to have less than extra streams above its limit, and would
+// otherwise be eligible.
+func (b *Balancer) isWithin(e *endpoint, rt *route, extra int, now time.Time) bool {
+	switch {
+	case now.Before(e.ejectedUntil), now.Before(e.backoffUntil):
+		return false
+	case !e.hasRecentReport(now, b.StaleAfter), e.cold:
+		return false
+	default:
+		return e.streams() < e.streamLimit(rt, now)+float64(extra)
+	}
+}
+
 // recordChoice records that e was selected and returns the Choice.
 func (b *Balancer) recordChoice(e *endpoint, byAffinity, probe bool, now time.Time) Choice {
 	e.lastChosen = now
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -23,6 +23,10 @@
 	// service, from which requests are moved. A temporary slowdown of a tenth is not worth reading
 	// prompts again and using up an attempt.
 	minSlowdownToMove = 2
+	// extraMoved is how many requests beyond its allowance an endpoint may get because they leave one that
+	// can't be heard. A full endpoint runs them when its next slots are free, before those that wait at
+	// entries: the requests of one endpoint in twelve are one for each of the others.
+	extraMoved = 1
 )
 
 // errMoved ends an attempt whose request continues at another endpoint.
@@ -189,9 +193,10 @@
 //
 // Nothing ends such a request but its caller's patience, and nothing tells the endpoint that the caller has
 // left: on a VM that stood still for 3 s, eight callers waited for 2 s each, and their work went on after they
-// had left, while eleven other engines had free slots. The conditions are those of moveOffSlowEngines. The
-// attempt is kept until the next endpoint has an event of the stream; if it is heard before, the stream goes
-// on there. Those go first whose callers have waited longest, as these leave first.
+// had left, while eleven other engines had free slots. The conditions are those of moveOffSlowEngines, but where
+// all slots are taken, endpoints may get extraMoved requests each. The attempt is kept until the next endpoint
+// has an event of the stream; if it is heard before, the stream goes on there. Those go first whose callers have
+// waited longest, as these leave first.
 func (st *State) moveOffSilentEndpoints(now time.Time) {
 	for id, m := range st.silences.marks {
 		if m.verdict != silence.Silent {
@@ -271,6 +276,9 @@
 	q := r.query
 	q.Excluded = slices.Concat(q.Excluded, st.lastFailed(r.service.Name))
 	assigned, e := st.choose(r.service, q, now)
+	if e != nil && reason == EndpointSilent {
+		assigned, e = st.chooseBeyond(r.service, q, extraMoved, now)
+	}
 	if e != nil {
 		return false
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -39,6 +39,12 @@
 
 // choose is Choose with mu held, without refreshing the state first.
 func (st *State) choose(service *routing.Service, q placement.Query, now time.Time) (Assignment, *result.Error) {
+	return st.chooseBeyond(service, q, 0, now)
+}
+
+// chooseBeyond is choose for a request that may be assigned to an endpoint which is full, but has less than
+// extra requests above its allowance. Quotas of free slots don't bind it then.
+func (st *State) chooseBeyond(service *routing.Service, q placement.Query, extra int, now time.Time) (Assignment, *result.Error) {
 	state, closed := st.groupState(service, now)
 	if closed && !st.mayProbe(service, state, len(q.Excluded) > 0, now) {
 		return Assignment{}, st.refusal(service.Name, result.GroupClosed, now)
@@ -49,12 +55,15 @@
 	}
 	q.Excluded = slices.Concat(q.Excluded, state.closedEngines)
 	st.excludeResting(&q, now)
-	beyondQuota := st.excludeBeyondQuota(service, &q, now)
+	beyondQuota := extra == 0 && st.excludeBeyondQuota(service, &q, now)
 	wait := st.excludeCold(service, &q, now)
 	limited := st.excludeLimited(service, &q, now)
 	refusing := st.excludeRefusing(service, &q, now)
 	silent := st.excludeSilent(service, &q, now)
 	c, ok, reason := st.balancer.Choose(q, now)
+	if !ok && extra > 0 {
+		c, ok = st.balancer.ChooseBeyond(q, extra, now)
+	}
 	if !ok {
 		return Assignment{}, st.assignmentError(service, reason, wait, limited, refusing || beyondQuota || silent, now)
 	}
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+// All slots are taken when an engine falls silent. Guards against streams that stay there, as the next free slots go
+// to requests that wait elsewhere, and against more than one more stream at each engine.
+func TestStreamsLeaveASilentEngineAlsoIfTheOthersAreFull(t *testing.T) {
+	streams := 1
+	for g := newSlowGroup(t, 1); ; streams++ {
+		if _, e := g.st.Choose(g.service, placement.Query{}, start); e != nil {
+			break
+		}
+	}
+	g := newSlowGroup(t, streams)
+	now := g.play(start, 500*time.Millisecond, allEngines, allEngines)
+	now = g.play(now, time.Second, withoutE2, withoutE2)
+	g.wantMoved(t, 3)
+	_, onto := g.moved(t)
+	for id, n := range onto {
+		if n != extraMoved {
+			t.Errorf("%d streams were moved onto %s", n, id)
+		}
+	}
+	if _, e := g.st.Choose(g.service, placement.Query{}, now); e == nil {
+		t.Error("a new request was assigned beyond the allowance")
+	}
+}
+
 // Guards against an engine that gets no requests although it can be heard again, and against one that gets
 // them at once although nothing has shown that it can.
 func TestSilentEngineIsAvoidedUntilItIsBack(t *testing.T) {
