The test of a cancelled request cancels when the endpoint has read it

Traced: it cancelled 20 ms after the start, and on a starved machine the request had not been written by then, so that the endpoint got a connection without one.

--- a/internal/endpoint/direct/client_test.go
+++ b/internal/endpoint/direct/client_test.go
@@ -256,16 +256,16 @@
 // continues to work on a request without a caller.
 func TestCancelledRequestClosesItsConnection(t *testing.T) {
 	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
 	addr := serve(t, func(t *testing.T, _ net.Conn, br *bufio.Reader) {
 		readRequest(t, br)
+		cancel()
 		_, err := br.ReadByte()
 		if err == nil {
 			t.Error("the server received a byte, want a closed connection")
 		}
 		close(closed)
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(20*time.Millisecond, cancel)
 	if _, err := (&Client{}).Do(ctx, addr, request("1")); !errors.Is(err, context.Canceled) {
 		t.Fatalf("%v", err)
 	}
