The stand-in's work time is set under its lock

The race detector reported the test of a silent engine that is back: it set Endpoint.Work while requests read it.

--- a/internal/frontend/frozenengine_test.go
+++ b/internal/frontend/frozenengine_test.go
@@ -154,7 +154,7 @@
 func TestStreamGoesOnWhereItWasIfTheSilentEngineIsBack(t *testing.T) {
 	t.Parallel()
 	g := newFrozenGroup(t)
-	g.sound.Work = 3 * time.Second
+	g.sound.WorkFor(3 * time.Second)
 	g.eventually("the engine is known to be silent", func() bool { return g.entry.log.Has("endpoint is silent") })
 	g.eventually("a stream is being moved", func() bool {
 		for id := range g.answers {
