--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -58,7 +58,7 @@
 
 // DecideHandover decides which attempt goes on with a stream that is being moved. The caller loses
 // nothing by a move to an endpoint that turns it down: the running attempt ends only when the next one
-// has an answer, or is likely to have one.
+// has an answer, or is likely to have one. One that has been silent goes on if it is heard first.
 func DecideHandover(running RunningState, next NextState) Verdict {
 	switch {
 	case running == RanWhole, running == Resumed, next == NextUnusable:
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -89,9 +89,8 @@
 
 // ReportWaiting returns the number of waiting requests that can meet their target, and of those that wait at
 // endpoints that can't be heard, by service and class, to be reported to the other entries. Late requests claim
-// no share of the slots. From now on
-// this entry claims slots for these requests: what it claims and what the others know that it claims
-// must be the same. Call DispatchWaiting when the report has been sent.
+// no share of the slots. From now on this entry claims slots for these requests: what it claims and what the
+// others know that it claims must be the same. Call DispatchWaiting when the report has been sent.
 func (st *State) ReportWaiting() map[string][]int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"strconv"
@@ -131,8 +132,8 @@
 	st.silences.tracker.Begun(id)
 }
 
-// AdvanceSilences measures silences, judges all endpoints, and returns those whose verdict has changed. It
-// must be called each silenceInterval.
+// AdvanceSilences measures silences, judges the endpoints, moves requests off silent ones, and returns those
+// whose verdict has changed. It must be called each silenceInterval.
 func (st *State) AdvanceSilences(now time.Time) []SilenceChange {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -158,7 +159,7 @@
 		to := s.mark(id, o, now)
 		if from != to {
 			changes = append(changes, SilenceChange{
-				Endpoint: id, Service: s.services[id], From: from, To: to, Silence: o.Silence, Lag: o.Lag,
+				Endpoint: id, Service: cmp.Or(s.services[id], st.endpoints[id].Service), From: from, To: to, Silence: o.Silence, Lag: o.Lag,
 				Reported: o.Reported, Running: st.ownRunning[id],
 			})
 		}
