--- a/cmd/hyssoprelay/ranker_test.go
+++ b/cmd/hyssoprelay/ranker_test.go
@@ -67,26 +67,46 @@
 	}
 }
 
-// The VM of a group's leader freezes while a step is held, and its lease does not lapse for an hour. Guards
-// against a group that stands until the lease has lapsed, which is most of the time that its callers wait.
-func TestHeldStepDoesNotWaitForTheLeaseOfAFrozenLeader(t *testing.T) {
+// newGroupOfThree starts a store, three engines and their rankers. prepare sets up the store.
+func newGroupOfThree(t *testing.T, prepare func(*standin.Store)) *rankers {
+	t.Helper()
 	store, group := standin.NewStore(), standin.StartGroup(3, 2, 9, 4)
 	t.Cleanup(store.Close)
 	t.Cleanup(group.Close)
-	store.GrantAtLeast(time.Hour)
+	prepare(store)
 	store.Put("op/config", []byte(standin.GroupConfiguration))
-	r := newRankers(t, group, []string{store.Addr(), store.Addr(), store.Addr()})
+	return newRankers(t, group, []string{store.Addr(), store.Addr(), store.Addr()})
+}
+
+// freezeLeaderAtHold freezes the leader's process and engine when the next step is held. It returns the leader
+// and what has its engine answer again.
+func (r *rankers) freezeLeaderAtHold(freeze func(*daemon)) (leader int, lighten func()) {
+	r.t.Helper()
 	frozen := make(chan int, 1)
 	r.group.OnHold(func() {
 		i := r.leader()
-		if err := freezeProcess(r.procs[i].cmd.Process.Pid); err != nil {
+		freeze(r.procs[i])
+		frozen <- i
+	})
+	select {
+	case leader = <-frozen:
+	case <-time.After(patience):
+		r.t.Fatal("no step was held")
+	}
+	lighten = r.group.Darken(leader)
+	r.t.Cleanup(lighten)
+	return leader, lighten
+}
+
+// The VM of a group's leader freezes while a step is held, and its lease does not lapse for an hour. Guards
+// against a group that stands until the lease has lapsed, which is most of the time that its callers wait.
+func TestHeldStepDoesNotWaitForTheLeaseOfAFrozenLeader(t *testing.T) {
+	r := newGroupOfThree(t, func(s *standin.Store) { s.GrantAtLeast(time.Hour) })
+	old, lighten := r.freezeLeaderAtHold(func(d *daemon) {
+		if err := freezeProcess(d.cmd.Process.Pid); err != nil {
 			t.Error(err)
 		}
-		frozen <- i
 	})
-	old := <-frozen
-	lighten := r.group.Darken(old)
-	t.Cleanup(lighten)
 	r.runsOn()
 	lighten()
 	r.procs[old].signal(syscall.SIGCONT)
@@ -100,25 +120,8 @@
 // group waited until the VM was back; now its successor lets the step go, and
 // the frozen leader does no harm when it goes on.
 func TestLeaderFreezesWhileAStepIsHeld(t *testing.T) {
-	store, group := standin.NewStore(), standin.StartGroup(3, 2, 9, 4)
-	t.Cleanup(store.Close)
-	t.Cleanup(group.Close)
-	store.Put("op/config", []byte(standin.GroupConfiguration))
-	r := newRankers(t, group, []string{store.Addr(), store.Addr(), store.Addr()})
-	frozen := make(chan int, 1)
-	r.group.OnHold(func() {
-		i := r.leader()
-		r.procs[i].signal(syscall.SIGSTOP)
-		frozen <- i
-	})
-	var old int
-	select {
-	case old = <-frozen:
-	case <-time.After(patience):
-		t.Fatal("no step was held")
-	}
-	lighten := r.group.Darken(old)
-	t.Cleanup(lighten)
+	r := newGroupOfThree(t, func(*standin.Store) {})
+	old, lighten := r.freezeLeaderAtHold(func(d *daemon) { d.signal(syscall.SIGSTOP) })
 	r.runsOn()
 	lighten()
 	r.procs[old].signal(syscall.SIGCONT)
