The lease of a leader that waits for another rank's frozen VM is not ended

A leader that is alive polls within 0.6 s; 0.7 s without a poll count now. A direct question to the leader's agent would allow the shorter time; not built.

--- a/internal/ranker/takeover.go
+++ b/internal/ranker/takeover.go
@@ -16,11 +16,13 @@
 	// standPollInterval is how often an agent polls its own engine while the group stands at the step
 	// that this engine holds.
 	standPollInterval = 50 * time.Millisecond
-	// minStandTime is how long the group must have stood there, and maxLeaderSilence how long the
-	// leader must not have polled this agent, before its lease is ended. Leaders poll ten times a
-	// second, and release a step within some 50 ms.
-	minStandTime     = 200 * time.Millisecond
-	maxLeaderSilence = 400 * time.Millisecond
+	// minStandTime is how long the group must have stood there before its leader's lease is ended.
+	// Leaders release a step within some 50 ms.
+	minStandTime = 200 * time.Millisecond
+	// maxLeaderSilence is how long the leader must not have polled this agent before. One that waits for
+	// another rank's frozen VM polls it again within 0.6 s: 0.15 s for orders to that rank, 0.35 s for a
+	// poll, and the pause between two polls. Its successor would not know which orders it has given.
+	maxLeaderSilence = 700 * time.Millisecond
 )
 
 // standstill tracks for how long a group has stood at the step that the agent's own engine holds. A leader
