The test of a stream that meets two failing engines waits until both may be chosen

Traced by its log: the two failing engines were tried in turn, i-1 each 0.25 s and i-0 some 0.1 s after it, each while the other was ejected for 0.25 s, so that 1,174 streams met one or none.

--- a/internal/frontend/begunstream_test.go
+++ b/internal/frontend/begunstream_test.go
@@ -100,6 +100,10 @@
 	}
 }
 
+// longerThanAnEjection is a pause after which an engine that failed once may be chosen again. Without it two
+// failing engines may be tried in turn, each while the other is ejected, and no request meets both.
+const longerThanAnEjection = 300 * time.Millisecond
+
 // The second engine of a broken stream answers with a failure, and a third one is sound. Guards
 // against breaking off a stream that may go on elsewhere.
 func TestStreamGoesOnAfterAFailure(t *testing.T) {
@@ -117,11 +121,12 @@
 				n++
 				id := fmt.Sprint("s", n)
 				resp := e.request(context.Background(), "/stream/1", id, "k1")
-				met := s.endpoints[1].Resumes(id) > 0
-				if met {
+				if s.endpoints[1].Resumes(id) > 0 {
 					s.wantWholeStream(resp, 5)
+					return true
 				}
-				return met
+				time.Sleep(longerThanAnEjection)
+				return false
 			})
 		})
 	}
