Standing groups of engines are measured, logged and reported

Callers saw: work went on for them after they had left, in a group that stood at a held step. An entry's log could not tell a group that stands from a slow one or from a cut, as silence counted only while others of the group were heard.

A leader's load report says for how long the group has stood, an entry measures for how long no part of an answer has come from a group, and both are logged, with a gauge and a field of cancelled requests. No decision depends on it yet.

--- a/internal/endpoint/silence/tracker.go
+++ b/internal/endpoint/silence/tracker.go
@@ -16,6 +16,8 @@
 type Tracker struct {
 	endpoints  map[string]*endpoint
 	advancedAt time.Time
+	// standing holds for how long nothing has been heard of a group. Groups that go on are missing.
+	standing map[string]time.Duration
 }
 
 // endpoint is what a Tracker knows of one endpoint.
@@ -26,8 +28,9 @@
 	open, begun int
 	// heardAt is when a part of an answer last arrived, or zero.
 	heardAt time.Time
-	// heard means that this was after the last call of Advance.
-	heard bool
+	// heard means that this was after the last call of Advance, and progressed that a part of an answer was
+	// among what arrived since.
+	heard, progressed bool
 	// silence is for how long the endpoint, while it had requests, has not been heard although others
 	// of its group were.
 	silence time.Duration
@@ -55,6 +58,15 @@
 	}
 }
 
+// Progressed records that a part of an answer arrived, after Heard. An endpoint whose group stands still
+// turns requests away.
+func (t *Tracker) Progressed(id string) {
+	if e := t.endpoints[id]; e != nil {
+		e.progressed = true
+		delete(t.standing, e.group)
+	}
+}
+
 // Heard records that something of an answer arrived.
 func (t *Tracker) Heard(id string, now time.Time) {
 	if e := t.endpoints[id]; e != nil {
@@ -93,12 +105,13 @@
 		return
 	}
 	heard := t.lastHeard()
+	t.advanceGroups(step)
 	for id, e := range t.endpoints {
 		othersHeard := now.Sub(heard[e.group].besides(id)) <= recent
 		if !e.heard && e.open > 0 && (othersHeard || unseen(id)) {
 			e.silence += step
 		}
-		e.heard = false
+		e.heard, e.progressed = false, false
 		if e.open == 0 && e.silence == 0 && now.Sub(e.heardAt) > recent {
 			delete(t.endpoints, id) // nothing is expected of it, and it says nothing of others
 		}
--- a/internal/frontend/loads.go
+++ b/internal/frontend/loads.go
@@ -38,6 +38,7 @@
 		l.Running = int(valueOr(q.GetRunning(), i, 0))
 		l.Queued = int(valueOr(q.GetQueued(), i, 0))
 		l.Slowdown = float64(valueOr(q.GetPace(), i, 100)) / 100
+		l.Stood = time.Duration(q.GetStoodMillis()) * time.Millisecond
 		loads = append(loads, l)
 	}
 	return loads
@@ -71,7 +72,7 @@
 		known, err := f.sendLoads(ctx, m.Address, &fleetpb.LoadsRequest{
 			List: q.GetList(), Targets: listed, Running: q.GetRunning(), Queued: q.GetQueued(), Pace: q.GetPace(),
 			AgeMicros: q.GetAgeMicros() + uint64(boottime.Now().Sub(received).Microseconds()),
-			Closed:    q.GetClosed(), Forming: q.GetForming(),
+			Closed:    q.GetClosed(), Forming: q.GetForming(), StoodMillis: q.GetStoodMillis(),
 		})
 		if err != nil {
 			f.Log.WithFields(logrus.Fields{"entry": m.Name, "cause": err.Error()}).Debug("load report not forwarded")
--- a/internal/ranker/loads.go
+++ b/internal/ranker/loads.go
@@ -55,11 +55,11 @@
 
 // loadsRequestProto encodes the engines' loads, ordered by rank. complete means that
 // no rank is missing; a closed group that is complete is about to accept requests and
-// is reported as forming.
-func loadsRequestProto(reports []rankReport, complete bool) *fleetpb.LoadsRequest {
+// is reported as forming. stood is for how long the group has stood.
+func loadsRequestProto(reports []rankReport, complete bool, stood time.Duration) *fleetpb.LoadsRequest {
 	sorted := slices.SortedFunc(slices.Values(reports), func(a, b rankReport) int { return a.state.Rank - b.state.Rank })
 	closed := isClosed(reports)
-	req := &fleetpb.LoadsRequest{Closed: closed, Forming: closed && complete}
+	req := &fleetpb.LoadsRequest{Closed: closed, Forming: closed && complete, StoodMillis: uint32(stood.Milliseconds())}
 	slow := false
 	for _, report := range sorted {
 		req.Targets = append(req.Targets, &fleetpb.Target{Endpoint: report.address})
@@ -79,14 +79,12 @@
 	return slices.ContainsFunc(reports, func(report rankReport) bool { return !report.state.Accepting })
 }
 
-// reportLoads sends entries the engines' loads and whether their group accepts
-// requests. complete means that no rank is missing. It does not wait for the entries'
-// replies.
-func (t *term) reportLoads(ctx context.Context, entries []fleet.Member, reports []rankReport, complete bool, now time.Time) {
-	if !t.loads.due(isClosed(reports), now) {
+// reportLoads sends entries a report of the engines' loads. It does not wait for the
+// entries' replies.
+func (t *term) reportLoads(ctx context.Context, entries []fleet.Member, req *fleetpb.LoadsRequest, now time.Time) {
+	if !t.loads.due(req.GetClosed(), now) {
 		return
 	}
-	req := loadsRequestProto(reports, complete)
 	for _, subgroup := range t.loads.tree.Subgroups(entries) {
 		go t.reportLoadsTo(ctx, t.loads.tree.Delegate(subgroup), req, len(subgroup) > 1)
 	}
@@ -103,7 +101,7 @@
 	}
 	req := &fleetpb.LoadsRequest{
 		List: loads.List, Targets: loads.Targets, Running: loads.Running, Queued: loads.Queued,
-		Pace: loads.Pace, Closed: loads.Closed, Forming: loads.Forming, Forward: forward,
+		Pace: loads.Pace, Closed: loads.Closed, Forming: loads.Forming, Forward: forward, StoodMillis: loads.StoodMillis,
 	}
 	if t.loads.sentLists.MarkSent(m.Name, req.List) {
 		req.Targets = nil
--- a/internal/ranker/loads_test.go
+++ b/internal/ranker/loads_test.go
@@ -24,8 +24,8 @@
 // Guards against loads that are assigned to the wrong engines, and against sending
 // the list of engines repeatedly because its hash changes.
 func TestLoadsAreOrderedByRank(t *testing.T) {
-	req, again := loadsRequestProto(testReports(5), true), loadsRequestProto(testReports(5), true)
-	if req.GetList() != again.GetList() || req.GetList() == loadsRequestProto(testReports(4), true).GetList() {
+	req, again := loadsRequestProto(testReports(5), true, 0), loadsRequestProto(testReports(5), true, 0)
+	if req.GetList() != again.GetList() || req.GetList() == loadsRequestProto(testReports(4), true, 0).GetList() {
 		t.Error("the hash of a list is not determined by its addresses")
 	}
 	for i, n := range req.GetRunning() {
@@ -38,13 +38,13 @@
 	}
 	slow := testReports(3)
 	slow[0].state.Slowdown, slow[1].state.Accepting = 2, false
-	if req := loadsRequestProto(slow, true); len(req.GetPace()) != 3 || req.GetPace()[2] != 200 || !req.GetClosed() || !req.GetForming() {
+	if req := loadsRequestProto(slow, true, 0); len(req.GetPace()) != 3 || req.GetPace()[2] != 200 || !req.GetClosed() || !req.GetForming() {
 		t.Errorf("slowdowns %v in percent, closed %v, forming %v", req.GetPace(), req.GetClosed(), req.GetForming())
 	}
-	if loadsRequestProto(slow, false).GetForming() {
+	if loadsRequestProto(slow, false, 0).GetForming() {
 		t.Error("a group with a missing rank is reported as forming")
 	}
-	req = loadsRequestProto(testReports(129), true)
+	req = loadsRequestProto(testReports(129), true, 0)
 	req.Targets = nil
 	if n := proto.Size(req); n > 600 {
 		t.Errorf("the loads of 129 engines take %d bytes", n)
--- a/internal/ranker/term.go
+++ b/internal/ranker/term.go
@@ -70,6 +70,7 @@
 	// retries applies to orders that are given to engines on other VMs.
 	retries retryPolicy
 	loads   loadReporter
+	stand   groupStand
 	// jumped reports whether popularity has jumped since the last map was proposed.
 	jumped bool
 	// rankByAgent is the rank of each agent's engine when it was last polled.
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -44,6 +44,7 @@
 	}
 	if len(ids) > 0 {
 		st.silences.sightings.record(ids, loads[0].At)
+		st.recordStand(ids, loads[0])
 	}
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -66,6 +66,7 @@
 	gauge("relay.endpointsLimited", func() int64 { return int64(st.LimitedEndpoints(now())) })
 	gauge("relay.endpointsResting", func() int64 { return int64(st.RestingEndpoints(now())) })
 	gauge("relay.endpointsSilent", func() int64 { return int64(st.SilentEndpoints()) })
+	gauge("relay.groupsStanding", func() int64 { return int64(st.StandingGroups()) })
 	gauge("relay.endpointsRefusing", func() int64 { return int64(st.RefusingEndpoints(now())) })
 	gauge("relay.entries", func() int64 { return int64(st.Entries(now())) })
 	gauge("relay.entriesHeard", func() int64 { return int64(st.ReportingEntries()) })
@@ -175,7 +176,9 @@
 		f["lastEvent"] = j.lastEventID
 	}
 	if code == result.Cancelled && len(j.tried) > 0 {
-		f["silence"] = j.relay.State.SilentFor(j.tried[len(j.tried)-1]).Milliseconds()
+		last := j.tried[len(j.tried)-1]
+		f["silence"] = j.relay.State.SilentFor(last).Milliseconds()
+		f["stood"] = j.relay.State.StoodFor(last, j.service.Name, j.relay.Now()).Milliseconds()
 	}
 	if j.endedEndpoint {
 		f["fingerprint"] = j.requestFingerprint
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -21,6 +21,8 @@
 	// maxSilentTime is how long an endpoint counts as silent, if nobody reports that it is not seen,
 	// before one request tries it again.
 	maxSilentTime = 2 * time.Second
+	// groupSeparator separates a service from the number of its group in a group's name.
+	groupSeparator = "/"
 )
 
 // silences is what this entry knows of endpoints that can't be heard. State.mu guards it.
@@ -68,7 +70,7 @@
 // groupName returns the name of the set of endpoints that go on or stand together with an endpoint of a
 // service: its group of engines, or else the whole service.
 func (s *silences) groupName(id, service string) string {
-	return service + "/" + strconv.FormatUint(s.sightings.group[id], 10)
+	return service + groupSeparator + strconv.FormatUint(s.sightings.group[id], 10)
 }
 
 // suspects returns the endpoints that may be inaudible. Those of which nothing is expected are not among them,
@@ -122,6 +124,8 @@
 func (st *State) recordHeard(assigned Assignment, now time.Time) {
 	id := assigned.Endpoint.ID
 	st.silences.tracker.Heard(id, now)
+	st.silences.tracker.Progressed(id)
+	st.stands.heard(st.silences.groupName(id, assigned.Endpoint.Service))
 	if assigned.attempt == nil {
 		return // the endpoint was removed meanwhile
 	}
@@ -132,9 +136,10 @@
 	st.silences.tracker.Begun(id)
 }
 
-// AdvanceSilences measures silences, judges the endpoints, moves requests off silent ones, and returns those
-// whose verdict has changed. It must be called each silenceInterval.
-func (st *State) AdvanceSilences(now time.Time) []SilenceChange {
+// AdvanceSilences measures silences, judges the endpoints and their groups, moves requests off silent endpoints,
+// and returns those whose verdict has changed, and the groups that begin or cease to stand. It must be called
+// each silenceInterval.
+func (st *State) AdvanceSilences(now time.Time) ([]SilenceChange, []StandChange) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.silences.tracker.Advance(func(id string) bool {
@@ -145,8 +150,9 @@
 		st.quotas.markStale()
 		st.notifyChanged()
 	}
+	standChanges := st.judgeStands(now)
 	st.dispatchWaiting(now)
-	return changes
+	return changes, standChanges
 }
 
 // judgeSilences judges the endpoints and returns those whose verdict has changed. mu must be held.
@@ -281,7 +287,8 @@
 	}
 }
 
-// WatchSilences measures silences until ctx ends, and logs the endpoints whose verdict changes.
+// WatchSilences measures silences until ctx ends, and logs the endpoints whose verdict changes and the groups
+// that begin or cease to stand.
 func (r *Relay) WatchSilences(ctx context.Context) error {
 	t := time.NewTicker(silenceInterval)
 	defer t.Stop()
@@ -290,9 +297,13 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			for _, c := range r.State.AdvanceSilences(r.Now()) {
+			silences, stands := r.State.AdvanceSilences(r.Now())
+			for _, c := range silences {
 				r.logSilence(c)
 			}
+			for _, c := range stands {
+				r.logStand(c)
+			}
 		}
 	}
 }
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -266,7 +266,8 @@
 			}
 		}
 		g.st.SetLoads([]EndpointLoad{{Address: "10.0.0.0:1", At: now}, {Address: "10.0.0.1:1", At: now}, {Address: "10.0.0.3:1", At: now}}, now)
-		for _, c := range g.st.AdvanceSilences(now) {
+		changes, _ := g.st.AdvanceSilences(now)
+		for _, c := range changes {
 			if c.Endpoint != "e2" || c.From != silence.Audible || c.Running != 3 {
 				t.Errorf("change %+v", c)
 			}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -60,6 +60,8 @@
 	// Closed means that the endpoint's group accepts no requests, and Forming that the group is
 	// about to accept them.
 	Closed, Forming bool
+	// Stood is for how long the endpoint's group has stood still; zero means that it goes on.
+	Stood time.Duration
 	// Group identifies the group of engines that work in lockstep; zero means unknown.
 	Group uint64
 	// At is when the load was measured, by this process's clock.
@@ -159,6 +161,7 @@
 	movable         map[string]map[*movableAttempt]bool
 	attemptSeq      uint64
 	silences        silences
+	stands          stands
 	ownRunning      map[string]int
 	refreshedAt     time.Time
 	dirty           bool
