Requests are not sent into a group of engines that stands still

Cause: a group that stood accepted requests like any other. Entries had the evidence, as no part of any answer came from it, and went on sending. Nothing runs there, and when the VM beside one of its engines froze before the group went on, what that engine had accepted could not be taken back: no close and no move reached it.

Change: a request that has not run waits at its entry while all groups of its service stand, and is sent when one goes on. After 1.5 s, when no takeover ends the standstill any more, it is refused as not run, with a Retry-After time of at least the time so far; callers who have come back wait for as long as they can. Without a report of the leader one request a second probes the group. Streams that leave an engine which can't be heard are moved as before.

--- a/internal/endpoint/silence/tracker.go
+++ b/internal/endpoint/silence/tracker.go
@@ -51,6 +51,13 @@
 	e.open++
 }
 
+// SetGroup records that an endpoint belongs to a group. It has no effect on one of which nothing is known.
+func (t *Tracker) SetGroup(id, group string) {
+	if e := t.endpoints[id]; e != nil {
+		e.group = group
+	}
+}
+
 // Begun records that the answer to a request has begun. Heard records that its first part arrived.
 func (t *Tracker) Begun(id string) {
 	if e := t.endpoints[id]; e != nil {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -103,7 +103,7 @@
 	if st.waiters[w.req.ID] != nil || w.req.ID == "" {
 		// The queue is keyed by the caller's request ID. A request without an ID, or with an ID
 		// that is in use, is assigned or refused at once.
-		assigned, e := st.choose(w.req.Service, w.req.Query, now)
+		assigned, e := st.chooseNew(w.req.Service, w.req.Query, now)
 		w.assigned = assigned
 		return false, e
 	}
@@ -111,6 +111,9 @@
 	if e == nil {
 		e = st.refuseIfResting(w.req, now)
 	}
+	if e == nil {
+		e = st.refuseIfStanding(w.req, now)
+	}
 	if e != nil {
 		st.recordArrival(w, now)
 		return false, e
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -18,7 +18,7 @@
 			w.noteLimit(w.assignErr)
 			return false
 		}
-		assigned, e := st.choose(service, w.req.Query, now)
+		assigned, e := st.chooseNew(service, w.req.Query, now)
 		w.assigned, w.assignErr = assigned, e
 		if e != nil {
 			st.noteShareWait(e, now)
@@ -74,6 +74,7 @@
 	}
 	st.handleRefusals(refused, now)
 	st.refuseDuringRest(now)
+	st.refuseDuringStand(now)
 }
 
 // queueRefusal returns the refusal, with a Retry-After time, for a request that the queue refused.
@@ -87,6 +88,9 @@
 	if left := st.serviceRest(w.req.Service, state.closedEngines, now); left > 0 {
 		return restRefusal(left)
 	}
+	if _, stood := st.serviceStood(w.req.Service, now); stood > 0 {
+		return st.closedRefusal(w.req, now)
+	}
 	return result.New(refusalCode(r.Code, w.req.Deadline, now), "").WithRetryAfter(r.RetryAfter)
 }
 
@@ -107,7 +111,7 @@
 	st.queue.SkipDrainTime(s.Name+lateRouteSuffix, now)
 }
 
-// excludeStandstill keeps the time for which groups are closed, or all endpoints of a service rest,
+// excludeStandstill keeps the time for which groups are closed or stand, or all endpoints of a service rest,
 // out of the drain rate that the queue measures. Otherwise the queue would refuse callers for
 // seconds afterwards.
 func (st *State) excludeStandstill(now time.Time) {
@@ -118,7 +122,8 @@
 			continue
 		}
 		seen[s.Name] = true
-		if state, closed := st.groupState(s, now); closed || st.serviceRest(s, state.closedEngines, now) > 0 {
+		_, stood := st.serviceStood(s, now)
+		if state, closed := st.groupState(s, now); closed || stood > 0 || st.serviceRest(s, state.closedEngines, now) > 0 {
 			st.excludeFromDrainRate(s, now)
 		}
 	}
