A silent leader is asked whether it is there before its lease is ended

Callers saw: when the VM of a leader froze while it held a step, all streams of its group stood for 0.7 to 0.9 s, and when a second VM froze in that time, until one was back.

Cause: an agent can't tell a frozen leader from one that waits for another rank's frozen VM, which polls nobody for half a second, so it waited for 0.7 s of silence.

Change: after 0.2 s without a poll and while the group stands, the agent of the rank that holds the step asks the leader's agent under which token it leads (new call Lead, 0.15 s). Without an answer, or with another token, it ends the lease at once, where engines check fencing tokens. A leader whose address the store doesn't tell counts as answering, and 0.7 s of silence end its lease as before.

--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -79,9 +79,10 @@
 	// delegate serves leaders that reach other agents through this one.
 	delegate *delegate
 	// stopping is set when the process is about to end, leading while it leads a
-	// group.
-	stopping atomic.Bool
-	leading  atomic.Bool
+	// group. leadToken is the fencing token with which it leads, or zero.
+	stopping  atomic.Bool
+	leading   atomic.Bool
+	leadToken atomic.Uint64
 	// leaderGone is raised when the group's leader has resigned, leaseInDoubt when
 	// the lease of the agent's own key may have lapsed, and storeReturned when the
 	// store answers again after failures.
@@ -98,6 +99,8 @@
 	// lapsed holds the agents whose keys have vanished, by name.
 	lapsed map[string]lapsedMember
 	group  string
+	// asked is the leader that was asked last, and its address.
+	asked askedLeader
 }
 
 // counters holds the agent's metrics.
@@ -194,7 +197,7 @@
 	var stand standstill
 	for ctx.Err() == nil {
 		// The next poll is due, or the group's leader has resigned.
-		r.leaderGone.Wait(ctx, stand.pollInterval())
+		r.leaderGone.Wait(ctx, stand.pollInterval(r.leader.silence(boottime.Now())))
 		s, err := r.engine.State(ctx)
 		if err != nil || s.Group == "" {
 			continue // a starting engine has no group yet
@@ -208,8 +211,10 @@
 		}
 		now := boottime.Now()
 		stood := stand.observe(s, now)
+		silence := r.leader.silence(now)
 		switch {
-		case mayEndLease(stood, r.leader.silence(now), r.Settings.FencingChecked):
+		case mayEndLease(stood, silence, r.Settings.FencingChecked),
+			mayAskLeader(stood, silence, r.Settings.FencingChecked) && !r.leaderAnswers(ctx):
 			r.leaseInDoubt.Raise()
 			r.takeOver(ctx, s, stood)
 		case r.leader.shouldAsk(s.Rank, s.Size, now):
@@ -252,6 +257,8 @@
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token, "epoch": s.Epoch}).Info("group leadership acquired")
 	r.leading.Store(true)
 	defer r.leading.Store(false)
+	r.leadToken.Store(token)
+	defer r.leadToken.Store(0)
 	t := newTerm(r, lease, s, token, until)
 	if known && previous.name != r.Settings.Name {
 		t.leader.Predecessor = &previous.Predecessor
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -31,6 +31,8 @@
 	group *standin.Group
 	logs  []*logs.Log
 	stops []func()
+	// rankers are the agents.
+	rankers []*Ranker
 }
 
 func startSmallGroup(t *testing.T) *testGroup {
@@ -85,7 +87,7 @@
 	logs.Keep(g.t, name, log.Text)
 	logs.Keep(g.t, name+" counters", func() string { return logs.Counters(r.Registry) })
 	g.t.Cleanup(stop)
-	g.logs, g.stops = append(g.logs, log), append(g.stops, stop)
+	g.logs, g.stops, g.rankers = append(g.logs, log), append(g.stops, stop), append(g.rankers, r)
 }
 
 // eventually waits until cond is true. The deadline only bounds a test that hangs.
--- a/internal/ranker/takeover.go
+++ b/internal/ranker/takeover.go
@@ -5,8 +5,12 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet"
+	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	kv "github.com/hyssoprelay/hyssoprelay/internal/platform"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank"
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
@@ -23,6 +27,12 @@
 	// another rank's frozen VM polls it again within 0.6 s: 0.15 s for orders to that rank, 0.35 s for a
 	// poll, and the pause between two polls. Its successor would not know which orders it has given.
 	maxLeaderSilence = 700 * time.Millisecond
+	// minSilenceToAsk is how long the leader must not have polled this agent to be asked whether it is there,
+	// while the group stands. Leaders poll ten times a second.
+	minSilenceToAsk = 200 * time.Millisecond
+	// leaderAnswerTimeout bounds that question, which a leader answers in some milliseconds also while it waits
+	// for another rank's frozen VM.
+	leaderAnswerTimeout = 150 * time.Millisecond
 )
 
 // standstill tracks for how long a group has stood at the step that the agent's own engine holds. A leader
@@ -53,9 +63,10 @@
 	return now.Sub(h.since)
 }
 
-// pollInterval returns how long to wait before the engine is polled again.
-func (h *standstill) pollInterval() time.Duration {
-	if h.since.IsZero() {
+// pollInterval returns how long to wait before the engine is polled again, if the leader was last heard of that
+// long ago.
+func (h *standstill) pollInterval(leaderSilence time.Duration) time.Duration {
+	if h.since.IsZero() && (leaderSilence < minSilenceToAsk || leaderSilence > maxLeaderSilence) {
 		return ownPollInterval
 	}
 	return standPollInterval
@@ -71,6 +82,82 @@
 	return fencingChecked && stood >= minStandTime && leaderSilence >= maxLeaderSilence
 }
 
+// mayAskLeader reports whether an agent may ask a leader that it last heard of that long ago whether it is there, and
+// end its lease if it isn't. stood is for how long the group has stood.
+func mayAskLeader(stood, leaderSilence time.Duration, fencingChecked bool) bool {
+	return fencingChecked && stood > 0 && leaderSilence >= minSilenceToAsk
+}
+
+// askedLeader is a leader that was asked whether it is there.
+type askedLeader struct {
+	token   uint64
+	address string
+}
+
+// leaderAnswers asks the agent that this one last heard of as the leader whether it still leads the group. One that
+// can't be asked, for want of its address, counts as answering.
+//
+// A leader that waits for another rank's frozen VM doesn't poll for half a second. Without the question, its silence
+// would have to last longer than that before another agent leads, and the group stands meanwhile.
+func (r *Ranker) leaderAnswers(ctx context.Context) bool {
+	leader, known := r.leader.last()
+	if !known || leader.name == r.Settings.Name {
+		return true
+	}
+	address, ok := r.leaderAddress(ctx, leader)
+	if !ok {
+		return true
+	}
+	conn, err := r.conns.Get(address)
+	if err != nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderAnswerTimeout)
+	defer cancel()
+	reply, err := fleetpb.NewAgentClient(conn).Lead(ctx, &fleetpb.LeadRequest{})
+	switch status.Code(err) {
+	case codes.OK:
+		return reply.GetToken() == leader.Token
+	case codes.DeadlineExceeded, codes.Unavailable:
+		r.conns.RemoveUnresponsive(address)
+		return false
+	default:
+		return true
+	}
+}
+
+// leaderAddress returns the address of a leader's agent according to the store, and false if the store doesn't tell.
+func (r *Ranker) leaderAddress(ctx context.Context, leader leaderInfo) (string, bool) {
+	r.mu.Lock()
+	asked := r.asked
+	r.mu.Unlock()
+	if asked.token == leader.Token {
+		return asked.address, true
+	}
+	reply, err := r.store.Get(ctx, fleet.Member{Kind: fleet.Agent, Name: leader.name}.Key())
+	if err != nil {
+		r.logStoreFailure(err)
+		return "", false
+	}
+	item, ok := reply.First()
+	if !ok {
+		return "", false
+	}
+	m, ok, err := fleet.Decode(item.Key(), item.Value())
+	if err != nil || !ok {
+		return "", false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = askedLeader{token: leader.Token, address: m.Address}
+	return m.Address, true
+}
+
+// Lead implements fleetpb.AgentServer.
+func (s *service) Lead(context.Context, *fleetpb.LeadRequest) (*fleetpb.LeadReply, error) {
+	return &fleetpb.LeadReply{Token: s.ranker.leadToken.Load()}, nil
+}
+
 // takeOver ends the lease of a leader that has left a step held, and campaigns for the group's lease.
 func (r *Ranker) takeOver(ctx context.Context, s lockstep.State, stood time.Duration) {
 	lease := r.newLease(s)
--- a/internal/ranker/takeover_test.go
+++ b/internal/ranker/takeover_test.go
@@ -1,10 +1,13 @@
 package ranker
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/rank/lockstep"
+	logs "github.com/hyssoprelay/hyssoprelay/internal/standin"
 )
 
 // Guards against a lease that is ended while its leader is heard, during a short hold, or where only the lapse
@@ -61,3 +64,55 @@
 		}
 	}
 }
+
+// Guards against a leader that is asked while its group goes on or while it polls, and against one whose lease is ended
+// where only the lapse of the lease keeps it from giving orders.
+func TestLeaderIsAskedOnlyWhileItsGroupStandsInSilence(t *testing.T) {
+	for name, c := range map[string]struct {
+		stood, silence time.Duration
+		fencing, want  bool
+	}{
+		"stands, leader silent":            {standPollInterval, minSilenceToAsk, true, true},
+		"runs":                             {0, time.Hour, true, false},
+		"leader heard":                     {time.Hour, minSilenceToAsk - 1, true, false},
+		"engines ignore the fencing token": {time.Hour, time.Hour, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := mayAskLeader(c.stood, c.silence, c.fencing); got != c.want {
+				t.Errorf("%t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against the end of the lease of a leader that is there and silent, as it waits for another rank's frozen VM,
+// and against waiting for one that is gone or leads no longer.
+func TestOnlyALeaderThatIsThereAnswers(t *testing.T) {
+	g := startSmallGroup(t)
+	g.eventually("an agent leads", func() bool { return g.leader() >= 0 })
+	leader := g.leader()
+	other := g.rankers[(leader+1)%3]
+	ctx := context.Background()
+	g.eventually("the leader's address is known", func() bool {
+		last, known := other.leader.last()
+		if !known || last.name != fmt.Sprint("agent", leader) {
+			return false
+		}
+		_, ok := other.leaderAddress(ctx, last)
+		return ok
+	})
+	if !other.leaderAnswers(ctx) {
+		t.Error("the leader does not answer")
+	}
+	token := g.rankers[leader].leadToken.Swap(0)
+	if other.leaderAnswers(ctx) {
+		t.Error("an agent that leads no longer answers as the leader")
+	}
+	g.rankers[leader].leadToken.Store(token)
+	other.mu.Lock()
+	other.asked.address = logs.LoopbackIP() + ":1"
+	other.mu.Unlock()
+	if other.leaderAnswers(ctx) {
+		t.Error("a leader that is gone answers")
+	}
+}
--- a/internal/relay/standing_test.go
+++ b/internal/relay/standing_test.go
@@ -95,7 +95,7 @@
 			now := g.play(start, began.Sub(start), true, goesOn)
 			now = g.play(now, 900*time.Millisecond, c.parts, c.stood)
 			if c.stood == nil {
-				g.submit("probe", false, now)
+				_, _, _ = g.submit("probe", false, now)
 			}
 			if _, waits, e := g.submit("r1", false, now); e != nil || waits != c.waits {
 				t.Fatalf("waits is %v, want %v, refused with %v", waits, c.waits, e)
