A leader's report ends the silence from before it

Cause: the silence of a group was measured on through such a report. Evidence: the new test counted one standing group before and counts none now.

--- a/internal/endpoint/silence/group.go
+++ b/internal/endpoint/silence/group.go
@@ -60,6 +60,9 @@
 	t.standing[group] = d
 }
 
+// ResetStanding ends the standing time of a group that goes on according to someone else.
+func (t *Tracker) ResetStanding(group string) { delete(t.standing, group) }
+
 // Standing returns for how long no part of an answer has come from a group, several endpoints of which had begun
 // answers. It is an upper bound of the time for which the group has stood: an answer usually pauses between
 // two parts.
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -108,6 +108,9 @@
 	for _, id := range ids {
 		st.silences.tracker.SetGroup(id, group)
 	}
+	if l.Stood == 0 {
+		st.silences.tracker.ResetStanding(group) // what was silent before tells nothing of the group now
+	}
 	st.stands.report(group, standReport{at: l.At, stood: l.Stood})
 }
 
--- a/internal/relay/standing_test.go
+++ b/internal/relay/standing_test.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// Guards against a silence from before a leader's report that counts when its reports have ended: a group that was
+// closed meanwhile, or whose callers have left, would get no requests when it is open again.
+func TestSilenceBeforeAReportDoesNotCount(t *testing.T) {
+	g := newStandingGroup(t)
+	now := g.play(start, 500*time.Millisecond, true, goesOn)
+	now = g.play(now, 2*time.Second, false, nil)
+	now = g.play(now, silenceInterval, false, goesOn)
+	g.play(now, maxStandReportAge, false, nil)
+	if n := g.st.StandingGroups(); n != 0 {
+		t.Errorf("%d groups count as standing", n)
+	}
+}
+
 // Guards against requests that wait on when a group goes on again.
 func TestWaitingRequestIsSentWhenTheGroupGoesOn(t *testing.T) {
 	g := newStandingGroup(t)
