--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -249,7 +249,7 @@
 // freeSlots returns the number of an endpoint's free slots for collectFreeSlots. An endpoint that takes
 // no requests has none: claims that own its slots would own none of another one.
 func (st *State) freeSlots(ep directory.Endpoint, now time.Time) int {
-	if l := st.loads[ep.ID]; l.Closed && now.Sub(l.At) < maxLeaderReportAge || st.rests.left(ep, now) > 0 || st.avoids(ep.ID, now) {
+	if st.isClosed(ep.ID, now) || st.rests.left(ep, now) > 0 || st.avoids(ep.ID, now) {
 		return 0
 	}
 	allowance, _ := st.endpointCapacity(ep)
