--- a/internal/ranker/loads.go
+++ b/internal/ranker/loads.go
@@ -79,12 +79,13 @@
 	return slices.ContainsFunc(reports, func(report rankReport) bool { return !report.state.Accepting })
 }
 
-// reportLoads sends entries a report of the engines' loads. It does not wait for the
-// entries' replies.
-func (t *term) reportLoads(ctx context.Context, entries []fleet.Member, req *fleetpb.LoadsRequest, now time.Time) {
-	if !t.loads.due(req.GetClosed(), now) {
+// reportLoads sends entries the engines' loads, if a report is due, see loadsRequestProto
+// for complete and stood. It does not wait for the entries' replies.
+func (t *term) reportLoads(ctx context.Context, entries []fleet.Member, reports []rankReport, complete bool, stood time.Duration, now time.Time) {
+	if !t.loads.due(isClosed(reports), now) {
 		return
 	}
+	req := loadsRequestProto(reports, complete, stood)
 	for _, subgroup := range t.loads.tree.Subgroups(entries) {
 		go t.reportLoadsTo(ctx, t.loads.tree.Delegate(subgroup), req, len(subgroup) > 1)
 	}
--- a/internal/ranker/round.go
+++ b/internal/ranker/round.go
@@ -22,7 +22,8 @@
 	reports := t.pollGroup(ctx, agents, opts)
 	now := boottime.Now()
 	ranks, byRank, seen := t.indexByRank(reports)
-	t.reportLoads(ctx, entries, loadsRequestProto(reports, !slices.Contains(seen, false), t.stand.observe(ranks, seen, now)), now)
+	stood := t.stand.observe(ranks, seen, now)
+	t.reportLoads(ctx, entries, reports, !slices.Contains(seen, false), stood, now)
 	if slices.Contains(seen, false) {
 		return t.endHeldStep(ctx, ranks, byRank, seen, now)
 	}
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -125,7 +125,9 @@
 	id := assigned.Endpoint.ID
 	st.silences.tracker.Heard(id, now)
 	st.silences.tracker.Progressed(id)
-	st.stands.heard(st.silences.groupName(id, assigned.Endpoint.Service))
+	if len(st.stands.current) > 0 {
+		st.stands.heard(st.silences.groupName(id, assigned.Endpoint.Service))
+	}
 	if assigned.attempt == nil {
 		return // the endpoint was removed meanwhile
 	}
