--- a/internal/ranker/takeover_test.go
+++ b/internal/ranker/takeover_test.go
@@ -10,25 +10,34 @@
 	logs "github.com/hyssoprelay/hyssoprelay/internal/standin"
 )
 
+// leaseCase is a case of a decision about a leader's lease.
+type leaseCase struct {
+	stood, silence time.Duration
+	fencing, want  bool
+}
+
+// wantDecisions checks what is decided in each case.
+func wantDecisions(t *testing.T, decide func(stood, silence time.Duration, fencing bool) bool, cases map[string]leaseCase) {
+	t.Helper()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := decide(c.stood, c.silence, c.fencing); got != c.want {
+				t.Errorf("%t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a lease that is ended while its leader is heard, during a short hold, or where only the lapse
 // of the lease keeps the old leader from giving orders.
 func TestLeaseIsEndedOnlyWhileAGroupStandsWithoutItsLeader(t *testing.T) {
-	for name, c := range map[string]struct {
-		stood, silence time.Duration
-		fencing, want  bool
-	}{
+	wantDecisions(t, mayEndLease, map[string]leaseCase{
 		"stands, leader silent":            {minStandTime, maxLeaderSilence, true, true},
 		"held for a moment":                {minStandTime - 1, maxLeaderSilence, true, false},
 		"runs":                             {0, time.Hour, true, false},
 		"leader heard":                     {time.Hour, maxLeaderSilence - 1, true, false},
 		"engines ignore the fencing token": {time.Hour, time.Hour, false, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			if got := mayEndLease(c.stood, c.silence, c.fencing); got != c.want {
-				t.Errorf("%t, want %t", got, c.want)
-			}
-		})
-	}
+	})
 }
 
 // Guards against a stand that counts several holds, or steps that are still to come, as one.
@@ -68,21 +77,12 @@
 // Guards against a leader that is asked while its group goes on or while it polls, and against one whose lease is ended
 // where only the lapse of the lease keeps it from giving orders.
 func TestLeaderIsAskedOnlyWhileItsGroupStandsInSilence(t *testing.T) {
-	for name, c := range map[string]struct {
-		stood, silence time.Duration
-		fencing, want  bool
-	}{
+	wantDecisions(t, mayAskLeader, map[string]leaseCase{
 		"stands, leader silent":            {standPollInterval, minSilenceToAsk, true, true},
 		"runs":                             {0, time.Hour, true, false},
 		"leader heard":                     {time.Hour, minSilenceToAsk - 1, true, false},
 		"engines ignore the fencing token": {time.Hour, time.Hour, false, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			if got := mayAskLeader(c.stood, c.silence, c.fencing); got != c.want {
-				t.Errorf("%t, want %t", got, c.want)
-			}
-		})
-	}
+	})
 }
 
 // Guards against the end of the lease of a leader that is there and silent, as it waits for another rank's frozen VM,
