One state of leading, one limit of probes, and a decode error that is logged

leadToken tells whether an agent leads, so the flag beside it is gone. The probes of closed and of standing groups were limited by the same code in two places, which is probeTimes.take now; isClosed stands with the other decisions on closed groups, and Lead with the other calls that an agent serves. The address of a leader that can't be decoded is logged, as for other malformed entries of the store. Decisions are the same.

--- a/internal/endpoint/silence/group.go
+++ b/internal/endpoint/silence/group.go
@@ -40,7 +40,7 @@
 	noticed := t.activities()
 	for group, a := range noticed {
 		if !a.progressed && a.answering >= minAnswering && t.standing[group] == 0 {
-			t.setStanding(group, 0)
+			t.beginStanding(group)
 		}
 	}
 	for group, d := range t.standing {
@@ -53,11 +53,12 @@
 	}
 }
 
-func (t *Tracker) setStanding(group string, d time.Duration) {
+// beginStanding has the standing time of a group grow from now on.
+func (t *Tracker) beginStanding(group string) {
 	if t.standing == nil {
 		t.standing = map[string]time.Duration{}
 	}
-	t.standing[group] = d
+	t.standing[group] = 0
 }
 
 // ResetStanding ends the standing time of a group that goes on according to someone else.
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -78,10 +78,9 @@
 	mapCache     mapCache
 	// delegate serves leaders that reach other agents through this one.
 	delegate *delegate
-	// stopping is set when the process is about to end, leading while it leads a
-	// group. leadToken is the fencing token with which it leads, or zero.
+	// stopping is set when the process is about to end. leadToken is the fencing token
+	// with which it leads a group, or zero.
 	stopping  atomic.Bool
-	leading   atomic.Bool
 	leadToken atomic.Uint64
 	// leaderGone is raised when the group's leader has resigned, leaseInDoubt when
 	// the lease of the agent's own key may have lapsed, and storeReturned when the
@@ -164,7 +163,7 @@
 func (r *Ranker) resign() {
 	r.stopping.Store(true)
 	deadline := time.Now().Add(resignTimeout)
-	for r.leading.Load() && time.Now().Before(deadline) {
+	for r.leadToken.Load() != 0 && time.Now().Before(deadline) {
 		time.Sleep(resignCheckInterval)
 	}
 	r.Log.Info("ranker stopping")
@@ -255,8 +254,6 @@
 	defer func() { r.leader.observe(own, boottime.Now()) }()
 	r.counters.terms.Inc(1)
 	r.Log.WithFields(logrus.Fields{"group": s.Group, "token": token, "epoch": s.Epoch}).Info("group leadership acquired")
-	r.leading.Store(true)
-	defer r.leading.Store(false)
 	r.leadToken.Store(token)
 	defer r.leadToken.Store(0)
 	t := newTerm(r, lease, s, token, until)
--- a/internal/ranker/service.go
+++ b/internal/ranker/service.go
@@ -121,6 +121,11 @@
 	return o, err
 }
 
+// Lead implements fleetpb.AgentServer.
+func (s *service) Lead(context.Context, *fleetpb.LeadRequest) (*fleetpb.LeadReply, error) {
+	return &fleetpb.LeadReply{Token: s.ranker.leadToken.Load()}, nil
+}
+
 func lookReplyProto(report engineReport) *fleetpb.LookReply {
 	s := report.state
 	resp := &fleetpb.LookReply{
--- a/internal/ranker/takeover.go
+++ b/internal/ranker/takeover.go
@@ -144,6 +144,9 @@
 		return "", false
 	}
 	m, ok, err := fleet.Decode(item.Key(), item.Value())
+	if err != nil {
+		r.logMalformed(err)
+	}
 	if err != nil || !ok {
 		return "", false
 	}
@@ -153,11 +156,6 @@
 	return m.Address, true
 }
 
-// Lead implements fleetpb.AgentServer.
-func (s *service) Lead(context.Context, *fleetpb.LeadRequest) (*fleetpb.LeadReply, error) {
-	return &fleetpb.LeadReply{Token: s.ranker.leadToken.Load()}, nil
-}
-
 // takeOver ends the lease of a leader that has left a step held, and campaigns for the group's lease.
 func (r *Ranker) takeOver(ctx context.Context, s lockstep.State, stood time.Duration) {
 	lease := r.newLease(s)
--- a/internal/relay/closed.go
+++ b/internal/relay/closed.go
@@ -72,13 +72,27 @@
 // out whether it still is. Only requests that have not been sent before may: sending one again
 // costs the fleet's retry budget.
 func (st *State) mayProbe(s *routing.Service, c groupState, sent bool, now time.Time) bool {
-	if c.reported || sent || now.Sub(st.lastProbe[s.Name]) < probeInterval {
+	return !c.reported && !sent && st.lastProbe.take(s.Name, probeInterval, now)
+}
+
+// probeTimes holds when a request was last sent to a service to find out whether its groups serve it.
+type probeTimes map[string]time.Time
+
+// take reports whether the last probe of a service was sent at least interval ago. If so, it records one now.
+func (p probeTimes) take(service string, interval time.Duration, now time.Time) bool {
+	if now.Sub(p[service]) < interval {
 		return false
 	}
-	st.lastProbe[s.Name] = now
+	p[service] = now
 	return true
 }
 
+// isClosed reports whether the group of an endpoint accepts no requests, according to its leader. mu must be held.
+func (st *State) isClosed(id string, now time.Time) bool {
+	l := st.loads[id]
+	return l.Closed && now.Sub(l.At) < maxLeaderReportAge
+}
+
 // refuseIfClosed returns a refusal if all groups of the service are closed and the request may not
 // wait for one to open, or else nil.
 //
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -43,8 +43,6 @@
 	reports map[string]standReport
 	current map[string]stand
 	logged  map[string]bool
-	// probedAt is when a request was last sent to a group that is assumed to stand, by service.
-	probedAt map[string]time.Time
 }
 
 // StandChange is the beginning or the end of a group's standstill.
--- a/internal/relay/standwait.go
+++ b/internal/relay/standwait.go
@@ -46,12 +46,6 @@
 	return standing, stood
 }
 
-// isClosed reports whether the group of an endpoint accepts no requests, according to its leader. mu must be held.
-func (st *State) isClosed(id string, now time.Time) bool {
-	l := st.loads[id]
-	return l.Closed && now.Sub(l.At) < maxLeaderReportAge
-}
-
 // chooseNew is choose for a request that has not run. It is not sent into a group that stands still.
 //
 // Nothing begins to run there. If the VM beside one of its engines freezes before the group goes on, what the engine
@@ -76,14 +70,7 @@
 			return false
 		}
 	}
-	if now.Sub(st.stands.probedAt[service]) < standProbeInterval {
-		return false
-	}
-	if st.stands.probedAt == nil {
-		st.stands.probedAt = map[string]time.Time{}
-	}
-	st.stands.probedAt[service] = now
-	return true
+	return st.lastStandProbe.take(service, standProbeInterval, now)
 }
 
 // refuseIfStanding returns a refusal if all groups of the service have stood for longer than a new leader needs to end
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -147,8 +147,9 @@
 	// them; it is read without mu.
 	holds        holdback.Table
 	holdsInForce atomic.Pointer[holdback.InForce]
-	// lastProbe is when a request was last sent to probe whether a service's group is open.
-	lastProbe map[string]time.Time
+	// lastProbe is when a request was last sent to probe whether a service's group is open, and
+	// lastStandProbe when one was to probe whether it goes on.
+	lastProbe, lastStandProbe probeTimes
 	// arrivals measures the rate of new requests by service. lateRunning counts the running
 	// requests that were late when they were assigned.
 	arrivals    map[string]*arrivalRate
@@ -187,7 +188,7 @@
 	st.queue.MaxWaiting = maxWaiting
 	st.ownRunning = map[string]int{}
 	st.failures = map[string]int{}
-	st.lastProbe = map[string]time.Time{}
+	st.lastProbe, st.lastStandProbe = probeTimes{}, probeTimes{}
 	st.arrivals = map[string]*arrivalRate{}
 	st.lateRunning = map[string]int{}
 	st.closedRefusals = map[string]*closedRefusals{}
