--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review-2
 for case in review/[4-8]/main.go; do
 	dir=$(dirname "$case")
-	go build -buildvcs=false -o "target/review-2/$(basename "$dir")" "./$dir"
+	go build -buildvcs=false -trimpath -o "target/review-2/$(basename "$dir")" "./$dir"
 done
--- a/review/probe2/probe2.go
+++ b/review/probe2/probe2.go
@@ -320,15 +320,16 @@
 // PID returns the ID of the process.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
-// ResidentBytes returns the memory that the process holds, or false if it has ended.
-func (p *Process) ResidentBytes() (int, bool) {
+// HeldBytes returns the memory that the process holds, without the pages of files such as those of its program, or
+// false if it has ended.
+func (p *Process) HeldBytes() (int, bool) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.PID()))
 	if err != nil {
 		return 0, false
 	}
-	var size, resident int
-	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
+	var size, resident, ofFiles int
+	if _, err := fmt.Sscan(string(b), &size, &resident, &ofFiles); err != nil {
 		return 0, false
 	}
-	return resident * os.Getpagesize(), true
+	return (resident - ofFiles) * os.Getpagesize(), true
 }
