A reset that the writer of a request is told is no end of the answer

What callers saw: an endpoint answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer, on look-ups, orders and streams.

Cause: a socket reports its error once. The goroutine that writes the body got ECONNRESET; the next read returned 0 bytes, which net/http takes for the end of a body that ends with its connection. The same happened when the kernel gave the connection up because the endpoint read nothing more of the upload (ETIMEDOUT after 2.3 s), and a reset before the head was reported as "unexpected EOF".

Change: the guard through which all bytes of an endpoint are read returns io.EOF only if the endpoint closed its side in order; heads, bodies, streams, handovers and what is discarded get the error of the connection. If the kernel's state is CLOSE_WAIT, the end is in order and nothing waits for the upload. Otherwise the connection has ended, so the write ends at once, and its error tells a reset or timeout (the socket's own error) from a reset behind an orderly end (EPIPE), where all of the answer has arrived.

The writer's error alone has to be waited for until the upload is written, which an endpoint that reads it later delays.

--- a/internal/endpoint/direct/answer.go
+++ b/internal/endpoint/direct/answer.go
@@ -41,7 +41,7 @@
 	if r.writer.sent == 0 && r.writer.err != nil {
 		return &NotSentError{cause: r.writer.err}
 	}
-	r.conn.guard.begin(r.holdBuffer)
+	r.conn.guard.begin(r.writer, r.holdBuffer)
 	for range maxStaleResponses + 1 {
 		resp, err := r.conn.guard.readResponse(r.conn.br, req.Method)
 		if err != nil && r.writer.stalled.Load() {
--- a/internal/endpoint/direct/guard.go
+++ b/internal/endpoint/direct/guard.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 )
 
-// guard reads the bytes of a connection. While a head is being parsed it enforces the limits on heads,
-// because net/http has none for responses.
+// guard reads the bytes of a connection, and returns io.EOF only if the endpoint has closed its side in order.
+// While a head is being parsed it enforces the limits on heads, because net/http has none for responses.
 type guard struct {
 	net.Conn
+	// writer writes the request of this exchange.
+	writer *writer
 	// received is the number of bytes of this exchange.
 	received int64
 	// parsing means that a head is being parsed. headBytes and headLines are those of all heads of
@@ -23,14 +26,17 @@
 	hold func(n int) error
 }
 
-// begin starts an exchange.
-func (g *guard) begin(hold func(n int) error) {
-	g.received, g.headBytes, g.headLines, g.hold = 0, 0, 0, hold
+// begin starts an exchange, whose request w writes.
+func (g *guard) begin(w *writer, hold func(n int) error) {
+	g.writer, g.received, g.headBytes, g.headLines, g.hold = w, 0, 0, 0, hold
 }
 
 // Read implements io.Reader.
 func (g *guard) Read(p []byte) (int, error) {
 	n, err := g.Conn.Read(p)
+	if err == io.EOF {
+		err = endOf(g.Conn, g.writer)
+	}
 	g.received += int64(n)
 	if g.parsing {
 		// The parser asks for more, so the head has not ended.
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -203,7 +204,17 @@
 	if strings.HasPrefix(path, "/order/") || strings.HasPrefix(path, "/stream/") {
 		method = http.MethodPost
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.CallerAddress()+path, nil)
+	return e.send(ctx, method, path, id, key, h, nil)
+}
+
+// upload sends one request with a body of the given size in bytes.
+func (e *entry) upload(ctx context.Context, path, id string, size int) response {
+	return e.send(ctx, http.MethodPost, path, id, "k1", http.Header{}, make([]byte, size))
+}
+
+// send sends one request.
+func (e *entry) send(ctx context.Context, method, path, id, key string, h http.Header, body []byte) response {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.CallerAddress()+path, bytes.NewReader(body))
 	if err != nil {
 		return response{err: err}
 	}
--- a/internal/frontend/unframed_test.go
+++ b/internal/frontend/unframed_test.go
@@ -30,6 +30,20 @@
 // to check. The endpoint is ejected for up to some seconds after failures; the time limit only ends a test
 // that hangs.
 func (s *system) requestsToFirst(e *entry, path string, n int, check func(resp response)) {
+	s.t.Helper()
+	send := func(id string) response { return e.request(context.Background(), path, id, "k1") }
+	s.sendToFirst(path, n, send, check)
+}
+
+// uploadsToFirst is requestsToFirst for two requests with a body of the given size in bytes.
+func (s *system) uploadsToFirst(e *entry, path string, size int, check func(resp response)) {
+	s.t.Helper()
+	send := func(id string) response { return e.upload(context.Background(), path, id, size) }
+	s.sendToFirst(path, 2, send, check)
+}
+
+// sendToFirst calls send with one ID after the other until n requests have reached the first endpoint.
+func (s *system) sendToFirst(path string, n int, send func(id string) response, check func(resp response)) {
 	s.t.Helper()
 	end := time.Now().Add(20 * time.Second)
 	for i, reached := 0, 0; reached < n; i++ {
@@ -37,7 +51,7 @@
 			s.t.Fatal("the first endpoint gets no requests")
 		}
 		id := fmt.Sprint("q", strings.ReplaceAll(path, "/", "-"), i)
-		resp := e.request(context.Background(), path, id, "k1")
+		resp := send(id)
 		if s.endpoints[0].Runs(id) > 0 {
 			reached++
 			check(resp)
@@ -171,3 +185,84 @@
 		})
 	}
 }
+
+// earlyUploads are sizes in bytes of request bodies that an endpoint answers before it has read them: one
+// that is written with the head, and some that are still being written when the answer arrives.
+var earlyUploads = []int{8 << 10, 300 << 10, 1 << 20, 4 << 20}
+
+// An endpoint answers a long request without length while it is being written, and resets the connection
+// within the answer. Guards against taking the reset, which the writer of the request may be told, for the
+// end of the answer.
+func TestResetDuringAnUploadIsNoEndOfAnAnswer(t *testing.T) {
+	t.Parallel()
+	for name, u := range map[string]standin.Unframed{
+		"at once":      {Events: 2, Reset: true, ResetDelay: time.Nanosecond},
+		"after 15 ms":  {Events: 2, Reset: true, ResetDelay: 15 * time.Millisecond},
+		"long answers": {Events: 2, Reset: true, ResetDelay: 15 * time.Millisecond, ExtraBytes: 100 << 10},
+	} {
+		for _, path := range []string{"/look/1", "/order/1", "/stream/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				s := newSystem(t, 1)
+				s.endpoints[0].AnswerUnframed(&u)
+				e := s.start("entry1", s.store.Addr())
+				for _, size := range earlyUploads {
+					for i := range 3 {
+						id := fmt.Sprint("q", size, "-", i)
+						resp := e.upload(context.Background(), path, id, size)
+						if resp.err == nil && resp.status == http.StatusOK {
+							t.Errorf("%d bytes: the broken answer looks complete: %.40q", size, resp.body)
+						}
+						s.wantTruth(resp, strings.Split(path, "/")[1], id)
+					}
+				}
+			})
+		}
+	}
+}
+
+// The same, with another endpoint beside. Guards against refusing what it could serve.
+func TestResetDuringAnUploadIsRepeatedElsewhere(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/look/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s, e := newUnframedSystem(t, true, &standin.Unframed{Events: 2, Reset: true})
+			s.uploadsToFirst(e, path, 1<<20, func(resp response) {
+				if strings.HasPrefix(path, "/stream/") {
+					s.wantWholeStream(resp, 5)
+					return
+				}
+				s.wantStatus(resp, http.StatusOK)
+				if resp.body != "answer of i-1" {
+					t.Errorf("body %q", resp.body)
+				}
+			})
+		})
+	}
+}
+
+// An endpoint answers a long request without length while it is being written, ends its side of the
+// connection in order and reads on. Guards against losing answers that are whole.
+func TestAnswersWithoutLengthDuringAnUploadAreDelivered(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/look/1", "/order/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 1)
+			s.endpoints[0].AnswerUnframed(&standin.Unframed{HalfClose: true})
+			e := s.start("entry1", s.store.Addr())
+			for _, size := range earlyUploads {
+				resp := e.upload(context.Background(), path, fmt.Sprint("q", size), size)
+				if strings.HasPrefix(path, "/stream/") {
+					s.wantWholeStream(resp, 5)
+					continue
+				}
+				s.wantStatus(resp, http.StatusOK)
+				if resp.body != "answer of i-0" {
+					t.Errorf("body %q", resp.body)
+				}
+			}
+		})
+	}
+}
