An answer with a field whose name is no token is refused

What callers saw: an endpoint in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, on all kinds of route: `X A: b` was passed on, and with `Transfer-Encoding : chunked` the body at the caller was "3\r\nabc\r\n0\r\n\r\n". With the header that says "not run" beside it, an order that ran got 503 endpointBusy. A control byte in a name was refused before; its tests stay.

Cause: net/http accepts blanks in the name of a field and keeps such a name as it is, so that a field that frames the body isn't recognized.

Change: each name in each head of an exchange, also an informational one, must be a token (RFC 9110, section 5.6.2; httpguts of golang.org/x/net, which grpc-go requires already). Another one is a MalformedError, with what follows from that. Values are checked by net/http; tests say so. Folded lines, which RFC 9112 lets a gateway join, stay valid.

Weighed: RFC 9112 also allows a proxy to remove a blank before the colon of an answer. What an endpoint meant that sends such lines is a guess, and the body of its answer depends on it.

Not changed: a trailer with such a name. Trailers are dropped, and the body before one is whole by its chunks.

--- a/internal/endpoint/direct/malformed.go
+++ b/internal/endpoint/direct/malformed.go
@@ -4,16 +4,19 @@
 	"errors"
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Fault names what is malformed in the head of a response.
 type Fault string
 
-// The faults. FaultSyntax is a head that can't be parsed, and FaultStatus a status code outside the range of RFC 9110,
-// section 15.
+// The faults. FaultSyntax is a head that can't be parsed, FaultStatus a status code outside the range of RFC 9110,
+// section 15, and FaultFieldName a name of a field that is no token of its section 5.6.2.
 const (
-	FaultSyntax Fault = "syntax"
-	FaultStatus Fault = "statusCode"
+	FaultSyntax    Fault = "syntax"
+	FaultStatus    Fault = "statusCode"
+	FaultFieldName Fault = "fieldName"
 )
 
 // maxShownBytes bounds what a MalformedError quotes of a response.
@@ -48,10 +51,19 @@
 )
 
 // checkHead returns a MalformedError if resp has a head that net/http accepts and no response can have.
+//
+// net/http accepts blanks in the name of a field and keeps them. Such a field would be passed on, and one that frames
+// the body, with a blank before its colon, would not be seen: the body would be passed on as if it had no length or
+// no chunks. It checks values itself.
 func (g *guard) checkHead(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return g.malformed(FaultStatus, strconv.Itoa(resp.StatusCode))
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return g.malformed(FaultFieldName, name)
+		}
+	}
 	return nil
 }
 
--- a/internal/endpoint/direct/malformed_test.go
+++ b/internal/endpoint/direct/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -77,3 +78,63 @@
 		}
 	}
 }
+
+// An endpoint sends a field whose name is no token. Guards against passing the line on, and against a body whose
+// length or encoding isn't seen.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"a blank before the colon": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length : 3\r\n\r\nabc",
+		"an encoding not seen":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"a blank in the name":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+		"a blank behind another":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Length x: 3\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { wantMalformed(t, head, FaultFieldName) })
+	}
+	t.Run("in an informational response", func(t *testing.T) {
+		wantMalformed(t, "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n", FaultFieldName)
+	})
+	for _, c := range []string{"\t", "\x00", "\x01", "\x7f", "\xff", "\r", "(", ",", "/", "\u00e4"} {
+		for _, name := range []string{"X" + c + "A", c + "XA", "XA" + c} {
+			if name[0] == '\t' {
+				continue // the line goes on with the value before it
+			}
+			t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+				head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + name + ": b\r\nContent-Length: 0\r\n\r\n"
+				if body, err := doAll(&Client{}, answer(t, head+responseFor("1", "two")), request("1")); AsMalformedError(err) == nil {
+					t.Errorf("body %q, %v", body, err)
+				}
+			})
+		}
+	}
+}
+
+// An endpoint sends a field value that no field can have. Guards against passing it on.
+func TestInvalidFieldValueIsNoResponse(t *testing.T) {
+	for _, c := range []string{"\x00", "\x01", "\x0b", "\x1b", "\x7f", "\r"} {
+		t.Run(fmt.Sprintf("%q", c), func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: b" + c + "c\r\nContent-Length: 0\r\n\r\n"
+			if body, err := doAll(&Client{}, answer(t, head+responseFor("1", "two")), request("1")); AsMalformedError(err) == nil {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+}
+
+// Unusual fields are valid. Guards against rejecting them.
+func TestUnusualFieldsAreAResponse(t *testing.T) {
+	for name, lines := range map[string]string{
+		"all characters of a token": "!#$%&'*+-.^_`|~09azAZ: b",
+		"an empty value":            "X-A:",
+		"blanks around a value":     "X-A: \t b \t ",
+		"a tab in a value":          "X-A: b\tc",
+		"bytes beyond ASCII":        "X-A: \u00e4\xff",
+		"a folded line":             "X-A: b\r\n c",
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + lines + "\r\nContent-Length: 3\r\n\r\none"
+			if body, err := doAll(&Client{}, answer(t, text), request("1")); err != nil || body != "one" {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+}
--- a/internal/frontend/malformed_test.go
+++ b/internal/frontend/malformed_test.go
@@ -79,6 +79,43 @@
 	}
 }
 
+// An endpoint answers with a field whose name holds a blank or a control byte. Guards against passing the line on, and
+// against a body that isn't the endpoint's because the field that frames it isn't seen.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		fault  string
+		answer func(sound string) string
+	}{
+		"a blank in a name": {"fieldName", func(sound string) string { return withField(sound, "X A: b") }},
+		"a blank before the colon of what frames the body": {"fieldName", func(sound string) string {
+			framed := strings.Replace(sound, "Content-Length:", "Content-Length :", 1)
+			return strings.Replace(framed, "Transfer-Encoding:", "Transfer-Encoding :", 1)
+		}},
+		"chunks that are not seen": {"fieldName", func(sound string) string {
+			h := strings.NewReplacer("Content-Length: 13\r\n", "", "Transfer-Encoding: chunked\r\n", "").Replace(headOf(sound))
+			return withField(h, "Transfer-Encoding : chunked") + "3\r\nabc\r\n0\r\n\r\n"
+		}},
+		"an informational answer": {"fieldName", func(sound string) string {
+			return "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + sound
+		}},
+		"a control byte": {"syntax", func(sound string) string { return withField(sound, "X\x01A: b") }},
+		"a blank, and said to be unrun": {"fieldName", func(sound string) string {
+			return withField(strings.Replace(sound, "200 OK", "503 Oops", 1), "X A: b\r\nX-Hyssoprelay-Not-Executed: 1")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			wantMalformed(t, c.fault, c.answer)
+		})
+	}
+}
+
+// withField returns an answer with a further line in its head.
+func withField(answer, line string) string {
+	return strings.Replace(answer, "\r\n", "\r\n"+line+"\r\n", 1)
+}
+
 // headOf returns the head of an answer.
 func headOf(answer string) string {
 	h, _, _ := strings.Cut(answer, "\r\n\r\n")
