Agents refuse heads that no answer can have

What callers saw: through an agent, an endpoint's answer with `Content-Length x: 3` was cut to 3 bytes and passed for whole; with a zero byte in its content type, that type was passed on; `HTTP/1.1 0200 OK` and `x200` counted as 200, and 600 and 999 as a failure that ran (3002). 000, 099 and +20 were refused before, and so were answers without length, also one that is given and reset during a long upload; their tests stay.

Cause: nbhttp takes what precedes a blank for the name of a field, accepts any byte in a value and skips what precedes the digits of a status.

Change: the lines of a head are checked before the parser gets them: the status line, with a code from 100 to 599, and names, which must be tokens; values are checked when the parser has them (RFC 9110, by httpguts). Heads therefore come to the parser line by line; the body of an answer to another request, behind which a head may follow, byte by byte. The outcome of such a call is unknown. A line names the cause and the first 64 bytes, and endpoint.answers.malformed counts them.

Weighed: a check in the parser's callbacks alone, which see `Content-Length` and not the line that it comes from.

--- a/internal/endpoint/do.go
+++ b/internal/endpoint/do.go
@@ -72,6 +72,7 @@
 	if resp.cut && (resp.headDone || !resp.reused) {
 		err = lostError{err: err}
 	}
+	c.reportMalformed(cn, resp)
 	c.reportStrays(cn, resp)
 	if resp.unnamed && p.noteUnnamed() {
 		c.reportUnnamed(cn, resp)
@@ -174,7 +175,7 @@
 
 // advance parses data and passes on what became whole.
 func (c *Client) advance(cn *conn, resp *response, data []byte, sink func(Event) error) error {
-	err := cn.parser.Parse(data)
+	err := resp.parse(cn.parser, data)
 	resp.received(len(data))
 	for _, e := range resp.takeEvents() {
 		if err := sink(e); err != nil {
--- a/internal/endpoint/metrics.go
+++ b/internal/endpoint/metrics.go
@@ -17,6 +17,8 @@
 	// those without a name on a connection that has carried other requests. strayBytes counts how often
 	// bytes came while no answer was due.
 	strayAnswers, strayBytes metrics.Counter
+	// malformed counts the answers whose head was malformed.
+	malformed metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -28,6 +30,7 @@
 		cancelsFailed:  metrics.GetOrRegisterCounter("endpoint.cancelsFailed", r),
 		strayAnswers:   metrics.GetOrRegisterCounter("endpoint.stray.answers", r),
 		strayBytes:     metrics.GetOrRegisterCounter("endpoint.stray.bytes", r),
+		malformed:      metrics.GetOrRegisterCounter("endpoint.answers.malformed", r),
 	}
 	for _, code := range result.Codes() {
 		if info, _ := result.Lookup(code); info.Effect() != result.NotApplicable && code != result.OK {
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/retryafter"
 )
@@ -31,6 +32,12 @@
 	reused bool
 	limit  int
 
+	// head checks the current head, and inBody means that the parser has seen its end.
+	head   headCheck
+	inBody bool
+	// malformed means that the current head is no head of an answer.
+	malformed bool
+
 	status       int
 	contentType  string
 	incarnation  string
@@ -105,6 +112,9 @@
 func (r *response) OnHeader(_ *nbhttp.Parser, key, value string) {
 	value = strings.TrimSpace(value)
 	r.countHeadLine()
+	if !httpguts.ValidHeaderFieldValue(value) {
+		r.failHead(errFieldValue)
+	}
 	switch key {
 	case "Content-Type":
 		r.contentType = value
@@ -128,6 +138,7 @@
 
 // OnContentLength implements nbhttp.Processor; it comes after the last header.
 func (r *response) OnContentLength(_ *nbhttp.Parser, n int) {
+	r.inBody = true
 	if r.interim() {
 		if n > 0 || r.chunked || r.status == http.StatusSwitchingProtocols {
 			r.fail("interim status %d with a body", r.status)
@@ -221,6 +232,7 @@
 
 // OnComplete implements nbhttp.Processor.
 func (r *response) OnComplete(*nbhttp.Parser) {
+	r.head, r.inBody = headCheck{}, false
 	if r.interim() {
 		r.status, r.length, r.contentType = 0, "", ""
 		r.named, r.stray = false, nil
