A status that no answer can have tells nothing to other readers either

What was seen: a store or an engine that answers with 000, 099, 600 or 999 to a write or an order, which it may have carried out, was taken to have refused it. pkg/client passed an answer with 000 or 099 to its caller, and one with 600 or 999 if it had a result code. To operators, 000 and 099 counted as done.

Cause: as for answers of endpoints, net/http takes any three characters that make a number for a status, and these readers compared it with single codes or with an upper bound.

The outcome behind another code is unknown. The VM list is read only with 200 and agents check the status line themselves.

--- a/internal/endpoint/direct/malformed.go
+++ b/internal/endpoint/direct/malformed.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/hyssoprelay/hyssoprelay/internal/httpstatus"
 )
 
 // Fault names what is malformed in the head of a response.
@@ -43,20 +45,14 @@
 	return nil
 }
 
-// Status codes outside of this range are invalid. net/http takes any number of three characters for one, and an
-// invalid one below 200 would count as informational, so that the next response on the connection is passed on.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 // checkHead returns a MalformedError if resp has a head that net/http accepts and no response can have.
 //
+// An invalid status below 200 would count as informational, so that the next response on the connection is passed on.
 // net/http accepts blanks in the name of a field and keeps them. Such a field would be passed on, and one that frames
 // the body, with a blank before its colon, would not be seen: the body would be passed on as if it had no length or
 // no chunks. It checks values itself.
 func (g *guard) checkHead(resp *http.Response) error {
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+	if !httpstatus.IsValid(resp.StatusCode) {
 		return g.malformed(FaultStatus, strconv.Itoa(resp.StatusCode))
 	}
 	for name := range resp.Header {
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/httpstatus"
 	"github.com/hyssoprelay/hyssoprelay/internal/operator"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -155,6 +156,9 @@
 	if err != nil {
 		return lost{err}
 	}
+	if !httpstatus.IsValid(res.StatusCode) {
+		return lost{errors.Join(result.Newf(result.EntryUnreachable, "HTTP status %d", res.StatusCode), res.Body.Close())}
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = result.Newf(result.ResponseLimit, "more than %d bytes", maxAnswer)
--- a/pkg/client/exchange.go
+++ b/pkg/client/exchange.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hyssoprelay/hyssoprelay/internal/httpstatus"
 	"github.com/hyssoprelay/hyssoprelay/internal/retryafter"
 	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
@@ -132,6 +133,9 @@
 // request, would promise that this one was not run. Only the refusal of a request
 // that the entry could not read names none, and that is not sent again.
 func check(resp *http.Response, requestID string) error {
+	if !httpstatus.IsValid(resp.StatusCode) {
+		return result.Newf(result.OutcomeUnknown, "status %d", resp.StatusCode)
+	}
 	code, err := strconv.Atoi(resp.Header.Get(headerResult))
 	if err != nil && resp.StatusCode >= http.StatusBadRequest {
 		return result.Newf(result.OutcomeUnknown, "status %d without a result code", resp.StatusCode)
--- a/pkg/client/late_test.go
+++ b/pkg/client/late_test.go
@@ -85,3 +85,28 @@
 		})
 	}
 }
+
+// Something between client and entry, or an entry in trouble, answers with a status that no answer can have. Guards
+// against passing it on.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		for _, code := range []string{headerResult + ": 0\r\n", ""} {
+			t.Run(status+code, func(t *testing.T) {
+				invalid := func(w http.ResponseWriter, r *http.Request) {
+					conn, buf, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						panic(err)
+					}
+					defer func() { _ = conn.Close() }()
+					_, _ = buf.WriteString("HTTP/1.1 " + status + " X\r\n" + code + headerRequestID + ": " + r.Header.Get(headerRequestID) + "\r\nContent-Length: 2\r\n\r\nok")
+					_ = buf.Flush()
+				}
+				s := &script{answers: []answerFunc{invalid}}
+				a, err := s.client(t).Service(t.Context(), order)
+				if result.CodeOf(err) != result.OutcomeUnknown {
+					t.Errorf("%v, %v", a, err)
+				}
+			})
+		}
+	}
+}
