The error that ended a connection within a head is kept

What was seen: TestResetBeforeTheHeadIsReported failed once in a run of the package, with "unexpected EOF" in place of the reset. A reset within a head was logged as an orderly end or as a line without a colon. By reading, not by a run, the same holds for a timeout, by which an endpoint that can't be heard is told from one that closed the connection.

Cause: when a line of the head is complete, the parser reads on to see whether the next one is folded, drops the error of that read and reads again. The socket has reported its error by then, so the second read found an end. Where the head was cut within a line, the parser reported the line instead.

Change: the guard keeps the error with which the bytes of an exchange ended and returns it to each later read; a head whose bytes ended has that error, and no parser's.

Evidence: the test has four cases now, a long and a short request and a head cut behind and within a line; on the code before all failed in two runs and three in a third. After it none, in 10 runs of the package and 2 under the race detector.

--- a/internal/endpoint/direct/end_test.go
+++ b/internal/endpoint/direct/end_test.go
@@ -133,12 +133,18 @@
 // The endpoint resets the connection before it answers, while the request is being written. Guards against reporting
 // that it closed the connection in order.
 func TestResetBeforeTheHeadIsReported(t *testing.T) {
-	addr := answerEarly(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n", func(c *net.TCPConn) {
-		time.Sleep(20 * time.Millisecond) // until the request can't be written any more
-		reset(c)
-	})
-	if _, err := doAll(&Client{}, addr, longRequest()); !errors.Is(err, syscall.ECONNRESET) {
-		t.Errorf("%v", err)
+	for name, req := range map[string]*Request{"while the request is written": longRequest(), "behind the request": request("1")} {
+		for at, text := range map[string]string{"before a line": "HTTP/1.1 200 OK\r\nX-Id: 1\r\n", "within a line": "HTTP/1.1 200 OK\r\nX-"} {
+			t.Run(name+", "+at, func(t *testing.T) {
+				addr := answerEarly(t, text, func(c *net.TCPConn) {
+					time.Sleep(20 * time.Millisecond) // until the request can't be written any more
+					reset(c)
+				})
+				if _, err := doAll(&Client{}, addr, req); !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("%v", err)
+				}
+			})
+		}
 	}
 }
 
--- a/internal/endpoint/direct/guard.go
+++ b/internal/endpoint/direct/guard.go
@@ -22,8 +22,10 @@
 	// lineEmpty means that the current line is empty, and ended that the blank line after the head
 	// has been seen.
 	lineEmpty, ended bool
-	// shown are the first bytes of the current head, and readErr is the error with which its bytes ended, if any.
-	shown   []byte
+	// shown are the first bytes of the current head.
+	shown []byte
+	// readErr is the error with which the bytes of this exchange ended, or nil. The parser of heads drops the error
+	// of a read that looks for a folded line, and reads again; a socket reports its error only once.
 	readErr error
 	// hold is called with the number of bytes that are buffered for the head.
 	hold func(n int) error
@@ -31,11 +33,14 @@
 
 // begin starts an exchange, whose request w writes.
 func (g *guard) begin(w *writer, hold func(n int) error) {
-	g.writer, g.received, g.headBytes, g.headLines, g.hold = w, 0, 0, 0, hold
+	g.writer, g.received, g.headBytes, g.headLines, g.hold, g.readErr = w, 0, 0, 0, hold, nil
 }
 
 // Read implements io.Reader.
 func (g *guard) Read(p []byte) (int, error) {
+	if g.readErr != nil {
+		return 0, g.readErr
+	}
 	n, err := g.Conn.Read(p)
 	if err == io.EOF {
 		err = endOf(g.Conn, g.writer)
@@ -47,8 +52,8 @@
 		if limitErr := g.scan(p[:n]); limitErr != nil {
 			n, err = 0, limitErr
 		}
-		g.readErr = err
 	}
+	g.readErr = err
 	return n, err
 }
 
@@ -84,7 +89,7 @@
 
 // readHead parses the next head, of which br may hold some bytes.
 func (g *guard) readHead(br *bufio.Reader, method string) (*http.Response, error) {
-	g.parsing, g.ended, g.lineEmpty, g.shown, g.readErr = true, false, false, g.shown[:0], nil
+	g.parsing, g.ended, g.lineEmpty, g.shown = true, false, false, g.shown[:0]
 	defer func() { g.parsing = false }()
 	buffered, _ := br.Peek(br.Buffered()) // doesn't read
 	if err := g.scan(buffered); err != nil {
--- a/internal/endpoint/direct/malformed.go
+++ b/internal/endpoint/direct/malformed.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -63,13 +64,17 @@
 	return nil
 }
 
-// parseError returns the error for a head that was not parsed because of err: a MalformedError, unless the bytes of
-// the head could not be read.
+// parseError returns the error for a head that was not parsed because of err: what its bytes ended with, if they
+// did, and otherwise a MalformedError.
 func (g *guard) parseError(err error) error {
-	if g.readErr != nil {
-		return err
+	switch g.readErr {
+	case nil:
+		return g.malformed(FaultSyntax, err.Error())
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return g.readErr
 	}
-	return g.malformed(FaultSyntax, err.Error())
 }
 
 func (g *guard) malformed(f Fault, detail string) error {
