An answer in chunks over HTTP/1.0 is refused

What callers would see: an endpoint sends an answer over HTTP/1.0 with `Transfer-Encoding: chunked`; the body at the caller of a look-up or an order is "3\r\nabc\r\n0\r\n\r\n". Found while the answers with fields whose names hold blanks were tried with other heads, by which the same body reached callers; nobody has reported it.

Cause: before HTTP/1.1 there are no chunks, so net/http drops the field and reads the body to the end of the connection.

Change: a transfer encoding in a head before HTTP/1.1 makes it a MalformedError; by RFC 9112, section 6.1, the framing of such a message is faulty. The guard looks for the field while it counts the lines of a head, as net/http doesn't keep it. Agents read the chunks (a test says so), so nothing is changed there.

--- a/internal/endpoint/direct/guard.go
+++ b/internal/endpoint/direct/guard.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"unicode"
 )
 
 // guard reads the bytes of a connection, and returns io.EOF only if the endpoint has closed its side in order.
@@ -22,6 +23,10 @@
 	// lineEmpty means that the current line is empty, and ended that the blank line after the head
 	// has been seen.
 	lineEmpty, ended bool
+	// encoded means that the head has a transfer encoding, and matched is how many bytes of the current line are those
+	// of encodingName, or noMatch. net/http drops the field where it ignores it.
+	encoded bool
+	matched int
 	// shown are the first bytes of the current head.
 	shown []byte
 	// readErr is the error with which the bytes of this exchange ended, or nil. The parser of heads drops the error
@@ -31,6 +36,12 @@
 	hold func(n int) error
 }
 
+// encodingName begins the line of a transfer encoding, in lower case.
+const encodingName = "transfer-encoding:"
+
+// noMatch means that the rest of a line isn't compared with encodingName.
+const noMatch = -1
+
 // begin starts an exchange, whose request w writes.
 func (g *guard) begin(w *writer, hold func(n int) error) {
 	g.writer, g.received, g.headBytes, g.headLines, g.hold, g.readErr = w, 0, 0, 0, hold, nil
@@ -67,6 +78,7 @@
 		if len(g.shown) < maxShownBytes {
 			g.shown = append(g.shown, c)
 		}
+		g.matchEncoding(c)
 		switch c {
 		case '\n':
 			g.headLines++
@@ -85,11 +97,28 @@
 	return g.hold(g.headBytes)
 }
 
+// matchEncoding looks for a transfer encoding at the beginning of each line; c is the next byte of the head.
+func (g *guard) matchEncoding(c byte) {
+	switch {
+	case c == '\n':
+		g.matched = 0
+	case g.matched == noMatch:
+	case unicode.ToLower(rune(c)) != rune(encodingName[g.matched]):
+		g.matched = noMatch
+	default:
+		g.matched++
+	}
+	if g.matched == len(encodingName) {
+		g.encoded, g.matched = true, noMatch
+	}
+}
+
 func (g *guard) limitError(l Limit) error { return &LimitError{Limit: l, Bytes: g.received} }
 
 // readHead parses the next head, of which br may hold some bytes.
 func (g *guard) readHead(br *bufio.Reader, method string) (*http.Response, error) {
 	g.parsing, g.ended, g.lineEmpty, g.shown = true, false, false, g.shown[:0]
+	g.encoded, g.matched = false, 0
 	defer func() { g.parsing = false }()
 	buffered, _ := br.Peek(br.Buffered()) // doesn't read
 	if err := g.scan(buffered); err != nil {
--- a/internal/endpoint/direct/malformed.go
+++ b/internal/endpoint/direct/malformed.go
@@ -15,11 +15,13 @@
 type Fault string
 
 // The faults. FaultSyntax is a head that can't be parsed, FaultStatus a status code outside the range of RFC 9110,
-// section 15, and FaultFieldName a name of a field that is no token of its section 5.6.2.
+// section 15, FaultFieldName a name of a field that is no token of its section 5.6.2, and FaultEncoding a transfer
+// encoding in a version that has none (RFC 9112, section 6.1).
 const (
 	FaultSyntax    Fault = "syntax"
 	FaultStatus    Fault = "statusCode"
 	FaultFieldName Fault = "fieldName"
+	FaultEncoding  Fault = "transferEncoding"
 )
 
 // maxShownBytes bounds what a MalformedError quotes of a response.
@@ -51,11 +53,14 @@
 // An invalid status below 200 would count as informational, so that the next response on the connection is passed on.
 // net/http accepts blanks in the name of a field and keeps them. Such a field would be passed on, and one that frames
 // the body, with a blank before its colon, would not be seen: the body would be passed on as if it had no length or
-// no chunks. It checks values itself.
+// no chunks. It checks values itself. Before HTTP/1.1 it ignores a transfer encoding, with the same effect.
 func (g *guard) checkHead(resp *http.Response) error {
 	if !httpstatus.IsValid(resp.StatusCode) {
 		return g.malformed(FaultStatus, strconv.Itoa(resp.StatusCode))
 	}
+	if g.encoded && !resp.ProtoAtLeast(1, 1) {
+		return g.malformed(FaultEncoding, resp.Proto)
+	}
 	for name := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return g.malformed(FaultFieldName, name)
--- a/internal/endpoint/direct/malformed_test.go
+++ b/internal/endpoint/direct/malformed_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// An endpoint answers with chunks in a version that has none. Guards against passing on the sizes of the chunks as a part
+// of the body.
+func TestChunksBeforeHTTP11AreNoResponse(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "X-A: b\r\nTRANSFER-ENCODING: chunked"} {
+		t.Run(field, func(t *testing.T) {
+			wantMalformed(t, "HTTP/1.0 200 OK\r\n"+field+"\r\nX-Id: 1\r\n\r\n3\r\nabc\r\n0\r\n\r\n", FaultEncoding)
+		})
+	}
+	for _, field := range []string{"X-Transfer-Encoding: chunked", "Transfer-Encodings: chunked", "X-A: Transfer-Encoding: chunked", "Transfer: b"} {
+		t.Run(field, func(t *testing.T) {
+			text := "HTTP/1.0 200 OK\r\n" + field + "\r\nX-Id: 1\r\n\r\none"
+			if body, err := doAll(&Client{}, answer(t, text), request("1")); err != nil || body != "one" {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+	t.Run("behind an informational response in chunks", func(t *testing.T) {
+		text := "HTTP/1.1 102 Processing\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\none"
+		if body, err := doAll(&Client{}, answer(t, text), request("1")); err != nil || body != "one" {
+			t.Errorf("body %q, %v", body, err)
+		}
+	})
+}
+
 // An endpoint sends a field value that no field can have. Guards against passing it on.
 func TestInvalidFieldValueIsNoResponse(t *testing.T) {
 	for _, c := range []string{"\x00", "\x01", "\x0b", "\x1b", "\x7f", "\r"} {
--- a/internal/endpoint/malformed_test.go
+++ b/internal/endpoint/malformed_test.go
@@ -13,6 +13,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/hyssoprelay/hyssoprelay/internal/endpoint"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 // requireRefused checks that a call gets no answer from an endpoint that sends text, in one part or byte by byte.
@@ -173,6 +174,19 @@
 	}
 }
 
+// An endpoint answers with chunks over HTTP/1.0, which has none. Guards against passing on the sizes of the chunks as a
+// part of the body.
+func TestChunksOverHTTP10AreRead(t *testing.T) {
+	s := &rawServer{answer: func(conn net.Conn, _ *http.Request, _ int) bool {
+		send(conn, strings.Replace(named(chunkedAnswer, "r"), "HTTP/1.1", "HTTP/1.0", 1))
+		return false
+	}}
+	a := do(t, client(t, s.start(t), nil), plainCall("r"), result.OK)
+	if got := strings.Join(a.pieces, ""); got != "abcde" {
+		t.Errorf("body %q", got)
+	}
+}
+
 // An endpoint answers a long request without length while it is being written, and ends the connection. Guards against
 // taking a part for the whole answer.
 func TestAnswerWithoutLengthDuringAnUploadIsRefused(t *testing.T) {
