--- a/internal/endpoint/direct/end.go
+++ b/internal/endpoint/direct/end.go
@@ -40,11 +40,7 @@
 
 // tcpState returns the kernel's state of a TCP connection.
 func tcpState(nc net.Conn) (uint8, error) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(nc)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/endpoint/direct/pool.go
+++ b/internal/endpoint/direct/pool.go
@@ -133,11 +133,7 @@
 // peek returns how many bytes, up to maxPeek, can be read from nc. The error is EAGAIN if nc is open
 // and there are none, and nil with no bytes if the peer has closed it.
 func peek(nc net.Conn) (n int, err error) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(nc)
 	if err != nil {
 		return 0, err
 	}
@@ -150,6 +146,15 @@
 	return max(0, n), errors.Join(err, peekErr)
 }
 
+// rawConn gives access to the socket of nc.
+func rawConn(nc net.Conn) (syscall.RawConn, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
 // takeIdle removes from the pool the most recently used connection to addr that may carry req, and
 // returns it, or nil if there is none. It is the least likely one to be closed by
 // the endpoint.
--- a/internal/frontend/malformed_test.go
+++ b/internal/frontend/malformed_test.go
@@ -23,19 +23,13 @@
 	s.t.Helper()
 	s.requestsToFirst(e, path, 2, func(resp response) {
 		s.t.Helper()
-		switch {
-		case strings.HasPrefix(path, "/order/"):
+		if strings.HasPrefix(path, "/order/") {
 			s.wantStatus(resp, http.StatusBadGateway)
 			if code := resp.header.Get("X-Result-Code"); code != "3001" {
 				s.t.Errorf("code %s, %q", code, resp.body)
 			}
-		case strings.HasPrefix(path, "/stream/"):
-			s.wantWholeStream(resp, 5)
-		default:
-			s.wantStatus(resp, http.StatusOK)
-			if resp.body != "answer of i-1" {
-				s.t.Errorf("body %q", resp.body)
-			}
+		} else {
+			s.wantWholeAnswer(resp, path, "i-1")
 		}
 		if resp.header.Get("X-Hyssoprelay-Replica-Seal") == "seal-i-0" || resp.header.Get("X A") != "" {
 			s.t.Errorf("the malformed answer is passed on: %v", resp.header)
--- a/internal/frontend/unframed_test.go
+++ b/internal/frontend/unframed_test.go
@@ -186,6 +186,19 @@
 	}
 }
 
+// wantWholeAnswer checks the response to a request with the given path: a whole stream, or the text of an endpoint.
+func (s *system) wantWholeAnswer(resp response, path, endpoint string) {
+	s.t.Helper()
+	if strings.HasPrefix(path, "/stream/") {
+		s.wantWholeStream(resp, 5)
+		return
+	}
+	s.wantStatus(resp, http.StatusOK)
+	if resp.body != "answer of "+endpoint {
+		s.t.Errorf("body %q", resp.body)
+	}
+}
+
 // earlyUploads are sizes in bytes of request bodies that an endpoint answers before it has read them: one
 // that is written with the head, and some that are still being written when the answer arrives.
 var earlyUploads = []int{8 << 10, 300 << 10, 1 << 20, 4 << 20}
@@ -229,14 +242,7 @@
 			t.Parallel()
 			s, e := newUnframedSystem(t, true, &standin.Unframed{Events: 2, Reset: true})
 			s.uploadsToFirst(e, path, 1<<20, func(resp response) {
-				if strings.HasPrefix(path, "/stream/") {
-					s.wantWholeStream(resp, 5)
-					return
-				}
-				s.wantStatus(resp, http.StatusOK)
-				if resp.body != "answer of i-1" {
-					t.Errorf("body %q", resp.body)
-				}
+				s.wantWholeAnswer(resp, path, "i-1")
 			})
 		})
 	}
@@ -254,14 +260,7 @@
 			e := s.start("entry1", s.store.Addr())
 			for _, size := range earlyUploads {
 				resp := e.upload(context.Background(), path, fmt.Sprint("q", size), size)
-				if strings.HasPrefix(path, "/stream/") {
-					s.wantWholeStream(resp, 5)
-					continue
-				}
-				s.wantStatus(resp, http.StatusOK)
-				if resp.body != "answer of i-0" {
-					t.Errorf("body %q", resp.body)
-				}
+				s.wantWholeAnswer(resp, path, "i-0")
 			}
 		})
 	}
