The stops under load judge a cut answer by the stop of the process that cut it

Cause, in the test: the time of the stop was read when the caller had seen the end of its connection, and it is reset as soon as the relay's next process serves. Callers who read slowly saw the end 60 and 80 ms after that.

Change: each connection keeps the process that it leads to, and the order to stop belongs to the process. The check is as strict as before, and stricter where the relay had been told to stop a second time meanwhile. Nothing in the product is changed for it.

--- a/cmd/hyssoprelay/stop_callers_test.go
+++ b/cmd/hyssoprelay/stop_callers_test.go
@@ -24,16 +24,24 @@
 	at   *stoppedRelay
 	conn net.Conn
 	in   *bufio.Reader
+	// run is the process to which the connection leads.
+	run *relayRun
 	// timeLeft is that of the requests that were sent last, and sentAt is when the last part of them was.
 	timeLeft time.Duration
 	sentAt   time.Time
 }
 
+var errOtherProcess = errors.New("another process of the relay has begun meanwhile")
+
 func (c *stopCaller) dial() error {
+	c.run = c.at.run.Load()
 	conn, err := net.Dial("tcp", c.at.callers)
 	if err != nil {
 		return err
 	}
+	if c.at.run.Load() != c.run {
+		return errors.Join(errOtherProcess, conn.Close())
+	}
 	c.conn, c.in = conn, bufio.NewReader(conn)
 	if c.slow {
 		return conn.(*net.TCPConn).SetReadBuffer(readPiece)
@@ -159,7 +167,7 @@
 			r.err, r.endedAt = errBehindClose, time.Now()
 		}
 		announced = c.conn == nil && r.err == nil
-		if at := c.at.stoppedAt.Load(); at != 0 {
+		if at := c.run.stoppedAt.Load(); at != 0 {
 			r.stopAt = time.Unix(0, at)
 		}
 		c.s.mu.Lock()
--- a/cmd/hyssoprelay/stop_test.go
+++ b/cmd/hyssoprelay/stop_test.go
@@ -74,13 +74,19 @@
 	sent []sentRequest
 }
 
-// stoppedRelay is a relay and when it was told to stop, in nanoseconds since 1970, or zero while it runs.
+// stoppedRelay is a relay and when it was told to stop, in nanoseconds since 1970, or zero while it serves.
 type stoppedRelay struct {
 	*daemon
 	callers   string
 	stoppedAt atomic.Int64
+	// run is its present process, or the next one as soon as that has ended.
+	run atomic.Pointer[relayRun]
 }
 
+// relayRun is one process of a relay and when it was told to stop, in nanoseconds since 1970, or zero. A caller who
+// reads slowly may see the end of a connection when the next process serves already.
+type relayRun struct{ stoppedAt atomic.Int64 }
+
 // mayBeChosen reports whether the balancer leads new connections to the relay.
 func (r *stoppedRelay) mayBeChosen(now time.Time) bool {
 	at := r.stoppedAt.Load()
@@ -93,7 +99,7 @@
 	sentAt, endedAt time.Time
 	// timeLeft is how long its caller waits.
 	timeLeft time.Duration
-	// stopAt is when its relay had been told to stop, or zero.
+	// stopAt is when the process that it was sent to had been told to stop, or zero.
 	stopAt time.Time
 	status int
 	// begun means that a part of the answer arrived, and err is why it is not whole.
@@ -121,6 +127,7 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
+		r.run.Store(&relayRun{})
 		r.daemon = newDaemon(t, name, "relay", "--settings", file)
 		s.relays = append(s.relays, r)
 		s.awaitListening(r)
@@ -149,12 +156,15 @@
 
 // stop tells a relay to stop, waits for its end and starts it again.
 func (s *stopSystem) stop(r *stoppedRelay) {
-	r.stoppedAt.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	r.stoppedAt.Store(now)
+	r.run.Load().stoppedAt.Store(now)
 	r.signal(syscall.SIGTERM)
 	if !r.await(patience) {
 		s.t.Errorf("%s has not ended well", r.name)
 		r.kill()
 	}
+	r.run.Store(&relayRun{})
 	r.start()
 	s.awaitListening(r)
 	r.stoppedAt.Store(0)
