Logs and gauges of the configuration that is held and the one that is announced

What was missing: when relays accept a key that was taken away, the logs don't tell whether a relay turned to another source before or after it had heard of the configuration that it lacks, nor up to which revision it counted as current.

Change: "store update source changed" has the revision, the configuration held and the newest one announced; "configuration is missing" is logged once for each announcement; the gauges relay.source.held and relay.source.announced show both.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -92,9 +92,10 @@
 	}
 	missing := missingDocument{entry: f.source, address: f.sourceAddress, revision: u.SeparateRevision, asOf: u.RequestedAt}
 	// The copy announces to other entries only the configuration that this one holds.
-	u.SeparateRevision = f.documents.Newest().Revision
+	u.SeparateRevision = f.heldDocument()
 	f.storeCopy.Apply(u, recovered)
 	if u.SeparateMissing {
+		f.logMissing(missing, u)
 		f.missing.set(missing)
 		return
 	}
--- a/internal/frontend/document.go
+++ b/internal/frontend/document.go
@@ -76,11 +76,14 @@
 	}
 }
 
+// heldDocument returns the revision of the newest configuration that this entry holds.
+func (f *Frontend) heldDocument() int64 { return f.documents.Newest().Revision }
+
 // newestKnownDocument returns the revision of the newest configuration that this
 // entry holds or that another entry has announced.
 func (f *Frontend) newestKnownDocument() int64 {
 	doc, _ := f.missing.get()
-	return max(doc.revision, f.documents.Newest().Revision)
+	return max(doc.revision, f.heldDocument())
 }
 
 // fetchDocuments fetches each configuration that this entry is missing, independently
@@ -105,16 +108,16 @@
 // fetchMissing makes one attempt to fetch a missing configuration, and waits before
 // it returns if that did not succeed.
 func (f *Frontend) fetchMissing(ctx context.Context, doc missingDocument) {
-	if f.documents.Newest().Revision < doc.revision {
+	if f.heldDocument() < doc.revision {
 		if err := f.fetchDocument(ctx, doc.entry, doc.address); err != nil {
 			f.Log.WithFields(logrus.Fields{"entry": doc.entry, "revision": doc.revision, "cause": err.Error()}).Info("configuration fetch failed")
 		}
 	}
-	if f.documents.Newest().Revision < doc.revision {
+	if f.heldDocument() < doc.revision {
 		pause.For(ctx, documentRetryDelay/2+rand.N(documentRetryDelay))
 		return
 	}
-	f.storeCopy.AdvanceSeparate(doc.asOf, f.documents.Newest().Revision)
+	f.storeCopy.AdvanceSeparate(doc.asOf, f.heldDocument())
 	f.advanceFreshness(doc.asOf, boottime.Now())
 	f.missing.clear(doc)
 }
@@ -144,7 +147,7 @@
 		return nil, err
 	}
 	p, err := fleetpb.NewEntryClient(conn).Document(ctx, &fleetpb.DocumentRequest{
-		Held: f.documents.Newest().Revision, Asker: f.peerServer.ListenAddr(),
+		Held: f.heldDocument(), Asker: f.peerServer.ListenAddr(),
 	})
 	if err != nil {
 		f.peerConns.RemoveUnresponsive(address)
@@ -155,7 +158,7 @@
 // applyDocument puts a configuration received from another entry into force, unless
 // it is no newer than the one held.
 func (f *Frontend) applyDocument(p *fleetpb.DocumentReply, from string, now time.Time) error {
-	if p.GetRevision() <= f.documents.Newest().Revision {
+	if p.GetRevision() <= f.heldDocument() {
 		return nil
 	}
 	v, err := f.documents.Decode(document.Encoded{Revision: p.GetRevision(), Base: p.GetBase(), Bytes: p.GetPacked()})
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -108,7 +108,7 @@
 	}
 	f.sourceOrigin = p.GetOrigin()
 	f.storeStatus.NoteProgress(boottime.Now())
-	held := f.documents.Newest().Revision
+	held := f.heldDocument()
 	// The other entry counts from the arrival of the request, which is after sent, so
 	// RequestedAt is not too late.
 	u := mirror.Update{
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -275,7 +275,7 @@
 	f.firstSources = map[string]string{}
 	f.storeStatus.Self, f.storeStatus.Wait = s.Name, pollWait
 	f.storeStatus.NoteProgress(now)
-	f.sourceMetrics = newSourceMetrics(f.Registry)
+	f.sourceMetrics = newSourceMetrics(f.Registry, f.heldDocument, f.newestKnownDocument)
 	f.storeCopy.SeparateKey = platform.DocumentKey
 	f.documentSender.Versions = &f.documents
 	f.documentSender.Pacer = &document.Pacer{BytesPerSecond: documentBandwidthShare * s.LineRate}
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/readers"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 )
 
 // sourceMetrics records the source from which an entry receives store updates and how
@@ -21,8 +22,15 @@
 	withoutUpdate map[readers.Outcome]metrics.Counter
 }
 
-func newSourceMetrics(r metrics.Registry) sourceMetrics {
+// newSourceMetrics registers the metrics in r. held and announced return the revisions of the newest configuration
+// that the entry holds and of the newest one that it has heard of.
+func newSourceMetrics(r metrics.Registry, held, announced func() int64) sourceMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("relay.source."+name, r) }
+	gauge := func(name string, value func() int64) {
+		metrics.NewRegisteredFunctionalGauge("relay.source."+name, r, value)
+	}
+	gauge("held", held)
+	gauge("announced", announced)
 	return sourceMetrics{
 		changes: counter("turns"),
 		age:     metrics.GetOrRegisterTimer("relay.source.age", r),
@@ -61,5 +69,20 @@
 	if name == "" {
 		from = "store"
 	}
-	f.Log.WithFields(logrus.Fields{"from": from, "knownAge": f.freshness.Age(boottime.Now()).Milliseconds()}).Info("store update source changed")
+	f.Log.WithFields(logrus.Fields{
+		"from": from, "knownAge": f.freshness.Age(boottime.Now()).Milliseconds(), "revision": f.storeCopy.Revision(),
+		"held": f.heldDocument(), "announced": f.newestKnownDocument(),
+	}).Info("store update source changed")
+}
+
+// logMissing logs a configuration that another entry has announced and this one doesn't hold, unless it was logged
+// before. Whether an entry turned to another source before or after it had heard of a configuration, and up to which
+// revision it counted as current, can't be told otherwise.
+func (f *Frontend) logMissing(doc missingDocument, u mirror.Update) {
+	if known, _ := f.missing.get(); known.revision == doc.revision && known.entry == doc.entry {
+		return
+	}
+	f.Log.WithFields(logrus.Fields{
+		"entry": doc.entry, "revision": u.Revision, "held": f.heldDocument(), "announced": doc.revision,
+	}).Info("configuration is missing")
 }
--- a/internal/operator/command/explain.go
+++ b/internal/operator/command/explain.go
@@ -25,7 +25,7 @@
 
 // stateMessages are the messages that report a change of the state of a process.
 var stateMessages = []string{
-	"dependency lost", "dependency regained", "configuration in force", "data centre order in force",
+	"dependency lost", "dependency regained", "configuration in force", "configuration is missing", "data centre order in force",
 	"endpoint entry removed", "freshness of keys confirmed by another entry", "settings reloaded", "full store listing applied",
 	"group leadership acquired", "group leadership lost", "relay started", "relay draining", "relay stopping",
 	"answers cut off, the grace time is used up",
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -267,6 +267,13 @@
 	}
 }
 
+// Revision returns the revision of the newest update, or 0 before the first one.
+func (c *Copy) Revision() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
 // RecoveredAt returns the time at which the service last became reachable again
 // after failed calls, or the zero time.
 func (c *Copy) RecoveredAt() time.Time {
