A process that follows another one can see which changes that one lacks

Up to six of the 15 others go on accepting the key for 9 s, where 5 s are allowed, and endpoints run the requests. They poll the store and count as up to date meanwhile.

Change: an answer has a revision up to which the sender knows all changes, the configuration included (Coverage, covered_revision on the wire). It is the only evidence by which the position of the store's polls, the copy and the age of the keys advance, and it holds for a process that has the configuration of that answer. The revision of the other keys advances as before, so removals of endpoints don't wait for a configuration.

Ruled out: passing the announcement of a configuration on before it is held (a trial of the users). It closes this case as well, but whoever is several transfers behind would chase announcements in a storm of configurations, and its keys would grow old meanwhile; a relay of an earlier version would still pass on what it doesn't hold. One that doesn't say what it covers now moves no poll. Passing on no revision beyond what is whole would send the other keys' changes again with each answer.

--- a/cmd/hyssoprelay/soak_system_test.go
+++ b/cmd/hyssoprelay/soak_system_test.go
@@ -147,22 +147,29 @@
 // line returns the address of a line to an address.
 func (s *soakSystem) line(to string) string {
 	s.t.Helper()
-	l := &line.Faulty{To: to, Pace: 60 * time.Millisecond}
+	l, addr := newLine(s.t, to)
+	s.lines = append(s.lines, l)
+	return addr
+}
+
+// newLine returns a line to an address, and its own address.
+func newLine(t *testing.T, to string) (l *line.Faulty, addr string) {
+	t.Helper()
+	l = &line.Faulty{To: to, Pace: 60 * time.Millisecond}
 	addr, err := l.Listen()
 	if err != nil {
-		s.t.Fatal(err)
+		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx) }()
-	s.t.Cleanup(func() {
+	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
-			s.t.Error(err)
+			t.Error(err)
 		}
 	})
-	s.lines = append(s.lines, l)
-	return addr
+	return l, addr
 }
 
 // configure writes a further configuration, with the lost key or without it.
--- a/internal/fleet/readers/start_test.go
+++ b/internal/fleet/readers/start_test.go
@@ -185,7 +185,7 @@
 func (s *linkSimulation) readStore(p *linkedProcess) {
 	s.storeCalls++
 	p.transfer.Reset()
-	u := mirror.Update{Complete: !p.known, Revision: s.revision, RequestedAt: s.now}
+	u := mirror.Update{Complete: !p.known, Revision: s.revision, Coverage: mirror.Coverage{RequestedAt: s.now}}
 	for r := p.revision + 1; r <= s.revision; r++ {
 		u.KVs = append(u.KVs, platform.NewKeyValue(fmt.Sprintf("key%06d", r), make([]byte, itemBytes-len("key000000")), r, 0))
 	}
@@ -214,7 +214,7 @@
 			for _, p := range s.processes {
 				p.known = known
 				if known {
-					p.copy.Apply(mirror.Update{Complete: true, RequestedAt: start}, start)
+					p.copy.Apply(mirror.Update{Complete: true, Coverage: mirror.Coverage{RequestedAt: start}}, start)
 				}
 			}
 			took := s.run(2 * within)
--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -90,8 +90,9 @@
 	if u.Complete {
 		f.applyListing(facts, now)
 	}
-	missing := missingDocument{entry: f.source, address: f.sourceAddress, revision: u.SeparateRevision, asOf: u.RequestedAt}
-	// The copy announces to other entries only the configuration that this one holds.
+	missing := missingDocument{entry: f.source, address: f.sourceAddress, covered: u.Coverage}
+	// The copy announces to other entries only the configuration that this one holds. What they may lack with it
+	// is said by the revision that the copy covers.
 	u.SeparateRevision = f.heldDocument()
 	f.storeCopy.Apply(u, recovered)
 	if u.SeparateMissing {
--- a/internal/frontend/document.go
+++ b/internal/frontend/document.go
@@ -13,6 +13,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/document"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
+	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
 	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 	"github.com/hyssoprelay/hyssoprelay/platform"
 )
@@ -35,19 +36,21 @@
 // missingDocument is a configuration that another entry holds and this one does not.
 type missingDocument struct {
 	entry, address string
-	revision       int64
-	// asOf is the time up to which this entry knows all changes once it has the
-	// configuration.
-	asOf time.Time
+	// covered is what this entry knows once it has the configuration at
+	// covered.SeparateRevision.
+	covered mirror.Coverage
 }
 
+// revision returns the revision of the configuration, or 0 if none is missing.
+func (d missingDocument) revision() int64 { return d.covered.SeparateRevision }
+
 // missingTracker holds the configuration that this entry is missing, and signals when
 // one is set.
 type missingTracker struct {
 	changed wake.Signal
 
 	mu       sync.Mutex      // guards document
-	document missingDocument // revision 0 means that none is missing
+	document missingDocument // the zero value means that none is missing
 }
 
 // set replaces the missing configuration.
@@ -55,7 +58,7 @@
 	t.mu.Lock()
 	t.document = doc
 	t.mu.Unlock()
-	if doc.revision > 0 {
+	if doc.revision() > 0 {
 		t.changed.Raise()
 	}
 }
@@ -64,7 +67,7 @@
 func (t *missingTracker) get() (missingDocument, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.document, t.document.revision > 0
+	return t.document, t.document.revision() > 0
 }
 
 // clear removes the missing configuration unless it has been replaced by another one.
@@ -83,7 +86,7 @@
 // entry holds or that another entry has announced.
 func (f *Frontend) newestKnownDocument() int64 {
 	doc, _ := f.missing.get()
-	return max(doc.revision, f.heldDocument())
+	return max(doc.revision(), f.heldDocument())
 }
 
 // fetchDocuments fetches each configuration that this entry is missing, independently
@@ -108,17 +111,19 @@
 // fetchMissing makes one attempt to fetch a missing configuration, and waits before
 // it returns if that did not succeed.
 func (f *Frontend) fetchMissing(ctx context.Context, doc missingDocument) {
-	if f.heldDocument() < doc.revision {
+	if f.heldDocument() < doc.revision() {
 		if err := f.fetchDocument(ctx, doc.entry, doc.address); err != nil {
-			f.Log.WithFields(logrus.Fields{"entry": doc.entry, "revision": doc.revision, "cause": err.Error()}).Info("configuration fetch failed")
+			f.Log.WithFields(logrus.Fields{"entry": doc.entry, "revision": doc.revision(), "cause": err.Error()}).Info("configuration fetch failed")
 		}
 	}
-	if f.heldDocument() < doc.revision {
+	if f.heldDocument() < doc.revision() {
 		pause.For(ctx, documentRetryDelay/2+rand.N(documentRetryDelay))
 		return
 	}
-	f.storeCopy.AdvanceSeparate(doc.asOf, f.heldDocument())
-	f.advanceFreshness(doc.asOf, boottime.Now())
+	covered := doc.covered
+	covered.SeparateRevision = f.heldDocument()
+	f.storeCopy.AdvanceSeparate(covered)
+	f.advanceFreshness(covered.RequestedAt, boottime.Now())
 	f.missing.clear(doc)
 }
 
--- a/internal/frontend/follow.go
+++ b/internal/frontend/follow.go
@@ -113,8 +113,11 @@
 	// RequestedAt is not too late.
 	u := mirror.Update{
 		Complete: p.GetWhole(), Deleted: p.GetRemoved(), Revision: p.GetRevision(),
-		RequestedAt:      sent.Add(time.Duration(p.GetAskedMicros()) * time.Microsecond),
-		SeparateRevision: p.GetDocumentRevision(), SeparateMissing: p.GetDocumentRevision() > held,
+		Coverage: mirror.Coverage{
+			CoveredRevision: p.GetCoveredRevision(), RequestedAt: sent.Add(time.Duration(p.GetAskedMicros()) * time.Microsecond),
+			SeparateRevision: p.GetDocumentRevision(),
+		},
+		SeparateMissing: p.GetDocumentRevision() > held,
 	}
 	for _, i := range p.GetItems() {
 		u.KVs = append(u.KVs, kv.NewKeyValue(i.GetKey(), i.GetValue(), i.GetRevision(), 0))
@@ -233,7 +236,7 @@
 func followReply(u mirror.Update, recovered, arrived, now time.Time) *fleetpb.FollowReply {
 	p := &fleetpb.FollowReply{
 		Whole: u.Complete, Removed: u.Deleted, Revision: u.Revision, AskedMicros: u.RequestedAt.Sub(arrived).Microseconds(),
-		DocumentRevision: u.SeparateRevision,
+		DocumentRevision: u.SeparateRevision, CoveredRevision: u.CoveredRevision,
 	}
 	for _, item := range u.KVs {
 		p.Items = append(p.Items, &fleetpb.Item{Key: item.Key(), Value: item.Value(), Revision: item.Revision()})
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -250,9 +250,9 @@
 		t.Cleanup(ep.Close)
 		key, value := ep.Entry("s", "a", "ready")
 		now := boottime.Now()
-		f.apply(mirror.Update{Complete: true, Revision: 1, RequestedAt: now, KVs: []kv.KeyValue{kv.NewKeyValue(key, value, 1, 0)}})
+		f.apply(mirror.Update{Complete: true, Revision: 1, Coverage: mirror.Coverage{RequestedAt: now}, KVs: []kv.KeyValue{kv.NewKeyValue(key, value, 1, 0)}})
 		f.storeLostByPeer = lost
-		f.apply(mirror.Update{Deleted: []string{key}, Revision: 2, RequestedAt: now})
+		f.apply(mirror.Update{Deleted: []string{key}, Revision: 2, Coverage: mirror.Coverage{RequestedAt: now}})
 		if retained := f.state.Endpoints(boottime.Now()) == 1; retained != lost {
 			t.Errorf("store lost by another entry %v: endpoint retained %v", lost, retained)
 		}
--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -70,7 +70,7 @@
 		from = "store"
 	}
 	f.Log.WithFields(logrus.Fields{
-		"from": from, "knownAge": f.freshness.Age(boottime.Now()).Milliseconds(), "revision": f.storeCopy.Revision(),
+		"from": from, "knownAge": f.freshness.Age(boottime.Now()).Milliseconds(), "revision": f.storeCopy.Revision(), "covered": f.storeCopy.Covered(),
 		"held": f.heldDocument(), "announced": f.newestKnownDocument(),
 	}).Info("store update source changed")
 }
@@ -79,10 +79,10 @@
 // before. Whether an entry turned to another source before or after it had heard of a configuration, and up to which
 // revision it counted as current, can't be told otherwise.
 func (f *Frontend) logMissing(doc missingDocument, u mirror.Update) {
-	if known, _ := f.missing.get(); known.revision == doc.revision && known.entry == doc.entry {
+	if known, _ := f.missing.get(); known.revision() == doc.revision() && known.entry == doc.entry {
 		return
 	}
 	f.Log.WithFields(logrus.Fields{
-		"entry": doc.entry, "revision": u.Revision, "held": f.heldDocument(), "announced": doc.revision,
+		"entry": doc.entry, "revision": u.Revision, "covered": f.storeCopy.Covered(), "held": f.heldDocument(), "announced": doc.revision(),
 	}).Info("configuration is missing")
 }
--- a/internal/platform/mirror/copy.go
+++ b/internal/platform/mirror/copy.go
@@ -31,12 +31,12 @@
 	// keys are the keys of items, sorted, or nil if they have changed since.
 	keys []string
 	// events are the changes after the revision compacted, oldest first.
-	events               []event
-	compacted, revision  int64
-	knownAt, recoveredAt time.Time
-	// separateRevision is the revision of the value of SeparateKey that the process
-	// holds.
-	separateRevision int64
+	events              []event
+	compacted, revision int64
+	// coverage is what the process knows of all keys. Its SeparateRevision is the
+	// revision of the value of SeparateKey that the process holds.
+	coverage    Coverage
+	recoveredAt time.Time
 	// updated, unless nil, is closed by the next call of Apply or AdvanceSeparate.
 	updated chan struct{}
 }
@@ -49,9 +49,10 @@
 	revision int64
 }
 
-// Apply applies an update. Updates must come in the order in which Mirror.Apply gets
-// them. If u.Recovered is set, recoveredAt is the time at which the service became
-// reachable again.
+// Apply applies an update. u.SeparateRevision is the revision of the value of
+// SeparateKey that the process holds. Updates must come in the order in which
+// Mirror.Apply gets them. If u.Recovered is set, recoveredAt is the time at which the
+// service became reachable again.
 func (c *Copy) Apply(u Update, recoveredAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -80,24 +81,21 @@
 		c.recoveredAt = recoveredAt
 	}
 	if u.SeparateMissing {
-		u.RequestedAt = time.Time{}
+		u.Coverage = Coverage{SeparateRevision: u.SeparateRevision}
 	}
-	c.advance(u.RequestedAt, u.SeparateRevision)
+	c.advance(u.Coverage)
 }
 
-// AdvanceSeparate records that the process holds the value of SeparateKey at a revision
-// and therefore knows every change made before knownAt.
-func (c *Copy) AdvanceSeparate(knownAt time.Time, separateRevision int64) {
+// AdvanceSeparate records that the process now holds the value of SeparateKey at
+// covered.SeparateRevision, and that covered holds therefore.
+func (c *Copy) AdvanceSeparate(covered Coverage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.advance(knownAt, separateRevision)
+	c.advance(covered)
 }
 
-func (c *Copy) advance(knownAt time.Time, separateRevision int64) {
-	if knownAt.After(c.knownAt) {
-		c.knownAt = knownAt
-	}
-	c.separateRevision = max(c.separateRevision, separateRevision)
+func (c *Copy) advance(covered Coverage) {
+	c.coverage.advance(covered)
 	if c.updated != nil {
 		close(c.updated)
 		c.updated = nil
@@ -207,7 +205,7 @@
 	if c.items == nil {
 		return Page{}, false
 	}
-	p := Page{Update: Update{Revision: c.revision, RequestedAt: c.knownAt, SeparateRevision: c.separateRevision}}
+	p := Page{Update: Update{Revision: c.revision, Coverage: c.coverage}}
 	// A process that began the transfer with another copy, and knows more than this one,
 	// must not go back to its state.
 	continued := q.Complete && q.After <= c.revision
@@ -274,6 +272,14 @@
 	return c.revision
 }
 
+// Covered returns the revision up to which all changes are known, those of SeparateKey
+// included.
+func (c *Copy) Covered() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.coverage.CoveredRevision
+}
+
 // RecoveredAt returns the time at which the service last became reachable again
 // after failed calls, or the zero time.
 func (c *Copy) RecoveredAt() time.Time {
--- a/internal/platform/mirror/copy_test.go
+++ b/internal/platform/mirror/copy_test.go
@@ -46,7 +46,7 @@
 
 // since returns the answer of the service to a poll, or to a list if known is false.
 func (h *history) since(after int64, known bool, now time.Time) Update {
-	u := Update{Complete: !known, Revision: h.revision(), RequestedAt: now}
+	u := Update{Complete: !known, Revision: h.revision(), Coverage: Coverage{CoveredRevision: h.revision(), RequestedAt: now}}
 	if !known {
 		after = 0
 	}
@@ -304,7 +304,7 @@
 	if f.pendingKnownAt.After(f.follower.knownAt) {
 		f.follower.knownAt = f.pendingKnownAt
 	}
-	f.copy.AdvanceSeparate(f.pendingKnownAt, f.heldRevision)
+	f.copy.AdvanceSeparate(Coverage{RequestedAt: f.pendingKnownAt, SeparateRevision: f.heldRevision})
 }
 
 // A large value is transferred separately and later, also by processes that are behind.
@@ -373,9 +373,9 @@
 func TestPollStartsBeforeMissingSeparateValue(t *testing.T) {
 	var polled []int64
 	updates := []Update{
-		{Complete: true, Revision: 10},
-		{Revision: 20, SeparateMissing: true},
-		{Revision: 15}, // from another peer, which is behind
+		{Complete: true, Revision: 10, Coverage: Coverage{CoveredRevision: 10}},
+		{Revision: 20, Coverage: Coverage{CoveredRevision: 20}, SeparateMissing: true},
+		{Revision: 15, Coverage: Coverage{CoveredRevision: 15}}, // from another peer, which is behind
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -50,36 +50,57 @@
 	Complete bool
 	KVs      []platform.KeyValue
 	Deleted  []string
+	// Revision is the revision up to which the changes of all keys but
+	// Copy.SeparateKey are known after the update.
 	Revision int64
-	// RequestedAt is the time at which the request was sent. After the update the
-	// process knows every change made before it.
-	RequestedAt time.Time
+	Coverage
 	// Recovered reports that calls to the service failed before this answer.
 	Recovered bool
 	// FromPeer reports that the update comes from another process instead of the
 	// service.
 	FromPeer bool
-	// SeparateRevision is the revision of the value of Copy.SeparateKey, which is
-	// transferred separately: the revision that the process holds or, in an update
-	// from a peer, the one that the peer holds.
-	SeparateRevision int64
-	// SeparateMissing reports that the process doesn't hold that value yet. Until
-	// it does, it may lack a change made before RequestedAt.
+	// SeparateMissing reports that the process doesn't hold the value of
+	// Copy.SeparateKey that Coverage requires yet, so that Coverage doesn't hold.
 	SeparateMissing bool
 }
 
-// position is the revision up to which a process knows all changes. If known is
-// false, the complete state has to be read first.
+// position is the revision up to which a process knows changes. If known is false,
+// the complete state has to be read first.
 type position struct {
 	revision int64
 	known    bool
 }
 
-// advance records that all changes up to a revision are known.
+// advance records that the changes up to a revision are known.
 func (p *position) advance(revision int64) {
 	p.revision, p.known = max(p.revision, revision), true
 }
 
+// progress is what a process knows after the updates that it has received. The zero
+// value has received none.
+type progress struct {
+	// received is the position in the changes of all keys but Copy.SeparateKey, from
+	// which peers are asked, and covered the one in the changes of all keys, from which
+	// the service is polled.
+	received, covered position
+	// knownAt is the time before which all changes are known.
+	knownAt time.Time
+}
+
+// note records an update.
+func (p *progress) note(u Update) {
+	p.received.advance(u.Revision)
+	if u.SeparateMissing {
+		return
+	}
+	if u.CoveredRevision > 0 || !u.FromPeer {
+		p.covered.advance(u.CoveredRevision)
+	}
+	if u.RequestedAt.After(p.knownAt) {
+		p.knownAt = u.RequestedAt
+	}
+}
+
 // Mirror follows the keys under one prefix. Set the exported fields before Run.
 type Mirror struct {
 	Reader Reader
@@ -109,9 +130,9 @@
 	// state if known is false. It also sets Recovered in the update, which Run sets
 	// in the answers of the service. If it returns false, the service is called instead.
 	//
-	// The service is polled from the revision of the last update without
-	// SeparateMissing. Otherwise a value that a peer announced but did not transfer
-	// would never arrive.
+	// The service is polled from the revision that the updates without
+	// SeparateMissing cover. Otherwise a value that a peer announced but did not
+	// transfer, or that the peer itself lacked, would never arrive.
 	Peer func(ctx context.Context, revision int64, known bool) (Update, bool)
 	// OnRequest, if set, is called before each call to the service with the time at
 	// which the answer is due.
@@ -130,17 +151,14 @@
 // Run follows the prefix until ctx ends. It always returns nil.
 func (m *Mirror) Run(ctx context.Context) error {
 	retryDelay, settle := minRetryDelay, m.Settle
-	// received is advanced by all updates, also those from peers; pollFrom, from which
-	// the service is polled, only by those without SeparateMissing.
-	received, pollFrom, failed := position{}, position{}, false
-	// knownAt is the time before which all changes are known. unconfirmed reports
-	// that the service did not answer the last call, or that the last update came
-	// from a peer.
-	knownAt, unconfirmed := time.Time{}, false
+	known, failed := progress{}, false
+	// unconfirmed reports that the service did not answer the last call, or that the
+	// last update came from a peer.
+	unconfirmed := false
 	startupEnd := m.Now().Add(m.StartupPeriod)
 	relistAfter := time.Time{}
 	for ctx.Err() == nil {
-		u, err := m.fetch(ctx, received, pollFrom, m.pollWait(m.Now().Sub(knownAt), unconfirmed))
+		u, err := m.fetch(ctx, known, m.pollWait(m.Now().Sub(known.knownAt), unconfirmed))
 		switch {
 		case err == nil:
 			if !u.FromPeer {
@@ -148,13 +166,7 @@
 			}
 			unconfirmed = u.FromPeer
 			failed, retryDelay = false, minRetryDelay
-			received.advance(u.Revision)
-			if !u.SeparateMissing {
-				pollFrom.advance(u.Revision)
-			}
-			if u.RequestedAt.After(knownAt) && !u.SeparateMissing {
-				knownAt = u.RequestedAt
-			}
+			known.note(u)
 			m.Apply(u)
 			if u.FromPeer {
 				settle = m.Settle
@@ -169,13 +181,13 @@
 				settle = m.Settle
 			}
 		case errors.Is(err, ErrCompacted):
-			pollFrom.known = false
+			known.covered.known = false
 			m.reportRelist(err)
 		case errors.Is(err, ErrTooLong):
-			// The changes since pollFrom only become more, so that the same poll would
+			// The changes since then only become more, so that the same poll would
 			// fail as long as the service keeps them. The pages of a list are bounded.
 			// The call is not a failure: the service has answered.
-			pollFrom.known = false
+			known.covered.known = false
 			m.reportRelist(err)
 			pause.For(ctx, relistAfter.Sub(m.Now()))
 			relistAfter = m.Now().Add(minRelistInterval)
@@ -221,28 +233,31 @@
 	}
 }
 
-func (m *Mirror) fetch(ctx context.Context, received, pollFrom position, wait time.Duration) (Update, error) {
+func (m *Mirror) fetch(ctx context.Context, known progress, wait time.Duration) (Update, error) {
 	if m.Peer != nil {
-		if u, ok := m.Peer(ctx, received.revision, received.known); ok {
+		if u, ok := m.Peer(ctx, known.received.revision, known.received.known); ok {
 			u.FromPeer = true
 			return u, nil
 		}
 	}
 	sentAt := m.Now()
-	if !pollFrom.known {
+	if !known.covered.known {
 		m.reportRequest(sentAt)
 		u, err := m.list(ctx)
-		u.RequestedAt = sentAt
+		u.Coverage = Coverage{CoveredRevision: u.Revision, RequestedAt: sentAt}
 		return u, err
 	}
 	m.reportRequest(sentAt.Add(wait))
-	c, err := m.poll(ctx, pollFrom.revision, wait)
+	c, err := m.poll(ctx, known.covered.revision, wait)
 	if err != nil {
 		return Update{}, err
 	}
 	// An answer that arrives out of order carries an older revision, and polling
 	// from there would repeat changes.
-	return Update{KVs: c.KVs, Deleted: c.Deleted, Revision: max(c.Revision, pollFrom.revision), RequestedAt: sentAt}, nil
+	revision := max(c.Revision, known.covered.revision)
+	return Update{
+		KVs: c.KVs, Deleted: c.Deleted, Revision: revision, Coverage: Coverage{CoveredRevision: revision, RequestedAt: sentAt},
+	}, nil
 }
 
 func (m *Mirror) reportRequest(due time.Time) {
--- a/internal/platform/mirror/transfer.go
+++ b/internal/platform/mirror/transfer.go
@@ -45,9 +45,7 @@
 	p.KVs = append(t.received.KVs, p.KVs...)
 	p.Deleted = append(t.received.Deleted, p.Deleted...)
 	p.Revision = min(p.Revision, t.received.Revision)
-	if t.received.RequestedAt.Before(p.RequestedAt) {
-		p.RequestedAt = t.received.RequestedAt
-	}
+	p.Coverage = p.joined(t.received.Coverage)
 	return p
 }
 
