An entry reads its age before the configuration that it proves with it

What callers would see: a key that was taken away is accepted for longer than allowed by an entry that the store doesn't answer.

Cause: the answer to a query for the age of the keys read the configuration in force first and the age afterwards. If a configuration comes into force between the two, the answer has the version before it with an age that only the new one has. Whoever asks holds that version and adopts the age.

Change: the age is read first. It holds for each later configuration.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -31,7 +31,6 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/relay"
 	"github.com/hyssoprelay/hyssoprelay/internal/settings"
 	"github.com/hyssoprelay/hyssoprelay/internal/wake"
-	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 	"github.com/hyssoprelay/hyssoprelay/platform"
 )
 
@@ -363,16 +362,3 @@
 
 	frontend *Frontend
 }
-
-// Proof implements fleetpb.EntryServer.
-func (s *service) Proof(context.Context, *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
-	f := s.frontend
-	t := f.state.Table()
-	if t == nil {
-		return nil, result.New(result.NoPreset, "")
-	}
-	return &fleetpb.ProofReply{
-		AgeMicros: uint64(max(0, f.freshness.Age(boottime.Now()).Microseconds())),
-		Version:   t.Version(),
-	}, nil
-}
--- a/internal/frontend/prove.go
+++ b/internal/frontend/prove.go
@@ -8,6 +8,8 @@
 
 	"github.com/hyssoprelay/hyssoprelay/internal/boottime"
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
+	"github.com/hyssoprelay/hyssoprelay/pkg/result"
 )
 
 const (
@@ -92,3 +94,23 @@
 		}).Info("freshness of keys confirmed by another entry")
 	}
 }
+
+// Proof implements fleetpb.EntryServer.
+func (s *service) Proof(context.Context, *fleetpb.ProofRequest) (*fleetpb.ProofReply, error) {
+	f := s.frontend
+	return proof(func() time.Duration { return f.freshness.Age(boottime.Now()) }, f.state.Table)
+}
+
+// proof returns the age of the knowledge with the version of the configuration in force.
+//
+// The age is read first, as it holds for any later configuration. Read after the
+// configuration, it may be that of the next one, and another entry would go on accepting
+// the keys that the next one takes away.
+func proof(age func() time.Duration, table func() *routing.Table) (*fleetpb.ProofReply, error) {
+	known := age()
+	t := table()
+	if t == nil {
+		return nil, result.New(result.NoPreset, "")
+	}
+	return &fleetpb.ProofReply{AgeMicros: uint64(max(0, known.Microseconds())), Version: t.Version()}, nil
+}
