A configuration that arrives twice at once is held as soon as its change is covered

What callers would see: the same as with the processes that can't see what the one before them lacks: a relay accepts a key that was taken away and counts as current. Found by reading, on the way from which the copy takes what is held; not seen in a run of processes.

Cause: the store and another entry deliver one configuration at once. The goroutine that fetches it puts it into force and then records that it is held. Between the two, the one that applies the store's answer finds it in force, records nothing, and the copy states the new revision as covered with the former configuration. An entry that follows then lacks the configuration and can't see it.

Change: both happen under one lock, in one function for both ways. A configuration that isn't newer than the one in force is still recorded as held when another entry has sent it, as before, but no longer logged as in force.

--- a/internal/frontend/apply.go
+++ b/internal/frontend/apply.go
@@ -138,8 +138,7 @@
 	}
 	switch fact := fact.(type) {
 	case platform.TableFact:
-		if f.state.SetTable(fact.Table, now) {
-			f.documents.Put(document.Version{Revision: item.Revision(), Value: item.Value()})
+		if f.putInForce(fact.Table, document.Version{Revision: item.Revision(), Value: item.Value()}, now) {
 			f.Log.WithFields(logrus.Fields{
 				"version": fact.Table.Version(), "routes": fact.Table.Routes(), "revision": item.Revision(),
 			}).Info("configuration in force")
--- a/internal/frontend/document.go
+++ b/internal/frontend/document.go
@@ -14,6 +14,7 @@
 	"github.com/hyssoprelay/hyssoprelay/internal/fleet/fleetpb"
 	"github.com/hyssoprelay/hyssoprelay/internal/pause"
 	"github.com/hyssoprelay/hyssoprelay/internal/platform/mirror"
+	"github.com/hyssoprelay/hyssoprelay/internal/routing"
 	"github.com/hyssoprelay/hyssoprelay/internal/wake"
 	"github.com/hyssoprelay/hyssoprelay/platform"
 )
@@ -174,14 +175,31 @@
 	if err != nil {
 		return err
 	}
-	f.state.SetTable(t, now)
-	f.documents.Put(v)
+	if !f.putInForce(t, v, now) {
+		f.documents.Put(v) // it is held, though no version newer than the one in force
+		return nil
+	}
 	f.Log.WithFields(logrus.Fields{
 		"version": t.Version(), "routes": t.Routes(), "revision": v.Revision, "entry": from, "bytes": len(p.GetPacked()),
 	}).Info("configuration in force")
 	return nil
 }
 
+// putInForce puts a configuration into force and records that it is held, unless its version
+// is no newer than the one in force. It reports whether it is in force now.
+//
+// The store and another entry may deliver one configuration at once. Whoever finds it in
+// force may count as covering its change, and so must find it held as well.
+func (f *Frontend) putInForce(t *routing.Table, v document.Version, now time.Time) bool {
+	f.inForceMu.Lock()
+	defer f.inForceMu.Unlock()
+	if !f.state.SetTable(t, now) {
+		return false
+	}
+	f.documents.Put(v)
+	return true
+}
+
 // Document implements fleetpb.EntryServer.
 func (s *service) Document(ctx context.Context, r *fleetpb.DocumentRequest) (*fleetpb.DocumentReply, error) {
 	resp, err := s.frontend.documentSender.Answer(r.GetAsker(), r.GetHeld(), boottime.Now())
--- a/internal/frontend/follow_test.go
+++ b/internal/frontend/follow_test.go
@@ -233,6 +233,16 @@
 	}
 }
 
+// newIdleFrontend returns an entry that is not run.
+func newIdleFrontend(t *testing.T) *Frontend {
+	t.Helper()
+	f := &Frontend{Settings: &settings.Relay{}, Log: process.NewBoundedLog("entry", "a"), Output: io.Discard}
+	f.Settings.PlatformAddresses = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+	f.build()
+	f.peerConns = &peer.ConnPool{}
+	return f
+}
+
 // An entry starts to poll the store after another one has lost it, and the store has
 // recovered by then. Guards against dropping at once the endpoints whose store entries
 // expired in the outage: these are written again within two seconds.
@@ -242,10 +252,7 @@
 	// transit of a request.
 	const maxRetention = 1700 * time.Millisecond
 	for _, lost := range []bool{false, true} {
-		f := &Frontend{Settings: &settings.Relay{}, Log: process.NewBoundedLog("entry", "a"), Output: io.Discard}
-		f.Settings.PlatformAddresses = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
-		f.build()
-		f.peerConns = &peer.ConnPool{}
+		f := newIdleFrontend(t)
 		ep := standin.StartEndpoint("i-1", 1)
 		t.Cleanup(ep.Close)
 		key, value := ep.Entry("s", "a", "ready")
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,8 +113,11 @@
 	// this one does not.
 	documents      document.Versions
 	documentSender document.Sender
-	missing        missingTracker
-	members        memberSet
+	// inForceMu makes a configuration come into force and be held at once. It is locked before
+	// the locks of state and documents.
+	inForceMu sync.Mutex
+	missing   missingTracker
+	members   memberSet
 	// host keeps processes registered in the store. hostWait is how long this entry, having
 	// listed the store's hosts for the first time, waits for another one before it registers by
 	// itself, and aloneUntil the end of that time, or nil before that list. fleetRuns reports that
