Test of revoked keys: frozen sources go on and must refuse the key too

One of the related paths: a relay that stands still for seconds between the announcement of a configuration and its transfer, or in front of others that follow it.

--- a/cmd/hyssoprelay/revoke_test.go
+++ b/cmd/hyssoprelay/revoke_test.go
@@ -35,6 +35,8 @@
 	revokeSettle = 4 * time.Second
 	// maxTroubleDelay is the longest time from the acknowledgement of a change to the trouble.
 	maxTroubleDelay = 30 * time.Millisecond
+	// maxFrozenTime is the longest time for which relays are frozen.
+	maxFrozenTime = 6 * time.Second
 	// revokeAskTime is how long after keyRevoke the key is tried, and revokeAskInterval the time between two requests
 	// to each relay.
 	revokeAskTime, revokeAskInterval = 2 * time.Second, 100 * time.Millisecond
@@ -168,13 +170,20 @@
 	}
 	t.Logf("%d relays, the first %d are %v %v after the change", n, lost, kind, time.Since(ack))
 	asked := s.relays[lost:]
-	if kind == cutOffFromStore {
+	if kind == cutOffFromStore || kind == frozen {
 		asked = s.relays
 	}
+	frozenTime := time.Second + time.Duration(rng.Int64N(int64(maxFrozenTime-time.Second)))
 	latest := make([]time.Duration, len(asked))
 	var wg sync.WaitGroup
 	for i, r := range asked {
-		wg.Go(func() { latest[i] = s.askAll(r, ack) })
+		wg.Go(func() {
+			if kind == frozen && i < lost {
+				time.Sleep(frozenTime)
+				r.signal(syscall.SIGCONT)
+			}
+			latest[i] = s.askAll(r, ack)
+		})
 	}
 	wg.Wait()
 	for i, r := range asked {
