--- a/cmd/hyssoprelay/soak_system_test.go
+++ b/cmd/hyssoprelay/soak_system_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -156,20 +155,7 @@
 func newLine(t *testing.T, to string) (l *line.Faulty, addr string) {
 	t.Helper()
 	l = &line.Faulty{To: to, Pace: 60 * time.Millisecond}
-	addr, err := l.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
-	return l, addr
+	return l, line.Start(t, l)
 }
 
 // configure writes a further configuration, with the lost key or without it.
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -43,20 +43,7 @@
 func newLine(t *testing.T, to string) (*line.Faulty, string) {
 	t.Helper()
 	l := &line.Faulty{To: to}
-	addr, err := l.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
-	return l, addr
+	return l, line.Start(t, l)
 }
 
 // system is a store with endpoints and entries.
