--- a/internal/frontend/source.go
+++ b/internal/frontend/source.go
@@ -76,8 +76,8 @@
 }
 
 // logMissing logs a configuration that another entry has announced and this one doesn't hold, unless it was logged
-// before. Whether an entry turned to another source before or after it had heard of a configuration, and up to which
-// revision it counted as current, can't be told otherwise.
+// before. The line tells whether an entry had heard of it when it turned to another source, and up to which revision
+// it counted as current.
 func (f *Frontend) logMissing(doc missingDocument, u mirror.Update) {
 	if known, _ := f.missing.get(); known.revision() == doc.revision() && known.entry == doc.entry {
 		return
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -87,7 +87,8 @@
 	knownAt time.Time
 }
 
-// note records an update.
+// note records an update. One of a peer that doesn't state what it covers, as earlier
+// versions don't, moves no poll.
 func (p *progress) note(u Update) {
 	p.received.advance(u.Revision)
 	if u.SeparateMissing {
