Test servers keep their connection while a script waits

Cause, in the test: the script of the server waits without a reference to its connection, which the garbage collector may take and close then; unread bytes make that a reset.

Change: the server refers to the connection until its script has ended. The check is the same.

--- a/internal/endpoint/direct/client_test.go
+++ b/internal/endpoint/direct/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -32,6 +33,7 @@
 				return
 			}
 			s(t, c, bufio.NewReader(c))
+			runtime.KeepAlive(c) // a connection that is collected while its script waits is closed
 		}
 	}()
 	return ln.Addr().String()
